Add the decision core and the wire crate

The INI reader is ini_core, because rust-ini reports no line numbers and every fault must name its line.

--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions of the ebonyfall router fleet.
+//!
+//! Nothing here performs input or output. The present time and random numbers are arguments, so
+//! that the routers, the agents, the tests and the measurements run the same code.
+
+pub mod admit;
+pub mod answer;
+pub mod chat;
+pub mod code;
+pub mod doc;
+pub mod id;
+pub mod ini;
+pub mod name;
+pub mod place;
+mod read;
+pub mod time;
--- /dev/null
+++ b/core/src/read.rs
@@ -0,0 +1,387 @@
+//! Reads the typed sections of a document.
+
+use std::{
+    collections::BTreeMap,
+    str::FromStr,
+    sync::Arc,
+    time::{Duration, UNIX_EPOCH},
+};
+
+use crate::{
+    doc::{
+        Document, Intent, KeyHash, Limits, Model, Move, Priority, Repeat, Route, Runs, Target,
+        Team, Zone, ZoneState,
+    },
+    ini::{Fault, Fields, Section},
+    name::EnvironmentName,
+};
+
+const NAME: &str = "a name of letters, digits, '-', '_' and '.'";
+const DURATION: &str = "a duration such as 500ms, 30s or 2h";
+const KINDS: &str = "environment, limits, zone, team, model, target, route, move";
+
+/// Builds a document from sections and collects faults.
+pub(crate) struct Reader<'a> {
+    file: &'a str,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    pub(crate) fn new(file: &'a str) -> Self {
+        Self {
+            file,
+            faults: Vec::new(),
+        }
+    }
+
+    pub(crate) fn finish(self) -> Vec<Fault> {
+        self.faults
+    }
+
+    pub(crate) fn document(&mut self, sections: &[Section], text: &str) -> Document {
+        let mut document = Document {
+            environment: EnvironmentName::new("unnamed").expect("the literal is a valid name"),
+            limits: Limits::default(),
+            zones: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            models: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            moves: BTreeMap::new(),
+            text: Arc::from(text),
+        };
+        let mut named = false;
+        for section in sections {
+            match section.kind.as_str() {
+                "environment" => {
+                    named = true;
+                    let mut fields = self.fields(section);
+                    if let Some(name) = fields.required("name", NAME, parsed) {
+                        document.environment = name;
+                    }
+                    fields.finish();
+                }
+                "limits" => document.limits = self.limits(section),
+                "zone" => {
+                    let name = self.section_name(section);
+                    insert(&mut document.zones, name, self.zone(section));
+                }
+                "team" => {
+                    let name = self.section_name(section);
+                    insert(&mut document.teams, name, Some(self.team(section)));
+                }
+                "model" => {
+                    let name = self.section_name(section);
+                    insert(&mut document.models, name, self.model(section));
+                }
+                "target" => {
+                    let name = self.section_name(section);
+                    insert(&mut document.targets, name, self.target(section));
+                }
+                "route" => {
+                    let name = self.section_name(section);
+                    insert(&mut document.routes, name, self.route(section));
+                }
+                "move" => {
+                    let name = self.section_name(section);
+                    insert(&mut document.moves, name, self.version_move(section));
+                }
+                other => {
+                    let found = format!("section kind {other:?}");
+                    self.fields(section).fault(section.line, "", found, KINDS);
+                }
+            }
+        }
+        if !named {
+            self.faults.push(Fault {
+                file: self.file.to_owned(),
+                line: 1,
+                place: "[environment] name".to_owned(),
+                found: "nothing".to_owned(),
+                allowed: NAME.to_owned(),
+            });
+        }
+        document
+    }
+
+    fn fields<'s>(&'s mut self, section: &'s Section) -> Fields<'s> {
+        Fields::new(self.file, section, &mut self.faults)
+    }
+
+    fn section_name<T: FromStr>(&mut self, section: &Section) -> Option<T> {
+        let name = section.name.parse().ok();
+        if name.is_none() {
+            let found = format!("{:?}", section.name);
+            self.fields(section)
+                .fault(section.line, "name", found, NAME);
+        }
+        name
+    }
+
+    fn limits(&mut self, section: &Section) -> Limits {
+        let default = Limits::default();
+        let mut f = self.fields(section);
+        let limits = Limits {
+            load_multiple: f
+                .optional(
+                    "load-multiple",
+                    "a number from 1.01 to 10",
+                    in_range(1.01, 10.0),
+                )
+                .unwrap_or(default.load_multiple),
+            retry_budget: f
+                .optional("retry-budget", "a percentage from 0% to 100%", percent)
+                .unwrap_or(default.retry_budget),
+            queue: f
+                .optional("queue", "a number from 1 to 100000", count(100_000))
+                .unwrap_or(default.queue),
+            body_bytes: f
+                .optional("body-bytes", "a number from 1 to 7340032", count(7 << 20))
+                .unwrap_or(default.body_bytes),
+            warmup: f
+                .optional("warmup", DURATION, duration)
+                .unwrap_or(default.warmup),
+            zone_ramp: f
+                .optional("zone-ramp", DURATION, duration)
+                .unwrap_or(default.zone_ramp),
+            hold: f
+                .optional("hold", DURATION, duration)
+                .unwrap_or(default.hold),
+            retention: f
+                .optional("retention", DURATION, duration)
+                .unwrap_or(default.retention),
+        };
+        f.finish();
+        limits
+    }
+
+    fn zone(&mut self, section: &Section) -> Option<Zone> {
+        let mut f = self.fields(section);
+        let region = f.required("region", NAME, parsed);
+        let state = f.optional("state", "in, out", parsed);
+        f.finish();
+        Some(Zone {
+            region: region?,
+            state: state.unwrap_or(ZoneState::In),
+        })
+    }
+
+    fn team(&mut self, section: &Section) -> Team {
+        let mut f = self.fields(section);
+        let keys = f.list(
+            "keys",
+            "SHA-256 hashes as 64 hex digits, comma-separated",
+            key_hash,
+        );
+        let weight = f.optional("weight", "a number from 1 to 1000", count(1_000));
+        let priority = f.optional("priority", "desk, check, overnight", |text| {
+            text.parse().ok()
+        });
+        let deadline = f.optional("deadline", DURATION, duration);
+        let models = f.list("models", "model names, comma-separated", parsed);
+        f.finish();
+        Team {
+            keys,
+            weight: weight.unwrap_or(1),
+            priority: priority.unwrap_or(Priority::Desk),
+            deadline: deadline.unwrap_or(Duration::from_secs(60)),
+            models,
+        }
+    }
+
+    fn model(&mut self, section: &Section) -> Option<Model> {
+        let mut f = self.fields(section);
+        let version = f.required("version", NAME, parsed);
+        f.finish();
+        Some(Model { version: version? })
+    }
+
+    fn target(&mut self, section: &Section) -> Option<Target> {
+        let mut f = self.fields(section);
+        let vm = f.required("vm", NAME, parsed);
+        let zone = f.required("zone", NAME, parsed);
+        let agent = f.required("agent", "an IP address and port", parsed);
+        let model = f.optional("model", NAME, parsed);
+        let version = f.optional("version", NAME, parsed);
+        let service = f.optional("service", NAME, parsed);
+        let slots = f.required("slots", "a number from 1 to 100000", count(100_000));
+        let cold_slots = f.optional("cold-slots", "a number from 1 to 100000", count(100_000));
+        let runs = match (model, version, service) {
+            (Some(model), Some(version), None) => Some(Runs::Engine { model, version }),
+            (None, None, Some(service)) => Some(Runs::Service(service)),
+            _ => {
+                let allowed = "either model and version, or service";
+                f.fault(section.line, "", "another combination of keys", allowed);
+                None
+            }
+        };
+        f.finish();
+        let slots = slots?;
+        Some(Target {
+            vm: vm?,
+            zone: zone?,
+            agent: agent?,
+            runs: runs?,
+            slots,
+            cold_slots: cold_slots.unwrap_or(slots.div_ceil(8)).min(slots),
+        })
+    }
+
+    fn route(&mut self, section: &Section) -> Option<Route> {
+        let mut f = self.fields(section);
+        let method = f.required("method", "GET, PUT, POST, DELETE or PATCH", |text| {
+            matches!(text, "GET" | "PUT" | "POST" | "DELETE" | "PATCH").then(|| text.to_owned())
+        });
+        let path = f.required("path", "a path that starts with /", |text| {
+            text.starts_with('/').then(|| text.to_owned())
+        });
+        let service = f.required("service", NAME, parsed);
+        let repeat = f.required("idempotent", "yes, no", |text| match text {
+            "yes" => Some(Repeat::Idempotent),
+            "no" => Some(Repeat::AtMostOnce),
+            _ => None,
+        });
+        f.finish();
+        Some(Route {
+            method: method?,
+            path: path?,
+            service: service?,
+            repeat: repeat?,
+        })
+    }
+
+    fn version_move(&mut self, section: &Section) -> Option<Move> {
+        let mut f = self.fields(section);
+        let model = f.required("model", NAME, parsed);
+        let from = f.required("from", NAME, parsed);
+        let to = f.required("to", NAME, parsed);
+        let due = f.required(
+            "due",
+            "a UTC time such as 2027-01-31T18:00:00Z",
+            unix_seconds,
+        );
+        let start_share = f.optional("start-share", "a percentage from 0% to 100%", percent);
+        let intent = f.optional("intent", "go, hold, back", parsed);
+        f.finish();
+        Some(Move {
+            model: model?,
+            from: from?,
+            to: to?,
+            due: due?,
+            start_share: start_share.unwrap_or(0.02),
+            intent: intent.unwrap_or(Intent::Go),
+        })
+    }
+
+    pub(crate) fn check_references(&mut self, sections: &[Section], document: &Document) {
+        for section in sections {
+            let title = section.name.as_str();
+            match section.kind.as_str() {
+                "team" => {
+                    let Some(team) = document.teams.get(title) else {
+                        continue;
+                    };
+                    for model in &team.models {
+                        self.reference(section, "models", model, &document.models);
+                    }
+                }
+                "target" => {
+                    let Some(target) = document.targets.get(title) else {
+                        continue;
+                    };
+                    self.reference(section, "zone", &target.zone, &document.zones);
+                    if let Runs::Engine { model, .. } = &target.runs {
+                        self.reference(section, "model", model, &document.models);
+                    }
+                }
+                "route" => {
+                    let Some(route) = document.routes.get(title) else {
+                        continue;
+                    };
+                    let served = document.targets.values().any(
+                        |target| matches!(&target.runs, Runs::Service(name) if *name == route.service),
+                    );
+                    if !served {
+                        let mut f = self.fields(section);
+                        let line = f.line("service");
+                        let found = format!("{:?}", route.service.as_str());
+                        f.fault(line, "service", found, "a service that some target runs");
+                    }
+                }
+                "move" => {
+                    let Some(step) = document.moves.get(title) else {
+                        continue;
+                    };
+                    self.reference(section, "model", &step.model, &document.models);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn reference<K: Ord + AsRef<str>, V>(
+        &mut self,
+        section: &Section,
+        key: &str,
+        name: &K,
+        known: &BTreeMap<K, V>,
+    ) {
+        if !known.contains_key(name) {
+            let names: Vec<_> = known.keys().map(AsRef::as_ref).collect();
+            let mut f = self.fields(section);
+            let line = f.line(key);
+            f.fault(line, key, format!("{:?}", name.as_ref()), &names.join(", "));
+        }
+    }
+}
+
+fn insert<K: Ord, V>(map: &mut BTreeMap<K, V>, name: Option<K>, value: Option<V>) {
+    if let (Some(name), Some(value)) = (name, value) {
+        map.insert(name, value);
+    }
+}
+
+fn parsed<T: FromStr>(text: &str) -> Option<T> {
+    text.parse().ok()
+}
+
+fn count(max: u32) -> impl Fn(&str) -> Option<u32> {
+    move |text| {
+        text.parse()
+            .ok()
+            .filter(|number| (1..=max).contains(number))
+    }
+}
+
+fn in_range(min: f64, max: f64) -> impl Fn(&str) -> Option<f64> {
+    move |text| {
+        text.parse()
+            .ok()
+            .filter(|number| (min..=max).contains(number))
+    }
+}
+
+fn percent(text: &str) -> Option<f64> {
+    let number = in_range(0.0, 100.0)(text.strip_suffix('%')?.trim_end())?;
+    Some(number / 100.0)
+}
+
+fn duration(text: &str) -> Option<Duration> {
+    humantime::parse_duration(text).ok()
+}
+
+fn unix_seconds(text: &str) -> Option<u64> {
+    let time = humantime::parse_rfc3339(text).ok()?;
+    Some(time.duration_since(UNIX_EPOCH).ok()?.as_secs())
+}
+
+fn key_hash(text: &str) -> Option<KeyHash> {
+    if text.len() != 64 || !text.is_ascii() {
+        return None;
+    }
+    let mut hash = [0; 32];
+    for (index, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(KeyHash(hash))
+}
--- /dev/null
+++ b/core/src/time.rs
@@ -0,0 +1,63 @@
+//! The present time as a value.
+
+use std::{ops::Add, time::Duration};
+
+use derive_more::{From, Into};
+use serde::{Deserialize, Serialize};
+
+/// A point in time, in microseconds since an epoch that the process chooses.
+///
+/// Values of different processes are not comparable, except where a caller uses the Unix epoch
+/// and says so.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+pub struct Time(u64);
+
+impl Time {
+    /// The epoch itself.
+    pub const ZERO: Self = Self(0);
+
+    /// Makes a time from milliseconds since the epoch.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Microseconds since the epoch.
+    pub const fn micros(self) -> u64 {
+        self.0
+    }
+
+    /// Milliseconds since the epoch.
+    pub const fn millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// The time from `earlier` to `self`, zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
--- /dev/null
+++ b/wire/src/frame.rs
@@ -0,0 +1,166 @@
+//! Messages between router and agent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyfall_core::{
+    code::Code,
+    doc::{Priority, Repeat},
+    id::{AttemptId, ChatId, Incarnation},
+    name::{ProcessName, TargetName, TeamName, VersionName},
+};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// Oldest wire version that this build speaks.
+pub const WIRE_MIN: u16 = 1;
+/// Newest wire version that this build speaks.
+pub const WIRE_MAX: u16 = 1;
+/// Largest frame, in bytes.
+pub const MAX_FRAME: usize = 8 << 20;
+/// Largest part of an answer, in bytes.
+pub const MAX_PART: usize = 256 << 10;
+
+/// The first message of each side of a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Oldest wire version that the sender speaks.
+    pub min: u16,
+    /// Newest wire version that the sender speaks.
+    pub max: u16,
+    /// The sender's name.
+    pub name: ProcessName,
+    /// The sender's incarnation.
+    pub incarnation: Incarnation,
+    /// A random number that makes the connection's frames unique.
+    pub nonce: u64,
+}
+
+impl Hello {
+    /// The newest wire version that both sides speak.
+    pub fn common_version(&self, other: &Self) -> Option<u16> {
+        let version = self.max.min(other.max);
+        (version >= self.min.max(other.min)).then_some(version)
+    }
+}
+
+/// An HTTP request as it is handed to the back end.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Call {
+    /// The HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// The content type, empty where there is none.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A request handed to an agent.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Submit {
+    /// The attempt, which every answer repeats.
+    pub attempt: AttemptId,
+    /// The target that is meant; another one refuses.
+    pub target: TargetName,
+    /// The version that is meant, for model requests.
+    pub version: Option<VersionName>,
+    /// The team that asks.
+    pub team: TeamName,
+    /// The chat that the request belongs to.
+    pub chat: ChatId,
+    /// How urgent the request is.
+    pub priority: Priority,
+    /// Whether the request may run again.
+    pub repeat: Repeat,
+    /// Time left until the deadline.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub left: Duration,
+    /// What to send to the back end.
+    pub call: Call,
+}
+
+/// From router to agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToAgent {
+    /// Run this request.
+    Submit(Box<Submit>),
+}
+
+/// The load of a target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests allowed at once now.
+    pub limit: u32,
+}
+
+/// The status line and headers of an answer that the caller sees.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type, empty where there is none.
+    pub content_type: String,
+}
+
+/// From agent to router.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToRouter {
+    /// The back end has started to answer.
+    Head {
+        /// The attempt that is answered.
+        attempt: AttemptId,
+        /// Status and headers.
+        head: Head,
+    },
+    /// A part of the body.
+    Part {
+        /// The attempt that is answered.
+        attempt: AttemptId,
+        /// Position of the first byte in the body.
+        offset: u64,
+        /// The bytes.
+        data: Bytes,
+    },
+    /// The answer is whole.
+    Done {
+        /// The attempt that is answered.
+        attempt: AttemptId,
+        /// Length of the whole body, in bytes.
+        length: u64,
+        /// The target's load.
+        load: Load,
+    },
+    /// There is no whole answer.
+    Refused {
+        /// The attempt that is refused.
+        attempt: AttemptId,
+        /// Why, and whether it ran.
+        code: Code,
+        /// The target's load.
+        load: Load,
+    },
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a decoder that panics on arbitrary bytes.
+    #[test]
+    fn arbitrary_bytes_never_panic() {
+        fn property(bytes: Vec<u8>) -> bool {
+            let _message: Result<ToAgent, _> = postcard::from_bytes(&bytes);
+            let _message: Result<ToRouter, _> = postcard::from_bytes(&bytes);
+            let _message: Result<Hello, _> = postcard::from_bytes(&bytes);
+            true
+        }
+        quickcheck::quickcheck(property as fn(Vec<u8>) -> bool);
+    }
+}
