Serve the whole path: router, agent and stand-ins

Cause: the path from caller to engine must run end to end as separate processes before any part is refined.

Ruled out: gotham's own accept loop, which retries a failed accept without a pause and sets no header timeout; the router is served through hyper with gotham's handler entry point instead. Automatic retries of the HTTP client are switched off, since they can send a request twice.

Refusals during cold start are still frequent, because agents do not queue.

--- /dev/null
+++ b/bench/src/client.rs
@@ -0,0 +1,205 @@
+//! A caller: sends chats and orders, and checks every answer.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use ebonyfall_standin::{deploy::TEAM_KEY, engine};
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::{Value, json};
+
+/// How one request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole, right answer.
+    Whole {
+        /// Whether the engine had the chat's context.
+        cached: bool,
+    },
+    /// Another text than the request's own answer, passed off as whole.
+    Wrong,
+    /// The answer broke off and the caller was told so.
+    Cut,
+    /// An error with this code number.
+    Refused(u64),
+}
+
+/// One request's times.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// Until the first part of the answer.
+    pub first: Duration,
+    /// Until the end.
+    pub whole: Duration,
+}
+
+/// Sends requests to one address.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    http: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+/// The messages of a chat after `turns` answered questions, with a new question at the end.
+pub fn messages(chat: u64, turns: u32, tokens: u32) -> Vec<Value> {
+    let mut messages = vec![json!({ "role": "system", "content": "You suggest call numbers." })];
+    for turn in 0..=turns {
+        let question = format!("chat {chat}, question {turn}: which shelf?");
+        messages.push(json!({ "role": "user", "content": question }));
+        if turn < turns {
+            let text = engine::answer(&messages, tokens);
+            messages.push(json!({ "role": "assistant", "content": text }));
+        }
+    }
+    messages
+}
+
+impl Caller {
+    /// A caller of the router (or engine) at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.retry_canceled_requests(false);
+        Self {
+            http: builder.build(connector),
+            address,
+        }
+    }
+
+    /// Sends one turn of a chat and checks the answer.
+    pub async fn chat(&self, messages: &[Value], tokens: u32, stream: bool) -> (Outcome, Timing) {
+        let start = Instant::now();
+        let body = json!({
+            "model": "labels", "messages": messages, "max_tokens": tokens, "stream": stream,
+        });
+        let res = self
+            .send("POST", "/v1/chat/completions", &body.to_string(), &[])
+            .await;
+        let mut timing = Timing {
+            first: start.elapsed(),
+            whole: start.elapsed(),
+        };
+        let Ok(res) = res else {
+            return (Outcome::Cut, timing);
+        };
+        if !res.status().is_success() {
+            return (refused(res).await, timing);
+        }
+        let (text, cached) = if stream {
+            match streamed(res, start, &mut timing).await {
+                Some(answer) => answer,
+                None => return (Outcome::Cut, timing),
+            }
+        } else {
+            let Ok(body) = res.into_body().collect().await else {
+                return (Outcome::Cut, timing);
+            };
+            let value: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+            let text = value["choices"][0]["message"]["content"]
+                .as_str()
+                .unwrap_or_default();
+            (text.to_owned(), value["usage"]["cached"] == true)
+        };
+        timing.whole = start.elapsed();
+        if text == engine::answer(messages, tokens) {
+            (Outcome::Whole { cached }, timing)
+        } else {
+            (Outcome::Wrong, timing)
+        }
+    }
+
+    /// Sends an order that must not run twice.
+    pub async fn order(&self, item: &str, key: Option<&str>) -> Outcome {
+        let headers: Vec<_> = key
+            .map(|key| ("idempotency-key", key))
+            .into_iter()
+            .collect();
+        let Ok(res) = self.send("POST", "/print/orders", item, &headers).await else {
+            return Outcome::Cut;
+        };
+        if !res.status().is_success() {
+            return refused(res).await;
+        }
+        let Ok(body) = res.into_body().collect().await else {
+            return Outcome::Cut;
+        };
+        let value: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+        if value["item"] == item {
+            Outcome::Whole { cached: false }
+        } else {
+            Outcome::Wrong
+        }
+    }
+
+    /// Sends a request with the team's key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics when method, path or a header is malformed.
+    pub async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Response<Incoming>, hyper_util::client::legacy::Error> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header("authorization", format!("Bearer {TEAM_KEY}"))
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req
+            .body(Full::from(body.to_owned()))
+            .expect("method and path are valid");
+        self.http.request(req).await
+    }
+}
+
+async fn refused(res: Response<Incoming>) -> Outcome {
+    let Ok(body) = res.into_body().collect().await else {
+        return Outcome::Cut;
+    };
+    let value: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+    Outcome::Refused(value["error"]["code"].as_u64().unwrap_or_default())
+}
+
+async fn streamed(
+    res: Response<Incoming>,
+    start: Instant,
+    timing: &mut Timing,
+) -> Option<(String, bool)> {
+    let mut events = res.into_body().into_data_stream().eventsource();
+    let mut text = String::new();
+    let mut cached = false;
+    while let Some(event) = events.next().await {
+        let data = event.ok()?.data;
+        if data == "[DONE]" {
+            return Some((text, cached));
+        }
+        if text.is_empty() {
+            timing.first = start.elapsed();
+        }
+        let value: Value = serde_json::from_str(&data).ok()?;
+        text.push_str(value["choices"][0]["delta"]["content"].as_str()?);
+        cached |= value["cached"] == true;
+    }
+    None
+}
--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,4 @@
+//! Demo, load tool and measurements of the fleet.
+
+pub mod client;
+pub mod demo;
--- /dev/null
+++ b/src/router.rs
@@ -0,0 +1,69 @@
+//! The router: serves callers.
+
+use std::{io, net::SocketAddr};
+
+use slog::{Logger, info};
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::{sync::watch, time::timeout};
+
+use crate::{
+    clock, front, link::Identity, links::Links, metrics::Metrics, picker::Picker,
+    platform::Platform, relay::Relay, settings::RouterConfig, view, web,
+};
+
+/// The router cannot run.
+#[derive(Debug, Snafu)]
+pub enum RouterError {
+    /// The listening address cannot be used.
+    #[snafu(display("cannot listen on {address}: {source}; free the address or change it"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// The shutdown ended with requests left over.
+    #[snafu(display("requests were left when the shutdown ended; raise drain in the settings"))]
+    Unfinished,
+}
+
+/// Runs a router until `stop` turns true and its requests have ended.
+///
+/// # Errors
+///
+/// Fails when it cannot listen, or requests were left over at the end.
+pub async fn run(
+    cfg: RouterConfig,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+) -> Result<(), RouterError> {
+    let platform = Platform::new(&cfg.common.platform);
+    let views = view::follow(platform, log.clone());
+    let picker = Picker::start(views.clone());
+    let metrics = Metrics::new();
+    let relay = Relay {
+        identity: Identity {
+            name: cfg.common.name,
+            incarnation: view::incarnation(clock::unix_time()),
+            keys: cfg.common.keys,
+        },
+        picker,
+        links: Links::start(),
+        metrics,
+        log: log.clone(),
+    };
+    let address = cfg.listen;
+    let listener = web::bind(address).await.context(ListenSnafu { address })?;
+    info!(log, "router ready"; "listen" => address);
+    let routes = front::routes(views, relay);
+    let serving = web::serve(listener, routes, stop.clone(), log);
+    tokio::pin!(serving);
+    tokio::select! {
+        () = &mut serving => return Ok(()),
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    timeout(cfg.common.drain, serving)
+        .await
+        .ok()
+        .context(UnfinishedSnafu)
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,221 @@
+//! Settings of one process, read from an INI file.
+
+use std::{fs, io, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+
+use ebonyfall_core::{
+    ini::{self, Fault, Fields},
+    name::{ProcessName, TargetName, ZoneName},
+};
+use ebonyfall_wire::auth::{Key, Keys};
+use snafu::{ResultExt, Snafu};
+
+use crate::logs::{Format, Levels};
+
+/// Settings cannot be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("cannot read {}: {source}; give an existing file", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// The file has faults.
+    #[snafu(display("{}", lines(faults)))]
+    Faults {
+        /// Every fault found.
+        faults: Vec<Fault>,
+    },
+}
+
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+/// What every process is told.
+#[derive(Debug, Clone)]
+pub struct Common {
+    /// The process's name.
+    pub name: ProcessName,
+    /// The zone that the process runs in.
+    pub zone: ZoneName,
+    /// Where `/metrics`, `/dump` and the admin API are served.
+    pub admin: SocketAddr,
+    /// SHA-256 of the operators' token, as hex digits.
+    pub operator_token: String,
+    /// Keys between the system's processes.
+    pub keys: Keys,
+    /// Base URL of the platform's log and VM list.
+    pub platform: String,
+    /// Shape of the log lines.
+    pub log_format: Format,
+    /// Levels of the log lines.
+    pub log_levels: Levels,
+    /// How long a shutdown waits for running requests.
+    pub drain: Duration,
+}
+
+/// Settings of a router.
+#[derive(Debug, Clone)]
+pub struct RouterConfig {
+    /// What every process is told.
+    pub common: Common,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+}
+
+/// Settings of an agent.
+#[derive(Debug, Clone)]
+pub struct AgentConfig {
+    /// What every process is told.
+    pub common: Common,
+    /// Where routers connect.
+    pub listen: SocketAddr,
+    /// The target that the agent stands beside.
+    pub target: TargetName,
+    /// Base URL of the engine or service.
+    pub backend: String,
+}
+
+/// Reads a router's settings.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read or has faults.
+pub fn router(path: impl Into<PathBuf>) -> Result<RouterConfig, SettingsError> {
+    read(path.into(), "router", |f, common| {
+        let listen = f.required("listen", ADDRESS, parsed);
+        Some(RouterConfig {
+            common,
+            listen: listen?,
+        })
+    })
+}
+
+/// Reads an agent's settings.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read or has faults.
+pub fn agent(path: impl Into<PathBuf>) -> Result<AgentConfig, SettingsError> {
+    read(path.into(), "agent", |f, common| {
+        let listen = f.required("listen", ADDRESS, parsed);
+        let target = f.required("target", "a target's name", parsed);
+        let backend = f.required("backend", URL, url);
+        Some(AgentConfig {
+            common,
+            listen: listen?,
+            target: target?,
+            backend: backend?,
+        })
+    })
+}
+
+const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:8080";
+const URL: &str = "a URL such as http://127.0.0.1:9000";
+const KEY: &str = "32 hex digits";
+
+fn read<T>(
+    path: PathBuf,
+    kind: &str,
+    own: impl Fn(&mut Fields<'_>, Common) -> Option<T>,
+) -> Result<T, SettingsError> {
+    let text = fs::read_to_string(&path).context(ReadSnafu { path: &path })?;
+    let file = path.display().to_string();
+    let sections =
+        ini::sections(&file, &text).map_err(|faults| SettingsError::Faults { faults })?;
+    let mut faults = Vec::new();
+    let mut config = None;
+    for section in &sections {
+        let mut f = Fields::new(&file, section, &mut faults);
+        if section.kind != kind {
+            f.fault(section.line, "", "another section", &format!("[{kind}]"));
+            continue;
+        }
+        let common = common(&mut f);
+        // Without the common part, the own keys are still read, so that one run shows every fault.
+        config = match common {
+            Some(common) => own(&mut f, common),
+            None => {
+                f.finish();
+                continue;
+            }
+        };
+        f.finish();
+    }
+    match config {
+        Some(config) if faults.is_empty() => Ok(config),
+        _ if faults.is_empty() => {
+            let place = format!("[{kind}]");
+            let allowed = format!("one [{kind}] section");
+            let found = "nothing".to_owned();
+            FaultsSnafu {
+                faults: vec![Fault {
+                    file,
+                    line: 1,
+                    place,
+                    found,
+                    allowed,
+                }],
+            }
+            .fail()
+        }
+        _ => FaultsSnafu { faults }.fail(),
+    }
+}
+
+fn common(f: &mut Fields<'_>) -> Option<Common> {
+    let name = f.required("name", "a process name", parsed);
+    let zone = f.required("zone", "a zone's name", parsed);
+    let admin = f.required("admin", ADDRESS, parsed);
+    let token = f.required(
+        "operator-token",
+        "SHA-256 of the token as 64 hex digits",
+        |text| {
+            (text.len() == 64 && text.chars().all(|c| c.is_ascii_hexdigit()))
+                .then(|| text.to_ascii_lowercase())
+        },
+    );
+    let key = f.required("key", KEY, key);
+    let previous = f.optional("previous-key", KEY, self::key);
+    let platform = f.required("platform", URL, url);
+    let log_format = f.optional("log-format", "json, terminal", parsed);
+    let log_levels = f.optional("log-levels", "levels such as info, relay=debug", parsed);
+    let drain = f.optional("drain", "a duration such as 30s", |text| {
+        text.strip_suffix('s')?
+            .parse()
+            .ok()
+            .map(Duration::from_secs)
+    });
+    Some(Common {
+        name: name?,
+        zone: zone?,
+        admin: admin?,
+        operator_token: token?,
+        keys: Keys::new(key?, previous),
+        platform: platform?,
+        log_format: log_format.unwrap_or(Format::Json),
+        log_levels: log_levels.unwrap_or_else(|| "info".parse().expect("the literal is a level")),
+        drain: drain.unwrap_or(Duration::from_secs(30)),
+    })
+}
+
+fn parsed<T: FromStr>(text: &str) -> Option<T> {
+    text.parse().ok()
+}
+
+fn url(text: &str) -> Option<String> {
+    let uri: http::Uri = text.parse().ok()?;
+    (uri.scheme_str() == Some("http") && uri.authority().is_some())
+        .then(|| text.trim_end_matches('/').to_owned())
+}
+
+fn key(text: &str) -> Option<Key> {
+    if text.len() != 32 {
+        return None;
+    }
+    Some(Key::new(u128::from_str_radix(text, 16).ok()?.to_be_bytes()))
+}
--- /dev/null
+++ b/src/web.rs
@@ -0,0 +1,191 @@
+//! HTTP serving with gotham's router, with limits and graceful shutdown.
+
+use std::{
+    any::Any, convert::Infallible, io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use ebonyfall_core::{code::Code, id::RequestId};
+use gotham::{
+    helpers::http::Body,
+    prelude::FromState,
+    router::Router,
+    service::call_handler,
+    state::{State, StateData},
+};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use serde::Serialize;
+use slog::{Logger, debug, warn};
+use tokio::{net::TcpListener, sync::watch, time};
+
+/// Longest wait for a request's header, and for its body.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest request header, in bytes.
+const MAX_HEADER: usize = 16 << 10;
+/// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A value that handlers find in gotham's state.
+#[derive(Debug)]
+pub struct Shared<T>(AssertUnwindSafe<T>);
+
+impl<T> Shared<T> {
+    /// Wraps `value`; a handler that panics leaves no half-changed state, since handlers only
+    /// hold channels.
+    pub fn new(value: T) -> Self {
+        Self(AssertUnwindSafe(value))
+    }
+
+    /// The value.
+    pub fn into_inner(self) -> T {
+        self.0.0
+    }
+}
+
+impl<T: Clone> Clone for Shared<T> {
+    fn clone(&self) -> Self {
+        Self::new(self.0.0.clone())
+    }
+}
+
+impl<T: Any + Send> StateData for Shared<T> {}
+
+/// Serves `router` on `listener` until `stop` turns true, then ends when every request has.
+pub async fn serve(
+    listener: TcpListener,
+    router: Router,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+) {
+    let router = Arc::new(router);
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!(log, "cannot accept a connection"; "error" => %error);
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let _unset = stream.set_nodelay(true);
+        let router = Arc::clone(&router);
+        let service = service_fn(move |req| {
+            let state = State::from_request(req, peer);
+            call_handler(Arc::clone(&router), AssertUnwindSafe(state))
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(RECEIVE_TIMEOUT)
+            .max_buf_size(MAX_HEADER)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        let log = log.clone();
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                debug!(log, "connection ended early"; "peer" => peer, "error" => %error);
+            }
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Fails when the address is in use or not of this machine.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Takes a request's body of at most `limit` bytes from gotham's state.
+///
+/// # Errors
+///
+/// Fails when the body is larger, slow or broken.
+pub async fn body(state: &mut State, limit: usize) -> Result<Bytes, Code> {
+    let body = Limited::new(Body::take_from(state), limit).collect();
+    let Ok(body) = time::timeout(RECEIVE_TIMEOUT, body).await else {
+        return Err(Code::SlowRequest);
+    };
+    match body {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Code::TooLarge),
+        Err(_) => Err(Code::BadRequest),
+    }
+}
+
+/// The text of a header, if present.
+pub fn header<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// The bearer key of a request.
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    header(headers, "authorization")?.strip_prefix("Bearer ")
+}
+
+/// A whole body.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Body::new(Full::new(bytes.into()).map_err(|never: Infallible| match never {}))
+}
+
+/// A JSON answer.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut res = Response::new(full(text));
+    *res.status_mut() = status;
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    res
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorDetail<'a> {
+    code: u16,
+    name: &'a str,
+    ran: ebonyfall_core::code::Ran,
+    message: &'a str,
+    advice: &'a str,
+    request_id: String,
+}
+
+/// The answer for a result code.
+pub fn failure(code: Code, message: &str, request: RequestId) -> Response<Body> {
+    let detail = ErrorDetail {
+        code: code.number(),
+        name: code.name(),
+        ran: code.ran(),
+        message,
+        advice: code.advice(),
+        request_id: request.to_string(),
+    };
+    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut res = json(status, &ErrorBody { error: detail });
+    if matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    ) {
+        res.headers_mut()
+            .insert("retry-after", HeaderValue::from_static("1"));
+    }
+    res
+}
--- /dev/null
+++ b/standin/src/deploy.rs
@@ -0,0 +1,321 @@
+//! A small deployment on loopback: stand-ins in this process, routers and agents as processes.
+
+use std::{
+    fmt::Write as _,
+    fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use ebonyfall::platform::Platform as Client;
+use ebonyfall::view::CONFIG_STREAM;
+
+use crate::{
+    engine::{self, EngineConfig},
+    host::Host,
+    log::LogLimits,
+    platform::Platform,
+    service::Service,
+};
+
+/// Bearer key of the team `desks`.
+pub const TEAM_KEY: &str = "desks-key";
+/// SHA-256 of [`TEAM_KEY`].
+const TEAM_KEY_HASH: &str = "7ee51ecc5369a0e44d1d8ddca3dd56e8011a1e2e601cacc7af50f6666ceaf948";
+/// Operators' token.
+pub const OPERATOR_TOKEN: &str = "operator-token";
+/// Longest wait for a process to listen.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What a deployment consists of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Folder with the daemons' programs.
+    pub programs: PathBuf,
+    /// Folder for settings and logs.
+    pub folder: PathBuf,
+    /// Zones, which targets are spread over.
+    pub zones: Vec<String>,
+    /// Model engines.
+    pub engines: u32,
+    /// Plain services.
+    pub services: u32,
+    /// Routers.
+    pub routers: u32,
+    /// How the engines behave.
+    pub engine: EngineConfig,
+    /// Limits of the log.
+    pub log: LogLimits,
+    /// Lines added to the document.
+    pub document: String,
+}
+
+/// A daemon that is killed when the deployment ends.
+#[derive(Debug)]
+pub struct Daemon {
+    /// The process's name.
+    pub name: String,
+    /// Where it serves requests.
+    pub listen: SocketAddr,
+    /// Where it serves operators.
+    pub admin: SocketAddr,
+    program: PathBuf,
+    settings: PathBuf,
+    child: Child,
+}
+
+impl Daemon {
+    fn start(
+        program: &Path,
+        name: &str,
+        addresses: [SocketAddr; 2],
+        settings: PathBuf,
+    ) -> io::Result<Self> {
+        let child = spawn(program, &settings)?;
+        let [listen, admin] = addresses;
+        let program = program.to_owned();
+        Ok(Self {
+            name: name.to_owned(),
+            listen,
+            admin,
+            program,
+            settings,
+            child,
+        })
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        let _dead = self.child.kill();
+        let _status = self.child.wait();
+    }
+
+    /// Starts the process again with the same settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.kill();
+        self.child = spawn(&self.program, &self.settings)?;
+        Ok(())
+    }
+
+    /// Waits for the process to end by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system cannot tell.
+    pub fn wait(&mut self) -> io::Result<Option<i32>> {
+        Ok(self.child.wait()?.code())
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(program: &Path, settings: &Path) -> io::Result<Child> {
+    let log = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(settings.with_extension("log"))?;
+    Command::new(program)
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The platform.
+    pub platform: Platform,
+    /// The platform's base URL.
+    pub platform_url: String,
+    /// The engines, with their addresses.
+    pub engines: Vec<(SocketAddr, Host)>,
+    /// The services, with their hosts.
+    pub services: Vec<(Service, Host)>,
+    /// The agents, engines' first.
+    pub agents: Vec<Daemon>,
+    /// The routers.
+    pub routers: Vec<Daemon>,
+    /// The document that was published.
+    pub document: String,
+}
+
+/// A loopback address whose port is free now.
+///
+/// # Panics
+///
+/// Panics when no port is free.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    listener
+        .and_then(|listener| listener.local_addr())
+        .expect("loopback has free ports")
+}
+
+impl Deployment {
+    /// Starts everything and waits until the routers listen.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a program cannot be started or does not listen in time.
+    pub async fn start(plan: &Plan) -> io::Result<Self> {
+        let platform_address = free_address();
+        let platform = Platform::start(platform_address, plan.log);
+        let platform_url = format!("http://{platform_address}");
+        wait_for(platform_address)?;
+
+        let mut document = plan.head();
+        let mut engines = Vec::new();
+        let mut services = Vec::new();
+        let mut agents = Vec::new();
+        for index in 0..plan.engines {
+            let address = free_address();
+            engines.push((address, engine::start(address, plan.engine.clone())));
+            let name = format!("engine-{index}");
+            let runs = "model = labels\nversion = v1\n";
+            agents.push((
+                name,
+                address,
+                plan.zone(index),
+                runs,
+                plan.engine.slots,
+                plan.engine.cold_slots,
+            ));
+        }
+        for index in 0..plan.services {
+            let address = free_address();
+            services.push(Service::start(address));
+            agents.push((
+                format!("service-{index}"),
+                address,
+                plan.zone(index),
+                "service = print\n",
+                64,
+                64,
+            ));
+        }
+        let mut daemons = Vec::new();
+        for (name, backend, zone, runs, slots, cold_slots) in agents {
+            let addresses = [free_address(), free_address()];
+            let _infallible = write!(
+                document,
+                "[target {name}]\nvm = vm-{name}\nzone = {zone}\nagent = {}\n{runs}slots = {slots}\ncold-slots = {cold_slots}\n",
+                addresses[0]
+            );
+            let own = format!("target = {name}\nbackend = http://{backend}\n");
+            let settings = plan.settings("agent", &name, &zone, addresses, &platform_url, &own)?;
+            let program = plan.programs.join("ebonyfall-agent");
+            daemons.push(Daemon::start(&program, &name, addresses, settings)?);
+        }
+        let client = Client::new(&platform_url);
+        let published = client.append(CONFIG_STREAM, document.as_bytes()).await;
+        published.map_err(io::Error::other)?;
+
+        let mut routers = Vec::new();
+        for index in 0..plan.routers {
+            let addresses = [free_address(), free_address()];
+            let name = format!("router-{index}");
+            let settings = plan.settings(
+                "router",
+                &name,
+                &plan.zone(index),
+                addresses,
+                &platform_url,
+                "",
+            )?;
+            let program = plan.programs.join("ebonyfall-router");
+            routers.push(Daemon::start(&program, &name, addresses, settings)?);
+        }
+        for daemon in daemons.iter().chain(&routers) {
+            wait_for(daemon.listen)?;
+        }
+        // Routers listen before they have read the document.
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+        Ok(Self {
+            platform,
+            platform_url,
+            engines,
+            services,
+            agents: daemons,
+            routers,
+            document,
+        })
+    }
+}
+
+impl Plan {
+    fn zone(&self, index: u32) -> String {
+        self.zones[index as usize % self.zones.len()].clone()
+    }
+
+    fn head(&self) -> String {
+        let mut text = String::from("[environment]\nname = trial\n[model labels]\nversion = v1\n");
+        for zone in &self.zones {
+            let _infallible = write!(text, "[zone {zone}]\nregion = south\n");
+        }
+        let _infallible = write!(
+            text,
+            "[team desks]\nkeys = {TEAM_KEY_HASH}\n{}",
+            self.document
+        );
+        if self.services > 0 {
+            text.push_str(
+                "[route order]\nmethod = POST\npath = /print/orders\nservice = print\nidempotent = no\n\
+                 [route status]\nmethod = GET\npath = /print/status\nservice = print\nidempotent = yes\n",
+            );
+        }
+        text
+    }
+
+    fn settings(
+        &self,
+        kind: &str,
+        name: &str,
+        zone: &str,
+        [listen, admin]: [SocketAddr; 2],
+        platform: &str,
+        own: &str,
+    ) -> io::Result<PathBuf> {
+        let path = self.folder.join(format!("{name}.ini"));
+        let text = format!(
+            "[{kind}]\nname = {name}\nzone = {zone}\nlisten = {listen}\nadmin = {admin}\n\
+             operator-token = {OPERATOR_TOKEN_HASH}\nkey = 000102030405060708090a0b0c0d0e0f\n\
+             platform = {platform}\n{own}"
+        );
+        fs::write(&path, text)?;
+        Ok(path)
+    }
+}
+
+/// SHA-256 of [`OPERATOR_TOKEN`].
+const OPERATOR_TOKEN_HASH: &str =
+    "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
+
+fn wait_for(address: SocketAddr) -> io::Result<()> {
+    let start = Instant::now();
+    while TcpStream::connect(address).is_err() {
+        if start.elapsed() > START_TIMEOUT {
+            return Err(io::Error::other(format!("nothing listens on {address}")));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,361 @@
+//! A model engine: chat completions, a limited prefix cache, cold start and crashes.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use ebonyfall::web::{self, Shared};
+use futures_util::stream;
+use gotham::{
+    handler::HandlerResult,
+    helpers::http::Body,
+    middleware::state::StateMiddleware,
+    pipeline::{single_middleware, single_pipeline},
+    prelude::{DefineSingleRoute, DrawRoutes, FromState},
+    router::{Router, builder::build_router},
+    state::State,
+};
+use http::{HeaderValue, Method, Response, StatusCode, Uri, header::CONTENT_TYPE};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::host::Host;
+
+/// Largest request body, in bytes.
+const MAX_BODY: usize = 16 << 20;
+/// Text in a message that crashes the engine.
+pub const CRASH_MARK: &str = "\u{1}crash-engine";
+
+/// How the engine behaves.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineConfig {
+    /// Requests that run at once at full speed; more slow everyone down.
+    pub slots: u32,
+    /// Requests that a cold engine bears; more crash it.
+    pub cold_slots: u32,
+    /// Requests that a cold engine finishes before it is warm.
+    pub warm_after: u32,
+    /// Prefixes that the cache holds.
+    pub cache: usize,
+    /// Time to read a kilobyte that is not cached, in microseconds.
+    pub prefill_us_per_kb: u64,
+    /// Time for one token, in microseconds.
+    pub token_us: u64,
+    /// Time that a crashed engine stays away, in milliseconds.
+    pub down_ms: u64,
+    /// Share of requests that fail, in thousandths.
+    pub fail_per_mille: u32,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            slots: 32,
+            cold_slots: 4,
+            warm_after: 8,
+            cache: 1024,
+            prefill_us_per_kb: 2_000,
+            token_us: 500,
+            down_ms: 500,
+            fail_per_mille: 0,
+        }
+    }
+}
+
+/// What the engine reports of itself.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct EngineStatus {
+    /// Counts the engine's lives from zero.
+    pub incarnation: u64,
+    /// Requests running.
+    pub running: u32,
+    /// Most requests that ever ran at once.
+    pub most: u32,
+    /// Whether the engine is in cold start.
+    pub cold: bool,
+    /// Requests taken in this life.
+    pub requests: u64,
+    /// Requests whose prefix was cached.
+    pub cache_hits: u64,
+    /// Requests whose caller went away before the end.
+    pub cancelled: u64,
+}
+
+enum Ask {
+    Begin {
+        prefix: u64,
+        whole: u64,
+        reply: oneshot::Sender<Begun>,
+    },
+    End {
+        whole_answer: bool,
+    },
+    Status(oneshot::Sender<EngineStatus>),
+}
+
+/// How a request was taken.
+#[derive(Debug, Clone, Copy)]
+struct Begun {
+    cached: bool,
+    token: Duration,
+    fails: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Engine {
+    tx: mpsc::Sender<Ask>,
+    host: Host,
+    cfg: EngineConfig,
+}
+
+/// Serves an engine on `address`.
+pub fn start(address: SocketAddr, cfg: EngineConfig) -> Host {
+    Host::start(address, move |host, life| {
+        let (tx, rx) = mpsc::channel(4096);
+        tokio::spawn(run(cfg.clone(), host.clone(), life, rx));
+        routes(Engine {
+            tx,
+            host,
+            cfg: cfg.clone(),
+        })
+    })
+}
+
+async fn run(cfg: EngineConfig, host: Host, incarnation: u64, mut rx: mpsc::Receiver<Ask>) {
+    let mut status = EngineStatus {
+        incarnation,
+        cold: true,
+        ..EngineStatus::default()
+    };
+    let mut finished = 0;
+    let mut cache: VecDeque<u64> = VecDeque::new();
+    while let Some(ask) = rx.recv().await {
+        match ask {
+            Ask::Begin {
+                prefix,
+                whole,
+                reply,
+            } => {
+                status.requests += 1;
+                status.running += 1;
+                status.most = status.most.max(status.running);
+                if status.cold && status.running > cfg.cold_slots {
+                    host.crash(Duration::from_millis(cfg.down_ms));
+                }
+                let cached = cache.iter().position(|entry| *entry == prefix);
+                if let Some(index) = cached {
+                    cache.remove(index);
+                    status.cache_hits += 1;
+                }
+                cache.push_back(whole);
+                let excess = cache.len().saturating_sub(cfg.cache);
+                cache.drain(..excess);
+                let crowd = status.running.div_ceil(cfg.slots.max(1));
+                let token = Duration::from_micros(cfg.token_us * u64::from(crowd));
+                let fails = status.requests % 1000 < u64::from(cfg.fail_per_mille);
+                let _gone = reply.send(Begun {
+                    cached: cached.is_some(),
+                    token,
+                    fails,
+                });
+            }
+            Ask::End { whole_answer } => {
+                status.running = status.running.saturating_sub(1);
+                if whole_answer {
+                    finished += 1;
+                    status.cold = finished < cfg.warm_after;
+                } else {
+                    status.cancelled += 1;
+                }
+            }
+            Ask::Status(reply) => {
+                let _gone = reply.send(status.clone());
+            }
+        }
+    }
+}
+
+fn routes(engine: Engine) -> Router {
+    let pipeline = single_middleware(StateMiddleware::new(Shared::new(engine)));
+    let (chain, pipelines) = single_pipeline(pipeline);
+    build_router(chain, pipelines, |route| {
+        route
+            .request(vec![Method::GET, Method::POST], "/*")
+            .to_async(handle);
+    })
+}
+
+async fn handle(mut state: State) -> HandlerResult {
+    let engine = Shared::<Engine>::take_from(&mut state).into_inner();
+    let path = Uri::borrow_from(&state).path().to_owned();
+    let method = Method::borrow_from(&state).clone();
+    let res = match (method.as_str(), path.as_str()) {
+        ("GET", "/status") => web::json(StatusCode::OK, &engine.ask(Ask::Status).await),
+        ("POST", "/crash") => {
+            engine.crash();
+            web::json(StatusCode::OK, &json!({}))
+        }
+        ("POST", "/v1/chat/completions") => {
+            let body = web::body(&mut state, MAX_BODY).await.unwrap_or_default();
+            engine.complete(&body).await
+        }
+        _ => web::json(StatusCode::NOT_FOUND, &json!({})),
+    };
+    Ok((state, res))
+}
+
+#[derive(Deserialize)]
+struct Request {
+    #[serde(default)]
+    model: String,
+    messages: Vec<Value>,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+}
+
+/// The token that an engine generates at `index` for these messages, so that a caller can check
+/// its answer.
+pub fn token(messages: &[Value], index: u32) -> String {
+    let content = serde_json::to_vec(messages).unwrap_or_default();
+    format!("{:016x}-{index} ", xxh3_64(&content))
+}
+
+/// Whole text of an answer with `tokens` tokens.
+pub fn answer(messages: &[Value], tokens: u32) -> String {
+    (0..tokens).map(|index| token(messages, index)).collect()
+}
+
+/// A running request; dropping it without `finish` counts as cancelled.
+struct Running {
+    tx: mpsc::Sender<Ask>,
+    whole_answer: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _full = self.tx.try_send(Ask::End {
+            whole_answer: self.whole_answer,
+        });
+    }
+}
+
+impl Engine {
+    async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> T {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.tx.send(ask(reply)).await;
+        answer.await.expect("the task lives as long as its handles")
+    }
+
+    fn crash(&self) {
+        self.host.crash(Duration::from_millis(self.cfg.down_ms));
+    }
+
+    async fn complete(&self, body: &[u8]) -> Response<Body> {
+        let Ok(req) = serde_json::from_slice::<Request>(body) else {
+            return web::json(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let content = serde_json::to_vec(&req.messages).unwrap_or_default();
+        if req
+            .messages
+            .iter()
+            .any(|message| message["content"] == CRASH_MARK)
+        {
+            self.crash();
+        }
+        // A returning chat repeats all messages of its last request and adds one answer and one
+        // question.
+        let known = &req.messages[..req.messages.len().saturating_sub(2)];
+        let prefix = xxh3_64(&serde_json::to_vec(known).unwrap_or_default());
+        let whole = xxh3_64(&content);
+        let begun = self
+            .ask(|reply| Ask::Begin {
+                prefix,
+                whole,
+                reply,
+            })
+            .await;
+        let mut running = Running {
+            tx: self.tx.clone(),
+            whole_answer: false,
+        };
+        if begun.fails {
+            return web::json(StatusCode::INTERNAL_SERVER_ERROR, &json!({}));
+        }
+        let kilobytes = if begun.cached {
+            0
+        } else {
+            content.len().div_ceil(1024) as u64
+        };
+        sleep(Duration::from_micros(
+            self.cfg.prefill_us_per_kb * kilobytes,
+        ))
+        .await;
+        let tokens = req.max_tokens.unwrap_or(16);
+        if req.stream {
+            return stream_answer(running, req.messages, tokens, begun);
+        }
+        sleep(begun.token * tokens).await;
+        running.whole_answer = true;
+        let message = json!({ "role": "assistant", "content": answer(&req.messages, tokens) });
+        web::json(
+            StatusCode::OK,
+            &json!({
+                "object": "chat.completion",
+                "model": req.model,
+                "choices": [{ "index": 0, "message": message, "finish_reason": "stop" }],
+                "usage": { "completion_tokens": tokens, "cached": begun.cached },
+            }),
+        )
+    }
+}
+
+fn stream_answer(
+    running: Running,
+    messages: Vec<Value>,
+    tokens: u32,
+    begun: Begun,
+) -> Response<Body> {
+    // Each part is due at a fixed time, so that the timer's granularity does not add up.
+    let start = Instant::now();
+    let parts = stream::unfold((running, 0), move |(mut running, index)| {
+        let text = if index < tokens {
+            let delta = json!({ "content": token(&messages, index) });
+            let choice = json!({ "index": 0, "delta": delta });
+            format!(
+                "data: {}\n\n",
+                json!({ "choices": [choice], "cached": begun.cached })
+            )
+        } else {
+            "data: [DONE]\n\n".to_owned()
+        };
+        async move {
+            if index > tokens {
+                return None;
+            }
+            let due = begun.token * index;
+            sleep(due.saturating_sub(start.elapsed())).await;
+            running.whole_answer = index == tokens;
+            Some((
+                Ok::<_, io::Error>(Frame::data(Bytes::from(text))),
+                (running, index + 1),
+            ))
+        }
+    });
+    let mut res = Response::new(Body::new(StreamBody::new(parts)));
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    res
+}
--- /dev/null
+++ b/standin/src/platform.rs
@@ -0,0 +1,237 @@
+//! The platform's HTTP services: the log and the VM list.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use ebonyfall::{
+    clock,
+    platform::{Batch, Vm},
+    web::{self, Shared},
+};
+use ebonyfall_core::id::Offset;
+use gotham::{
+    handler::HandlerResult,
+    helpers::http::Body,
+    middleware::state::StateMiddleware,
+    pipeline::{single_middleware, single_pipeline},
+    prelude::{DefineSingleRoute, DrawRoutes, FromState},
+    router::{Router, builder::build_router},
+    state::State,
+};
+use http::{Method, Response, StatusCode, Uri};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::{
+    host::Host,
+    log::{Log, LogFaults, LogLimits},
+};
+
+/// Largest request body, in bytes.
+const MAX_BODY: usize = 16 << 20;
+
+enum Ask {
+    Append {
+        stream: String,
+        data: Vec<u8>,
+        reply: oneshot::Sender<Option<Offset>>,
+    },
+    Read {
+        stream: String,
+        from: Offset,
+        limit: usize,
+        reply: oneshot::Sender<Result<Batch, Offset>>,
+    },
+    SetFaults(LogFaults),
+    Faults(oneshot::Sender<LogFaults>),
+    SetVms(Vec<Vm>),
+    Vms(oneshot::Sender<Vec<Vm>>),
+    Appends(oneshot::Sender<u64>),
+}
+
+/// Steers the platform stand-in.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    tx: mpsc::Sender<Ask>,
+}
+
+impl Platform {
+    /// Serves the platform on `address`; must be called within a runtime.
+    pub fn start(address: SocketAddr, limits: LogLimits) -> Self {
+        let (tx, rx) = mpsc::channel(1024);
+        tokio::spawn(run(limits, rx));
+        let platform = Self { tx };
+        let shared = platform.clone();
+        Host::start(address, move |_, _| routes(shared.clone()));
+        platform
+    }
+
+    /// Makes the log misbehave from now on.
+    pub async fn set_faults(&self, faults: LogFaults) {
+        let _ended = self.tx.send(Ask::SetFaults(faults)).await;
+    }
+
+    /// Replaces the VM list.
+    pub async fn set_vms(&self, vms: Vec<Vm>) {
+        let _ended = self.tx.send(Ask::SetVms(vms)).await;
+    }
+
+    /// Appends that took effect so far.
+    pub async fn appends(&self) -> u64 {
+        self.ask(Ask::Appends).await
+    }
+
+    async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> T {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.tx.send(ask(reply)).await;
+        answer.await.expect("the task lives as long as its handles")
+    }
+}
+
+async fn run(limits: LogLimits, mut rx: mpsc::Receiver<Ask>) {
+    let mut log = Log::new(limits, Instant::now());
+    let mut faults = LogFaults::default();
+    let mut vms = Vec::new();
+    while let Some(ask) = rx.recv().await {
+        match ask {
+            Ask::Append {
+                stream,
+                data,
+                reply,
+            } => {
+                let unix_ms = u64::try_from(clock::unix_time().as_millis()).unwrap_or(u64::MAX);
+                let _gone = reply.send(log.append(&stream, data, Instant::now(), unix_ms));
+            }
+            Ask::Read {
+                stream,
+                from,
+                limit,
+                reply,
+            } => {
+                let _gone = reply.send(log.read(&stream, from, limit));
+            }
+            Ask::SetFaults(new) => faults = new,
+            Ask::Faults(reply) => {
+                let _gone = reply.send(faults);
+            }
+            Ask::SetVms(new) => vms = new,
+            Ask::Vms(reply) => {
+                let _gone = reply.send(vms.clone());
+            }
+            Ask::Appends(reply) => {
+                let _gone = reply.send(log.appends);
+            }
+        }
+    }
+}
+
+fn routes(platform: Platform) -> Router {
+    let pipeline = single_middleware(StateMiddleware::new(Shared::new(platform)));
+    let (chain, pipelines) = single_pipeline(pipeline);
+    build_router(chain, pipelines, |route| {
+        route
+            .request(vec![Method::GET, Method::POST], "/*")
+            .to_async(handle);
+    })
+}
+
+async fn handle(mut state: State) -> HandlerResult {
+    let platform = Shared::<Platform>::take_from(&mut state).into_inner();
+    let faults = platform.ask(Ask::Faults).await;
+    time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    let uri = Uri::borrow_from(&state).clone();
+    let method = Method::borrow_from(&state).clone();
+    let parts: Vec<&str> = uri.path().trim_matches('/').split('/').collect();
+    let res = match (method.as_str(), parts.as_slice()) {
+        ("POST", ["faults"]) => platform.change_faults(&mut state).await,
+        _ if faults.down => web::json(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+        ("GET", ["v1", "vms"]) => web::json(StatusCode::OK, &platform.ask(Ask::Vms).await),
+        ("GET", ["v1", "streams", stream, "records"]) => {
+            platform.read(stream, uri.query().unwrap_or_default()).await
+        }
+        ("POST", ["v1", "streams", stream, "records"]) => {
+            let res = platform.append(stream, &mut state).await;
+            if faults.lose_replies {
+                // A gateway timeout: the append took effect and its reply is gone.
+                web::json(StatusCode::GATEWAY_TIMEOUT, &json!({}))
+            } else {
+                res
+            }
+        }
+        _ => web::json(StatusCode::NOT_FOUND, &json!({})),
+    };
+    Ok((state, res))
+}
+
+#[derive(Deserialize)]
+struct Append {
+    data: String,
+}
+
+impl Platform {
+    async fn change_faults(&self, state: &mut State) -> Response<Body> {
+        let body = web::body(state, MAX_BODY).await.unwrap_or_default();
+        let Ok(faults) = serde_json::from_slice(&body) else {
+            return bad_request();
+        };
+        self.set_faults(faults).await;
+        web::json(StatusCode::OK, &json!({}))
+    }
+
+    async fn append(&self, stream: &str, state: &mut State) -> Response<Body> {
+        let body = web::body(state, MAX_BODY).await.unwrap_or_default();
+        let Ok(Append { data }) = serde_json::from_slice(&body) else {
+            return bad_request();
+        };
+        let Ok(data) = BASE64_STANDARD.decode(data) else {
+            return bad_request();
+        };
+        let stream = stream.to_owned();
+        match self
+            .ask(|reply| Ask::Append {
+                stream,
+                data,
+                reply,
+            })
+            .await
+        {
+            Some(offset) => web::json(StatusCode::CREATED, &json!({ "offset": offset })),
+            None => web::json(StatusCode::TOO_MANY_REQUESTS, &json!({})),
+        }
+    }
+
+    async fn read(&self, stream: &str, query: &str) -> Response<Body> {
+        let number = |key: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs
+                .filter(|(found, _)| *found == key)
+                .find_map(|(_, value)| value.parse().ok())
+        };
+        let from = Offset::from(number("from").unwrap_or(0));
+        let limit = usize::try_from(number("limit").unwrap_or(100)).unwrap_or(100);
+        let stream = stream.to_owned();
+        match self
+            .ask(|reply| Ask::Read {
+                stream,
+                from,
+                limit,
+                reply,
+            })
+            .await
+        {
+            Ok(batch) => web::json(StatusCode::OK, &batch),
+            Err(first) => web::json(StatusCode::GONE, &json!({ "first": first })),
+        }
+    }
+}
+
+fn bad_request() -> Response<Body> {
+    web::json(StatusCode::BAD_REQUEST, &json!({}))
+}
--- /dev/null
+++ b/tests/testenv/mod.rs
@@ -0,0 +1,58 @@
+//! A small deployment for integration tests.
+
+use std::path::Path;
+
+use ebonyfall_bench::client::Caller;
+use ebonyfall_standin::{
+    deploy::{Deployment, Plan},
+    engine::EngineConfig,
+    log::LogLimits,
+};
+use tempfile::TempDir;
+
+/// A running deployment; everything ends when it is dropped.
+#[derive(Debug)]
+pub struct TestEnv {
+    /// The deployment.
+    pub deployment: Deployment,
+    _folder: TempDir,
+}
+
+/// A plan with `engines` engines and `services` services in three zones behind two routers.
+pub fn plan(engines: u32, services: u32) -> Plan {
+    let router = Path::new(env!("CARGO_BIN_EXE_ebonyfall-router"));
+    Plan {
+        programs: router
+            .parent()
+            .expect("the program is in a folder")
+            .to_owned(),
+        folder: std::path::PathBuf::new(),
+        zones: ["a", "b", "c"].map(str::to_owned).to_vec(),
+        engines,
+        services,
+        routers: 2,
+        engine: EngineConfig::default(),
+        log: LogLimits::default(),
+        document: String::new(),
+    }
+}
+
+impl TestEnv {
+    /// Starts `plan` in a folder of its own.
+    pub async fn start(mut plan: Plan) -> Self {
+        let folder = tempfile::tempdir().expect("the system has a folder for temporary files");
+        folder.path().clone_into(&mut plan.folder);
+        let deployment = Deployment::start(&plan)
+            .await
+            .expect("the deployment starts");
+        Self {
+            deployment,
+            _folder: folder,
+        }
+    }
+
+    /// A caller of router `index`.
+    pub fn caller(&self, index: usize) -> Caller {
+        Caller::new(self.deployment.routers[index].listen)
+    }
+}
