Decide version moves by sequential tests against the old version

Cause: version moves need a share that every router computes alike and a verdict with stated error rates from evidence that is spread over agents.

Conclusion: agents publish sums of log-likelihood ratios, which add up exactly, and each process keeps the lowest joint sum.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod client;
 pub mod demo;
+pub mod moves;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,4 +14,7 @@
 pub mod order;
 pub mod place;
 mod read;
+pub mod rollout;
+pub mod sequential;
+pub mod tally;
 pub mod time;
--- /dev/null
+++ b/core/src/sequential.rs
@@ -0,0 +1,177 @@
+//! Sequential tests that compare a new version with the old one.
+//!
+//! Each check is a cumulative log-likelihood ratio that never falls below zero (Page's CUSUM test),
+//! so that a long good history does not hide a fault that shows late.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    rollout::Lane,
+    tally::{Histogram, History, Sample, Tally, bucket},
+};
+
+/// Score at which a check holds a version to be faulty.
+///
+/// A good version's score comes back to zero and starts anew some 10^5 times in a move, over all
+/// checks. `ln(10^5 / 0.001)` is 18.4, so that fewer than one good move in 1,000 is rolled back.
+pub const THRESHOLD: f64 = 18.5;
+/// Least requests of the old version to compare with.
+const MIN_BASELINE: u32 = 50;
+/// Requests of the old version that failures are compared with, within this many seconds to each
+/// side; rare events need a long window.
+const FAILURES_WINDOW: u32 = 2_000;
+const FAILURES_RADIUS: u64 = 15;
+/// Requests of the old version that times are compared with, within this many seconds to each
+/// side. A surge slows both versions alike, so that a longer window would hold a good version to be
+/// slow when a surge begins.
+const TIMES_WINDOW: u32 = 150;
+const TIMES_RADIUS: u64 = 3;
+/// Rate that is taken for the old version when it has shown no failure.
+const MIN_RATE: f64 = 0.002;
+/// Smallest rise of a rate that a check looks for.
+const MIN_RISE: f64 = 0.05;
+/// Largest part that one sample may add, so that a few events never decide.
+const MAX_STEP: f64 = 3.0;
+/// Share of the old version's requests that are slower than its own limit, at most.
+const SLOW_SHARE: f64 = 0.1;
+
+/// What is compared between two versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Check {
+    /// Requests that fail.
+    Failures,
+    /// Time to the first token.
+    FirstToken,
+    /// Time between tokens.
+    BetweenTokens,
+}
+
+impl Check {
+    /// Every check.
+    pub const ALL: [Self; 3] = [Self::Failures, Self::FirstToken, Self::BetweenTokens];
+}
+
+/// What the old version did at the same time on the same route.
+#[derive(Debug, Clone, Copy)]
+pub struct Baseline {
+    failures: Option<f64>,
+    first: Option<Limit>,
+    between: Option<Limit>,
+}
+
+/// A bucket that is rarely exceeded, and how often it is.
+#[derive(Debug, Clone, Copy)]
+struct Limit {
+    bucket: u8,
+    rate: f64,
+}
+
+impl Baseline {
+    /// Summarises the old version's requests around `second`, as far as they are enough to compare
+    /// with.
+    pub fn new(old: &History, second: u64, lane: Option<Lane>) -> Self {
+        let wide = old.around(second, lane, FAILURES_WINDOW, FAILURES_RADIUS);
+        let close = old.around(second, lane, TIMES_WINDOW, TIMES_RADIUS);
+        let usable = |tally: &Tally| tally.requests >= MIN_BASELINE;
+        let limit = |times| limit(times, close.requests - close.failures);
+        Self {
+            failures: usable(&wide).then(|| cautious(wide.failures, wide.requests).max(MIN_RATE)),
+            first: usable(&close).then(|| limit(&close.first)),
+            between: usable(&close).then(|| limit(&close.between)),
+        }
+    }
+
+    /// The old version's rate of what `check` counts, and whether a sample of the new version
+    /// counts.
+    fn compare(&self, check: Check, sample: &Sample) -> Option<(f64, bool)> {
+        let slow = |limit: Limit, time| (limit.rate, bucket(time) > limit.bucket);
+        match check {
+            Check::Failures => self.failures.map(|rate| (rate, sample.failed)),
+            // A failed request has no meaningful token times.
+            Check::FirstToken | Check::BetweenTokens if sample.failed => None,
+            Check::FirstToken => self.first.map(|limit| slow(limit, sample.first)),
+            Check::BetweenTokens => self.between.map(|limit| slow(limit, sample.between)),
+        }
+    }
+}
+
+fn limit(times: &Histogram, requests: u32) -> Limit {
+    let (bucket, above) = times.tail(SLOW_SHARE);
+    Limit {
+        bucket,
+        rate: cautious(above, requests).max(MIN_RISE),
+    }
+}
+
+/// The rate with two standard errors on top, so that chance in the old version's figures does not
+/// count against the new one.
+fn cautious(count: u32, total: u32) -> f64 {
+    let total = f64::from(total.max(1));
+    let rate = f64::from(count) / total;
+    // With one half added, a count of zero has a standard error too.
+    let smoothed = (f64::from(count) + 0.5) / (total + 1.0);
+    (rate + 2.0 * (smoothed * (1.0 - smoothed) / total).sqrt()).min(0.9)
+}
+
+/// The sums of the log-likelihood ratios of all checks on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sums {
+    /// Samples compared.
+    pub samples: u32,
+    values: [f64; Check::ALL.len()],
+}
+
+impl Sums {
+    /// Compares one request of the new version with the old version.
+    pub fn observe(&mut self, sample: &Sample, baseline: &Baseline) {
+        self.samples = self.samples.saturating_add(1);
+        for (check, value) in Check::ALL.into_iter().zip(&mut self.values) {
+            if let Some((rate, counts)) = baseline.compare(check, sample) {
+                *value += step(rate, counts);
+            }
+        }
+    }
+
+    /// Adds another agent's sums: the log-likelihood ratios of independent samples add up.
+    pub fn add(&mut self, other: &Self) {
+        self.samples = self.samples.saturating_add(other.samples);
+        for (value, more) in self.values.iter_mut().zip(other.values) {
+            *value += more;
+        }
+    }
+}
+
+/// The scores of all checks on one route: how far each sum lies above its lowest value so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Scores {
+    lowest: [f64; Check::ALL.len()],
+}
+
+impl Scores {
+    /// Takes new sums; returns the check that holds the version to be faulty, if one does.
+    pub fn update(&mut self, sums: &Sums) -> Option<Check> {
+        let mut fault = None;
+        for ((check, low), value) in Check::ALL
+            .into_iter()
+            .zip(&mut self.lowest)
+            .zip(sums.values)
+        {
+            *low = low.min(value);
+            if value - *low >= THRESHOLD {
+                fault = fault.or(Some(check));
+            }
+        }
+        fault
+    }
+}
+
+/// The log-likelihood ratio of one sample: that the rate has risen against that it has not.
+fn step(rate: f64, counts: bool) -> f64 {
+    let risen = (2.0 * rate).max(rate + MIN_RISE).min(0.98);
+    let ratio = if counts {
+        risen / rate
+    } else {
+        (1.0 - risen) / (1.0 - rate)
+    };
+    ratio.ln().min(MAX_STEP)
+}
--- /dev/null
+++ b/core/tests/rollout.rs
@@ -0,0 +1,153 @@
+//! Version moves: share, evidence and verdicts.
+
+use std::time::Duration;
+
+use ebonyfall_core::{
+    doc::{Intent, Move, Priority},
+    id::ChatId,
+    name::{ModelName, MoveName, VersionName},
+    rollout::{Comparison, Evidence, Facts, Lane, Phase, Trial, Verdict, phase, share, takes_new},
+    sequential::Check,
+    tally::{History, Sample},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const LANE: Lane = Lane {
+    priority: Priority::Desk,
+    streamed: true,
+};
+
+fn step(intent: Intent) -> Move {
+    let version = |name| VersionName::new(name).unwrap();
+    Move {
+        model: ModelName::new("m").unwrap(),
+        from: version("v1"),
+        to: version("v2"),
+        due: 1_000,
+        start_share: 0.02,
+        intent,
+    }
+}
+
+/// Serves `seconds` of traffic by both versions, where the new one fails and slows by the given
+/// amounts; returns the trial's verdict and the evidence.
+fn serve(seed: u64, failures: f64, slowness: f64, surge: bool) -> (Option<Verdict>, Evidence) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (mut old, mut new, mut trial) =
+        (History::default(), Comparison::default(), Trial::default());
+    let mut verdict = None;
+    for second in 0..120 {
+        let crowd = if surge && (40..60).contains(&second) {
+            3.0
+        } else {
+            1.0
+        };
+        for request in 0..50 {
+            let is_new = request % 5 == 0;
+            let (rate, slow) = if is_new {
+                (failures, slowness)
+            } else {
+                (0.002, 1.0)
+            };
+            let spread = rng.random_range(0.5..1.5);
+            let sample = Sample {
+                failed: rng.random::<f64>() < rate,
+                first: Duration::from_secs_f64(0.2 * spread * crowd * slow),
+                between: Duration::from_secs_f64(0.03 * spread * crowd * slow),
+            };
+            if is_new {
+                new.push(second, LANE, sample);
+            } else {
+                old.push(second, LANE, &sample);
+            }
+        }
+        new.settle(&old, second);
+        verdict = trial.update([new.evidence()]);
+    }
+    (verdict, new.evidence().clone())
+}
+
+/// Guards against a good version that is rolled back, also through a surge that slows both.
+#[test]
+fn a_good_version_gets_no_verdict() {
+    for seed in 0..50 {
+        assert_eq!(
+            serve(seed, 0.002, 1.0, seed % 2 == 0).0,
+            None,
+            "seed {seed}"
+        );
+    }
+}
+
+/// Guards against a faulty version that is missed.
+#[test]
+fn a_faulty_version_gets_a_verdict() {
+    for seed in 0..50 {
+        let failing = serve(seed, 0.2, 1.0, false).0.unwrap();
+        assert_eq!(failing.check, Check::Failures, "seed {seed}");
+        let slow = serve(seed, 0.002, 1.6, false).0.unwrap();
+        assert_ne!(slow.check, Check::Failures, "seed {seed}");
+    }
+}
+
+/// Guards against a verdict that is withdrawn when better evidence follows.
+#[test]
+fn a_verdict_is_never_withdrawn() {
+    let (_, bad) = serve(1, 0.3, 1.0, false);
+    let mut trial = Trial::default();
+    let verdict = trial.update([&bad]);
+    assert!(verdict.is_some());
+    let (_, good) = serve(2, 0.0, 1.0, false);
+    assert_eq!(trial.update([&good]), verdict);
+    assert!(!trial.is_cleared());
+}
+
+/// Guards against a share that rises without evidence, misses the due time or survives a verdict.
+#[test]
+fn the_share_follows_the_facts() {
+    let go = step(Intent::Go);
+    let open = Facts {
+        capacity: 1.0,
+        ..Facts::default()
+    };
+    assert!((share(&go, &open, 900) - 0.02).abs() < 1e-9);
+    let cleared = Facts {
+        cleared: Some(100),
+        ..open
+    };
+    let shares: Vec<_> = (100..1_000).map(|now| share(&go, &cleared, now)).collect();
+    assert!(shares.is_sorted());
+    assert_eq!(phase(&go, &cleared, 950), Phase::Done);
+    let small = Facts {
+        capacity: 0.3,
+        ..cleared
+    };
+    assert_eq!(phase(&go, &small, 1_001), Phase::Late);
+    let held = Facts {
+        intent_since: 300,
+        ..cleared
+    };
+    let at_hold = share(&step(Intent::Hold), &held, 300);
+    assert!((share(&step(Intent::Hold), &held, 999) - at_hold).abs() < 1e-9);
+    let verdict = Some(Verdict {
+        check: Check::Failures,
+        lane: None,
+        samples: 9,
+    });
+    let faulty = Facts { verdict, ..cleared };
+    assert!(share(&go, &faulty, 999).abs() < 1e-9);
+    assert_eq!(phase(&go, &faulty, 999), Phase::RolledBack);
+}
+
+/// Guards against chats that change their version back and forth while the share rises.
+#[test]
+fn a_chat_changes_its_version_once() {
+    let name = MoveName::new("labels-v2").unwrap();
+    for chat in (0..500).map(ChatId::from) {
+        let sides: Vec<_> = (0..=100)
+            .map(|p| takes_new(&name, chat, f64::from(p) / 100.0))
+            .collect();
+        assert!(sides.is_sorted());
+        assert!(sides[100]);
+    }
+}
