--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -127,6 +127,8 @@
     EngineRefused = 4006, 503, NotRun, "retry after the stated time";
     /// The agent could not connect to its engine or service.
     EngineUnreachable = 4007, 503, NotRun, "retry; another target will take it";
+    /// The engine or service crashed while the request was running.
+    EngineCrashed = 4008, 502, Unknown, "retry if the request is idempotent";
     /// A fault of the system itself.
     Internal = 5001, 500, Unknown, "report it with the request id";
     /// Another operator's change came first.
--- /dev/null
+++ b/core/src/crash.rs
@@ -0,0 +1,240 @@
+//! Requests that may crash whatever target runs them.
+
+use std::{collections::HashMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::Fingerprint,
+    name::{TargetName, TeamName},
+    time::Time,
+};
+
+/// Targets that a request has to crash before it is held.
+const PROOF: usize = 2;
+/// Marks kept for one team, so that one team cannot push out those of another.
+const PER_TEAM: usize = 64;
+/// Marks kept in all.
+const MAX_MARKS: usize = 4096;
+
+/// A target that crashed while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The target.
+    pub target: TargetName,
+    /// When it crashed, since the Unix epoch.
+    pub time: Time,
+}
+
+/// What is known of one request; times are since the Unix epoch, so that processes can exchange
+/// marks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The team that sent it.
+    pub team: TeamName,
+    /// The last crash of each target, at most two.
+    pub crashes: Vec<Crash>,
+    /// When an operator or a whole answer cleared it; earlier crashes do not count.
+    pub cleared: Option<Time>,
+}
+
+impl Mark {
+    fn new(team: TeamName) -> Self {
+        Self {
+            team,
+            crashes: Vec::new(),
+            cleared: None,
+        }
+    }
+
+    fn add(&mut self, crash: Crash) {
+        match self.crashes.iter_mut().find(|c| c.target == crash.target) {
+            Some(known) => known.time = known.time.max(crash.time),
+            None => self.crashes.push(crash),
+        }
+        self.crashes
+            .sort_by(|a, b| (b.time, &a.target).cmp(&(a.time, &b.target)));
+        self.crashes.truncate(PROOF);
+    }
+
+    fn prune(&mut self, from: Time) {
+        let cleared = self.cleared;
+        self.crashes
+            .retain(|crash| crash.time > from && cleared.is_none_or(|time| crash.time > time));
+        self.cleared = cleared.filter(|time| *time > from);
+    }
+
+    fn newest(&self) -> Time {
+        let crashes = self.crashes.iter().map(|crash| crash.time);
+        crashes.chain(self.cleared).max().unwrap_or_default()
+    }
+}
+
+/// How a request is treated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Standing {
+    /// Like any other.
+    Clear,
+    /// One target crashed while it ran the request.
+    Suspect(Crash),
+    /// Refused everywhere.
+    Held,
+}
+
+/// The requests that were running when targets crashed.
+#[derive(Debug, Clone)]
+pub struct Suspects {
+    hold: Duration,
+    marks: HashMap<Fingerprint, Mark>,
+}
+
+impl Suspects {
+    /// Starts empty; marks expire after `hold`.
+    pub fn new(hold: Duration) -> Self {
+        Self {
+            hold,
+            marks: HashMap::new(),
+        }
+    }
+
+    /// Takes the time that marks last from a new document.
+    pub fn set_hold(&mut self, hold: Duration) {
+        self.hold = hold;
+    }
+
+    /// Records that `target` crashed while it ran these requests. When suspects of another
+    /// target's crash are among them, they are the cause and the others stay clear.
+    pub fn crashed(&mut self, target: &TargetName, running: &[(Fingerprint, TeamName)], now: Time) {
+        let suspects: Vec<_> = running
+            .iter()
+            .filter(|(fingerprint, _)| match self.standing(*fingerprint, now) {
+                Standing::Suspect(crash) => crash.target != *target,
+                Standing::Held => true,
+                Standing::Clear => false,
+            })
+            .collect();
+        let causes = if suspects.is_empty() {
+            running.iter().collect()
+        } else {
+            suspects
+        };
+        for (fingerprint, team) in causes {
+            self.mark(*fingerprint, team, target, now);
+        }
+    }
+
+    /// Records one crash.
+    pub fn mark(
+        &mut self,
+        fingerprint: Fingerprint,
+        team: &TeamName,
+        target: &TargetName,
+        time: Time,
+    ) {
+        let mut mark = Mark::new(team.clone());
+        mark.add(Crash {
+            target: target.clone(),
+            time,
+        });
+        self.merge(fingerprint, mark, time);
+    }
+
+    /// Takes the mark that came with a request.
+    pub fn add(&mut self, fingerprint: Fingerprint, team: &TeamName, crash: Crash, now: Time) {
+        let mut mark = Mark::new(team.clone());
+        mark.add(crash);
+        self.merge(fingerprint, mark, now);
+    }
+
+    /// How a request is treated now.
+    pub fn standing(&self, fingerprint: Fingerprint, now: Time) -> Standing {
+        let Some(mark) = self.marks.get(&fingerprint) else {
+            return Standing::Clear;
+        };
+        let mut mark = mark.clone();
+        mark.prune(self.horizon(now));
+        match mark.crashes.as_slice() {
+            [] => Standing::Clear,
+            [crash] => Standing::Suspect(crash.clone()),
+            _ => Standing::Held,
+        }
+    }
+
+    /// Clears a request that got its whole answer; a held one stays held.
+    pub fn survived(&mut self, fingerprint: Fingerprint, now: Time) {
+        if matches!(self.standing(fingerprint, now), Standing::Suspect(_)) {
+            self.clear(fingerprint, now);
+        }
+    }
+
+    /// Clears a request; marks of earlier crashes that arrive later do not count. False when it
+    /// was not marked.
+    pub fn clear(&mut self, fingerprint: Fingerprint, now: Time) -> bool {
+        let Some(mark) = self.marks.get_mut(&fingerprint) else {
+            return false;
+        };
+        mark.cleared = mark.cleared.max(Some(now));
+        mark.prune(Time::ZERO);
+        true
+    }
+
+    /// Merges what another process knows; the order of merges makes no difference.
+    pub fn merge(&mut self, fingerprint: Fingerprint, other: Mark, now: Time) {
+        let team = other.team.clone();
+        let mark = self.marks.entry(fingerprint);
+        let mark = mark.or_insert_with(|| Mark::new(other.team));
+        mark.cleared = mark.cleared.max(other.cleared);
+        for crash in other.crashes {
+            mark.add(crash);
+        }
+        mark.prune(Time::ZERO);
+        self.bound(&team, now);
+    }
+
+    /// Every mark, for the exchange with other processes.
+    pub fn marks(&self) -> impl Iterator<Item = (Fingerprint, &Mark)> {
+        self.marks.iter().map(|(print, mark)| (*print, mark))
+    }
+
+    /// The held requests with their marks.
+    pub fn held(&self, now: Time) -> Vec<(Fingerprint, Mark)> {
+        let held = self.marks.iter();
+        held.filter(|(print, _)| self.standing(**print, now) == Standing::Held)
+            .map(|(print, mark)| (*print, mark.clone()))
+            .collect()
+    }
+
+    fn horizon(&self, now: Time) -> Time {
+        Time::ZERO + now.since(Time::ZERO + self.hold)
+    }
+
+    /// Drops expired marks, and the oldest ones of a team or of all that has too many; suspects
+    /// go before held requests.
+    fn bound(&mut self, team: &TeamName, now: Time) {
+        let horizon = self.horizon(now);
+        self.marks
+            .retain(|_, mark| mark.newest() > horizon || horizon == Time::ZERO);
+        let of_team = self
+            .marks
+            .values()
+            .filter(|mark| mark.team == *team)
+            .count();
+        if of_team > PER_TEAM {
+            self.evict(Some(team));
+        }
+        if self.marks.len() > MAX_MARKS {
+            self.evict(None);
+        }
+    }
+
+    fn evict(&mut self, team: Option<&TeamName>) {
+        let marks = self.marks.iter();
+        let oldest = marks
+            .filter(|(_, mark)| team.is_none_or(|team| mark.team == *team))
+            .min_by_key(|(print, mark)| (mark.crashes.len(), mark.newest(), **print))
+            .map(|(print, _)| *print);
+        if let Some(oldest) = oldest {
+            self.marks.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/ramp.rs
@@ -0,0 +1,137 @@
+//! The concurrency limit of a target in cold start.
+
+use crate::{admit::Capacity, id::Incarnation};
+
+/// Requests at normal speed that prove the target fit for twice the load.
+const PROOF: u32 = 16;
+/// Multiple of the normal pace up to which a request counts as a proof.
+const NORMAL: f64 = 2.0;
+/// Multiple of the normal pace from which a request is a sign of a cold target.
+const SLOW: f64 = 4.0;
+/// Slow requests among the last eight that restart the ramp; fewer are left to chance.
+const SLOW_OF_EIGHT: u32 = 6;
+/// Weight of one request in the normal pace.
+const GAIN: f64 = 1.0 / 32.0;
+/// Growth of the normal pace with each slow request, so that a lasting change of the traffic
+/// becomes the new normal after about seventy requests.
+const DRIFT: f64 = 1.02;
+
+/// Raises the limit of a target from its cold capacity as it proves its health.
+#[derive(Debug)]
+pub struct Ramp {
+    capacity: Capacity,
+    limit: u32,
+    proofs: u32,
+    epoch: u64,
+    pace: Option<f64>,
+    slow: u8,
+    reported_cold: bool,
+    incarnation: Option<Incarnation>,
+}
+
+impl Ramp {
+    /// Starts with a cold target.
+    pub fn new(capacity: Capacity) -> Self {
+        Self {
+            capacity,
+            limit: capacity.cold_slots.clamp(1, capacity.slots.max(1)),
+            proofs: 0,
+            epoch: 0,
+            pace: None,
+            slow: 0,
+            reported_cold: false,
+            incarnation: None,
+        }
+    }
+
+    /// Requests allowed at once now.
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Whether the target takes its full load.
+    pub fn is_warm(&self) -> bool {
+        self.limit >= self.capacity.slots
+    }
+
+    /// Counts the restarts of the ramp; a request that started in an earlier epoch proves nothing.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The engine's incarnation, as last reported.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation
+    }
+
+    /// Changes the target's capacity; a higher one has to be proven.
+    pub fn resize(&mut self, capacity: Capacity) {
+        self.capacity = capacity;
+        self.limit = self.limit.clamp(1, capacity.slots.max(1));
+    }
+
+    /// Goes back to the start.
+    pub fn restart(&mut self) {
+        let fresh = Self::new(self.capacity);
+        *self = Self {
+            epoch: self.epoch + 1,
+            pace: self.pace,
+            reported_cold: self.reported_cold,
+            incarnation: self.incarnation,
+            ..fresh
+        };
+    }
+
+    /// Goes back to the start because the engine is gone; the next report tells its incarnation.
+    pub fn lost(&mut self) {
+        self.incarnation = None;
+        self.restart();
+    }
+
+    /// Goes back to the start because the engine gives no answer; it may still be the same one.
+    pub fn unreachable(&mut self) {
+        if self.limit > self.capacity.cold_slots {
+            self.restart();
+        }
+    }
+
+    /// Records a whole answer that took `pace` for each unit of work.
+    pub fn completed(&mut self, pace: f64, epoch: u64) {
+        let normal = *self.pace.get_or_insert(pace);
+        let slow = pace > normal * SLOW;
+        self.pace = Some(if slow {
+            normal * DRIFT
+        } else {
+            normal + (pace - normal) * GAIN
+        });
+        if epoch != self.epoch {
+            return;
+        }
+        self.slow = self.slow << 1 | u8::from(slow);
+        if self.slow.count_ones() >= SLOW_OF_EIGHT {
+            self.restart();
+            return;
+        }
+        if pace > normal * NORMAL || self.reported_cold || self.is_warm() {
+            return;
+        }
+        self.proofs += 1;
+        if self.proofs >= PROOF {
+            self.proofs = 0;
+            self.limit = (self.limit * 2).min(self.capacity.slots);
+        }
+    }
+
+    /// Takes the engine's own report, which lags; returns whether the engine was restarted.
+    pub fn report(&mut self, incarnation: Incarnation, cold: bool) -> bool {
+        let known = self.incarnation.replace(incarnation);
+        let restarted = known.is_some_and(|known| known != incarnation);
+        self.reported_cold = cold;
+        // A report that is out of date restarts the ramp too early, which costs a few requests;
+        // one that is ignored may cost the engine.
+        if restarted || cold && self.limit > self.capacity.cold_slots {
+            self.restart();
+        }
+        restarted
+    }
+}
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,8 +2,16 @@
 
 use std::{io, time::Duration};
 
-use ebonyfall_core::{admit::Capacity, code::Code, id::AttemptId, name::TargetName};
-use ebonyfall_wire::frame::{MAX_PART, Submit, ToAgent, ToRouter};
+use ebonyfall_core::{
+    admit::{Capacity, End},
+    chat,
+    code::Code,
+    doc::Runs,
+    drain::Left,
+    id::AttemptId,
+    name::TargetName,
+};
+use ebonyfall_wire::frame::{Load, MAX_PART, Submit, ToAgent, ToRouter};
 use http::{Response, header::CONTENT_TYPE};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -11,23 +19,28 @@
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{mpsc, watch},
     time::{self, Instant, timeout_at},
 };
 
 use crate::{
     clock::{self, Clock},
-    engine::{self, Backend},
-    gate::Gate,
-    link::{Identity, Link, LinkError},
+    engine::{self, Backend, Status},
+    gate::{Entry, Gate, Handover},
+    link::{Identity, Link},
     metrics::Metrics,
     platform::Platform,
+    session::Session,
     settings::AgentConfig,
-    view,
+    view::{self, View, Views},
 };
 
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two questions for the engine's report; it bounds how long a restart goes unnoticed.
+const STATUS_INTERVAL: Duration = Duration::from_millis(250);
+/// How long an agent without requests still answers before it ends.
+const LINGER: Duration = Duration::from_millis(200);
 /// Last bytes of a whole stream of server-sent events.
 const STREAM_END: &[u8] = b"data: [DONE]\n\n";
 
@@ -48,6 +61,14 @@
         /// The target in the settings.
         target: TargetName,
     },
+    /// The shutdown ended with requests left over.
+    #[snafu(display(
+        "{left} requests were left when the shutdown ended; raise drain in the settings"
+    ))]
+    Unfinished {
+        /// Requests that were running or waiting.
+        left: u32,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -55,6 +76,7 @@
     target: TargetName,
     identity: Identity,
     gate: Gate,
+    views: Views,
     backend: Backend,
     metrics: Metrics,
     log: Logger,
@@ -81,41 +103,38 @@
         view = views.wait_for(Option::is_some) => view.ok().and_then(|view| view.clone()),
         _ = stop.wait_for(|stop| *stop) => return Ok(()),
     };
-    let target = view
-        .as_ref()
-        .and_then(|view| view.document.targets.get(&cfg.target));
-    let Some(target) = target else {
+    let view = view.as_ref();
+    let found = view.and_then(|view| Some((view, limits(view, &cfg.target)?)));
+    let Some((view, (capacity, hold))) = found else {
         return UnknownTargetSnafu { target: cfg.target }.fail();
     };
-    let capacity = Capacity {
-        slots: target.slots,
-        cold_slots: target.cold_slots,
-    };
+    let runs = &view.document.targets[&cfg.target].runs;
+    let is_engine = matches!(runs, Runs::Engine { .. });
     let agent = Agent {
+        gate: Gate::start(cfg.target.clone(), capacity, hold, clock),
         target: cfg.target,
         identity: Identity {
             name: cfg.common.name,
             incarnation: view::incarnation(clock::unix_time()),
             keys: cfg.common.keys,
         },
-        gate: Gate::start(capacity, clock),
+        views: views.clone(),
         backend: Backend::new(cfg.backend),
         metrics: Metrics::new(),
         log,
     };
     info!(agent.log, "agent ready"; "target" => %agent.target, "listen" => address);
-    agent.accept(listener, stop).await;
-    Ok(())
+    tokio::spawn(agent.clone().watch(views, is_engine));
+    tokio::select! {
+        () = agent.accept(listener) => Ok(()),
+        ended = agent.shutdown(stop, cfg.common.drain) => ended,
+    }
 }
 
 impl Agent {
-    async fn accept(&self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    async fn accept(&self, listener: TcpListener) {
         loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                _ = stop.wait_for(|stop| *stop) => return,
-            };
-            match accepted {
+            match listener.accept().await {
                 Ok((stream, _)) => {
                     let agent = self.clone();
                     tokio::spawn(async move { agent.connection(stream).await });
@@ -128,6 +147,58 @@
         }
     }
 
+    /// Waits for the stop signal, then for the requests that were taken before it.
+    async fn shutdown(
+        &self,
+        mut stop: watch::Receiver<bool>,
+        drain: Duration,
+    ) -> Result<(), AgentError> {
+        // Without the sender the process is ending anyway.
+        let _ended = stop.wait_for(|stop| *stop).await;
+        let left = self.gate.drain(drain).await;
+        // Requests that were on their way meanwhile get a refusal that is certain instead of a
+        // broken connection.
+        time::sleep(LINGER).await;
+        match left {
+            Left::Unfinished(left) => {
+                warn!(self.log, "requests left at the end of the shutdown"; "left" => left);
+                UnfinishedSnafu { left }.fail()
+            }
+            Left::Serving | Left::Waiting | Left::Nothing => Ok(()),
+        }
+    }
+
+    /// Follows the engine's report of itself and the document's limits.
+    async fn watch(self, mut views: Views, is_engine: bool) {
+        let mut ticks = time::interval(STATUS_INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick(), if is_engine => {
+                    let status = self.backend.status().await;
+                    self.report(status).await;
+                }
+                changed = views.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let limits = views.borrow_and_update().as_ref().and_then(|view| limits(view, &self.target));
+                    if let Some((capacity, hold)) = limits {
+                        self.gate.resize(capacity, hold).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn report(&self, status: Status) {
+        match status {
+            Status::Up { incarnation, cold } => self.gate.report(Some((incarnation, cold))).await,
+            Status::Down => self.gate.report(None).await,
+            Status::Silent => {}
+        }
+    }
+
     async fn connection(&self, stream: TcpStream) {
         let mut link = match Link::accept(&self.identity, stream).await {
             Ok(link) => link,
@@ -137,126 +208,237 @@
                 return;
             }
         };
-        while let Ok(ToAgent::Submit(submit)) = link.receive().await {
-            if let Err(error) = self.request(&mut link, *submit).await {
-                debug!(self.log, "connection lost"; "error" => %error);
+        loop {
+            let next = match link.receive().await {
+                Ok(ToAgent::Submit(submit)) => self.request(link, *submit).await,
+                Ok(ToAgent::Resume { attempt, offset }) => self.resume(link, attempt, offset).await,
+                Ok(ToAgent::Cancel { .. }) => None,
+                Err(error) => {
+                    debug!(self.log, "connection ended"; "error" => %error);
+                    None
+                }
+            };
+            let Some(next) = next else {
                 return;
-            }
+            };
+            link = next;
         }
     }
 
-    /// Serves one request; an error means that the connection cannot be used any more.
-    async fn request(&self, link: &mut Link, submit: Submit) -> Result<(), LinkError> {
-        let attempt = submit.attempt;
-        let admitted = if submit.target == self.target {
-            self.gate.enter(submit.left).await
-        } else {
-            Err(Code::WrongTarget)
+    /// Hands the connection to the attempt that it is meant for.
+    async fn resume(&self, mut link: Link, attempt: AttemptId, offset: u64) -> Option<Link> {
+        let Some(handover) = self.gate.find(attempt).await else {
+            // The submission may still be on its way on the broken connection, so that nothing
+            // certain can be said.
+            let refused = ToRouter::Refused {
+                attempt,
+                code: Code::LinkLost,
+                retry_after_ms: 0,
+                load: Load::default(),
+            };
+            link.send(&refused).await.ok()?;
+            return Some(link);
         };
-        let outcome = match admitted {
-            Ok(()) => {
-                let deadline = Instant::now() + submit.left;
-                let outcome = self.serve(link, submit, deadline).await;
-                self.gate.leave(matches!(outcome, Ok(Ok(_)))).await;
-                outcome?
+        let _ended = handover.send(Handover { link, offset }).await;
+        None
+    }
+
+    /// Serves one request; returns the connection when it can be used again.
+    async fn request(&self, mut link: Link, submit: Submit) -> Option<Link> {
+        let attempt = submit.attempt;
+        if submit.target != self.target {
+            self.metrics.result(Code::WrongTarget.name());
+            let refused = refused(attempt, Code::WrongTarget, Duration::ZERO, Load::default());
+            link.send(&refused).await.ok()?;
+            return Some(link);
+        }
+        let deadline = Instant::now() + submit.left;
+        let (tx, rx) = mpsc::channel(1);
+        let mut session = Session::new(attempt, link, rx);
+        let mut admitted = self.gate.enter(self.entry(&submit, tx)).await;
+        let admitted = loop {
+            tokio::select! {
+                admitted = &mut admitted => break admitted,
+                signal = session.signal() => {
+                    if !session.on_signal(signal).await {
+                        self.gate.gone(attempt).await;
+                        return None;
+                    }
+                }
             }
-            Err(code) => Err(code),
         };
-        let load = self.gate.load().await;
-        match outcome {
+        if let Err((refusal, load)) = admitted.ok()? {
+            self.metrics.result(refusal.code.name());
+            let refused = refused(attempt, refusal.code, refusal.retry_after, load);
+            return session.send_last(refused).await;
+        }
+        let Some(outcome) = self.serve(&mut session, submit, deadline).await else {
+            // Dropping the call has closed the back end's connection, which cancels its work.
+            self.gate.gone(attempt).await;
+            return None;
+        };
+        let end = match outcome {
+            Ok(length) => End::Whole(usize::try_from(length).unwrap_or(usize::MAX)),
+            Err(Code::EngineCrashed) => End::Crashed,
+            Err(Code::EngineUnreachable) => End::Unreachable,
+            Err(_) => End::Failed,
+        };
+        let (load, suspect) = self.gate.finish(attempt, end).await;
+        let message = match outcome {
             Ok(length) => {
                 self.metrics.result("Ok");
-                link.send(&ToRouter::Done {
+                ToRouter::Done {
                     attempt,
                     length,
                     load,
-                })
-                .await
+                }
             }
             Err(code) => {
+                // Only the requests that may have caused the crash are to be treated as suspects.
+                let clear = code == Code::EngineCrashed && !suspect;
+                let code = if clear { Code::EngineFailed } else { code };
                 self.metrics.result(code.name());
-                link.send(&ToRouter::Refused {
-                    attempt,
-                    code,
-                    load,
-                })
-                .await
+                refused(attempt, code, Duration::ZERO, load)
             }
+        };
+        let link = session.send_last(message).await;
+        self.gate.gone(attempt).await;
+        link
+    }
+
+    fn entry(&self, submit: &Submit, handover: mpsc::Sender<Handover>) -> Entry {
+        let view = self.views.borrow();
+        let team = view
+            .as_ref()
+            .and_then(|view| view.document.teams.get(&submit.team));
+        Entry {
+            attempt: submit.attempt,
+            team: submit.team.clone(),
+            weight: team.map_or(1, |team| team.weight),
+            priority: submit.priority,
+            left: submit.left,
+            fingerprint: chat::fingerprint(&submit.team, &submit.call.body),
+            suspect: submit.suspect.clone(),
+            handover,
         }
     }
 
-    /// Runs an admitted request; returns the answer's length. A closed connection cancels it.
+    /// Runs an admitted request; returns the answer's length, none when nobody waits for it.
     async fn serve(
         &self,
-        link: &mut Link,
+        session: &mut Session,
         submit: Submit,
         deadline: Instant,
-    ) -> Result<Result<u64, Code>, LinkError> {
-        let Submit {
-            attempt,
-            priority,
-            repeat,
-            call,
-            ..
-        } = submit;
-        let res = tokio::select! {
-            res = timeout_at(deadline, self.backend.call(attempt, priority, repeat, call)) => res,
-            closed = link.receive::<ToAgent>() => return Err(unexpected(closed)),
+    ) -> Option<Result<u64, Code>> {
+        let engine = submit.version.is_some();
+        let call = self.backend.call(
+            submit.attempt,
+            submit.priority,
+            submit.repeat,
+            engine,
+            submit.call,
+        );
+        let call = timeout_at(deadline, call);
+        tokio::pin!(call);
+        let res = loop {
+            tokio::select! {
+                res = &mut call => break res,
+                signal = session.signal() => {
+                    if !session.on_signal(signal).await {
+                        return None;
+                    }
+                }
+            }
         };
         let res = match res {
             Ok(Ok(res)) => res,
-            Ok(Err(code)) => return Ok(Err(code)),
-            Err(_) => return Ok(Err(Code::EngineTimeout)),
+            Ok(Err(Code::EngineFailed)) => return Some(Err(self.cause(engine).await)),
+            Ok(Err(code)) => return Some(Err(code)),
+            Err(_) => return Some(Err(Code::EngineTimeout)),
         };
-        link.send(&ToRouter::Head {
-            attempt,
-            head: engine::head(&res),
-        })
-        .await?;
-        self.body(link, attempt, res, deadline).await
+        session.send_head(engine::head(&res)).await;
+        self.body(session, res, engine, deadline).await
     }
 
     async fn body(
         &self,
-        link: &mut Link,
-        attempt: AttemptId,
+        session: &mut Session,
         res: Response<Incoming>,
+        engine: bool,
         deadline: Instant,
-    ) -> Result<Result<u64, Code>, LinkError> {
+    ) -> Option<Result<u64, Code>> {
         let kind = res
             .headers()
             .get(CONTENT_TYPE)
             .map(|kind| kind.as_bytes().to_vec());
         let events = kind.is_some_and(|kind| kind.starts_with(b"text/event-stream"));
         let mut body = res.into_body();
-        let mut offset = 0;
         let mut tail = Vec::new();
         loop {
+            // While there is no connection, the back end is slowed down instead of the replay
+            // growing.
             let frame = tokio::select! {
-                frame = timeout_at(deadline, body.frame()) => frame,
-                closed = link.receive::<ToAgent>() => return Err(unexpected(closed)),
+                frame = timeout_at(deadline, body.frame()), if session.is_attached() => frame,
+                signal = session.signal() => {
+                    if session.on_signal(signal).await {
+                        continue;
+                    }
+                    return None;
+                }
             };
             let mut data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(_))) => return Ok(Err(Code::StreamCut)),
-                Ok(None) if events && tail != STREAM_END => return Ok(Err(Code::StreamCut)),
-                Ok(None) => return Ok(Ok(offset)),
-                Err(_) => return Ok(Err(Code::EngineTimeout)),
+                Ok(Some(Err(_))) => return Some(Err(self.cause(engine).await)),
+                Ok(None) if events && tail != STREAM_END => {
+                    return Some(Err(self.cause(engine).await));
+                }
+                Ok(None) => return Some(Ok(session.offset())),
+                Err(_) => return Some(Err(Code::EngineTimeout)),
             };
             keep_tail(&mut tail, &data);
             while !data.is_empty() {
-                let part = data.split_to(data.len().min(MAX_PART));
-                let len = part.len() as u64;
-                link.send(&ToRouter::Part {
-                    attempt,
-                    offset,
-                    data: part,
-                })
-                .await?;
-                offset += len;
+                session
+                    .send_part(data.split_to(data.len().min(MAX_PART)))
+                    .await;
             }
         }
     }
+
+    /// Why a running call broke: the engine crashed if it is gone or was restarted.
+    async fn cause(&self, engine: bool) -> Code {
+        if !engine {
+            return Code::EngineFailed;
+        }
+        let known = self.gate.incarnation().await;
+        match self.backend.status().await {
+            Status::Down => Code::EngineCrashed,
+            Status::Up { incarnation, .. } if known.is_some_and(|known| known != incarnation) => {
+                Code::EngineCrashed
+            }
+            Status::Up { .. } | Status::Silent => Code::EngineFailed,
+        }
+    }
+}
+
+fn refused(attempt: AttemptId, code: Code, retry_after: Duration, load: Load) -> ToRouter {
+    ToRouter::Refused {
+        attempt,
+        code,
+        retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+        load,
+    }
+}
+
+/// The limits that the document gives a target.
+fn limits(view: &View, target: &TargetName) -> Option<(Capacity, Duration)> {
+    let limits = &view.document.limits;
+    let target = view.document.targets.get(target)?;
+    let capacity = Capacity {
+        slots: target.slots,
+        cold_slots: target.cold_slots,
+        queue: limits.queue,
+    };
+    Some((capacity, limits.hold))
 }
 
 /// Keeps as many of the last bytes as the end of a stream has.
@@ -264,8 +446,3 @@
     tail.extend_from_slice(&data[data.len().saturating_sub(STREAM_END.len())..]);
     tail.drain(..tail.len().saturating_sub(STREAM_END.len()));
 }
-
-/// A router sends nothing while its request runs, so that anything received ends the connection.
-fn unexpected(received: Result<ToAgent, LinkError>) -> LinkError {
-    received.err().unwrap_or(LinkError::Closed)
-}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -55,7 +55,10 @@
             let usage = error.is::<crate::settings::SettingsError>();
             let unfinished = matches!(
                 error.downcast_ref::<crate::router::RouterError>(),
-                Some(crate::router::RouterError::Unfinished)
+                Some(crate::router::RouterError::Unfinished { .. })
+            ) || matches!(
+                error.downcast_ref::<crate::agent::AgentError>(),
+                Some(crate::agent::AgentError::Unfinished { .. })
             );
             match (usage, unfinished) {
                 (true, _) => ExitCode::Usage.into(),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -1,19 +1,50 @@
 //! The agent's HTTP client of its engine or service.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use ebonyfall_core::{
     code::Code,
     doc::{Priority, Repeat},
-    id::AttemptId,
+    id::{AttemptId, Incarnation},
 };
 use ebonyfall_wire::frame::{Call, Head};
 use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use serde::Deserialize;
+use tokio::time::timeout;
+
+/// Longest wait for the engine's report of itself.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest report, in bytes.
+const MAX_STATUS: usize = 64 << 10;
+
+/// What the engine reports of itself; it lags.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    /// It answers.
+    Up {
+        /// The engine's incarnation.
+        incarnation: Incarnation,
+        /// Whether it is in cold start.
+        cold: bool,
+    },
+    /// It takes no connection or breaks it.
+    Down,
+    /// It takes too long, or answers something else.
+    Silent,
+}
+
+#[derive(Deserialize)]
+struct Report {
+    incarnation: u64,
+    cold: bool,
+}
 
 /// Speaks HTTP with the back end on the same VM.
 #[derive(Debug, Clone)]
@@ -42,6 +73,27 @@
         }
     }
 
+    /// Asks the engine for its report of itself.
+    pub async fn status(&self) -> Status {
+        let Ok(uri) = format!("{}/status", self.base).parse() else {
+            return Status::Silent;
+        };
+        let ask = async {
+            let res = self.pooled.get(uri).await.map_err(|_broken| Status::Down)?;
+            let body = Limited::new(res.into_body(), MAX_STATUS).collect().await;
+            let body = body.map_err(|_broken| Status::Down)?.to_bytes();
+            serde_json::from_slice(&body).map_err(|_other| Status::Silent)
+        };
+        match timeout(STATUS_TIMEOUT, ask).await {
+            Ok(Ok(Report { incarnation, cold })) => Status::Up {
+                incarnation: incarnation.into(),
+                cold,
+            },
+            Ok(Err(status)) => status,
+            Err(_) => Status::Silent,
+        }
+    }
+
     /// Sends a call once and returns when the answer starts.
     ///
     /// # Errors
@@ -52,6 +104,7 @@
         attempt: AttemptId,
         priority: Priority,
         repeat: Repeat,
+        engine: bool,
         call: Call,
     ) -> Result<Response<Incoming>, Code> {
         let req = Request::builder()
@@ -73,8 +126,9 @@
                 Code::EngineFailed
             }
         })?;
-        // Engines answer 503 before they take a request into a batch.
-        if res.status() == StatusCode::SERVICE_UNAVAILABLE {
+        // Engines answer 503 before they take a request into a batch. A plain service may answer it
+        // at any time, so that its 503 is passed on as an answer.
+        if engine && res.status() == StatusCode::SERVICE_UNAVAILABLE {
             return Err(Code::EngineRefused);
         }
         Ok(res)
--- a/src/front.rs
+++ b/src/front.rs
@@ -28,7 +28,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    relay::{Answer, Job, Relay},
+    relay::{Answer, Failure, Job, Relay},
     view::{Pool, View, Views},
     web::{self, Shared},
 };
@@ -55,6 +55,16 @@
 struct Refusal {
     code: Code,
     message: String,
+    retry_after: Duration,
+}
+
+impl From<Failure> for Refusal {
+    fn from(failure: Failure) -> Self {
+        Self {
+            retry_after: failure.retry_after,
+            ..failure.code.into()
+        }
+    }
 }
 
 impl From<Code> for Refusal {
@@ -62,6 +72,7 @@
         Self {
             code,
             message: code.name().to_owned(),
+            retry_after: Duration::ZERO,
         }
     }
 }
@@ -98,7 +109,11 @@
         Ok(answer) => response(answer),
         Err(refusal) => {
             front.relay.metrics.result(refusal.code.name());
-            web::failure(refusal.code, &refusal.message, request)
+            let mut res = web::failure(refusal.code, &refusal.message, request);
+            if let Some(value) = res.headers_mut().get_mut("retry-after") {
+                *value = HeaderValue::from(refusal.retry_after.as_secs().saturating_add(1));
+            }
+            res
         }
     };
     if let Ok(id) = HeaderValue::from_str(&request.to_string()) {
@@ -170,6 +185,7 @@
     let parsed: ChatRequest = serde_json::from_slice(body).map_err(|error| Refusal {
         code: Code::BadRequest,
         message: format!("the body is not a chat completion request: {error}"),
+        retry_after: Duration::ZERO,
     })?;
     let model = ModelName::new(&parsed.model).map_err(|_error| Code::UnknownModel)?;
     if !view.document.models.contains_key(&model) {
@@ -177,6 +193,7 @@
         return Err(Refusal {
             code: Code::UnknownModel,
             message,
+            retry_after: Duration::ZERO,
         });
     }
     if !team.models.is_empty() && !team.models.contains(&model) {
@@ -202,6 +219,7 @@
     let bad = |message: &str| Refusal {
         code: Code::BadRequest,
         message: message.to_owned(),
+        retry_after: Duration::ZERO,
     };
     let priority = match web::header(headers, "x-priority") {
         None => team.priority,
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -1,30 +1,91 @@
-//! The agent's task that owns admission.
+//! The agent's task that owns admission, the register of attempts and the suspects.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use ebonyfall_core::{
-    admit::{Admission, Capacity},
+    admit::{Admission, Capacity, End, Offer, Refusal, Step, Ticket},
     code::Code,
+    crash::{Crash, Standing, Suspects},
+    doc::Priority,
+    drain::{Drain, Left},
+    id::{AttemptId, Fingerprint, Incarnation},
+    name::{TargetName, TeamName},
+    time::Time,
 };
 use ebonyfall_wire::frame::Load;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, sleep_until},
+};
 
-use crate::clock::Clock;
+use crate::{
+    clock::{self, Clock},
+    link::Link,
+};
 
 /// Messages that may wait for the task.
 const QUEUE_LEN: usize = 4096;
+/// Longest sleep of the task while nothing happens.
+const IDLE_SLEEP: Duration = Duration::from_secs(3600);
+
+/// A new connection for a running attempt.
+#[derive(Debug)]
+pub struct Handover {
+    /// The connection.
+    pub link: Link,
+    /// Bytes of the answer that have arrived at the router.
+    pub offset: u64,
+}
+
+/// A request that asks to run.
+#[derive(Debug)]
+pub struct Entry {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The team that asks.
+    pub team: TeamName,
+    /// The team's weight.
+    pub weight: u32,
+    /// How urgent it is.
+    pub priority: Priority,
+    /// Time until its deadline.
+    pub left: Duration,
+    /// The hash of its team and content.
+    pub fingerprint: Fingerprint,
+    /// The crash of a target that ran a request of the same content.
+    pub suspect: Option<Crash>,
+    /// Where a new connection for it is sent.
+    pub handover: mpsc::Sender<Handover>,
+}
+
+/// Whether an entered request may run.
+pub type Admitted = Result<(), (Refusal, Load)>;
 
 #[derive(Debug)]
 enum Ask {
     Enter {
-        left: Duration,
-        reply: oneshot::Sender<Result<(), Code>>,
+        entry: Box<Entry>,
+        reply: oneshot::Sender<Admitted>,
+    },
+    Finish {
+        attempt: AttemptId,
+        end: End,
+        reply: oneshot::Sender<(Load, bool)>,
     },
-    Leave {
-        success: bool,
+    Gone(AttemptId),
+    Find {
+        attempt: AttemptId,
+        reply: oneshot::Sender<Option<mpsc::Sender<Handover>>>,
     },
-    Load {
-        reply: oneshot::Sender<Load>,
+    Report(Option<(Incarnation, bool)>),
+    Resize {
+        capacity: Capacity,
+        hold: Duration,
+    },
+    Incarnation(oneshot::Sender<Option<Incarnation>>),
+    Drain {
+        within: Duration,
+        reply: oneshot::Sender<Left>,
     },
 }
 
@@ -34,57 +95,255 @@
 
 impl Gate {
     /// Starts the task; it ends when the last handle is dropped.
-    pub fn start(capacity: Capacity, clock: Clock) -> Self {
+    pub fn start(target: TargetName, capacity: Capacity, hold: Duration, clock: Clock) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
-        tokio::spawn(run(Admission::new(capacity), clock, rx));
+        let state = State {
+            target,
+            clock,
+            admission: Admission::new(capacity),
+            suspects: Suspects::new(hold),
+            attempts: HashMap::new(),
+            tickets: HashMap::new(),
+            drain: Drain::default(),
+            drained: None,
+        };
+        tokio::spawn(state.run(rx));
         Self(tx)
     }
 
-    /// Asks for one request to be admitted.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the code of the refusal.
-    pub async fn enter(&self, left: Duration) -> Result<(), Code> {
+    /// Asks for a request to be admitted; the answer comes when it may start.
+    pub async fn enter(&self, entry: Entry) -> oneshot::Receiver<Admitted> {
         let (reply, answer) = oneshot::channel();
-        let sent = self.0.send(Ask::Enter { left, reply }).await;
-        sent.map_err(|_ended| Code::ShuttingDown)?;
-        answer.await.map_err(|_ended| Code::ShuttingDown)?
+        let entry = Box::new(entry);
+        let _ended = self.0.send(Ask::Enter { entry, reply }).await;
+        answer
+    }
+
+    /// Reports the end of an admitted request; returns the target's load, and whether requests of
+    /// its content are under suspicion.
+    pub async fn finish(&self, attempt: AttemptId, end: End) -> (Load, bool) {
+        let (reply, answer) = oneshot::channel();
+        let ask = Ask::Finish {
+            attempt,
+            end,
+            reply,
+        };
+        let _ended = self.0.send(ask).await;
+        answer.await.unwrap_or_default()
     }
 
-    /// Reports the end of an admitted request.
-    pub async fn leave(&self, success: bool) {
-        let _ended = self.0.send(Ask::Leave { success }).await;
+    /// Forgets an attempt after its last message was sent or its caller went away.
+    pub async fn gone(&self, attempt: AttemptId) {
+        let _ended = self.0.send(Ask::Gone(attempt)).await;
     }
 
-    /// The target's load.
-    pub async fn load(&self) -> Load {
+    /// Where to send a new connection for a running attempt.
+    pub async fn find(&self, attempt: AttemptId) -> Option<mpsc::Sender<Handover>> {
         let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Ask::Load { reply }).await;
-        answer.await.unwrap_or_default()
+        self.0.send(Ask::Find { attempt, reply }).await.ok()?;
+        answer.await.ok()?
+    }
+
+    /// Passes the engine's report of itself on: its incarnation and whether it is cold; none when
+    /// it cannot be reached.
+    pub async fn report(&self, status: Option<(Incarnation, bool)>) {
+        let _ended = self.0.send(Ask::Report(status)).await;
+    }
+
+    /// Takes limits from a new document.
+    pub async fn resize(&self, capacity: Capacity, hold: Duration) {
+        let _ended = self.0.send(Ask::Resize { capacity, hold }).await;
+    }
+
+    /// The engine's incarnation, as last reported.
+    pub async fn incarnation(&self) -> Option<Incarnation> {
+        let (reply, answer) = oneshot::channel();
+        self.0.send(Ask::Incarnation(reply)).await.ok()?;
+        answer.await.ok()?
+    }
+
+    /// Refuses new requests and waits, at most `within`, until those taken have ended.
+    pub async fn drain(&self, within: Duration) -> Left {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.0.send(Ask::Drain { within, reply }).await;
+        answer.await.unwrap_or(Left::Nothing)
     }
 }
 
-async fn run(mut admission: Admission, clock: Clock, mut rx: mpsc::Receiver<Ask>) {
-    while let Some(ask) = rx.recv().await {
+#[derive(Debug)]
+struct Attempt {
+    ticket: Ticket,
+    fingerprint: Fingerprint,
+    handover: mpsc::Sender<Handover>,
+    /// Taken when the request starts.
+    reply: Option<oneshot::Sender<Admitted>>,
+}
+
+struct State {
+    target: TargetName,
+    clock: Clock,
+    admission: Admission,
+    suspects: Suspects,
+    attempts: HashMap<AttemptId, Attempt>,
+    tickets: HashMap<Ticket, AttemptId>,
+    drain: Drain,
+    drained: Option<(Instant, oneshot::Sender<Left>)>,
+}
+
+impl State {
+    async fn run(mut self, mut rx: mpsc::Receiver<Ask>) {
+        loop {
+            let now = self.clock.now();
+            let sleep = self.admission.wake().map(|wake| wake.since(now));
+            let mut wake = Instant::now() + sleep.unwrap_or(IDLE_SLEEP);
+            if let Some((until, _)) = &self.drained {
+                wake = wake.min(*until);
+            }
+            tokio::select! {
+                ask = rx.recv() => match ask {
+                    Some(ask) => self.on_ask(ask),
+                    None => return,
+                },
+                () = sleep_until(wake) => {}
+            }
+            self.step();
+        }
+    }
+
+    fn on_ask(&mut self, ask: Ask) {
+        let now = self.clock.now();
         match ask {
-            Ask::Enter { left, reply } => {
-                let decision = admission.enter(left, clock.now());
-                let admitted = decision.is_ok();
-                // A caller that went away while it waited will not report the end.
-                if reply.send(decision).is_err() && admitted {
-                    admission.leave(false, clock.now());
+            Ask::Enter { entry, reply } => self.enter(*entry, reply, now),
+            Ask::Finish {
+                attempt,
+                end,
+                reply,
+            } => {
+                let mut suspect = false;
+                if let Some(known) = self.attempts.get(&attempt) {
+                    let (ticket, fingerprint) = (known.ticket, known.fingerprint);
+                    let victims = self.admission.finish(ticket, end, now);
+                    self.suspects.crashed(&self.target, &victims, unix_now());
+                    if matches!(end, End::Whole(_)) {
+                        self.suspects.survived(fingerprint, unix_now());
+                    }
+                    suspect = self.suspects.standing(fingerprint, unix_now()) != Standing::Clear;
+                    self.step();
                 }
+                let _gone = reply.send((self.load(), suspect));
+            }
+            Ask::Gone(attempt) => {
+                if let Some(known) = self.attempts.remove(&attempt) {
+                    self.tickets.remove(&known.ticket);
+                    if !self.admission.cancel(known.ticket) {
+                        self.admission.finish(known.ticket, End::Failed, now);
+                    }
+                }
+            }
+            Ask::Find { attempt, reply } => {
+                let handover = self.attempts.get(&attempt);
+                let _gone = reply.send(handover.map(|attempt| attempt.handover.clone()));
+            }
+            Ask::Report(Some((incarnation, cold))) => {
+                let victims = self.admission.report(incarnation, cold);
+                self.suspects.crashed(&self.target, &victims, unix_now());
+            }
+            Ask::Report(None) => self.admission.unreachable(),
+            Ask::Resize { capacity, hold } => {
+                self.admission.resize(capacity);
+                self.suspects.set_hold(hold);
+            }
+            Ask::Incarnation(reply) => {
+                let _gone = reply.send(self.admission.incarnation());
+            }
+            Ask::Drain { within, reply } => {
+                self.drain.begin(within, now);
+                self.admission.close(Code::Leaving);
+                self.drained = Some((Instant::now() + within, reply));
             }
-            Ask::Leave { success } => admission.leave(success, clock.now()),
-            Ask::Load { reply } => {
-                let load = Load {
-                    running: admission.running(),
-                    waiting: 0,
-                    limit: admission.limit(),
+        }
+    }
+
+    fn enter(&mut self, entry: Entry, reply: oneshot::Sender<Admitted>, now: Time) {
+        let unix = unix_now();
+        let print = entry.fingerprint;
+        if let Some(crash) = entry.suspect {
+            self.suspects.add(print, &entry.team, crash, unix);
+        }
+        let standing = self.suspects.standing(print, unix);
+        let known = self.attempts.contains_key(&entry.attempt);
+        let refused = match standing {
+            Standing::Held => Some(Code::Held),
+            // The first copy of a duplicated submission may be running.
+            _ if known => Some(Code::InProgress),
+            _ => None,
+        };
+        let admitted = match refused {
+            Some(code) => Err(Refusal {
+                code,
+                retry_after: Duration::ZERO,
+            }),
+            None => self.admission.offer(
+                Offer {
+                    team: entry.team,
+                    weight: entry.weight,
+                    priority: entry.priority,
+                    deadline: now + entry.left,
+                    fingerprint: print,
+                    suspect: matches!(standing, Standing::Suspect(_)),
+                },
+                now,
+            ),
+        };
+        match admitted {
+            Err(refusal) => {
+                let _gone = reply.send(Err((refusal, self.load())));
+            }
+            Ok(ticket) => {
+                self.tickets.insert(ticket, entry.attempt);
+                let attempt = Attempt {
+                    ticket,
+                    fingerprint: print,
+                    handover: entry.handover,
+                    reply: Some(reply),
                 };
-                let _caller_gone = reply.send(load);
+                self.attempts.insert(entry.attempt, attempt);
             }
         }
     }
+
+    fn step(&mut self) {
+        let now = self.clock.now();
+        while let Some(step) = self.admission.next(now) {
+            let (ticket, decision) = match step {
+                Step::Start(ticket) => (ticket, Ok(())),
+                Step::Refuse(ticket, refusal) => (ticket, Err((refusal, self.load()))),
+            };
+            let attempt = self.tickets.get(&ticket);
+            let attempt = attempt.and_then(|id| self.attempts.get_mut(id));
+            let reply = attempt.and_then(|attempt| attempt.reply.take());
+            // A session that ended meanwhile reports that it is gone.
+            let _gone = reply.map(|reply| reply.send(decision));
+        }
+        let open = u32::try_from(self.attempts.len()).unwrap_or(u32::MAX);
+        let left = self.drain.left(open, now);
+        if matches!(left, Left::Nothing | Left::Unfinished(_))
+            && let Some((_, reply)) = self.drained.take()
+        {
+            let _gone = reply.send(left);
+        }
+    }
+
+    fn load(&self) -> Load {
+        Load {
+            running: self.admission.running(),
+            waiting: self.admission.waiting(),
+            limit: self.admission.limit(),
+        }
+    }
+}
+
+/// The present time since the Unix epoch, which marks of other processes are compared with.
+fn unix_now() -> Time {
+    Time::ZERO + clock::unix_time()
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
-    metrics::{counter::Counter, family::Family},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
 
@@ -21,6 +21,8 @@
     registry: Arc<Registry>,
     /// Finished requests by result.
     pub results: Family<ResultLabels, Counter>,
+    /// Requests that have not ended.
+    pub open: Gauge,
     /// Attempts beyond the first of a request.
     pub retries: Counter,
     /// Answers dropped because they belonged to another attempt or left a gap.
@@ -34,10 +36,12 @@
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("ebonyfall");
         let results = Family::default();
+        let open = Gauge::default();
         let retries = Counter::default();
         let mismatches = Counter::default();
         let rejected_frames = Counter::default();
         registry.register("results", "Finished requests by result", results.clone());
+        registry.register("open", "Requests that have not ended", open.clone());
         registry.register("retries", "Attempts beyond the first", retries.clone());
         registry.register(
             "mismatches",
@@ -52,6 +56,7 @@
         Self {
             registry: Arc::new(registry),
             results,
+            open,
             retries,
             mismatches,
             rejected_frames,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -4,31 +4,36 @@
 
 use bytes::Bytes;
 use ebonyfall_core::{
-    answer::Assembly,
-    code::{Code, Ran},
+    chat,
+    code::Code,
+    crash::Crash,
     doc::{Priority, Repeat},
-    id::{AttemptId, ChatId, RequestId},
-    name::TeamName,
+    id::{AttemptId, ChatId, Fingerprint, RequestId},
+    name::{TeamName, ZoneName},
+    request::{Action, Event, Flow},
 };
-use ebonyfall_wire::frame::{Call, Head, Submit, ToAgent, ToRouter};
+use ebonyfall_wire::frame::{Call, Head, Load, Submit, ToAgent, ToRouter};
 use slog::{Logger, debug};
 use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout_at},
+    sync::{mpsc, oneshot},
+    time::{self, Instant},
 };
 
 use crate::{
+    clock::Clock,
     link::{Identity, Link},
     links::Links,
     metrics::Metrics,
     picker::{Choice, Picker},
-    view::Pool,
+    retrier::{self, Advice, Retrier},
+    view::{Pool, Views},
 };
 
 /// Parts of an answer that wait for a slow caller before the agent is slowed.
 const PARTS_IN_FLIGHT: usize = 8;
-/// Attempts for one request.
-const MAX_ATTEMPTS: u32 = 4;
+/// Tries to replace a broken connection, and the pause between them.
+const DIALS: u32 = 3;
+const DIAL_PAUSE: Duration = Duration::from_millis(20);
 
 /// A request as the callers' front end understood it.
 #[derive(Debug, Clone)]
@@ -60,220 +65,395 @@
     pub body: mpsc::Receiver<io::Result<Bytes>>,
 }
 
+/// Why a request got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Failure {
+    /// The code that the caller gets.
+    pub code: Code,
+    /// When the target expects to have room.
+    pub retry_after: Duration,
+}
+
 /// What a request needs on its way.
 #[derive(Debug, Clone)]
 pub struct Relay {
     /// This process.
     pub identity: Identity,
+    /// The document in force.
+    pub views: Views,
     /// Chooses targets.
     pub picker: Picker,
     /// Lends connections.
     pub links: Links,
+    /// Says what to avoid and whether to retry.
+    pub retrier: Retrier,
     /// Counts results.
     pub metrics: Metrics,
+    /// Keeps the time.
+    pub clock: Clock,
     /// Where to log.
     pub log: Logger,
 }
 
-/// An attempt that has its first frame.
-struct Started {
-    link: Link,
-    choice: Choice,
-    answer: Assembly,
-    head: Head,
-}
-
 impl Relay {
     /// Runs a request and returns when its answer starts.
     ///
     /// # Errors
     ///
     /// Fails with the code that the caller gets.
-    pub async fn run(&self, job: Job) -> Result<Answer, Code> {
-        let deadline = Instant::now() + job.left;
-        let mut tried = Vec::new();
-        let mut last = Code::NoTarget;
-        for number in 0..MAX_ATTEMPTS {
-            let choice = match self
-                .picker
-                .choose(job.pool.clone(), job.chat, tried.clone())
-                .await
-            {
-                Ok(choice) => choice,
-                Err(_) if !tried.is_empty() => return Err(last),
-                Err(code) => return Err(code),
-            };
-            if number > 0 {
-                self.metrics.retries.inc();
+    pub async fn run(&self, job: Job) -> Result<Answer, Failure> {
+        let (tx, answer) = oneshot::channel();
+        let exchange = Exchange {
+            fingerprint: chat::fingerprint(&job.team, &job.call.body),
+            relay: self.clone(),
+            deadline: Instant::now() + job.left,
+            job,
+            link: None,
+            choice: None,
+            head: None,
+            data: Bytes::new(),
+            load: Load::default(),
+            crash: None,
+            retry_after: Duration::ZERO,
+        };
+        // A task of its own outlives the caller for long enough to cancel the back end's work.
+        let open = self.metrics.open.clone();
+        tokio::spawn(async move {
+            open.inc();
+            exchange.drive(Output::Waiting(tx)).await;
+            open.dec();
+        });
+        answer.await.unwrap_or(Err(Failure {
+            code: Code::Internal,
+            retry_after: Duration::ZERO,
+        }))
+    }
+}
+
+/// Where the answer goes.
+enum Output {
+    /// Nothing was given yet.
+    Waiting(oneshot::Sender<Result<Answer, Failure>>),
+    /// The answer has started.
+    Streaming(mpsc::Sender<io::Result<Bytes>>),
+    /// The caller went away.
+    Gone,
+}
+
+impl Output {
+    async fn closed(&mut self) {
+        match self {
+            Self::Waiting(tx) => tx.closed().await,
+            Self::Streaming(tx) => tx.closed().await,
+            Self::Gone => {}
+        }
+    }
+
+    /// Starts the answer if need be and gives `data`; false when the caller went away.
+    async fn give(&mut self, head: Option<&Head>, data: Bytes) -> bool {
+        if let Self::Waiting(_) = self
+            && let Some(head) = head
+            && let Self::Waiting(waiting) = std::mem::replace(self, Self::Gone)
+        {
+            let (tx, body) = mpsc::channel(PARTS_IN_FLIGHT);
+            let head = head.clone();
+            if waiting.send(Ok(Answer { head, body })).is_err() {
+                return false;
             }
-            tried.push(choice.target.clone());
-            let attempt = AttemptId {
-                request: job.request,
-                number,
+            *self = Self::Streaming(tx);
+        }
+        match self {
+            Self::Streaming(tx) if data.is_empty() => !tx.is_closed(),
+            Self::Streaming(tx) => tx.send(Ok(data)).await.is_ok(),
+            Self::Waiting(_) | Self::Gone => false,
+        }
+    }
+}
+
+/// One request on its way, with the connection that it uses.
+struct Exchange {
+    relay: Relay,
+    job: Job,
+    fingerprint: Fingerprint,
+    deadline: Instant,
+    link: Option<Link>,
+    choice: Option<Choice>,
+    head: Option<Head>,
+    data: Bytes,
+    load: Load,
+    crash: Option<Crash>,
+    retry_after: Duration,
+}
+
+impl Exchange {
+    async fn drive(mut self, mut output: Output) {
+        let now = self.relay.clock.now();
+        let deadline = now + self.job.left;
+        let (mut flow, mut action) = Flow::start(self.job.request, self.job.repeat, deadline);
+        loop {
+            let event = match action {
+                Action::Finish => return self.finish(output).await,
+                Action::Cancel(attempt) => return self.cancel(attempt).await,
+                Action::Fail(code) => return self.fail(code, output).await,
+                Action::Deliver { skip } => {
+                    let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+                    let data = self.data.split_off(skip.min(self.data.len()));
+                    let given = output.give(self.head.as_ref(), data);
+                    match time::timeout_at(self.deadline, given).await {
+                        Ok(true) => {
+                            action = Action::Receive;
+                            continue;
+                        }
+                        Ok(false) => Event::CallerGone,
+                        Err(_) => Event::Expired,
+                    }
+                }
+                action => {
+                    let deadline = self.deadline;
+                    tokio::select! {
+                        event = self.perform(action, &flow) => event,
+                        () = output.closed() => Event::CallerGone,
+                        () = time::sleep_until(deadline) => Event::Expired,
+                    }
+                }
             };
-            match self.attempt(&job, attempt, choice, deadline).await {
-                Ok(started) => return Ok(self.stream(started, deadline)),
-                Err(code) => {
-                    debug!(self.log, "attempt failed"; "attempt" => %attempt, "code" => code.name());
-                    last = code;
+            if let Event::Refused { code, .. } = event {
+                debug!(self.relay.log, "attempt failed"; "request" => %self.job.request, "code" => code.name());
+                self.failed(code).await;
+            }
+            action = flow.on_event(event, rand::random(), self.relay.clock.now());
+        }
+    }
+
+    async fn perform(&mut self, action: Action, flow: &Flow) -> Event {
+        match action {
+            Action::Choose => self.choose(flow).await,
+            Action::Submit(attempt) => self.submit(attempt).await,
+            Action::Pause { after, free } => {
+                if !free && !self.relay.retrier.take().await {
+                    return Event::Denied;
                 }
+                self.relay.metrics.retries.inc();
+                time::sleep(after).await;
+                Event::Waited
             }
-            let may_repeat = last.ran() == Ran::NotRun || job.repeat == Repeat::Idempotent;
-            if !may_repeat || last == Code::DeadlinePassed {
-                break;
+            Action::Resume { attempt, offset } => self.resume(attempt, offset).await,
+            Action::Drop => {
+                self.relay.metrics.mismatches.inc();
+                self.receive().await
             }
+            // The other actions end the exchange or need the output.
+            _ => self.receive().await,
         }
-        Err(last)
     }
 
-    async fn attempt(
-        &self,
-        job: &Job,
-        attempt: AttemptId,
-        choice: Choice,
-        deadline: Instant,
-    ) -> Result<Started, Code> {
-        let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(Code::DeadlinePassed);
+    async fn choose(&mut self, flow: &Flow) -> Event {
+        let first = flow.tried().is_empty();
+        let zones = flow.zones().to_vec();
+        let (pool, chat) = (self.job.pool.clone(), self.job.chat);
+        let advice = self
+            .relay
+            .retrier
+            .advise(first, self.fingerprint, pool.clone(), zones)
+            .await;
+        let Advice { avoid, suspect } = match advice {
+            Ok(advice) => advice,
+            Err(code) => return Event::NoChoice(code),
+        };
+        let tried = flow.tried().to_vec();
+        let all: Vec<_> = tried.iter().cloned().chain(avoid).collect();
+        let picker = &self.relay.picker;
+        let mut choice = picker.choose(pool.clone(), chat, all.clone()).await;
+        if choice.is_err() && all.len() > tried.len() {
+            choice = picker.choose(pool, chat, tried).await;
         }
+        let choice = match choice {
+            Ok(choice) => choice,
+            Err(code) => return Event::NoChoice(code),
+        };
+        let Some(zone) = self.zone(&choice) else {
+            return Event::NoChoice(Code::NoTarget);
+        };
+        let target = choice.target.clone();
+        self.head = None;
+        self.choice = Some(choice);
+        self.link = None;
+        self.crash = suspect;
+        Event::Chosen { target, zone }
+    }
+
+    fn zone(&self, choice: &Choice) -> Option<ZoneName> {
+        let view = self.relay.views.borrow();
+        let target = view.as_ref()?.document.targets.get(&choice.target)?;
+        Some(target.zone.clone())
+    }
+
+    async fn submit(&mut self, attempt: AttemptId) -> Event {
+        let Some(choice) = self.choice.clone() else {
+            return Event::Unreachable;
+        };
+        let Some(mut link) = self.connect(&choice).await else {
+            self.failed(Code::EngineUnreachable).await;
+            return Event::Unreachable;
+        };
         let submit = ToAgent::Submit(Box::new(Submit {
             attempt,
-            target: choice.target.clone(),
-            version: choice.version.clone(),
-            team: job.team.clone(),
-            chat: job.chat,
-            priority: job.priority,
-            repeat: job.repeat,
-            left,
-            call: job.call.clone(),
+            target: choice.target,
+            version: choice.version,
+            team: self.job.team.clone(),
+            chat: self.job.chat,
+            priority: self.job.priority,
+            repeat: self.job.repeat,
+            left: self.deadline.saturating_duration_since(Instant::now()),
+            suspect: self.crash.clone(),
+            call: self.job.call.clone(),
         }));
-        let mut link = self.link(job, &choice).await?;
-        if link.send(&submit).await.is_err() {
-            return Err(Code::LinkLost);
-        }
-        let first = timeout_at(deadline, link.receive()).await;
-        let Ok(first) = first else {
-            return Err(Code::EngineTimeout);
-        };
-        match first {
-            Ok(ToRouter::Head {
-                attempt: found,
-                head,
-            }) if found == attempt => Ok(Started {
-                link,
-                choice,
-                answer: Assembly::new(attempt),
-                head,
-            }),
-            Ok(ToRouter::Refused {
-                attempt: found,
-                code,
-                load,
-            }) if found == attempt => {
-                self.picker.heard(choice.target.clone(), load).await;
-                self.links.put(choice.agent, link).await;
-                Err(code)
-            }
-            Ok(_) => {
-                self.metrics.mismatches.inc();
-                Err(Code::AnswerMismatch)
-            }
-            Err(_) => Err(Code::LinkLost),
+        let sent = link.send(&submit).await;
+        self.link = Some(link);
+        if sent.is_err() {
+            return Event::Lost;
         }
+        self.receive().await
     }
 
     /// A connection to the chosen agent. A request that runs at most once gets a fresh one, since
     /// an idle one that just closed would leave its fate unknown.
-    async fn link(&self, job: &Job, choice: &Choice) -> Result<Link, Code> {
-        if job.repeat == Repeat::Idempotent
-            && let Some(link) = self.links.take(choice.agent).await
+    async fn connect(&self, choice: &Choice) -> Option<Link> {
+        if self.job.repeat == Repeat::Idempotent
+            && let Some(link) = self.relay.links.take(choice.agent).await
         {
-            return Ok(link);
+            return Some(link);
         }
-        let link = Link::dial(&self.identity, choice.agent).await;
-        link.map_err(|error| {
-            debug!(self.log, "cannot connect"; "target" => %choice.target, "error" => %error);
-            Code::EngineUnreachable
-        })
+        self.dial(choice).await
     }
 
-    /// Passes the body on in a task of its own, which owns the connection.
-    fn stream(&self, started: Started, deadline: Instant) -> Answer {
-        let (tx, body) = mpsc::channel(PARTS_IN_FLIGHT);
-        let head = started.head.clone();
-        let relay = self.clone();
-        tokio::spawn(async move {
-            let outcome = match timeout_at(deadline, relay.pump(started, &tx)).await {
-                Ok(outcome) => outcome,
-                Err(_) => Err(Code::StreamCut),
-            };
-            let Err(code) = outcome else {
-                return relay.metrics.result("Ok");
-            };
-            relay.metrics.result(code.name());
-            let _caller_gone = tx.send(Err(io::Error::other(code.name()))).await;
-        });
-        Answer { head, body }
+    async fn dial(&self, choice: &Choice) -> Option<Link> {
+        match Link::dial(&self.relay.identity, choice.agent).await {
+            Ok(link) => Some(link),
+            Err(error) => {
+                debug!(self.relay.log, "cannot connect"; "target" => %choice.target, "error" => %error);
+                None
+            }
+        }
     }
 
-    async fn pump(
-        &self,
-        started: Started,
-        tx: &mpsc::Sender<io::Result<Bytes>>,
-    ) -> Result<(), Code> {
-        let Started {
-            mut link,
-            choice,
-            mut answer,
-            ..
-        } = started;
-        loop {
-            let message = tokio::select! {
-                message = link.receive() => message.map_err(|_lost| Code::StreamCut)?,
-                // Dropping the connection tells the agent to cancel the back end's work.
-                () = tx.closed() => return Err(Code::StreamCut),
-            };
-            match message {
-                ToRouter::Part {
+    async fn resume(&mut self, attempt: AttemptId, offset: u64) -> Event {
+        self.link = None;
+        let Some(choice) = self.choice.clone() else {
+            return Event::NotResumed;
+        };
+        for _ in 0..DIALS {
+            if let Some(mut link) = self.dial(&choice).await
+                && link
+                    .send(&ToAgent::Resume { attempt, offset })
+                    .await
+                    .is_ok()
+            {
+                self.link = Some(link);
+                return self.receive().await;
+            }
+            time::sleep(DIAL_PAUSE).await;
+        }
+        self.failed(Code::LinkLost).await;
+        Event::NotResumed
+    }
+
+    async fn receive(&mut self) -> Event {
+        let Some(link) = &mut self.link else {
+            return Event::Lost;
+        };
+        match link.receive().await {
+            Err(_) => Event::Lost,
+            Ok(ToRouter::Head { attempt, head }) => {
+                self.head.get_or_insert(head);
+                Event::Head(attempt)
+            }
+            Ok(ToRouter::Part {
+                attempt,
+                offset,
+                data,
+            }) => {
+                let len = data.len() as u64;
+                self.data = data;
+                Event::Part {
                     attempt,
                     offset,
-                    mut data,
-                } => {
-                    let len = data.len() as u64;
-                    let skip = answer
-                        .part(attempt, offset, len)
-                        .map_err(|error| self.mismatch(&error))?;
-                    let skip = usize::try_from(skip).unwrap_or(data.len());
-                    let fresh = data.split_off(skip);
-                    if !fresh.is_empty() {
-                        tx.send(Ok(fresh)).await.map_err(|_gone| Code::StreamCut)?;
-                    }
-                }
-                ToRouter::Done {
-                    attempt,
-                    length,
-                    load,
-                } => {
-                    answer
-                        .done(attempt, length)
-                        .map_err(|error| self.mismatch(&error))?;
-                    self.picker.heard(choice.target, load).await;
-                    self.links.put(choice.agent, link).await;
-                    return Ok(());
+                    len,
                 }
-                ToRouter::Refused { load, .. } => {
-                    self.picker.heard(choice.target, load).await;
-                    return Err(Code::StreamCut);
-                }
-                ToRouter::Head { .. } => return Err(Code::AnswerMismatch),
+            }
+            Ok(ToRouter::Done {
+                attempt,
+                length,
+                load,
+            }) => {
+                self.load = load;
+                Event::Done { attempt, length }
+            }
+            Ok(ToRouter::Refused {
+                attempt,
+                code,
+                retry_after_ms,
+                load,
+            }) => {
+                self.load = load;
+                self.retry_after = Duration::from_millis(retry_after_ms.into());
+                Event::Refused { attempt, code }
             }
         }
     }
 
-    fn mismatch(&self, error: &ebonyfall_core::answer::AnswerError) -> Code {
-        debug!(self.log, "answer dropped"; "error" => %error);
-        self.metrics.mismatches.inc();
-        Code::AnswerMismatch
+    /// Reports a failed attempt, and gives its connection back if the target itself refused.
+    async fn failed(&mut self, code: Code) {
+        let Some(choice) = &self.choice else {
+            return;
+        };
+        let failure = retrier::Failure {
+            target: choice.target.clone(),
+            code,
+            team: self.job.team.clone(),
+            fingerprint: self.fingerprint,
+        };
+        self.relay.retrier.failed(failure).await;
+        if let Some(link) = self.link.take() {
+            let target = choice.target.clone();
+            self.relay.picker.heard(target, self.load).await;
+            self.relay.links.put(choice.agent, link).await;
+        }
+    }
+
+    async fn finish(mut self, mut output: Output) {
+        // An empty answer has not started yet.
+        output.give(self.head.as_ref(), Bytes::new()).await;
+        self.relay.metrics.result("Ok");
+        if self.crash.is_some() {
+            self.relay.retrier.survived(self.fingerprint).await;
+        }
+        if let (Some(choice), Some(link)) = (self.choice.take(), self.link.take()) {
+            self.relay.picker.heard(choice.target, self.load).await;
+            self.relay.links.put(choice.agent, link).await;
+        }
+    }
+
+    async fn cancel(mut self, attempt: AttemptId) {
+        self.relay.metrics.result("CallerGone");
+        if let Some(link) = &mut self.link {
+            // Should it not arrive, the agent cancels a little later by itself.
+            let cancel = ToAgent::Cancel { attempt };
+            let _sent = time::timeout(DIAL_PAUSE, link.send(&cancel)).await;
+        }
+    }
+
+    async fn fail(self, code: Code, output: Output) {
+        match output {
+            Output::Waiting(tx) => {
+                let retry_after = self.retry_after;
+                let _caller_gone = tx.send(Err(Failure { code, retry_after }));
+            }
+            Output::Streaming(tx) => {
+                self.relay.metrics.result(code.name());
+                let _caller_gone = tx.send(Err(io::Error::other(code.name()))).await;
+            }
+            Output::Gone => {}
+        }
     }
 }
--- /dev/null
+++ b/src/retrier.rs
@@ -0,0 +1,230 @@
+//! The router's task that owns the retry budget, the suspects and the targets to be avoided.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use ebonyfall_core::{
+    code::Code,
+    crash::{Crash, Standing, Suspects},
+    id::Fingerprint,
+    name::{TargetName, TeamName, ZoneName},
+    retry::Budget,
+    time::Time,
+};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    clock,
+    view::{Pool, Views},
+};
+
+/// Messages that may wait for the task.
+const QUEUE_LEN: usize = 4096;
+/// Bounds of the time for which a target that cannot be reached or is leaving is avoided; it
+/// doubles with each failure in a row.
+const AVOID: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(4)];
+
+/// What an attempt has to know before it starts.
+#[derive(Debug, Default, Clone)]
+pub struct Advice {
+    /// Targets to be chosen only when there is no other.
+    pub avoid: Vec<TargetName>,
+    /// The crash of a target that ran a request of the same content.
+    pub suspect: Option<Crash>,
+}
+
+/// A failed attempt.
+#[derive(Debug, Clone)]
+pub struct Failure {
+    /// The target.
+    pub target: TargetName,
+    /// The code of the failure.
+    pub code: Code,
+    /// The team that asked.
+    pub team: TeamName,
+    /// The hash of its team and content.
+    pub fingerprint: Fingerprint,
+}
+
+#[derive(Debug)]
+enum Ask {
+    Advise {
+        first: bool,
+        fingerprint: Fingerprint,
+        pool: Pool,
+        zones: Vec<ZoneName>,
+        reply: oneshot::Sender<Result<Advice, Code>>,
+    },
+    Failed(Box<Failure>),
+    Survived(Fingerprint),
+    Take(oneshot::Sender<bool>),
+}
+
+/// Tells requests what to avoid and whether they may be retried.
+#[derive(Debug, Clone)]
+pub struct Retrier(mpsc::Sender<Ask>);
+
+impl Retrier {
+    /// Starts the task; it ends when the last handle is dropped.
+    pub fn start(views: Views) -> Self {
+        let (tx, rx) = mpsc::channel(QUEUE_LEN);
+        let state = State {
+            views,
+            budget: Budget::new(0.0),
+            suspects: Suspects::new(Duration::ZERO),
+            avoided: HashMap::new(),
+        };
+        tokio::spawn(state.run(rx));
+        Self(tx)
+    }
+
+    /// Advice for an attempt; `zones` are to be tried last.
+    ///
+    /// # Errors
+    ///
+    /// Fails when requests of this content are held.
+    pub async fn advise(
+        &self,
+        first: bool,
+        fingerprint: Fingerprint,
+        pool: Pool,
+        zones: Vec<ZoneName>,
+    ) -> Result<Advice, Code> {
+        let (reply, answer) = oneshot::channel();
+        let ask = Ask::Advise {
+            first,
+            fingerprint,
+            pool,
+            zones,
+            reply,
+        };
+        let sent = self.0.send(ask).await;
+        sent.map_err(|_ended| Code::ShuttingDown)?;
+        answer.await.map_err(|_ended| Code::ShuttingDown)?
+    }
+
+    /// Reports a failed attempt.
+    pub async fn failed(&self, failure: Failure) {
+        let _ended = self.0.send(Ask::Failed(Box::new(failure))).await;
+    }
+
+    /// Reports the whole answer of a suspect.
+    pub async fn survived(&self, fingerprint: Fingerprint) {
+        let _ended = self.0.send(Ask::Survived(fingerprint)).await;
+    }
+
+    /// Takes a retry from the budget.
+    pub async fn take(&self) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.0.send(Ask::Take(reply)).await;
+        answer.await.unwrap_or(false)
+    }
+}
+
+struct Avoided {
+    until: Instant,
+    pause: Duration,
+}
+
+struct State {
+    views: Views,
+    budget: Budget,
+    suspects: Suspects,
+    avoided: HashMap<TargetName, Avoided>,
+}
+
+impl State {
+    async fn run(mut self, mut rx: mpsc::Receiver<Ask>) {
+        while let Some(ask) = rx.recv().await {
+            if self.views.has_changed().unwrap_or(false)
+                && let Some(view) = &*self.views.borrow_and_update()
+            {
+                self.budget.set_share(view.document.limits.retry_budget);
+                self.suspects.set_hold(view.document.limits.hold);
+            }
+            match ask {
+                Ask::Advise {
+                    first,
+                    fingerprint,
+                    pool,
+                    zones,
+                    reply,
+                } => {
+                    if first {
+                        self.budget.first();
+                    }
+                    let _caller_gone = reply.send(self.advise(fingerprint, &pool, &zones));
+                }
+                Ask::Failed(failure) => self.failed(*failure),
+                Ask::Survived(fingerprint) => self.suspects.survived(fingerprint, unix_now()),
+                Ask::Take(reply) => {
+                    let _caller_gone = reply.send(self.budget.take());
+                }
+            }
+        }
+    }
+
+    fn advise(
+        &self,
+        fingerprint: Fingerprint,
+        pool: &Pool,
+        zones: &[ZoneName],
+    ) -> Result<Advice, Code> {
+        let standing = self.suspects.standing(fingerprint, unix_now());
+        let suspect = match standing {
+            Standing::Held => return Err(Code::Held),
+            Standing::Suspect(crash) => Some(crash),
+            Standing::Clear => None,
+        };
+        let now = Instant::now();
+        let avoided = self.avoided.iter();
+        let mut avoid: Vec<_> = avoided
+            .filter(|(_, avoided)| avoided.until > now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        if !zones.is_empty()
+            && let Some(view) = &*self.views.borrow()
+        {
+            let targets = view.document.targets.iter();
+            let same = targets
+                .filter(|(_, target)| pool.contains(&target.runs) && zones.contains(&target.zone));
+            avoid.extend(same.map(|(name, _)| name.clone()));
+        }
+        Ok(Advice { avoid, suspect })
+    }
+
+    fn failed(&mut self, failure: Failure) {
+        match failure.code {
+            Code::EngineCrashed => {
+                let Failure {
+                    target,
+                    team,
+                    fingerprint,
+                    ..
+                } = failure;
+                self.suspects.mark(fingerprint, &team, &target, unix_now());
+            }
+            Code::EngineUnreachable | Code::LinkLost | Code::Leaving | Code::ShuttingDown => {
+                let now = Instant::now();
+                let avoided = self.avoided.entry(failure.target).or_insert(Avoided {
+                    until: now,
+                    pause: AVOID[0],
+                });
+                if avoided.until + AVOID[1] < now {
+                    avoided.pause = AVOID[0];
+                }
+                if avoided.until <= now {
+                    avoided.until = now + avoided.pause;
+                    avoided.pause = (avoided.pause * 2).min(AVOID[1]);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn unix_now() -> Time {
+    Time::ZERO + clock::unix_time()
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,13 +2,22 @@
 
 use std::{io, net::SocketAddr};
 
-use slog::{Logger, info};
-use snafu::{OptionExt, ResultExt, Snafu};
+use slog::{Logger, info, warn};
+use snafu::{ResultExt, Snafu};
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
-    clock, front, link::Identity, links::Links, metrics::Metrics, picker::Picker,
-    platform::Platform, relay::Relay, settings::RouterConfig, view, web,
+    clock::{self, Clock},
+    front,
+    link::Identity,
+    links::Links,
+    metrics::Metrics,
+    picker::Picker,
+    platform::Platform,
+    relay::Relay,
+    retrier::Retrier,
+    settings::RouterConfig,
+    view, web,
 };
 
 /// The router cannot run.
@@ -23,8 +32,13 @@
         source: io::Error,
     },
     /// The shutdown ended with requests left over.
-    #[snafu(display("requests were left when the shutdown ended; raise drain in the settings"))]
-    Unfinished,
+    #[snafu(display(
+        "{left} requests were left when the shutdown ended; raise drain in the settings"
+    ))]
+    Unfinished {
+        /// Requests whose answers had not ended.
+        left: i64,
+    },
 }
 
 /// Runs a router until `stop` turns true and its requests have ended.
@@ -41,29 +55,36 @@
     let views = view::follow(platform, log.clone());
     let picker = Picker::start(views.clone());
     let metrics = Metrics::new();
+    let open = metrics.open.clone();
     let relay = Relay {
         identity: Identity {
             name: cfg.common.name,
             incarnation: view::incarnation(clock::unix_time()),
             keys: cfg.common.keys,
         },
+        views: views.clone(),
         picker,
         links: Links::start(),
+        retrier: Retrier::start(views.clone()),
         metrics,
+        clock: Clock::start(),
         log: log.clone(),
     };
     let address = cfg.listen;
     let listener = web::bind(address).await.context(ListenSnafu { address })?;
     info!(log, "router ready"; "listen" => address);
     let routes = front::routes(views, relay);
+    let shutdown_log = log.clone();
     let serving = web::serve(listener, routes, stop.clone(), log);
     tokio::pin!(serving);
     tokio::select! {
         () = &mut serving => return Ok(()),
         _ = stop.wait_for(|stop| *stop) => {}
     }
-    timeout(cfg.common.drain, serving)
-        .await
-        .ok()
-        .context(UnfinishedSnafu)
+    if timeout(cfg.common.drain, serving).await.is_ok() {
+        return Ok(());
+    }
+    let left = open.get();
+    warn!(shutdown_log, "requests left at the end of the shutdown"; "left" => left);
+    UnfinishedSnafu { left }.fail()
 }
--- /dev/null
+++ b/src/session.rs
@@ -0,0 +1,183 @@
+//! One attempt at the agent: its connection, which may be replaced, and a short replay of its
+//! answer.
+
+use std::{collections::VecDeque, time::Duration};
+
+use bytes::Bytes;
+use ebonyfall_core::id::AttemptId;
+use ebonyfall_wire::frame::{Head, ToAgent, ToRouter};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until},
+};
+
+use crate::{gate::Handover, link::Link};
+
+/// How long an attempt waits for a new connection before its work is cancelled.
+const RESUME_GRACE: Duration = Duration::from_secs(2);
+/// Bytes of an answer kept for a new connection; a few times what a stream has under way.
+const MAX_REPLAY: usize = 8 << 10;
+
+/// What came from the router while its request runs.
+#[derive(Debug)]
+pub enum Signal {
+    /// Nobody waits for the answer any more.
+    Cancel,
+    /// The connection broke; a new one may come.
+    Lost,
+    /// A new connection has come.
+    Handover(Box<Handover>),
+}
+
+/// The router's side of an attempt.
+#[derive(Debug)]
+pub struct Session {
+    attempt: AttemptId,
+    link: Option<Link>,
+    handover: mpsc::Receiver<Handover>,
+    parked_until: Instant,
+    head: Option<Head>,
+    replay: VecDeque<Bytes>,
+    replayed: usize,
+    offset: u64,
+}
+
+impl Session {
+    /// Starts on the connection that the request came on.
+    pub fn new(attempt: AttemptId, link: Link, handover: mpsc::Receiver<Handover>) -> Self {
+        Self {
+            attempt,
+            link: Some(link),
+            handover,
+            parked_until: Instant::now(),
+            head: None,
+            replay: VecDeque::new(),
+            replayed: 0,
+            offset: 0,
+        }
+    }
+
+    /// Whether there is a connection.
+    pub fn is_attached(&self) -> bool {
+        self.link.is_some()
+    }
+
+    /// Bytes of the answer so far.
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Waits for a signal; dropping the future loses none.
+    pub async fn signal(&mut self) -> Signal {
+        let Some(link) = &mut self.link else {
+            return tokio::select! {
+                handover = self.handover.recv() => match handover {
+                    Some(handover) => Signal::Handover(Box::new(handover)),
+                    None => Signal::Cancel,
+                },
+                () = sleep_until(self.parked_until) => Signal::Cancel,
+            };
+        };
+        tokio::select! {
+            received = link.receive::<ToAgent>() => match received {
+                // A router sends nothing else while its request runs.
+                Ok(_) => Signal::Cancel,
+                Err(_) => Signal::Lost,
+            },
+            Some(handover) = self.handover.recv() => Signal::Handover(Box::new(handover)),
+        }
+    }
+
+    /// Acts on a signal; false when the attempt is over.
+    pub async fn on_signal(&mut self, signal: Signal) -> bool {
+        match signal {
+            Signal::Cancel => false,
+            Signal::Lost => {
+                self.park();
+                true
+            }
+            Signal::Handover(handover) => self.attach(*handover).await,
+        }
+    }
+
+    /// Sends status and headers.
+    pub async fn send_head(&mut self, head: Head) {
+        self.head = Some(head.clone());
+        let attempt = self.attempt;
+        self.send(&ToRouter::Head { attempt, head }).await;
+    }
+
+    /// Sends the next bytes of the answer and keeps them for a while.
+    pub async fn send_part(&mut self, data: Bytes) {
+        let (attempt, offset) = (self.attempt, self.offset);
+        self.offset += data.len() as u64;
+        self.replayed += data.len();
+        self.replay.push_back(data.clone());
+        while self.replayed > MAX_REPLAY
+            && let Some(oldest) = self.replay.pop_front()
+        {
+            self.replayed -= oldest.len();
+        }
+        let part = ToRouter::Part {
+            attempt,
+            offset,
+            data,
+        };
+        self.send(&part).await;
+    }
+
+    /// Sends the last message, on a new connection if need be; returns the connection for the
+    /// next request.
+    pub async fn send_last(mut self, message: ToRouter) -> Option<Link> {
+        self.send(&message).await;
+        while !self.is_attached() {
+            let signal = self.signal().await;
+            if !self.on_signal(signal).await {
+                return None;
+            }
+            self.send(&message).await;
+        }
+        self.link
+    }
+
+    async fn send(&mut self, message: &ToRouter) {
+        if let Some(link) = &mut self.link
+            && link.send(message).await.is_err()
+        {
+            self.park();
+        }
+    }
+
+    fn park(&mut self) {
+        self.link = None;
+        self.parked_until = Instant::now() + RESUME_GRACE;
+    }
+
+    /// Goes on with a new connection; false when the answer's missing bytes are no longer kept.
+    async fn attach(&mut self, handover: Handover) -> bool {
+        let Handover { link, offset } = handover;
+        self.link = Some(link);
+        let first = self.offset - self.replayed as u64;
+        if offset < first || offset > self.offset {
+            return false;
+        }
+        let attempt = self.attempt;
+        if let Some(head) = self.head.clone() {
+            self.send(&ToRouter::Head { attempt, head }).await;
+        }
+        let mut position = first;
+        for data in self.replay.clone() {
+            let end = position + data.len() as u64;
+            if end > offset {
+                let part = ToRouter::Part {
+                    attempt,
+                    offset: position,
+                    data,
+                };
+                self.send(&part).await;
+            }
+            position = end;
+        }
+        true
+    }
+}
--- a/src/web.rs
+++ b/src/web.rs
@@ -29,6 +29,8 @@
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest request header, in bytes.
 const MAX_HEADER: usize = 16 << 10;
+/// Connections still taken after the stop signal: as many as may wait for being accepted.
+const MAX_LATE: u32 = 1024;
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -58,6 +60,7 @@
 impl<T: Any + Send> StateData for Shared<T> {}
 
 /// Serves `router` on `listener` until `stop` turns true, then ends when every request has.
+/// Connections that the system had taken by then are still served.
 pub async fn serve(
     listener: TcpListener,
     router: Router,
@@ -66,8 +69,11 @@
 ) {
     let router = Arc::new(router);
     let graceful = GracefulShutdown::new();
-    loop {
+    let mut late = 0;
+    while late < MAX_LATE {
+        late += u32::from(*stop.borrow());
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
         };
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use ebonyfall_core::{
     code::Code,
+    crash::Crash,
     doc::{Priority, Repeat},
     id::{AttemptId, ChatId, Incarnation},
     name::{ProcessName, TargetName, TeamName, VersionName},
@@ -78,6 +79,8 @@
     /// Time left until the deadline.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub left: Duration,
+    /// The crash of a target that ran a request of the same content.
+    pub suspect: Option<Crash>,
     /// What to send to the back end.
     pub call: Call,
 }
@@ -87,6 +90,18 @@
 pub enum ToAgent {
     /// Run this request.
     Submit(Box<Submit>),
+    /// Go on with the answer of a running attempt, whose connection broke.
+    Resume {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Bytes of the answer that have arrived.
+        offset: u64,
+    },
+    /// The caller went away.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+    },
 }
 
 /// The load of a target.
@@ -143,6 +158,8 @@
         attempt: AttemptId,
         /// Why, and whether it ran.
         code: Code,
+        /// Milliseconds until the target expects to have room, zero where that says nothing.
+        retry_after_ms: u32,
         /// The target's load.
         load: Load,
     },
