--- a/bench/src/client.rs
+++ b/bench/src/client.rs
@@ -32,6 +32,8 @@
     Cut,
     /// An error with this code number.
     Refused(u64),
+    /// No connection could be made, so that nothing was sent.
+    Unconnected,
 }
 
 /// One request's times.
@@ -67,10 +69,20 @@
 impl Caller {
     /// A caller of the router (or engine) at `address`.
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_idle(address, usize::MAX)
+    }
+
+    /// A caller that uses each connection once.
+    pub fn fresh(address: SocketAddr) -> Self {
+        Self::with_idle(address, 0)
+    }
+
+    fn with_idle(address: SocketAddr, idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         let mut builder = Client::builder(TokioExecutor::new());
         builder.retry_canceled_requests(false);
+        builder.pool_max_idle_per_host(idle);
         Self {
             http: builder.build(connector),
             address,
@@ -90,8 +102,10 @@
             first: start.elapsed(),
             whole: start.elapsed(),
         };
-        let Ok(res) = res else {
-            return (Outcome::Cut, timing);
+        let res = match res {
+            Ok(res) => res,
+            Err(error) if error.is_connect() => return (Outcome::Unconnected, timing),
+            Err(_) => return (Outcome::Cut, timing),
         };
         if !res.status().is_success() {
             return (refused(res).await, timing);
--- a/bench/src/demo.rs
+++ b/bench/src/demo.rs
@@ -129,7 +129,7 @@
             }
             Outcome::Wrong => self.wrong_answers += 1,
             Outcome::Cut => self.cut_streams += 1,
-            Outcome::Refused(_) => self.refused += 1,
+            Outcome::Refused(_) | Outcome::Unconnected => self.refused += 1,
         }
     }
 }
--- a/core/src/ramp.rs
+++ b/core/src/ramp.rs
@@ -90,11 +90,16 @@
 
     /// Goes back to the start because the engine gives no answer; it may still be the same one.
     pub fn unreachable(&mut self) {
-        if self.limit > self.capacity.cold_slots {
+        if self.has_risen() {
             self.restart();
         }
     }
 
+    /// Whether there is anything to take back; proofs of an earlier life count too.
+    fn has_risen(&self) -> bool {
+        self.limit > self.capacity.cold_slots || self.proofs > 0
+    }
+
     /// Records a whole answer that took `pace` for each unit of work.
     pub fn completed(&mut self, pace: f64, epoch: u64) {
         let normal = *self.pace.get_or_insert(pace);
@@ -129,7 +134,7 @@
         self.reported_cold = cold;
         // A report that is out of date restarts the ramp too early, which costs a few requests;
         // one that is ignored may cost the engine.
-        if restarted || cold && self.limit > self.capacity.cold_slots {
+        if restarted || cold && self.has_risen() {
             self.restart();
         }
         restarted
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     answer::Assembly,
-    code::Code,
+    code::{Code, Ran},
     doc::Repeat,
     id::{AttemptId, RequestId},
     name::{TargetName, ZoneName},
@@ -129,6 +129,8 @@
     zone: Option<ZoneName>,
     crashed_on: Option<TargetName>,
     last: Code,
+    /// The last failure that does not exclude that the request ran.
+    may_have_run: Option<Code>,
 }
 
 impl Flow {
@@ -147,6 +149,7 @@
             zone: None,
             crashed_on: None,
             last: Code::NoTarget,
+            may_have_run: None,
         };
         (flow, Action::Choose)
     }
@@ -282,6 +285,9 @@
             return self.fail(Code::StreamCut);
         }
         self.last = code;
+        if code.ran() != Ran::NotRun {
+            self.may_have_run = Some(code);
+        }
         let outcome = Outcome {
             code,
             repeat: self.repeat,
@@ -304,8 +310,12 @@
         }
     }
 
+    /// A refusal of the last attempt does not speak for an earlier one that may have run.
     fn fail(&mut self, code: Code) -> Action {
         self.state = State::Ended;
-        Action::Fail(code)
+        match self.may_have_run {
+            Some(earlier) if code.ran() == Ran::NotRun => Action::Fail(earlier),
+            _ => Action::Fail(code),
+        }
     }
 }
--- /dev/null
+++ b/core/tests/schedule.rs
@@ -0,0 +1,610 @@
+//! Seeded random schedules of requests, agents and engines with lost, late, duplicated and crossed
+//! messages, crashes, pauses and restarts. After each step the answers, the truth of `not run`, the
+//! load of cold engines and the number of runs are checked.
+//!
+//! A long run: `SCHEDULE_STEPS=1000000 SCHEDULE_SEED=1 cargo test --release -p ebonyfall-core
+//! --test schedule`.
+
+use std::{collections::HashMap, env, time::Duration};
+
+use ebonyfall_core::{
+    admit::{Admission, Capacity, End, Offer, Step, Ticket},
+    code::{Code, Ran},
+    doc::{Priority, Repeat},
+    id::{AttemptId, Fingerprint, RequestId},
+    name::{TargetName, ZoneName},
+    request::{Action, Event, Flow},
+    time::Time,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const TARGETS: usize = 4;
+const SLOTS: u32 = 8;
+const COLD: u32 = 2;
+/// Requests that an engine finishes before it is warm; fewer than the ramp's proof.
+const WARM_AFTER: u32 = 8;
+/// Requests under way at once.
+const OPEN: usize = 24;
+
+/// A deliberate fault that a checker must find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Broken {
+    No,
+    /// Parts of one attempt pass for those of another.
+    Splice,
+    /// The end states the length sent so far.
+    CutAsWhole,
+    /// A request that was running is refused as not run.
+    FalseNotRun,
+    /// The agent knows nothing of cold starts.
+    NoRamp,
+    /// Submissions are delivered twice, as without the connection's counter.
+    Twice,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum ToAgent {
+    Submit,
+    Resume(u64),
+    Cancel,
+}
+
+#[derive(Debug)]
+enum Message {
+    Agent(usize, AttemptId, ToAgent),
+    Router(Event, Option<AttemptId>),
+}
+
+struct Work {
+    ticket: Ticket,
+    running: bool,
+    sent: u64,
+    left: u32,
+}
+
+struct Agent {
+    admission: Admission,
+    works: HashMap<AttemptId, Work>,
+    paused: bool,
+    finished: u32,
+}
+
+struct Request {
+    id: RequestId,
+    repeat: Repeat,
+    flow: Flow,
+    action: Action,
+    target: usize,
+    /// The attempt that the first byte came from, and the bytes given to the caller.
+    given: Option<(AttemptId, u64)>,
+    due: Option<Time>,
+}
+
+struct World {
+    rng: SmallRng,
+    broken: Broken,
+    now: Time,
+    agents: Vec<Agent>,
+    requests: HashMap<RequestId, Request>,
+    messages: Vec<Message>,
+    runs: HashMap<RequestId, u32>,
+    last_id: u128,
+    whole: u64,
+    resumed: u64,
+    failed: u64,
+}
+
+/// Length of the answer to a request.
+fn length(request: RequestId) -> u64 {
+    u64::try_from(u128::from(request) % 20).expect("less than 20")
+}
+
+fn agent(broken: Broken) -> Agent {
+    let cold_slots = if broken == Broken::NoRamp {
+        SLOTS
+    } else {
+        COLD
+    };
+    Agent {
+        admission: Admission::new(Capacity {
+            slots: SLOTS,
+            cold_slots,
+            queue: 6,
+        }),
+        works: HashMap::new(),
+        paused: false,
+        finished: 0,
+    }
+}
+
+impl World {
+    fn new(seed: u64, broken: Broken) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            broken,
+            now: Time::from_millis(1),
+            agents: (0..TARGETS).map(|_| agent(broken)).collect(),
+            requests: HashMap::new(),
+            messages: Vec::new(),
+            runs: HashMap::new(),
+            last_id: 0,
+            whole: 0,
+            resumed: 0,
+            failed: 0,
+        }
+    }
+
+    fn step(&mut self) -> Result<(), String> {
+        self.now = self.now + Duration::from_micros(self.rng.random_range(1..300));
+        let target = self.rng.random_range(0..TARGETS);
+        match self.rng.random_range(0..1000) {
+            0..3 => self.crash(target),
+            3..5 => self.restart(target),
+            5..12 => self.agents[target].paused ^= true,
+            12..30 => self.break_link()?,
+            30..200 => self.begin()?,
+            200..600 => self.deliver()?,
+            600..900 => self.generate(target),
+            900..910 => {
+                let gone = self.pick();
+                if let Some(id) = gone {
+                    self.event(id, Event::CallerGone)?;
+                }
+            }
+            _ => self.timers()?,
+        }
+        for target in 0..TARGETS {
+            self.admit(target)?;
+        }
+        Ok(())
+    }
+
+    fn pick(&mut self) -> Option<RequestId> {
+        let mut ids: Vec<_> = self.requests.keys().copied().collect();
+        ids.sort_unstable();
+        (!ids.is_empty()).then(|| ids[self.rng.random_range(0..ids.len())])
+    }
+
+    fn begin(&mut self) -> Result<(), String> {
+        if self.requests.len() >= OPEN {
+            return Ok(());
+        }
+        self.last_id += 1;
+        let id = RequestId::from(self.last_id);
+        let repeat = if self.rng.random_bool(0.3) {
+            Repeat::AtMostOnce
+        } else {
+            Repeat::Idempotent
+        };
+        let deadline = self.now + Duration::from_millis(self.rng.random_range(1..200));
+        let (flow, action) = Flow::start(id, repeat, deadline);
+        let request = Request {
+            id,
+            repeat,
+            flow,
+            action,
+            target: 0,
+            given: None,
+            due: Some(deadline),
+        };
+        self.requests.insert(id, request);
+        self.act(id)
+    }
+
+    /// Carries out the action of a request as the relay does.
+    fn act(&mut self, id: RequestId) -> Result<(), String> {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Ok(());
+        };
+        let target = request.target;
+        match request.action {
+            Action::Choose => {
+                let tried = request.flow.tried();
+                let name = |index: usize| format!("t{index}").parse::<TargetName>().unwrap();
+                let open: Vec<_> = (0..TARGETS)
+                    .filter(|i| !tried.contains(&name(*i)))
+                    .collect();
+                if open.is_empty() {
+                    return self.event(id, Event::NoChoice(Code::NoTarget));
+                }
+                request.target = open[self.rng.random_range(0..open.len())];
+                let target = name(request.target);
+                let zone: ZoneName = "z".parse().unwrap();
+                self.event(id, Event::Chosen { target, zone })
+            }
+            Action::Submit(_) if self.rng.random_bool(0.02) => self.event(id, Event::Unreachable),
+            Action::Submit(attempt) => {
+                self.messages
+                    .push(Message::Agent(target, attempt, ToAgent::Submit));
+                if self.broken == Broken::Twice {
+                    self.messages
+                        .push(Message::Agent(target, attempt, ToAgent::Submit));
+                }
+                Ok(())
+            }
+            Action::Resume { attempt, offset } => {
+                self.resumed += 1;
+                if self.rng.random_bool(0.1) {
+                    return self.event(id, Event::NotResumed);
+                }
+                self.messages
+                    .push(Message::Agent(target, attempt, ToAgent::Resume(offset)));
+                Ok(())
+            }
+            Action::Pause { .. } if self.rng.random_bool(0.1) => self.event(id, Event::Denied),
+            Action::Pause { .. } => self.event(id, Event::Waited),
+            Action::Receive | Action::Drop | Action::Deliver { .. } => Ok(()),
+            Action::Cancel(attempt) => {
+                self.messages
+                    .push(Message::Agent(target, attempt, ToAgent::Cancel));
+                self.requests.remove(&id);
+                Ok(())
+            }
+            Action::Finish => {
+                let given = request.given.map_or(0, |(_, given)| given);
+                self.requests.remove(&id);
+                self.whole += 1;
+                if given == length(id) {
+                    return Ok(());
+                }
+                Err(format!(
+                    "{id} was finished with {given} of {} bytes",
+                    length(id)
+                ))
+            }
+            Action::Fail(code) => {
+                let ran = self.runs.get(&id).copied().unwrap_or(0);
+                self.requests.remove(&id);
+                self.failed += 1;
+                if code.ran() == Ran::NotRun && ran > 0 {
+                    return Err(format!("{id} was refused as {} but ran", code.name()));
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn event(&mut self, id: RequestId, event: Event) -> Result<(), String> {
+        self.answer(id, event, None)
+    }
+
+    /// Hands an event to the request's flow and checks what goes to the caller; `truth` is the
+    /// attempt that a part of an answer was made by.
+    fn answer(
+        &mut self,
+        id: RequestId,
+        event: Event,
+        truth: Option<AttemptId>,
+    ) -> Result<(), String> {
+        let random = self.rng.random();
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Ok(());
+        };
+        request.action = request.flow.on_event(event.clone(), random, now);
+        if let (Action::Deliver { skip }, Event::Part { offset, len, .. }, Some(attempt)) =
+            (request.action, event, truth)
+        {
+            let (first, given) = request.given.get_or_insert((attempt, 0));
+            if *first != attempt || attempt.request != id || *given != offset + skip {
+                return Err(format!("{id}: bytes of {attempt} after those of {first}"));
+            }
+            *given += len - skip;
+        }
+        self.act(id)
+    }
+
+    fn deliver(&mut self) -> Result<(), String> {
+        if self.messages.is_empty() {
+            return Ok(());
+        }
+        let index = self.rng.random_range(0..self.messages.len());
+        let message = self.messages.swap_remove(index);
+        match message {
+            Message::Agent(target, attempt, message) => {
+                if self.rng.random_bool(0.02) {
+                    return Ok(());
+                }
+                self.on_agent(target, attempt, message);
+                Ok(())
+            }
+            Message::Router(event, attempt) => {
+                if self.rng.random_bool(0.05) {
+                    self.messages.push(Message::Router(event.clone(), attempt));
+                }
+                if self.rng.random_bool(0.02) {
+                    return Ok(());
+                }
+                // A crossed answer arrives at another request.
+                let to = match attempt {
+                    Some(attempt) if self.rng.random_bool(0.98) => Some(attempt.request),
+                    _ => self.pick(),
+                };
+                let Some(id) = to else {
+                    return Ok(());
+                };
+                let event = match (self.broken, self.requests.get(&id)) {
+                    (Broken::Splice, Some(request)) => disguise(event, request),
+                    _ => event,
+                };
+                self.answer(id, event, attempt)
+            }
+        }
+    }
+
+    fn on_agent(&mut self, target: usize, attempt: AttemptId, message: ToAgent) {
+        let agent = &mut self.agents[target];
+        match message {
+            ToAgent::Submit if agent.works.contains_key(&attempt) => {}
+            ToAgent::Submit => {
+                let class = Priority::ALL[self.rng.random_range(0..3)];
+                let offer = Offer {
+                    team: format!("team{}", self.rng.random_range(0..3))
+                        .parse()
+                        .unwrap(),
+                    weight: 1,
+                    priority: class,
+                    deadline: self.now + Duration::from_millis(self.rng.random_range(0..100)),
+                    fingerprint: Fingerprint::from(0),
+                    suspect: self.rng.random_bool(0.05),
+                };
+                match agent.admission.offer(offer, self.now) {
+                    Ok(ticket) => {
+                        let work = Work {
+                            ticket,
+                            running: false,
+                            sent: 0,
+                            left: 2,
+                        };
+                        agent.works.insert(attempt, work);
+                    }
+                    Err(refusal) => self.refuse(attempt, refusal.code),
+                }
+            }
+            ToAgent::Resume(offset) => match agent.works.get(&attempt) {
+                Some(work) if work.sent >= offset => {
+                    let len = work.sent - offset;
+                    self.part(attempt, offset, len);
+                }
+                _ => self.refuse(attempt, Code::LinkLost),
+            },
+            ToAgent::Cancel => {
+                if let Some(work) = agent.works.remove(&attempt)
+                    && !agent.admission.cancel(work.ticket)
+                {
+                    agent.admission.finish(work.ticket, End::Failed, self.now);
+                }
+            }
+        }
+    }
+
+    fn refuse(&mut self, attempt: AttemptId, code: Code) {
+        let event = Event::Refused { attempt, code };
+        self.messages.push(Message::Router(event, Some(attempt)));
+    }
+
+    fn part(&mut self, attempt: AttemptId, offset: u64, len: u64) {
+        let event = Event::Part {
+            attempt,
+            offset,
+            len,
+        };
+        self.messages.push(Message::Router(event, Some(attempt)));
+    }
+
+    /// Starts and refuses what the agent's admission says, and checks the load of the engine.
+    fn admit(&mut self, target: usize) -> Result<(), String> {
+        let now = self.now;
+        while let Some(step) = self.agents[target].admission.next(now) {
+            let works = &mut self.agents[target].works;
+            let (Step::Start(ticket) | Step::Refuse(ticket, _)) = step;
+            let found = works.iter().find(|(_, work)| work.ticket == ticket);
+            let Some(attempt) = found.map(|(attempt, _)| *attempt) else {
+                self.agents[target]
+                    .admission
+                    .finish(ticket, End::Failed, now);
+                continue;
+            };
+            match step {
+                Step::Refuse(_, refusal) => {
+                    works.remove(&attempt);
+                    self.refuse(attempt, refusal.code);
+                }
+                Step::Start(_) => {
+                    works.get_mut(&attempt).expect("found above").running = true;
+                    let runs = self.runs.entry(attempt.request).or_default();
+                    *runs += 1;
+                    let once = self.requests.get(&attempt.request);
+                    let once = once.is_some_and(|request| request.repeat == Repeat::AtMostOnce);
+                    if once && *runs > 1 {
+                        return Err(format!("{} ran twice", attempt.request));
+                    }
+                }
+            }
+        }
+        let agent = &self.agents[target];
+        let running = agent.works.values().filter(|work| work.running).count();
+        let bound = if agent.finished < WARM_AFTER {
+            COLD
+        } else {
+            SLOTS
+        };
+        if running > bound as usize {
+            return Err(format!(
+                "{running} requests at engine {target}, which bears {bound}"
+            ));
+        }
+        Ok(())
+    }
+
+    /// Lets the engine of `target` work on one running request.
+    fn generate(&mut self, target: usize) {
+        let agent = &mut self.agents[target];
+        let mut running: Vec<_> = agent
+            .works
+            .iter()
+            .filter(|(_, work)| work.running)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        running.sort_unstable();
+        if running.is_empty() || agent.paused {
+            return;
+        }
+        let attempt = running[self.rng.random_range(0..running.len())];
+        let whole = length(attempt.request);
+        let work = agent.works.get_mut(&attempt).expect("taken from the map");
+        if work.left > 0 {
+            work.left -= 1;
+            return;
+        }
+        if work.sent < whole {
+            let len = self.rng.random_range(1..=whole - work.sent);
+            let offset = work.sent;
+            work.sent += len;
+            let cut = self.broken == Broken::CutAsWhole;
+            self.part(attempt, offset, len);
+            if cut {
+                self.done(attempt, offset + len);
+            }
+            return;
+        }
+        let ticket = work.ticket;
+        agent.works.remove(&attempt);
+        agent.finished += 1;
+        agent.admission.finish(
+            ticket,
+            End::Whole(usize::try_from(whole).expect("a short answer")),
+            self.now,
+        );
+        self.done(attempt, whole);
+    }
+
+    fn done(&mut self, attempt: AttemptId, length: u64) {
+        let event = Event::Done { attempt, length };
+        self.messages.push(Message::Router(event, Some(attempt)));
+    }
+
+    /// The engine of `target` crashes and comes back cold.
+    fn crash(&mut self, target: usize) {
+        let now = self.now;
+        let agent = &mut self.agents[target];
+        agent.finished = 0;
+        agent.admission.unreachable();
+        let mut running: Vec<_> = agent
+            .works
+            .extract_if(|_, work| work.running)
+            .map(|(attempt, work)| (attempt, work.ticket))
+            .collect();
+        running.sort_unstable();
+        for (attempt, ticket) in running {
+            self.agents[target]
+                .admission
+                .finish(ticket, End::Crashed, now);
+            let code = match self.broken {
+                Broken::FalseNotRun => Code::Overloaded,
+                _ => Code::EngineCrashed,
+            };
+            self.refuse(attempt, code);
+        }
+    }
+
+    /// The agent of `target` is killed and starts again; its engine drops the running work.
+    fn restart(&mut self, target: usize) {
+        self.messages
+            .retain(|message| !matches!(message, Message::Agent(to, ..) if *to == target));
+        self.agents[target] = agent(self.broken);
+    }
+
+    fn break_link(&mut self) -> Result<(), String> {
+        let Some(id) = self.pick() else {
+            return Ok(());
+        };
+        match self.requests[&id].action {
+            Action::Submit(_) | Action::Receive | Action::Deliver { .. } | Action::Drop => {
+                self.event(id, Event::Lost)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn timers(&mut self) -> Result<(), String> {
+        let now = self.now;
+        let mut due: Vec<_> = self
+            .requests
+            .values()
+            .filter(|request| request.due.is_some_and(|due| due <= now))
+            .map(|request| request.id)
+            .collect();
+        due.sort_unstable();
+        for id in due {
+            self.event(id, Event::Expired)?;
+        }
+        Ok(())
+    }
+}
+
+/// Makes a part or end of any attempt pass for one of the attempt that is under way.
+fn disguise(mut event: Event, request: &Request) -> Event {
+    if let Event::Part { attempt, .. } | Event::Done { attempt, .. } = &mut event {
+        let tried = u32::try_from(request.flow.tried().len()).expect("few attempts");
+        *attempt = AttemptId {
+            request: request.id,
+            number: tried.saturating_sub(1),
+        };
+    }
+    event
+}
+
+fn variable(name: &str, default: u64) -> u64 {
+    env::var(name).map_or(default, |text| text.parse().expect(name))
+}
+
+/// Runs schedules of 10,000 steps each, so that a failure names a short one.
+fn schedules(broken: Broken, seed: u64, steps: u64) -> Result<World, String> {
+    let mut total = World::new(seed, broken);
+    for number in 0..steps.div_ceil(10_000) {
+        let mut world = World::new(seed.wrapping_add(number), broken);
+        for step in 0..10_000.min(steps) {
+            let at = |error| format!("seed {}, step {step}: {error}", seed.wrapping_add(number));
+            world.step().map_err(at)?;
+        }
+        total.whole += world.whole;
+        total.resumed += world.resumed;
+        total.failed += world.failed;
+    }
+    Ok(total)
+}
+
+/// Guards against answers that are cut, spliced or crossed, refusals that are untrue, cold engines
+/// that are flooded and requests that run twice, whatever happens on the way.
+#[test]
+fn random_schedules_keep_the_properties() {
+    let steps = variable("SCHEDULE_STEPS", 50_000);
+    let world = schedules(Broken::No, variable("SCHEDULE_SEED", 1), steps);
+    let world = world.unwrap_or_else(|error| panic!("{error}"));
+    println!(
+        "{steps} steps: {} whole, {} failed, {} resumed",
+        world.whole, world.failed, world.resumed
+    );
+    // A schedule in which nothing succeeds, fails or is resumed would show nothing.
+    assert!(world.whole > steps / 200 && world.failed > 0 && world.resumed > 0);
+}
+
+/// Guards against a checker that lets its fault pass.
+#[test]
+fn every_checker_finds_its_fault() {
+    for (broken, expected) in [
+        (Broken::Splice, "bytes of"),
+        (Broken::CutAsWhole, "was finished with"),
+        (Broken::FalseNotRun, "was refused as"),
+        (Broken::NoRamp, "which bears"),
+        (Broken::Twice, "ran twice"),
+    ] {
+        // A fault may show itself to another checker first, so that several seeds are tried.
+        let found = (1..=50).any(|seed| {
+            let error = schedules(broken, seed, 10_000).err();
+            error.is_some_and(|error| error.contains(expected))
+        });
+        assert!(found, "{broken:?} was not found");
+    }
+}
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -4,8 +4,10 @@
     fmt::Write as _,
     fs, io,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    ops::Range,
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{self, Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -98,6 +100,16 @@
         let _status = self.child.wait();
     }
 
+    /// Asks the process to end gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal cannot be sent.
+    pub fn terminate(&self) -> io::Result<()> {
+        let id = self.id().to_string();
+        Command::new("kill").args(["-TERM", &id]).status().map(drop)
+    }
+
     /// Starts the process again with the same settings.
     ///
     /// # Errors
@@ -158,16 +170,30 @@
     pub document: String,
 }
 
+/// Ports given out, below those that the system takes for outgoing connections: such a one could
+/// take the port of a stand-in or daemon while it restarts.
+const PORTS: Range<u32> = 12_000..32_000;
+/// Counts the ports given out by this process.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// A loopback address whose port is free now.
 ///
 /// # Panics
 ///
 /// Panics when no port is free.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    listener
-        .and_then(|listener| listener.local_addr())
-        .expect("loopback has free ports")
+    // Processes that run at the same time start far from each other.
+    let start = process::id().wrapping_mul(499);
+    for _ in PORTS {
+        let next = start.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + next % (PORTS.end - PORTS.start);
+        let port = u16::try_from(port).expect("the range holds port numbers");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("loopback has no free port")
 }
 
 impl Deployment {
