--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,4 +1,8 @@
 //! Demo, load tool and measurements of the fleet.
 
+pub mod case;
 pub mod client;
 pub mod demo;
+pub mod place;
+pub mod ring;
+pub mod sim;
--- /dev/null
+++ b/bench/src/place.rs
@@ -0,0 +1,318 @@
+//! Measurements of placement.
+
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    hint::black_box,
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use ebonyfall_core::{
+    chat::Pointers,
+    choose::{Member, Placement},
+    id::ChatId,
+    place::{Candidate, Table, slot_bits},
+    time::Time,
+    zone::Zones,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::Serialize;
+
+use crate::{
+    case::{Case, Found, Way, candidate},
+    ring::{self, Ring},
+    sim::{self, round},
+};
+
+/// Chats sampled for moves and shares.
+const SAMPLE: u64 = 100_000;
+/// Timed placements.
+const TIMED: usize = 100_000;
+
+/// Measures placement: cache reuse, load skew, moved chats, time and memory.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "place")]
+pub struct PlaceArgs {
+    /// seed, 1 by default
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of targets; may be repeated; 10, 20, 100, 800 and 3200 by default
+    #[argh(option)]
+    targets: Vec<usize>,
+    /// threads, 4 by default
+    #[argh(option, default = "4")]
+    threads: usize,
+    /// leave the timing section out, so that the output depends on the seed alone
+    #[argh(switch)]
+    no_timing: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    seed: u64,
+    sizes: Vec<Size>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    timing: Vec<Timing>,
+}
+
+#[derive(Debug, Serialize)]
+struct Size {
+    targets: usize,
+    /// Moved chats over the least possible, when a tenth of the targets leaves and joins again.
+    moved_over_least_leave: f64,
+    moved_over_least_join: f64,
+    /// Largest share of the chats that have one target as their home, over the mean.
+    table_max_over_mean: f64,
+    ring_max_over_mean: f64,
+    table_bytes_per_target: usize,
+    ring_bytes_per_target: usize,
+    bytes_per_pointer: usize,
+    cases: Vec<Row>,
+}
+
+#[derive(Debug, Serialize)]
+struct Row {
+    case: Case,
+    way: Way,
+    /// Cache reuse over that of the all-knowing router.
+    relative_reuse: f64,
+    #[serde(flatten)]
+    found: Found,
+}
+
+/// Times of this machine, in nanoseconds where the name does not say otherwise.
+#[derive(Debug, Serialize)]
+struct Timing {
+    targets: usize,
+    choose_median: u64,
+    choose_p99: u64,
+    table_median: u64,
+    table_p99: u64,
+    ring_median: u64,
+    ring_p99: u64,
+    rendezvous_median: u64,
+    rendezvous_p99: u64,
+    build_us: u128,
+    ring_build_us: u128,
+    leave_us: u128,
+    join_us: u128,
+    reweigh_us: u128,
+}
+
+/// Measures and prints a report as JSON; false means that a goal was not reached.
+///
+/// # Errors
+///
+/// Fails when the report cannot be encoded.
+pub fn run(args: &PlaceArgs) -> Result<bool, Box<dyn Error>> {
+    let mut counts = args.targets.clone();
+    if counts.is_empty() {
+        counts = vec![10, 20, 100, 800, 3_200];
+    }
+    let found = simulate(&counts, args.seed, args.threads.max(1));
+    let sizes = counts.iter().map(|count| size(*count, &found));
+    let report = Report {
+        seed: args.seed,
+        sizes: sizes.collect(),
+        timing: if args.no_timing {
+            Vec::new()
+        } else {
+            let timed = counts.iter().map(|count| timing(*count, args.seed));
+            timed.collect()
+        },
+    };
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    let product = report.sizes.iter().flat_map(|size| &size.cases);
+    Ok(product
+        .filter(|row| row.way == Way::Product)
+        .all(|row| row.relative_reuse >= 0.97))
+}
+
+type Key = (usize, usize, usize);
+
+/// Runs every case in every way; the threads only share out the runs.
+fn simulate(counts: &[usize], seed: u64, threads: usize) -> BTreeMap<Key, Found> {
+    let mut jobs = Vec::new();
+    for count in counts {
+        for case in 0..Case::ALL.len() {
+            jobs.extend((0..Way::ALL.len()).map(|way| (*count, case, way)));
+        }
+    }
+    let (tx, rx) = mpsc::channel();
+    for thread in 0..threads {
+        let own: Vec<_> = jobs.iter().copied().skip(thread).step_by(threads).collect();
+        let tx = tx.clone();
+        thread::spawn(move || {
+            for (count, case, way) in own {
+                let found = sim::run(Way::ALL[way], Case::ALL[case], count, seed);
+                let _receiver_lives = tx.send(((count, case, way), found));
+            }
+        });
+    }
+    drop(tx);
+    rx.into_iter().collect()
+}
+
+#[expect(clippy::cast_precision_loss, reason = "small numbers")]
+fn size(count: usize, found: &BTreeMap<Key, Found>) -> Size {
+    let mut cases = Vec::new();
+    for (number, case) in Case::ALL.into_iter().enumerate() {
+        let best = found[&(count, number, 0)].reuse;
+        for (place, way) in Way::ALL.into_iter().enumerate() {
+            let found = found[&(count, number, place)];
+            cases.push(Row {
+                case,
+                way,
+                relative_reuse: round(found.reuse / best.max(1e-9)),
+                found,
+            });
+        }
+    }
+    let bits = slot_bits(count);
+    let all: Vec<_> = (0..count).map(candidate).collect();
+    let tenth = (count / 10).max(1);
+    let mut table = Table::new(bits, all.clone());
+    let table_bytes = table.bytes();
+    let before = homes(&table);
+    table.update(all[tenth..].to_vec());
+    let during = homes(&table);
+    table.update(all.clone());
+    let after = homes(&table);
+    let moved = |a: &[usize], b: &[usize]| a.iter().zip(b).filter(|(a, b)| a != b).count() as f64;
+    let leavers = before.iter().filter(|home| **home < tenth).count() as f64;
+    let joiners = after.iter().filter(|home| **home < tenth).count() as f64;
+    let ring = Ring::new((0..count).map(|i| u32::try_from(i).unwrap_or(0)));
+    let on_ring = (0..SAMPLE).filter_map(|chat| ring.walk(chat).next());
+    let on_ring: Vec<_> = on_ring.map(|target| target as usize).collect();
+    let mut pointers = Pointers::new(1 << 15, Duration::from_secs(300));
+    let name = candidate(0).name;
+    for chat in 0..1 << 15 {
+        pointers.set(ChatId::from(chat), &name, Time::ZERO);
+    }
+    Size {
+        targets: count,
+        moved_over_least_leave: round(moved(&before, &during) / leavers),
+        moved_over_least_join: round(moved(&during, &after) / joiners),
+        table_max_over_mean: max_over_mean(&before, count),
+        ring_max_over_mean: max_over_mean(&on_ring, count),
+        table_bytes_per_target: table_bytes / count,
+        ring_bytes_per_target: ring.bytes() / count,
+        bytes_per_pointer: pointers.bytes() / pointers.len(),
+        cases,
+    }
+}
+
+/// The number of the home target of each sampled chat.
+fn homes(table: &Table) -> Vec<usize> {
+    let number = |candidate: &Candidate| {
+        let digits = candidate.name.as_str().rsplit('-').next();
+        digits.and_then(|digits| digits.parse().ok()).unwrap_or(0)
+    };
+    let numbers: BTreeMap<_, _> = table.targets().map(|(i, c)| (i, number(c))).collect();
+    let homes = (0..SAMPLE).filter_map(|chat| table.home(chat.into()));
+    homes.map(|index| numbers[&index]).collect()
+}
+
+#[expect(clippy::cast_precision_loss, reason = "small numbers")]
+fn max_over_mean(homes: &[usize], count: usize) -> f64 {
+    let mut shares = vec![0_u64; count];
+    for home in homes {
+        shares[*home] += 1;
+    }
+    let max = shares.into_iter().max().unwrap_or(0);
+    round(max as f64 * count as f64 / homes.len() as f64)
+}
+
+/// Median and 99th percentile of `TIMED` calls, the cost of reading the clock taken off.
+fn percentiles(mut call: impl FnMut(u64), seed: u64, calls: usize) -> (u64, u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut sorted = |call: &mut dyn FnMut(u64)| {
+        let mut times: Vec<_> = (0..calls)
+            .map(|_| {
+                let chat = rng.random();
+                let start = Instant::now();
+                call(chat);
+                start.elapsed().as_nanos()
+            })
+            .collect();
+        times.sort_unstable();
+        times
+    };
+    let empty = sorted(&mut |chat| {
+        black_box(chat);
+    });
+    let times = sorted(&mut call);
+    let at = |place: usize| {
+        u64::try_from(times[place].saturating_sub(empty[calls / 2])).unwrap_or(u64::MAX)
+    };
+    (at(calls / 2), at(calls * 99 / 100))
+}
+
+fn micros<T>(call: impl FnOnce() -> T) -> (u128, T) {
+    let start = Instant::now();
+    let value = call();
+    (start.elapsed().as_micros(), value)
+}
+
+fn timing(count: usize, seed: u64) -> Timing {
+    let all: Vec<_> = (0..count).map(candidate).collect();
+    let members = all.iter().cloned().map(|candidate| Member {
+        candidate,
+        serving: true,
+    });
+    let members: Vec<_> = members.collect();
+    let zones = Zones::default();
+    let now = Time::from_millis(1);
+    let mut placement = Placement::new(1.25);
+    placement.set_targets(&members, 1.25, &zones, now);
+    // Requests stay until there are eight for each target, then the oldest one ends.
+    let mut running = std::collections::VecDeque::new();
+    let (choose_median, choose_p99) = percentiles(
+        |chat| {
+            let pick = placement.choose(ChatId::from(chat), &[], &zones, now);
+            running.push_back(pick.map(|pick| pick.target));
+        },
+        seed,
+        TIMED.min(count * 8),
+    );
+    let (build_us, mut table) = micros(|| Table::new(slot_bits(count), all.clone()));
+    let lookup = |chat| {
+        black_box(table.home(ChatId::from(chat)));
+    };
+    let (table_median, table_p99) = percentiles(lookup, seed, TIMED);
+    let numbers = (0..count).map(|i| u32::try_from(i).unwrap_or(0));
+    let (ring_build_us, ring) = micros(|| Ring::new(numbers));
+    let lookup = |chat| {
+        black_box(ring.walk(chat).next());
+    };
+    let (ring_median, ring_p99) = percentiles(lookup, seed, TIMED);
+    let keys: Vec<_> = (0..count as u64).map(ring::mix).collect();
+    let lookup = |chat| {
+        black_box(ring::rendezvous(&keys, chat));
+    };
+    let (rendezvous_median, rendezvous_p99) = percentiles(lookup, seed, TIMED / 20);
+    let (leave_us, _) = micros(|| table.update(all[1..].to_vec()));
+    let (join_us, _) = micros(|| table.update(all.clone()));
+    let mut heavier = all;
+    heavier[1].weight = 2.0;
+    let (reweigh_us, _) = micros(|| table.update(heavier));
+    Timing {
+        targets: count,
+        choose_median,
+        choose_p99,
+        table_median,
+        table_p99,
+        ring_median,
+        ring_p99,
+        rendezvous_median,
+        rendezvous_p99,
+        build_us,
+        ring_build_us,
+        leave_us,
+        join_us,
+        reweigh_us,
+    }
+}
--- a/core/src/chat.rs
+++ b/core/src/chat.rs
@@ -1,12 +1,22 @@
-//! Identity of a chat.
+//! Identity of a chat, and pointers to chats whose context has moved.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     id::{ChatId, Fingerprint},
-    name::{ModelName, TeamName},
+    name::{ModelName, TargetName, TeamName},
+    time::Time,
 };
 
+/// Time that a pointer lasts. It does not start again when the pointer is used, so that every chat
+/// comes home in the end, each at a time of its own.
+pub const POINTER_LIFE: Duration = Duration::from_secs(300);
+
 /// What identifies the chat of a request.
 #[derive(Debug, Clone, Copy)]
 pub enum Identity<'a> {
@@ -44,3 +54,135 @@
     hasher.update(content);
     hasher.digest().into()
 }
+
+/// Which target holds the context of chats that are not at their home: bounded and expiring.
+///
+/// A pointer is a hint. A wrong one costs a cache miss or one hop, never a wrong answer.
+#[derive(Debug)]
+pub struct Pointers {
+    capacity: usize,
+    life: Duration,
+    entries: HashMap<ChatId, (TargetName, Time)>,
+    /// Chats in the order in which their pointers expire; holds stale entries for chats whose
+    /// pointer was replaced or dropped.
+    order: VecDeque<(ChatId, Time)>,
+}
+
+impl Pointers {
+    /// Makes room for `capacity` pointers that last for `life`.
+    pub fn new(capacity: usize, life: Duration) -> Self {
+        Self {
+            capacity: capacity.max(1),
+            life,
+            entries: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    /// Notes that `target` holds the context of `chat`; returns whether that is news. The oldest
+    /// pointer makes room.
+    pub fn set(&mut self, chat: ChatId, target: &TargetName, now: Time) -> bool {
+        if self.get(chat, now) == Some(target) {
+            return false;
+        }
+        let expires = now + self.life;
+        self.entries.insert(chat, (target.clone(), expires));
+        self.order.push_back((chat, expires));
+        self.expire(now);
+        while self.entries.len() > self.capacity || self.order.len() > 2 * self.capacity {
+            self.drop_oldest();
+        }
+        true
+    }
+
+    /// The target that holds the context of `chat`.
+    pub fn get(&self, chat: ChatId, now: Time) -> Option<&TargetName> {
+        let (target, expires) = self.entries.get(&chat)?;
+        (*expires > now).then_some(target)
+    }
+
+    /// Drops the pointer of `chat`.
+    pub fn clear(&mut self, chat: ChatId) {
+        self.entries.remove(&chat);
+    }
+
+    /// Takes a cache event that says that `target` no longer holds `chat`. Events come late and
+    /// with gaps, so that one about another target changes nothing.
+    pub fn evicted(&mut self, chat: ChatId, target: &TargetName) {
+        if self.entries.get(&chat).is_some_and(|(at, _)| at == target) {
+            self.entries.remove(&chat);
+        }
+    }
+
+    /// Drops pointers that have expired.
+    pub fn expire(&mut self, now: Time) {
+        while self
+            .order
+            .front()
+            .is_some_and(|(_, expires)| *expires <= now)
+        {
+            self.drop_oldest();
+        }
+    }
+
+    /// Number of pointers kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no pointer is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Memory held, in bytes, names excluded.
+    pub fn bytes(&self) -> usize {
+        // The map keeps one control byte for each entry.
+        self.entries.capacity() * (size_of::<(ChatId, (TargetName, Time))>() + 1)
+            + self.order.capacity() * size_of::<(ChatId, Time)>()
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((chat, expires)) = self.order.pop_front() else {
+            return;
+        };
+        if self
+            .entries
+            .get(&chat)
+            .is_some_and(|(_, at)| *at == expires)
+        {
+            self.entries.remove(&chat);
+        }
+    }
+}
+
+/// What moving a chat's KV cache costs, against computing it again.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Transfer {
+    /// Size of the cache, in bytes.
+    pub bytes: u64,
+    /// Measured speed of the transfer, in bytes per second.
+    pub bandwidth: f64,
+    /// Time until the first byte arrives.
+    pub setup: Duration,
+    /// Tokens that the cache stands for.
+    pub tokens: u64,
+    /// Measured speed of prefill, in tokens per second.
+    pub prefill: f64,
+}
+
+impl Transfer {
+    /// Whether moving the cache takes less time than computing it again. Without a measured
+    /// bandwidth it is computed again.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "an estimate needs no exact sizes"
+    )]
+    pub fn pays(&self) -> bool {
+        if self.bandwidth <= 0.0 || self.bandwidth.is_nan() {
+            return false;
+        }
+        let moved = self.setup.as_secs_f64() + self.bytes as f64 / self.bandwidth;
+        self.prefill <= 0.0 || moved < self.tokens as f64 / self.prefill
+    }
+}
--- /dev/null
+++ b/core/src/choose.rs
@@ -0,0 +1,344 @@
+//! Choice of a target for a request within one pool: placement, zones, loads and pointers.
+
+use std::time::Duration;
+
+use crate::{
+    chat::{POINTER_LIFE, Pointers},
+    id::ChatId,
+    load::{POOL_LIFE, PoolLoad, TargetLoad, bound},
+    name::TargetName,
+    place::{Candidate, Table, TargetIndex, slot_bits},
+    time::Time,
+    zone::Zones,
+};
+
+/// Time between two sums over all targets.
+const SUM_INTERVAL: Duration = Duration::from_millis(100);
+/// Pointers that a router keeps for one pool: with 26 million chats at 1,000 routers, one router
+/// moves less than this many in the life of a pointer.
+const POINTERS: usize = 1 << 15;
+
+/// A target with what is known of its readiness.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// The target, with its weight when fully in service.
+    pub candidate: Candidate,
+    /// Whether it may get new work. A target that is leaving keeps its chats' places in the table
+    /// until it leaves the document.
+    pub serving: bool,
+}
+
+/// Why a target was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// It is the home of the chat, among the targets that take work.
+    Home,
+    /// The context of the chat has moved there.
+    Pointer,
+    /// The home is above its bound, full or has been tried.
+    Fallback,
+    /// All ranked targets are; it has the least load for its weight.
+    LeastLoaded,
+}
+
+/// The target chosen for an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pick {
+    /// The target.
+    pub target: TargetName,
+    /// Why.
+    pub reason: Reason,
+    /// The home of the chat, where it is another target that takes work.
+    pub home: Option<TargetName>,
+    /// The target that comes next for the chat.
+    pub second: Option<TargetName>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct State {
+    load: TargetLoad,
+    weight: f64,
+    serving: bool,
+    /// Share of its chats that the target takes.
+    share: f64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Sums {
+    at: Option<Time>,
+    weight: f64,
+    own: f64,
+    /// Requests and weight of the targets with recent reports.
+    fresh: (f64, f64),
+}
+
+/// Placement within one pool, as one router sees it.
+#[derive(Debug)]
+pub struct Placement {
+    table: Table,
+    bits: u32,
+    states: Vec<State>,
+    sums: Sums,
+    pool: Option<(PoolLoad, Time)>,
+    pointers: Pointers,
+    multiple: f64,
+}
+
+impl Placement {
+    /// Starts with no target. `multiple` bounds the load, relative to the mean.
+    pub fn new(multiple: f64) -> Self {
+        let bits = slot_bits(0);
+        Self {
+            table: Table::new(bits, []),
+            bits,
+            states: Vec::new(),
+            sums: Sums::default(),
+            pool: None,
+            pointers: Pointers::new(POINTERS, POINTER_LIFE),
+            multiple,
+        }
+    }
+
+    /// Takes the targets of the pool from a new view. Loads of targets that stay are kept.
+    pub fn set_targets(&mut self, members: &[Member], multiple: f64, zones: &Zones, now: Time) {
+        self.multiple = multiple;
+        let before: Vec<_> = self
+            .table
+            .targets()
+            .map(|(index, candidate)| (candidate.name.clone(), self.states[index.get()].load))
+            .collect();
+        let candidates = members.iter().map(|member| member.candidate.clone());
+        let bits = slot_bits(members.len());
+        if bits == self.bits {
+            self.table.update(candidates);
+        } else {
+            self.bits = bits;
+            self.table = Table::new(bits, candidates);
+        }
+        self.states = vec![State::default(); self.table.capacity()];
+        for (name, load) in before {
+            if let Some(index) = self.table.index(&name) {
+                self.states[index.get()].load = load;
+            }
+        }
+        for member in members {
+            if let Some(index) = self.table.index(&member.candidate.name) {
+                let state = &mut self.states[index.get()];
+                state.weight = member.candidate.weight;
+                state.serving = member.serving;
+            }
+        }
+        self.refresh(zones, now);
+    }
+
+    /// Takes the shares of zones and sums the loads; needed after a zone has changed.
+    pub fn refresh(&mut self, zones: &Zones, now: Time) {
+        let mut sums = Sums {
+            at: Some(now),
+            ..Sums::default()
+        };
+        for (index, candidate) in self.table.targets() {
+            let state = &mut self.states[index.get()];
+            state.share = if state.serving {
+                zones.share(&candidate.zone, now)
+            } else {
+                0.0
+            };
+            let weight = state.weight * state.share;
+            if weight > 0.0 {
+                sums.weight += weight;
+                sums.own += f64::from(state.load.own());
+                if state.load.is_fresh(now) {
+                    sums.fresh.0 += f64::from(state.load.requests(now));
+                    sums.fresh.1 += weight;
+                }
+            }
+        }
+        self.sums = sums;
+        self.pointers.expire(now);
+    }
+
+    /// Chooses a target for `chat` that is not among `tried`, and counts the request as started.
+    ///
+    /// Ties and equal loads are decided by the table, so that two routers with the same knowledge
+    /// choose alike.
+    pub fn choose(
+        &mut self,
+        chat: ChatId,
+        tried: &[TargetName],
+        zones: &Zones,
+        now: Time,
+    ) -> Option<Pick> {
+        if self.sums.at.is_none_or(|at| now.since(at) >= SUM_INTERVAL) {
+            self.refresh(zones, now);
+        }
+        let usable = |index: TargetIndex| takes(&self.states[index.get()], chat);
+        let home = self.table.first(chat, usable)?;
+        let untried = |index: TargetIndex| !self.is_tried(index, tried);
+        let free = |index: TargetIndex| untried(index) && !self.is_over(index, now);
+        let pointed = self.pointers.get(chat, now).and_then(|name| {
+            let index = self.table.index(name)?;
+            let state = &self.states[index.get()];
+            (state.serving && state.share > 0.0 && free(index)).then_some(index)
+        });
+        let (ranked, len) = self.table.ranked(chat);
+        // The home comes first even where targets of zones that are out rank higher.
+        let order = || {
+            let rest = ranked[..len].iter().chain(self.table.stored(chat));
+            std::iter::once(home).chain(rest.copied().filter(|i| *i != home && usable(*i)))
+        };
+        let chosen = match pointed {
+            Some(index) if index == home => Some((index, Reason::Home)),
+            Some(index) => Some((index, Reason::Pointer)),
+            None => order().find(|index| free(*index)).map(|index| {
+                let home = index == home;
+                (index, if home { Reason::Home } else { Reason::Fallback })
+            }),
+        };
+        let (index, reason) = match chosen {
+            Some(chosen) => chosen,
+            None => (self.least_loaded(tried, now)?, Reason::LeastLoaded),
+        };
+        let second = order().find(|other| *other != index && untried(*other));
+        let name = |index: TargetIndex| self.table.candidate(index).name.clone();
+        let pick = Pick {
+            target: name(index),
+            reason,
+            home: (index != home).then(|| name(home)),
+            second: second.map(name),
+        };
+        self.states[index.get()].load.start();
+        self.sums.own += 1.0;
+        self.sums.fresh.0 += f64::from(u8::from(self.states[index.get()].load.is_fresh(now)));
+        Some(pick)
+    }
+
+    /// Notes that an attempt at `target` has ended.
+    pub fn ended(&mut self, target: &TargetName, now: Time) {
+        if let Some(index) = self.table.index(target) {
+            let load = &mut self.states[index.get()].load;
+            load.end();
+            self.sums.own = (self.sums.own - 1.0).max(0.0);
+            if load.is_fresh(now) {
+                self.sums.fresh.0 = (self.sums.fresh.0 - 1.0).max(0.0);
+            }
+        }
+    }
+
+    /// Notes the load that came with an answer.
+    pub fn heard(&mut self, target: &TargetName, requests: u32, limit: u32, now: Time) {
+        if let Some(index) = self.table.index(target) {
+            let load = &mut self.states[index.get()].load;
+            load.heard(requests, limit, now);
+        }
+    }
+
+    /// Notes the sums over the pool that came by gossip.
+    pub fn heard_pool(&mut self, pool: PoolLoad, now: Time) {
+        self.pool = Some((pool, now));
+    }
+
+    /// Notes that `target` holds the context of `chat` now; returns whether that is news. Only
+    /// chats away from the first target of their ranking are noted, those whose zone is out
+    /// included: on the zone's return they stay where they are until the pointer expires.
+    pub fn served(&mut self, chat: ChatId, target: &TargetName, now: Time) -> bool {
+        if self.table.home(chat) == self.table.index(target) {
+            self.pointers.clear(chat);
+            return false;
+        }
+        self.pointers.set(chat, target, now)
+    }
+
+    /// Takes the hint of an agent that `target` holds the context of `chat`.
+    pub fn hint(&mut self, chat: ChatId, target: &TargetName, now: Time) {
+        self.pointers.set(chat, target, now);
+    }
+
+    /// The home of `chat` among the targets that take work.
+    pub fn home(&self, chat: ChatId) -> Option<&TargetName> {
+        let usable = |index: TargetIndex| takes(&self.states[index.get()], chat);
+        let index = self.table.first(chat, usable)?;
+        Some(&self.table.candidate(index).name)
+    }
+
+    /// The targets in placement.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Pointers kept.
+    pub fn pointers(&self) -> &Pointers {
+        &self.pointers
+    }
+
+    /// Requests at `target` as far as this router can tell.
+    pub fn requests(&self, target: &TargetName, now: Time) -> u32 {
+        let index = self.table.index(target);
+        index.map_or(0, |index| self.states[index.get()].load.requests(now))
+    }
+
+    fn is_tried(&self, index: TargetIndex, tried: &[TargetName]) -> bool {
+        !tried.is_empty() && tried.contains(&self.table.candidate(index).name)
+    }
+
+    /// Whether one more request would bring the target above its bound or limit.
+    fn is_over(&self, index: TargetIndex, now: Time) -> bool {
+        let state = &self.states[index.get()];
+        if state.load.is_full(now) {
+            return true;
+        }
+        let (requests, total, counted) = self.mean(now, state);
+        counted >= bound(self.multiple, requests, state.weight * state.share, total)
+    }
+
+    /// Requests and weight that make up the mean, and the target's requests to compare with it.
+    ///
+    /// Sums by gossip come first, then recent reports where they cover half of the weight. A
+    /// router that knows less bounds its own requests: when each router's are within the multiple
+    /// of their mean, their sum is within the multiple of its mean.
+    #[expect(clippy::cast_precision_loss, reason = "sums stay far below 2^53")]
+    fn mean(&self, now: Time, state: &State) -> (f64, f64, u32) {
+        let all = state.load.requests(now);
+        if let Some((pool, at)) = self.pool
+            && now.since(at) <= POOL_LIFE
+        {
+            return (pool.requests as f64, pool.weight as f64, all);
+        }
+        let (requests, weight) = self.sums.fresh;
+        if weight * 2.0 >= self.sums.weight && state.load.is_fresh(now) {
+            return (requests, weight, all);
+        }
+        (self.sums.own, self.sums.weight, state.load.own())
+    }
+
+    fn least_loaded(&self, tried: &[TargetName], now: Time) -> Option<TargetIndex> {
+        let targets = self.table.targets().map(|(index, _)| index);
+        let usable = targets.filter(|index| {
+            let state = &self.states[index.get()];
+            state.serving && state.share > 0.0 && !self.is_tried(*index, tried)
+        });
+        let key = |index: &TargetIndex| {
+            let state = &self.states[index.get()];
+            let weight = state.weight * state.share;
+            let load = (f64::from(state.load.requests(now)) + 1.0) / weight;
+            (state.load.is_full(now), load)
+        };
+        usable.min_by(|a, b| {
+            let (a, b) = (key(a), key(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        })
+    }
+}
+
+/// Whether the target takes this chat. A returning zone takes a growing share of its chats, the
+/// same chats on every router.
+fn takes(state: &State, chat: ChatId) -> bool {
+    if !state.serving || state.share >= 1.0 {
+        return state.serving;
+    }
+    let hash = u64::from(chat).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let hash = (hash ^ (hash >> 29)).wrapping_mul(0x94D0_49BB_1331_11EB) >> 32;
+    #[expect(clippy::cast_precision_loss, reason = "32 bits fit an f64 exactly")]
+    let place = hash as f64 / (1_u64 << 32) as f64;
+    place < state.share
+}
--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -103,6 +103,8 @@
     SuspectBusy = 2011, 503, NotRun, "retry after the stated time";
     /// The target's zone is out of service.
     ZoneOut = 2012, 503, NotRun, "retry; another zone will take it";
+    /// Another target holds the chat's context.
+    Moved = 2013, 503, NotRun, "retry; the target that holds the chat will take it";
     /// The platform's log is unavailable, which requests that run at most once need.
     LogUnavailable = 3001, 503, NotRun, "retry with the same key after the stated time";
     /// The same idempotency key is being worked on.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,11 +6,15 @@
 pub mod admit;
 pub mod answer;
 pub mod chat;
+pub mod choose;
 pub mod code;
 pub mod doc;
 pub mod id;
 pub mod ini;
+pub mod load;
 pub mod name;
 pub mod place;
 mod read;
 pub mod time;
+mod visit;
+pub mod zone;
--- /dev/null
+++ b/core/src/visit.rs
@@ -0,0 +1,150 @@
+//! The order and the times at which a target visits the slots of a placement table.
+//!
+//! Only additions, multiplications, divisions and shifts are used, so that routers on different
+//! processors and system libraries get the same times to the last bit.
+
+/// Natural logarithm of two.
+const LN_2: f64 = std::f64::consts::LN_2;
+
+/// Visits of one target.
+#[derive(Debug, Clone)]
+pub(crate) struct Visits {
+    key: u64,
+    bits: u32,
+    weight: f64,
+    first: u64,
+    second: u64,
+    first_inverse: u64,
+    second_inverse: u64,
+}
+
+impl Visits {
+    /// Visits of the target with hash `key` to two to the power of `bits` slots.
+    pub(crate) fn new(key: u64, bits: u32, weight: f64) -> Self {
+        let first = mix(key ^ 1) | 1;
+        let second = mix(key ^ 2) | 1;
+        Self {
+            key: mix(key),
+            bits,
+            weight,
+            first,
+            second,
+            first_inverse: inverse(first),
+            second_inverse: inverse(second),
+        }
+    }
+
+    /// The slots in the order of the visits, with their times, up to `horizon`.
+    pub(crate) fn until(&self, horizon: f32) -> impl Iterator<Item = (usize, f32)> {
+        (0..1_u64 << self.bits)
+            .map(|number| (self.slot(number), self.time(number)))
+            .take_while(move |(_, time)| *time < horizon)
+    }
+
+    /// The time of the visit to `slot`.
+    pub(crate) fn time_at(&self, slot: usize) -> f32 {
+        self.time(self.number(slot as u64))
+    }
+
+    /// A permutation of the slots, keyed by the target.
+    fn slot(&self, number: u64) -> usize {
+        let (mask, half) = self.shape();
+        let x = number.wrapping_mul(self.first).wrapping_add(self.key) & mask;
+        let x = (x ^ (x >> half)).wrapping_mul(self.second) & mask;
+        usize::try_from(x ^ (x >> half)).unwrap_or(0)
+    }
+
+    fn number(&self, slot: u64) -> u64 {
+        let (mask, half) = self.shape();
+        let x = (slot ^ (slot >> half)).wrapping_mul(self.second_inverse) & mask;
+        let x = (x ^ (x >> half)).wrapping_sub(self.key);
+        x.wrapping_mul(self.first_inverse) & mask
+    }
+
+    /// Mask of the slot number, and half of its bits rounded up: a shift by that much undoes
+    /// itself.
+    fn shape(&self) -> (u64, u32) {
+        ((1 << self.bits) - 1, self.bits.div_ceil(2))
+    }
+
+    /// One visit falls into each of as many equal parts of the unit interval as there are slots;
+    /// the logarithm makes the times exponential with the weight as the rate.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "both numbers fit an f64 exactly"
+    )]
+    #[expect(clippy::cast_possible_truncation, reason = "ties are broken by name")]
+    fn time(&self, number: u64) -> f32 {
+        let jitter = number.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ self.key;
+        let jitter = ((jitter.wrapping_mul(self.second) >> 40) as f64 + 0.5) / (1_u64 << 24) as f64;
+        let share = (number as f64 + jitter) / (1_u64 << self.bits) as f64;
+        (minus_log(share) / self.weight) as f32
+    }
+}
+
+/// `-ln(1 - x)` for `x` from 0 to below 1.
+fn minus_log(x: f64) -> f64 {
+    if x < 1.0 / 32.0 {
+        let tail = 1.0 / 5.0 + x * (1.0 / 6.0 + x * (1.0 / 7.0 + x / 8.0));
+        return x * (1.0 + x * (0.5 + x * (1.0 / 3.0 + x * (0.25 + x * tail))));
+    }
+    let rest = 1.0 - x;
+    let mut halvings = 0.0;
+    let mut m = rest;
+    while m < std::f64::consts::FRAC_1_SQRT_2 {
+        m *= 2.0;
+        halvings += 1.0;
+    }
+    let s = (m - 1.0) / (m + 1.0);
+    let q = s * s;
+    let tail = 1.0 / 9.0 + q * (1.0 / 11.0 + q * (1.0 / 13.0 + q / 15.0));
+    let series = 1.0 + q * (1.0 / 3.0 + q * (0.2 + q * (1.0 / 7.0 + q * tail)));
+    halvings * LN_2 - 2.0 * s * series
+}
+
+fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    x ^ (x >> 31)
+}
+
+/// The inverse of an odd number modulo two to the power of 64, by Newton's method.
+fn inverse(odd: u64) -> u64 {
+    let mut x = odd;
+    for _ in 0..6 {
+        x = x.wrapping_mul(2_u64.wrapping_sub(odd.wrapping_mul(x)));
+    }
+    x
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a target that visits a slot twice or never, and against an inverse that
+    /// refills a slot with other times than the build gave it.
+    #[test]
+    fn visits_are_a_permutation_in_order_of_time() {
+        for bits in [4, 5, 14] {
+            let visits = Visits::new(7, bits, 3.0);
+            let all: Vec<_> = visits.until(f32::INFINITY).collect();
+            assert!(all.is_sorted_by(|a, b| a.1 <= b.1));
+            let mut slots: Vec<_> = all.iter().map(|(slot, _)| *slot).collect();
+            slots.sort_unstable();
+            assert!(slots.into_iter().eq(0..1 << bits));
+            for (slot, time) in all {
+                assert_eq!(visits.time_at(slot).to_bits(), time.to_bits());
+            }
+        }
+    }
+
+    /// Guards against times that do not follow the weights.
+    #[test]
+    fn the_logarithm_is_exact_to_ten_digits() {
+        for step in 0..10_000 {
+            let x = f64::from(step) / 10_000.0;
+            assert!((minus_log(x) + (-x).ln_1p()).abs() < 1e-10, "at {x}");
+        }
+    }
+}
--- /dev/null
+++ b/core/tests/place.rs
@@ -0,0 +1,423 @@
+//! Placement: scenarios in `tests/scenarios/place`, and random views and traffic.
+//!
+//! One scenario is run by `RUN=zone.txt cargo test -p ebonyfall-core --test place scenarios`.
+
+use std::{collections::HashMap, fmt::Write, time::Duration};
+
+use datadriven::{TestCase, walk};
+use ebonyfall_core::{
+    chat::Transfer,
+    choose::{Member, Placement},
+    doc::ZoneState,
+    id::ChatId,
+    load::{OwnBound, PoolLoad, bound},
+    name::{TargetName, ZoneName},
+    place::{Candidate, Table},
+    time::Time,
+    zone::Zones,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
+
+fn target(name: &str) -> TargetName {
+    TargetName::new(name).expect("the scenario uses valid names")
+}
+
+fn candidate(number: usize, weight: f64) -> Candidate {
+    Candidate {
+        name: target(&format!("t{number}")),
+        zone: ZoneName::new(format!("z{}", number % 3)).expect("the name is valid"),
+        weight,
+    }
+}
+
+fn candidates(numbers: impl IntoIterator<Item = usize>) -> Vec<Candidate> {
+    numbers.into_iter().map(|n| candidate(n, 1.0)).collect()
+}
+
+fn serving(candidates: &[Candidate]) -> Vec<Member> {
+    let candidates = candidates.iter().cloned();
+    candidates
+        .map(|candidate| Member {
+            candidate,
+            serving: true,
+        })
+        .collect()
+}
+
+/// Routers of a scenario by name, with one clock and one state of the zones.
+#[derive(Default)]
+struct Scenario {
+    routers: HashMap<String, Placement>,
+    zones: Zones,
+    now: Time,
+    own: Option<OwnBound>,
+}
+
+impl Scenario {
+    fn run(&mut self, case: &TestCase) -> String {
+        let arg = |key: &str| case.args.get(key).and_then(|values| values.first());
+        let number = |key: &str, default: f64| {
+            arg(key).map_or(default, |text| {
+                text.parse().expect("the argument is a number")
+            })
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "scenarios use small whole numbers"
+        )]
+        let count = |key: &str, default: u32| number(key, f64::from(default)) as u32;
+        let router = arg("router").cloned().unwrap_or_else(|| "r".to_owned());
+        let seconds = Duration::from_secs_f64(number("seconds", 0.0));
+        match case.directive.as_str() {
+            "view" => self.view(router, &case.input, number("multiple", 1.25)),
+            "advance" => {
+                self.now = self.now + seconds;
+                String::new()
+            }
+            "zone" => {
+                let name = ZoneName::new(arg("name").expect("name=")).expect("a valid name");
+                let state = arg("state").and_then(|text| text.parse().ok());
+                let state: ZoneState = state.expect("state=in or out");
+                self.zones.set(&name, state, seconds, self.now);
+                for placement in self.routers.values_mut() {
+                    placement.refresh(&self.zones, self.now);
+                }
+                format!("share {:.2}\n", self.zones.share(&name, self.now))
+            }
+            "share" => {
+                let name = ZoneName::new(arg("name").expect("name=")).expect("a valid name");
+                format!("{:.2}\n", self.zones.share(&name, self.now))
+            }
+            "choose" => {
+                let chats = u64::from(count("from", 0))..u64::from(count("to", 1));
+                let tried: Vec<_> = case.args.get("tried").into_iter().flatten().collect();
+                let tried: Vec<_> = tried.into_iter().map(|name| target(name)).collect();
+                self.choose(
+                    &router,
+                    chats,
+                    &tried,
+                    arg("end").is_some(),
+                    arg("list").is_some(),
+                )
+            }
+            "served" | "hint" => {
+                let (now, placement) = (self.now, self.router(&router));
+                let chat = ChatId::from(u64::from(count("chat", 0)));
+                let name = target(arg("target").expect("target="));
+                let placement = placement.expect("a view comes first");
+                if case.directive == "hint" {
+                    placement.hint(chat, &name, now);
+                    return String::new();
+                }
+                format!("news: {}\n", placement.served(chat, &name, now))
+            }
+            "heard" => {
+                let (now, zones) = (self.now, self.zones.clone());
+                let name = target(arg("target").expect("target="));
+                let placement = self.router(&router).expect("a view comes first");
+                placement.heard(&name, count("requests", 0), count("limit", 100), now);
+                placement.refresh(&zones, now);
+                String::new()
+            }
+            "gossip" => {
+                let pool = PoolLoad {
+                    requests: count("requests", 0).into(),
+                    weight: count("weight", 0).into(),
+                };
+                let now = self.now;
+                if let Some(placement) = self.router(&router) {
+                    placement.heard_pool(pool, now);
+                }
+                let own = self.own.get_or_insert_with(|| OwnBound::new(1.25, 1));
+                own.heard(pool, now);
+                String::new()
+            }
+            "agent" => {
+                let own = self.own.get_or_insert_with(|| OwnBound::new(1.25, 1));
+                own.configure(1.25, count("weight", 1));
+                let admitted = own.admits(count("requests", 0), self.now);
+                format!("{}\n", if admitted { "admitted" } else { "over bound" })
+            }
+            "transfer" => {
+                let transfer = Transfer {
+                    bytes: count("bytes", 0).into(),
+                    bandwidth: number("bandwidth", 0.0),
+                    setup: Duration::from_secs_f64(number("setup", 0.0)),
+                    tokens: count("tokens", 0).into(),
+                    prefill: number("prefill", 0.0),
+                };
+                format!("{}\n", if transfer.pays() { "move" } else { "recompute" })
+            }
+            other => panic!("unknown directive {other}"),
+        }
+    }
+
+    fn router(&mut self, name: &str) -> Option<&mut Placement> {
+        self.routers.get_mut(name)
+    }
+
+    /// One target on each line: name, zone, weight, and `leaving` where it gets no new work.
+    fn view(&mut self, router: String, input: &str, multiple: f64) -> String {
+        let mut members = Vec::new();
+        for line in input.lines() {
+            let words: Vec<_> = line.split_whitespace().collect();
+            let [name, zone, weight, ref rest @ ..] = words[..] else {
+                panic!("{line}: a target has a name, a zone and a weight")
+            };
+            members.push(Member {
+                candidate: Candidate {
+                    name: target(name),
+                    zone: ZoneName::new(zone).expect("a valid name"),
+                    weight: weight.parse().expect("a number"),
+                },
+                serving: !rest.contains(&"leaving"),
+            });
+        }
+        let placement = self.routers.entry(router);
+        let placement = placement.or_insert_with(|| Placement::new(multiple));
+        placement.set_targets(&members, multiple, &self.zones, self.now);
+        format!("{} targets\n", placement.table().len())
+    }
+
+    /// Requests for each target; with `end` each request ends before the next one starts.
+    fn choose(
+        &mut self,
+        router: &str,
+        chats: impl Iterator<Item = u64>,
+        tried: &[TargetName],
+        end: bool,
+        list: bool,
+    ) -> String {
+        let (zones, now) = (self.zones.clone(), self.now);
+        let placement = self.router(router).expect("a view comes first");
+        let mut counts = std::collections::BTreeMap::new();
+        let mut text = String::new();
+        for chat in chats {
+            let Some(pick) = placement.choose(chat.into(), tried, &zones, now) else {
+                return "no target\n".to_owned();
+            };
+            if end {
+                placement.ended(&pick.target, now);
+            }
+            if list {
+                let second = pick.second.as_ref().map_or("-", TargetName::as_str);
+                let _infallible = writeln!(
+                    text,
+                    "{chat}: {} {:?}, then {second}",
+                    pick.target, pick.reason
+                );
+            }
+            *counts.entry(pick.target).or_insert(0) += 1;
+        }
+        if !list {
+            for (name, count) in counts {
+                let _infallible = writeln!(text, "{name} {count}");
+            }
+        }
+        text
+    }
+}
+
+/// Guards against changed decisions in the situations that the files describe.
+#[test]
+fn scenarios() {
+    walk("tests/scenarios/place", |file| {
+        let mut scenario = Scenario::default();
+        file.run(|case| scenario.run(case));
+    });
+}
+
+const CHATS: u64 = 20_000;
+
+fn homes(table: &Table) -> Vec<TargetName> {
+    let chats = (0..CHATS).map(ChatId::from);
+    chats
+        .filter_map(|chat| table.home(chat))
+        .map(|index| table.candidate(index).name.clone())
+        .collect()
+}
+
+/// Chats whose home changed although neither their old home left nor their new one joined.
+fn needless_moves(before: &[TargetName], after: &[TargetName], changed: &[TargetName]) -> usize {
+    let pairs = before.iter().zip(after);
+    pairs
+        .filter(|(old, new)| old != new && !changed.contains(old) && !changed.contains(new))
+        .count()
+}
+
+/// Guards against a target that moves the chats of others when it joins or leaves. The checker
+/// finds the needless moves of placement by `chat % targets`.
+#[test]
+fn only_chats_of_changed_targets_move() {
+    let mut rng = StdRng::seed_from_u64(11);
+    for count in [2, 9, 10, 11, 40, 200] {
+        let mut numbers: Vec<_> = (0..count).collect();
+        let mut table = Table::new(14, candidates(numbers.iter().copied()));
+        for step in 0..6 {
+            let before = homes(&table);
+            let changed = if step % 2 == 0 && numbers.len() > 1 {
+                numbers.swap_remove(rng.random_range(0..numbers.len()))
+            } else {
+                numbers.push(1_000 + step);
+                1_000 + step
+            };
+            table.update(candidates(numbers.iter().copied()));
+            let changed = [candidate(changed, 1.0).name];
+            assert_eq!(needless_moves(&before, &homes(&table), &changed), 0);
+        }
+    }
+    let modulo = |n: u64| {
+        (0..CHATS)
+            .map(|chat| target(&format!("t{}", chat % n)))
+            .collect::<Vec<_>>()
+    };
+    assert!(needless_moves(&modulo(10), &modulo(9), &[target("t9")]) > 0);
+}
+
+/// Compares the whole ranking of each chat by name.
+fn same_ranking(a: &Table, b: &Table) -> bool {
+    (0..CHATS / 4).map(ChatId::from).all(|chat| {
+        let names = |table: &Table| {
+            let (ranked, len) = table.ranked(chat);
+            let names = ranked[..len]
+                .iter()
+                .map(|i| table.candidate(*i).name.clone());
+            names.collect::<Vec<_>>()
+        };
+        names(a) == names(b)
+    })
+}
+
+/// Guards against rankings that depend on the order in which a router learnt of its targets. The
+/// checker finds a table that lacks one target.
+#[test]
+fn every_history_leads_to_the_same_table() {
+    let mut rng = StdRng::seed_from_u64(5);
+    for (count, bits) in [(3, 14), (12, 14), (60, 14), (400, 16)] {
+        let weights: Vec<_> = (0..count)
+            .map(|_| f64::from(rng.random_range(1..=8)))
+            .collect();
+        let wanted: Vec<_> = (0..count).map(|n| candidate(n, weights[n])).collect();
+        let direct = Table::new(bits, wanted.clone());
+        let mut view: Vec<_> = (count / 2..count + count / 2)
+            .map(|n| candidate(n, 3.0))
+            .collect();
+        let mut table = Table::new(bits, view.clone());
+        // Single changes in random order, some of them in bulk, with weights that change on the way.
+        let mut order: Vec<_> = (0..count + count / 2).collect();
+        order.shuffle(&mut rng);
+        for number in order {
+            view.retain(|c| c.name != candidate(number, 1.0).name);
+            if number < count {
+                view.push(candidate(number, 2.0));
+                table.update(view.clone());
+                view.pop();
+                view.push(wanted[number].clone());
+            }
+            if rng.random_bool(0.7) {
+                table.update(view.clone());
+            }
+        }
+        view.shuffle(&mut rng);
+        table.update(view);
+        assert!(same_ranking(&direct, &table), "{count} targets");
+        assert!(!same_ranking(
+            &direct,
+            &Table::new(bits, wanted[1..].to_vec())
+        ));
+    }
+}
+
+/// Guards against shares that do not follow the weights.
+#[test]
+fn homes_follow_the_weights() {
+    let table = Table::new(14, [candidate(0, 1.0), candidate(1, 3.0)]);
+    let homes = homes(&table);
+    let heavy = homes.iter().filter(|name| name.as_str() == "t1").count();
+    let share = f64::from(u32::try_from(heavy).unwrap()) / 20_000.0;
+    assert!((share - 0.75).abs() < 0.02, "share {share}");
+}
+
+/// Highest excess over the bound that a run of random traffic reaches at any target.
+fn excess(multiple: f64, checked: f64, seed: u64) -> i64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let targets: Vec<_> = (0..30)
+        .map(|n| candidate(n, f64::from(rng.random_range(1..=4))))
+        .collect();
+    let total: f64 = targets.iter().map(|c| c.weight).sum();
+    let zones = Zones::default();
+    let mut placement = Placement::new(multiple);
+    placement.set_targets(&serving(&targets), multiple, &zones, Time::ZERO);
+    let mut running: Vec<TargetName> = Vec::new();
+    let mut counts: HashMap<TargetName, u32> = HashMap::new();
+    let mut worst = i64::MIN;
+    for step in 0..4_000 {
+        let now = Time::from_millis(step * 5);
+        // A few chats get most requests.
+        let chat = if rng.random_bool(0.5) {
+            rng.random_range(0..5)
+        } else {
+            rng.random()
+        };
+        if running.len() > 300 || (!running.is_empty() && rng.random_bool(0.4)) {
+            let ended = running.swap_remove(rng.random_range(0..running.len()));
+            *counts.get_mut(&ended).unwrap() -= 1;
+            placement.ended(&ended, now);
+            continue;
+        }
+        let sum = f64::from(u32::try_from(running.len()).unwrap());
+        let pick = placement
+            .choose(ChatId::from(chat), &[], &zones, now)
+            .unwrap();
+        let count = counts.entry(pick.target.clone()).or_default();
+        *count += 1;
+        let weight = targets
+            .iter()
+            .find(|c| c.name == pick.target)
+            .unwrap()
+            .weight;
+        worst = worst.max(i64::from(*count) - i64::from(bound(checked, sum, weight, total)));
+        running.push(pick.target);
+    }
+    worst
+}
+
+/// Guards against a target above the multiple of the mean when the router's knowledge is exact.
+/// The checker finds the excess of a router whose bound is set too high.
+#[test]
+fn the_bound_is_never_exceeded() {
+    for seed in 0..5 {
+        assert!(excess(1.25, 1.25, seed) <= 0, "seed {seed}");
+        assert!(excess(100.0, 1.25, seed) > 0, "seed {seed}");
+    }
+}
+
+/// Guards against new work for a zone that is out or a target that leaves, and against a target
+/// of another zone that is above its bound meanwhile.
+#[test]
+fn a_zone_that_is_out_gets_no_new_work() {
+    let targets = candidates(0..12);
+    let out = &targets[0].zone;
+    let mut zones = Zones::default();
+    let mut placement = Placement::new(1.25);
+    zones.set(out, ZoneState::Out, Duration::from_secs(60), Time::ZERO);
+    let mut members = serving(&targets);
+    members[1].serving = false;
+    placement.set_targets(&members, 1.25, &zones, Time::ZERO);
+    let mut counts: HashMap<TargetName, u32> = HashMap::new();
+    for chat in 0..1_400 {
+        let pick = placement
+            .choose(chat.into(), &[], &zones, Time::ZERO)
+            .unwrap();
+        *counts.entry(pick.target).or_default() += 1;
+    }
+    assert!(
+        targets
+            .iter()
+            .all(|c| c.zone != *out || !counts.contains_key(&c.name))
+    );
+    assert!(!counts.contains_key(&targets[1].name));
+    assert_eq!(counts.len(), 7);
+    assert!(counts.values().all(|count| *count <= 250), "{counts:?}");
+}
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -22,6 +22,7 @@
     link::{Identity, Link, LinkError},
     metrics::Metrics,
     platform::Platform,
+    pointers::PointerTask,
     settings::AgentConfig,
     view,
 };
@@ -55,6 +56,7 @@
     target: TargetName,
     identity: Identity,
     gate: Gate,
+    pointers: PointerTask,
     backend: Backend,
     metrics: Metrics,
     log: Logger,
@@ -99,6 +101,7 @@
             keys: cfg.common.keys,
         },
         gate: Gate::start(capacity, clock),
+        pointers: PointerTask::start(clock),
         backend: Backend::new(cfg.backend),
         metrics: Metrics::new(),
         log,
@@ -137,8 +140,17 @@
                 return;
             }
         };
-        while let Ok(ToAgent::Submit(submit)) = link.receive().await {
-            if let Err(error) = self.request(&mut link, *submit).await {
+        while let Ok(message) = link.receive().await {
+            let served = match message {
+                ToAgent::Submit(submit) => self.request(&mut link, *submit).await,
+                ToAgent::Moved { chat, target } => {
+                    if target != self.target {
+                        self.pointers.set(chat, target).await;
+                    }
+                    Ok(())
+                }
+            };
+            if let Err(error) = served {
                 debug!(self.log, "connection lost"; "error" => %error);
                 return;
             }
@@ -148,14 +160,23 @@
     /// Serves one request; an error means that the connection cannot be used any more.
     async fn request(&self, link: &mut Link, submit: Submit) -> Result<(), LinkError> {
         let attempt = submit.attempt;
-        let admitted = if submit.target == self.target {
-            self.gate.enter(submit.left).await
+        let (chat, second) = (submit.chat, submit.second.clone());
+        let moved = if submit.follow {
+            self.pointers.find(chat).await
         } else {
+            None
+        };
+        let admitted = if submit.target != self.target {
             Err(Code::WrongTarget)
+        } else if moved.is_some() {
+            Err(Code::Moved)
+        } else {
+            self.gate.enter(submit.left).await
         };
         let outcome = match admitted {
             Ok(()) => {
                 let deadline = Instant::now() + submit.left;
+                self.pointers.clear(chat).await;
                 let outcome = self.serve(link, submit, deadline).await;
                 self.gate.leave(matches!(outcome, Ok(Ok(_)))).await;
                 outcome?
@@ -175,10 +196,15 @@
             }
             Err(code) => {
                 self.metrics.result(code.name());
+                let hint = match (code, second) {
+                    (Code::OverBound, Some(second)) => self.pointers.settle(chat, second).await,
+                    _ => moved,
+                };
                 link.send(&ToRouter::Refused {
                     attempt,
                     code,
                     load,
+                    hint,
                 })
                 .await
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod picker;
 pub mod platform;
+pub mod pointers;
 pub mod relay;
 pub mod router;
 pub mod settings;
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -1,29 +1,38 @@
-//! The task that owns placement and the loads learnt from answers.
+//! The task that owns placement, the zones' ramps and the loads learnt from answers.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
 };
 
 use ebonyfall_core::{
+    choose::{Member, Pick, Placement, Reason},
     code::Code,
-    doc::Runs,
+    doc::{Runs, ZoneState},
     id::ChatId,
-    name::{TargetName, VersionName},
-    place::{Candidate, Table},
+    load::PoolLoad,
+    name::{TargetName, VersionName, VmName},
+    place::Candidate,
+    zone::Zones,
 };
 use ebonyfall_wire::frame::Load;
 use serde::Serialize;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    runtime::Handle,
+    sync::{mpsc, oneshot},
+};
 
-use crate::view::{Pool, View, Views};
+use crate::{
+    clock::Clock,
+    view::{Pool, View, Views},
+};
 
 /// Messages that may wait for the task.
 const QUEUE_LEN: usize = 4096;
 
-/// The target chosen for an attempt.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// The target chosen for an attempt. The attempt counts as running until this is dropped.
+#[derive(Debug)]
 pub struct Choice {
     /// The target.
     pub target: TargetName,
@@ -31,6 +40,37 @@
     pub agent: SocketAddr,
     /// The version that it runs, for engines.
     pub version: Option<VersionName>,
+    /// Whether a pointer of the target's agent can be followed.
+    pub follow: bool,
+    /// The target that comes next for the chat.
+    pub second: Option<TargetName>,
+    _running: Running,
+}
+
+/// Reports the end of an attempt, also when its caller went away.
+#[derive(Debug)]
+struct Running {
+    tx: mpsc::Sender<Ask>,
+    pool: Pool,
+    target: TargetName,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let ask = Ask::Ended {
+            pool: self.pool.clone(),
+            target: self.target.clone(),
+        };
+        // Dropping cannot wait, so that a full queue is left to a task of its own.
+        if let Err(mpsc::error::TrySendError::Full(ask)) = self.tx.try_send(ask)
+            && let Ok(runtime) = Handle::try_current()
+        {
+            let tx = self.tx.clone();
+            runtime.spawn(async move {
+                let _ended = tx.send(ask).await;
+            });
+        }
+    }
 }
 
 /// State of the task, for the dump.
@@ -38,8 +78,12 @@
 pub struct PickerDump {
     /// Offset of the configuration in force.
     pub configuration: u64,
-    /// Running requests by target, as last heard.
-    pub running: BTreeMap<String, u32>,
+    /// Requests by target, as far as this router can tell.
+    pub requests: BTreeMap<String, u32>,
+    /// Share of its work that each zone takes.
+    pub zones: BTreeMap<String, f64>,
+    /// Pointers to moved chats.
+    pub pointers: usize,
 }
 
 #[derive(Debug)]
@@ -50,10 +94,32 @@
         tried: Vec<TargetName>,
         reply: oneshot::Sender<Result<Choice, Code>>,
     },
+    Ended {
+        pool: Pool,
+        target: TargetName,
+    },
     Heard {
         target: TargetName,
         load: Load,
     },
+    HeardPool {
+        pool: Pool,
+        load: PoolLoad,
+    },
+    Hint {
+        pool: Pool,
+        chat: ChatId,
+        target: TargetName,
+    },
+    Served {
+        pool: Pool,
+        chat: ChatId,
+        target: TargetName,
+        reply: oneshot::Sender<Option<SocketAddr>>,
+    },
+    Leaving {
+        vms: HashSet<VmName>,
+    },
     Dump {
         reply: oneshot::Sender<PickerDump>,
     },
@@ -65,13 +131,17 @@
 
 impl Picker {
     /// Starts the task; it ends when the last handle is dropped.
-    pub fn start(views: Views) -> Self {
+    pub fn start(views: Views, clock: Clock) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let state = State {
             views,
-            tables: HashMap::new(),
             view: None,
-            loads: HashMap::new(),
+            zones: Zones::default(),
+            leaving: HashSet::new(),
+            pools: HashMap::new(),
+            clock,
+            // The task must not keep its own queue open.
+            tx: tx.downgrade(),
         };
         tokio::spawn(run(state, rx));
         Self(tx)
@@ -107,6 +177,35 @@
         let _ended = self.0.send(Ask::Heard { target, load }).await;
     }
 
+    /// Reports the sums over a pool that came by gossip.
+    pub async fn heard_pool(&self, pool: Pool, load: PoolLoad) {
+        let _ended = self.0.send(Ask::HeardPool { pool, load }).await;
+    }
+
+    /// Reports an agent's hint that `target` is the one to try next for `chat`.
+    pub async fn hint(&self, pool: Pool, chat: ChatId, target: TargetName) {
+        let _ended = self.0.send(Ask::Hint { pool, chat, target }).await;
+    }
+
+    /// Reports that `target` serves `chat`; returns the agent of the chat's home where that has to
+    /// be told.
+    pub async fn served(&self, pool: Pool, chat: ChatId, target: TargetName) -> Option<SocketAddr> {
+        let (reply, answer) = oneshot::channel();
+        let ask = Ask::Served {
+            pool,
+            chat,
+            target,
+            reply,
+        };
+        self.0.send(ask).await.ok()?;
+        answer.await.ok()?
+    }
+
+    /// Replaces the set of VMs whose targets get no new work.
+    pub async fn leaving(&self, vms: HashSet<VmName>) {
+        let _ended = self.0.send(Ask::Leaving { vms }).await;
+    }
+
     /// The task's state.
     pub async fn dump(&self) -> PickerDump {
         let (reply, answer) = oneshot::channel();
@@ -118,13 +217,35 @@
 struct State {
     views: Views,
     view: Option<Arc<View>>,
-    tables: HashMap<Pool, Table>,
-    loads: HashMap<TargetName, Load>,
+    zones: Zones,
+    leaving: HashSet<VmName>,
+    pools: HashMap<Pool, Placement>,
+    clock: Clock,
+    tx: mpsc::WeakSender<Ask>,
 }
 
 async fn run(mut state: State, mut rx: mpsc::Receiver<Ask>) {
-    while let Some(ask) = rx.recv().await {
-        state.refresh();
+    loop {
+        // A new view is taken at once and not with the next request, so that a zone's ramp starts
+        // when the document comes into force.
+        let ask = tokio::select! {
+            ask = rx.recv() => ask,
+            Ok(()) = state.views.changed() => {
+                state.refresh();
+                continue;
+            }
+        };
+        let Some(ask) = ask else { return };
+        if state.view.is_none() || state.views.has_changed().unwrap_or(false) {
+            state.refresh();
+        }
+        state.handle(ask);
+    }
+}
+
+impl State {
+    fn handle(&mut self, ask: Ask) {
+        let now = self.clock.now();
         match ask {
             Ask::Choose {
                 pool,
@@ -132,72 +253,165 @@
                 tried,
                 reply,
             } => {
-                let _caller_gone = reply.send(state.choose(&pool, chat, &tried));
+                let _caller_gone = reply.send(self.choose(pool, chat, &tried));
+            }
+            Ask::Ended { pool, target } => {
+                if let Some(placement) = self.pools.get_mut(&pool) {
+                    placement.ended(&target, now);
+                }
             }
             Ask::Heard { target, load } => {
-                state.loads.insert(target, load);
+                let requests = load.running + load.waiting;
+                for placement in self.pools.values_mut() {
+                    placement.heard(&target, requests, load.limit, now);
+                }
+            }
+            Ask::HeardPool { pool, load } => {
+                if let Some(placement) = self.pools.get_mut(&pool) {
+                    placement.heard_pool(load, now);
+                }
+            }
+            Ask::Hint { pool, chat, target } => {
+                if let Some(placement) = self.pools.get_mut(&pool) {
+                    placement.hint(chat, &target, now);
+                }
+            }
+            Ask::Served {
+                pool,
+                chat,
+                target,
+                reply,
+            } => {
+                let _caller_gone = reply.send(self.served(&pool, chat, &target));
+            }
+            Ask::Leaving { vms } => {
+                if vms != self.leaving {
+                    self.leaving = vms;
+                    self.refresh();
+                }
             }
             Ask::Dump { reply } => {
-                let _caller_gone = reply.send(state.dump());
+                let _caller_gone = reply.send(self.dump());
             }
         }
     }
-}
 
-impl State {
+    /// Takes the newest view and the VMs that are leaving.
     fn refresh(&mut self) {
-        if self.view.is_none() || self.views.has_changed().unwrap_or(false) {
-            self.view.clone_from(&self.views.borrow_and_update());
-            self.tables.clear();
+        self.view.clone_from(&self.views.borrow_and_update());
+        let Some(view) = self.view.clone() else {
+            return;
+        };
+        let now = self.clock.now();
+        let document = &view.document;
+        let ramp = document.limits.zone_ramp;
+        self.zones.retain(|zone| document.zones.contains_key(zone));
+        for (name, zone) in &document.zones {
+            let mut targets = document.targets.values().filter(|t| t.zone == *name);
+            let left = !self.leaving.is_empty()
+                && targets.clone().next().is_some()
+                && targets.all(|target| self.leaving.contains(&target.vm));
+            let state = if left { ZoneState::Out } else { zone.state };
+            self.zones.set(name, state, ramp, now);
+        }
+        let pools: HashSet<_> = document
+            .targets
+            .values()
+            .map(|target| Pool::of(&target.runs))
+            .collect();
+        self.pools.retain(|pool, _| pools.contains(pool));
+        for pool in pools {
+            let members = self.members(&view, &pool);
+            let multiple = document.limits.load_multiple;
+            let placement = self
+                .pools
+                .entry(pool)
+                .or_insert_with(|| Placement::new(multiple));
+            placement.set_targets(&members, multiple, &self.zones, now);
         }
     }
 
-    fn choose(&mut self, pool: &Pool, chat: ChatId, tried: &[TargetName]) -> Result<Choice, Code> {
-        let Some(view) = &self.view else {
-            return Err(Code::NoTarget);
-        };
-        let table = self
-            .tables
-            .entry(pool.clone())
-            .or_insert_with(|| table(view, pool));
-        let ranked = table.rank(chat);
-        let name = ranked.into_iter().find(|name| !tried.contains(name));
-        let name = name.ok_or(if tried.is_empty() {
+    fn members(&self, view: &View, pool: &Pool) -> Vec<Member> {
+        let targets = view.document.targets.iter();
+        let targets = targets.filter(|(_, target)| pool.contains(&target.runs));
+        targets
+            .map(|(name, target)| Member {
+                candidate: Candidate {
+                    name: name.clone(),
+                    zone: target.zone.clone(),
+                    weight: f64::from(target.slots),
+                },
+                serving: !self.leaving.contains(&target.vm),
+            })
+            .collect()
+    }
+
+    fn choose(&mut self, pool: Pool, chat: ChatId, tried: &[TargetName]) -> Result<Choice, Code> {
+        let now = self.clock.now();
+        let none = if tried.is_empty() {
             Code::NoTarget
         } else {
             Code::Overloaded
-        })?;
-        let target = &view.document.targets[name];
+        };
+        let (Some(view), Some(placement)) = (&self.view, self.pools.get_mut(&pool)) else {
+            return Err(none);
+        };
+        let tx = self.tx.upgrade().ok_or(Code::ShuttingDown)?;
+        let pick = placement.choose(chat, tried, &self.zones, now);
+        let Pick {
+            target: name,
+            reason,
+            second,
+            ..
+        } = pick.ok_or(none)?;
+        let target = &view.document.targets[&name];
         let version = match &target.runs {
             Runs::Engine { version, .. } => Some(version.clone()),
             Runs::Service(_) => None,
         };
         Ok(Choice {
-            target: name.clone(),
             agent: target.agent,
             version,
+            follow: reason == Reason::Home && tried.is_empty(),
+            second,
+            _running: Running {
+                tx,
+                pool,
+                target: name.clone(),
+            },
+            target: name,
         })
     }
 
-    fn dump(&self) -> PickerDump {
-        let running = self.loads.iter();
-        PickerDump {
-            configuration: self.view.as_ref().map_or(0, |view| view.offset.into()),
-            running: running
-                .map(|(name, load)| (name.to_string(), load.running))
-                .collect(),
+    fn served(&mut self, pool: &Pool, chat: ChatId, target: &TargetName) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        let view = self.view.as_ref()?;
+        let placement = self.pools.get_mut(pool)?;
+        if !placement.served(chat, target, now) {
+            return None;
         }
+        let home = placement.home(chat)?;
+        let agent = view.document.targets[home].agent;
+        (home != target).then_some(agent)
     }
-}
 
-fn table(view: &View, pool: &Pool) -> Table {
-    let targets = view.document.targets.iter();
-    Table::new(
-        targets
-            .filter(|(_, target)| pool.contains(&target.runs))
-            .map(|(name, target)| Candidate {
-                name: name.clone(),
-                weight: f64::from(target.slots),
-            }),
-    )
+    fn dump(&self) -> PickerDump {
+        let now = self.clock.now();
+        let mut dump = PickerDump::default();
+        if let Some(view) = &self.view {
+            dump.configuration = view.offset.into();
+            let zones = view.document.zones.keys();
+            dump.zones = zones
+                .map(|zone| (zone.to_string(), self.zones.share(zone, now)))
+                .collect();
+        }
+        for placement in self.pools.values() {
+            dump.pointers += placement.pointers().len();
+            for (_, candidate) in placement.table().targets() {
+                let requests = placement.requests(&candidate.name, now);
+                dump.requests.insert(candidate.name.to_string(), requests);
+            }
+        }
+        dump
+    }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -8,7 +8,7 @@
     code::{Code, Ran},
     doc::{Priority, Repeat},
     id::{AttemptId, ChatId, RequestId},
-    name::TeamName,
+    name::{TargetName, TeamName},
 };
 use ebonyfall_wire::frame::{Call, Head, Submit, ToAgent, ToRouter};
 use slog::{Logger, debug};
@@ -112,7 +112,10 @@
                 number,
             };
             match self.attempt(&job, attempt, choice, deadline).await {
-                Ok(started) => return Ok(self.stream(started, deadline)),
+                Ok(started) => {
+                    self.note_moved(&job, started.choice.target.clone());
+                    return Ok(self.stream(started, deadline));
+                }
                 Err(code) => {
                     debug!(self.log, "attempt failed"; "attempt" => %attempt, "code" => code.name());
                     last = code;
@@ -143,6 +146,8 @@
             version: choice.version.clone(),
             team: job.team.clone(),
             chat: job.chat,
+            follow: choice.follow,
+            second: choice.second.clone(),
             priority: job.priority,
             repeat: job.repeat,
             left,
@@ -170,8 +175,12 @@
                 attempt: found,
                 code,
                 load,
+                hint,
             }) if found == attempt => {
                 self.picker.heard(choice.target.clone(), load).await;
+                if let Some(target) = hint {
+                    self.picker.hint(job.pool.clone(), job.chat, target).await;
+                }
                 self.links.put(choice.agent, link).await;
                 Err(code)
             }
@@ -198,6 +207,28 @@
         })
     }
 
+    /// Tells the home agent of a model's chat that another target holds its context now. The answer
+    /// does not wait for it, and a lost notice costs one cache miss.
+    fn note_moved(&self, job: &Job, target: TargetName) {
+        let (pool, chat) = (job.pool.clone(), job.chat);
+        if matches!(pool, Pool::Service(_)) {
+            return;
+        }
+        let relay = self.clone();
+        tokio::spawn(async move {
+            let served = relay.picker.served(pool, chat, target.clone()).await;
+            let Some(home) = served else { return };
+            let link = match relay.links.take(home).await {
+                Some(link) => Ok(link),
+                None => Link::dial(&relay.identity, home).await,
+            };
+            let Ok(mut link) = link else { return };
+            if link.send(&ToAgent::Moved { chat, target }).await.is_ok() {
+                relay.links.put(home, link).await;
+            }
+        });
+    }
+
     /// Passes the body on in a task of its own, which owns the connection.
     fn stream(&self, started: Started, deadline: Instant) -> Answer {
         let (tx, body) = mpsc::channel(PARTS_IN_FLIGHT);
@@ -258,12 +289,12 @@
                     answer
                         .done(attempt, length)
                         .map_err(|error| self.mismatch(&error))?;
-                    self.picker.heard(choice.target, load).await;
+                    self.picker.heard(choice.target.clone(), load).await;
                     self.links.put(choice.agent, link).await;
                     return Ok(());
                 }
                 ToRouter::Refused { load, .. } => {
-                    self.picker.heard(choice.target, load).await;
+                    self.picker.heard(choice.target.clone(), load).await;
                     return Err(Code::StreamCut);
                 }
                 ToRouter::Head { .. } => return Err(Code::AnswerMismatch),
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,8 +7,16 @@
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
-    clock, front, link::Identity, links::Links, metrics::Metrics, picker::Picker,
-    platform::Platform, relay::Relay, settings::RouterConfig, view, web,
+    clock::{self, Clock},
+    front,
+    link::Identity,
+    links::Links,
+    metrics::Metrics,
+    picker::Picker,
+    platform::Platform,
+    relay::Relay,
+    settings::RouterConfig,
+    view, web,
 };
 
 /// The router cannot run.
@@ -39,7 +47,7 @@
 ) -> Result<(), RouterError> {
     let platform = Platform::new(&cfg.common.platform);
     let views = view::follow(platform, log.clone());
-    let picker = Picker::start(views.clone());
+    let picker = Picker::start(views.clone(), Clock::start());
     let metrics = Metrics::new();
     let relay = Relay {
         identity: Identity {
--- a/src/view.rs
+++ b/src/view.rs
@@ -32,6 +32,14 @@
 }
 
 impl Pool {
+    /// The pool of a target that runs `runs`.
+    pub fn of(runs: &Runs) -> Self {
+        match runs {
+            Runs::Engine { model, .. } => Self::Model(model.clone()),
+            Runs::Service(service) => Self::Service(service.clone()),
+        }
+    }
+
     /// Whether a target that runs `runs` belongs to the pool.
     pub fn contains(&self, runs: &Runs) -> bool {
         match (self, runs) {
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -75,6 +75,10 @@
     pub priority: Priority,
     /// Whether the request may run again.
     pub repeat: Repeat,
+    /// Whether the router can follow a pointer to the target that holds the chat's context.
+    pub follow: bool,
+    /// The target that comes next for the chat, which a refusal above the load bound may hint at.
+    pub second: Option<TargetName>,
     /// Time left until the deadline.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub left: Duration,
@@ -87,6 +91,14 @@
 pub enum ToAgent {
     /// Run this request.
     Submit(Box<Submit>),
+    /// The context of a chat has moved from its home target, which gets this notice, to another.
+    /// There is no reply.
+    Moved {
+        /// The chat.
+        chat: ChatId,
+        /// The target that holds its context.
+        target: TargetName,
+    },
 }
 
 /// The load of a target.
@@ -145,6 +157,8 @@
         code: Code,
         /// The target's load.
         load: Load,
+        /// The target to try next for this chat.
+        hint: Option<TargetName>,
     },
 }
 
