--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,5 +1,9 @@
 //! Demo, load tool and measurements of the fleet.
 
+pub mod case;
 pub mod client;
 pub mod demo;
 pub mod moves;
+pub mod place;
+pub mod ring;
+pub mod sim;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{demo, moves};
+use ebonyfall_bench::{demo, moves, place};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -18,6 +18,7 @@
 enum Command {
     Demo(demo::DemoArgs),
     Moves(moves::MovesArgs),
+    Place(place::PlaceArgs),
 }
 
 fn main() -> ExitCode {
@@ -36,6 +37,7 @@
     let held = match args.command {
         Command::Demo(args) => runtime.block_on(demo::run(args))?,
         Command::Moves(args) => moves::run(&args)?,
+        Command::Place(args) => place::run(&args)?,
     };
     Ok(if held {
         ExitCode::SUCCESS
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -12,8 +12,9 @@
     time::Time,
 };
 
-/// Times that a broken connection is replaced within one attempt.
-const MAX_RESUMES: u32 = 3;
+/// Times that a broken connection is replaced without a byte of progress in between. Answers that
+/// last over several breaks were given up when breaks were counted over the whole attempt.
+const MAX_RESUMES: u32 = 8;
 
 /// What happened to the request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -237,7 +238,10 @@
                 len,
             } if attempt == self.attempt() => match self.answer.part(attempt, offset, len) {
                 Ok(skip) if skip == len => Action::Drop,
-                Ok(skip) => Action::Deliver { skip },
+                Ok(skip) => {
+                    self.resumes = 0;
+                    Action::Deliver { skip }
+                }
                 // Bytes are missing: the target still has them.
                 Err(_) => self.lost(random, now),
             },
--- a/src/router.rs
+++ b/src/router.rs
@@ -53,7 +53,7 @@
 ) -> Result<(), RouterError> {
     let platform = Platform::new(&cfg.common.platform);
     let views = view::follow(platform, log.clone());
-    let picker = Picker::start(views.clone());
+    let picker = Picker::start(views.clone(), Clock::start());
     let metrics = Metrics::new();
     let open = metrics.open.clone();
     let relay = Relay {
--- a/src/session.rs
+++ b/src/session.rs
@@ -8,7 +8,7 @@
 use ebonyfall_wire::frame::{Head, ToAgent, ToRouter};
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep_until},
+    time::{Instant, sleep_until, timeout},
 };
 
 use crate::{gate::Handover, link::Link};
@@ -23,6 +23,8 @@
 pub enum Signal {
     /// Nobody waits for the answer any more.
     Cancel,
+    /// The router has sent its next message, so that it has received the whole answer.
+    Next(Box<ToAgent>),
     /// The connection broke; a new one may come.
     Lost,
     /// A new connection has come.
@@ -80,8 +82,8 @@
         };
         tokio::select! {
             received = link.receive::<ToAgent>() => match received {
-                // A router sends nothing else while its request runs.
-                Ok(_) => Signal::Cancel,
+                Ok(ToAgent::Cancel { .. }) => Signal::Cancel,
+                Ok(message) => Signal::Next(Box::new(message)),
                 Err(_) => Signal::Lost,
             },
             Some(handover) = self.handover.recv() => Signal::Handover(Box::new(handover)),
@@ -91,7 +93,8 @@
     /// Acts on a signal; false when the attempt is over.
     pub async fn on_signal(&mut self, signal: Signal) -> bool {
         match signal {
-            Signal::Cancel => false,
+            // A router sends nothing but a cancellation while its request runs.
+            Signal::Cancel | Signal::Next(_) => false,
             Signal::Lost => {
                 self.park();
                 true
@@ -126,18 +129,29 @@
         self.send(&part).await;
     }
 
-    /// Sends the last message, on a new connection if need be; returns the connection for the
-    /// next request.
-    pub async fn send_last(mut self, message: ToRouter) -> Option<Link> {
-        self.send(&message).await;
-        while !self.is_attached() {
-            let signal = self.signal().await;
-            if !self.on_signal(signal).await {
-                return None;
+    /// Sends the last message and stays ready to send it again on a new connection, until the
+    /// router's next message or a while without one tells that it has arrived. Returns the
+    /// connection, with that message, for the next request.
+    ///
+    /// A message that was written to a connection just before it broke may not have arrived.
+    pub async fn settle(mut self, last: ToRouter) -> Option<(Link, Option<ToAgent>)> {
+        self.send(&last).await;
+        loop {
+            let Ok(signal) = timeout(RESUME_GRACE, self.signal()).await else {
+                return self.link.map(|link| (link, None));
+            };
+            match signal {
+                Signal::Next(message) => return self.link.map(|link| (link, Some(*message))),
+                Signal::Cancel => return None,
+                Signal::Lost => self.park(),
+                Signal::Handover(handover) => {
+                    if !self.attach(*handover).await {
+                        return None;
+                    }
+                    self.send(&last).await;
+                }
             }
-            self.send(&message).await;
         }
-        self.link
     }
 
     async fn send(&mut self, message: &ToRouter) {
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -72,6 +72,10 @@
     pub team: TeamName,
     /// The chat that the request belongs to.
     pub chat: ChatId,
+    /// Whether the router can follow a pointer to the target that holds the chat's context.
+    pub follow: bool,
+    /// The target that comes next for the chat, which a refusal above the load bound may hint at.
+    pub second: Option<TargetName>,
     /// How urgent the request is.
     pub priority: Priority,
     /// Whether the request may run again.
@@ -102,6 +106,14 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// The context of a chat has moved from its home target, which gets this notice, to another.
+    /// There is no reply.
+    Moved {
+        /// The chat.
+        chat: ChatId,
+        /// The target that holds its context.
+        target: TargetName,
+    },
 }
 
 /// The load of a target.
@@ -162,6 +174,8 @@
         retry_after_ms: u32,
         /// The target's load.
         load: Load,
+        /// The target to try next for this chat.
+        hint: Option<TargetName>,
     },
 }
 
