--- a/core/src/ini.rs
+++ b/core/src/ini.rs
@@ -99,7 +99,8 @@
                 Item::Error(text) => fault("header", text, "[kind] or [kind name]"),
                 Item::Section(title) => {
                     let (kind, name) = title.split_once(' ').unwrap_or((title, ""));
-                    if !titles.insert(title.to_owned()) {
+                    // Titles are compared as they are rendered, so that spaces make no difference.
+                    if !titles.insert((kind.to_owned(), name.trim().to_owned())) {
                         fault(title, "a second section of this name", "one");
                     }
                     sections.push(Section {
--- a/core/src/name.rs
+++ b/core/src/name.rs
@@ -110,6 +110,13 @@
     ProcessName;
 }
 
+impl From<ProcessName> for OperatorName {
+    /// The author of a renewal is a process.
+    fn from(name: ProcessName) -> Self {
+        Self(name.0)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod auth;
 pub mod frame;
+pub mod record;
