Follow the configuration chain in each process and publish through it

Cause: processes took the last text in the log, and a publish was a bare append without read-back.

`view` polls with jitter, backs off to 4 s while the log is down, keeps the last view, notices a log that ends before what was read, renews, and measures the time from publish to in force.

Ruled out: publishing the views of a reader that has not reached the end of the log, since a restarted process would pass through older configurations.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -72,7 +72,9 @@
 ) -> Result<(), AgentError> {
     let clock = Clock::start();
     let platform = Platform::new(&cfg.common.platform);
-    let mut views = view::follow(platform, log.clone());
+    let metrics = Metrics::new();
+    let config = view::follow(platform, &cfg.common.name, metrics.clone(), log.clone());
+    let mut views = config.views().clone();
     let address = cfg.listen;
     let listener = TcpListener::bind(address)
         .await
@@ -100,7 +102,7 @@
         },
         gate: Gate::start(capacity, clock),
         backend: Backend::new(cfg.backend),
-        metrics: Metrics::new(),
+        metrics,
         log,
     };
     info!(agent.log, "agent ready"; "target" => %agent.target, "listen" => address);
--- a/src/bin/ebonyfall.rs
+++ b/src/bin/ebonyfall.rs
@@ -6,8 +6,8 @@
     cli::{Command, OperatorArgs},
     daemon,
     exit::ExitCode,
+    operate::{self, Request},
     platform::Platform,
-    view::CONFIG_STREAM,
 };
 use ebonyfall_core::doc::Document;
 use tokio::runtime::Builder;
@@ -35,8 +35,15 @@
             };
             let platform = Platform::new(args.platform);
             let runtime = Builder::new_current_thread().enable_all().build()?;
-            let append = platform.append(CONFIG_STREAM, document.text.as_bytes());
-            println!("published at offset {}", runtime.block_on(append)?);
+            let file = args.file.display().to_string();
+            let req = Request {
+                file: &file,
+                text: &document.text,
+                author: "operator".parse()?,
+                base: None,
+                initial: false,
+            };
+            println!("{:?}", runtime.block_on(operate::publish(&platform, req))?);
         }
         Command::Dump(_) => return Ok(ExitCode::Usage),
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,13 +1,18 @@
 //! Metrics of a process, in the Prometheus text format.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
-    metrics::{counter::Counter, family::Family},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
+use crate::tail::Rejects;
+
+/// Upper bounds of the time to in force, in seconds, about the goal of 3 s and the bound of 8 s.
+const IN_FORCE_BUCKETS: [f64; 8] = [0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 8.0, 30.0];
+
 /// Labels of a result counter.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ResultLabels {
@@ -15,6 +20,13 @@
     pub code: &'static str,
 }
 
+/// Labels of a counter of invalid configuration records.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RejectLabels {
+    /// Why the records are invalid.
+    pub cause: &'static str,
+}
+
 /// Counters of a process.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -27,6 +39,13 @@
     pub mismatches: Counter,
     /// Connections and frames dropped because they did not verify.
     pub rejected_frames: Counter,
+    /// Offset of the configuration in force.
+    pub configuration_offset: Gauge,
+    /// 1 while the log ends before records that were read from it.
+    pub log_reset: Gauge,
+    log_read: Gauge,
+    in_force: Histogram,
+    rejects: Family<RejectLabels, Gauge>,
 }
 
 impl Metrics {
@@ -49,12 +68,47 @@
             "Frames that did not verify",
             rejected_frames.clone(),
         );
+        let configuration_offset = Gauge::default();
+        let log_reset = Gauge::default();
+        let log_read = Gauge::default();
+        let in_force = Histogram::new(IN_FORCE_BUCKETS);
+        let rejects = Family::default();
+        registry.register(
+            "configuration_offset",
+            "Offset of the configuration in force",
+            configuration_offset.clone(),
+        );
+        registry.register(
+            "configuration_log_reset",
+            "1 while the log ends before records that were read from it",
+            log_reset.clone(),
+        );
+        registry.register(
+            "configuration_log_read_timestamp_seconds",
+            "Unix time of the last successful read of the log",
+            log_read.clone(),
+        );
+        registry.register(
+            "configuration_in_force_seconds",
+            "Time from publishing until the configuration was in force here",
+            in_force.clone(),
+        );
+        registry.register(
+            "configuration_rejected_records",
+            "Configuration records that were found invalid, by cause",
+            rejects.clone(),
+        );
         Self {
             registry: Arc::new(registry),
             results,
             retries,
             mismatches,
             rejected_frames,
+            configuration_offset,
+            log_reset,
+            log_read,
+            in_force,
+            rejects,
         }
     }
 
@@ -63,6 +117,31 @@
         self.results.get_or_create(&ResultLabels { code }).inc();
     }
 
+    /// Notes a successful read of the log at `unix_time`.
+    pub fn log_read(&self, unix_time: Duration) {
+        let seconds = i64::try_from(unix_time.as_secs()).unwrap_or(i64::MAX);
+        self.log_read.set(seconds);
+    }
+
+    /// Notes the time from publishing a configuration until it was in force here.
+    pub fn in_force(&self, after: Duration) {
+        self.in_force.observe(after.as_secs_f64());
+    }
+
+    /// Notes the configuration records that were found invalid so far.
+    pub fn rejects(&self, rejects: Rejects) {
+        let causes = [
+            ("parent", rejects.parent),
+            ("digest", rejects.digest),
+            ("document", rejects.document),
+            ("contradiction", rejects.contradiction),
+        ];
+        for (cause, count) in causes {
+            let gauge = self.rejects.get_or_create(&RejectLabels { cause });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Every metric as text.
     pub fn encode(&self) -> String {
         let mut buf = String::new();
--- a/src/router.rs
+++ b/src/router.rs
@@ -38,9 +38,10 @@
     log: Logger,
 ) -> Result<(), RouterError> {
     let platform = Platform::new(&cfg.common.platform);
-    let views = view::follow(platform, log.clone());
-    let picker = Picker::start(views.clone());
     let metrics = Metrics::new();
+    let config = view::follow(platform, &cfg.common.name, metrics.clone(), log.clone());
+    let views = config.views().clone();
+    let picker = Picker::start(views.clone());
     let relay = Relay {
         identity: Identity {
             name: cfg.common.name,
--- /dev/null
+++ b/src/tail.rs
@@ -0,0 +1,168 @@
+//! Reads configuration records from the platform's log into a chain.
+
+use ebonyfall_core::{
+    config::{Applied, Chain, Reject},
+    id::Offset,
+};
+use ebonyfall_wire::record;
+
+use crate::platform::{Batch, Platform, PlatformError};
+
+/// Stream of the platform's log that holds the configuration.
+pub const CONFIG_STREAM: &str = "config";
+/// Records read at once.
+const BATCH: u32 = 256;
+/// Records before the end of the log that a starting reader looks at first. Several snapshots are
+/// among them unless most records are losers; otherwise all retained records are read.
+const WINDOW: u64 = 4 * ebonyfall_core::config::SNAPSHOT_EVERY as u64;
+
+/// Records that were found invalid, by cause.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Rejects {
+    /// Another record came first.
+    pub parent: u64,
+    /// The record cannot be decoded, or its digest does not fit.
+    pub digest: u64,
+    /// The document has faults.
+    pub document: u64,
+    /// The record differs from what a peer gave for its offset.
+    pub contradiction: u64,
+}
+
+/// A reader's place in the log.
+#[derive(Debug)]
+pub struct Tail {
+    platform: Platform,
+    chain: Chain,
+    started: bool,
+    /// Whether the reading began at the first retained record.
+    complete: bool,
+    reset: bool,
+    rejects: Rejects,
+}
+
+impl Tail {
+    /// Makes a reader that has read nothing.
+    pub fn new(platform: Platform) -> Self {
+        Self {
+            platform,
+            chain: Chain::new(),
+            started: false,
+            complete: true,
+            reset: false,
+            rejects: Rejects::default(),
+        }
+    }
+
+    /// What was found.
+    pub fn chain(&self) -> &Chain {
+        &self.chain
+    }
+
+    /// What was found, to offer it a peer's records.
+    pub fn chain_mut(&mut self) -> &mut Chain {
+        &mut self.chain
+    }
+
+    /// Whether the log ends before records that were read from it.
+    pub fn reset(&self) -> bool {
+        self.reset
+    }
+
+    /// Records that were found invalid.
+    pub fn rejects(&self) -> Rejects {
+        self.rejects
+    }
+
+    /// Reads to the end of the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does.
+    pub async fn advance(&mut self) -> Result<(), PlatformError> {
+        if !self.started {
+            self.begin().await?;
+        }
+        self.read_on().await?;
+        if !self.chain.caught_up(self.complete) && !self.complete {
+            self.begin_again().await?;
+        }
+        Ok(())
+    }
+
+    /// Reads every retained record, however many there are.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does.
+    pub async fn advance_whole(&mut self) -> Result<(), PlatformError> {
+        self.started = true;
+        self.begin_again().await
+    }
+
+    async fn begin(&mut self) -> Result<(), PlatformError> {
+        let batch = self.batch(Offset::default(), 1).await?;
+        let (first, next) = (u64::from(batch.first), u64::from(batch.next));
+        let from = first.max(next.saturating_sub(WINDOW));
+        self.complete = from == first;
+        self.chain.start(Offset::from(from));
+        self.started = true;
+        Ok(())
+    }
+
+    async fn begin_again(&mut self) -> Result<(), PlatformError> {
+        let first = self.batch(Offset::default(), 1).await?.first;
+        let old = std::mem::take(&mut self.chain);
+        self.complete = true;
+        self.chain.start(first);
+        let read = self.read_on().await;
+        self.chain.caught_up(true);
+        if let Some(snapshot) = old.snapshot() {
+            // What a peer gave stays, unless the log holds something newer.
+            let _older = self.chain.offer_snapshot(snapshot);
+        }
+        read
+    }
+
+    async fn read_on(&mut self) -> Result<(), PlatformError> {
+        loop {
+            let from = self.chain.next();
+            let batch = self.batch(from, BATCH).await?;
+            if batch.first > from {
+                self.complete = true;
+                self.chain.start(batch.first);
+            }
+            self.reset = batch.next < from;
+            if self.reset {
+                return Ok(());
+            }
+            for item in batch.records {
+                let decoded = record::decode(&item.data).ok();
+                let applied = self.chain.apply(item.offset, decoded);
+                self.count(applied);
+            }
+            if self.chain.next() >= batch.next {
+                return Ok(());
+            }
+        }
+    }
+
+    fn count(&mut self, applied: Applied) {
+        match applied {
+            Applied::Valid | Applied::Pending | Applied::Old => {}
+            Applied::Contradiction => self.rejects.contradiction += 1,
+            Applied::Rejected(Reject::Parent) => self.rejects.parent += 1,
+            Applied::Rejected(Reject::Digest) => self.rejects.digest += 1,
+            Applied::Rejected(Reject::Document) => self.rejects.document += 1,
+        }
+    }
+
+    async fn batch(&self, from: Offset, limit: u32) -> Result<Batch, PlatformError> {
+        match self.platform.read(CONFIG_STREAM, from, limit).await {
+            Err(PlatformError::Expired { first }) => {
+                self.platform.read(CONFIG_STREAM, first, limit).await
+            }
+            other => other,
+        }
+    }
+}
--- a/src/view.rs
+++ b/src/view.rs
@@ -3,24 +3,33 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use ebonyfall_core::{
+    config::{Digest, Entry, Refused, Snapshot, Tip},
     doc::{Document, KeyHash, Route, Runs},
     id::{Incarnation, Offset},
-    name::{ModelName, ServiceName, TeamName},
+    name::{ModelName, OperatorName, ProcessName, ServiceName, TeamName},
 };
+use ebonyfall_wire::record;
+use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
 use tokio::{
-    sync::watch,
-    time::{MissedTickBehavior, interval},
+    sync::{mpsc, oneshot, watch},
+    time::{self, Instant},
 };
 
-use crate::platform::{Platform, PlatformError};
+use crate::{
+    clock,
+    metrics::Metrics,
+    platform::Platform,
+    tail::{CONFIG_STREAM, Tail},
+};
 
-/// Stream of the platform's log that holds the configuration.
-pub const CONFIG_STREAM: &str = "config";
-/// Time between two looks at the log.
+/// Mean time between two looks at the log.
 const POLL: Duration = Duration::from_secs(1);
-/// Records read at once.
-const BATCH: u32 = 256;
+/// Longest pause while the log is down; with the platform's timeout, a change is still in force
+/// within 8 s after the log is back.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+/// Messages that may wait for the task.
+const QUEUE_LEN: usize = 64;
 
 /// The targets among which one is chosen for a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -47,15 +56,22 @@
 pub struct View {
     /// Offset of the document's record.
     pub offset: Offset,
+    /// Digest of the document.
+    pub digest: Digest,
+    /// The operator, or the process that renewed.
+    pub author: OperatorName,
+    /// When the record was published, in milliseconds since the Unix epoch.
+    pub published: u64,
     /// The document.
-    pub document: Document,
+    pub document: Arc<Document>,
     teams: HashMap<KeyHash, TeamName>,
     routes: HashMap<(String, String), Route>,
 }
 
 impl View {
-    /// Prepares a document.
-    pub fn new(offset: Offset, document: Document) -> Self {
+    /// Prepares the document of a tip.
+    pub fn new(tip: &Tip) -> Self {
+        let document = Arc::clone(&tip.document);
         let keys = document.teams.iter();
         let teams = keys
             .flat_map(|(name, team)| team.keys.iter().map(|key| (*key, name.clone())))
@@ -65,7 +81,10 @@
             .map(|route| ((route.method.clone(), route.path.clone()), route.clone()))
             .collect();
         Self {
-            offset,
+            offset: tip.offset,
+            digest: tip.digest,
+            author: tip.author.clone(),
+            published: tip.time,
             document,
             teams,
             routes,
@@ -86,45 +105,299 @@
 /// The newest view, absent until the first document has been read.
 pub type Views = watch::Receiver<Option<Arc<View>>>;
 
-/// Starts the task that follows the log; it ends when the last receiver is dropped.
-pub fn follow(platform: Platform, log: Logger) -> Views {
-    let (tx, rx) = watch::channel(None);
-    tokio::spawn(async move {
-        let mut next = Offset::default();
-        let mut ticks = interval(POLL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+/// What a process knows about its configuration.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ConfigState {
+    /// Offset of the record in force.
+    pub offset: Option<Offset>,
+    /// Digest of the document in force, as hex digits.
+    pub digest: Option<String>,
+    /// Who published it.
+    pub author: Option<String>,
+    /// When it was published, in milliseconds since the Unix epoch.
+    pub published_ms: u64,
+    /// Time from publishing until it was in force here, by the clocks of both machines.
+    pub in_force_after_ms: Option<u64>,
+    /// Time since the log was read successfully.
+    pub log_read_age_ms: Option<u64>,
+    /// Why the log cannot be read at present.
+    pub log_error: Option<String>,
+    /// Whether the log ends before records that were read from it.
+    pub log_reset: bool,
+    /// Whether the process has not found its place in the log.
+    pub searching: bool,
+    /// Configuration records that were found invalid.
+    pub rejected_records: u64,
+}
+
+enum Ask {
+    State(oneshot::Sender<ConfigState>),
+    Snapshot(oneshot::Sender<Option<Snapshot>>),
+    RecordsAfter(Offset, oneshot::Sender<Option<Vec<Entry>>>),
+    OfferSnapshot(Snapshot, oneshot::Sender<Result<(), Refused>>),
+    OfferRecords(Vec<Entry>, oneshot::Sender<Result<usize, Refused>>),
+    Look,
+}
+
+/// Speaks with the task that follows the configuration.
+#[derive(Debug, Clone)]
+pub struct Config {
+    tx: mpsc::Sender<Ask>,
+    views: Views,
+}
+
+impl Config {
+    /// The views of this process.
+    pub fn views(&self) -> &Views {
+        &self.views
+    }
+
+    /// Offset and digest of the newest valid record.
+    pub fn tip(&self) -> Option<(Offset, Digest)> {
+        let view = self.views.borrow();
+        view.as_ref().map(|view| (view.offset, view.digest))
+    }
+
+    /// What the process knows about its configuration.
+    pub async fn state(&self) -> ConfigState {
+        self.ask(Ask::State).await.unwrap_or_default()
+    }
+
+    /// The document in force, for a peer.
+    pub async fn snapshot(&self) -> Option<Snapshot> {
+        self.ask(Ask::Snapshot).await.flatten()
+    }
+
+    /// The valid records after the valid record at `offset`; `None` when they are no longer held,
+    /// so that the peer needs a snapshot.
+    pub async fn records_after(&self, offset: Offset) -> Option<Vec<Entry>> {
+        let records = self.ask(|reply| Ask::RecordsAfter(offset, reply)).await;
+        records.flatten()
+    }
+
+    /// Offers a document that a peer has in force.
+    ///
+    /// # Errors
+    ///
+    /// Says why it was not taken.
+    pub async fn offer_snapshot(&self, snapshot: Snapshot) -> Result<(), Refused> {
+        let taken = self.ask(|reply| Ask::OfferSnapshot(snapshot, reply)).await;
+        taken.unwrap_or(Err(Refused::Gap))
+    }
+
+    /// Offers valid records from a peer; returns how many were taken.
+    ///
+    /// # Errors
+    ///
+    /// Says why the first one that does not fit was not taken.
+    pub async fn offer_records(&self, records: Vec<Entry>) -> Result<usize, Refused> {
+        let taken = self.ask(|reply| Ask::OfferRecords(records, reply)).await;
+        taken.unwrap_or(Err(Refused::Gap))
+    }
+
+    /// Has the task look at the log at once.
+    pub async fn look(&self) {
+        let _ended = self.tx.send(Ask::Look).await;
+    }
+
+    async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.tx.send(ask(reply)).await.ok()?;
+        answer.await.ok()
+    }
+}
+
+/// Starts the task that follows the log; it ends when the last handle is dropped.
+pub fn follow(platform: Platform, name: &ProcessName, metrics: Metrics, log: Logger) -> Config {
+    let (views, rx) = watch::channel(None);
+    let (tx, asks) = mpsc::channel(QUEUE_LEN);
+    let follower = Follower {
+        tail: Tail::new(platform.clone()),
+        platform,
+        author: name.clone().into(),
+        views,
+        random: rand::random(),
+        metrics,
+        log,
+        read_at: None,
+        error: None,
+        pause: POLL,
+        in_force_after: None,
+        renewed_at: 0,
+    };
+    tokio::spawn(follower.run(asks));
+    Config { tx, views: rx }
+}
+
+struct Follower {
+    tail: Tail,
+    platform: Platform,
+    author: OperatorName,
+    views: watch::Sender<Option<Arc<View>>>,
+    /// Draws the time of this process's renewals.
+    random: u64,
+    metrics: Metrics,
+    log: Logger,
+    read_at: Option<Instant>,
+    error: Option<String>,
+    pause: Duration,
+    in_force_after: Option<u64>,
+    /// When this process last tried to renew, in milliseconds since the Unix epoch.
+    renewed_at: u64,
+}
+
+impl Follower {
+    async fn run(mut self, mut asks: mpsc::Receiver<Ask>) {
+        let mut next_look = Instant::now();
         loop {
             tokio::select! {
-                _ = ticks.tick() => {}
-                () = tx.closed() => return,
+                () = time::sleep_until(next_look) => {
+                    self.look().await;
+                    // Jitter keeps the processes from reading all at once.
+                    next_look = Instant::now() + self.pause.mul_f64(rand::random_range(0.75..1.25));
+                }
+                ask = asks.recv() => match ask {
+                    Some(Ask::Look) => next_look = Instant::now(),
+                    Some(ask) => self.answer(ask),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    async fn look(&mut self) {
+        match self.tail.advance().await {
+            Ok(()) => {
+                if self.error.take().is_some() {
+                    info!(self.log, "the log can be read again");
+                }
+                self.pause = POLL;
+                self.read_at = Some(Instant::now());
+                self.metrics.log_read(clock::unix_time());
+                self.publish();
+                self.renew().await;
             }
-            match step(&platform, &mut next).await {
-                Ok(None) => {}
-                Ok(Some(view)) => {
-                    info!(log, "configuration in force"; "offset" => view.offset.to_string());
-                    tx.send_replace(Some(Arc::new(view)));
+            Err(error) => {
+                if self.error.is_none() {
+                    warn!(self.log, "cannot read the configuration; serving the last one"; "error" => %error);
                 }
-                Err(error) => warn!(log, "cannot read the configuration"; "error" => %error),
+                self.error = Some(error.to_string());
+                self.pause = (self.pause * 2).min(MAX_PAUSE);
             }
         }
-    });
-    rx
-}
+        if self.tail.reset() && self.metrics.log_reset.set(1) == 0 {
+            warn!(
+                self.log,
+                "the log ends before records that were read from it; keeping the newer configuration"
+            );
+        } else if !self.tail.reset() {
+            self.metrics.log_reset.set(0);
+        }
+        self.metrics.rejects(self.tail.rejects());
+    }
 
-async fn step(platform: &Platform, next: &mut Offset) -> Result<Option<View>, PlatformError> {
-    let batch = match platform.read(CONFIG_STREAM, *next, BATCH).await {
-        Err(PlatformError::Expired { first }) => platform.read(CONFIG_STREAM, first, BATCH).await?,
-        other => other?,
-    };
-    let mut view = None;
-    for record in batch.records {
-        *next = record.offset.next();
-        let text = String::from_utf8_lossy(&record.data);
-        if let Ok(document) = Document::parse("log", &text) {
-            view = Some(View::new(record.offset, document));
+    /// Puts the tip in force if it is newer than the view.
+    fn publish(&mut self) {
+        let Some(tip) = self.tail.chain().tip() else {
+            return;
+        };
+        let known = self.views.borrow().as_ref().map(|view| view.offset);
+        if Some(tip.offset) <= known {
+            return;
+        }
+        let view = View::new(tip);
+        let after = unix_millis().saturating_sub(view.published);
+        // A process that just started takes up what others have long had in force.
+        if known.is_some() {
+            self.in_force_after = Some(after);
+            self.metrics.in_force(Duration::from_millis(after));
+        }
+        info!(self.log, "configuration in force"; "offset" => view.offset.to_string(),
+            "author" => %view.author, "after_ms" => after);
+        self.metrics
+            .configuration_offset
+            .set(i64::try_from(u64::from(view.offset)).unwrap_or(i64::MAX));
+        self.views.send_replace(Some(Arc::new(view)));
+    }
+
+    async fn renew(&mut self) {
+        let now = unix_millis();
+        let chain = self.tail.chain();
+        let due = chain.renewal_due(self.random);
+        if self.tail.reset() || chain.searching() || due.is_none_or(|due| due > now) {
+            return;
+        }
+        // A renewal that did not take effect is tried again after a while only.
+        let pause = chain.tip().map(|tip| tip.document.limits.retention / 16);
+        let pause = pause.map_or(0, |pause| {
+            u64::try_from(pause.as_millis()).unwrap_or(u64::MAX)
+        });
+        if now < self.renewed_at.saturating_add(pause) {
+            return;
+        }
+        self.renewed_at = now;
+        let Some(record) = chain.renewal(rand::random(), self.author.clone(), now) else {
+            return;
+        };
+        let Ok(data) = record::encode(&record) else {
+            return;
+        };
+        match self.platform.append(CONFIG_STREAM, &data).await {
+            Ok(offset) => info!(self.log, "configuration renewed"; "offset" => offset.to_string()),
+            Err(error) => warn!(self.log, "cannot renew the configuration"; "error" => %error),
         }
     }
-    Ok(view)
+
+    fn answer(&mut self, ask: Ask) {
+        match ask {
+            Ask::State(reply) => {
+                let _gone = reply.send(self.state());
+            }
+            Ask::Snapshot(reply) => {
+                let _gone = reply.send(self.tail.chain().snapshot());
+            }
+            Ask::RecordsAfter(offset, reply) => {
+                let _gone = reply.send(self.tail.chain().records_after(offset));
+            }
+            Ask::OfferSnapshot(snapshot, reply) => {
+                let taken = self.tail.chain_mut().offer_snapshot(snapshot);
+                self.publish();
+                let _gone = reply.send(taken);
+            }
+            Ask::OfferRecords(records, reply) => {
+                let taken = self.tail.chain_mut().offer_records(records);
+                self.publish();
+                let _gone = reply.send(taken);
+            }
+            Ask::Look => {}
+        }
+    }
+
+    fn state(&self) -> ConfigState {
+        let view = self.views.borrow();
+        let view = view.as_ref();
+        let age = self.read_at.map(|at| at.elapsed().as_millis());
+        let rejects = self.tail.rejects();
+        ConfigState {
+            offset: view.map(|view| view.offset),
+            digest: view.map(|view| view.digest.to_string()),
+            author: view.map(|view| view.author.to_string()),
+            published_ms: view.map_or(0, |view| view.published),
+            in_force_after_ms: self.in_force_after,
+            log_read_age_ms: age.and_then(|age| u64::try_from(age).ok()),
+            log_error: self.error.clone(),
+            log_reset: self.tail.reset(),
+            searching: self.tail.chain().searching(),
+            rejected_records: rejects.parent
+                + rejects.digest
+                + rejects.document
+                + rejects.contradiction,
+        }
+    }
+}
+
+fn unix_millis() -> u64 {
+    u64::try_from(clock::unix_time().as_millis()).unwrap_or(u64::MAX)
 }
 
 /// The incarnation of a process that starts now: microseconds since the Unix epoch.
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -10,8 +10,10 @@
     time::{Duration, Instant},
 };
 
-use ebonyfall::platform::Platform as Client;
-use ebonyfall::view::CONFIG_STREAM;
+use ebonyfall::{
+    operate::{self, Request},
+    platform::Platform as Client,
+};
 
 use crate::{
     engine::{self, EngineConfig},
@@ -226,8 +228,18 @@
             daemons.push(Daemon::start(&program, &name, addresses, settings)?);
         }
         let client = Client::new(&platform_url);
-        let published = client.append(CONFIG_STREAM, document.as_bytes()).await;
-        published.map_err(io::Error::other)?;
+        let author = "deploy".parse().map_err(io::Error::other)?;
+        let published = operate::publish(
+            &client,
+            Request {
+                file: "deployment",
+                text: &document,
+                author,
+                base: None,
+                initial: false,
+            },
+        );
+        published.await.map_err(io::Error::other)?;
 
         let mut routers = Vec::new();
         for index in 0..plan.routers {
