Add the admin interface, the operators' commands and more document checks

Cause: operators could only append a document, nothing served the `admin` address, and mistakes such as two agents on one address passed `check`.

`admin` serves /healthz, /metrics, /dump and, on routers, the configuration API and /v1/team; a task adds its state to the dump by `with_part`. The command line has check, diff, publish, promote, status, history and dump over `operate` and `status`. A log that was set back is followed again when it holds the document in force; before, a process stayed cut off from it until its restart.

Ruled out: letting a process follow a log that was set back once the offsets pass those seen, since the records between are judged on another history.

Conclusion: operators have one way to change and one to read back.

--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -9,20 +9,12 @@
 
 use std::{
     collections::{HashSet, VecDeque},
-    fmt,
     sync::Arc,
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-use sha2::{Digest as _, Sha256};
-
-use crate::{
-    doc::Document,
-    id::Offset,
-    name::OperatorName,
-    sections::{Edit, Sections},
-};
+pub use crate::record::{Change, Digest, Entry, Record, Reject, Snapshot};
+use crate::{doc::Document, id::Offset, name::OperatorName, record::build, sections::Sections};
 
 /// Deltas after which a publisher writes a snapshot; it bounds the work of a starting reader.
 pub const SNAPSHOT_EVERY: u32 = 64;
@@ -33,103 +25,6 @@
 /// Records held by a reader that searches for its start.
 const MAX_SEARCH: usize = 1 << 16;
 
-/// SHA-256 of a rendered document.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Digest(pub [u8; 32]);
-
-impl Digest {
-    /// The digest of `text`.
-    pub fn of(text: &str) -> Self {
-        Self(Sha256::digest(text.as_bytes()).into())
-    }
-}
-
-impl fmt::Display for Digest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
-    }
-}
-
-impl fmt::Debug for Digest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Digest({self})")
-    }
-}
-
-/// What a record does to the document.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Change {
-    /// Replaces the document.
-    Snapshot(Arc<str>),
-    /// Edits sections of the parent's document.
-    Delta(Vec<Edit>),
-    /// Repeats the document, before the log drops its last snapshot.
-    Renew(Arc<str>),
-}
-
-impl Change {
-    /// The whole document, where the change holds it.
-    pub fn text(&self) -> Option<&Arc<str>> {
-        match self {
-            Self::Snapshot(text) | Self::Renew(text) => Some(text),
-            Self::Delta(_) => None,
-        }
-    }
-
-    fn size(&self) -> usize {
-        match self {
-            Self::Snapshot(text) | Self::Renew(text) => text.len(),
-            Self::Delta(edits) => edits
-                .iter()
-                .map(|edit| {
-                    let body = edit.body.iter().flatten();
-                    edit.title.len()
-                        + body
-                            .map(|(key, value)| key.len() + value.len())
-                            .sum::<usize>()
-                })
-                .sum(),
-        }
-    }
-}
-
-/// A configuration record.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// A random number by which a publisher finds its record again.
-    pub id: u128,
-    /// The record that this one builds on; absent for the first one.
-    pub parent: Option<Offset>,
-    /// The operator, or the process that renewed.
-    pub author: OperatorName,
-    /// When it was published, in milliseconds since the Unix epoch.
-    pub time: u64,
-    /// Digest of the document that results.
-    pub digest: Digest,
-    /// What it does to the document.
-    pub change: Change,
-}
-
-/// A record at its place in the log.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// The record's offset.
-    pub offset: Offset,
-    /// The record.
-    pub record: Arc<Record>,
-}
-
-/// Why a record is invalid.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reject {
-    /// Its parent is not the last valid record: another operator was faster.
-    Parent,
-    /// The document that results has another digest.
-    Digest,
-    /// The document that results has faults.
-    Document,
-}
-
 /// What became of a record that was read from the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Applied {
@@ -177,25 +72,6 @@
     pub document: Arc<Document>,
 }
 
-/// A whole document as one process gives it to another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// Offset of the record that led to the document.
-    pub offset: Offset,
-    /// Digest of the document.
-    pub digest: Digest,
-    /// The operator, or the process that renewed.
-    pub author: OperatorName,
-    /// When the record was published, in milliseconds since the Unix epoch.
-    pub time: u64,
-    /// When the last snapshot was published, in milliseconds since the Unix epoch.
-    pub renewed: u64,
-    /// Deltas since the last snapshot.
-    pub deltas: u32,
-    /// The document's text.
-    pub text: Arc<str>,
-}
-
 /// Where a reader began that does not know the records before.
 #[derive(Debug, Clone, Copy)]
 struct Root {
@@ -480,7 +356,15 @@
     /// Says why it was not taken.
     pub fn offer_snapshot(&mut self, offered: Snapshot) -> Result<(), Refused> {
         let offset = offered.offset;
-        if self.tip.as_ref().is_some_and(|tip| tip.offset >= offset) {
+        // The same document under a higher offset comes from a peer that knew the log before it was
+        // set back; the offset that this chain read from the log stays.
+        let same =
+            |tip: &Tip| tip.digest == offered.digest && matches!(self.state, State::Following);
+        if self
+            .tip
+            .as_ref()
+            .is_some_and(|tip| tip.offset >= offset || (same(tip) && offset >= self.next))
+        {
             return Err(Refused::NotNewer);
         }
         if Digest::of(&offered.text) != offered.digest {
@@ -626,22 +510,3 @@
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// The document that a record leads to.
-fn build(base: Option<&str>, record: &Record) -> Result<Document, Reject> {
-    let edited;
-    let text = match &record.change {
-        Change::Snapshot(text) | Change::Renew(text) => &**text,
-        Change::Delta(edits) => {
-            let base = base.ok_or(Reject::Parent)?;
-            let mut sections = Sections::parse("log", base).map_err(|_faults| Reject::Document)?;
-            sections.apply(edits);
-            edited = sections.render();
-            &edited
-        }
-    };
-    if Digest::of(text) != record.digest {
-        return Err(Reject::Digest);
-    }
-    Document::parse("log", text).map_err(|_faults| Reject::Document)
-}
--- a/core/src/doc.rs
+++ b/core/src/doc.rs
@@ -80,6 +80,20 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 pub struct KeyHash(pub [u8; 32]);
 
+impl KeyHash {
+    /// Parses 64 hex digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return None;
+        }
+        let mut hash = [0; 32];
+        for (index, byte) in hash.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+        }
+        Some(Self(hash))
+    }
+}
+
 impl fmt::Debug for KeyHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("KeyHash(..)")
@@ -91,6 +105,8 @@
 pub struct Team {
     /// Hashes of the accepted keys: the current one first, then those being rotated out.
     pub keys: Vec<KeyHash>,
+    /// Hashes of the tokens with which the team changes its own settings.
+    pub admin_tokens: Vec<KeyHash>,
     /// Share under contention, relative to other teams.
     pub weight: u32,
     /// Priority of requests that state none.
@@ -253,6 +269,7 @@
         let mut reader = Reader::new(file);
         let document = reader.document(&sections, text);
         reader.check_references(&sections, &document);
+        reader.check_duplicates(&sections, &document);
         let faults = reader.finish();
         if faults.is_empty() {
             Ok(document)
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod name;
 pub mod place;
 mod read;
+pub mod record;
 pub mod sections;
 pub mod time;
--- a/core/src/read.rs
+++ b/core/src/read.rs
@@ -13,11 +13,15 @@
         Team, Zone, ZoneState,
     },
     ini::{Fault, Fields, Section},
-    name::EnvironmentName,
+    name::{EnvironmentName, VersionName},
 };
 
 const NAME: &str = "a name of letters, digits, '-', '_' and '.'";
-const DURATION: &str = "a duration such as 500ms, 30s or 2h";
+const HASHES: &str = "SHA-256 hashes as 64 hex digits, comma-separated";
+const DAY: Duration = Duration::from_secs(24 * 3600);
+/// Half of the shortest retention is twice the bound of 8 s for a change, so that a renewal is
+/// seen before the next one is due.
+const MIN_RETENTION: Duration = Duration::from_secs(32);
 const KINDS: &str = "environment, limits, zone, team, model, target, route, move";
 
 /// Builds a document from sections and collects faults.
@@ -139,16 +143,32 @@
                 .optional("body-bytes", "a number from 1 to 7340032", count(7 << 20))
                 .unwrap_or(default.body_bytes),
             warmup: f
-                .optional("warmup", DURATION, duration)
+                .optional(
+                    "warmup",
+                    "a duration from 0s to 1day",
+                    span(Duration::ZERO, DAY),
+                )
                 .unwrap_or(default.warmup),
             zone_ramp: f
-                .optional("zone-ramp", DURATION, duration)
+                .optional(
+                    "zone-ramp",
+                    "a duration from 0s to 1day",
+                    span(Duration::ZERO, DAY),
+                )
                 .unwrap_or(default.zone_ramp),
             hold: f
-                .optional("hold", DURATION, duration)
+                .optional(
+                    "hold",
+                    "a duration from 1s to 30days",
+                    span(Duration::from_secs(1), 30 * DAY),
+                )
                 .unwrap_or(default.hold),
             retention: f
-                .optional("retention", DURATION, duration)
+                .optional(
+                    "retention",
+                    "a duration from 32s to 365days",
+                    span(MIN_RETENTION, 365 * DAY),
+                )
                 .unwrap_or(default.retention),
         };
         f.finish();
@@ -168,20 +188,22 @@
 
     fn team(&mut self, section: &Section) -> Team {
         let mut f = self.fields(section);
-        let keys = f.list(
-            "keys",
-            "SHA-256 hashes as 64 hex digits, comma-separated",
-            key_hash,
-        );
+        let keys = f.list("keys", HASHES, KeyHash::from_hex);
+        let admin_tokens = f.list("admin-tokens", HASHES, KeyHash::from_hex);
         let weight = f.optional("weight", "a number from 1 to 1000", count(1_000));
         let priority = f.optional("priority", "desk, check, overnight", |text| {
             text.parse().ok()
         });
-        let deadline = f.optional("deadline", DURATION, duration);
+        let deadline = f.optional(
+            "deadline",
+            "a duration from 1ms to 1day",
+            span(Duration::from_millis(1), DAY),
+        );
         let models = f.list("models", "model names, comma-separated", parsed);
         f.finish();
         Team {
             keys,
+            admin_tokens,
             weight: weight.unwrap_or(1),
             priority: priority.unwrap_or(Priority::Desk),
             deadline: deadline.unwrap_or(Duration::from_secs(60)),
@@ -215,6 +237,13 @@
                 None
             }
         };
+        if let (Some(slots), Some(cold)) = (slots, cold_slots)
+            && cold > slots
+        {
+            let line = f.line("cold-slots");
+            let allowed = format!("at most the {slots} slots");
+            f.fault(line, "cold-slots", cold.to_string(), &allowed);
+        }
         f.finish();
         let slots = slots?;
         Some(Target {
@@ -223,7 +252,7 @@
             agent: agent?,
             runs: runs?,
             slots,
-            cold_slots: cold_slots.unwrap_or(slots.div_ceil(8)).min(slots),
+            cold_slots: cold_slots.unwrap_or(slots.div_ceil(8)),
         })
     }
 
@@ -262,6 +291,13 @@
         );
         let start_share = f.optional("start-share", "a percentage from 0% to 100%", percent);
         let intent = f.optional("intent", "go, hold, back", parsed);
+        if from.is_some() && from == to {
+            let line = f.line("to");
+            let found = to
+                .as_ref()
+                .map_or_else(String::new, |to: &VersionName| format!("{:?}", to.as_str()));
+            f.fault(line, "to", found, "another version than from");
+        }
         f.finish();
         Some(Move {
             model: model?,
@@ -273,6 +309,62 @@
         })
     }
 
+    /// Finds what only one section may have: agents' addresses, paths with their method, keys.
+    pub(crate) fn check_duplicates(&mut self, sections: &[Section], document: &Document) {
+        let mut agents = BTreeMap::new();
+        let mut paths = BTreeMap::new();
+        let mut hashes = BTreeMap::new();
+        for section in sections {
+            let name = section.name.as_str();
+            match section.kind.as_str() {
+                "target" => {
+                    if let Some(target) = document.targets.get(name) {
+                        let found = target.agent.to_string();
+                        self.once(section, "agent", found, target.agent, &mut agents);
+                    }
+                }
+                "route" => {
+                    if let Some(route) = document.routes.get(name) {
+                        let found = format!("{} {}", route.method, route.path);
+                        self.once(section, "path", found.clone(), found, &mut paths);
+                    }
+                }
+                "team" => {
+                    let Some(team) = document.teams.get(name) else {
+                        continue;
+                    };
+                    let keys = team.keys.iter().map(|hash| ("keys", hash));
+                    let tokens = team.admin_tokens.iter().map(|hash| ("admin-tokens", hash));
+                    for (key, hash) in keys.chain(tokens) {
+                        // The beginning is enough to find the hash in the file.
+                        let [a, b, ..] = hash.0;
+                        let found = format!("{a:02x}{b:02x}...");
+                        self.once(section, key, found, hash.0, &mut hashes);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn once<'s, K: Ord>(
+        &mut self,
+        section: &'s Section,
+        key: &str,
+        found: String,
+        value: K,
+        seen: &mut BTreeMap<K, &'s Section>,
+    ) {
+        if let Some(first) = seen.get(&value) {
+            let allowed = format!("a value that [{}] does not have", first.title());
+            let mut f = self.fields(section);
+            let line = f.line(key);
+            f.fault(line, key, found, &allowed);
+        } else {
+            seen.insert(value, section);
+        }
+    }
+
     pub(crate) fn check_references(&mut self, sections: &[Section], document: &Document) {
         for section in sections {
             let title = section.name.as_str();
@@ -366,22 +458,14 @@
     Some(number / 100.0)
 }
 
-fn duration(text: &str) -> Option<Duration> {
-    humantime::parse_duration(text).ok()
+fn span(min: Duration, max: Duration) -> impl Fn(&str) -> Option<Duration> {
+    move |text| {
+        let span = humantime::parse_duration(text).ok()?;
+        (min..=max).contains(&span).then_some(span)
+    }
 }
 
 fn unix_seconds(text: &str) -> Option<u64> {
     let time = humantime::parse_rfc3339(text).ok()?;
     Some(time.duration_since(UNIX_EPOCH).ok()?.as_secs())
 }
-
-fn key_hash(text: &str) -> Option<KeyHash> {
-    if text.len() != 64 || !text.is_ascii() {
-        return None;
-    }
-    let mut hash = [0; 32];
-    for (index, byte) in hash.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
-    }
-    Some(KeyHash(hash))
-}
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    admin::Admin,
     clock::{self, Clock},
     engine::{self, Backend},
     gate::Gate,
@@ -75,6 +76,26 @@
     let metrics = Metrics::new();
     let config = view::follow(platform, &cfg.common.name, metrics.clone(), log.clone());
     let mut views = config.views().clone();
+    let incarnation = view::incarnation(clock::unix_time());
+    // The gate starts when the document has told the target's capacity.
+    let (gate_tx, gate_rx) = watch::channel(None::<Gate>);
+    let admin = Admin::new("agent", &cfg.common, incarnation, config, metrics.clone()).with_part(
+        "gate",
+        move || {
+            let gate = gate_rx.borrow().clone();
+            async move {
+                match gate {
+                    Some(gate) => Some(gate.load().await),
+                    None => None,
+                }
+            }
+        },
+    );
+    let address = cfg.common.admin;
+    admin
+        .start(address, stop.clone(), log.clone())
+        .await
+        .context(ListenSnafu { address })?;
     let address = cfg.listen;
     let listener = TcpListener::bind(address)
         .await
@@ -93,14 +114,16 @@
         slots: target.slots,
         cold_slots: target.cold_slots,
     };
+    let gate = Gate::start(capacity, clock);
+    gate_tx.send_replace(Some(gate.clone()));
     let agent = Agent {
         target: cfg.target,
         identity: Identity {
             name: cfg.common.name,
-            incarnation: view::incarnation(clock::unix_time()),
+            incarnation,
             keys: cfg.common.keys,
         },
-        gate: Gate::start(capacity, clock),
+        gate,
         backend: Backend::new(cfg.backend),
         metrics,
         log,
--- a/src/bin/ebonyfall.rs
+++ b/src/bin/ebonyfall.rs
@@ -1,65 +1,198 @@
 //! The operators' command line.
 
-use std::{error::Error, fs, path::Path, process};
+use std::{
+    error::Error,
+    fs,
+    path::{Path, PathBuf},
+    process,
+    time::{Duration, UNIX_EPOCH},
+};
 
 use ebonyfall::{
-    cli::{Command, OperatorArgs},
-    daemon,
+    cli::{Command, OperatorArgs, PromoteArgs, PublishArgs, StatusArgs},
+    clock, daemon,
     exit::ExitCode,
-    operate::{self, Request},
+    operate::{self, Event, OperateError, Published, Request},
     platform::Platform,
+    remote,
+    settings::{self, OperatorConfig},
+    status,
 };
-use ebonyfall_core::doc::Document;
+use ebonyfall_core::id::Offset;
 use tokio::runtime::Builder;
 
+/// What a command prints instead of a result, with its exit code.
+type Failure = Box<dyn Error>;
+
 fn main() -> process::ExitCode {
     daemon::report(run())
 }
 
-fn run() -> Result<ExitCode, Box<dyn Error>> {
+fn run() -> Result<ExitCode, Failure> {
     let args: OperatorArgs = argh::from_env();
-    match args.command {
-        Command::Check(args) => {
-            let Some(document) = load(&args.file)? else {
-                return Ok(ExitCode::Usage);
+    let mut cfg = match args.settings {
+        Some(path) => settings::operator(path)?,
+        None => OperatorConfig::default(),
+    };
+    if args.platform.is_some() {
+        cfg.platform = args.platform;
+    }
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    match runtime.block_on(command(args.command, cfg)) {
+        Ok(code) => Ok(code),
+        Err(error) => {
+            let code = match error.downcast_ref::<OperateError>() {
+                Some(OperateError::Conflict { .. }) => ExitCode::Conflict,
+                Some(OperateError::Faults { .. }) => ExitCode::Usage,
+                _ => return Err(error),
             };
-            println!(
-                "{}: no faults, {} targets",
-                args.file.display(),
-                document.targets.len()
-            );
+            eprintln!("{error}");
+            Ok(code)
         }
-        Command::Publish(args) => {
-            let Some(document) = load(&args.file)? else {
-                return Ok(ExitCode::Usage);
-            };
-            let platform = Platform::new(args.platform);
-            let runtime = Builder::new_current_thread().enable_all().build()?;
+    }
+}
+
+async fn command(command: Command, cfg: OperatorConfig) -> Result<ExitCode, Failure> {
+    match command {
+        Command::Check(args) => {
+            let sections = operate::check(&args.file.display().to_string(), &text(&args.file)?)?;
+            let count = sections.titles().count();
+            println!("{}: no faults, {count} sections", args.file.display());
+        }
+        Command::Diff(args) => {
             let file = args.file.display().to_string();
-            let req = Request {
-                file: &file,
-                text: &document.text,
-                author: "operator".parse()?,
-                base: None,
-                initial: false,
-            };
-            println!("{:?}", runtime.block_on(operate::publish(&platform, req))?);
+            let platform = platform(&cfg)?;
+            let (base, differences) = operate::diff(&platform, &file, &text(&args.file)?).await?;
+            for difference in &differences {
+                println!("{difference}");
+            }
+            let base = base.map_or("none".to_owned(), |base| base.to_string());
+            println!("{} sections differ; base {base}", differences.len());
+        }
+        Command::Publish(args) => publish(args, &cfg).await?,
+        Command::Promote(args) => promote(args).await?,
+        Command::Status(args) => return fleet(args, &cfg).await,
+        Command::History(args) if args.text => {
+            let tip = operate::current(&platform(&cfg)?).await?;
+            print!("{}", tip.ok_or(OperateError::Nothing)?.document.text);
+        }
+        Command::History(args) => {
+            let events = operate::history(&platform(&cfg)?).await?;
+            if args.json {
+                println!("{}", serde_json::to_string_pretty(&events)?);
+            } else {
+                events.iter().for_each(print_event);
+            }
+        }
+        Command::Dump(args) => {
+            let token = token(args.token_file, &cfg)?;
+            let dump = remote::dump(args.admin, &token).await?;
+            println!("{}", serde_json::to_string_pretty(&dump)?);
         }
-        Command::Dump(_) => return Ok(ExitCode::Usage),
     }
     Ok(ExitCode::Success)
 }
 
-fn load(path: &Path) -> Result<Option<Document>, Box<dyn Error>> {
-    let text = fs::read_to_string(path)
-        .map_err(|error| format!("cannot read {}: {error}", path.display()))?;
-    match Document::parse(&path.display().to_string(), &text) {
-        Ok(document) => Ok(Some(document)),
-        Err(faults) => {
-            for fault in faults {
-                eprintln!("{fault}");
-            }
-            Ok(None)
+async fn publish(args: PublishArgs, cfg: &OperatorConfig) -> Result<(), Failure> {
+    let author = args.operator.or_else(|| cfg.name.clone());
+    let author =
+        author.ok_or("no operator's name; give --operator NAME or name in the settings")?;
+    let file = args.file.display().to_string();
+    let req = Request {
+        file: &file,
+        text: &text(&args.file)?,
+        author,
+        base: args.base.map(Offset::from),
+        initial: args.initial,
+    };
+    match operate::publish(&platform(cfg)?, req).await? {
+        Published::Changed {
+            offset,
+            sections,
+            bytes,
+        } => {
+            println!(
+                "published at offset {offset} ({bytes} bytes): {}",
+                sections.join(", ")
+            );
         }
+        Published::Unchanged { offset } => println!("already in force at offset {offset}"),
+    }
+    Ok(())
+}
+
+async fn promote(args: PromoteArgs) -> Result<(), Failure> {
+    let source = document(&args.source).await?;
+    let into = document(&args.into).await?;
+    let result = operate::promote((&args.source, &source), (&args.into, &into))?;
+    let mut unkeyed = result.titles().filter(|title| {
+        let body = result.get(title);
+        title.starts_with("team ") && body.is_some_and(|body| !body.contains_key("keys"))
+    });
+    if let Some(title) = unkeyed.next() {
+        eprintln!("[{title}] has no keys in this environment; add them before publishing");
+    }
+    match args.output {
+        Some(path) => fs::write(&path, result.render())
+            .map_err(|error| format!("cannot write {}: {error}", path.display()))?,
+        None => print!("{}", result.render()),
     }
+    Ok(())
+}
+
+async fn fleet(args: StatusArgs, cfg: &OperatorConfig) -> Result<ExitCode, Failure> {
+    let token = token(args.token_file, cfg)?;
+    let processes = if args.admin.is_empty() {
+        &cfg.processes
+    } else {
+        &args.admin
+    };
+    let now = clock::unix_time();
+    let status = status::collect(&platform(cfg)?, processes, &token, now).await;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&status)?);
+    } else {
+        print!("{status}");
+    }
+    Ok(match &*status.wrong {
+        [] => ExitCode::Success,
+        _ => ExitCode::Failure,
+    })
+}
+
+fn print_event(event: &Event) {
+    let time = UNIX_EPOCH + Duration::from_millis(event.time);
+    let time = humantime::format_rfc3339_seconds(time);
+    let sections = match &*event.sections {
+        [] => event.kind.clone(),
+        sections => sections.join(", "),
+    };
+    println!("{} {time} {} {sections}", event.offset, event.author);
+}
+
+fn platform(cfg: &OperatorConfig) -> Result<Platform, Failure> {
+    let url = cfg.platform.as_deref();
+    let url =
+        url.ok_or("no platform; give --platform URL before the command or in the settings")?;
+    Ok(Platform::new(url.trim_end_matches('/')))
+}
+
+fn token(option: Option<PathBuf>, cfg: &OperatorConfig) -> Result<String, Failure> {
+    let path = option.or_else(|| cfg.token_file.clone());
+    let path = path.ok_or("no token; give --token-file FILE or token-file in the settings")?;
+    Ok(text(&path)?.trim().to_owned())
+}
+
+/// A document in a file, or the one in force where `place` is the URL of a platform.
+async fn document(place: &str) -> Result<String, Failure> {
+    if !place.starts_with("http://") {
+        return text(Path::new(place));
+    }
+    let tip = operate::current(&Platform::new(place.trim_end_matches('/'))).await?;
+    Ok(tip.ok_or(OperateError::Nothing)?.document.text.to_string())
+}
+
+fn text(path: &Path) -> Result<String, Failure> {
+    fs::read_to_string(path)
+        .map_err(|error| format!("cannot read {}: {error}", path.display()).into())
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,8 +1,9 @@
 //! Command lines of the programs.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 use argh::FromArgs;
+use ebonyfall_core::name::OperatorName;
 
 /// Routes callers' requests to targets.
 #[derive(Debug, FromArgs)]
@@ -23,6 +24,13 @@
 /// Operates an ebonyfall fleet.
 #[derive(Debug, FromArgs)]
 pub struct OperatorArgs {
+    /// settings of this program, an INI file with one [operator] section (keys name, platform,
+    /// token-file, processes); options take precedence
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+    /// base URL of the platform
+    #[argh(option)]
+    pub platform: Option<String>,
     /// what to do
     #[argh(subcommand)]
     pub command: Command,
@@ -34,8 +42,16 @@
 pub enum Command {
     /// Check a document.
     Check(CheckArgs),
+    /// Compare a document with the one in force.
+    Diff(DiffArgs),
     /// Publish a document.
     Publish(PublishArgs),
+    /// Carry a document to another environment.
+    Promote(PromoteArgs),
+    /// Print the state of the fleet.
+    Status(StatusArgs),
+    /// Print what was published.
+    History(HistoryArgs),
     /// Print a process's state.
     Dump(DumpArgs),
 }
@@ -49,26 +65,84 @@
     pub file: PathBuf,
 }
 
-/// Publishes a document on the platform's log.
+/// Prints how a document differs from the one in force, and the offset to publish it with.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffArgs {
+    /// the document
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Publishes a document on the platform's log and reads it back.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "publish")]
 pub struct PublishArgs {
-    /// base URL of the platform
+    /// the operator's name, recorded with the change
     #[argh(option)]
-    pub platform: String,
+    pub operator: Option<OperatorName>,
+    /// offset that the change is based on, as printed by diff; another one in force is a conflict
+    #[argh(option)]
+    pub base: Option<u64>,
+    /// begin anew in a log that has dropped its configuration
+    #[argh(switch)]
+    pub initial: bool,
     /// the document
     #[argh(positional)]
     pub file: PathBuf,
 }
 
+/// Prints the second document with what the first one prescribes; what is particular to the
+/// second one's environment stays.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "promote")]
+pub struct PromoteArgs {
+    /// file to write to instead of the terminal
+    #[argh(option)]
+    pub output: Option<PathBuf>,
+    /// file, or base URL of the platform, of the environment to take from
+    #[argh(positional)]
+    pub source: String,
+    /// file, or base URL of the platform, of the environment to change
+    #[argh(positional)]
+    pub into: String,
+}
+
+/// Prints whether anything is wrong, what is changing and what needs the operator.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {
+    /// admin address of a process; may be given several times
+    #[argh(option)]
+    pub admin: Vec<SocketAddr>,
+    /// file that holds the operators' token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Prints offset, time, operator and sections of each change that the log still keeps.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct HistoryArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// print the document in force instead
+    #[argh(switch)]
+    pub text: bool,
+}
+
 /// Prints the state of a running process.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "dump")]
 pub struct DumpArgs {
     /// admin address of the process
     #[argh(option)]
-    pub admin: String,
+    pub admin: SocketAddr,
     /// file that holds the operators' token
     #[argh(option)]
-    pub token_file: PathBuf,
+    pub token_file: Option<PathBuf>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every module here moves bytes, keeps time or talks to other processes. The decisions are in
 //! `ebonyfall_core`, the encoding of messages in `ebonyfall_wire`.
 
+pub mod admin;
 pub mod agent;
 pub mod cli;
 pub mod clock;
@@ -19,8 +20,10 @@
 pub mod picker;
 pub mod platform;
 pub mod relay;
+pub mod remote;
 pub mod router;
 pub mod settings;
+pub mod status;
 pub mod tail;
 pub mod view;
 pub mod web;
--- /dev/null
+++ b/src/remote.rs
@@ -0,0 +1,91 @@
+//! A client of other processes' admin interfaces.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header::AUTHORIZATION};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use snafu::{ResultExt, Snafu, ensure};
+use tokio::time;
+
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest answer, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// A process gave no usable answer.
+#[derive(Debug, Snafu)]
+pub enum RemoteError {
+    /// There was no answer.
+    #[snafu(display("no answer from {address}: {reason}; check the address and the process"))]
+    NoAnswer {
+        /// The process's admin address.
+        address: SocketAddr,
+        /// What happened instead.
+        reason: String,
+    },
+    /// The process refused.
+    #[snafu(display("{address} refused with status {status}; check the token"))]
+    Refused {
+        /// The process's admin address.
+        address: SocketAddr,
+        /// The HTTP status.
+        status: StatusCode,
+    },
+    /// The answer cannot be decoded.
+    #[snafu(display("the answer of {address} cannot be decoded: {source}; use one version"))]
+    Decode {
+        /// The process's admin address.
+        address: SocketAddr,
+        /// The codec's error.
+        source: serde_json::Error,
+    },
+}
+
+/// Sends a request to the admin interface at `address`; any status is an answer.
+///
+/// # Errors
+///
+/// Fails when there is no answer.
+pub async fn send(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    token: &str,
+    body: impl Into<Bytes>,
+) -> Result<(StatusCode, Bytes), RemoteError> {
+    let no_answer = |reason: String| RemoteError::NoAnswer { address, reason };
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header(AUTHORIZATION, format!("Bearer {token}"))
+        .body(Full::new(body.into()))
+        .map_err(|error| no_answer(error.to_string()))?;
+    let exchange = async {
+        let mut builder = Client::builder(TokioExecutor::new());
+        let client = builder.retry_canceled_requests(false).build_http();
+        let res = client
+            .request(req)
+            .await
+            .map_err(|error| no_answer(error.to_string()))?;
+        let status = res.status();
+        let body = Limited::new(res.into_body(), MAX_ANSWER).collect().await;
+        let body = body.map_err(|error| no_answer(error.to_string()))?;
+        Ok((status, body.to_bytes()))
+    };
+    time::timeout(TIMEOUT, exchange)
+        .await
+        .unwrap_or_else(|_elapsed| Err(no_answer("timeout".to_owned())))
+}
+
+/// Gets the state of the process at `address`.
+///
+/// # Errors
+///
+/// Fails when there is no answer, or one that is not a state.
+pub async fn dump(address: SocketAddr, token: &str) -> Result<crate::admin::Dump, RemoteError> {
+    let (status, body) = send(Method::GET, address, "/dump", token, Bytes::new()).await?;
+    ensure!(status.is_success(), RefusedSnafu { address, status });
+    serde_json::from_slice(&body).context(DecodeSnafu { address })
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,7 +7,7 @@
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
-    clock, front, link::Identity, links::Links, metrics::Metrics, picker::Picker,
+    admin::Admin, clock, front, link::Identity, links::Links, metrics::Metrics, picker::Picker,
     platform::Platform, relay::Relay, settings::RouterConfig, view, web,
 };
 
@@ -37,15 +37,32 @@
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) -> Result<(), RouterError> {
+    let incarnation = view::incarnation(clock::unix_time());
     let platform = Platform::new(&cfg.common.platform);
     let metrics = Metrics::new();
-    let config = view::follow(platform, &cfg.common.name, metrics.clone(), log.clone());
-    let views = config.views().clone();
+    let config = view::follow(
+        platform.clone(),
+        &cfg.common.name,
+        metrics.clone(),
+        log.clone(),
+    );
+    let mut views = config.views().clone();
+    let address = cfg.common.admin;
+    Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
+        .with_api(platform, cfg.processes)
+        .start(address, stop.clone(), log.clone())
+        .await
+        .context(ListenSnafu { address })?;
+    // Without a configuration, the platform's balancer must not take the router for ready.
+    tokio::select! {
+        _ = views.wait_for(Option::is_some) => {}
+        _ = stop.wait_for(|stop| *stop) => return Ok(()),
+    }
     let picker = Picker::start(views.clone());
     let relay = Relay {
         identity: Identity {
             name: cfg.common.name,
-            incarnation: view::incarnation(clock::unix_time()),
+            incarnation,
             keys: cfg.common.keys,
         },
         picker,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,8 +3,9 @@
 use std::{fs, io, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
 
 use ebonyfall_core::{
+    doc::KeyHash,
     ini::{self, Fault, Fields},
-    name::{ProcessName, TargetName, ZoneName},
+    name::{OperatorName, ProcessName, TargetName, ZoneName},
 };
 use ebonyfall_wire::auth::{Key, Keys};
 use snafu::{ResultExt, Snafu};
@@ -44,8 +45,8 @@
     pub zone: ZoneName,
     /// Where `/metrics`, `/dump` and the admin API are served.
     pub admin: SocketAddr,
-    /// SHA-256 of the operators' token, as hex digits.
-    pub operator_token: String,
+    /// Hashes of the operators' tokens: the current one, and the previous one during a rotation.
+    pub operator_tokens: Vec<KeyHash>,
     /// Keys between the system's processes.
     pub keys: Keys,
     /// Base URL of the platform's log and VM list.
@@ -65,6 +66,8 @@
     pub common: Common,
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// Admin addresses of the processes that the router reports on.
+    pub processes: Vec<SocketAddr>,
 }
 
 /// Settings of an agent.
@@ -80,17 +83,49 @@
     pub backend: String,
 }
 
+/// Settings of the operators' command line; options take precedence.
+#[derive(Debug, Clone, Default)]
+pub struct OperatorConfig {
+    /// The operator's name, recorded with each change.
+    pub name: Option<OperatorName>,
+    /// Base URL of the platform's log.
+    pub platform: Option<String>,
+    /// File that holds the operators' token.
+    pub token_file: Option<PathBuf>,
+    /// Admin addresses of the processes.
+    pub processes: Vec<SocketAddr>,
+}
+
+/// Reads the settings of the operators' command line.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read or has faults.
+pub fn operator(path: impl Into<PathBuf>) -> Result<OperatorConfig, SettingsError> {
+    read(path.into(), "operator", |f| {
+        Some(OperatorConfig {
+            name: f.optional("name", "an operator's name", parsed),
+            platform: f.optional("platform", URL, url),
+            token_file: f.optional("token-file", "a file", |text| Some(text.into())),
+            processes: f.list("processes", ADDRESSES, parsed),
+        })
+    })
+}
+
 /// Reads a router's settings.
 ///
 /// # Errors
 ///
 /// Fails when the file cannot be read or has faults.
 pub fn router(path: impl Into<PathBuf>) -> Result<RouterConfig, SettingsError> {
-    read(path.into(), "router", |f, common| {
+    read(path.into(), "router", |f| {
+        let common = common(f);
         let listen = f.required("listen", ADDRESS, parsed);
+        let processes = f.list("processes", ADDRESSES, parsed);
         Some(RouterConfig {
-            common,
+            common: common?,
             listen: listen?,
+            processes,
         })
     })
 }
@@ -101,12 +136,13 @@
 ///
 /// Fails when the file cannot be read or has faults.
 pub fn agent(path: impl Into<PathBuf>) -> Result<AgentConfig, SettingsError> {
-    read(path.into(), "agent", |f, common| {
+    read(path.into(), "agent", |f| {
+        let common = common(f);
         let listen = f.required("listen", ADDRESS, parsed);
         let target = f.required("target", "a target's name", parsed);
         let backend = f.required("backend", URL, url);
         Some(AgentConfig {
-            common,
+            common: common?,
             listen: listen?,
             target: target?,
             backend: backend?,
@@ -115,13 +151,15 @@
 }
 
 const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:8080";
+const ADDRESSES: &str = "IP addresses and ports, comma-separated";
+const HASH: &str = "SHA-256 of the token as 64 hex digits";
 const URL: &str = "a URL such as http://127.0.0.1:9000";
 const KEY: &str = "32 hex digits";
 
 fn read<T>(
     path: PathBuf,
     kind: &str,
-    own: impl Fn(&mut Fields<'_>, Common) -> Option<T>,
+    own: impl Fn(&mut Fields<'_>) -> Option<T>,
 ) -> Result<T, SettingsError> {
     let text = fs::read_to_string(&path).context(ReadSnafu { path: &path })?;
     let file = path.display().to_string();
@@ -135,15 +173,8 @@
             f.fault(section.line, "", "another section", &format!("[{kind}]"));
             continue;
         }
-        let common = common(&mut f);
         // Without the common part, the own keys are still read, so that one run shows every fault.
-        config = match common {
-            Some(common) => own(&mut f, common),
-            None => {
-                f.finish();
-                continue;
-            }
-        };
+        config = own(&mut f);
         f.finish();
     }
     match config {
@@ -171,14 +202,8 @@
     let name = f.required("name", "a process name", parsed);
     let zone = f.required("zone", "a zone's name", parsed);
     let admin = f.required("admin", ADDRESS, parsed);
-    let token = f.required(
-        "operator-token",
-        "SHA-256 of the token as 64 hex digits",
-        |text| {
-            (text.len() == 64 && text.chars().all(|c| c.is_ascii_hexdigit()))
-                .then(|| text.to_ascii_lowercase())
-        },
-    );
+    let token = f.required("operator-token", HASH, KeyHash::from_hex);
+    let previous_token = f.optional("previous-operator-token", HASH, KeyHash::from_hex);
     let key = f.required("key", KEY, key);
     let previous = f.optional("previous-key", KEY, self::key);
     let platform = f.required("platform", URL, url);
@@ -194,7 +219,10 @@
         name: name?,
         zone: zone?,
         admin: admin?,
-        operator_token: token?,
+        operator_tokens: [Some(token?), previous_token]
+            .into_iter()
+            .flatten()
+            .collect(),
         keys: Keys::new(key?, previous),
         platform: platform?,
         log_format: log_format.unwrap_or(Format::Json),
@@ -214,7 +242,8 @@
 }
 
 fn key(text: &str) -> Option<Key> {
-    if text.len() != 32 {
+    // The number parser would also take a sign.
+    if text.len() != 32 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
         return None;
     }
     Some(Key::new(u128::from_str_radix(text, 16).ok()?.to_be_bytes()))
--- a/src/tail.rs
+++ b/src/tail.rs
@@ -39,6 +39,7 @@
     complete: bool,
     reset: bool,
     rejects: Rejects,
+    rejoins: u64,
 }
 
 impl Tail {
@@ -51,6 +52,7 @@
             complete: true,
             reset: false,
             rejects: Rejects::default(),
+            rejoins: 0,
         }
     }
 
@@ -69,6 +71,11 @@
         self.reset
     }
 
+    /// How often the chain of a log that was set back was taken up; offsets count anew after it.
+    pub fn rejoins(&self) -> u64 {
+        self.rejoins
+    }
+
     /// Records that were found invalid.
     pub fn rejects(&self) -> Rejects {
         self.rejects
@@ -84,6 +91,9 @@
             self.begin().await?;
         }
         self.read_on().await?;
+        if self.reset {
+            return self.rejoin().await;
+        }
         if !self.chain.caught_up(self.complete) && !self.complete {
             self.begin_again().await?;
         }
@@ -124,6 +134,21 @@
         read
     }
 
+    /// Takes up the chain of a log that was set back, if it holds the document in force again.
+    async fn rejoin(&mut self) -> Result<(), PlatformError> {
+        let mut other = Self::new(self.platform.clone());
+        other.begin_again().await?;
+        let digest = |chain: &Chain| chain.tip().map(|tip| tip.digest);
+        if digest(&other.chain).is_some() && digest(&other.chain) == digest(&self.chain) {
+            self.chain = other.chain;
+            self.started = true;
+            self.complete = true;
+            self.reset = false;
+            self.rejoins += 1;
+        }
+        Ok(())
+    }
+
     async fn read_on(&mut self) -> Result<(), PlatformError> {
         loop {
             let from = self.chain.next();
--- a/src/view.rs
+++ b/src/view.rs
@@ -224,6 +224,7 @@
         pause: POLL,
         in_force_after: None,
         renewed_at: 0,
+        rejoins: 0,
     };
     tokio::spawn(follower.run(asks));
     Config { tx, views: rx }
@@ -244,6 +245,7 @@
     in_force_after: Option<u64>,
     /// When this process last tried to renew, in milliseconds since the Unix epoch.
     renewed_at: u64,
+    rejoins: u64,
 }
 
 impl Follower {
@@ -302,9 +304,11 @@
             return;
         };
         let known = self.views.borrow().as_ref().map(|view| view.offset);
-        if Some(tip.offset) <= known {
+        let rejoined = self.tail.rejoins() > self.rejoins;
+        if Some(tip.offset) <= known && !rejoined {
             return;
         }
+        self.rejoins = self.tail.rejoins();
         let view = View::new(tip);
         let after = unix_millis().saturating_sub(view.published);
         // A process that just started takes up what others have long had in force.
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -6,6 +6,10 @@
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{
+        OnceLock,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -162,13 +166,23 @@
 
 /// A loopback address whose port is free now.
 ///
+/// The ports lie below those that the system gives to outgoing connections, which otherwise took
+/// one of them before its process was started. Each is given once; programs begin at random.
+///
 /// # Panics
 ///
 /// Panics when no port is free.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    listener
-        .and_then(|listener| listener.local_addr())
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: OnceLock<AtomicU32> = OnceLock::new();
+    let next = NEXT.get_or_init(|| AtomicU32::new(rand::random_range(0..COUNT)));
+    let ports = (0..COUNT).map(|_| FIRST + next.fetch_add(1, Ordering::Relaxed) % COUNT);
+    let mut addresses = ports
+        .filter_map(|port| u16::try_from(port).ok())
+        .map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+    addresses
+        .find(|address| TcpListener::bind(address).is_ok())
         .expect("loopback has free ports")
 }
 
@@ -241,9 +255,15 @@
         );
         published.await.map_err(io::Error::other)?;
 
+        let router_addresses: Vec<_> = (0..plan.routers)
+            .map(|_| [free_address(), free_address()])
+            .collect();
+        let agents = daemons.iter().map(|agent| agent.admin);
+        let admins = agents.chain(router_addresses.iter().map(|[_, admin]| *admin));
+        let admins: Vec<_> = admins.map(|address| address.to_string()).collect();
+        let own = format!("processes = {}\n", admins.join(", "));
         let mut routers = Vec::new();
-        for index in 0..plan.routers {
-            let addresses = [free_address(), free_address()];
+        for (index, addresses) in (0..).zip(router_addresses) {
             let name = format!("router-{index}");
             let settings = plan.settings(
                 "router",
@@ -251,7 +271,7 @@
                 &plan.zone(index),
                 addresses,
                 &platform_url,
-                "",
+                &own,
             )?;
             let program = plan.programs.join("ebonyfall-router");
             routers.push(Daemon::start(&program, &name, addresses, settings)?);
@@ -259,7 +279,7 @@
         for daemon in daemons.iter().chain(&routers) {
             wait_for(daemon.listen)?;
         }
-        // Routers listen before they have read the document.
+        // Routers connect to the agents after they have read the document.
         tokio::time::sleep(Duration::from_millis(1200)).await;
         Ok(Self {
             platform,
@@ -309,7 +329,8 @@
         let path = self.folder.join(format!("{name}.ini"));
         let text = format!(
             "[{kind}]\nname = {name}\nzone = {zone}\nlisten = {listen}\nadmin = {admin}\n\
-             operator-token = {OPERATOR_TOKEN_HASH}\nkey = 000102030405060708090a0b0c0d0e0f\n\
+             operator-token = {OPERATOR_TOKEN_HASH}\n\
+             previous-operator-token = {PREVIOUS_TOKEN_HASH}\nkey = 000102030405060708090a0b0c0d0e0f\n\
              platform = {platform}\n{own}"
         );
         fs::write(&path, text)?;
@@ -321,6 +342,12 @@
 const OPERATOR_TOKEN_HASH: &str =
     "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
 
+/// Operators' token before the last rotation, which is still accepted.
+pub const PREVIOUS_TOKEN: &str = "previous-token";
+/// SHA-256 of [`PREVIOUS_TOKEN`].
+const PREVIOUS_TOKEN_HASH: &str =
+    "728a6eebdf2c29c8f6afaad2f06f2e8255aef713e79c0efed09d84ec2fc553f1";
+
 fn wait_for(address: SocketAddr) -> io::Result<()> {
     let start = Instant::now();
     while TcpStream::connect(address).is_err() {
--- a/standin/src/log.rs
+++ b/standin/src/log.rs
@@ -98,6 +98,13 @@
         Some(offset)
     }
 
+    /// Sets a stream back to an older state, so that `next` is the offset of the next append.
+    pub fn set_back(&mut self, stream: &str, next: Offset) {
+        if let Some(stream) = self.streams.get_mut(stream) {
+            stream.records.retain(|record| record.offset < next);
+        }
+    }
+
     /// Reads records, or tells the first offset that is kept.
     ///
     /// # Errors
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -50,6 +50,7 @@
         reply: oneshot::Sender<Result<Batch, Offset>>,
     },
     SetFaults(LogFaults),
+    SetBack(String, Offset),
     Faults(oneshot::Sender<LogFaults>),
     SetVms(Vec<Vm>),
     Vms(oneshot::Sender<Vec<Vm>>),
@@ -78,6 +79,11 @@
         let _ended = self.tx.send(Ask::SetFaults(faults)).await;
     }
 
+    /// Sets a stream of the log back to an older state.
+    pub async fn set_back(&self, stream: &str, next: Offset) {
+        let _ended = self.tx.send(Ask::SetBack(stream.to_owned(), next)).await;
+    }
+
     /// Replaces the VM list.
     pub async fn set_vms(&self, vms: Vec<Vm>) {
         let _ended = self.tx.send(Ask::SetVms(vms)).await;
@@ -118,6 +124,7 @@
                 let _gone = reply.send(log.read(&stream, from, limit));
             }
             Ask::SetFaults(new) => faults = new,
+            Ask::SetBack(stream, next) => log.set_back(&stream, next),
             Ask::Faults(reply) => {
                 let _gone = reply.send(faults);
             }
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -15,7 +15,7 @@
 pub struct TestEnv {
     /// The deployment.
     pub deployment: Deployment,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 /// A plan with `engines` engines and `services` services in three zones behind two routers.
@@ -45,10 +45,22 @@
         let deployment = Deployment::start(&plan)
             .await
             .expect("the deployment starts");
-        Self {
-            deployment,
-            _folder: folder,
-        }
+        Self { deployment, folder }
+    }
+
+    /// The folder for the test's files.
+    #[allow(dead_code, reason = "not every test file uses it")]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// A file that holds the operators' token.
+    #[allow(dead_code, reason = "not every test file uses it")]
+    pub fn token_file(&self) -> String {
+        let path = self.folder.path().join("token");
+        std::fs::write(&path, ebonyfall_standin::deploy::OPERATOR_TOKEN)
+            .expect("the folder is writable");
+        path.display().to_string()
     }
 
     /// A caller of router `index`.
