--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod case;
 pub mod client;
+pub mod config;
 pub mod demo;
 pub mod moves;
 pub mod place;
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    admin::Admin,
     clock::{self, Clock},
     engine::{self, Backend, Status},
     gate::{Entry, Gate, Handover},
@@ -96,7 +97,29 @@
 ) -> Result<(), AgentError> {
     let clock = Clock::start();
     let platform = Platform::new(&cfg.common.platform);
-    let mut views = view::follow(platform, log.clone());
+    let metrics = Metrics::new();
+    let config = view::follow(platform, &cfg.common.name, metrics.clone(), log.clone());
+    let mut views = config.views().clone();
+    let incarnation = view::incarnation(clock::unix_time());
+    // The gate starts when the document has told the target's capacity.
+    let (gate_tx, gate_rx) = watch::channel(None::<Gate>);
+    let admin = Admin::new("agent", &cfg.common, incarnation, config, metrics.clone()).with_part(
+        "gate",
+        move || {
+            let gate = gate_rx.borrow().clone();
+            async move {
+                match gate {
+                    Some(gate) => Some(gate.load().await),
+                    None => None,
+                }
+            }
+        },
+    );
+    let address = cfg.common.admin;
+    admin
+        .start(address, stop.clone(), log.clone())
+        .await
+        .context(ListenSnafu { address })?;
     let address = cfg.listen;
     let listener = TcpListener::bind(address)
         .await
@@ -112,18 +135,20 @@
     };
     let runs = &view.document.targets[&cfg.target].runs;
     let is_engine = matches!(runs, Runs::Engine { .. });
+    let gate = Gate::start(cfg.target.clone(), capacity, hold, clock);
+    gate_tx.send_replace(Some(gate.clone()));
     let agent = Agent {
-        gate: Gate::start(cfg.target.clone(), capacity, hold, clock),
+        gate,
         target: cfg.target,
         identity: Identity {
             name: cfg.common.name,
-            incarnation: view::incarnation(clock::unix_time()),
+            incarnation,
             keys: cfg.common.keys,
         },
         views: views.clone(),
         pointers: PointerTask::start(clock),
         backend: Backend::new(cfg.backend),
-        metrics: Metrics::new(),
+        metrics,
         log,
     };
     info!(agent.log, "agent ready"; "target" => %agent.target, "listen" => address);
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -12,8 +12,10 @@
     time::{Duration, Instant},
 };
 
-use ebonyfall::platform::Platform as Client;
-use ebonyfall::view::CONFIG_STREAM;
+use ebonyfall::{
+    operate::{self, Request},
+    platform::Platform as Client,
+};
 
 use crate::{
     engine::{self, EngineConfig},
@@ -178,6 +180,9 @@
 
 /// A loopback address whose port is free now.
 ///
+/// The ports lie below those that the system gives to outgoing connections, which otherwise took
+/// one of them before its process was started. Each is given once; programs begin at random.
+///
 /// # Panics
 ///
 /// Panics when no port is free.
@@ -197,6 +202,15 @@
 }
 
 impl Deployment {
+    /// Publishes another document.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the document has faults or the platform does not answer.
+    pub async fn publish(&self, text: &str) -> io::Result<()> {
+        publish(&Client::new(&self.platform_url), text).await
+    }
+
     /// Starts everything and waits until the routers listen.
     ///
     /// # Errors
@@ -252,12 +266,17 @@
             daemons.push(Daemon::start(&program, &name, addresses, settings)?);
         }
         let client = Client::new(&platform_url);
-        let published = client.append(CONFIG_STREAM, document.as_bytes()).await;
-        published.map_err(io::Error::other)?;
+        publish(&client, &document).await?;
 
+        let router_addresses: Vec<_> = (0..plan.routers)
+            .map(|_| [free_address(), free_address()])
+            .collect();
+        let agents = daemons.iter().map(|agent| agent.admin);
+        let admins = agents.chain(router_addresses.iter().map(|[_, admin]| *admin));
+        let admins: Vec<_> = admins.map(|address| address.to_string()).collect();
+        let own = format!("processes = {}\n", admins.join(", "));
         let mut routers = Vec::new();
-        for index in 0..plan.routers {
-            let addresses = [free_address(), free_address()];
+        for (index, addresses) in (0..).zip(router_addresses) {
             let name = format!("router-{index}");
             let settings = plan.settings(
                 "router",
@@ -265,7 +284,7 @@
                 &plan.zone(index),
                 addresses,
                 &platform_url,
-                "",
+                &own,
             )?;
             let program = plan.programs.join("ebonyfall-router");
             routers.push(Daemon::start(&program, &name, addresses, settings)?);
@@ -273,7 +292,7 @@
         for daemon in daemons.iter().chain(&routers) {
             wait_for(daemon.listen)?;
         }
-        // Routers listen before they have read the document.
+        // Routers connect to the agents after they have read the document.
         tokio::time::sleep(Duration::from_millis(1200)).await;
         Ok(Self {
             platform,
@@ -287,6 +306,21 @@
     }
 }
 
+async fn publish(platform: &Client, text: &str) -> io::Result<()> {
+    let author = "deploy".parse().map_err(io::Error::other)?;
+    let req = Request {
+        file: "deployment",
+        text,
+        author,
+        base: None,
+        initial: false,
+    };
+    operate::publish(platform, req)
+        .await
+        .map_err(io::Error::other)?;
+    Ok(())
+}
+
 impl Plan {
     fn zone(&self, index: u32) -> String {
         self.zones[index as usize % self.zones.len()].clone()
@@ -323,7 +357,8 @@
         let path = self.folder.join(format!("{name}.ini"));
         let text = format!(
             "[{kind}]\nname = {name}\nzone = {zone}\nlisten = {listen}\nadmin = {admin}\n\
-             operator-token = {OPERATOR_TOKEN_HASH}\nkey = 000102030405060708090a0b0c0d0e0f\n\
+             operator-token = {OPERATOR_TOKEN_HASH}\n\
+             previous-operator-token = {PREVIOUS_TOKEN_HASH}\nkey = 000102030405060708090a0b0c0d0e0f\n\
              platform = {platform}\n{own}"
         );
         fs::write(&path, text)?;
@@ -335,6 +370,12 @@
 const OPERATOR_TOKEN_HASH: &str =
     "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
 
+/// Operators' token before the last rotation, which is still accepted.
+pub const PREVIOUS_TOKEN: &str = "previous-token";
+/// SHA-256 of [`PREVIOUS_TOKEN`].
+const PREVIOUS_TOKEN_HASH: &str =
+    "728a6eebdf2c29c8f6afaad2f06f2e8255aef713e79c0efed09d84ec2fc553f1";
+
 fn wait_for(address: SocketAddr) -> io::Result<()> {
     let start = Instant::now();
     while TcpStream::connect(address).is_err() {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -4,7 +4,6 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use ebonyfall::{platform::Platform, view::CONFIG_STREAM};
 use ebonyfall_bench::client::{Caller, Outcome, messages};
 use ebonyfall_core::code::Code;
 use ebonyfall_standin::{
@@ -265,8 +264,7 @@
         let address = forward(agent.listen, rx.clone()).await;
         document = document.replace(&agent.listen.to_string(), &address.to_string());
     }
-    let platform = Platform::new(env.deployment.platform_url.clone());
-    let published = platform.append(CONFIG_STREAM, document.as_bytes()).await;
+    let published = env.deployment.publish(&document).await;
     published.expect("the document is published");
     sleep(Duration::from_millis(1500)).await;
     let load = Load::start(&env, 8);
