Add the state machines of requests that run at most once

The ledger evaluates the claims stream in log order, the guard of an agent runs each claim at most once per incarnation, and the owner carries one request from its key to its result. The expiry of keys is evaluated by the log's clock alone, so that readers with different clocks agree; the margin (120 s) exceeds the tolerated advance of a key (60 s), so that a key is refused before the record of its earliest claim can be gone.

Ruled out: voiding an open claim at once (it would void claims whose owner is about to send; a claim is asked back from its agent after 2 s), and repeating an append that was not found on read-back (it may still take effect; its owner never sends it, and a later copy has it voided).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,11 +6,15 @@
 pub mod admit;
 pub mod answer;
 pub mod chat;
+pub mod claim;
 pub mod code;
 pub mod doc;
+pub mod guard;
 pub mod id;
 pub mod ini;
+pub mod ledger;
 pub mod name;
+pub mod owner;
 pub mod place;
 mod read;
 pub mod time;
--- /dev/null
+++ b/core/tests/claims_explore.rs
@@ -0,0 +1,116 @@
+//! Exhaustive exploration of a small case of requests that run at most once.
+
+mod world;
+
+use std::collections::HashSet;
+
+use world::{Budget, START, Variant, World};
+
+/// Faults of the small case: one lost append reply, one lost link, one pause, one agent restart and
+/// one refusal, which makes a second attempt.
+const FAULTS: Budget = Budget {
+    append: 1,
+    link: 1,
+    refuse: 1,
+    restart: 1,
+    pause: 1,
+};
+const NO_FAULTS: Budget = Budget {
+    append: 0,
+    link: 0,
+    refuse: 0,
+    restart: 0,
+    pause: 0,
+};
+
+/// Two routers get the same key.
+fn small(variant: Variant, budget: Budget) -> World {
+    let mut world = World::new(variant, 2, 2, budget);
+    world.arrive(0, 7, START, 1);
+    world.arrive(1, 7, START, 1);
+    world
+}
+
+/// Visits every state that can be reached; returns their number, or the first broken promise.
+fn explore(start: World) -> Result<usize, String> {
+    let mut seen = HashSet::from([start.digest()]);
+    let mut stack = vec![start];
+    while let Some(world) = stack.pop() {
+        world.check()?;
+        if world.quiet() && world.budget == NO_FAULTS && !faulty(&world) {
+            let runs: u32 = world.runs.values().sum();
+            if runs != 1 {
+                return Err(format!("{runs} runs without a fault"));
+            }
+        }
+        for step in world.moves() {
+            let mut next = world.clone();
+            next.apply(step);
+            if seen.insert(next.digest()) {
+                stack.push(next);
+            }
+        }
+    }
+    Ok(seen.len())
+}
+
+/// Whether the case was started with faults, so that no run at all is allowed.
+fn faulty(world: &World) -> bool {
+    world.now != START || world.agents.iter().any(|a| a.incarnation != 1.into())
+}
+
+/// Guards against any interleaving in which a request runs twice, or none runs without a fault.
+#[test]
+fn one_run_without_faults() {
+    let states = explore(small(Variant::Sound, NO_FAULTS)).unwrap();
+    println!("states without faults: {states}");
+}
+
+/// Guards against any interleaving of the faults in which a request runs twice, or `not run` is
+/// false. Each pair of faults is searched with a pause; `EBONYFALL_EXPLORE=full` searches all of
+/// them together.
+#[test]
+fn at_most_one_run_with_every_interleaving_of_faults() {
+    let full = std::env::var("EBONYFALL_EXPLORE").is_ok_and(|value| value == "full");
+    let cases: &[[u8; 4]] = if full {
+        &[[1, 1, 1, 1]]
+    } else {
+        &[
+            [1, 1, 0, 0],
+            [1, 0, 1, 0],
+            [1, 0, 0, 1],
+            [0, 1, 1, 0],
+            [0, 1, 0, 1],
+            [0, 0, 1, 1],
+        ]
+    };
+    for &[append, link, refuse, restart] in cases {
+        let budget = Budget {
+            append,
+            link,
+            refuse,
+            restart,
+            ..FAULTS
+        };
+        let states = explore(small(Variant::Sound, budget)).unwrap();
+        println!("states with {budget:?}: {states}");
+    }
+}
+
+/// Guards against a search that would miss a fault: each broken variant must be found.
+#[test]
+fn broken_variants_are_found() {
+    for variant in [
+        Variant::NoReadBack,
+        Variant::NoIncarnation,
+        Variant::NoVoidEntry,
+    ] {
+        let budget = Budget {
+            refuse: 0,
+            ..FAULTS
+        };
+        let broken = explore(small(variant, budget)).unwrap_err();
+        println!("{variant:?}: {broken}");
+        assert!(broken.contains("ran 2 times"), "{variant:?}: {broken}");
+    }
+}
