Run requests with an idempotency key at most once

Cause: orders and approvals with an idempotency key were sent like any other request, so that a caller's repeat ran again.

The at-most-once path binds a request to a target before its claim, because the claim names the incarnation that the agent states on the connection. The agent's guard comes before admission, and a claimed request runs to its end when its connection is lost, so that the guard learns its fate.

A fault was found: the agent took a 503 of a plain service for `not run`, so that an order was repeated when the service answered 503 after running it. Such an answer of a call that runs at most once now goes to the caller as it is.

Ruled out: applying the own batch without reading it back (the reply to an append lacks the log's time, by which all readers must expire alike).

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,7 +2,12 @@
 
 use std::{io, time::Duration};
 
-use ebonyfall_core::{admit::Capacity, code::Code, id::AttemptId, name::TargetName};
+use ebonyfall_core::{
+    admit::Capacity,
+    code::{Code, Ran},
+    id::AttemptId,
+    name::TargetName,
+};
 use ebonyfall_wire::frame::{MAX_PART, Submit, ToAgent, ToRouter};
 use http::{Response, header::CONTENT_TYPE};
 use http_body_util::BodyExt;
@@ -19,6 +24,7 @@
     clock::{self, Clock},
     engine::{self, Backend},
     gate::Gate,
+    guard::Guard,
     link::{Identity, Link, LinkError},
     metrics::Metrics,
     platform::Platform,
@@ -55,6 +61,7 @@
     target: TargetName,
     identity: Identity,
     gate: Gate,
+    guard: Guard,
     backend: Backend,
     metrics: Metrics,
     log: Logger,
@@ -91,13 +98,15 @@
         slots: target.slots,
         cold_slots: target.cold_slots,
     };
+    let incarnation = view::incarnation(clock::unix_time());
     let agent = Agent {
         target: cfg.target,
         identity: Identity {
             name: cfg.common.name,
-            incarnation: view::incarnation(clock::unix_time()),
+            incarnation,
             keys: cfg.common.keys,
         },
+        guard: Guard::start(incarnation),
         gate: Gate::start(capacity, clock),
         backend: Backend::new(cfg.backend),
         metrics: Metrics::new(),
@@ -137,8 +146,16 @@
                 return;
             }
         };
-        while let Ok(ToAgent::Submit(submit)) = link.receive().await {
-            if let Err(error) = self.request(&mut link, *submit).await {
+        while let Ok(message) = link.receive().await {
+            let served = match message {
+                ToAgent::Submit(submit) => self.request(&mut link, *submit).await,
+                ToAgent::Void(claim) => {
+                    let answer = self.guard.void(claim).await;
+                    let claim = claim.id;
+                    link.send(&ToRouter::Void { claim, answer }).await
+                }
+            };
+            if let Err(error) = served {
                 debug!(self.log, "connection lost"; "error" => %error);
                 return;
             }
@@ -148,16 +165,14 @@
     /// Serves one request; an error means that the connection cannot be used any more.
     async fn request(&self, link: &mut Link, submit: Submit) -> Result<(), LinkError> {
         let attempt = submit.attempt;
-        let admitted = if submit.target == self.target {
-            self.gate.enter(submit.left).await
-        } else {
-            Err(Code::WrongTarget)
-        };
+        let claim = submit.claim;
+        let admitted = self.admit(&submit).await;
         let outcome = match admitted {
             Ok(()) => {
                 let deadline = Instant::now() + submit.left;
                 let outcome = self.serve(link, submit, deadline).await;
                 self.gate.leave(matches!(outcome, Ok(Ok(_)))).await;
+                self.guard.ended(claim, ran(&outcome)).await;
                 outcome?
             }
             Err(code) => Err(code),
@@ -185,7 +200,21 @@
         }
     }
 
-    /// Runs an admitted request; returns the answer's length. A closed connection cancels it.
+    async fn admit(&self, submit: &Submit) -> Result<(), Code> {
+        if submit.target != self.target {
+            return Err(Code::WrongTarget);
+        }
+        // The guard comes first, so that a claim that is refused admission is known never to run.
+        self.guard.enter(submit.claim).await?;
+        let admitted = self.gate.enter(submit.left).await;
+        if admitted.is_err() {
+            self.guard.ended(submit.claim, Ran::NotRun).await;
+        }
+        admitted
+    }
+
+    /// Runs an admitted request; returns the answer's length. A closed connection cancels it,
+    /// unless it was claimed: then it runs to its end, so that the guard learns its fate.
     async fn serve(
         &self,
         link: &mut Link,
@@ -197,11 +226,13 @@
             priority,
             repeat,
             call,
+            claim,
             ..
         } = submit;
+        let claimed = claim.is_some();
         let res = tokio::select! {
             res = timeout_at(deadline, self.backend.call(attempt, priority, repeat, call)) => res,
-            closed = link.receive::<ToAgent>() => return Err(unexpected(closed)),
+            closed = link.receive::<ToAgent>(), if !claimed => return Err(unexpected(closed)),
         };
         let res = match res {
             Ok(Ok(res)) => res,
@@ -259,6 +290,15 @@
     }
 }
 
+/// Whether a request ran. A claimed request is not cancelled with its connection, so that a lost
+/// connection shows only when its answer is passed on.
+fn ran(outcome: &Result<Result<u64, Code>, LinkError>) -> Ran {
+    match outcome {
+        Ok(Ok(_)) | Err(_) => Ran::Ran,
+        Ok(Err(code)) => code.ran(),
+    }
+}
+
 /// Keeps as many of the last bytes as the end of a stream has.
 fn keep_tail(tail: &mut Vec<u8>, data: &[u8]) {
     tail.extend_from_slice(&data[data.len().saturating_sub(STREAM_END.len())..]);
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -73,8 +73,9 @@
                 Code::EngineFailed
             }
         })?;
-        // Engines answer 503 before they take a request into a batch.
-        if res.status() == StatusCode::SERVICE_UNAVAILABLE {
+        // Engines answer 503 before they take a request into a batch. A plain service may answer
+        // 503 after it has run a part of a call, so that its answer goes to the caller as it is.
+        if repeat == Repeat::Idempotent && res.status() == StatusCode::SERVICE_UNAVAILABLE {
             return Err(Code::EngineRefused);
         }
         Ok(res)
--- a/src/front.rs
+++ b/src/front.rs
@@ -28,6 +28,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
+    claims::Keyed,
     relay::{Answer, Job, Relay},
     view::{Pool, View, Views},
     web::{self, Shared},
@@ -138,6 +139,10 @@
             (Pool::Service(route.service.clone()), chat, route.repeat)
         };
         let (priority, left) = urgency(&headers, &team)?;
+        let key = match web::header(&headers, "idempotency-key") {
+            Some(text) if repeat == Repeat::AtMostOnce => Some(Keyed::new(&name, text, &call)?),
+            _ => None,
+        };
         let job = Job {
             request,
             team: name,
@@ -147,6 +152,7 @@
             repeat,
             left,
             call,
+            key,
         };
         Ok(self.relay.run(job).await?)
     }
--- /dev/null
+++ b/src/guard.rs
@@ -0,0 +1,94 @@
+//! The agent's task that owns the at-most-once guard.
+
+use ebonyfall_core::{
+    claim::{ClaimId, ClaimRef},
+    code::{Code, Ran},
+    guard::{self, VoidAnswer},
+    id::Incarnation,
+};
+use tokio::sync::{mpsc, oneshot};
+
+/// Messages that may wait for the task.
+const QUEUE_LEN: usize = 4096;
+/// Claims remembered. At 100 orders/s for one target this covers 10 minutes, longer than a pause
+/// of an owner that is worth resolving; it takes about 3 MB.
+const CAPACITY: usize = 65_536;
+
+#[derive(Debug)]
+enum Ask {
+    Enter {
+        claim: ClaimRef,
+        reply: oneshot::Sender<Result<(), Code>>,
+    },
+    Ended {
+        claim: ClaimId,
+        ran: Ran,
+    },
+    Void {
+        claim: ClaimRef,
+        reply: oneshot::Sender<VoidAnswer>,
+    },
+}
+
+/// Runs each claim at most once.
+#[derive(Debug, Clone)]
+pub struct Guard(mpsc::Sender<Ask>);
+
+impl Guard {
+    /// Starts the task of an agent of this incarnation; it ends when the last handle is dropped.
+    pub fn start(incarnation: Incarnation) -> Self {
+        let (tx, rx) = mpsc::channel(QUEUE_LEN);
+        tokio::spawn(run(guard::Guard::new(incarnation, CAPACITY), rx));
+        Self(tx)
+    }
+
+    /// Takes a claim that is about to run; requests without one always pass.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the code of the refusal.
+    pub async fn enter(&self, claim: Option<ClaimRef>) -> Result<(), Code> {
+        let Some(claim) = claim else {
+            return Ok(());
+        };
+        let (reply, answer) = oneshot::channel();
+        let sent = self.0.send(Ask::Enter { claim, reply }).await;
+        sent.map_err(|_ended| Code::ShuttingDown)?;
+        answer.await.map_err(|_ended| Code::ShuttingDown)?
+    }
+
+    /// Records the end of a claim that was taken.
+    pub async fn ended(&self, claim: Option<ClaimRef>, ran: Ran) {
+        if let Some(claim) = claim {
+            let _ended = self
+                .0
+                .send(Ask::Ended {
+                    claim: claim.id,
+                    ran,
+                })
+                .await;
+        }
+    }
+
+    /// Makes sure that a claim never runs, unless it did or does.
+    pub async fn void(&self, claim: ClaimRef) -> VoidAnswer {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.0.send(Ask::Void { claim, reply }).await;
+        answer.await.unwrap_or(VoidAnswer::Unknown)
+    }
+}
+
+async fn run(mut guard: guard::Guard, mut rx: mpsc::Receiver<Ask>) {
+    while let Some(ask) = rx.recv().await {
+        match ask {
+            Ask::Enter { claim, reply } => {
+                // The asker waits for the answer; if it is gone, the claim counts as taken.
+                let _asker_gone = reply.send(guard.enter(claim));
+            }
+            Ask::Ended { claim, ran } => guard.ended(claim, ran),
+            Ask::Void { claim, reply } => {
+                let _asker_gone = reply.send(guard.void(claim));
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! `ebonyfall_core`, the encoding of messages in `ebonyfall_wire`.
 
 pub mod agent;
+pub mod claims;
 pub mod cli;
 pub mod clock;
 pub mod daemon;
@@ -11,10 +12,12 @@
 pub mod exit;
 pub mod front;
 pub mod gate;
+pub mod guard;
 pub mod link;
 pub mod links;
 pub mod logs;
 pub mod metrics;
+pub mod once;
 pub mod picker;
 pub mod platform;
 pub mod relay;
--- /dev/null
+++ b/src/once.rs
@@ -0,0 +1,251 @@
+//! Carries a request that runs at most once: claim, one send, and its end in the log.
+
+use std::{io, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use ebonyfall_core::{
+    answer::Assembly,
+    claim::ClaimRef,
+    code::Code,
+    id::AttemptId,
+    name::TargetName,
+    owner::{Action, Event, Order, Owner, Verdict},
+};
+use ebonyfall_wire::frame::{Head, Submit, ToAgent, ToRouter};
+use slog::debug;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout, timeout_at},
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    claims::{Held, Keyed},
+    link::Link,
+    picker::Choice,
+    relay::{Answer, Job, Relay},
+};
+
+/// Largest answer, in bytes. Answers are collected whole, so that a repeat can get them.
+const MAX_ANSWER: usize = 8 << 20;
+/// Longest wait for an agent's answer to a void.
+const VOID_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One request on its way.
+struct Once {
+    relay: Relay,
+    job: Job,
+    deadline: Instant,
+    tried: Vec<TargetName>,
+    last: Code,
+    link: Option<(Link, Choice)>,
+    answer: Option<Held>,
+}
+
+impl Relay {
+    /// Runs a request that has an idempotency key and must not run twice. It goes on when the
+    /// caller leaves, so that the caller's repeat finds its result.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the code that the caller gets.
+    pub async fn run_once(&self, job: Job, key: Keyed) -> Result<Answer, Code> {
+        let owner = Owner::new(Order {
+            key: key.id,
+            key_time: key.time,
+            content: key.content,
+            router: self.identity.name.clone(),
+            incarnation: self.identity.incarnation,
+            request: job.request,
+        });
+        let once = Once {
+            relay: self.clone(),
+            deadline: Instant::now() + job.left,
+            job,
+            tried: Vec::new(),
+            last: Code::NoTarget,
+            link: None,
+            answer: None,
+        };
+        let running = tokio::spawn(once.run(owner));
+        let held = running.await.map_err(|_panicked| Code::Internal)??;
+        self.metrics.result("Ok");
+        let (tx, body) = mpsc::channel(1);
+        let _receiver_lives = tx.try_send(Ok::<_, io::Error>(held.body));
+        Ok(Answer {
+            head: held.head,
+            body,
+        })
+    }
+}
+
+impl Once {
+    async fn run(mut self, mut owner: Owner) -> Result<Held, Code> {
+        let mut event = Event::Arrived;
+        loop {
+            let claims = &self.relay.claims;
+            let step = claims.step(owner, event).await?;
+            owner = step.owner;
+            if let Some(held) = step.held {
+                return Ok(held);
+            }
+            event = match step.action {
+                Action::Connect => self.connect().await,
+                Action::Void { target, claim } => self.void(&target, claim).await,
+                Action::Send(claim) => self.send(owner.attempt(), claim).await,
+                // The claims task appends by itself.
+                Action::Append(_) => return Err(Code::Internal),
+                Action::Done(outcome) => {
+                    return match outcome.result {
+                        Verdict::Answer => self.answer.take().ok_or(Code::Internal),
+                        Verdict::Recorded(_, code) | Verdict::Code(code) => Err(code),
+                    };
+                }
+            };
+        }
+    }
+
+    async fn connect(&mut self) -> Event {
+        loop {
+            if Instant::now() >= self.deadline {
+                return Event::NoTarget(Code::DeadlinePassed);
+            }
+            let (pool, chat) = (self.job.pool.clone(), self.job.chat);
+            let choice = self.relay.picker.choose(pool, chat, self.tried.clone());
+            let choice = match choice.await {
+                Ok(choice) => choice,
+                Err(code) if self.tried.is_empty() => return Event::NoTarget(code),
+                Err(_) => return Event::NoTarget(self.last),
+            };
+            self.tried.push(choice.target.clone());
+            match Link::dial(&self.relay.identity, choice.agent).await {
+                Ok(link) => {
+                    let target = choice.target.clone();
+                    let agent = link.peer().incarnation;
+                    self.link = Some((link, choice));
+                    return Event::Connected { target, agent };
+                }
+                Err(error) => {
+                    debug!(self.relay.log, "cannot connect"; "target" => %choice.target, "error" => %error);
+                    self.last = Code::EngineUnreachable;
+                }
+            }
+        }
+    }
+
+    async fn void(&self, target: &TargetName, claim: ClaimRef) -> Event {
+        let exchange = async {
+            let agent = self.relay.claims.agent(target)?;
+            let mut link = Link::dial(&self.relay.identity, agent).await.ok()?;
+            link.send(&ToAgent::Void(claim)).await.ok()?;
+            match link.receive().await.ok()? {
+                ToRouter::Void {
+                    claim: found,
+                    answer,
+                } if found == claim.id => Some(answer),
+                _ => None,
+            }
+        };
+        let answer = timeout(VOID_TIMEOUT, exchange).await.ok().flatten();
+        answer.map_or(Event::VoidLost, Event::Void)
+    }
+
+    /// Sends the request on the connection that was open when it was claimed.
+    async fn send(&mut self, attempt: AttemptId, claim: ClaimRef) -> Event {
+        let Some((mut link, choice)) = self.link.take() else {
+            return Event::LinkLost;
+        };
+        let submit = ToAgent::Submit(Box::new(Submit {
+            attempt,
+            target: choice.target.clone(),
+            version: choice.version.clone(),
+            team: self.job.team.clone(),
+            chat: self.job.chat,
+            priority: self.job.priority,
+            repeat: self.job.repeat,
+            left: self.deadline.saturating_duration_since(Instant::now()),
+            call: self.job.call.clone(),
+            claim: Some(claim),
+        }));
+        if link.send(&submit).await.is_err() {
+            return Event::LinkLost;
+        }
+        let receiving = timeout_at(self.deadline, self.receive(&mut link, &choice, attempt));
+        let Ok(received) = receiving.await else {
+            return Event::LinkLost;
+        };
+        match received {
+            Ok(held) => {
+                let status = held.head.status;
+                let digest = xxh3_64(&held.body);
+                self.relay.claims.hold(claim.id, held.clone()).await;
+                self.answer = Some(held);
+                Event::Answered { status, digest }
+            }
+            Err(event) => event,
+        }
+    }
+
+    /// Collects the whole answer.
+    async fn receive(
+        &self,
+        link: &mut Link,
+        choice: &Choice,
+        expected: AttemptId,
+    ) -> Result<Held, Event> {
+        let mut assembly = Assembly::new(expected);
+        let mut head = None;
+        let mut body = BytesMut::new();
+        loop {
+            let message = link.receive().await.map_err(|_lost| Event::LinkLost)?;
+            match message {
+                ToRouter::Head {
+                    attempt,
+                    head: found,
+                } if attempt == expected => head = Some(found),
+                ToRouter::Part {
+                    attempt,
+                    offset,
+                    data,
+                } => {
+                    let len = data.len() as u64;
+                    let skip = assembly.part(attempt, offset, len);
+                    let skip = skip.map_err(|_mismatch| self.mismatch())?;
+                    let skip = usize::try_from(skip).unwrap_or(data.len());
+                    body.extend_from_slice(&data[skip..]);
+                    if body.len() > MAX_ANSWER {
+                        return Err(Event::Refused(Code::StreamCut));
+                    }
+                }
+                ToRouter::Done {
+                    attempt,
+                    length,
+                    load,
+                } => {
+                    let done = assembly.done(attempt, length);
+                    done.map_err(|_mismatch| self.mismatch())?;
+                    self.relay.picker.heard(choice.target.clone(), load).await;
+                    return held(head, body.freeze()).ok_or(Event::LinkLost);
+                }
+                ToRouter::Refused {
+                    attempt,
+                    code,
+                    load,
+                } if attempt == expected => {
+                    self.relay.picker.heard(choice.target.clone(), load).await;
+                    return Err(Event::Refused(code));
+                }
+                _ => return Err(self.mismatch()),
+            }
+        }
+    }
+
+    fn mismatch(&self) -> Event {
+        self.relay.metrics.mismatches.inc();
+        Event::LinkLost
+    }
+}
+
+fn held(head: Option<Head>, body: Bytes) -> Option<Held> {
+    Some(Held { head: head?, body })
+}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::{
+    claims::{Claims, Keyed},
     link::{Identity, Link},
     links::Links,
     metrics::Metrics,
@@ -49,6 +50,8 @@
     pub left: Duration,
     /// What to send to the back end.
     pub call: Call,
+    /// The idempotency key of a request that runs at most once.
+    pub key: Option<Keyed>,
 }
 
 /// An answer whose body is still arriving; an error in the body means that it was cut.
@@ -65,6 +68,8 @@
 pub struct Relay {
     /// This process.
     pub identity: Identity,
+    /// Claims requests that run at most once.
+    pub claims: Claims,
     /// Chooses targets.
     pub picker: Picker,
     /// Lends connections.
@@ -90,6 +95,9 @@
     ///
     /// Fails with the code that the caller gets.
     pub async fn run(&self, job: Job) -> Result<Answer, Code> {
+        if let Some(key) = job.key.clone() {
+            return self.run_once(job, key).await;
+        }
         let deadline = Instant::now() + job.left;
         let mut tried = Vec::new();
         let mut last = Code::NoTarget;
@@ -147,6 +155,7 @@
             repeat: job.repeat,
             left,
             call: job.call.clone(),
+            claim: None,
         }));
         let mut link = self.link(job, &choice).await?;
         if link.send(&submit).await.is_err() {
@@ -266,7 +275,7 @@
                     self.picker.heard(choice.target, load).await;
                     return Err(Code::StreamCut);
                 }
-                ToRouter::Head { .. } => return Err(Code::AnswerMismatch),
+                ToRouter::Head { .. } | ToRouter::Void { .. } => return Err(Code::AnswerMismatch),
             }
         }
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,7 +7,7 @@
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
-    clock, front, link::Identity, links::Links, metrics::Metrics, picker::Picker,
+    claims::Claims, clock, front, link::Identity, links::Links, metrics::Metrics, picker::Picker,
     platform::Platform, relay::Relay, settings::RouterConfig, view, web,
 };
 
@@ -38,15 +38,17 @@
     log: Logger,
 ) -> Result<(), RouterError> {
     let platform = Platform::new(&cfg.common.platform);
-    let views = view::follow(platform, log.clone());
+    let views = view::follow(platform.clone(), log.clone());
     let picker = Picker::start(views.clone());
     let metrics = Metrics::new();
+    let identity = Identity {
+        name: cfg.common.name,
+        incarnation: view::incarnation(clock::unix_time()),
+        keys: cfg.common.keys,
+    };
     let relay = Relay {
-        identity: Identity {
-            name: cfg.common.name,
-            incarnation: view::incarnation(clock::unix_time()),
-            keys: cfg.common.keys,
-        },
+        identity,
+        claims: Claims::start(platform.clone(), views.clone(), log.clone()),
         picker,
         links: Links::start(),
         metrics,
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -1,6 +1,6 @@
 //! A plain service: status lookups that may be repeated, and orders that may not.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use ebonyfall::web::{self, Shared};
 use gotham::{
@@ -13,15 +13,30 @@
 };
 use http::{Method, StatusCode, Uri};
 use serde_json::json;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
 
 use crate::host::Host;
 
+/// How the service misbehaves.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServiceFaults {
+    /// Delay between running an order and answering it.
+    pub delay: Duration,
+    /// Crash after running an order, for this long, instead of answering.
+    pub crash: Option<Duration>,
+    /// Answer 503 after running an order.
+    pub unavailable: bool,
+}
+
 enum Ask {
     Order {
         item: String,
-        reply: oneshot::Sender<u32>,
+        reply: oneshot::Sender<(u32, ServiceFaults)>,
     },
+    SetFaults(ServiceFaults),
     Orders(oneshot::Sender<BTreeMap<String, u32>>),
 }
 
@@ -38,10 +53,15 @@
         tokio::spawn(run(rx));
         let service = Self { tx };
         let shared = service.clone();
-        let host = Host::start(address, move |_, _| routes(shared.clone()));
+        let host = Host::start(address, move |host, _| routes(shared.clone(), host));
         (service, host)
     }
 
+    /// Makes the service misbehave from now on.
+    pub async fn set_faults(&self, faults: ServiceFaults) {
+        let _ended = self.tx.send(Ask::SetFaults(faults)).await;
+    }
+
     /// How often each item was ordered.
     pub async fn orders(&self) -> BTreeMap<String, u32> {
         self.ask(Ask::Orders).await
@@ -56,13 +76,15 @@
 
 async fn run(mut rx: mpsc::Receiver<Ask>) {
     let mut orders: BTreeMap<String, u32> = BTreeMap::new();
+    let mut faults = ServiceFaults::default();
     while let Some(ask) = rx.recv().await {
         match ask {
             Ask::Order { item, reply } => {
                 let count = orders.entry(item).or_default();
                 *count += 1;
-                let _gone = reply.send(*count);
+                let _gone = reply.send((*count, faults));
             }
+            Ask::SetFaults(new) => faults = new,
             Ask::Orders(reply) => {
                 let _gone = reply.send(orders.clone());
             }
@@ -70,8 +92,9 @@
     }
 }
 
-fn routes(service: Service) -> Router {
-    let pipeline = single_middleware(StateMiddleware::new(Shared::new(service)));
+fn routes(service: Service, host: Host) -> Router {
+    let shared = Shared::new((service, host));
+    let pipeline = single_middleware(StateMiddleware::new(shared));
     let (chain, pipelines) = single_pipeline(pipeline);
     build_router(chain, pipelines, |route| {
         route
@@ -81,7 +104,7 @@
 }
 
 async fn handle(mut state: State) -> HandlerResult {
-    let service = Shared::<Service>::take_from(&mut state).into_inner();
+    let (service, host) = Shared::<(Service, Host)>::take_from(&mut state).into_inner();
     let path = Uri::borrow_from(&state).path().to_owned();
     let method = Method::borrow_from(&state).clone();
     let res = match (method.as_str(), path.as_str()) {
@@ -89,11 +112,19 @@
             let body = web::body(&mut state, 1 << 20).await.unwrap_or_default();
             let item = String::from_utf8_lossy(&body).into_owned();
             let reply_item = item.clone();
-            let count = service.ask(|reply| Ask::Order { item, reply }).await;
-            web::json(
-                StatusCode::OK,
-                &json!({ "item": reply_item, "count": count }),
-            )
+            let (count, faults) = service.ask(|reply| Ask::Order { item, reply }).await;
+            time::sleep(faults.delay).await;
+            if let Some(down) = faults.crash {
+                host.crash(down);
+                // The crash drops this connection before the answer is due.
+                time::sleep(down).await;
+            }
+            let status = if faults.unavailable {
+                StatusCode::SERVICE_UNAVAILABLE
+            } else {
+                StatusCode::OK
+            };
+            web::json(status, &json!({ "item": reply_item, "count": count }))
         }
         ("GET", _) => web::json(StatusCode::OK, &json!({ "orders": service.orders().await })),
         _ => web::json(StatusCode::NOT_FOUND, &json!({})),
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,237 @@
+//! Requests that may not be repeated run at most once, with real processes.
+
+mod testenv;
+
+use std::{process::Command, time::Duration};
+
+use ebonyfall_bench::client::{Caller, Outcome, messages};
+use ebonyfall_standin::{log::LogFaults, service::ServiceFaults};
+use testenv::{TestEnv, plan};
+use tokio::{task::JoinHandle, time::sleep};
+use uuid::{NoContext, Timestamp, Uuid};
+
+const WHOLE: Outcome = Outcome::Whole { cached: false };
+/// Longer than the time after which an open claim is asked back from its agent.
+const GRACE: Duration = Duration::from_millis(2_500);
+
+fn key() -> String {
+    Uuid::now_v7().to_string()
+}
+
+async fn runs(env: &TestEnv, item: &str) -> u32 {
+    let mut runs = 0;
+    for (service, _) in &env.deployment.services {
+        runs += service.orders().await.get(item).copied().unwrap_or(0);
+    }
+    runs
+}
+
+fn start(caller: Caller, item: &'static str, key: &str) -> JoinHandle<Outcome> {
+    let key = key.to_owned();
+    tokio::spawn(async move { caller.order(item, Some(&key)).await })
+}
+
+fn signal(name: &str, pid: u32) {
+    let sent = Command::new("kill").args([name, &pid.to_string()]).status();
+    assert!(sent.expect("kill is installed").success());
+}
+
+async fn delay_service(env: &TestEnv, millis: u64) {
+    let faults = ServiceFaults {
+        delay: Duration::from_millis(millis),
+        ..ServiceFaults::default()
+    };
+    env.deployment.services[0].0.set_faults(faults).await;
+}
+
+/// Guards against two runs when a caller sends the same key through two routers at once, and
+/// against repeats that run again.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_key_through_two_routers_runs_once() {
+    let env = TestEnv::start(plan(0, 2)).await;
+    for round in 0..5 {
+        let item = ["a", "b", "c", "d", "e"][round];
+        let key = key();
+        let first = start(env.caller(0), item, &key);
+        let second = start(env.caller(1), item, &key);
+        let outcomes = [first.await.unwrap(), second.await.unwrap()];
+        assert!(outcomes.contains(&WHOLE), "{outcomes:?}");
+        let other =
+            |o: &Outcome| [WHOLE, Outcome::Refused(3002), Outcome::Refused(3003)].contains(o);
+        assert!(outcomes.iter().all(other), "{outcomes:?}");
+        assert_eq!(runs(&env, item).await, 1);
+        // The owner of the claim still holds the answer; the other router tells that it ran.
+        let owner = usize::from(outcomes[0] != WHOLE);
+        let repeat = env.caller(owner).order(item, Some(&key)).await;
+        assert_eq!(repeat, WHOLE);
+        sleep(GRACE).await;
+        let repeat = env.caller(1 - owner).order(item, Some(&key)).await;
+        assert_eq!(repeat, Outcome::Refused(3003));
+        assert_eq!(runs(&env, item).await, 1);
+    }
+}
+
+/// Guards against keys whose age cannot be told, that are too old or that stand for other content.
+#[tokio::test(flavor = "multi_thread")]
+async fn unusable_keys_are_refused() {
+    let env = TestEnv::start(plan(0, 1)).await;
+    let caller = env.caller(0);
+    let old = Uuid::new_v7(Timestamp::from_unix(NoContext, 1_700_000_000, 0)).to_string();
+    let refused = async |key: &str| caller.order("refused", Some(key)).await;
+    assert_eq!(refused("order-1").await, Outcome::Refused(1007));
+    assert_eq!(refused(&old).await, Outcome::Refused(1008));
+    assert_eq!(runs(&env, "refused").await, 0);
+    let key = key();
+    assert_eq!(caller.order("one", Some(&key)).await, WHOLE);
+    assert_eq!(refused(&key).await, Outcome::Refused(1009));
+    assert_eq!(runs(&env, "refused").await, 0);
+}
+
+/// Guards against a second run after the router that claimed the order is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_owner_does_not_cause_a_second_run() {
+    let mut env = TestEnv::start(plan(0, 1)).await;
+    delay_service(&env, 1_000).await;
+    let key = key();
+    let first = start(env.caller(0), "killed", &key);
+    sleep(Duration::from_millis(400)).await;
+    env.deployment.routers[0].kill();
+    assert_eq!(first.await.unwrap(), Outcome::Cut);
+    let early = env.caller(1).order("killed", Some(&key)).await;
+    assert_eq!(early, Outcome::Refused(3002));
+    sleep(GRACE).await;
+    let late = env.caller(1).order("killed", Some(&key)).await;
+    assert_eq!(late, Outcome::Refused(3003));
+    assert_eq!(runs(&env, "killed").await, 1);
+}
+
+/// Guards against an owner that was paused after its claim and sends it when another router has
+/// superseded it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_owner_does_not_run_its_superseded_claim() {
+    let env = TestEnv::start(plan(0, 1)).await;
+    let slow = LogFaults {
+        delay_ms: 500,
+        ..LogFaults::default()
+    };
+    let platform = &env.deployment.platform;
+    platform.set_faults(slow).await;
+    let appends = platform.appends().await;
+    let key = key();
+    let first = start(env.caller(0), "paused", &key);
+    // The owner is paused between its append and the end of its read, which takes 500 ms.
+    while platform.appends().await == appends {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let owner = env.deployment.routers[0].id();
+    signal("-STOP", owner);
+    platform.set_faults(LogFaults::default()).await;
+    sleep(GRACE).await;
+    let second = env.caller(1).order("paused", Some(&key)).await;
+    signal("-CONT", owner);
+    let first = first.await.unwrap();
+    println!("paused owner: {first:?}, other: {second:?}");
+    assert_eq!(second, WHOLE);
+    // Its read is answered or timed out when it resumes; it has not run its claim either way.
+    let not_run = [Outcome::Refused(3001), Outcome::Refused(3005)];
+    assert!(not_run.contains(&first), "{first:?}");
+    assert_eq!(runs(&env, "paused").await, 1);
+}
+
+/// Guards against a second append or run when the log's replies are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_log_replies_do_not_double_orders() {
+    let env = TestEnv::start(plan(0, 1)).await;
+    let lost = LogFaults {
+        lose_replies: true,
+        ..LogFaults::default()
+    };
+    env.deployment.platform.set_faults(lost).await;
+    let key = key();
+    let first = start(env.caller(0), "lost", &key);
+    let second = start(env.caller(1), "lost", &key);
+    let outcomes = [first.await.unwrap(), second.await.unwrap()];
+    assert!(outcomes.contains(&WHOLE), "{outcomes:?}");
+    assert_eq!(runs(&env, "lost").await, 1);
+}
+
+/// Guards against orders that hang or run without a claim while the log is down, and against an
+/// outage that reaches other traffic.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_outage_stops_orders_only() {
+    let env = TestEnv::start(plan(1, 1)).await;
+    let down = LogFaults {
+        down: true,
+        ..LogFaults::default()
+    };
+    let platform = &env.deployment.platform;
+    platform.set_faults(down).await;
+    let key = key();
+    for _ in 0..3 {
+        let order = env.caller(0).order("outage", Some(&key)).await;
+        assert_eq!(order, Outcome::Refused(3001));
+        let (chat, _) = env.caller(0).chat(&messages(1, 0, 8), 8, true).await;
+        assert!(matches!(chat, Outcome::Whole { .. }), "{chat:?}");
+    }
+    assert_eq!(runs(&env, "outage").await, 0);
+    platform.set_faults(LogFaults::default()).await;
+    sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(env.caller(0).order("outage", Some(&key)).await, WHOLE);
+    assert_eq!(runs(&env, "outage").await, 1);
+}
+
+/// Guards against a second run after the agent restarted, whose guard has forgotten the claim.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_agent_does_not_run_a_claim_again() {
+    let mut env = TestEnv::start(plan(0, 1)).await;
+    delay_service(&env, 1_000).await;
+    let key = key();
+    let first = start(env.caller(0), "restart", &key);
+    sleep(Duration::from_millis(400)).await;
+    env.deployment.agents[0].restart().unwrap();
+    assert_eq!(first.await.unwrap(), Outcome::Refused(3004));
+    sleep(GRACE).await;
+    for router in 0..2 {
+        let repeat = env.caller(router).order("restart", Some(&key)).await;
+        assert_eq!(repeat, Outcome::Refused(3004));
+    }
+    assert_eq!(runs(&env, "restart").await, 1);
+    delay_service(&env, 0).await;
+    assert_eq!(
+        env.caller(1).order("fresh", Some(&self::key())).await,
+        WHOLE
+    );
+}
+
+/// Guards against a second run after the service failed while, or after, it ran the order, with
+/// and without a key.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failing_service_is_not_called_again() {
+    let env = TestEnv::start(plan(0, 1)).await;
+    let service = &env.deployment.services[0].0;
+    let unavailable = ServiceFaults {
+        unavailable: true,
+        ..ServiceFaults::default()
+    };
+    service.set_faults(unavailable).await;
+    for (item, key) in [("busy", Some(key())), ("busy, no key", None)] {
+        env.caller(0).order(item, key.as_deref()).await;
+        assert_eq!(runs(&env, item).await, 1, "{item}");
+    }
+    let crash = ServiceFaults {
+        crash: Some(Duration::from_millis(300)),
+        ..ServiceFaults::default()
+    };
+    for (item, key) in [("crash", Some(key())), ("crash, no key", None)] {
+        service.set_faults(crash).await;
+        let outcome = env.caller(0).order(item, key.as_deref()).await;
+        assert_eq!(outcome, Outcome::Refused(4002), "{item}");
+        service.set_faults(ServiceFaults::default()).await;
+        sleep(Duration::from_millis(600)).await;
+        if let Some(key) = key {
+            let repeat = env.caller(0).order(item, Some(&key)).await;
+            assert_eq!(repeat, Outcome::Refused(3004));
+        }
+        assert_eq!(runs(&env, item).await, 1, "{item}");
+    }
+}
--- /dev/null
+++ b/wire/src/claims.rs
@@ -0,0 +1,96 @@
+//! Records of the `claims` stream.
+
+use ebonyfall_core::claim::Entry;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu, ensure};
+
+/// Stream of the platform's log that holds the claims.
+pub const CLAIMS_STREAM: &str = "claims";
+/// Version of the records that this build writes, and the newest that it reads.
+pub const CLAIMS_VERSION: u16 = 1;
+
+/// A record that cannot be used.
+#[derive(Debug, Snafu)]
+pub enum ClaimsError {
+    /// It cannot be decoded or encoded.
+    #[snafu(display("record of the claims stream is malformed: {source}"))]
+    Malformed {
+        /// The codec's error.
+        source: postcard::Error,
+    },
+    /// A newer build wrote it.
+    #[snafu(display("record has version {found}; upgrade this process"))]
+    Newer {
+        /// The record's version.
+        found: u16,
+    },
+}
+
+#[derive(Serialize, Deserialize)]
+struct ClaimBatch {
+    version: u16,
+    entries: Vec<Entry>,
+}
+
+/// Encodes a batch.
+///
+/// # Errors
+///
+/// Fails when an entry cannot be encoded.
+pub fn encode(entries: Vec<Entry>) -> Result<Vec<u8>, ClaimsError> {
+    let batch = ClaimBatch {
+        version: CLAIMS_VERSION,
+        entries,
+    };
+    postcard::to_stdvec(&batch).context(MalformedSnafu)
+}
+
+/// Decodes a batch.
+///
+/// # Errors
+///
+/// Fails when the record is malformed or of a newer version.
+pub fn decode(data: &[u8]) -> Result<Vec<Entry>, ClaimsError> {
+    let (version, _rest) = postcard::take_from_bytes::<u16>(data).context(MalformedSnafu)?;
+    ensure!(version <= CLAIMS_VERSION, NewerSnafu { found: version });
+    let batch: ClaimBatch = postcard::from_bytes(data).context(MalformedSnafu)?;
+    Ok(batch.entries)
+}
+
+#[cfg(test)]
+mod tests {
+    use ebonyfall_core::{
+        claim::{ClaimId, KeyId},
+        code::Ran,
+    };
+
+    use super::*;
+
+    /// Guards against records that come back altered, and a decoder that panics.
+    #[test]
+    fn batches_come_back_and_garbage_does_not_panic() {
+        fn property(bytes: Vec<u8>) -> bool {
+            let _entries = decode(&bytes);
+            true
+        }
+        let claim = ClaimId {
+            offset: 9.into(),
+            index: 3,
+        };
+        let key = KeyId::from(u128::MAX);
+        let entries = vec![
+            Entry::Released { key, claim },
+            Entry::Finished {
+                key,
+                claim,
+                ran: Ran::Unknown,
+                status: 200,
+                digest: 5,
+            },
+        ];
+        let data = encode(entries.clone()).unwrap();
+        assert_eq!(decode(&data).unwrap(), entries);
+        decode(&[9]).unwrap_err();
+        quickcheck::quickcheck(property as fn(Vec<u8>) -> bool);
+    }
+}
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -4,8 +4,10 @@
 
 use bytes::Bytes;
 use ebonyfall_core::{
+    claim::{ClaimId, ClaimRef},
     code::Code,
     doc::{Priority, Repeat},
+    guard::VoidAnswer,
     id::{AttemptId, ChatId, Incarnation},
     name::{ProcessName, TargetName, TeamName, VersionName},
 };
@@ -80,6 +82,8 @@
     pub left: Duration,
     /// What to send to the back end.
     pub call: Call,
+    /// The claim under which it runs at most once.
+    pub claim: Option<ClaimRef>,
 }
 
 /// From router to agent.
@@ -87,6 +91,8 @@
 pub enum ToAgent {
     /// Run this request.
     Submit(Box<Submit>),
+    /// Never run the request of this claim.
+    Void(ClaimRef),
 }
 
 /// The load of a target.
@@ -146,6 +152,13 @@
         /// The target's load.
         load: Load,
     },
+    /// Whether the claim was voided.
+    Void {
+        /// The claim.
+        claim: ClaimId,
+        /// What the agent knows of it.
+        answer: VoidAnswer,
+    },
 }
 
 #[cfg(test)]
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -1,6 +1,7 @@
-//! Encoding of the messages between ebonyfall processes.
+//! Encoding of the messages between ebonyfall processes and of log records.
 //!
 //! Nothing here decides; the types carry what the core needs, and postcard encodes them.
 
 pub mod auth;
+pub mod claims;
 pub mod frame;
