Forward claims to a writer in fleets of more than 20 routers

Cause: with more than 20 routers, 10 appends/s from each would exceed the 200 appends/s that the fleet may use.

A router that is no writer hands its batch to the one chosen by rendezvous hashing over an authenticated link. A writer that cannot be reached is replaced by the router itself; a lost answer counts as a lost append reply and is read back. What a peer forwarded is never forwarded again. No membership view feeds the list of peers yet, so that daemons still append by themselves.

Ruled out: pacing the forwarder too (a claim would wait for both paces).

Conclusion: the number of writers stays at the cap whatever the fleet's size.

--- a/src/claims.rs
+++ b/src/claims.rs
@@ -1,37 +1,30 @@
 //! The router's task that follows the `claims` stream and appends to it in groups.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    mem,
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::VecDeque, mem, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
 use ebonyfall_core::{
-    chat,
-    claim::{self, ClaimId, Entry, KeyId, Pace},
+    claim::{self, ClaimId, Entry, Pace, Writer},
     code::Code,
-    id::{Fingerprint, Offset},
+    id::Offset,
     ledger::Ledger,
-    name::{TargetName, TeamName},
+    name::{ProcessName, TargetName},
     owner::{Action, Event, Outcome, Owner, Verdict},
     time::Time,
 };
-use ebonyfall_wire::{
-    claims::{self, CLAIMS_STREAM},
-    frame::{Call, Head},
-};
+use ebonyfall_wire::claims::{self, Forward, Forwarded};
 use serde::Serialize;
 use slog::{Logger, info, warn};
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{Instant, MissedTickBehavior, interval, sleep},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 use crate::{
-    clock::{self, Clock},
-    platform::{Platform, PlatformError, Record},
+    append::{self, Exchange, Peers, Write, unix_ms},
+    clock::Clock,
+    held::{Answers, Held, MAX_HELD},
+    link::{Identity, Link, LinkError},
+    platform::{Platform, PlatformError},
     view::Views,
 };
 
@@ -51,55 +44,6 @@
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Time between two looks at the log without own appends.
 const POLL: Duration = Duration::from_millis(500);
-/// Records read at once.
-const READ_BATCH: u32 = 1024;
-/// Largest answer that is held for repeats, in bytes.
-const MAX_HELD: usize = 64 << 10;
-/// Bytes of all answers held for repeats.
-const MAX_HELD_TOTAL: usize = 8 << 20;
-
-/// An idempotency key with what it stands for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Keyed {
-    /// Team and key.
-    pub id: KeyId,
-    /// The key's time, in milliseconds since the Unix epoch.
-    pub time: u64,
-    /// Hash of team and content.
-    pub content: Fingerprint,
-}
-
-impl Keyed {
-    /// Reads the key that a team sent with a call.
-    ///
-    /// # Errors
-    ///
-    /// Fails with `KeyInvalid` when it is not a UUIDv7.
-    pub fn new(team: &TeamName, text: &str, call: &Call) -> Result<Self, Code> {
-        let (key, time) = claim::parse_key(text)?;
-        let mut content = Vec::with_capacity(call.body.len() + 256);
-        for part in [&call.method, &call.path, &call.content_type] {
-            content.extend_from_slice(part.as_bytes());
-            content.push(0);
-        }
-        content.extend_from_slice(&call.body);
-        Ok(Self {
-            id: KeyId::new(team, key),
-            time,
-            content: chat::fingerprint(team, &content),
-        })
-    }
-}
-
-/// An answer that is held for repeats.
-#[derive(Debug, Clone)]
-pub struct Held {
-    /// Status and headers.
-    pub head: Head,
-    /// The whole body.
-    pub body: Bytes,
-}
-
 /// The task's part of a request's next step.
 #[derive(Debug)]
 pub struct Step {
@@ -124,8 +68,10 @@
     pub available: bool,
     /// Requests that wait for an append.
     pub waiting: usize,
-    /// Appends so far.
+    /// Appends that this router made itself.
     pub appends: u64,
+    /// Batches that it handed to a writer.
+    pub forwarded: u64,
 }
 
 #[derive(Debug)]
@@ -139,6 +85,10 @@
         claim: ClaimId,
         held: Held,
     },
+    Forwarded {
+        entries: Vec<Entry>,
+        reply: oneshot::Sender<Forwarded>,
+    },
     Dump {
         reply: oneshot::Sender<ClaimsDump>,
     },
@@ -154,9 +104,16 @@
 
 impl Claims {
     /// Starts the task; it ends when the last handle is dropped.
-    pub fn start(platform: Platform, views: Views, log: Logger) -> Self {
+    pub fn start(
+        identity: Identity,
+        platform: Platform,
+        views: Views,
+        peers: Peers,
+        log: Logger,
+    ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
-        tokio::spawn(run(platform, views.clone(), tx.downgrade(), rx, log));
+        let state = State::new(identity, platform, peers, tx.downgrade(), log);
+        tokio::spawn(run(state, views.clone(), rx));
         Self { tx, views }
     }
 
@@ -184,6 +141,21 @@
         }
     }
 
+    /// Appends what another router forwards on `link`, until it closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends.
+    pub async fn serve(&self, link: &mut Link) -> Result<(), LinkError> {
+        loop {
+            let Forward { entries } = link.receive().await?;
+            let (reply, answer) = oneshot::channel();
+            let _ended = self.tx.send(Ask::Forwarded { entries, reply }).await;
+            let forwarded = answer.await.unwrap_or(Forwarded::Unknown);
+            link.send(&forwarded).await?;
+        }
+    }
+
     /// Where the agent beside a target listens.
     pub fn agent(&self, target: &TargetName) -> Option<SocketAddr> {
         let view = self.views.borrow();
@@ -199,52 +171,35 @@
     }
 }
 
-/// A request that waits for its append.
+/// Entries that wait for their append.
 #[derive(Debug)]
 struct Waiting {
-    owner: Box<Owner>,
     entries: Vec<Entry>,
     since: Time,
-    reply: oneshot::Sender<Step>,
+    asker: Asker,
 }
 
-/// What one exchange with the log brought.
-#[derive(Debug)]
-struct Exchange {
-    /// The result of the append, if there was one.
-    append: Option<Result<Offset, PlatformError>>,
-    /// The records that were read, and the restart before them.
-    records: Vec<Record>,
-    restart: Option<(Offset, u64)>,
-    /// Whether the log was read to its end.
-    read: Result<(), PlatformError>,
-}
-
-/// Answers held, oldest first.
-#[derive(Debug, Default)]
-struct Answers {
-    held: HashMap<ClaimId, Held>,
-    order: VecDeque<ClaimId>,
-    bytes: usize,
+impl Waiting {
+    fn is_own(&self) -> bool {
+        matches!(self.asker, Asker::Request(..))
+    }
 }
 
-impl Answers {
-    fn hold(&mut self, claim: ClaimId, held: Held) {
-        self.bytes += held.body.len();
-        if self.held.insert(claim, held).is_none() {
-            self.order.push_back(claim);
-        }
-        while self.bytes > MAX_HELD_TOTAL
-            && let Some(oldest) = self.order.pop_front()
-        {
-            let dropped = self.held.remove(&oldest);
-            self.bytes -= dropped.map_or(0, |held| held.body.len());
-        }
-    }
+/// Who waits for an append.
+#[derive(Debug)]
+enum Asker {
+    /// A request of this router.
+    Request(Box<Owner>, oneshot::Sender<Step>),
+    /// Another router.
+    Peer(oneshot::Sender<Forwarded>),
 }
 
 struct State {
+    identity: Identity,
     platform: Platform,
+    peers: Peers,
+    /// The peer that appends this router's claims.
+    writer: Option<SocketAddr>,
     tx: mpsc::WeakSender<Ask>,
     clock: Clock,
     log: Logger,
@@ -259,32 +214,10 @@
     flight: Option<Vec<Waiting>>,
     available: bool,
     appends: u64,
+    forwarded: u64,
 }
 
-async fn run(
-    platform: Platform,
-    mut views: Views,
-    tx: mpsc::WeakSender<Ask>,
-    mut rx: mpsc::Receiver<Ask>,
-    log: Logger,
-) {
-    let retention = Duration::ZERO;
-    let mut state = State {
-        platform,
-        tx,
-        clock: Clock::start(),
-        log,
-        retention,
-        ledger: Ledger::new(retention),
-        answers: Answers::default(),
-        pace: Pace::new(GAP, FIRST_DELAY),
-        waiting: VecDeque::new(),
-        records: VecDeque::new(),
-        records_since: Time::ZERO,
-        flight: None,
-        available: false,
-        appends: 0,
-    };
+async fn run(mut state: State, mut views: Views, mut rx: mpsc::Receiver<Ask>) {
     let mut poll = interval(POLL);
     poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -309,20 +242,55 @@
     sleep(due.unwrap_or_default()).await;
 }
 
-fn unix_ms() -> u64 {
-    u64::try_from(clock::unix_time().as_millis()).unwrap_or(u64::MAX)
-}
-
 impl State {
+    fn new(
+        identity: Identity,
+        platform: Platform,
+        peers: Peers,
+        tx: mpsc::WeakSender<Ask>,
+        log: Logger,
+    ) -> Self {
+        let retention = Duration::ZERO;
+        Self {
+            identity,
+            platform,
+            peers,
+            writer: None,
+            tx,
+            clock: Clock::start(),
+            log,
+            retention,
+            ledger: Ledger::new(retention),
+            answers: Answers::default(),
+            pace: Pace::new(GAP, FIRST_DELAY),
+            waiting: VecDeque::new(),
+            records: VecDeque::new(),
+            records_since: Time::ZERO,
+            flight: None,
+            available: false,
+            appends: 0,
+            forwarded: 0,
+        }
+    }
+
     /// Time until the next append, if anything waits for one.
     fn due(&self) -> Option<Duration> {
         if self.flight.is_some() {
             return None;
         }
         let now = self.clock.now();
-        let claim = self.waiting.front().map(|first| self.pace.due(first.since));
+        // A writer keeps the pace of the log; what is handed to it needs no pace of its own.
+        let handed = self.writer.is_some() && self.waiting.iter().all(Waiting::is_own);
+        let due = |since| {
+            if handed {
+                since + FIRST_DELAY
+            } else {
+                self.pace.due(since)
+            }
+        };
+        let claim = self.waiting.front().map(|first| due(first.since));
         let record = self.records.front();
-        let record = record.map(|_| self.pace.due(self.records_since + RECORD_DELAY));
+        let record = record.map(|_| due(self.records_since + RECORD_DELAY));
         let due = claim.into_iter().chain(record).min()?;
         Some(due.since(now))
     }
@@ -335,6 +303,7 @@
                 reply,
             } => self.step(owner, event, reply),
             Ask::Hold { claim, held } => self.answers.hold(claim, held),
+            Ask::Forwarded { entries, reply } => self.wait(entries, Asker::Peer(reply)),
             Ask::Dump { reply } => {
                 let dump = ClaimsDump {
                     keys: self.ledger.len(),
@@ -343,6 +312,7 @@
                     available: self.available,
                     waiting: self.waiting.len(),
                     appends: self.appends,
+                    forwarded: self.forwarded,
                 };
                 let _asker_gone = reply.send(dump);
             }
@@ -375,26 +345,18 @@
     fn held(&self, owner: &Owner) -> Option<Held> {
         let present = self.ledger.get(owner.order().key)?;
         let same = present.content == owner.order().content;
-        same.then(|| self.answers.held.get(&present.id).cloned())?
+        same.then(|| self.answers.get(present.id))?
     }
 
     fn act(&mut self, owner: Box<Owner>, action: Action, reply: oneshot::Sender<Step>) {
         match action {
-            Action::Append(_) if self.waiting.len() >= MAX_WAITING || !self.available => {
-                refuse(*owner, reply);
-            }
-            Action::Append(entries) => self.waiting.push_back(Waiting {
-                owner,
-                entries,
-                since: self.clock.now(),
-                reply,
-            }),
+            Action::Append(entries) => self.wait(entries, Asker::Request(owner, reply)),
             action => {
                 let mut held = None;
                 if let Action::Done(Outcome { result, record }) = &action {
                     self.record(record.clone());
                     if let Verdict::Recorded(claim, _) = result {
-                        held = self.answers.held.get(claim).cloned();
+                        held = self.answers.get(*claim);
                     }
                 }
                 let _asker_gone = reply.send(Step {
@@ -406,6 +368,19 @@
         }
     }
 
+    fn wait(&mut self, entries: Vec<Entry>, asker: Asker) {
+        let waiting = Waiting {
+            entries,
+            since: self.clock.now(),
+            asker,
+        };
+        if self.waiting.len() < MAX_WAITING && self.available {
+            self.waiting.push_back(waiting);
+        } else {
+            self.settle([waiting], &Event::AppendRefused, None);
+        }
+    }
+
     fn record(&mut self, entry: Option<Entry>) {
         // Records only save later copies a question to the agent; the oldest may be dropped.
         if self.records.len() >= MAX_WAITING {
@@ -428,9 +403,23 @@
             self.ledger = Ledger::new(retention);
             self.available = false;
         }
+        self.writer = self.writer();
         self.exchange(Vec::new(), None);
     }
 
+    /// The peer that appends this router's claims, unless it does so itself.
+    fn writer(&self) -> Option<SocketAddr> {
+        let peers = self.peers.borrow();
+        let live: Vec<ProcessName> = peers.iter().map(|peer| peer.name.clone()).collect();
+        match claim::writer(&self.identity.name, &live) {
+            Writer::Own => None,
+            Writer::Peer(name) => {
+                let peer = peers.iter().find(|peer| peer.name == name);
+                peer.map(|peer| peer.address)
+            }
+        }
+    }
+
     fn start_append(&mut self) {
         let mut entries = Vec::new();
         let mut flight = Vec::new();
@@ -443,20 +432,19 @@
         let room = MAX_BATCH.saturating_sub(entries.len());
         entries.extend(self.records.drain(..room.min(self.records.len())));
         self.records_since = self.clock.now();
-        match claims::encode(entries) {
-            Ok(data) => {
-                self.pace.appended(self.clock.now());
-                self.appends += 1;
-                self.exchange(flight, Some(data));
-            }
-            Err(error) => {
-                warn!(self.log, "claims cannot be encoded"; "error" => %error);
-                self.settle(flight, &Event::AppendRefused);
-            }
+        // What a peer forwarded is appended here, so that no entry travels in circles.
+        let writer = self.writer.filter(|_| flight.iter().all(Waiting::is_own));
+        if writer.is_some() {
+            self.forwarded += 1;
+        } else {
+            self.pace.appended(self.clock.now());
+            self.appends += 1;
         }
+        let writer = writer.map(|address| (self.identity.clone(), address));
+        self.exchange(flight, Some(Write { entries, writer }));
     }
 
-    fn exchange(&mut self, flight: Vec<Waiting>, data: Option<Vec<u8>>) {
+    fn exchange(&mut self, flight: Vec<Waiting>, write: Option<Write>) {
         let Some(tx) = self.tx.upgrade() else {
             return;
         };
@@ -464,7 +452,7 @@
         let platform = self.platform.clone();
         let next = self.ledger.next();
         tokio::spawn(async move {
-            let exchange = exchange(&platform, next, data).await;
+            let exchange = append::exchange(&platform, next, write).await;
             let _ended = tx.send(Ask::Exchanged(Box::new(exchange))).await;
         });
     }
@@ -487,6 +475,10 @@
             self.available = read;
             info!(self.log, "claims stream"; "available" => read);
         }
+        let offset = match &exchange.append {
+            Some(Ok(offset)) => Some(*offset),
+            _ => None,
+        };
         let event = match exchange.append {
             None => None,
             Some(Err(PlatformError::Refused { .. })) => Some(Event::AppendRefused),
@@ -496,12 +488,12 @@
         };
         match event {
             Some(Event::AppendRefused) if read => self.requeue(flight),
-            Some(event) => self.settle(flight, &event),
+            Some(event) => self.settle(flight, &event, offset),
             None => {}
         }
         if !self.available {
             let waiting = mem::take(&mut self.waiting);
-            self.settle(waiting, &Event::AppendRefused);
+            self.settle(waiting, &Event::AppendRefused, None);
         }
     }
 
@@ -513,16 +505,34 @@
             if now.since(waiting.since) < MAX_WAIT {
                 self.waiting.push_front(waiting);
             } else {
-                self.settle([waiting], &Event::AppendRefused);
+                self.settle([waiting], &Event::AppendRefused, None);
             }
         }
     }
 
-    fn settle(&mut self, flight: impl IntoIterator<Item = Waiting>, event: &Event) {
+    /// Tells those who wait what became of their append, which is at `offset` if that is known.
+    fn settle(
+        &mut self,
+        flight: impl IntoIterator<Item = Waiting>,
+        event: &Event,
+        offset: Option<Offset>,
+    ) {
         let now = unix_ms();
-        for mut waiting in flight {
-            let action = waiting.owner.on(event.clone(), &self.ledger, now);
-            self.act(waiting.owner, action, waiting.reply);
+        for waiting in flight {
+            match waiting.asker {
+                Asker::Request(mut owner, reply) => {
+                    let action = owner.on(event.clone(), &self.ledger, now);
+                    self.act(owner, action, reply);
+                }
+                Asker::Peer(reply) => {
+                    let forwarded = match offset {
+                        Some(offset) => Forwarded::Appended(offset),
+                        None if *event == Event::AppendRefused => Forwarded::Refused,
+                        None => Forwarded::Unknown,
+                    };
+                    let _peer_gone = reply.send(forwarded);
+                }
+            }
         }
     }
 }
@@ -536,42 +546,3 @@
         held: None,
     });
 }
-
-/// Appends `data`, if given, and reads the log from `next` to its end.
-async fn exchange(platform: &Platform, mut next: Offset, data: Option<Vec<u8>>) -> Exchange {
-    let append = match data {
-        Some(data) => Some(platform.append(CLAIMS_STREAM, &data).await),
-        None => None,
-    };
-    let mut records = Vec::new();
-    let mut restart = None;
-    let start = Instant::now();
-    let read = loop {
-        match platform.read(CLAIMS_STREAM, next, READ_BATCH).await {
-            Ok(batch) => {
-                if let Some((_, time @ 0)) = &mut restart {
-                    let first = batch.records.first();
-                    *time = first.map_or_else(unix_ms, |record| record.time);
-                }
-                next = batch.records.last().map_or(next, |last| last.offset.next());
-                records.extend(batch.records);
-                // A stream that grows faster than it is read must not hold up the owners.
-                if next >= batch.next || start.elapsed() > MAX_WAIT {
-                    break Ok(());
-                }
-            }
-            Err(PlatformError::Expired { first }) => {
-                records.clear();
-                restart = Some((first, 0));
-                next = first;
-            }
-            Err(error) => break Err(error),
-        }
-    };
-    Exchange {
-        append,
-        records,
-        restart,
-        read,
-    }
-}
--- a/src/front.rs
+++ b/src/front.rs
@@ -28,7 +28,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    claims::Keyed,
+    held::Keyed,
     relay::{Answer, Job, Relay},
     view::{Pool, View, Views},
     web::{self, Shared},
--- /dev/null
+++ b/src/held.rs
@@ -0,0 +1,91 @@
+//! Idempotency keys, and answers that are held for repeats.
+
+use std::collections::{HashMap, VecDeque};
+
+use bytes::Bytes;
+use ebonyfall_core::{
+    chat,
+    claim::{self, ClaimId, KeyId},
+    code::Code,
+    id::Fingerprint,
+    name::TeamName,
+};
+use ebonyfall_wire::frame::{Call, Head};
+
+/// Largest answer that is held, in bytes.
+pub const MAX_HELD: usize = 64 << 10;
+/// Bytes of all answers held.
+const MAX_HELD_TOTAL: usize = 8 << 20;
+/// Bytes that an answer takes beside its body.
+const ENTRY: usize = 256;
+
+/// An idempotency key with what it stands for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Keyed {
+    /// Team and key.
+    pub id: KeyId,
+    /// The key's time, in milliseconds since the Unix epoch.
+    pub time: u64,
+    /// Hash of team and content.
+    pub content: Fingerprint,
+}
+
+impl Keyed {
+    /// Reads the key that a team sent with a call.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `KeyInvalid` when it is not a UUIDv7.
+    pub fn new(team: &TeamName, text: &str, call: &Call) -> Result<Self, Code> {
+        let (key, time) = claim::parse_key(text)?;
+        let mut content = Vec::with_capacity(call.body.len() + 256);
+        for part in [&call.method, &call.path, &call.content_type] {
+            content.extend_from_slice(part.as_bytes());
+            content.push(0);
+        }
+        content.extend_from_slice(&call.body);
+        Ok(Self {
+            id: KeyId::new(team, key),
+            time,
+            content: chat::fingerprint(team, &content),
+        })
+    }
+}
+
+/// An answer that is held for repeats.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// Status and headers.
+    pub head: Head,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Answers held, oldest first.
+#[derive(Debug, Default)]
+pub struct Answers {
+    held: HashMap<ClaimId, Held>,
+    order: VecDeque<ClaimId>,
+    bytes: usize,
+}
+
+impl Answers {
+    /// Holds an answer; the oldest ones are dropped when the total grows too large.
+    pub fn hold(&mut self, claim: ClaimId, held: Held) {
+        self.bytes += held.body.len() + ENTRY;
+        if self.held.insert(claim, held).is_none() {
+            self.order.push_back(claim);
+        }
+        while self.bytes > MAX_HELD_TOTAL
+            && let Some(oldest) = self.order.pop_front()
+        {
+            let dropped = self.held.remove(&oldest);
+            self.bytes -= dropped.map_or(0, |held| held.body.len() + ENTRY);
+        }
+    }
+
+    /// The answer to a claim's request.
+    pub fn get(&self, claim: ClaimId) -> Option<Held> {
+        self.held.get(&claim).cloned()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! `ebonyfall_core`, the encoding of messages in `ebonyfall_wire`.
 
 pub mod agent;
+pub mod append;
 pub mod claims;
 pub mod cli;
 pub mod clock;
@@ -13,6 +14,7 @@
 pub mod front;
 pub mod gate;
 pub mod guard;
+pub mod held;
 pub mod link;
 pub mod links;
 pub mod logs;
--- a/src/once.rs
+++ b/src/once.rs
@@ -20,7 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    claims::{Held, Keyed},
+    held::{Held, Keyed},
     link::Link,
     picker::Choice,
     relay::{Answer, Job, Relay},
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -18,7 +18,8 @@
 };
 
 use crate::{
-    claims::{Claims, Keyed},
+    claims::Claims,
+    held::Keyed,
     link::{Identity, Link},
     links::Links,
     metrics::Metrics,
--- a/src/router.rs
+++ b/src/router.rs
@@ -46,9 +46,18 @@
         incarnation: view::incarnation(clock::unix_time()),
         keys: cfg.common.keys,
     };
+    // Without a view of the live routers each one appends its claims itself.
+    let (_peers, peers) = watch::channel([].into());
+    let claims = Claims::start(
+        identity.clone(),
+        platform,
+        views.clone(),
+        peers,
+        log.clone(),
+    );
     let relay = Relay {
         identity,
-        claims: Claims::start(platform.clone(), views.clone(), log.clone()),
+        claims,
         picker,
         links: Links::start(),
         metrics,
--- /dev/null
+++ b/tests/forward.rs
@@ -0,0 +1,156 @@
+//! Claims of a fleet with more routers than writers.
+
+use std::{sync::Arc, time::Duration};
+
+use ebonyfall::{
+    append::Peer,
+    claims::Claims,
+    clock,
+    link::{Identity, Link},
+    platform::Platform,
+    view::View,
+};
+use ebonyfall_core::{
+    claim::{KeyId, MAX_WRITERS, Writer, writer},
+    doc::Document,
+    id::{Offset, RequestId},
+    name::{ProcessName, TargetName},
+    owner::{Action, Event, Order, Owner},
+};
+use ebonyfall_standin::{deploy::free_address, log::LogLimits, platform};
+use ebonyfall_wire::auth::{Key, Keys};
+use slog::{Discard, Logger, o};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+const ROUTERS: usize = 30;
+const ORDERS: u64 = 8;
+
+async fn accept(listener: TcpListener, identity: Identity, claims: Claims) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let (identity, claims) = (identity.clone(), claims.clone());
+        tokio::spawn(async move {
+            if let Ok(mut link) = Link::accept(&identity, stream).await {
+                let _closed = claims.serve(&mut link).await;
+            }
+        });
+    }
+}
+
+/// Claims one order; tells whether the claim won.
+async fn claim(claims: Claims, identity: Identity, key: u128) -> bool {
+    let mut owner = Owner::new(Order {
+        key: KeyId::from(key),
+        key_time: u64::try_from(clock::unix_time().as_millis()).unwrap(),
+        content: 1.into(),
+        router: identity.name,
+        incarnation: identity.incarnation,
+        request: RequestId::from(rand::random::<u128>()),
+    });
+    let mut event = Event::Arrived;
+    loop {
+        let step = claims.step(owner, event).await.unwrap();
+        owner = step.owner;
+        event = match step.action {
+            Action::Connect => Event::Connected {
+                target: TargetName::new("press").unwrap(),
+                agent: 1.into(),
+            },
+            Action::Send(_) => return true,
+            _ => return false,
+        };
+    }
+}
+
+/// Guards against more writers than the log bears, and against forwarded claims that are lost or
+/// won twice. One writer is gone, so that the routers that chose it must append by themselves.
+#[tokio::test(flavor = "multi_thread")]
+async fn claims_are_forwarded_to_few_writers() {
+    let address = free_address();
+    let log = platform::Platform::start(address, LogLimits::default());
+    let client = Platform::new(format!("http://{address}"));
+    let document = Document::parse("test", "[environment]\nname = trial\n").unwrap();
+    let view = Arc::new(View::new(Offset::default(), document));
+    let (_views, views) = watch::channel(Some(view));
+    let mut fleet = Vec::new();
+    for index in 0..ROUTERS {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let identity = Identity {
+            name: ProcessName::new(format!("router-{index}")).unwrap(),
+            incarnation: 1.into(),
+            keys: Keys::new(Key::new([5; 16]), None),
+        };
+        fleet.push((identity, listener));
+    }
+    let peers: Arc<[Peer]> = fleet
+        .iter()
+        .map(|(identity, listener)| Peer {
+            name: identity.name.clone(),
+            address: listener.local_addr().unwrap(),
+        })
+        .collect();
+    let names: Vec<_> = peers.iter().map(|peer| peer.name.clone()).collect();
+    let chosen = names.iter().find_map(|name| match writer(name, &names) {
+        Writer::Peer(chosen) => Some(chosen),
+        Writer::Own => None,
+    });
+    let gone = chosen.expect("more routers than writers");
+    let (_peers, peers) = watch::channel(peers);
+    let mut routers = Vec::new();
+    for (identity, listener) in fleet {
+        let log = Logger::root(Discard, o!());
+        let claims = Claims::start(
+            identity.clone(),
+            client.clone(),
+            views.clone(),
+            peers.clone(),
+            log,
+        );
+        if identity.name == gone {
+            drop(listener);
+        } else {
+            tokio::spawn(accept(listener, identity.clone(), claims.clone()));
+        }
+        routers.push((identity, claims));
+    }
+    let available = async {
+        for (_, claims) in &routers {
+            while !claims.dump().await.available {
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    };
+    timeout(Duration::from_secs(10), available).await.unwrap();
+    let mut tasks = JoinSet::new();
+    for key in 0..ORDERS * ROUTERS as u64 {
+        // Each key is claimed by two routers.
+        for offset in [0, 7] {
+            let index = (usize::try_from(key).unwrap() + offset) % ROUTERS;
+            let (identity, claims) = routers[index].clone();
+            tasks.spawn(async move { (key, claim(claims, identity, u128::from(key)).await) });
+        }
+    }
+    let mut won = vec![0; ROUTERS * usize::try_from(ORDERS).unwrap()];
+    while let Some(done) = tasks.join_next().await {
+        let (key, claimed) = done.unwrap();
+        won[usize::try_from(key).unwrap()] += u32::from(claimed);
+    }
+    assert!(won.iter().all(|won| *won == 1), "{won:?}");
+    let mut writers = 0;
+    let mut forwarded = 0;
+    for (_, claims) in &routers {
+        let dump = claims.dump().await;
+        writers += usize::from(dump.forwarded == 0);
+        forwarded += dump.forwarded;
+    }
+    println!(
+        "{writers} writers, {forwarded} batches forwarded, {} appends",
+        log.appends().await
+    );
+    assert_eq!(writers, MAX_WRITERS);
+    assert!(forwarded > 0);
+}
--- a/wire/src/claims.rs
+++ b/wire/src/claims.rs
@@ -1,6 +1,6 @@
 //! Records of the `claims` stream.
 
-use ebonyfall_core::claim::Entry;
+use ebonyfall_core::{claim::Entry, id::Offset};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 
@@ -26,6 +26,24 @@
     },
 }
 
+/// From a router to the writer of its claims.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Forward {
+    /// What to append, in this order.
+    pub entries: Vec<Entry>,
+}
+
+/// The writer's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Forwarded {
+    /// The entries are in the record at this offset.
+    Appended(Offset),
+    /// The entries are not in the log and never will be.
+    Refused,
+    /// The entries may be in the log, or come into it later.
+    Unknown,
+}
+
 #[derive(Serialize, Deserialize)]
 struct ClaimBatch {
     version: u16,
