--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod claims;
 pub mod client;
 pub mod demo;
+pub mod moves;
--- a/src/once.rs
+++ b/src/once.rs
@@ -23,7 +23,7 @@
     held::{Held, Keyed},
     link::Link,
     picker::Choice,
-    relay::{Answer, Job, Relay},
+    relay::{Answer, Failure, Job, Relay},
 };
 
 /// Largest answer, in bytes. Answers are collected whole, so that a repeat can get them.
@@ -49,7 +49,7 @@
     /// # Errors
     ///
     /// Fails with the code that the caller gets.
-    pub async fn run_once(&self, job: Job, key: Keyed) -> Result<Answer, Code> {
+    pub async fn run_once(&self, job: Job, key: Keyed) -> Result<Answer, Failure> {
         let owner = Owner::new(Order {
             key: key.id,
             key_time: key.time,
@@ -67,8 +67,18 @@
             link: None,
             answer: None,
         };
-        let running = tokio::spawn(once.run(owner));
-        let held = running.await.map_err(|_panicked| Code::Internal)??;
+        let open = self.metrics.open.clone();
+        let running = tokio::spawn(async move {
+            open.inc();
+            let result = once.run(owner).await;
+            open.dec();
+            result
+        });
+        let result = running.await.unwrap_or(Err(Code::Internal));
+        let held = result.map_err(|code| Failure {
+            code,
+            retry_after: Duration::ZERO,
+        })?;
         self.metrics.result("Ok");
         let (tx, body) = mpsc::channel(1);
         let _receiver_lives = tx.try_send(Ok::<_, io::Error>(held.body));
@@ -164,6 +174,7 @@
             priority: self.job.priority,
             repeat: self.job.repeat,
             left: self.deadline.saturating_duration_since(Instant::now()),
+            suspect: None,
             call: self.job.call.clone(),
             claim: Some(claim),
         }));
@@ -231,6 +242,7 @@
                     attempt,
                     code,
                     load,
+                    ..
                 } if attempt == expected => {
                     self.relay.picker.heard(choice.target.clone(), load).await;
                     return Err(Event::Refused(code));
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -6,6 +6,7 @@
 use ebonyfall_core::{
     claim::{ClaimId, ClaimRef},
     code::Code,
+    crash::Crash,
     doc::{Priority, Repeat},
     guard::VoidAnswer,
     id::{AttemptId, ChatId, Incarnation},
@@ -80,6 +81,8 @@
     /// Time left until the deadline.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub left: Duration,
+    /// The crash of a target that ran a request of the same content.
+    pub suspect: Option<Crash>,
     /// What to send to the back end.
     pub call: Call,
     /// The claim under which it runs at most once.
@@ -91,6 +94,18 @@
 pub enum ToAgent {
     /// Run this request.
     Submit(Box<Submit>),
+    /// Go on with the answer of a running attempt, whose connection broke.
+    Resume {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Bytes of the answer that have arrived.
+        offset: u64,
+    },
+    /// The caller went away.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Never run the request of this claim.
     Void(ClaimRef),
 }
@@ -149,6 +164,8 @@
         attempt: AttemptId,
         /// Why, and whether it ran.
         code: Code,
+        /// Milliseconds until the target expects to have room, zero where that says nothing.
+        retry_after_ms: u32,
         /// The target's load.
         load: Load,
     },
