--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Demo, load tool and measurements of the fleet.
 
 pub mod case;
+pub mod claims;
 pub mod client;
 pub mod config;
 pub mod demo;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{config, demo, moves, place};
+use ebonyfall_bench::{claims, config, demo, moves, place};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -17,6 +17,7 @@
 #[argh(subcommand)]
 enum Command {
     Config(config::ConfigArgs),
+    Claims(claims::ClaimsArgs),
     Demo(demo::DemoArgs),
     Moves(moves::MovesArgs),
     Place(place::PlaceArgs),
@@ -37,6 +38,7 @@
     let runtime = Builder::new_multi_thread().enable_all().build()?;
     let held = match args.command {
         Command::Config(args) => runtime.block_on(config::run(args))?,
+        Command::Claims(args) => runtime.block_on(claims::run(args))?,
         Command::Demo(args) => runtime.block_on(demo::run(args))?,
         Command::Moves(args) => moves::run(&args)?,
         Command::Place(args) => place::run(&args)?,
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -5,7 +5,8 @@
 use ebonyfall_core::{
     admit::{Capacity, End},
     chat,
-    code::Code,
+    claim::ClaimRef,
+    code::{Code, Ran},
     doc::Runs,
     drain::Left,
     id::AttemptId,
@@ -28,6 +29,7 @@
     clock::{self, Clock},
     engine::{self, Backend, Status},
     gate::{Entry, Gate, Handover},
+    guard::Guard,
     link::{Identity, Link},
     metrics::Metrics,
     platform::Platform,
@@ -78,6 +80,7 @@
     target: TargetName,
     identity: Identity,
     gate: Gate,
+    guard: Guard,
     views: Views,
     pointers: PointerTask,
     backend: Backend,
@@ -138,6 +141,7 @@
     let gate = Gate::start(cfg.target.clone(), capacity, hold, clock);
     gate_tx.send_replace(Some(gate.clone()));
     let agent = Agent {
+        guard: Guard::start(incarnation),
         gate,
         target: cfg.target,
         identity: Identity {
@@ -258,6 +262,7 @@
                     }
                     Some(link)
                 }
+                Ok(ToAgent::Void(claim)) => self.void(link, claim).await,
                 Err(error) => {
                     debug!(self.log, "connection ended"; "error" => %error);
                     None
@@ -270,6 +275,14 @@
         }
     }
 
+    /// Makes sure that a claim never runs, unless it did or does.
+    async fn void(&self, mut link: Link, claim: ClaimRef) -> Option<Link> {
+        let answer = self.guard.void(claim).await;
+        let claim = claim.id;
+        let sent = link.send(&ToRouter::Void { claim, answer }).await;
+        sent.is_ok().then_some(link)
+    }
+
     /// Hands the connection to the attempt that it is meant for.
     async fn resume(&self, mut link: Link, attempt: AttemptId, offset: u64) -> Option<Link> {
         let Some(handover) = self.gate.find(attempt).await else {
@@ -315,6 +328,14 @@
             link.send(&refused).await.ok()?;
             return Some((link, None));
         }
+        let claim = submit.claim;
+        // The guard comes first, so that a claim that is refused admission is known never to run.
+        if let Err(code) = self.guard.enter(claim).await {
+            self.metrics.result(code.name());
+            let refused = refused(attempt, code, Duration::ZERO, Load::default(), None);
+            link.send(&refused).await.ok()?;
+            return Some((link, None));
+        }
         let deadline = Instant::now() + submit.left;
         let (tx, rx) = mpsc::channel(1);
         let mut session = Session::new(attempt, link, rx);
@@ -324,6 +345,7 @@
                 admitted = &mut admitted => break admitted,
                 signal = session.signal() => {
                     if !session.on_signal(signal).await {
+                        self.guard.ended(claim, Ran::NotRun).await;
                         self.gate.gone(attempt).await;
                         return None;
                     }
@@ -331,6 +353,7 @@
             }
         };
         if let Err((refusal, load)) = admitted.ok()? {
+            self.guard.ended(claim, Ran::NotRun).await;
             self.metrics.result(refusal.code.name());
             let hint = match (refusal.code, second) {
                 (Code::OverBound, Some(second)) => self.pointers.settle(chat, second).await,
@@ -342,9 +365,12 @@
         self.pointers.clear(chat).await;
         let Some(outcome) = self.serve(&mut session, submit, deadline).await else {
             // Dropping the call has closed the back end's connection, which cancels its work.
+            self.guard.ended(claim, Ran::Unknown).await;
             self.gate.gone(attempt).await;
             return None;
         };
+        let ran = outcome.map_or_else(Code::ran, |_| Ran::Ran);
+        self.guard.ended(claim, ran).await;
         let end = match outcome {
             Ok(length) => End::Whole(usize::try_from(length).unwrap_or(usize::MAX)),
             Err(Code::EngineCrashed) => End::Crashed,
@@ -391,7 +417,8 @@
         }
     }
 
-    /// Runs an admitted request; returns the answer's length, none when nobody waits for it.
+    /// Runs an admitted request; returns the answer's length, none when nobody waits for it. A
+    /// claimed request runs to its end without its connection, so that the guard learns its fate.
     async fn serve(
         &self,
         session: &mut Session,
@@ -399,6 +426,7 @@
         deadline: Instant,
     ) -> Option<Result<u64, Code>> {
         let engine = submit.version.is_some();
+        let claimed = submit.claim.is_some();
         let call = self.backend.call(
             submit.attempt,
             submit.priority,
@@ -411,7 +439,7 @@
         let res = loop {
             tokio::select! {
                 res = &mut call => break res,
-                signal = session.signal() => {
+                signal = session.signal(), if !claimed => {
                     if !session.on_signal(signal).await {
                         return None;
                     }
@@ -425,7 +453,7 @@
             Err(_) => return Some(Err(Code::EngineTimeout)),
         };
         session.send_head(engine::head(&res)).await;
-        self.body(session, res, engine, deadline).await
+        self.body(session, res, engine, claimed, deadline).await
     }
 
     async fn body(
@@ -433,6 +461,7 @@
         session: &mut Session,
         res: Response<Incoming>,
         engine: bool,
+        claimed: bool,
         deadline: Instant,
     ) -> Option<Result<u64, Code>> {
         let kind = res
@@ -446,8 +475,8 @@
             // While there is no connection, the back end is slowed down instead of the replay
             // growing.
             let frame = tokio::select! {
-                frame = timeout_at(deadline, body.frame()), if session.is_attached() => frame,
-                signal = session.signal() => {
+                frame = timeout_at(deadline, body.frame()), if claimed || session.is_attached() => frame,
+                signal = session.signal(), if !claimed => {
                     if session.on_signal(signal).await {
                         continue;
                     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod admin;
 pub mod agent;
+pub mod append;
+pub mod claims;
 pub mod cli;
 pub mod clock;
 pub mod daemon;
@@ -12,10 +14,13 @@
 pub mod exit;
 pub mod front;
 pub mod gate;
+pub mod guard;
+pub mod held;
 pub mod link;
 pub mod links;
 pub mod logs;
 pub mod metrics;
+pub mod once;
 pub mod operate;
 pub mod picker;
 pub mod platform;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -20,7 +20,9 @@
 };
 
 use crate::{
+    claims::Claims,
     clock::Clock,
+    held::Keyed,
     link::{Identity, Link},
     links::Links,
     metrics::Metrics,
@@ -54,6 +56,8 @@
     pub left: Duration,
     /// What to send to the back end.
     pub call: Call,
+    /// The idempotency key of a request that runs at most once.
+    pub key: Option<Keyed>,
 }
 
 /// An answer whose body is still arriving; an error in the body means that it was cut.
@@ -79,6 +83,8 @@
 pub struct Relay {
     /// This process.
     pub identity: Identity,
+    /// Claims requests that run at most once.
+    pub claims: Claims,
     /// The document in force.
     pub views: Views,
     /// Chooses targets.
@@ -102,6 +108,9 @@
     ///
     /// Fails with the code that the caller gets.
     pub async fn run(&self, job: Job) -> Result<Answer, Failure> {
+        if let Some(key) = job.key.clone() {
+            return self.run_once(job, key).await;
+        }
         let (tx, answer) = oneshot::channel();
         let exchange = Exchange {
             fingerprint: chat::fingerprint(&job.team, &job.call.body),
@@ -331,6 +340,7 @@
             left: self.deadline.saturating_duration_since(Instant::now()),
             suspect: self.crash.clone(),
             call: self.job.call.clone(),
+            claim: None,
         }));
         let sent = link.send(&submit).await;
         self.link = Some(link);
@@ -387,7 +397,8 @@
             return Event::Lost;
         };
         match link.receive().await {
-            Err(_) => Event::Lost,
+            // Agents answer a void only on the connection that asked for it.
+            Err(_) | Ok(ToRouter::Void { .. }) => Event::Lost,
             Ok(ToRouter::Head { attempt, head }) => {
                 self.head.get_or_insert(head);
                 Event::Head(attempt)
--- a/src/router.rs
+++ b/src/router.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     admin::Admin,
+    claims::Claims,
     clock::{self, Clock},
     front,
     link::Identity,
@@ -64,7 +65,7 @@
     let views = config.views().clone();
     let address = cfg.common.admin;
     Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
-        .with_api(platform, cfg.processes)
+        .with_api(platform.clone(), cfg.processes)
         .start(address, stop.clone(), log.clone())
         .await
         .context(ListenSnafu { address })?;
@@ -77,12 +78,23 @@
     }
     let picker = Picker::start(views.clone(), Clock::start());
     let open = metrics.open.clone();
+    let identity = Identity {
+        name: cfg.common.name,
+        incarnation,
+        keys: cfg.common.keys,
+    };
+    // Without a view of the live routers each one appends its claims itself.
+    let (_peers, peers) = watch::channel([].into());
+    let claims = Claims::start(
+        identity.clone(),
+        platform,
+        views.clone(),
+        peers,
+        log.clone(),
+    );
     let relay = Relay {
-        identity: Identity {
-            name: cfg.common.name,
-            incarnation,
-            keys: cfg.common.keys,
-        },
+        identity,
+        claims,
         views: views.clone(),
         picker,
         links: Links::start(),
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -4,9 +4,11 @@
 
 use bytes::Bytes;
 use ebonyfall_core::{
+    claim::{ClaimId, ClaimRef},
     code::Code,
     crash::Crash,
     doc::{Priority, Repeat},
+    guard::VoidAnswer,
     id::{AttemptId, ChatId, Incarnation},
     name::{ProcessName, TargetName, TeamName, VersionName},
 };
@@ -87,6 +89,8 @@
     pub suspect: Option<Crash>,
     /// What to send to the back end.
     pub call: Call,
+    /// The claim under which it runs at most once.
+    pub claim: Option<ClaimRef>,
 }
 
 /// From router to agent.
@@ -114,6 +118,8 @@
         /// The target that holds its context.
         target: TargetName,
     },
+    /// Never run the request of this claim.
+    Void(ClaimRef),
 }
 
 /// The load of a target.
@@ -177,6 +183,13 @@
         /// The target to try next for this chat.
         hint: Option<TargetName>,
     },
+    /// Whether the claim was voided.
+    Void {
+        /// The claim.
+        claim: ClaimId,
+        /// What the agent knows of it.
+        answer: VoidAnswer,
+    },
 }
 
 #[cfg(test)]
