Bound the reads of the broken readers in the schedule test

Ruled out: a loop in the chain itself; the sound readers read every record once.

The loop makes one read more than there are records; a sound reader needs no more, so that the check is as strict as before.

Conclusion: a fault of the test, fixed in the test.

--- a/core/tests/config.rs
+++ b/core/tests/config.rs
@@ -354,9 +354,12 @@
     for start in log.first..=whole.unwrap_or(log.first) {
         for step in [1, usize::MAX] {
             let mut reader = Chain::new();
-            while !read_as(variant, &mut reader, &log, start, step, true)
-                && u64::from(reader.next()) < log.end()
-            {}
+            // A bounded number of reads, since a forgetful reader never reaches the end.
+            for _ in start..=log.end() {
+                if read_as(variant, &mut reader, &log, start, step, true) {
+                    break;
+                }
+            }
             compare(expected, &reader, &format!("reader from {start}"))?;
         }
     }
