--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,6 +1,10 @@
 //! Demo, load tool and measurements of the fleet.
 
+pub mod case;
 pub mod claims;
 pub mod client;
 pub mod demo;
 pub mod moves;
+pub mod place;
+pub mod ring;
+pub mod sim;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{claims, demo, moves};
+use ebonyfall_bench::{claims, demo, moves, place};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -19,6 +19,7 @@
     Claims(claims::ClaimsArgs),
     Demo(demo::DemoArgs),
     Moves(moves::MovesArgs),
+    Place(place::PlaceArgs),
 }
 
 fn main() -> ExitCode {
@@ -38,6 +39,7 @@
         Command::Claims(args) => runtime.block_on(claims::run(args))?,
         Command::Demo(args) => runtime.block_on(demo::run(args))?,
         Command::Moves(args) => moves::run(&args)?,
+        Command::Place(args) => place::run(&args)?,
     };
     Ok(if held {
         ExitCode::SUCCESS
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -32,6 +32,7 @@
     link::{Identity, Link},
     metrics::Metrics,
     platform::Platform,
+    pointers::PointerTask,
     session::Session,
     settings::AgentConfig,
     view::{self, View, Views},
@@ -80,6 +81,7 @@
     gate: Gate,
     guard: Guard,
     views: Views,
+    pointers: PointerTask,
     backend: Backend,
     metrics: Metrics,
     log: Logger,
@@ -124,6 +126,7 @@
             keys: cfg.common.keys,
         },
         views: views.clone(),
+        pointers: PointerTask::start(clock),
         backend: Backend::new(cfg.backend),
         metrics: Metrics::new(),
         log,
@@ -213,12 +216,29 @@
                 return;
             }
         };
+        let mut message = None;
         loop {
-            let next = match link.receive().await {
-                Ok(ToAgent::Submit(submit)) => self.request(link, *submit).await,
+            let received = match message.take() {
+                Some(message) => Ok(message),
+                None => link.receive().await,
+            };
+            let next = match received {
+                Ok(ToAgent::Submit(submit)) => {
+                    let served = self.request(link, *submit).await;
+                    served.map(|(link, next)| {
+                        message = next;
+                        link
+                    })
+                }
                 Ok(ToAgent::Resume { attempt, offset }) => self.resume(link, attempt, offset).await,
                 Ok(ToAgent::Cancel { .. }) => None,
                 Ok(ToAgent::Void(claim)) => self.void(link, claim).await,
+                Ok(ToAgent::Moved { chat, target }) => {
+                    if target != self.target {
+                        self.pointers.set(chat, target).await;
+                    }
+                    Some(link)
+                }
                 Err(error) => {
                     debug!(self.log, "connection ended"; "error" => %error);
                     None
@@ -249,6 +269,7 @@
                 code: Code::LinkLost,
                 retry_after_ms: 0,
                 load: Load::default(),
+                hint: None,
             };
             link.send(&refused).await.ok()?;
             return Some(link);
@@ -257,22 +278,39 @@
         None
     }
 
-    /// Serves one request; returns the connection when it can be used again.
-    async fn request(&self, mut link: Link, submit: Submit) -> Option<Link> {
+    /// Serves one request; returns the connection when it can be used again, with the next message
+    /// if one has arrived.
+    async fn request(&self, mut link: Link, submit: Submit) -> Option<(Link, Option<ToAgent>)> {
         let attempt = submit.attempt;
         if submit.target != self.target {
             self.metrics.result(Code::WrongTarget.name());
-            let refused = refused(attempt, Code::WrongTarget, Duration::ZERO, Load::default());
+            let refused = refused(
+                attempt,
+                Code::WrongTarget,
+                Duration::ZERO,
+                Load::default(),
+                None,
+            );
             link.send(&refused).await.ok()?;
-            return Some(link);
+            return Some((link, None));
+        }
+        let (chat, second) = (submit.chat, submit.second.clone());
+        if submit.follow
+            && let Some(moved) = self.pointers.find(chat).await
+        {
+            self.metrics.result(Code::Moved.name());
+            let load = self.gate.load().await;
+            let refused = refused(attempt, Code::Moved, Duration::ZERO, load, Some(moved));
+            link.send(&refused).await.ok()?;
+            return Some((link, None));
         }
         let claim = submit.claim;
         // The guard comes first, so that a claim that is refused admission is known never to run.
         if let Err(code) = self.guard.enter(claim).await {
             self.metrics.result(code.name());
-            let refused = refused(attempt, code, Duration::ZERO, Load::default());
+            let refused = refused(attempt, code, Duration::ZERO, Load::default(), None);
             link.send(&refused).await.ok()?;
-            return Some(link);
+            return Some((link, None));
         }
         let deadline = Instant::now() + submit.left;
         let (tx, rx) = mpsc::channel(1);
@@ -293,9 +331,14 @@
         if let Err((refusal, load)) = admitted.ok()? {
             self.guard.ended(claim, Ran::NotRun).await;
             self.metrics.result(refusal.code.name());
-            let refused = refused(attempt, refusal.code, refusal.retry_after, load);
-            return session.send_last(refused).await;
+            let hint = match (refusal.code, second) {
+                (Code::OverBound, Some(second)) => self.pointers.settle(chat, second).await,
+                _ => None,
+            };
+            let refused = refused(attempt, refusal.code, refusal.retry_after, load, hint);
+            return session.settle(refused).await;
         }
+        self.pointers.clear(chat).await;
         let Some(outcome) = self.serve(&mut session, submit, deadline).await else {
             // Dropping the call has closed the back end's connection, which cancels its work.
             self.guard.ended(claim, Ran::Unknown).await;
@@ -325,12 +368,12 @@
                 let clear = code == Code::EngineCrashed && !suspect;
                 let code = if clear { Code::EngineFailed } else { code };
                 self.metrics.result(code.name());
-                refused(attempt, code, Duration::ZERO, load)
+                refused(attempt, code, Duration::ZERO, load, None)
             }
         };
-        let link = session.send_last(message).await;
+        let settled = session.settle(message).await;
         self.gate.gone(attempt).await;
-        link
+        settled
     }
 
     fn entry(&self, submit: &Submit, handover: mpsc::Sender<Handover>) -> Entry {
@@ -450,12 +493,19 @@
     }
 }
 
-fn refused(attempt: AttemptId, code: Code, retry_after: Duration, load: Load) -> ToRouter {
+fn refused(
+    attempt: AttemptId,
+    code: Code,
+    retry_after: Duration,
+    load: Load,
+    hint: Option<TargetName>,
+) -> ToRouter {
     ToRouter::Refused {
         attempt,
         code,
         retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
         load,
+        hint,
     }
 }
 
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -63,6 +63,7 @@
 
 #[derive(Debug)]
 enum Ask {
+    Load(oneshot::Sender<Load>),
     Enter {
         entry: Box<Entry>,
         reply: oneshot::Sender<Admitted>,
@@ -137,6 +138,13 @@
         let _ended = self.0.send(Ask::Gone(attempt)).await;
     }
 
+    /// The target's load.
+    pub async fn load(&self) -> Load {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.0.send(Ask::Load(reply)).await;
+        answer.await.unwrap_or_default()
+    }
+
     /// Where to send a new connection for a running attempt.
     pub async fn find(&self, attempt: AttemptId) -> Option<mpsc::Sender<Handover>> {
         let (reply, answer) = oneshot::channel();
@@ -232,6 +240,9 @@
                 }
                 let _gone = reply.send((self.load(), suspect));
             }
+            Ask::Load(reply) => {
+                let _gone = reply.send(self.load());
+            }
             Ask::Gone(attempt) => {
                 if let Some(known) = self.attempts.remove(&attempt) {
                     self.tickets.remove(&known.ticket);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod once;
 pub mod picker;
 pub mod platform;
+pub mod pointers;
 pub mod relay;
 pub mod retrier;
 pub mod router;
--- a/src/once.rs
+++ b/src/once.rs
@@ -173,6 +173,9 @@
             chat: self.job.chat,
             priority: self.job.priority,
             repeat: self.job.repeat,
+            // Plain services hold no context to follow.
+            follow: false,
+            second: None,
             left: self.deadline.saturating_duration_since(Instant::now()),
             suspect: None,
             call: self.job.call.clone(),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -9,7 +9,7 @@
     crash::Crash,
     doc::{Priority, Repeat},
     id::{AttemptId, ChatId, Fingerprint, RequestId},
-    name::{TeamName, ZoneName},
+    name::{TargetName, TeamName, ZoneName},
     request::{Action, Event, Flow},
 };
 use ebonyfall_wire::frame::{Call, Head, Load, Submit, ToAgent, ToRouter};
@@ -137,6 +137,28 @@
             retry_after: Duration::ZERO,
         }))
     }
+
+    /// Tells the home agent of a model's chat that another target holds its context now. The answer
+    /// does not wait for it, and a lost notice costs one cache miss.
+    fn note_moved(&self, job: &Job, target: TargetName) {
+        let (pool, chat) = (job.pool.clone(), job.chat);
+        if matches!(pool, Pool::Service(_)) {
+            return;
+        }
+        let relay = self.clone();
+        tokio::spawn(async move {
+            let served = relay.picker.served(pool, chat, target.clone()).await;
+            let Some(home) = served else { return };
+            let link = match relay.links.take(home).await {
+                Some(link) => Ok(link),
+                None => Link::dial(&relay.identity, home).await,
+            };
+            let Ok(mut link) = link else { return };
+            if link.send(&ToAgent::Moved { chat, target }).await.is_ok() {
+                relay.links.put(home, link).await;
+            }
+        });
+    }
 }
 
 /// Where the answer goes.
@@ -311,6 +333,8 @@
             version: choice.version,
             team: self.job.team.clone(),
             chat: self.job.chat,
+            follow: choice.follow,
+            second: choice.second,
             priority: self.job.priority,
             repeat: self.job.repeat,
             left: self.deadline.saturating_duration_since(Instant::now()),
@@ -405,8 +429,13 @@
                 code,
                 retry_after_ms,
                 load,
+                hint,
             }) => {
                 self.load = load;
+                if let Some(target) = hint {
+                    let (pool, chat) = (self.job.pool.clone(), self.job.chat);
+                    self.relay.picker.hint(pool, chat, target).await;
+                }
                 self.retry_after = Duration::from_millis(retry_after_ms.into());
                 Event::Refused { attempt, code }
             }
@@ -440,6 +469,7 @@
             self.relay.retrier.survived(self.fingerprint).await;
         }
         if let (Some(choice), Some(link)) = (self.choice.take(), self.link.take()) {
+            self.relay.note_moved(&self.job, choice.target.clone());
             self.relay.picker.heard(choice.target, self.load).await;
             self.relay.links.put(choice.agent, link).await;
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -54,7 +54,7 @@
 ) -> Result<(), RouterError> {
     let platform = Platform::new(&cfg.common.platform);
     let views = view::follow(platform.clone(), log.clone());
-    let picker = Picker::start(views.clone());
+    let picker = Picker::start(views.clone(), Clock::start());
     let metrics = Metrics::new();
     let open = metrics.open.clone();
     let identity = Identity {
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -74,6 +74,10 @@
     pub team: TeamName,
     /// The chat that the request belongs to.
     pub chat: ChatId,
+    /// Whether the router can follow a pointer to the target that holds the chat's context.
+    pub follow: bool,
+    /// The target that comes next for the chat, which a refusal above the load bound may hint at.
+    pub second: Option<TargetName>,
     /// How urgent the request is.
     pub priority: Priority,
     /// Whether the request may run again.
@@ -108,6 +112,14 @@
     },
     /// Never run the request of this claim.
     Void(ClaimRef),
+    /// The context of a chat has moved from its home target, which gets this notice, to another.
+    /// There is no reply.
+    Moved {
+        /// The chat.
+        chat: ChatId,
+        /// The target that holds its context.
+        target: TargetName,
+    },
 }
 
 /// The load of a target.
@@ -168,6 +180,8 @@
         retry_after_ms: u32,
         /// The target's load.
         load: Load,
+        /// The target to try next for this chat.
+        hint: Option<TargetName>,
     },
     /// Whether the claim was voided.
     Void {
