Fail when a named claims scenario does not exist

Cause: a file name with a typing error ran no scenario and passed. The variable is now `SCENARIO`, as for the other scenarios.

Ruled out: running the whole folder for an unknown name, which would hide the error as well.

Conclusion: a scenario that is asked for runs or the test fails.

--- a/core/tests/claims.rs
+++ b/core/tests/claims.rs
@@ -1,7 +1,7 @@
 //! Requests that run at most once: scenarios and random schedules over the real state machines.
 //!
 //! `cargo test -p ebonyfall-core --test claims scenarios` runs every file in
-//! `tests/scenarios/claims`; `EBONYFALL_SCENARIO=lost-reply` before it runs one file, and
+//! `tests/scenarios/claims`; `SCENARIO=lost-reply.txt` before it runs one file, and
 //! `REWRITE=1` writes the outputs anew. `EBONYFALL_STEPS=1000000` and `EBONYFALL_SEED` set the
 //! length and the seed of the random schedules.
 
@@ -34,12 +34,16 @@
 /// Guards against changes of what callers are told in the situations that the files describe.
 #[test]
 fn scenarios() {
-    let only = env::var("EBONYFALL_SCENARIO").ok();
-    let path = only.map_or_else(
-        || "tests/scenarios/claims".to_owned(),
-        |name| format!("tests/scenarios/claims/{name}.txt"),
-    );
-    datadriven::walk(&path, |file| {
+    let only = env::var("SCENARIO").ok();
+    let mut files = 0;
+    datadriven::walk("tests/scenarios/claims", |file| {
+        if only
+            .as_ref()
+            .is_some_and(|name| !file.filename.ends_with(name))
+        {
+            return;
+        }
+        files += 1;
         let mut world = World::new(Variant::Sound, 2, 2, MANY_FAULTS);
         file.run(|case| {
             let out = command(&mut world, case);
@@ -47,6 +51,7 @@
             out
         });
     });
+    assert!(files > 0, "no scenario of this name");
 }
 
 fn number(case: &TestCase, name: &str, default: u64) -> u64 {
