--- a/bench/src/demo.rs
+++ b/bench/src/demo.rs
@@ -138,7 +138,7 @@
 ///
 /// # Errors
 ///
-/// Fails when the system does not tell where this program is.
+/// Fails when the system does not tell where the program is.
 pub fn programs() -> Result<PathBuf, Box<dyn Error>> {
     let own = std::env::current_exe()?;
     Ok(own.parent().ok_or("the program has no folder")?.to_owned())
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod case;
 pub mod claims;
 pub mod client;
+pub mod config;
 pub mod demo;
 pub mod moves;
 pub mod place;
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    admin::Admin,
     clock::{self, Clock},
     engine::{self, Backend, Status},
     gate::{Entry, Gate, Handover},
@@ -99,7 +100,29 @@
 ) -> Result<(), AgentError> {
     let clock = Clock::start();
     let platform = Platform::new(&cfg.common.platform);
-    let mut views = view::follow(platform, log.clone());
+    let metrics = Metrics::new();
+    let config = view::follow(platform, &cfg.common.name, metrics.clone(), log.clone());
+    let mut views = config.views().clone();
+    let incarnation = view::incarnation(clock::unix_time());
+    // The gate starts when the document has told the target's capacity.
+    let (gate_tx, gate_rx) = watch::channel(None::<Gate>);
+    let admin = Admin::new("agent", &cfg.common, incarnation, config, metrics.clone()).with_part(
+        "gate",
+        move || {
+            let gate = gate_rx.borrow().clone();
+            async move {
+                match gate {
+                    Some(gate) => Some(gate.load().await),
+                    None => None,
+                }
+            }
+        },
+    );
+    let address = cfg.common.admin;
+    admin
+        .start(address, stop.clone(), log.clone())
+        .await
+        .context(ListenSnafu { address })?;
     let address = cfg.listen;
     let listener = TcpListener::bind(address)
         .await
@@ -115,10 +138,11 @@
     };
     let runs = &view.document.targets[&cfg.target].runs;
     let is_engine = matches!(runs, Runs::Engine { .. });
-    let incarnation = view::incarnation(clock::unix_time());
+    let gate = Gate::start(cfg.target.clone(), capacity, hold, clock);
+    gate_tx.send_replace(Some(gate.clone()));
     let agent = Agent {
         guard: Guard::start(incarnation),
-        gate: Gate::start(cfg.target.clone(), capacity, hold, clock),
+        gate,
         target: cfg.target,
         identity: Identity {
             name: cfg.common.name,
@@ -128,7 +152,7 @@
         views: views.clone(),
         pointers: PointerTask::start(clock),
         backend: Backend::new(cfg.backend),
-        metrics: Metrics::new(),
+        metrics,
         log,
     };
     info!(agent.log, "agent ready"; "target" => %agent.target, "listen" => address);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every module here moves bytes, keeps time or talks to other processes. The decisions are in
 //! `ebonyfall_core`, the encoding of messages in `ebonyfall_wire`.
 
+pub mod admin;
 pub mod agent;
 pub mod append;
 pub mod claims;
@@ -20,13 +21,17 @@
 pub mod logs;
 pub mod metrics;
 pub mod once;
+pub mod operate;
 pub mod picker;
 pub mod platform;
 pub mod pointers;
 pub mod relay;
+pub mod remote;
 pub mod retrier;
 pub mod router;
 pub mod session;
 pub mod settings;
+pub mod status;
+pub mod tail;
 pub mod view;
 pub mod web;
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,6 +7,7 @@
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
+    admin::Admin,
     claims::Claims,
     clock::{self, Clock},
     front,
@@ -52,14 +53,34 @@
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) -> Result<(), RouterError> {
+    let incarnation = view::incarnation(clock::unix_time());
     let platform = Platform::new(&cfg.common.platform);
-    let views = view::follow(platform.clone(), log.clone());
-    let picker = Picker::start(views.clone(), Clock::start());
     let metrics = Metrics::new();
+    let config = view::follow(
+        platform.clone(),
+        &cfg.common.name,
+        metrics.clone(),
+        log.clone(),
+    );
+    let views = config.views().clone();
+    let address = cfg.common.admin;
+    Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
+        .with_api(platform.clone(), cfg.processes)
+        .start(address, stop.clone(), log.clone())
+        .await
+        .context(ListenSnafu { address })?;
+    // Waiting marks a receiver's value as seen; the tasks below must see the first one as new.
+    let mut ready = views.clone();
+    // Without a configuration, the platform's balancer must not take the router for ready.
+    tokio::select! {
+        _ = ready.wait_for(Option::is_some) => {}
+        _ = stop.wait_for(|stop| *stop) => return Ok(()),
+    }
+    let picker = Picker::start(views.clone(), Clock::start());
     let open = metrics.open.clone();
     let identity = Identity {
         name: cfg.common.name,
-        incarnation: view::incarnation(clock::unix_time()),
+        incarnation,
         keys: cfg.common.keys,
     };
     // Without a view of the live routers each one appends its claims itself.
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -12,10 +12,12 @@
 };
 use ebonyfall_core::{
     claim::{KeyId, MAX_WRITERS, Writer, writer},
+    config::Tip,
     doc::Document,
     id::{Offset, RequestId},
-    name::{ProcessName, TargetName},
+    name::{OperatorName, ProcessName, TargetName},
     owner::{Action, Event, Order, Owner},
+    record::Digest,
 };
 use ebonyfall_standin::{deploy::free_address, log::LogLimits, platform};
 use ebonyfall_wire::auth::{Key, Keys};
@@ -74,7 +76,16 @@
     let log = platform::Platform::start(address, LogLimits::default());
     let client = Platform::new(format!("http://{address}"));
     let document = Document::parse("test", "[environment]\nname = trial\n").unwrap();
-    let view = Arc::new(View::new(Offset::default(), document));
+    let tip = Tip {
+        offset: Offset::default(),
+        digest: Digest::of(&document.text),
+        author: OperatorName::new("tester").unwrap(),
+        time: 0,
+        renewed: 0,
+        deltas: 0,
+        document: Arc::new(document),
+    };
+    let view = Arc::new(View::new(&tip));
     let (_views, views) = watch::channel(Some(view));
     let mut fleet = Vec::new();
     for index in 0..ROUTERS {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod auth;
 pub mod claims;
 pub mod frame;
+pub mod record;
