--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -16,8 +16,8 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
-    Config(config::ConfigArgs),
     Claims(claims::ClaimsArgs),
+    Config(config::ConfigArgs),
     Demo(demo::DemoArgs),
     Moves(moves::MovesArgs),
     Place(place::PlaceArgs),
@@ -37,8 +37,8 @@
     let args: Args = argh::from_env();
     let runtime = Builder::new_multi_thread().enable_all().build()?;
     let held = match args.command {
-        Command::Config(args) => runtime.block_on(config::run(args))?,
         Command::Claims(args) => runtime.block_on(claims::run(args))?,
+        Command::Config(args) => runtime.block_on(config::run(args))?,
         Command::Demo(args) => runtime.block_on(demo::run(args))?,
         Command::Moves(args) => moves::run(&args)?,
         Command::Place(args) => place::run(&args)?,
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -256,13 +256,13 @@
                 }
                 Ok(ToAgent::Resume { attempt, offset }) => self.resume(link, attempt, offset).await,
                 Ok(ToAgent::Cancel { .. }) => None,
+                Ok(ToAgent::Void(claim)) => self.void(link, claim).await,
                 Ok(ToAgent::Moved { chat, target }) => {
                     if target != self.target {
                         self.pointers.set(chat, target).await;
                     }
                     Some(link)
                 }
-                Ok(ToAgent::Void(claim)) => self.void(link, claim).await,
                 Err(error) => {
                     debug!(self.log, "connection ended"; "error" => %error);
                     None
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -15,7 +15,7 @@
     config::Tip,
     doc::Document,
     id::{Offset, RequestId},
-    name::{ProcessName, TargetName},
+    name::{OperatorName, ProcessName, TargetName},
     owner::{Action, Event, Order, Owner},
     record::Digest,
 };
@@ -68,19 +68,6 @@
     }
 }
 
-/// The first configuration, which holds `document`.
-fn tip(document: Document) -> Tip {
-    Tip {
-        offset: Offset::default(),
-        digest: Digest::of(&document.text),
-        author: "ann".parse().unwrap(),
-        time: 0,
-        renewed: 0,
-        deltas: 0,
-        document: Arc::new(document),
-    }
-}
-
 /// Guards against more writers than the log bears, and against forwarded claims that are lost or
 /// won twice. One writer is gone, so that the routers that chose it must append by themselves.
 #[tokio::test(flavor = "multi_thread")]
@@ -89,7 +76,16 @@
     let log = platform::Platform::start(address, LogLimits::default());
     let client = Platform::new(format!("http://{address}"));
     let document = Document::parse("test", "[environment]\nname = trial\n").unwrap();
-    let view = Arc::new(View::new(&tip(document)));
+    let tip = Tip {
+        offset: Offset::default(),
+        digest: Digest::of(&document.text),
+        author: OperatorName::new("tester").unwrap(),
+        time: 0,
+        renewed: 0,
+        deltas: 0,
+        document: Arc::new(document),
+    };
+    let view = Arc::new(View::new(&tip));
     let (_views, views) = watch::channel(Some(view));
     let mut fleet = Vec::new();
     for index in 0..ROUTERS {
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -110,6 +110,8 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// Never run the request of this claim.
+    Void(ClaimRef),
     /// The context of a chat has moved from its home target, which gets this notice, to another.
     /// There is no reply.
     Moved {
@@ -118,8 +120,6 @@
         /// The target that holds its context.
         target: TargetName,
     },
-    /// Never run the request of this claim.
-    Void(ClaimRef),
 }
 
 /// The load of a target.
