Keep chats in use where they are, and let agents bound growing load

- Agents carry the sums on by their growth, and the third attempt goes without the bound.
- Sums count targets of a returning zone with the share of work that they take.
- First requests of chats take their home only up to half of the headroom.
- Chats in use stay with the home they had before a target joined or a zone returned; pointers are prolonged by use, and are kept by the next target in another zone too.

A real-process test takes a zone out and back.

--- a/bench/src/case.rs
+++ b/bench/src/case.rs
@@ -94,6 +94,8 @@
     pub max_over_mean: f64,
     /// Highest excess over the rounded-up bound, in requests.
     pub excess: i64,
+    /// Longest time that a target was above the rounded-up bound, in milliseconds.
+    pub longest_above_ms: u64,
     /// Share of samples of a target above the rounded-up bound.
     pub above_bound: f64,
     /// Returning requests that went to another target than the chat's last one.
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Demo, load tool and measurements of the fleet.
 
+mod cache;
 pub mod case;
 pub mod client;
 pub mod demo;
--- a/bench/src/place.rs
+++ b/bench/src/place.rs
@@ -272,7 +272,7 @@
     let mut running = std::collections::VecDeque::new();
     let (choose_median, choose_p99) = percentiles(
         |chat| {
-            let pick = placement.choose(ChatId::from(chat), &[], &zones, now);
+            let pick = placement.choose(ChatId::from(chat), false, &[], &zones, now);
             running.push_back(pick.map(|pick| pick.target));
         },
         seed,
--- a/bench/src/sim.rs
+++ b/bench/src/sim.rs
@@ -19,6 +19,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
+    cache::Cache,
     case::{Case, Event, Found, Way, candidate, events},
     ring::Ring,
 };
@@ -35,8 +36,6 @@
 const REQUEST_MS: (u64, u64) = (2_000, 6_000);
 /// Chats in use, for each target.
 const CHATS: usize = 60;
-/// Chats that a target's cache holds.
-const CACHE: usize = 100;
 /// Time between two rounds of gossip.
 const GOSSIP_MS: u64 = 1_000;
 /// Time by which some routers' views lag in the case of disagreement.
@@ -48,38 +47,12 @@
 /// Attempts for one request.
 const ATTEMPTS: usize = 4;
 
-#[derive(Debug, Default)]
-struct Cache {
-    held: HashMap<u64, (u32, u64)>,
-    order: VecDeque<(u64, u64)>,
-}
-
-impl Cache {
-    /// Serves a turn of a chat with `turns` before it; returns those found.
-    fn serve(&mut self, chat: u64, turns: u32, stamp: u64) -> u32 {
-        let found = self.held.insert(chat, (turns + 1, stamp));
-        self.order.push_back((chat, stamp));
-        while self.held.len() > CACHE {
-            let Some((old, at)) = self.order.pop_front() else {
-                break;
-            };
-            if self.held.get(&old).is_some_and(|entry| entry.1 == at) {
-                self.held.remove(&old);
-            }
-        }
-        found.map_or(0, |(held, _)| held.min(turns))
-    }
-
-    fn turns(&self, chat: u64) -> u32 {
-        self.held.get(&chat).map_or(0, |entry| entry.0)
-    }
-}
-
 struct Target {
     candidate: Candidate,
     zone: usize,
     present: bool,
     running: u32,
+    above: u64,
     cache: Cache,
     own: OwnBound,
     pointers: Pointers,
@@ -125,6 +98,7 @@
     running: u64,
     ends: VecDeque<Vec<End>>,
     zone_out: bool,
+    zone_back: Option<u64>,
     found: Found,
     requests: u64,
     hops: u64,
@@ -194,8 +168,9 @@
                 zone: number % 3,
                 present: number < count,
                 running: 0,
+                above: 0,
                 cache: Cache::default(),
-                own: OwnBound::new(MULTIPLE, 1),
+                own: OwnBound::new(MULTIPLE, 1.0),
                 pointers: Pointers::new(1 << 14, POINTER_LIFE),
             })
             .collect();
@@ -240,6 +215,7 @@
                 .take(usize::try_from(REQUEST_MS.1 / TICK_MS).unwrap_or(0) + 2)
                 .collect(),
             zone_out: false,
+            zone_back: None,
             found: Found::default(),
             requests: 0,
             hops: 0,
@@ -264,7 +240,10 @@
                 target.pointers = Pointers::new(1 << 14, POINTER_LIFE);
             }
             Event::ZoneOut => self.zone_out = true,
-            Event::ZoneIn => self.zone_out = false,
+            Event::ZoneIn => {
+                self.zone_out = false;
+                self.zone_back = Some(self.now);
+            }
         }
     }
 
@@ -311,17 +290,30 @@
         target.present && !(self.zone_out && target.zone == 0)
     }
 
+    /// Share of its work that the target takes while its zone returns.
+    #[expect(clippy::cast_precision_loss, reason = "small numbers")]
+    fn share(&self, target: usize) -> f64 {
+        match self.zone_back {
+            Some(back) if self.targets[target].zone == 0 => {
+                ((self.now - back) as f64 / RAMP.as_millis() as f64).min(1.0)
+            }
+            _ => 1.0,
+        }
+    }
+
     /// Each agent and router learns the sums of its pool once in a round.
     fn gossip(&mut self) {
         let now = self.time();
         let mut pool = PoolLoad::default();
         for number in 0..self.targets.len() {
             if self.takes_work(number) {
-                pool.add(self.targets[number].running, 1);
+                pool.add(self.targets[number].running, self.share(number));
             }
         }
-        for target in &mut self.targets {
-            target.own.heard(pool, now);
+        for number in 0..self.targets.len() {
+            let share = self.share(number);
+            self.targets[number].own.configure(MULTIPLE, share);
+            self.targets[number].own.heard(pool, now);
         }
         for router in &mut self.routers {
             if let Some(placement) = &mut router.placement {
@@ -444,7 +436,7 @@
                 placement, zones, ..
             } = &mut self.routers[router];
             let placement = placement.as_mut()?;
-            let pick = placement.choose(id, &tried, zones, now)?;
+            let pick = placement.choose(id, chat.turns == 0, &tried, zones, now)?;
             let number = self.index[&pick.target];
             let follow = pick.reason == Reason::Home && tried.is_empty();
             let takes = self.takes_work(number);
@@ -454,7 +446,7 @@
                 None
             } else if moved.is_some() {
                 moved
-            } else if !target.own.admits(target.running, now) {
+            } else if tried.len() < 2 && !target.own.admits(target.running, now) {
                 if let (None, Some(second)) = (target.pointers.get(id, now), &pick.second) {
                     target.pointers.set(id, second, now);
                 }
@@ -482,13 +474,10 @@
         let Some(placement) = &mut self.routers[router].placement else {
             return;
         };
-        if placement.served(chat, target, now)
-            && let Some(home) = placement.home(chat)
-            && home != target
-        {
-            let home = self.index[home];
-            if self.targets[home].present {
-                self.targets[home].pointers.set(chat, target, now);
+        for keeper in placement.served(chat, target, now) {
+            let keeper = self.index[&keeper];
+            if self.targets[keeper].present {
+                self.targets[keeper].pointers.set(chat, target, now);
             }
         }
     }
@@ -548,18 +537,28 @@
         best.or_else(|| least().copied()).unwrap_or(0)
     }
 
+    /// Compares loads. The targets of a returning zone are left out until they take a full share.
     fn sample(&mut self) {
         let working: Vec<_> = (0..self.targets.len())
-            .filter(|i| self.takes_work(*i))
-            .map(|i| self.targets[i].running)
+            .filter(|i| self.takes_work(*i) && self.share(*i) >= 1.0)
             .collect();
-        let sum: u64 = working.iter().copied().map(u64::from).sum();
+        let loads: Vec<_> = working.iter().map(|i| self.targets[*i].running).collect();
+        let sum: u64 = loads.iter().copied().map(u64::from).sum();
         #[expect(clippy::cast_precision_loss, reason = "small numbers")]
         let (sum, count) = (sum as f64, working.len() as f64);
         // The request that was placed last is part of the sum.
         let most = bound(MULTIPLE, (sum - 1.0).max(0.0), 1.0, count);
-        let max = working.iter().copied().max().unwrap_or(0);
-        let above = working.iter().filter(|load| **load > most).count();
+        let max = loads.iter().copied().max().unwrap_or(0);
+        let above = loads.iter().filter(|load| **load > most).count();
+        for (number, load) in working.iter().zip(&loads) {
+            let target = &mut self.targets[*number];
+            target.above = if *load > most {
+                target.above + TICK_MS
+            } else {
+                0
+            };
+            self.found.longest_above_ms = self.found.longest_above_ms.max(target.above);
+        }
         self.samples.0 += above as u64;
         self.samples.1 += working.len() as u64;
         self.found.excess = self.found.excess.max(i64::from(max) - i64::from(most));
--- a/core/src/chat.rs
+++ b/core/src/chat.rs
@@ -13,8 +13,8 @@
     time::Time,
 };
 
-/// Time that a pointer lasts. It does not start again when the pointer is used, so that every chat
-/// comes home in the end, each at a time of its own.
+/// Time that a pointer lasts after its chat was last served. Most chats return within minutes; one
+/// that pauses for longer comes home, where its context may be computed again.
 pub const POINTER_LIFE: Duration = Duration::from_secs(300);
 
 /// What identifies the chat of a request.
@@ -79,10 +79,13 @@
         }
     }
 
-    /// Notes that `target` holds the context of `chat`; returns whether that is news. The oldest
-    /// pointer makes room.
+    /// Notes that `target` holds the context of `chat`; returns whether that is news or prolongs a
+    /// pointer past half of its life. The oldest pointer makes room.
     pub fn set(&mut self, chat: ChatId, target: &TargetName, now: Time) -> bool {
-        if self.get(chat, now) == Some(target) {
+        if let Some((known, expires)) = self.entries.get(&chat)
+            && known == target
+            && expires.since(now) > self.life / 2
+        {
             return false;
         }
         let expires = now + self.life;
--- a/core/src/choose.rs
+++ b/core/src/choose.rs
@@ -1,6 +1,6 @@
 //! Choice of a target for a request within one pool: placement, zones, loads and pointers.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use crate::{
     chat::{POINTER_LIFE, Pointers},
@@ -14,6 +14,8 @@
 
 /// Time between two sums over all targets.
 const SUM_INTERVAL: Duration = Duration::from_millis(100);
+/// Growth of the traffic within the life of a sum that is believed.
+const MAX_GROWTH: f64 = 4.0;
 /// Pointers that a router keeps for one pool: with 26 million chats at 1,000 routers, one router
 /// moves less than this many in the life of a pointer.
 const POINTERS: usize = 1 << 15;
@@ -54,13 +56,21 @@
     pub second: Option<TargetName>,
 }
 
+fn reason(home: bool) -> Reason {
+    if home { Reason::Home } else { Reason::Fallback }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct State {
     load: TargetLoad,
     weight: f64,
     serving: bool,
-    /// Share of its chats that the target takes.
+    /// Share of its work that the target's zone takes.
     share: f64,
+    /// When the target began to take work in a pool that was in service.
+    joined: Option<Time>,
+    /// Whether chats in use have had time to leave their pointers with the target.
+    settled: bool,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -80,6 +90,8 @@
     states: Vec<State>,
     sums: Sums,
     pool: Option<(PoolLoad, Time)>,
+    /// Requests of this router when it heard of the pool.
+    pool_own: f64,
     pointers: Pointers,
     multiple: f64,
 }
@@ -94,6 +106,7 @@
             states: Vec::new(),
             sums: Sums::default(),
             pool: None,
+            pool_own: 0.0,
             pointers: Pointers::new(POINTERS, POINTER_LIFE),
             multiple,
         }
@@ -102,10 +115,10 @@
     /// Takes the targets of the pool from a new view. Loads of targets that stay are kept.
     pub fn set_targets(&mut self, members: &[Member], multiple: f64, zones: &Zones, now: Time) {
         self.multiple = multiple;
-        let before: Vec<_> = self
+        let before: HashMap<_, _> = self
             .table
             .targets()
-            .map(|(index, candidate)| (candidate.name.clone(), self.states[index.get()].load))
+            .map(|(index, candidate)| (candidate.name.clone(), self.states[index.get()]))
             .collect();
         let candidates = members.iter().map(|member| member.candidate.clone());
         let bits = slot_bits(members.len());
@@ -116,14 +129,17 @@
             self.table = Table::new(bits, candidates);
         }
         self.states = vec![State::default(); self.table.capacity()];
-        for (name, load) in before {
-            if let Some(index) = self.table.index(&name) {
-                self.states[index.get()].load = load;
-            }
-        }
         for member in members {
             if let Some(index) = self.table.index(&member.candidate.name) {
                 let state = &mut self.states[index.get()];
+                *state = match before.get(&member.candidate.name) {
+                    Some(before) => *before,
+                    None => State {
+                        joined: (!before.is_empty()).then_some(now),
+                        share: 1.0,
+                        ..State::default()
+                    },
+                };
                 state.weight = member.candidate.weight;
                 state.serving = member.serving;
             }
@@ -139,11 +155,18 @@
         };
         for (index, candidate) in self.table.targets() {
             let state = &mut self.states[index.get()];
-            state.share = if state.serving {
+            let share = if state.serving {
                 zones.share(&candidate.zone, now)
             } else {
                 0.0
             };
+            if state.share <= 0.0 && share > 0.0 {
+                state.joined = Some(now);
+            }
+            state.share = share;
+            state.settled = state
+                .joined
+                .is_none_or(|joined| now.since(joined) >= POINTER_LIFE);
             let weight = state.weight * state.share;
             if weight > 0.0 {
                 sums.weight += weight;
@@ -160,11 +183,15 @@
 
     /// Chooses a target for `chat` that is not among `tried`, and counts the request as started.
     ///
+    /// A chat whose `first` request this is has no context yet. It takes its home only up to half
+    /// of the headroom between the mean and the bound, which leaves room for chats that return.
+    ///
     /// Ties and equal loads are decided by the table, so that two routers with the same knowledge
     /// choose alike.
     pub fn choose(
         &mut self,
         chat: ChatId,
+        first: bool,
         tried: &[TargetName],
         zones: &Zones,
         now: Time,
@@ -172,10 +199,14 @@
         if self.sums.at.is_none_or(|at| now.since(at) >= SUM_INTERVAL) {
             self.refresh(zones, now);
         }
-        let usable = |index: TargetIndex| takes(&self.states[index.get()], chat);
+        let usable = |index: TargetIndex| takes(&self.states[index.get()], chat, first);
         let home = self.table.first(chat, usable)?;
         let untried = |index: TargetIndex| !self.is_tried(index, tried);
-        let free = |index: TargetIndex| untried(index) && !self.is_over(index, now);
+        let below = |index: TargetIndex, multiple: f64| {
+            untried(index) && !self.is_over(index, multiple, now)
+        };
+        let free = |index: TargetIndex| below(index, self.multiple);
+        let roomy = |index: TargetIndex| below(index, f64::midpoint(1.0, self.multiple));
         let pointed = self.pointers.get(chat, now).and_then(|name| {
             let index = self.table.index(name)?;
             let state = &self.states[index.get()];
@@ -185,15 +216,17 @@
         // The home comes first even where targets of zones that are out rank higher.
         let order = || {
             let rest = ranked[..len].iter().chain(self.table.stored(chat));
-            std::iter::once(home).chain(rest.copied().filter(|i| *i != home && usable(*i)))
+            let bears = |index: TargetIndex| takes(&self.states[index.get()], chat, true);
+            std::iter::once(home).chain(rest.copied().filter(move |i| *i != home && bears(*i)))
         };
         let chosen = match pointed {
             Some(index) if index == home => Some((index, Reason::Home)),
             Some(index) => Some((index, Reason::Pointer)),
-            None => order().find(|index| free(*index)).map(|index| {
-                let home = index == home;
-                (index, if home { Reason::Home } else { Reason::Fallback })
-            }),
+            None => {
+                let found = order().find(|index| first && roomy(*index));
+                let found = found.or_else(|| order().find(|index| free(*index)));
+                found.map(|index| (index, reason(index == home)))
+            }
         };
         let (index, reason) = match chosen {
             Some(chosen) => chosen,
@@ -236,17 +269,38 @@
     /// Notes the sums over the pool that came by gossip.
     pub fn heard_pool(&mut self, pool: PoolLoad, now: Time) {
         self.pool = Some((pool, now));
+        self.pool_own = self.sums.own;
     }
 
-    /// Notes that `target` holds the context of `chat` now; returns whether that is news. Only
-    /// chats away from the first target of their ranking are noted, those whose zone is out
-    /// included: on the zone's return they stay where they are until the pointer expires.
-    pub fn served(&mut self, chat: ChatId, target: &TargetName, now: Time) -> bool {
-        if self.table.home(chat) == self.table.index(target) {
+    /// Notes that `target` holds the context of `chat` now; returns the targets whose agents have
+    /// to know.
+    ///
+    /// These are the target that other routers take for the chat's home now, the one that they will
+    /// once newcomers have settled, and the one in another zone that would be next. The last keeps
+    /// the pointer while the home or its zone is out.
+    pub fn served(&mut self, chat: ChatId, target: &TargetName, now: Time) -> Vec<TargetName> {
+        let index = self.table.index(target);
+        let usable = |index: TargetIndex| takes(&self.states[index.get()], chat, false);
+        let (nominal, home) = (self.table.home(chat), self.table.first(chat, usable));
+        if nominal == index && home == index {
             self.pointers.clear(chat);
-            return false;
+            return Vec::new();
+        }
+        if !self.pointers.set(chat, target, now) {
+            return Vec::new();
+        }
+        let (ranked, len) = self.table.ranked(chat);
+        let next = (len > 1).then_some(ranked[1]);
+        let mut told = Vec::new();
+        for keeper in [home, nominal, next].into_iter().flatten() {
+            let state = &self.states[keeper.get()];
+            let name = &self.table.candidate(keeper).name;
+            let works = state.serving && state.share > 0.0;
+            if works && Some(keeper) != index && !told.contains(name) {
+                told.push(name.clone());
+            }
         }
-        self.pointers.set(chat, target, now)
+        told
     }
 
     /// Takes the hint of an agent that `target` holds the context of `chat`.
@@ -254,13 +308,6 @@
         self.pointers.set(chat, target, now);
     }
 
-    /// The home of `chat` among the targets that take work.
-    pub fn home(&self, chat: ChatId) -> Option<&TargetName> {
-        let usable = |index: TargetIndex| takes(&self.states[index.get()], chat);
-        let index = self.table.first(chat, usable)?;
-        Some(&self.table.candidate(index).name)
-    }
-
     /// The targets in placement.
     pub fn table(&self) -> &Table {
         &self.table
@@ -282,27 +329,29 @@
     }
 
     /// Whether one more request would bring the target above its bound or limit.
-    fn is_over(&self, index: TargetIndex, now: Time) -> bool {
+    fn is_over(&self, index: TargetIndex, multiple: f64, now: Time) -> bool {
         let state = &self.states[index.get()];
         if state.load.is_full(now) {
             return true;
         }
         let (requests, total, counted) = self.mean(now, state);
-        counted >= bound(self.multiple, requests, state.weight * state.share, total)
+        counted >= bound(multiple, requests, state.weight * state.share, total)
     }
 
     /// Requests and weight that make up the mean, and the target's requests to compare with it.
     ///
-    /// Sums by gossip come first, then recent reports where they cover half of the weight. A
-    /// router that knows less bounds its own requests: when each router's are within the multiple
-    /// of their mean, their sum is within the multiple of its mean.
-    #[expect(clippy::cast_precision_loss, reason = "sums stay far below 2^53")]
+    /// Sums by gossip come first, carried on by the growth of the router's own traffic since then;
+    /// next, recent reports where they cover half of the weight. A router that knows less bounds
+    /// its own requests: when each router's are within the multiple of their mean, their sum is
+    /// within the multiple of its mean.
     fn mean(&self, now: Time, state: &State) -> (f64, f64, u32) {
         let all = state.load.requests(now);
         if let Some((pool, at)) = self.pool
             && now.since(at) <= POOL_LIFE
         {
-            return (pool.requests as f64, pool.weight as f64, all);
+            let (requests, weight) = pool.parts();
+            let growth = (self.sums.own / self.pool_own.max(1.0)).clamp(1.0, MAX_GROWTH);
+            return (requests * growth, weight, all);
         }
         let (requests, weight) = self.sums.fresh;
         if weight * 2.0 >= self.sums.weight && state.load.is_fresh(now) {
@@ -331,14 +380,23 @@
 }
 
 /// Whether the target takes this chat. A returning zone takes a growing share of its chats, the
-/// same chats on every router.
-fn takes(state: &State, chat: ChatId) -> bool {
-    if !state.serving || state.share >= 1.0 {
-        return state.serving;
+/// same ones on every router.
+///
+/// A target that has joined takes new chats at once. Chats in use stay with the target that would
+/// be their home without the newcomer, which every router works out alike; that target's answers
+/// leave a pointer with the newcomer. After the life of a pointer, a chat that left none has paused
+/// for so long that it comes home.
+fn takes(state: &State, chat: ChatId, first: bool) -> bool {
+    if !state.serving || !(first || state.settled) {
+        return false;
+    }
+    let share = state.share;
+    if share >= 1.0 {
+        return true;
     }
     let hash = u64::from(chat).wrapping_mul(0xBF58_476D_1CE4_E5B9);
     let hash = (hash ^ (hash >> 29)).wrapping_mul(0x94D0_49BB_1331_11EB) >> 32;
     #[expect(clippy::cast_precision_loss, reason = "32 bits fit an f64 exactly")]
     let place = hash as f64 / (1_u64 << 32) as f64;
-    place < state.share
+    place < share
 }
--- a/core/src/load.rs
+++ b/core/src/load.rs
@@ -16,15 +16,27 @@
 pub struct PoolLoad {
     /// Requests running or waiting.
     pub requests: u64,
-    /// Weights of the targets that take work.
+    /// Weights of the targets that take work, in thousandths: a target of a returning zone counts
+    /// with the share of its work that it takes.
     pub weight: u64,
 }
 
 impl PoolLoad {
     /// Adds one target.
-    pub fn add(&mut self, requests: u32, weight: u32) {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "weights are small and not negative"
+    )]
+    pub fn add(&mut self, requests: u32, weight: f64) {
         self.requests += u64::from(requests);
-        self.weight += u64::from(weight);
+        self.weight += (weight * 1_000.0).round() as u64;
+    }
+
+    /// The requests and the weight.
+    #[expect(clippy::cast_precision_loss, reason = "sums stay far below 2^53")]
+    pub fn parts(&self) -> (f64, f64) {
+        (self.requests as f64, self.weight as f64 / 1_000.0)
     }
 }
 
@@ -51,34 +63,47 @@
 #[derive(Debug, Clone)]
 pub struct OwnBound {
     multiple: f64,
-    weight: u32,
+    weight: f64,
     pool: Option<(PoolLoad, Time)>,
+    /// Growth of the requests, per second.
+    growth: f64,
 }
 
 impl OwnBound {
     /// The bound of a target of `weight`.
-    pub fn new(multiple: f64, weight: u32) -> Self {
+    pub fn new(multiple: f64, weight: f64) -> Self {
         Self {
             multiple,
             weight,
             pool: None,
+            growth: 0.0,
         }
     }
 
-    /// Takes new limits from the document.
-    pub fn configure(&mut self, multiple: f64, weight: u32) {
+    /// Takes new limits from the document, and the weight as the zone's share leaves it.
+    pub fn configure(&mut self, multiple: f64, weight: f64) {
         self.multiple = multiple;
         self.weight = weight;
     }
 
     /// Notes the sums over the target's whole pool, the target itself included.
     pub fn heard(&mut self, pool: PoolLoad, now: Time) {
+        let requests = pool.parts().0;
+        self.growth = match self.pool {
+            Some((before, at)) if now > at => {
+                let grown = (requests - before.parts().0).max(0.0);
+                grown / now.since(at).as_secs_f64()
+            }
+            _ => 0.0,
+        };
         self.pool = Some((pool, now));
     }
 
     /// Whether the target may take one more request beside the `requests` it has. Without recent
     /// sums it may, since the mean is not known.
-    #[expect(clippy::cast_precision_loss, reason = "sums stay far below 2^53")]
+    ///
+    /// Traffic that grows is carried on from the last two sums: with the sums alone, a pool whose
+    /// load rises by more than the multiple within a round refuses what it could serve.
     pub fn admits(&self, requests: u32, now: Time) -> bool {
         let Some((pool, at)) = self.pool else {
             return true;
@@ -86,8 +111,9 @@
         if now.since(at) > POOL_LIFE {
             return true;
         }
-        let (sum, total) = (pool.requests as f64, pool.weight as f64);
-        requests < bound(self.multiple, sum, f64::from(self.weight), total)
+        let (sum, total) = pool.parts();
+        let sum = sum + self.growth * now.since(at).as_secs_f64();
+        requests < bound(self.multiple, sum, self.weight, total)
     }
 }
 
--- a/core/src/place.rs
+++ b/core/src/place.rs
@@ -13,16 +13,22 @@
 use crate::{
     id::ChatId,
     name::{TargetName, ZoneName},
-    visit::Visits,
+    visit::Source,
 };
 
 /// Targets that a slot stores at most.
-pub const STORED: usize = 10;
+pub const STORED: usize = 8;
 /// Targets that each slot has in store, where the pool has that many.
-pub const RANKED: usize = 6;
+pub const RANKED: usize = 4;
 /// Visits to a slot that a build generates, on average. Fewer leave too many slots with less than
 /// [`RANKED`] targets, each of which costs one pass over all targets.
-const DEPTH: f64 = 16.0;
+const DEPTH: f64 = 14.0;
+/// Parts of the time up to the horizon in which a build enters visits. Visits that are nearly in
+/// order of time are appended to their slots, and full slots turn the later ones away.
+const STRATA: u16 = 8;
+/// Slots are visited block by block, since a block fits a processor's cache and a whole table does
+/// not.
+const BLOCK_BITS: u32 = 12;
 /// An update that changes more than this share of the weight is done as a build.
 const REBUILD_SHARE: f64 = 0.125;
 
@@ -51,7 +57,7 @@
 #[derive(Debug, Clone)]
 struct Member {
     candidate: Candidate,
-    visits: Visits,
+    source: Source,
 }
 
 /// Ranks the targets that can serve one model or service.
@@ -82,8 +88,13 @@
     }
 }
 
+fn time_at(source: Source, slot: usize) -> f32 {
+    let block = source.block(slot >> BLOCK_BITS, BLOCK_BITS);
+    block.time_at(slot & ((1 << BLOCK_BITS) - 1))
+}
+
 impl Table {
-    /// Makes a table over `candidates` with two to the power of `bits` slots.
+    /// Makes a table over `candidates` with two to the power of `bits` slots, at least 2^12.
     ///
     /// # Panics
     ///
@@ -179,7 +190,7 @@
         stored.or_else(|| {
             let slot = self.slot(chat);
             let usable = self.entries().filter(|(index, _)| usable(*index));
-            let timed = usable.map(|(index, member)| (member.visits.time_at(slot), index));
+            let timed = usable.map(|(index, member)| (time_at(member.source, slot), index));
             timed
                 .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| self.order(a.1, b.1)))
                 .map(|(_, index)| index)
@@ -285,7 +296,7 @@
         self.weight += candidate.weight;
         let name = candidate.name.clone();
         let member = Some(Member {
-            visits: Visits::new(key, self.bits, candidate.weight),
+            source: Source::new(key, candidate.weight),
             candidate,
         });
         let place = self.members.iter().position(Option::is_none);
@@ -325,9 +336,12 @@
         self.ids = vec![TargetIndex(0); slots * STORED];
         self.times = vec![0.0; slots * STORED];
         self.limits = vec![self.horizon; slots];
-        let indices: Vec<_> = self.entries().map(|(index, _)| index).collect();
-        for index in indices {
-            self.spread(index);
+        let members: Vec<_> = self
+            .entries()
+            .map(|(index, member)| (index, member.source))
+            .collect();
+        for block in 0..1 << (self.bits - BLOCK_BITS) {
+            self.build_block(block, &members);
         }
         for slot in 0..slots {
             if usize::from(self.lens[slot]) < RANKED && self.limits[slot] < f32::INFINITY {
@@ -336,11 +350,33 @@
         }
     }
 
+    fn build_block(&mut self, block: usize, members: &[(TargetIndex, Source)]) {
+        let visits = members
+            .iter()
+            .map(|(index, source)| (*index, source.block(block, BLOCK_BITS), 0));
+        let mut visits: Vec<_> = visits.collect();
+        for stratum in 1..=STRATA {
+            let end = if stratum == STRATA {
+                self.horizon
+            } else {
+                self.horizon * f32::from(stratum) / f32::from(STRATA)
+            };
+            for (index, visits, entered) in &mut visits {
+                for (slot, time) in visits.between(*entered, end) {
+                    self.place(slot + (block << BLOCK_BITS), time, *index);
+                    *entered += 1;
+                }
+            }
+        }
+    }
+
     /// Enters a target into its slots.
     fn spread(&mut self, index: TargetIndex) {
-        let visits = self.member(index).visits.clone();
-        for (slot, time) in visits.until(self.horizon) {
-            self.place(slot, time, index);
+        let source = self.member(index).source;
+        for block in 0..1 << (self.bits - BLOCK_BITS) {
+            for (slot, time) in source.block(block, BLOCK_BITS).until(self.horizon) {
+                self.place(slot + (block << BLOCK_BITS), time, index);
+            }
         }
     }
 
@@ -349,7 +385,11 @@
         let Some(member) = self.delist(index) else {
             return;
         };
-        for (slot, _) in member.visits.until(self.horizon) {
+        let visits = (0..1 << (self.bits - BLOCK_BITS)).flat_map(|block| {
+            let visits = member.source.block(block, BLOCK_BITS).until(self.horizon);
+            visits.map(move |(slot, _)| slot + (block << BLOCK_BITS))
+        });
+        for slot in visits {
             let start = slot * STORED;
             let end = start + usize::from(self.lens[slot]);
             let found = self.ids[start..end].iter().position(|id| *id == index);
@@ -370,7 +410,7 @@
         self.limits[slot] = f32::INFINITY;
         let timed: Vec<_> = self
             .entries()
-            .map(|(index, member)| (index, member.visits.time_at(slot)))
+            .map(|(index, member)| (index, time_at(member.source, slot)))
             .collect();
         for (index, time) in timed {
             self.place(slot, time, index);
--- a/core/src/visit.rs
+++ b/core/src/visit.rs
@@ -6,39 +6,64 @@
 /// Natural logarithm of two.
 const LN_2: f64 = std::f64::consts::LN_2;
 
-/// Visits of one target.
-#[derive(Debug, Clone)]
+/// Two to the power of -24: the jitter has 24 bits.
+const JITTER_PART: f64 = 1.0 / 16_777_216.0;
+
+/// Makes the visits of one target.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Source {
+    key: u64,
+    interval: f64,
+}
+
+impl Source {
+    /// The source of the target with hash `key`.
+    pub(crate) fn new(key: u64, weight: f64) -> Self {
+        Self {
+            key,
+            interval: 1.0 / weight,
+        }
+    }
+
+    /// Visits to the slots of a block, which has two to the power of `bits`.
+    pub(crate) fn block(&self, block: usize, bits: u32) -> Visits {
+        let key = mix(self.key ^ mix(block as u64));
+        Visits {
+            key,
+            bits,
+            interval: self.interval,
+            part: 1.0 / f64::from(1_u32 << bits),
+            first: mix(key ^ 1) | 1,
+            second: mix(key ^ 2) | 1,
+        }
+    }
+}
+
+/// Visits of one target to the slots of one block.
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Visits {
     key: u64,
     bits: u32,
-    weight: f64,
+    /// Mean time between two visits to a slot.
+    interval: f64,
+    /// One over the number of slots.
+    part: f64,
     first: u64,
     second: u64,
-    first_inverse: u64,
-    second_inverse: u64,
 }
 
 impl Visits {
-    /// Visits of the target with hash `key` to two to the power of `bits` slots.
-    pub(crate) fn new(key: u64, bits: u32, weight: f64) -> Self {
-        let first = mix(key ^ 1) | 1;
-        let second = mix(key ^ 2) | 1;
-        Self {
-            key: mix(key),
-            bits,
-            weight,
-            first,
-            second,
-            first_inverse: inverse(first),
-            second_inverse: inverse(second),
-        }
+    /// The slots in the order of the visits, with their times, up to `horizon`.
+    pub(crate) fn until(self, horizon: f32) -> impl Iterator<Item = (usize, f32)> {
+        self.between(0, horizon)
     }
 
-    /// The slots in the order of the visits, with their times, up to `horizon`.
-    pub(crate) fn until(&self, horizon: f32) -> impl Iterator<Item = (usize, f32)> {
-        (0..1_u64 << self.bits)
-            .map(|number| (self.slot(number), self.time(number)))
+    /// The same from visit `start` on.
+    pub(crate) fn between(self, start: u64, horizon: f32) -> impl Iterator<Item = (usize, f32)> {
+        (start..1_u64 << self.bits)
+            .map(move |number| (number, self.time(number)))
             .take_while(move |(_, time)| *time < horizon)
+            .map(move |(number, time)| (self.slot(number), time))
     }
 
     /// The time of the visit to `slot`.
@@ -56,9 +81,9 @@
 
     fn number(&self, slot: u64) -> u64 {
         let (mask, half) = self.shape();
-        let x = (slot ^ (slot >> half)).wrapping_mul(self.second_inverse) & mask;
+        let x = (slot ^ (slot >> half)).wrapping_mul(inverse(self.second)) & mask;
         let x = (x ^ (x >> half)).wrapping_sub(self.key);
-        x.wrapping_mul(self.first_inverse) & mask
+        x.wrapping_mul(inverse(self.first)) & mask
     }
 
     /// Mask of the slot number, and half of its bits rounded up: a shift by that much undoes
@@ -76,9 +101,8 @@
     #[expect(clippy::cast_possible_truncation, reason = "ties are broken by name")]
     fn time(&self, number: u64) -> f32 {
         let jitter = number.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ self.key;
-        let jitter = ((jitter.wrapping_mul(self.second) >> 40) as f64 + 0.5) / (1_u64 << 24) as f64;
-        let share = (number as f64 + jitter) / (1_u64 << self.bits) as f64;
-        (minus_log(share) / self.weight) as f32
+        let jitter = ((jitter.wrapping_mul(self.second) >> 40) as f64 + 0.5) * JITTER_PART;
+        (minus_log((number as f64 + jitter) * self.part) * self.interval) as f32
     }
 }
 
@@ -127,7 +151,7 @@
     #[test]
     fn visits_are_a_permutation_in_order_of_time() {
         for bits in [4, 5, 14] {
-            let visits = Visits::new(7, bits, 3.0);
+            let visits = Source::new(7, 3.0).block(2, bits);
             let all: Vec<_> = visits.until(f32::INFINITY).collect();
             assert!(all.is_sorted_by(|a, b| a.1 <= b.1));
             let mut slots: Vec<_> = all.iter().map(|(slot, _)| *slot).collect();
--- a/core/tests/place.rs
+++ b/core/tests/place.rs
@@ -99,6 +99,7 @@
                     &tried,
                     arg("end").is_some(),
                     arg("list").is_some(),
+                    arg("first").is_some(),
                 )
             }
             "served" | "hint" => {
@@ -110,7 +111,9 @@
                     placement.hint(chat, &name, now);
                     return String::new();
                 }
-                format!("news: {}\n", placement.served(chat, &name, now))
+                let told = placement.served(chat, &name, now);
+                let told: Vec<_> = told.iter().map(TargetName::as_str).collect();
+                format!("told: {}\n", told.join(" "))
             }
             "heard" => {
                 let (now, zones) = (self.now, self.zones.clone());
@@ -121,21 +124,19 @@
                 String::new()
             }
             "gossip" => {
-                let pool = PoolLoad {
-                    requests: count("requests", 0).into(),
-                    weight: count("weight", 0).into(),
-                };
+                let mut pool = PoolLoad::default();
+                pool.add(count("requests", 0), number("weight", 0.0));
                 let now = self.now;
                 if let Some(placement) = self.router(&router) {
                     placement.heard_pool(pool, now);
                 }
-                let own = self.own.get_or_insert_with(|| OwnBound::new(1.25, 1));
+                let own = self.own.get_or_insert_with(|| OwnBound::new(1.25, 1.0));
                 own.heard(pool, now);
                 String::new()
             }
             "agent" => {
-                let own = self.own.get_or_insert_with(|| OwnBound::new(1.25, 1));
-                own.configure(1.25, count("weight", 1));
+                let own = self.own.get_or_insert_with(|| OwnBound::new(1.25, 1.0));
+                own.configure(1.25, number("weight", 1.0));
                 let admitted = own.admits(count("requests", 0), self.now);
                 format!("{}\n", if admitted { "admitted" } else { "over bound" })
             }
@@ -188,13 +189,14 @@
         tried: &[TargetName],
         end: bool,
         list: bool,
+        first: bool,
     ) -> String {
         let (zones, now) = (self.zones.clone(), self.now);
         let placement = self.router(router).expect("a view comes first");
         let mut counts = std::collections::BTreeMap::new();
         let mut text = String::new();
         for chat in chats {
-            let Some(pick) = placement.choose(chat.into(), tried, &zones, now) else {
+            let Some(pick) = placement.choose(chat.into(), first, tried, &zones, now) else {
                 return "no target\n".to_owned();
             };
             if end {
@@ -368,7 +370,7 @@
         }
         let sum = f64::from(u32::try_from(running.len()).unwrap());
         let pick = placement
-            .choose(ChatId::from(chat), &[], &zones, now)
+            .choose(ChatId::from(chat), false, &[], &zones, now)
             .unwrap();
         let count = counts.entry(pick.target.clone()).or_default();
         *count += 1;
@@ -408,7 +410,7 @@
     let mut counts: HashMap<TargetName, u32> = HashMap::new();
     for chat in 0..1_400 {
         let pick = placement
-            .choose(chat.into(), &[], &zones, Time::ZERO)
+            .choose(chat.into(), false, &[], &zones, Time::ZERO)
             .unwrap();
         *counts.entry(pick.target).or_default() += 1;
     }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,7 +2,9 @@
 
 use std::{io, time::Duration};
 
-use ebonyfall_core::{admit::Capacity, code::Code, id::AttemptId, name::TargetName};
+use ebonyfall_core::{
+    admit::Capacity, code::Code, id::AttemptId, load::OwnBound, name::TargetName,
+};
 use ebonyfall_wire::frame::{MAX_PART, Submit, ToAgent, ToRouter};
 use http::{Response, header::CONTENT_TYPE};
 use http_body_util::BodyExt;
@@ -93,6 +95,10 @@
         slots: target.slots,
         cold_slots: target.cold_slots,
     };
+    let multiple = view
+        .as_ref()
+        .map_or(f64::MAX, |view| view.document.limits.load_multiple);
+    let own = OwnBound::new(multiple, f64::from(target.slots));
     let agent = Agent {
         target: cfg.target,
         identity: Identity {
@@ -100,7 +106,7 @@
             incarnation: view::incarnation(clock::unix_time()),
             keys: cfg.common.keys,
         },
-        gate: Gate::start(capacity, clock),
+        gate: Gate::start(capacity, own, clock),
         pointers: PointerTask::start(clock),
         backend: Backend::new(cfg.backend),
         metrics: Metrics::new(),
@@ -171,7 +177,7 @@
         } else if moved.is_some() {
             Err(Code::Moved)
         } else {
-            self.gate.enter(submit.left).await
+            self.gate.enter(submit.left, submit.bounded).await
         };
         let outcome = match admitted {
             Ok(()) => {
--- a/src/front.rs
+++ b/src/front.rs
@@ -126,16 +126,21 @@
                 .to_owned(),
             body,
         };
-        let (pool, chat, repeat) = if uri.path() == CHAT_PATH && method == Method::POST {
-            let (model, chat) = model_request(&view, &name, &team, &headers, &call.body)?;
-            (Pool::Model(model), chat, Repeat::Idempotent)
+        let (pool, chat, first, repeat) = if uri.path() == CHAT_PATH && method == Method::POST {
+            let (model, chat, first) = model_request(&view, &name, &team, &headers, &call.body)?;
+            (Pool::Model(model), chat, first, Repeat::Idempotent)
         } else {
             let route = view
                 .route(method.as_str(), uri.path())
                 .ok_or(Code::NoRoute)?;
             // Calls of plain services have no context to return to and are spread evenly.
             let chat = ChatId::from(rand::random::<u64>());
-            (Pool::Service(route.service.clone()), chat, route.repeat)
+            (
+                Pool::Service(route.service.clone()),
+                chat,
+                true,
+                route.repeat,
+            )
         };
         let (priority, left) = urgency(&headers, &team)?;
         let job = Job {
@@ -143,6 +148,7 @@
             team: name,
             pool,
             chat,
+            first,
             priority,
             repeat,
             left,
@@ -166,7 +172,7 @@
     team: &Team,
     headers: &HeaderMap,
     body: &Bytes,
-) -> Result<(ModelName, ChatId), Refusal> {
+) -> Result<(ModelName, ChatId, bool), Refusal> {
     let parsed: ChatRequest = serde_json::from_slice(body).map_err(|error| Refusal {
         code: Code::BadRequest,
         message: format!("the body is not a chat completion request: {error}"),
@@ -189,7 +195,8 @@
             chat::chat_id(name, &model, Identity::Opening(&opening))
         }
     };
-    Ok((model, chat))
+    let first = opening(&parsed.messages).len() == parsed.messages.len();
+    Ok((model, chat, first))
 }
 
 /// The messages up to and including the first user message; every later request repeats them.
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -5,6 +5,7 @@
 use ebonyfall_core::{
     admit::{Admission, Capacity},
     code::Code,
+    load::{OwnBound, PoolLoad},
 };
 use ebonyfall_wire::frame::Load;
 use tokio::sync::{mpsc, oneshot};
@@ -18,11 +19,15 @@
 enum Ask {
     Enter {
         left: Duration,
+        bounded: bool,
         reply: oneshot::Sender<Result<(), Code>>,
     },
     Leave {
         success: bool,
     },
+    HeardPool {
+        load: PoolLoad,
+    },
     Load {
         reply: oneshot::Sender<Load>,
     },
@@ -34,24 +39,36 @@
 
 impl Gate {
     /// Starts the task; it ends when the last handle is dropped.
-    pub fn start(capacity: Capacity, clock: Clock) -> Self {
+    pub fn start(capacity: Capacity, own: OwnBound, clock: Clock) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
-        tokio::spawn(run(Admission::new(capacity), clock, rx));
+        tokio::spawn(run(Admission::new(capacity), own, clock, rx));
         Self(tx)
     }
 
-    /// Asks for one request to be admitted.
+    /// Asks for one request to be admitted, within the load bound where it is `bounded`.
     ///
     /// # Errors
     ///
     /// Fails with the code of the refusal.
-    pub async fn enter(&self, left: Duration) -> Result<(), Code> {
+    pub async fn enter(&self, left: Duration, bounded: bool) -> Result<(), Code> {
         let (reply, answer) = oneshot::channel();
-        let sent = self.0.send(Ask::Enter { left, reply }).await;
+        let sent = self
+            .0
+            .send(Ask::Enter {
+                left,
+                bounded,
+                reply,
+            })
+            .await;
         sent.map_err(|_ended| Code::ShuttingDown)?;
         answer.await.map_err(|_ended| Code::ShuttingDown)?
     }
 
+    /// Reports the sums over the target's pool that came by gossip.
+    pub async fn heard_pool(&self, load: PoolLoad) {
+        let _ended = self.0.send(Ask::HeardPool { load }).await;
+    }
+
     /// Reports the end of an admitted request.
     pub async fn leave(&self, success: bool) {
         let _ended = self.0.send(Ask::Leave { success }).await;
@@ -65,11 +82,25 @@
     }
 }
 
-async fn run(mut admission: Admission, clock: Clock, mut rx: mpsc::Receiver<Ask>) {
+async fn run(
+    mut admission: Admission,
+    mut own: OwnBound,
+    clock: Clock,
+    mut rx: mpsc::Receiver<Ask>,
+) {
     while let Some(ask) = rx.recv().await {
         match ask {
-            Ask::Enter { left, reply } => {
-                let decision = admission.enter(left, clock.now());
+            Ask::Enter {
+                left,
+                bounded,
+                reply,
+            } => {
+                let now = clock.now();
+                let decision = if bounded && !own.admits(admission.running(), now) {
+                    Err(Code::OverBound)
+                } else {
+                    admission.enter(left, now)
+                };
                 let admitted = decision.is_ok();
                 // A caller that went away while it waited will not report the end.
                 if reply.send(decision).is_err() && admitted {
@@ -77,6 +108,7 @@
                 }
             }
             Ask::Leave { success } => admission.leave(success, clock.now()),
+            Ask::HeardPool { load } => own.heard(load, clock.now()),
             Ask::Load { reply } => {
                 let load = Load {
                     running: admission.running(),
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -31,6 +31,9 @@
 /// Messages that may wait for the task.
 const QUEUE_LEN: usize = 4096;
 
+/// Attempts of a request that are subject to the agents' load bound.
+const BOUNDED_ATTEMPTS: usize = 2;
+
 /// The target chosen for an attempt. The attempt counts as running until this is dropped.
 #[derive(Debug)]
 pub struct Choice {
@@ -40,6 +43,8 @@
     pub agent: SocketAddr,
     /// The version that it runs, for engines.
     pub version: Option<VersionName>,
+    /// Whether the agent applies its load bound.
+    pub bounded: bool,
     /// Whether a pointer of the target's agent can be followed.
     pub follow: bool,
     /// The target that comes next for the chat.
@@ -91,6 +96,7 @@
     Choose {
         pool: Pool,
         chat: ChatId,
+        first: bool,
         tried: Vec<TargetName>,
         reply: oneshot::Sender<Result<Choice, Code>>,
     },
@@ -115,7 +121,7 @@
         pool: Pool,
         chat: ChatId,
         target: TargetName,
-        reply: oneshot::Sender<Option<SocketAddr>>,
+        reply: oneshot::Sender<Vec<SocketAddr>>,
     },
     Leaving {
         vms: HashSet<VmName>,
@@ -147,7 +153,8 @@
         Self(tx)
     }
 
-    /// Chooses a target of `pool` for `chat` that is not among `tried`.
+    /// Chooses a target of `pool` for `chat`, whose `first` request this may be, that is not among
+    /// `tried`.
     ///
     /// # Errors
     ///
@@ -156,12 +163,14 @@
         &self,
         pool: Pool,
         chat: ChatId,
+        first: bool,
         tried: Vec<TargetName>,
     ) -> Result<Choice, Code> {
         let (reply, answer) = oneshot::channel();
         let ask = Ask::Choose {
             pool,
             chat,
+            first,
             tried,
             reply,
         };
@@ -187,9 +196,8 @@
         let _ended = self.0.send(Ask::Hint { pool, chat, target }).await;
     }
 
-    /// Reports that `target` serves `chat`; returns the agent of the chat's home where that has to
-    /// be told.
-    pub async fn served(&self, pool: Pool, chat: ChatId, target: TargetName) -> Option<SocketAddr> {
+    /// Reports that `target` serves `chat`; returns the agents that have to be told.
+    pub async fn served(&self, pool: Pool, chat: ChatId, target: TargetName) -> Vec<SocketAddr> {
         let (reply, answer) = oneshot::channel();
         let ask = Ask::Served {
             pool,
@@ -197,8 +205,8 @@
             target,
             reply,
         };
-        self.0.send(ask).await.ok()?;
-        answer.await.ok()?
+        let _ended = self.0.send(ask).await;
+        answer.await.unwrap_or_default()
     }
 
     /// Replaces the set of VMs whose targets get no new work.
@@ -250,10 +258,11 @@
             Ask::Choose {
                 pool,
                 chat,
+                first,
                 tried,
                 reply,
             } => {
-                let _caller_gone = reply.send(self.choose(pool, chat, &tried));
+                let _caller_gone = reply.send(self.choose(pool, chat, first, &tried));
             }
             Ask::Ended { pool, target } => {
                 if let Some(placement) = self.pools.get_mut(&pool) {
@@ -346,7 +355,13 @@
             .collect()
     }
 
-    fn choose(&mut self, pool: Pool, chat: ChatId, tried: &[TargetName]) -> Result<Choice, Code> {
+    fn choose(
+        &mut self,
+        pool: Pool,
+        chat: ChatId,
+        first: bool,
+        tried: &[TargetName],
+    ) -> Result<Choice, Code> {
         let now = self.clock.now();
         let none = if tried.is_empty() {
             Code::NoTarget
@@ -357,7 +372,7 @@
             return Err(none);
         };
         let tx = self.tx.upgrade().ok_or(Code::ShuttingDown)?;
-        let pick = placement.choose(chat, tried, &self.zones, now);
+        let pick = placement.choose(chat, first, tried, &self.zones, now);
         let Pick {
             target: name,
             reason,
@@ -372,6 +387,7 @@
         Ok(Choice {
             agent: target.agent,
             version,
+            bounded: tried.len() < BOUNDED_ATTEMPTS,
             follow: reason == Reason::Home && tried.is_empty(),
             second,
             _running: Running {
@@ -383,16 +399,14 @@
         })
     }
 
-    fn served(&mut self, pool: &Pool, chat: ChatId, target: &TargetName) -> Option<SocketAddr> {
+    fn served(&mut self, pool: &Pool, chat: ChatId, target: &TargetName) -> Vec<SocketAddr> {
         let now = self.clock.now();
-        let view = self.view.as_ref()?;
-        let placement = self.pools.get_mut(pool)?;
-        if !placement.served(chat, target, now) {
-            return None;
-        }
-        let home = placement.home(chat)?;
-        let agent = view.document.targets[home].agent;
-        (home != target).then_some(agent)
+        let (Some(view), Some(placement)) = (&self.view, self.pools.get_mut(pool)) else {
+            return Vec::new();
+        };
+        let told = placement.served(chat, target, now).into_iter();
+        told.filter_map(|name| Some(view.document.targets.get(&name)?.agent))
+            .collect()
     }
 
     fn dump(&self) -> PickerDump {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -41,6 +41,8 @@
     pub pool: Pool,
     /// The chat that it belongs to.
     pub chat: ChatId,
+    /// Whether it is the first request of its chat.
+    pub first: bool,
     /// How urgent it is.
     pub priority: Priority,
     /// Whether it may run again.
@@ -96,7 +98,7 @@
         for number in 0..MAX_ATTEMPTS {
             let choice = match self
                 .picker
-                .choose(job.pool.clone(), job.chat, tried.clone())
+                .choose(job.pool.clone(), job.chat, job.first, tried.clone())
                 .await
             {
                 Ok(choice) => choice,
@@ -146,6 +148,7 @@
             version: choice.version.clone(),
             team: job.team.clone(),
             chat: job.chat,
+            bounded: choice.bounded,
             follow: choice.follow,
             second: choice.second.clone(),
             priority: job.priority,
@@ -207,8 +210,8 @@
         })
     }
 
-    /// Tells the home agent of a model's chat that another target holds its context now. The answer
-    /// does not wait for it, and a lost notice costs one cache miss.
+    /// Tells the agents that other routers ask for a model's chat that another target holds its
+    /// context now. The answer does not wait for it, and a lost notice costs one cache miss.
     fn note_moved(&self, job: &Job, target: TargetName) {
         let (pool, chat) = (job.pool.clone(), job.chat);
         if matches!(pool, Pool::Service(_)) {
@@ -216,15 +219,19 @@
         }
         let relay = self.clone();
         tokio::spawn(async move {
-            let served = relay.picker.served(pool, chat, target.clone()).await;
-            let Some(home) = served else { return };
-            let link = match relay.links.take(home).await {
-                Some(link) => Ok(link),
-                None => Link::dial(&relay.identity, home).await,
+            let notice = ToAgent::Moved {
+                chat,
+                target: target.clone(),
             };
-            let Ok(mut link) = link else { return };
-            if link.send(&ToAgent::Moved { chat, target }).await.is_ok() {
-                relay.links.put(home, link).await;
+            for agent in relay.picker.served(pool, chat, target).await {
+                let link = match relay.links.take(agent).await {
+                    Some(link) => Ok(link),
+                    None => Link::dial(&relay.identity, agent).await,
+                };
+                let Ok(mut link) = link else { continue };
+                if link.send(&notice).await.is_ok() {
+                    relay.links.put(agent, link).await;
+                }
             }
         });
     }
--- /dev/null
+++ b/tests/zones.rs
@@ -0,0 +1,103 @@
+//! Zones out of service and back, with real processes.
+
+mod testenv;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use ebonyfall::{platform::Platform, view::CONFIG_STREAM};
+use ebonyfall_bench::client::{Caller, Outcome, messages};
+use ebonyfall_standin::engine::EngineStatus;
+use http_body_util::BodyExt;
+use testenv::{TestEnv, plan};
+use tokio::{task::JoinSet, time::sleep};
+
+/// Time after which a zone that is out gets no new work.
+const GOAL: Duration = Duration::from_secs(3);
+/// Tokens of each answer; an answer takes about 100 ms.
+const TOKENS: u32 = 200;
+
+impl TestEnv {
+    /// Requests that the engines of zone `a` have taken.
+    async fn requests_in_a(&self) -> u64 {
+        let mut requests = 0;
+        // Engines are spread over the three zones in turn.
+        for (address, _) in self.deployment.engines.iter().step_by(3) {
+            let res = Caller::new(*address).send("GET", "/status", "", &[]).await;
+            let body = res.expect("the engine answers").into_body().collect().await;
+            let body = body.expect("the answer is whole").to_bytes();
+            let status: EngineStatus = serde_json::from_slice(&body).expect("a status");
+            requests += status.requests;
+        }
+        requests
+    }
+
+    async fn publish(&self, document: &str) {
+        let platform = Platform::new(&self.deployment.platform_url);
+        let appended = platform.append(CONFIG_STREAM, document.as_bytes()).await;
+        appended.expect("the log takes the document");
+    }
+}
+
+/// Guards against new work for a zone that was taken out, against requests that are cut when it
+/// goes or returns, and against a zone that stays idle after its return.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_goes_out_and_returns_without_a_cut_request() {
+    let mut plan = plan(6, 0);
+    "[limits]\nzone-ramp = 2s\n".clone_into(&mut plan.document);
+    let env = TestEnv::start(plan).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = JoinSet::new();
+    for number in 0..6 {
+        let (caller, stop) = (env.caller(number % 2), Arc::clone(&stop));
+        callers.spawn(async move {
+            let mut outcomes = Vec::new();
+            let mut chat = number as u64 * 1_000_000;
+            while !stop.load(Ordering::Relaxed) {
+                for turn in 0..2 {
+                    let messages = messages(chat, turn, TOKENS);
+                    outcomes.push(
+                        caller
+                            .chat(&messages, TOKENS, chat.is_multiple_of(2))
+                            .await
+                            .0,
+                    );
+                }
+                chat += 1;
+            }
+            outcomes
+        });
+    }
+    sleep(Duration::from_secs(2)).await;
+    let before = env.requests_in_a().await;
+    assert!(before > 0, "the zone had work before it went out");
+
+    let document = env.deployment.document.clone();
+    let out = document.replace("[zone a]\n", "[zone a]\nstate = out\n");
+    assert_ne!(out, document);
+    env.publish(&out).await;
+    sleep(GOAL).await;
+    let when_out = env.requests_in_a().await;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(env.requests_in_a().await, when_out, "new work after 3 s");
+
+    env.publish(&document).await;
+    sleep(Duration::from_secs(5)).await;
+    let returned = env.requests_in_a().await;
+    assert!(returned > when_out, "the zone has work again");
+    stop.store(true, Ordering::Relaxed);
+    let outcomes = callers.join_all().await.concat();
+    let whole = |outcome: &&Outcome| matches!(outcome, Outcome::Whole { .. });
+    let other: Vec<_> = outcomes.iter().filter(|o| !whole(o)).collect();
+    assert!(
+        other.is_empty(),
+        "{} of {}: {other:?}",
+        other.len(),
+        outcomes.len()
+    );
+}
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -75,6 +75,9 @@
     pub priority: Priority,
     /// Whether the request may run again.
     pub repeat: Repeat,
+    /// Whether the agent applies its load bound. Two refusals above the bound show that the mean is
+    /// higher than the agents know, so that the third attempt does without.
+    pub bounded: bool,
     /// Whether the router can follow a pointer to the target that holds the chat's context.
     pub follow: bool,
     /// The target that comes next for the chat, which a refusal above the load bound may hint at.
