Show with real processes that a moved chat is found through another router

Cause: the simulation covers pointers, but nothing covered their way over the wire.

The test keeps a chat's home busy, so that the chat moves, and lets it return through another router. With an agent that forgets notices it fails (the home gets the chat back: 2, 1, 0 requests instead of 1, 2, 0). The zone test fails with a core that ignores zones that are out (52 requests instead of 39). Ruled out: reading the agent's pointers through its dump, which would not show that a router follows them.

Conclusion: a returning chat goes to the target that holds its context through any router.

--- a/bench/src/client.rs
+++ b/bench/src/client.rs
@@ -6,7 +6,10 @@
 };
 
 use bytes::Bytes;
-use ebonyfall_standin::{deploy::TEAM_KEY, engine};
+use ebonyfall_standin::{
+    deploy::TEAM_KEY,
+    engine::{self, EngineStatus},
+};
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use http::{Request, Response};
@@ -142,6 +145,14 @@
         }
     }
 
+    /// Requests that the engine stand-in at the address has taken; none when it does not answer.
+    pub async fn taken(&self) -> Option<u64> {
+        let res = self.send("GET", "/status", "", &[]).await.ok()?;
+        let body = res.into_body().collect().await.ok()?.to_bytes();
+        let status: EngineStatus = serde_json::from_slice(&body).ok()?;
+        Some(status.requests)
+    }
+
     /// Sends a request with the team's key.
     ///
     /// # Errors
--- a/bench/src/place.rs
+++ b/bench/src/place.rs
@@ -279,7 +279,7 @@
     // Requests stay until there are eight for each target, then the oldest one ends, which is not
     // part of the time.
     let mut running = VecDeque::new();
-    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut chats = SmallRng::seed_from_u64(seed);
     let mut times = Vec::with_capacity(TIMED);
     for _ in 0..TIMED {
         if running.len() >= count * 8
@@ -287,7 +287,7 @@
         {
             placement.ended(&target, now);
         }
-        let chat = ChatId::from(rng.random::<u64>());
+        let chat = ChatId::from(chats.random::<u64>());
         let start = Instant::now();
         let pick = placement.choose(chat, false, &[], &zones, now);
         times.push(start.elapsed().as_nanos());
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,8 +2,21 @@
 
 mod testenv;
 
-use ebonyfall_bench::client::{Outcome, messages};
+use std::time::Duration;
+
+use ebonyfall_bench::client::{Caller, Outcome, messages};
 use testenv::{TestEnv, plan};
+use tokio::time::sleep;
+
+/// Requests that each engine has taken.
+async fn taken(env: &TestEnv) -> Vec<u64> {
+    let mut taken = Vec::new();
+    for (address, _) in &env.deployment.engines {
+        let requests = Caller::new(*address).taken().await;
+        taken.push(requests.expect("the engine answers"));
+    }
+    taken
+}
 
 /// Guards against answers that are wrong, cut or from a cold engine when a chat returns through
 /// another router.
@@ -28,3 +41,36 @@
     let orders = env.deployment.services[0].0.orders().await;
     assert_eq!(orders.into_values().collect::<Vec<_>>(), [1]);
 }
+
+/// Guards against a chat that another router sends back to its home, although its context has moved
+/// to another target.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_router_finds_a_moved_chat() {
+    const TOKENS: u32 = 1_000;
+    let mut plan = plan(3, 0);
+    plan.engine.slots = 1;
+    plan.engine.cold_slots = 1;
+    let env = TestEnv::start(plan).await;
+    let first = messages(1, 0, TOKENS);
+    // The first request keeps the home busy, so that the second goes elsewhere.
+    let (caller, body) = (env.caller(0), first.clone());
+    let busy = tokio::spawn(async move { caller.chat(&body, TOKENS, true).await.0 });
+    sleep(Duration::from_millis(200)).await;
+    let at_home = taken(&env).await;
+    let (outcome, _) = env.caller(0).chat(&first, TOKENS, true).await;
+    assert_eq!(outcome, Outcome::Whole { cached: false });
+    assert_eq!(busy.await.unwrap(), Outcome::Whole { cached: false });
+    let moved = taken(&env).await;
+    let place = (0..3).find(|i| moved[*i] > at_home[*i]);
+    let place = place.expect("another engine took the second request");
+
+    let (outcome, _) = env
+        .caller(1)
+        .chat(&messages(1, 1, TOKENS), TOKENS, false)
+        .await;
+    assert_eq!(outcome, Outcome::Whole { cached: true });
+    let mut expected = moved.clone();
+    expected[place] += 1;
+    assert_eq!(taken(&env).await, expected);
+    assert_eq!(at_home[place], 0);
+}
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -12,8 +12,6 @@
 
 use ebonyfall::{platform::Platform, view::CONFIG_STREAM};
 use ebonyfall_bench::client::{Caller, Outcome, messages};
-use ebonyfall_standin::engine::EngineStatus;
-use http_body_util::BodyExt;
 use testenv::{TestEnv, plan};
 use tokio::{task::JoinSet, time::sleep};
 
@@ -22,26 +20,20 @@
 /// Tokens of each answer; an answer takes about 100 ms.
 const TOKENS: u32 = 200;
 
-impl TestEnv {
-    /// Requests that the engines of zone `a` have taken.
-    async fn requests_in_a(&self) -> u64 {
-        let mut requests = 0;
-        // Engines are spread over the three zones in turn.
-        for (address, _) in self.deployment.engines.iter().step_by(3) {
-            let res = Caller::new(*address).send("GET", "/status", "", &[]).await;
-            let body = res.expect("the engine answers").into_body().collect().await;
-            let body = body.expect("the answer is whole").to_bytes();
-            let status: EngineStatus = serde_json::from_slice(&body).expect("a status");
-            requests += status.requests;
-        }
-        requests
+/// Requests that the engines of zone `a` have taken; engines are spread over three zones in turn.
+async fn taken_in_a(env: &TestEnv) -> u64 {
+    let mut taken = 0;
+    for (address, _) in env.deployment.engines.iter().step_by(3) {
+        let requests = Caller::new(*address).taken().await;
+        taken += requests.expect("the engine answers");
     }
+    taken
+}
 
-    async fn publish(&self, document: &str) {
-        let platform = Platform::new(&self.deployment.platform_url);
-        let appended = platform.append(CONFIG_STREAM, document.as_bytes()).await;
-        appended.expect("the log takes the document");
-    }
+async fn publish(env: &TestEnv, document: &str) {
+    let platform = Platform::new(&env.deployment.platform_url);
+    let appended = platform.append(CONFIG_STREAM, document.as_bytes()).await;
+    appended.expect("the log takes the document");
 }
 
 /// Guards against new work for a zone that was taken out, against requests that are cut when it
@@ -74,21 +66,21 @@
         });
     }
     sleep(Duration::from_secs(2)).await;
-    let before = env.requests_in_a().await;
+    let before = taken_in_a(&env).await;
     assert!(before > 0, "the zone had work before it went out");
 
     let document = env.deployment.document.clone();
     let out = document.replace("[zone a]\n", "[zone a]\nstate = out\n");
     assert_ne!(out, document);
-    env.publish(&out).await;
+    publish(&env, &out).await;
     sleep(GOAL).await;
-    let when_out = env.requests_in_a().await;
+    let when_out = taken_in_a(&env).await;
     sleep(Duration::from_secs(2)).await;
-    assert_eq!(env.requests_in_a().await, when_out, "new work after 3 s");
+    assert_eq!(taken_in_a(&env).await, when_out, "new work after 3 s");
 
-    env.publish(&document).await;
+    publish(&env, &document).await;
     sleep(Duration::from_secs(5)).await;
-    let returned = env.requests_in_a().await;
+    let returned = taken_in_a(&env).await;
     assert!(returned > when_out, "the zone has work again");
     stop.store(true, Ordering::Relaxed);
     let outcomes = callers.join_all().await.concat();
