--- a/bench/src/demo.rs
+++ b/bench/src/demo.rs
@@ -129,13 +129,17 @@
             }
             Outcome::Wrong => self.wrong_answers += 1,
             Outcome::Cut => self.cut_streams += 1,
-            Outcome::Refused(_) => self.refused += 1,
+            Outcome::Refused(_) | Outcome::Unconnected => self.refused += 1,
         }
     }
 }
 
 /// The folder of this program, where the daemons' programs are built too.
-fn programs() -> Result<PathBuf, Box<dyn Error>> {
+///
+/// # Errors
+///
+/// Fails when the system does not tell where the program is.
+pub fn programs() -> Result<PathBuf, Box<dyn Error>> {
     let own = std::env::current_exe()?;
     Ok(own.parent().ok_or("the program has no folder")?.to_owned())
 }
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,7 +3,9 @@
 mod cache;
 pub mod case;
 pub mod client;
+pub mod config;
 pub mod demo;
+pub mod moves;
 pub mod place;
 pub mod ring;
 pub mod sim;
--- a/core/src/choose.rs
+++ b/core/src/choose.rs
@@ -276,6 +276,8 @@
             untried(index) && !self.is_over(index, multiple, now)
         };
         let free = |index: TargetIndex| below(index, self.multiple);
+        let bounded =
+            |index: TargetIndex| untried(index) && !self.is_above(index, self.multiple, now);
         let roomy = |index: TargetIndex| below(index, 1.0 + (self.multiple - 1.0) * FIRST_HEADROOM);
         let pointed = self.pointers.get(chat, now).and_then(|name| {
             let index = self.table.index(name)?;
@@ -295,6 +297,8 @@
             None => {
                 let found = order().find(|index| first && roomy(*index));
                 let found = found.or_else(|| order().find(|index| free(*index)));
+                // Where all are full, waiting at a target with the context beats going elsewhere.
+                let found = found.or_else(|| order().find(|index| bounded(*index)));
                 found.map(|index| (index, reason(index == home)))
             }
         };
@@ -400,10 +404,11 @@
 
     /// Whether one more request would bring the target above its bound or limit.
     fn is_over(&self, index: TargetIndex, multiple: f64, now: Time) -> bool {
+        self.states[index.get()].load.is_full(now) || self.is_above(index, multiple, now)
+    }
+
+    fn is_above(&self, index: TargetIndex, multiple: f64, now: Time) -> bool {
         let state = &self.states[index.get()];
-        if state.load.is_full(now) {
-            return true;
-        }
         let (requests, total, counted) = self.mean(now, state);
         counted >= bound(multiple, requests, state.weight * state.share, total)
     }
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -35,8 +35,9 @@
 /// Attempts of a request that are subject to the agents' load bound.
 const BOUNDED_ATTEMPTS: usize = 2;
 
-/// The target chosen for an attempt. The attempt counts as running until this is dropped.
-#[derive(Debug)]
+/// The target chosen for an attempt. The attempt counts as running until every copy of this is
+/// dropped.
+#[derive(Debug, Clone)]
 pub struct Choice {
     /// The target.
     pub target: TargetName,
@@ -50,7 +51,7 @@
     pub follow: bool,
     /// The target that comes next for the chat.
     pub second: Option<TargetName>,
-    _running: Running,
+    _running: Arc<Running>,
 }
 
 /// Reports the end of an attempt, also when its caller went away.
@@ -417,11 +418,11 @@
             bounded: tried.len() < BOUNDED_ATTEMPTS,
             follow: reason == Reason::Home && tried.is_empty(),
             second,
-            _running: Running {
+            _running: Arc::new(Running {
                 tx,
                 pool,
                 target: name.clone(),
-            },
+            }),
             target: name,
         })
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,11 +2,12 @@
 
 use std::{io, net::SocketAddr};
 
-use slog::{Logger, info};
-use snafu::{OptionExt, ResultExt, Snafu};
+use slog::{Logger, info, warn};
+use snafu::{ResultExt, Snafu};
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
+    admin::Admin,
     clock::{self, Clock},
     front,
     link::Identity,
@@ -15,6 +16,7 @@
     picker::Picker,
     platform::Platform,
     relay::Relay,
+    retrier::Retrier,
     settings::RouterConfig,
     view, web,
 };
@@ -31,8 +33,13 @@
         source: io::Error,
     },
     /// The shutdown ended with requests left over.
-    #[snafu(display("requests were left when the shutdown ended; raise drain in the settings"))]
-    Unfinished,
+    #[snafu(display(
+        "{left} requests were left when the shutdown ended; raise drain in the settings"
+    ))]
+    Unfinished {
+        /// Requests whose answers had not ended.
+        left: i64,
+    },
 }
 
 /// Runs a router until `stop` turns true and its requests have ended.
@@ -45,33 +52,60 @@
     mut stop: watch::Receiver<bool>,
     log: Logger,
 ) -> Result<(), RouterError> {
+    let incarnation = view::incarnation(clock::unix_time());
     let platform = Platform::new(&cfg.common.platform);
-    let views = view::follow(platform, log.clone());
-    let picker = Picker::start(views.clone(), Clock::start());
     let metrics = Metrics::new();
+    let config = view::follow(
+        platform.clone(),
+        &cfg.common.name,
+        metrics.clone(),
+        log.clone(),
+    );
+    let views = config.views().clone();
+    let address = cfg.common.admin;
+    Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
+        .with_api(platform, cfg.processes)
+        .start(address, stop.clone(), log.clone())
+        .await
+        .context(ListenSnafu { address })?;
+    // Waiting marks a receiver's value as seen; the tasks below must see the first one as new.
+    let mut ready = views.clone();
+    // Without a configuration, the platform's balancer must not take the router for ready.
+    tokio::select! {
+        _ = ready.wait_for(Option::is_some) => {}
+        _ = stop.wait_for(|stop| *stop) => return Ok(()),
+    }
+    let picker = Picker::start(views.clone(), Clock::start());
+    let open = metrics.open.clone();
     let relay = Relay {
         identity: Identity {
             name: cfg.common.name,
-            incarnation: view::incarnation(clock::unix_time()),
+            incarnation,
             keys: cfg.common.keys,
         },
+        views: views.clone(),
         picker,
         links: Links::start(),
+        retrier: Retrier::start(views.clone()),
         metrics,
+        clock: Clock::start(),
         log: log.clone(),
     };
     let address = cfg.listen;
     let listener = web::bind(address).await.context(ListenSnafu { address })?;
     info!(log, "router ready"; "listen" => address);
     let routes = front::routes(views, relay);
+    let shutdown_log = log.clone();
     let serving = web::serve(listener, routes, stop.clone(), log);
     tokio::pin!(serving);
     tokio::select! {
         () = &mut serving => return Ok(()),
         _ = stop.wait_for(|stop| *stop) => {}
     }
-    timeout(cfg.common.drain, serving)
-        .await
-        .ok()
-        .context(UnfinishedSnafu)
+    if timeout(cfg.common.drain, serving).await.is_ok() {
+        return Ok(());
+    }
+    let left = open.get();
+    warn!(shutdown_log, "requests left at the end of the shutdown"; "left" => left);
+    UnfinishedSnafu { left }.fail()
 }
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -4,14 +4,18 @@
     fmt::Write as _,
     fs, io,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    ops::Range,
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{self, Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
 };
 
-use ebonyfall::platform::Platform as Client;
-use ebonyfall::view::CONFIG_STREAM;
+use ebonyfall::{
+    operate::{self, Request},
+    platform::Platform as Client,
+};
 
 use crate::{
     engine::{self, EngineConfig},
@@ -98,6 +102,16 @@
         let _status = self.child.wait();
     }
 
+    /// Asks the process to end gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal cannot be sent.
+    pub fn terminate(&self) -> io::Result<()> {
+        let id = self.id().to_string();
+        Command::new("kill").args(["-TERM", &id]).status().map(drop)
+    }
+
     /// Starts the process again with the same settings.
     ///
     /// # Errors
@@ -158,19 +172,45 @@
     pub document: String,
 }
 
+/// Ports given out, below those that the system takes for outgoing connections: such a one could
+/// take the port of a stand-in or daemon while it restarts.
+const PORTS: Range<u32> = 12_000..32_000;
+/// Counts the ports given out by this process.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// A loopback address whose port is free now.
 ///
+/// The ports lie below those that the system gives to outgoing connections, which otherwise took
+/// one of them before its process was started. Each is given once; programs begin at random.
+///
 /// # Panics
 ///
 /// Panics when no port is free.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    listener
-        .and_then(|listener| listener.local_addr())
-        .expect("loopback has free ports")
+    // Processes that run at the same time start far from each other.
+    let start = process::id().wrapping_mul(499);
+    for _ in PORTS {
+        let next = start.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + next % (PORTS.end - PORTS.start);
+        let port = u16::try_from(port).expect("the range holds port numbers");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("loopback has no free port")
 }
 
 impl Deployment {
+    /// Publishes another document.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the document has faults or the platform does not answer.
+    pub async fn publish(&self, text: &str) -> io::Result<()> {
+        publish(&Client::new(&self.platform_url), text).await
+    }
+
     /// Starts everything and waits until the routers listen.
     ///
     /// # Errors
@@ -226,12 +266,17 @@
             daemons.push(Daemon::start(&program, &name, addresses, settings)?);
         }
         let client = Client::new(&platform_url);
-        let published = client.append(CONFIG_STREAM, document.as_bytes()).await;
-        published.map_err(io::Error::other)?;
+        publish(&client, &document).await?;
 
+        let router_addresses: Vec<_> = (0..plan.routers)
+            .map(|_| [free_address(), free_address()])
+            .collect();
+        let agents = daemons.iter().map(|agent| agent.admin);
+        let admins = agents.chain(router_addresses.iter().map(|[_, admin]| *admin));
+        let admins: Vec<_> = admins.map(|address| address.to_string()).collect();
+        let own = format!("processes = {}\n", admins.join(", "));
         let mut routers = Vec::new();
-        for index in 0..plan.routers {
-            let addresses = [free_address(), free_address()];
+        for (index, addresses) in (0..).zip(router_addresses) {
             let name = format!("router-{index}");
             let settings = plan.settings(
                 "router",
@@ -239,7 +284,7 @@
                 &plan.zone(index),
                 addresses,
                 &platform_url,
-                "",
+                &own,
             )?;
             let program = plan.programs.join("ebonyfall-router");
             routers.push(Daemon::start(&program, &name, addresses, settings)?);
@@ -247,7 +292,7 @@
         for daemon in daemons.iter().chain(&routers) {
             wait_for(daemon.listen)?;
         }
-        // Routers listen before they have read the document.
+        // Routers connect to the agents after they have read the document.
         tokio::time::sleep(Duration::from_millis(1200)).await;
         Ok(Self {
             platform,
@@ -261,6 +306,21 @@
     }
 }
 
+async fn publish(platform: &Client, text: &str) -> io::Result<()> {
+    let author = "deploy".parse().map_err(io::Error::other)?;
+    let req = Request {
+        file: "deployment",
+        text,
+        author,
+        base: None,
+        initial: false,
+    };
+    operate::publish(platform, req)
+        .await
+        .map_err(io::Error::other)?;
+    Ok(())
+}
+
 impl Plan {
     fn zone(&self, index: u32) -> String {
         self.zones[index as usize % self.zones.len()].clone()
@@ -297,7 +357,8 @@
         let path = self.folder.join(format!("{name}.ini"));
         let text = format!(
             "[{kind}]\nname = {name}\nzone = {zone}\nlisten = {listen}\nadmin = {admin}\n\
-             operator-token = {OPERATOR_TOKEN_HASH}\nkey = 000102030405060708090a0b0c0d0e0f\n\
+             operator-token = {OPERATOR_TOKEN_HASH}\n\
+             previous-operator-token = {PREVIOUS_TOKEN_HASH}\nkey = 000102030405060708090a0b0c0d0e0f\n\
              platform = {platform}\n{own}"
         );
         fs::write(&path, text)?;
@@ -309,6 +370,12 @@
 const OPERATOR_TOKEN_HASH: &str =
     "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
 
+/// Operators' token before the last rotation, which is still accepted.
+pub const PREVIOUS_TOKEN: &str = "previous-token";
+/// SHA-256 of [`PREVIOUS_TOKEN`].
+const PREVIOUS_TOKEN_HASH: &str =
+    "728a6eebdf2c29c8f6afaad2f06f2e8255aef713e79c0efed09d84ec2fc553f1";
+
 fn wait_for(address: SocketAddr) -> io::Result<()> {
     let start = Instant::now();
     while TcpStream::connect(address).is_err() {
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -10,7 +10,6 @@
     time::Duration,
 };
 
-use ebonyfall::{platform::Platform, view::CONFIG_STREAM};
 use ebonyfall_bench::client::{Caller, Outcome, messages};
 use testenv::{TestEnv, plan};
 use tokio::{task::JoinSet, time::sleep};
@@ -30,12 +29,6 @@
     taken
 }
 
-async fn publish(env: &TestEnv, document: &str) {
-    let platform = Platform::new(&env.deployment.platform_url);
-    let appended = platform.append(CONFIG_STREAM, document.as_bytes()).await;
-    appended.expect("the log takes the document");
-}
-
 /// Guards against new work for a zone that was taken out, against requests that are cut when it
 /// goes or returns, and against a zone that stays idle after its return.
 #[tokio::test(flavor = "multi_thread")]
@@ -72,13 +65,13 @@
     let document = env.deployment.document.clone();
     let out = document.replace("[zone a]\n", "[zone a]\nstate = out\n");
     assert_ne!(out, document);
-    publish(&env, &out).await;
+    env.deployment.publish(&out).await.unwrap();
     sleep(GOAL).await;
     let when_out = taken_in_a(&env).await;
     sleep(Duration::from_secs(2)).await;
     assert_eq!(taken_in_a(&env).await, when_out, "new work after 3 s");
 
-    publish(&env, &document).await;
+    env.deployment.publish(&document).await.unwrap();
     sleep(Duration::from_secs(5)).await;
     let returned = taken_in_a(&env).await;
     assert!(returned > when_out, "the zone has work again");
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use ebonyfall_core::{
     code::Code,
+    crash::Crash,
     doc::{Priority, Repeat},
     id::{AttemptId, ChatId, Incarnation},
     name::{ProcessName, TargetName, TeamName, VersionName},
@@ -71,10 +72,6 @@
     pub team: TeamName,
     /// The chat that the request belongs to.
     pub chat: ChatId,
-    /// How urgent the request is.
-    pub priority: Priority,
-    /// Whether the request may run again.
-    pub repeat: Repeat,
     /// Whether the agent applies its load bound. Two refusals above the bound show that the mean is
     /// higher than the agents know, so that the third attempt does without.
     pub bounded: bool,
@@ -82,9 +79,15 @@
     pub follow: bool,
     /// The target that comes next for the chat, which a refusal above the load bound may hint at.
     pub second: Option<TargetName>,
+    /// How urgent the request is.
+    pub priority: Priority,
+    /// Whether the request may run again.
+    pub repeat: Repeat,
     /// Time left until the deadline.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub left: Duration,
+    /// The crash of a target that ran a request of the same content.
+    pub suspect: Option<Crash>,
     /// What to send to the back end.
     pub call: Call,
 }
@@ -94,6 +97,18 @@
 pub enum ToAgent {
     /// Run this request.
     Submit(Box<Submit>),
+    /// Go on with the answer of a running attempt, whose connection broke.
+    Resume {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Bytes of the answer that have arrived.
+        offset: u64,
+    },
+    /// The caller went away.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// The context of a chat has moved from its home target, which gets this notice, to another.
     /// There is no reply.
     Moved {
@@ -158,6 +173,8 @@
         attempt: AttemptId,
         /// Why, and whether it ran.
         code: Code,
+        /// Milliseconds until the target expects to have room, zero where that says nothing.
+        retry_after_ms: u32,
         /// The target's load.
         load: Load,
         /// The target to try next for this chat.
