--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -117,13 +117,15 @@
 
 fn kind(code: Code) -> Option<Kind> {
     match code {
-        Code::Leaving | Code::ShuttingDown | Code::WrongTarget | Code::ZoneOut => {
-            Some(Kind::Redirect)
-        }
+        Code::Leaving
+        | Code::ShuttingDown
+        | Code::WrongTarget
+        | Code::ZoneOut
+        | Code::Moved
+        | Code::OverBound => Some(Kind::Redirect),
         Code::LinkLost | Code::EngineUnreachable => Some(Kind::Place),
         Code::Overloaded
         | Code::ColdStart
-        | Code::OverBound
         | Code::SuspectBusy
         | Code::EngineRefused
         | Code::EngineFailed
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -10,6 +10,7 @@
     doc::Runs,
     drain::Left,
     id::AttemptId,
+    load::OwnBound,
     name::TargetName,
 };
 use ebonyfall_wire::frame::{Load, MAX_PART, Submit, ToAgent, ToRouter};
@@ -138,7 +139,9 @@
     };
     let runs = &view.document.targets[&cfg.target].runs;
     let is_engine = matches!(runs, Runs::Engine { .. });
-    let gate = Gate::start(cfg.target.clone(), capacity, hold, clock);
+    let multiple = view.document.limits.load_multiple;
+    let own = OwnBound::new(multiple, f64::from(capacity.slots));
+    let gate = Gate::start(cfg.target.clone(), capacity, own, hold, clock);
     gate_tx.send_replace(Some(gate.clone()));
     let agent = Agent {
         guard: Guard::start(incarnation),
@@ -411,6 +414,7 @@
             weight: team.map_or(1, |team| team.weight),
             priority: submit.priority,
             left: submit.left,
+            bounded: submit.bounded,
             fingerprint: chat::fingerprint(&submit.team, &submit.call.body),
             suspect: submit.suspect.clone(),
             handover,
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -9,6 +9,7 @@
     doc::Priority,
     drain::{Drain, Left},
     id::{AttemptId, Fingerprint, Incarnation},
+    load::{OwnBound, PoolLoad},
     name::{TargetName, TeamName},
     time::Time,
 };
@@ -50,6 +51,8 @@
     pub priority: Priority,
     /// Time until its deadline.
     pub left: Duration,
+    /// Whether the load bound applies.
+    pub bounded: bool,
     /// The hash of its team and content.
     pub fingerprint: Fingerprint,
     /// The crash of a target that ran a request of the same content.
@@ -83,6 +86,7 @@
         capacity: Capacity,
         hold: Duration,
     },
+    HeardPool(PoolLoad),
     Incarnation(oneshot::Sender<Option<Incarnation>>),
     Drain {
         within: Duration,
@@ -96,12 +100,19 @@
 
 impl Gate {
     /// Starts the task; it ends when the last handle is dropped.
-    pub fn start(target: TargetName, capacity: Capacity, hold: Duration, clock: Clock) -> Self {
+    pub fn start(
+        target: TargetName,
+        capacity: Capacity,
+        own: OwnBound,
+        hold: Duration,
+        clock: Clock,
+    ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let state = State {
             target,
             clock,
             admission: Admission::new(capacity),
+            own,
             suspects: Suspects::new(hold),
             attempts: HashMap::new(),
             tickets: HashMap::new(),
@@ -163,6 +174,11 @@
         let _ended = self.0.send(Ask::Resize { capacity, hold }).await;
     }
 
+    /// Reports the sums over the target's pool that came by gossip.
+    pub async fn heard_pool(&self, load: PoolLoad) {
+        let _ended = self.0.send(Ask::HeardPool(load)).await;
+    }
+
     /// The engine's incarnation, as last reported.
     pub async fn incarnation(&self) -> Option<Incarnation> {
         let (reply, answer) = oneshot::channel();
@@ -191,6 +207,7 @@
     target: TargetName,
     clock: Clock,
     admission: Admission,
+    own: OwnBound,
     suspects: Suspects,
     attempts: HashMap<AttemptId, Attempt>,
     tickets: HashMap<Ticket, AttemptId>,
@@ -264,6 +281,7 @@
                 self.admission.resize(capacity);
                 self.suspects.set_hold(hold);
             }
+            Ask::HeardPool(load) => self.own.heard(load, now),
             Ask::Incarnation(reply) => {
                 let _gone = reply.send(self.admission.incarnation());
             }
@@ -287,6 +305,7 @@
             Standing::Held => Some(Code::Held),
             // The first copy of a duplicated submission may be running.
             _ if known => Some(Code::InProgress),
+            _ if entry.bounded && !self.own.admits(self.requests(), now) => Some(Code::OverBound),
             _ => None,
         };
         let admitted = match refused {
@@ -323,6 +342,11 @@
         }
     }
 
+    fn requests(&self) -> u32 {
+        let load = self.load();
+        load.running + load.waiting
+    }
+
     fn step(&mut self) {
         let now = self.clock.now();
         while let Some(step) = self.admission.next(now) {
--- a/src/once.rs
+++ b/src/once.rs
@@ -121,7 +121,10 @@
                 return Event::NoTarget(Code::DeadlinePassed);
             }
             let (pool, chat) = (self.job.pool.clone(), self.job.chat);
-            let choice = self.relay.picker.choose(pool, chat, self.tried.clone());
+            let choice = self
+                .relay
+                .picker
+                .choose(pool, chat, false, self.tried.clone());
             let choice = match choice.await {
                 Ok(choice) => choice,
                 Err(code) if self.tried.is_empty() => return Event::NoTarget(code),
@@ -171,10 +174,9 @@
             version: choice.version.clone(),
             team: self.job.team.clone(),
             chat: self.job.chat,
-            follow: false,
-            second: None,
             priority: self.job.priority,
             repeat: self.job.repeat,
+            bounded: choice.bounded,
             // Plain services hold no context to follow.
             follow: false,
             second: None,
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -13,7 +13,7 @@
     id::ChatId,
     load::PoolLoad,
     name::{TargetName, VersionName, VmName},
-    place::Candidate,
+    place::{Candidate, Table},
     zone::Zones,
 };
 use ebonyfall_wire::frame::Load;
@@ -21,6 +21,7 @@
 use tokio::{
     runtime::Handle,
     sync::{mpsc, oneshot},
+    task::spawn_blocking,
 };
 
 use crate::{
@@ -31,6 +32,9 @@
 /// Messages that may wait for the task.
 const QUEUE_LEN: usize = 4096;
 
+/// Attempts of a request that are subject to the agents' load bound.
+const BOUNDED_ATTEMPTS: usize = 2;
+
 /// The target chosen for an attempt. The attempt counts as running until every copy of this is
 /// dropped.
 #[derive(Debug, Clone)]
@@ -41,6 +45,8 @@
     pub agent: SocketAddr,
     /// The version that it runs, for engines.
     pub version: Option<VersionName>,
+    /// Whether the agent applies its load bound.
+    pub bounded: bool,
     /// Whether a pointer of the target's agent can be followed.
     pub follow: bool,
     /// The target that comes next for the chat.
@@ -92,6 +98,7 @@
     Choose {
         pool: Pool,
         chat: ChatId,
+        first: bool,
         tried: Vec<TargetName>,
         reply: oneshot::Sender<Result<Choice, Code>>,
     },
@@ -116,7 +123,11 @@
         pool: Pool,
         chat: ChatId,
         target: TargetName,
-        reply: oneshot::Sender<Option<SocketAddr>>,
+        reply: oneshot::Sender<Vec<SocketAddr>>,
+    },
+    Built {
+        pool: Pool,
+        table: Box<Table>,
     },
     Leaving {
         vms: HashSet<VmName>,
@@ -140,6 +151,7 @@
             zones: Zones::default(),
             leaving: HashSet::new(),
             pools: HashMap::new(),
+            building: HashSet::new(),
             clock,
             // The task must not keep its own queue open.
             tx: tx.downgrade(),
@@ -148,7 +160,8 @@
         Self(tx)
     }
 
-    /// Chooses a target of `pool` for `chat` that is not among `tried`.
+    /// Chooses a target of `pool` for `chat`, whose `first` request this may be, that is not among
+    /// `tried`.
     ///
     /// # Errors
     ///
@@ -157,12 +170,14 @@
         &self,
         pool: Pool,
         chat: ChatId,
+        first: bool,
         tried: Vec<TargetName>,
     ) -> Result<Choice, Code> {
         let (reply, answer) = oneshot::channel();
         let ask = Ask::Choose {
             pool,
             chat,
+            first,
             tried,
             reply,
         };
@@ -188,9 +203,8 @@
         let _ended = self.0.send(Ask::Hint { pool, chat, target }).await;
     }
 
-    /// Reports that `target` serves `chat`; returns the agent of the chat's home where that has to
-    /// be told.
-    pub async fn served(&self, pool: Pool, chat: ChatId, target: TargetName) -> Option<SocketAddr> {
+    /// Reports that `target` serves `chat`; returns the agents that have to be told.
+    pub async fn served(&self, pool: Pool, chat: ChatId, target: TargetName) -> Vec<SocketAddr> {
         let (reply, answer) = oneshot::channel();
         let ask = Ask::Served {
             pool,
@@ -198,8 +212,8 @@
             target,
             reply,
         };
-        self.0.send(ask).await.ok()?;
-        answer.await.ok()?
+        let _ended = self.0.send(ask).await;
+        answer.await.unwrap_or_default()
     }
 
     /// Replaces the set of VMs whose targets get no new work.
@@ -221,6 +235,8 @@
     zones: Zones,
     leaving: HashSet<VmName>,
     pools: HashMap<Pool, Placement>,
+    /// Pools whose table is being built by another thread.
+    building: HashSet<Pool>,
     clock: Clock,
     tx: mpsc::WeakSender<Ask>,
 }
@@ -251,10 +267,11 @@
             Ask::Choose {
                 pool,
                 chat,
+                first,
                 tried,
                 reply,
             } => {
-                let _caller_gone = reply.send(self.choose(pool, chat, &tried));
+                let _caller_gone = reply.send(self.choose(pool, chat, first, &tried));
             }
             Ask::Ended { pool, target } => {
                 if let Some(placement) = self.pools.get_mut(&pool) {
@@ -285,6 +302,16 @@
             } => {
                 let _caller_gone = reply.send(self.served(&pool, chat, &target));
             }
+            Ask::Built { pool, table } => {
+                self.building.remove(&pool);
+                if let (Some(view), true) = (self.view.clone(), self.pools.contains_key(&pool)) {
+                    let members = self.members(&view, &pool);
+                    let multiple = view.document.limits.load_multiple;
+                    if let Some(placement) = self.pools.get_mut(&pool) {
+                        placement.install(*table, &members, multiple, &self.zones, now);
+                    }
+                }
+            }
             Ask::Leaving { vms } => {
                 if vms != self.leaving {
                     self.leaving = vms;
@@ -326,8 +353,17 @@
             let multiple = document.limits.load_multiple;
             let placement = self
                 .pools
-                .entry(pool)
+                .entry(pool.clone())
                 .or_insert_with(|| Placement::new(multiple));
+            if let Some(build) = placement.prepare(&members, &self.zones, now) {
+                if let (true, Some(tx)) = (self.building.insert(pool.clone()), self.tx.upgrade()) {
+                    spawn_blocking(move || {
+                        let table = Box::new(build.run());
+                        let _ended = tx.blocking_send(Ask::Built { pool, table });
+                    });
+                }
+                continue;
+            }
             placement.set_targets(&members, multiple, &self.zones, now);
         }
     }
@@ -347,7 +383,13 @@
             .collect()
     }
 
-    fn choose(&mut self, pool: Pool, chat: ChatId, tried: &[TargetName]) -> Result<Choice, Code> {
+    fn choose(
+        &mut self,
+        pool: Pool,
+        chat: ChatId,
+        first: bool,
+        tried: &[TargetName],
+    ) -> Result<Choice, Code> {
         let now = self.clock.now();
         let none = if tried.is_empty() {
             Code::NoTarget
@@ -358,7 +400,7 @@
             return Err(none);
         };
         let tx = self.tx.upgrade().ok_or(Code::ShuttingDown)?;
-        let pick = placement.choose(chat, tried, &self.zones, now);
+        let pick = placement.choose(chat, first, tried, &self.zones, now);
         let Pick {
             target: name,
             reason,
@@ -373,6 +415,7 @@
         Ok(Choice {
             agent: target.agent,
             version,
+            bounded: tried.len() < BOUNDED_ATTEMPTS,
             follow: reason == Reason::Home && tried.is_empty(),
             second,
             _running: Arc::new(Running {
@@ -384,16 +427,14 @@
         })
     }
 
-    fn served(&mut self, pool: &Pool, chat: ChatId, target: &TargetName) -> Option<SocketAddr> {
+    fn served(&mut self, pool: &Pool, chat: ChatId, target: &TargetName) -> Vec<SocketAddr> {
         let now = self.clock.now();
-        let view = self.view.as_ref()?;
-        let placement = self.pools.get_mut(pool)?;
-        if !placement.served(chat, target, now) {
-            return None;
-        }
-        let home = placement.home(chat)?;
-        let agent = view.document.targets[home].agent;
-        (home != target).then_some(agent)
+        let (Some(view), Some(placement)) = (&self.view, self.pools.get_mut(pool)) else {
+            return Vec::new();
+        };
+        let told = placement.served(chat, target, now).into_iter();
+        told.filter_map(|name| Some(view.document.targets.get(&name)?.agent))
+            .collect()
     }
 
     fn dump(&self) -> PickerDump {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -48,6 +48,8 @@
     pub pool: Pool,
     /// The chat that it belongs to.
     pub chat: ChatId,
+    /// Whether it is the first request of its chat.
+    pub first: bool,
     /// How urgent it is.
     pub priority: Priority,
     /// Whether it may run again.
@@ -138,8 +140,8 @@
         }))
     }
 
-    /// Tells the home agent of a model's chat that another target holds its context now. The answer
-    /// does not wait for it, and a lost notice costs one cache miss.
+    /// Tells the agents that other routers ask for a model's chat that another target holds its
+    /// context now. The answer does not wait for it, and a lost notice costs one cache miss.
     fn note_moved(&self, job: &Job, target: TargetName) {
         let (pool, chat) = (job.pool.clone(), job.chat);
         if matches!(pool, Pool::Service(_)) {
@@ -147,15 +149,19 @@
         }
         let relay = self.clone();
         tokio::spawn(async move {
-            let served = relay.picker.served(pool, chat, target.clone()).await;
-            let Some(home) = served else { return };
-            let link = match relay.links.take(home).await {
-                Some(link) => Ok(link),
-                None => Link::dial(&relay.identity, home).await,
+            let notice = ToAgent::Moved {
+                chat,
+                target: target.clone(),
             };
-            let Ok(mut link) = link else { return };
-            if link.send(&ToAgent::Moved { chat, target }).await.is_ok() {
-                relay.links.put(home, link).await;
+            for agent in relay.picker.served(pool, chat, target).await {
+                let link = match relay.links.take(agent).await {
+                    Some(link) => Ok(link),
+                    None => Link::dial(&relay.identity, agent).await,
+                };
+                let Ok(mut link) = link else { continue };
+                if link.send(&notice).await.is_ok() {
+                    relay.links.put(agent, link).await;
+                }
             }
         });
     }
@@ -294,9 +300,11 @@
         let tried = flow.tried().to_vec();
         let all: Vec<_> = tried.iter().cloned().chain(avoid).collect();
         let picker = &self.relay.picker;
-        let mut choice = picker.choose(pool.clone(), chat, all.clone()).await;
+        let mut choice = picker
+            .choose(pool.clone(), chat, self.job.first, all.clone())
+            .await;
         if choice.is_err() && all.len() > tried.len() {
-            choice = picker.choose(pool, chat, tried).await;
+            choice = picker.choose(pool, chat, self.job.first, tried).await;
         }
         let choice = match choice {
             Ok(choice) => choice,
@@ -333,6 +341,7 @@
             version: choice.version,
             team: self.job.team.clone(),
             chat: self.job.chat,
+            bounded: choice.bounded,
             follow: choice.follow,
             second: choice.second,
             priority: self.job.priority,
@@ -400,6 +409,13 @@
             // Agents answer a void only on the connection that asked for it.
             Err(_) | Ok(ToRouter::Void { .. }) => Event::Lost,
             Ok(ToRouter::Head { attempt, head }) => {
+                // The notice leaves with the first part, since a caller may return at once after the
+                // last one.
+                if self.head.is_none()
+                    && let Some(choice) = &self.choice
+                {
+                    self.relay.note_moved(&self.job, choice.target.clone());
+                }
                 self.head.get_or_insert(head);
                 Event::Head(attempt)
             }
@@ -469,7 +485,6 @@
             self.relay.retrier.survived(self.fingerprint).await;
         }
         if let (Some(choice), Some(link)) = (self.choice.take(), self.link.take()) {
-            self.relay.note_moved(&self.job, choice.target.clone());
             self.relay.picker.heard(choice.target, self.load).await;
             self.relay.links.put(choice.agent, link).await;
         }
