Measure added delay and memory; keep the replay in a buffer of its own

Cause: the delay that router and agent add, and the memory of open streams, were not measured.

Change: ebonyfall-bench load. Connections between router and agent start with buffers of 2 KiB, and the request's body is dropped after the first part. The stand-in engine no longer takes a timer tick for a pause of zero, which hid the delay.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod admit;
 pub mod client;
 pub mod demo;
+pub mod load;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{admit, demo};
+use ebonyfall_bench::{admit, demo, load};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -18,6 +18,7 @@
 enum Command {
     Admit(admit::AdmitArgs),
     Demo(demo::DemoArgs),
+    Load(load::LoadArgs),
 }
 
 fn main() -> ExitCode {
@@ -36,6 +37,7 @@
     let held = match args.command {
         Command::Admit(args) => admit::run(&args)?,
         Command::Demo(args) => runtime.block_on(demo::run(args))?,
+        Command::Load(args) => runtime.block_on(load::run(args))?,
     };
     Ok(if held {
         ExitCode::SUCCESS
--- a/src/link.rs
+++ b/src/link.rs
@@ -14,6 +14,9 @@
 use tokio::{net::TcpStream, time::timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+/// First size of a connection's buffers; with 8 KiB, the library's default, they were a quarter of
+/// an open stream's memory.
+const BUFFER: usize = 2 << 10;
 /// Longest wait for a connection and its first messages.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -181,7 +184,7 @@
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME)
         .new_codec();
-    Ok(Framed::new(stream, codec))
+    Ok(Framed::with_capacity(stream, codec, BUFFER))
 }
 
 async fn greeting(
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -201,6 +201,8 @@
                     let given = output.give(self.head.as_ref(), data);
                     match time::timeout_at(self.deadline, given).await {
                         Ok(true) => {
+                            // Nothing is submitted again after the first part.
+                            self.job.call.body = Bytes::new();
                             action = Action::Receive;
                             continue;
                         }
--- a/src/session.rs
+++ b/src/session.rs
@@ -37,8 +37,8 @@
     handover: mpsc::Receiver<Handover>,
     parked_until: Instant,
     head: Option<Head>,
-    replay: VecDeque<Bytes>,
-    replayed: usize,
+    /// The last bytes of the answer so far.
+    replay: VecDeque<u8>,
     offset: u64,
 }
 
@@ -52,7 +52,6 @@
             parked_until: Instant::now(),
             head: None,
             replay: VecDeque::new(),
-            replayed: 0,
             offset: 0,
         }
     }
@@ -111,13 +110,11 @@
     pub async fn send_part(&mut self, data: Bytes) {
         let (attempt, offset) = (self.attempt, self.offset);
         self.offset += data.len() as u64;
-        self.replayed += data.len();
-        self.replay.push_back(data.clone());
-        while self.replayed > MAX_REPLAY
-            && let Some(oldest) = self.replay.pop_front()
-        {
-            self.replayed -= oldest.len();
-        }
+        // A shared slice would keep the whole buffer alive that it was read into.
+        let kept = &data[data.len().saturating_sub(MAX_REPLAY)..];
+        let excess = (self.replay.len() + kept.len()).saturating_sub(MAX_REPLAY);
+        self.replay.drain(..excess);
+        self.replay.extend(kept);
         let part = ToRouter::Part {
             attempt,
             offset,
@@ -157,7 +154,8 @@
     async fn attach(&mut self, handover: Handover) -> bool {
         let Handover { link, offset } = handover;
         self.link = Some(link);
-        let first = self.offset - self.replayed as u64;
+        let kept = self.replay.len() as u64;
+        let first = self.offset - kept;
         if offset < first || offset > self.offset {
             return false;
         }
@@ -165,18 +163,15 @@
         if let Some(head) = self.head.clone() {
             self.send(&ToRouter::Head { attempt, head }).await;
         }
-        let mut position = first;
-        for data in self.replay.clone() {
-            let end = position + data.len() as u64;
-            if end > offset {
-                let part = ToRouter::Part {
-                    attempt,
-                    offset: position,
-                    data,
-                };
-                self.send(&part).await;
-            }
-            position = end;
+        let skip = usize::try_from(offset - first).unwrap_or(usize::MAX);
+        let data: Vec<u8> = self.replay.iter().skip(skip).copied().collect();
+        if !data.is_empty() {
+            let part = ToRouter::Part {
+                attempt,
+                offset,
+                data: data.into(),
+            };
+            self.send(&part).await;
         }
         true
     }
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -299,7 +299,7 @@
         } else {
             content.len().div_ceil(1024) as u64
         };
-        sleep(Duration::from_micros(
+        pause(Duration::from_micros(
             self.cfg.prefill_us_per_kb * kilobytes,
         ))
         .await;
@@ -307,7 +307,7 @@
         if req.stream {
             return stream_answer(running, req.messages, tokens, begun);
         }
-        sleep(begun.token * tokens).await;
+        pause(begun.token * tokens).await;
         running.whole_answer = true;
         let message = json!({ "role": "assistant", "content": answer(&req.messages, tokens) });
         web::json(
@@ -322,6 +322,13 @@
     }
 }
 
+/// Sleeps; a timer would turn no time into one of its ticks of a millisecond.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
+    }
+}
+
 fn stream_answer(
     running: Running,
     messages: Vec<Value>,
@@ -346,7 +353,7 @@
                 return None;
             }
             let due = begun.token * index;
-            sleep(due.saturating_sub(start.elapsed())).await;
+            pause(due.saturating_sub(start.elapsed())).await;
             running.whole_answer = index == tokens;
             Some((
                 Ok::<_, io::Error>(Frame::data(Bytes::from(text))),
