--- a/core/src/crash.rs
+++ b/core/src/crash.rs
@@ -70,6 +70,9 @@
     }
 }
 
+/// Marks by request, as they travel between processes.
+pub type Marks = Vec<(Fingerprint, Mark)>;
+
 /// How a request is treated.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Standing {
@@ -197,7 +200,7 @@
     }
 
     /// The held requests with their marks.
-    pub fn held(&self, now: Time) -> Vec<(Fingerprint, Mark)> {
+    pub fn held(&self, now: Time) -> Marks {
         let held = self.marks.iter();
         held.filter(|(print, _)| self.standing(**print, now) == Standing::Held)
             .map(|(print, mark)| (*print, mark.clone()))
--- a/core/tests/admit.rs
+++ b/core/tests/admit.rs
@@ -319,3 +319,49 @@
     );
     assert!(files > 0, "no scenario of this name");
 }
+
+/// Guards against processes that disagree on a held request after they exchanged their marks, and
+/// against an old mark that undoes an operator's clearing.
+#[test]
+fn merged_marks_agree_and_stay_cleared() {
+    let at = Time::from_millis;
+    let (fingerprint, desks) = print("desks/1");
+    let mut sets = [(); 2].map(|()| Suspects::new(Duration::from_secs(3600)));
+    for (set, target) in sets.iter_mut().zip(["t1", "t2"]) {
+        set.mark(fingerprint, &desks, &target.parse().unwrap(), at(1000));
+    }
+    let old = sets
+        .each_ref()
+        .map(|set| set.marks().next().unwrap().1.clone());
+    for (set, mark) in sets.iter_mut().zip(old.iter().rev()) {
+        set.merge(fingerprint, mark.clone(), at(2000));
+        assert_eq!(set.standing(fingerprint, at(2000)), Standing::Held);
+        assert_eq!(set.held(at(2000)).len(), 1);
+    }
+    assert!(sets[0].clear(fingerprint, at(3000)));
+    let cleared = sets[0].marks().next().unwrap().1.clone();
+    sets[1].merge(fingerprint, cleared, at(3001));
+    for set in &mut sets {
+        set.merge(fingerprint, old[0].clone(), at(4000));
+        assert_eq!(set.standing(fingerprint, at(4000)), Standing::Clear);
+    }
+}
+
+/// Guards against marks that grow without bound, and against a team that pushes out those of
+/// another.
+#[test]
+fn marks_are_bounded_for_each_team() {
+    let mut set = Suspects::new(Duration::from_secs(3600));
+    let target = "t1".parse().unwrap();
+    let (other, albums) = print("albums/1");
+    set.mark(other, &albums, &target, Time::from_millis(1));
+    for number in 0..1000 {
+        let (fingerprint, desks) = print(&format!("desks/{number}"));
+        set.mark(fingerprint, &desks, &target, Time::from_millis(10 + number));
+    }
+    assert_eq!(set.marks().count(), 65);
+    assert_ne!(
+        set.standing(other, Time::from_millis(2000)),
+        Standing::Clear
+    );
+}
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -338,8 +338,8 @@
             engine,
             submit.call,
         );
-        let call = timeout_at(deadline, call);
-        tokio::pin!(call);
+        // The call's future is large and must not live as long as the answer.
+        let mut call = Box::pin(timeout_at(deadline, call));
         let res = loop {
             tokio::select! {
                 res = &mut call => break res,
@@ -350,13 +350,14 @@
                 }
             }
         };
+        drop(call);
         let res = match res {
             Ok(Ok(res)) => res,
             Ok(Err(Code::EngineFailed)) => return Some(Err(self.cause(engine).await)),
             Ok(Err(code)) => return Some(Err(code)),
             Err(_) => return Some(Err(Code::EngineTimeout)),
         };
-        session.send_head(engine::head(&res)).await;
+        session.put_head(engine::head(&res)).await;
         self.body(session, res, engine, deadline).await
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,6 +11,10 @@
 
 use crate::{exit::ExitCode, logs, settings::Common};
 
+/// Threads of a daemon. A request passes between several tasks, and each passage to another thread
+/// costs a wake-up; a daemon shares a small VM with its target or with other daemons.
+const WORKERS: usize = 2;
+
 /// Runs `main` until it ends; SIGTERM and SIGINT turn its stop signal true.
 ///
 /// # Errors
@@ -25,7 +29,10 @@
     E: Error + 'static,
 {
     let log = logs::logger(common.log_format, common.log_levels.clone());
-    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build()?;
     runtime.block_on(async {
         let (tx, stop) = watch::channel(false);
         let mut terminate = signal(SignalKind::terminate())?;
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -21,6 +21,8 @@
 
 /// Longest wait for the engine's report of itself.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Size of a connection's read buffer, in bytes; the library's own grows with each open stream.
+const READ_BUFFER: usize = 4 << 10;
 /// Largest report, in bytes.
 const MAX_STATUS: usize = 64 << 10;
 
@@ -62,6 +64,7 @@
         let mut builder = Client::builder(TokioExecutor::new());
         // The library must never send a request twice by itself.
         builder.retry_canceled_requests(false);
+        builder.http1_read_buf_exact_size(READ_BUFFER);
         let pooled = builder.build(connector.clone());
         // A call that runs at most once gets a fresh connection, since an idle one that just
         // closed would leave its fate unknown.
--- a/src/link.rs
+++ b/src/link.rs
@@ -154,6 +154,16 @@
         self.frames.send(Bytes::from(frame)).await.context(IoSnafu)
     }
 
+    /// Puts a message before the next one that is sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is broken.
+    pub async fn put(&mut self, message: &impl Serialize) -> Result<(), LinkError> {
+        let frame = self.channel.seal(message).context(AuthSnafu)?;
+        self.frames.feed(Bytes::from(frame)).await.context(IoSnafu)
+    }
+
     /// Receives the next message; dropping the future loses no message.
     ///
     /// # Errors
--- a/src/retrier.rs
+++ b/src/retrier.rs
@@ -7,7 +7,7 @@
 
 use ebonyfall_core::{
     code::Code,
-    crash::{Crash, Standing, Suspects},
+    crash::{Crash, Marks, Standing, Suspects},
     id::Fingerprint,
     name::{TargetName, TeamName, ZoneName},
     retry::Budget,
@@ -59,6 +59,9 @@
     },
     Failed(Box<Failure>),
     Survived(Fingerprint),
+    Marks(oneshot::Sender<Marks>),
+    Merge(Marks),
+    Clear(Fingerprint, oneshot::Sender<bool>),
     Take(oneshot::Sender<bool>),
 }
 
@@ -121,6 +124,26 @@
         let _ended = self.0.send(Ask::Take(reply)).await;
         answer.await.unwrap_or(false)
     }
+
+    /// Every mark of requests that may crash targets, for the exchange with other processes and
+    /// for operators.
+    pub async fn marks(&self) -> Marks {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.0.send(Ask::Marks(reply)).await;
+        answer.await.unwrap_or_default()
+    }
+
+    /// Merges the marks of another process.
+    pub async fn merge(&self, marks: Marks) {
+        let _ended = self.0.send(Ask::Merge(marks)).await;
+    }
+
+    /// Clears a held or suspect request for an operator; false when it was not marked.
+    pub async fn clear(&self, fingerprint: Fingerprint) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.0.send(Ask::Clear(fingerprint, reply)).await;
+        answer.await.unwrap_or(false)
+    }
 }
 
 struct Avoided {
@@ -158,6 +181,19 @@
                     let _caller_gone = reply.send(self.advise(fingerprint, &pool, &zones));
                 }
                 Ask::Failed(failure) => self.failed(*failure),
+                Ask::Marks(reply) => {
+                    let marks = self.suspects.marks();
+                    let marks = marks.map(|(print, mark)| (print, mark.clone()));
+                    let _gone = reply.send(marks.collect());
+                }
+                Ask::Merge(marks) => {
+                    for (fingerprint, mark) in marks {
+                        self.suspects.merge(fingerprint, mark, unix_now());
+                    }
+                }
+                Ask::Clear(fingerprint, reply) => {
+                    let _gone = reply.send(self.suspects.clear(fingerprint, unix_now()));
+                }
                 Ask::Survived(fingerprint) => self.suspects.survived(fingerprint, unix_now()),
                 Ask::Take(reply) => {
                     let _caller_gone = reply.send(self.budget.take());
--- a/src/session.rs
+++ b/src/session.rs
@@ -99,11 +99,16 @@
         }
     }
 
-    /// Sends status and headers.
-    pub async fn send_head(&mut self, head: Head) {
+    /// Puts status and headers before the next message; a router has no use for them alone.
+    pub async fn put_head(&mut self, head: Head) {
         self.head = Some(head.clone());
         let attempt = self.attempt;
-        self.send(&ToRouter::Head { attempt, head }).await;
+        let message = ToRouter::Head { attempt, head };
+        if let Some(link) = &mut self.link
+            && link.put(&message).await.is_err()
+        {
+            self.park();
+        }
     }
 
     /// Sends the next bytes of the answer and keeps them for a while.
