--- a/core/tests/schedule.rs
+++ b/core/tests/schedule.rs
@@ -168,11 +168,8 @@
         }
         self.last_id += 1;
         let id = RequestId::from(self.last_id);
-        let repeat = if self.rng.random_bool(0.3) {
-            Repeat::AtMostOnce
-        } else {
-            Repeat::Idempotent
-        };
+        let repeats = [Repeat::Idempotent, Repeat::AtMostOnce];
+        let repeat = repeats[usize::from(self.rng.random_bool(0.3))];
         let deadline = self.now + Duration::from_millis(self.rng.random_range(1..200));
         let (flow, action) = Flow::start(id, repeat, deadline);
         let (target, given, due) = (0, None, deadline);
@@ -441,12 +438,8 @@
     /// Lets the engine of `target` work on one running request.
     fn generate(&mut self, target: usize) {
         let agent = &mut self.agents[target];
-        let mut running: Vec<_> = agent
-            .works
-            .iter()
-            .filter(|(_, work)| work.running)
-            .map(|(attempt, _)| *attempt)
-            .collect();
+        let works = agent.works.iter().filter(|(_, work)| work.running);
+        let mut running: Vec<_> = works.map(|(attempt, _)| *attempt).collect();
         running.sort_unstable();
         if running.is_empty() || agent.paused {
             return;
@@ -500,10 +493,8 @@
             self.agents[target]
                 .admission
                 .finish(ticket, End::Crashed, now);
-            let code = match self.broken {
-                Broken::FalseNotRun => Code::Overloaded,
-                _ => Code::EngineCrashed,
-            };
+            let codes = [Code::EngineCrashed, Code::Overloaded];
+            let code = codes[usize::from(self.broken == Broken::FalseNotRun)];
             self.refuse(attempt, code);
         }
     }
@@ -529,12 +520,8 @@
 
     fn timers(&mut self) -> Result<(), String> {
         let now = self.now;
-        let mut due: Vec<_> = self
-            .requests
-            .values()
-            .filter(|request| request.due <= now)
-            .map(|request| request.id)
-            .collect();
+        let late = self.requests.values().filter(|request| request.due <= now);
+        let mut due: Vec<_> = late.map(|request| request.id).collect();
         due.sort_unstable();
         for id in due {
             self.event(id, Event::Expired)?;
