--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,11 +1,13 @@
 //! Demo, load tool and measurements of the fleet.
 
+pub mod admit;
 mod cache;
 pub mod case;
 pub mod claims;
 pub mod client;
 pub mod config;
 pub mod demo;
+pub mod load;
 pub mod moves;
 pub mod place;
 pub mod ring;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{claims, config, demo, moves, place};
+use ebonyfall_bench::{admit, claims, config, demo, load, moves, place};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -21,6 +21,8 @@
     Demo(demo::DemoArgs),
     Moves(moves::MovesArgs),
     Place(place::PlaceArgs),
+    Admit(admit::AdmitArgs),
+    Load(load::LoadArgs),
 }
 
 fn main() -> ExitCode {
@@ -42,6 +44,8 @@
         Command::Demo(args) => runtime.block_on(demo::run(args))?,
         Command::Moves(args) => moves::run(&args)?,
         Command::Place(args) => place::run(&args)?,
+        Command::Admit(args) => admit::run(&args)?,
+        Command::Load(args) => runtime.block_on(load::run(args))?,
     };
     Ok(if held {
         ExitCode::SUCCESS
--- a/core/tests/schedule.rs
+++ b/core/tests/schedule.rs
@@ -77,7 +77,7 @@
     target: usize,
     /// The attempt that the first byte came from, and the bytes given to the caller.
     given: Option<(AttemptId, u64)>,
-    due: Option<Time>,
+    due: Time,
 }
 
 struct World {
@@ -145,12 +145,9 @@
             30..200 => self.begin()?,
             200..600 => self.deliver()?,
             600..900 => self.generate(target),
-            900..910 => {
-                let gone = self.pick();
-                if let Some(id) = gone {
-                    self.event(id, Event::CallerGone)?;
-                }
-            }
+            900..910 => self
+                .pick()
+                .map_or(Ok(()), |id| self.event(id, Event::CallerGone))?,
             _ => self.timers()?,
         }
         for target in 0..TARGETS {
@@ -171,21 +168,19 @@
         }
         self.last_id += 1;
         let id = RequestId::from(self.last_id);
-        let repeat = if self.rng.random_bool(0.3) {
-            Repeat::AtMostOnce
-        } else {
-            Repeat::Idempotent
-        };
+        let repeats = [Repeat::Idempotent, Repeat::AtMostOnce];
+        let repeat = repeats[usize::from(self.rng.random_bool(0.3))];
         let deadline = self.now + Duration::from_millis(self.rng.random_range(1..200));
         let (flow, action) = Flow::start(id, repeat, deadline);
+        let (target, given, due) = (0, None, deadline);
         let request = Request {
             id,
             repeat,
             flow,
             action,
-            target: 0,
-            given: None,
-            due: Some(deadline),
+            target,
+            given,
+            due,
         };
         self.requests.insert(id, request);
         self.act(id)
@@ -379,8 +374,7 @@
     }
 
     fn refuse(&mut self, attempt: AttemptId, code: Code) {
-        let event = Event::Refused { attempt, code };
-        self.messages.push(Message::Router(event, Some(attempt)));
+        self.send(attempt, Event::Refused { attempt, code });
     }
 
     fn part(&mut self, attempt: AttemptId, offset: u64, len: u64) {
@@ -389,6 +383,10 @@
             offset,
             len,
         };
+        self.send(attempt, event);
+    }
+
+    fn send(&mut self, attempt: AttemptId, event: Event) {
         self.messages.push(Message::Router(event, Some(attempt)));
     }
 
@@ -440,12 +438,8 @@
     /// Lets the engine of `target` work on one running request.
     fn generate(&mut self, target: usize) {
         let agent = &mut self.agents[target];
-        let mut running: Vec<_> = agent
-            .works
-            .iter()
-            .filter(|(_, work)| work.running)
-            .map(|(attempt, _)| *attempt)
-            .collect();
+        let works = agent.works.iter().filter(|(_, work)| work.running);
+        let mut running: Vec<_> = works.map(|(attempt, _)| *attempt).collect();
         running.sort_unstable();
         if running.is_empty() || agent.paused {
             return;
@@ -480,8 +474,7 @@
     }
 
     fn done(&mut self, attempt: AttemptId, length: u64) {
-        let event = Event::Done { attempt, length };
-        self.messages.push(Message::Router(event, Some(attempt)));
+        self.send(attempt, Event::Done { attempt, length });
     }
 
     /// The engine of `target` crashes and comes back cold.
@@ -500,10 +493,8 @@
             self.agents[target]
                 .admission
                 .finish(ticket, End::Crashed, now);
-            let code = match self.broken {
-                Broken::FalseNotRun => Code::Overloaded,
-                _ => Code::EngineCrashed,
-            };
+            let codes = [Code::EngineCrashed, Code::Overloaded];
+            let code = codes[usize::from(self.broken == Broken::FalseNotRun)];
             self.refuse(attempt, code);
         }
     }
@@ -529,12 +520,8 @@
 
     fn timers(&mut self) -> Result<(), String> {
         let now = self.now;
-        let mut due: Vec<_> = self
-            .requests
-            .values()
-            .filter(|request| request.due.is_some_and(|due| due <= now))
-            .map(|request| request.id)
-            .collect();
+        let late = self.requests.values().filter(|request| request.due <= now);
+        let mut due: Vec<_> = late.map(|request| request.id).collect();
         due.sort_unstable();
         for id in due {
             self.event(id, Event::Expired)?;
@@ -563,9 +550,9 @@
 fn schedules(broken: Broken, seed: u64, steps: u64) -> Result<World, String> {
     let mut total = World::new(seed, broken);
     for number in 0..steps.div_ceil(10_000) {
-        let mut world = World::new(seed.wrapping_add(number), broken);
+        let mut world = World::new(seed + number, broken);
         for step in 0..10_000.min(steps) {
-            let at = |error| format!("seed {}, step {step}: {error}", seed.wrapping_add(number));
+            let at = |error| format!("seed {}, step {step}: {error}", seed + number);
             world.step().map_err(at)?;
         }
         total.whole += world.whole;
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -44,6 +44,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time between two questions for the engine's report; it bounds how long a restart goes unnoticed.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause before the engine is asked whether it is still there after a call broke.
+const CRASH_PAUSE: Duration = Duration::from_millis(20);
 /// How long an agent without requests still answers before it ends.
 const LINGER: Duration = Duration::from_millis(200);
 /// Last bytes of a whole stream of server-sent events.
@@ -76,6 +78,9 @@
     },
 }
 
+/// A connection for the next request, with the message that came already.
+type Next = (Link, Option<ToAgent>);
+
 #[derive(Debug, Clone)]
 struct Agent {
     target: TargetName,
@@ -243,28 +248,25 @@
                 return;
             }
         };
-        let mut message = None;
+        let mut pending = None;
         loop {
-            let received = match message.take() {
+            let message = match pending.take() {
                 Some(message) => Ok(message),
                 None => link.receive().await,
             };
-            let next = match received {
-                Ok(ToAgent::Submit(submit)) => {
-                    let served = self.request(link, *submit).await;
-                    served.map(|(link, next)| {
-                        message = next;
-                        link
-                    })
-                }
+            let next = match message {
+                Ok(ToAgent::Submit(submit)) => self.request(link, *submit).await,
                 Ok(ToAgent::Resume { attempt, offset }) => self.resume(link, attempt, offset).await,
                 Ok(ToAgent::Cancel { .. }) => None,
-                Ok(ToAgent::Void(claim)) => self.void(link, claim).await,
+                Ok(ToAgent::Void(claim)) => {
+                    let link = self.void(link, claim).await;
+                    link.map(|link| (link, None))
+                }
                 Ok(ToAgent::Moved { chat, target }) => {
                     if target != self.target {
                         self.pointers.set(chat, target).await;
                     }
-                    Some(link)
+                    Some((link, None))
                 }
                 Err(error) => {
                     debug!(self.log, "connection ended"; "error" => %error);
@@ -274,7 +276,7 @@
             let Some(next) = next else {
                 return;
             };
-            link = next;
+            (link, pending) = next;
         }
     }
 
@@ -287,7 +289,7 @@
     }
 
     /// Hands the connection to the attempt that it is meant for.
-    async fn resume(&self, mut link: Link, attempt: AttemptId, offset: u64) -> Option<Link> {
+    async fn resume(&self, mut link: Link, attempt: AttemptId, offset: u64) -> Option<Next> {
         let Some(handover) = self.gate.find(attempt).await else {
             // The submission may still be on its way on the broken connection, so that nothing
             // certain can be said.
@@ -299,15 +301,14 @@
                 hint: None,
             };
             link.send(&refused).await.ok()?;
-            return Some(link);
+            return Some((link, None));
         };
         let _ended = handover.send(Handover { link, offset }).await;
         None
     }
 
-    /// Serves one request; returns the connection when it can be used again, with the next message
-    /// if one has arrived.
-    async fn request(&self, mut link: Link, submit: Submit) -> Option<(Link, Option<ToAgent>)> {
+    /// Serves one request; returns the connection when it can be used again.
+    async fn request(&self, mut link: Link, submit: Submit) -> Option<Next> {
         let attempt = submit.attempt;
         if submit.target != self.target {
             self.metrics.result(Code::WrongTarget.name());
@@ -438,8 +439,8 @@
             engine,
             submit.call,
         );
-        let call = timeout_at(deadline, call);
-        tokio::pin!(call);
+        // The call's future is large and must not live as long as the answer.
+        let mut call = Box::pin(timeout_at(deadline, call));
         let res = loop {
             tokio::select! {
                 res = &mut call => break res,
@@ -450,13 +451,14 @@
                 }
             }
         };
+        drop(call);
         let res = match res {
             Ok(Ok(res)) => res,
             Ok(Err(Code::EngineFailed)) => return Some(Err(self.cause(engine).await)),
             Ok(Err(code)) => return Some(Err(code)),
             Err(_) => return Some(Err(Code::EngineTimeout)),
         };
-        session.send_head(engine::head(&res)).await;
+        session.put_head(engine::head(&res)).await;
         self.body(session, res, engine, claimed, deadline).await
     }
 
@@ -511,6 +513,8 @@
             return Code::EngineFailed;
         }
         let known = self.gate.incarnation().await;
+        // A process that ends closes its connections before its listener.
+        time::sleep(CRASH_PAUSE).await;
         match self.backend.status().await {
             Status::Down => Code::EngineCrashed,
             Status::Up { incarnation, .. } if known.is_some_and(|known| known != incarnation) => {
