Add membership, dissemination and their datagrams

Cause: routers know targets from the document alone, so that a target that leaves or dies keeps getting work, and nothing carries verdicts, quarantines or the configuration's offset while the log is out.

Records and items merge as least upper bounds, so that lost, late, repeated and reordered datagrams lead to one state; leaving and verdicts only grow. There are no heartbeats: the packets of a round serve as probes, and two other processes probe a silent one before it is suspected. When most of a region is silent its processes stay suspects, because the link is the likelier cause.

Ruled out: full mesh (the bytes grow with the square of the fleet); full tables in each round (about 40 bytes for each of 4,200 members); push without answers (the last processes learn late).

Before: no membership.

Conclusion: the state machine can be put behind a socket.

--- /dev/null
+++ b/core/src/exchange.rs
@@ -0,0 +1,477 @@
+//! Rounds of gossip: choice of peers, composition of packets, probes, and the handling of packets
+//! that arrive.
+
+use std::{net::SocketAddr, time::Duration};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    dissemination::{Item, ItemKey, Kind, MAX_PACKET, Packet, Value},
+    id::Incarnation,
+    member::{LEASE, Members, RegionLinks},
+    name::ProcessName,
+    piggyback::{Class, Subject},
+    probe::Goal,
+    record::{Liveness, Record, State},
+    time::Time,
+};
+
+/// Time between two rounds, before jitter.
+const ROUND: Duration = Duration::from_secs(1);
+/// Peers of a round.
+const PEERS: usize = 3;
+/// Peers that get urgent changes at once. With four each, one pass reaches 98 in 100 processes.
+const URGENT_PEERS: usize = 4;
+/// Datagrams of urgent changes that may follow each other without a pause.
+const URGENT_BURST: f64 = 8.0;
+/// Datagrams of urgent changes for each second beyond the burst, so that a flood of changes stays
+/// within the 15 KB/s of a daemon.
+const URGENT_RATE: f64 = 2.0;
+/// Processes that are asked to probe another one.
+const HELPERS: usize = 2;
+/// Bytes of a packet for changes; the rest is for the walk through the tables.
+const CHANGES: usize = 900;
+/// Bytes of an answer, which carries changes back.
+const ANSWER: usize = 400;
+/// Time without any packet after which the silence of others says nothing about them.
+const ISOLATION: Duration = Duration::from_secs(3);
+/// One round in this many also tries a process that is taken to be silent or a seed, so that the
+/// sides of a split find each other again.
+const RETRY_ROUNDS: u64 = 8;
+
+/// A packet and where to send it.
+pub type Outgoing = (SocketAddr, Packet);
+
+/// State of the rounds.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Clockwork {
+    next_round: Time,
+    last_tick: Option<(Time, u64)>,
+    heard: Option<Time>,
+    stale_since: Option<Time>,
+    tokens: f64,
+    soon: Vec<ProcessName>,
+    peers: Option<Peers>,
+    walk_members: usize,
+    walk_items: Option<ItemKey>,
+}
+
+/// Indexes of the entries that can be peers.
+#[derive(Debug, Clone, Default)]
+struct Peers {
+    zone: Vec<usize>,
+    region: Vec<usize>,
+    far: Vec<usize>,
+    silent: Vec<usize>,
+    relay: bool,
+}
+
+impl Clockwork {
+    pub(crate) fn peers_changed(&mut self) {
+        self.peers = None;
+    }
+
+    pub(crate) fn probe_soon(&mut self, name: &ProcessName) {
+        if self.soon.len() < HELPERS && !self.soon.contains(name) {
+            self.soon.push(name.clone());
+        }
+    }
+
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.stale_since.is_none()
+    }
+}
+
+impl Members {
+    /// Does what is due: rounds, probes, urgent changes. Call it every 100 to 200 ms; `unix` is in
+    /// seconds since the Unix epoch, `random` gives uniform random numbers.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        unix: u64,
+        random: &mut impl FnMut() -> u64,
+    ) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        if let Some((then, then_unix)) = self.exchange.last_tick {
+            let gap = now.since(then);
+            // The monotonic clock of a VM may stand still while it is paused.
+            let wall = Duration::from_secs(unix.saturating_sub(then_unix));
+            if gap > LEASE || wall > LEASE {
+                self.exchange.stale_since = Some(now);
+                self.resume();
+            }
+            let earned = gap.as_secs_f64() * URGENT_RATE;
+            self.exchange.tokens = (self.exchange.tokens + earned).min(URGENT_BURST);
+        } else {
+            self.exchange.tokens = URGENT_BURST;
+            self.exchange.stale_since = Some(now);
+        }
+        self.exchange.last_tick = Some((now, unix));
+        self.follow_probes(now, random, &mut out);
+        for name in std::mem::take(&mut self.exchange.soon) {
+            self.probe(&name, now, &mut out);
+        }
+        if now >= self.exchange.next_round {
+            let jitter = 900 + random() % 201;
+            let millis = u64::try_from(ROUND.as_millis()).unwrap_or(1_000) * jitter / 1_000;
+            self.exchange.next_round = now + Duration::from_millis(millis);
+            self.age(now, unix);
+            self.sum_load(unix);
+            self.round(now, random, &mut out);
+        }
+        self.flush(random, &mut out);
+        out
+    }
+
+    /// Handles a packet and returns the answers.
+    pub fn receive(
+        &mut self,
+        packet: &Packet,
+        now: Time,
+        unix: u64,
+        random: &mut impl FnMut() -> u64,
+    ) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        if packet.from.name == self.own.name {
+            return out;
+        }
+        self.exchange.heard = Some(now);
+        // After a pause, one whole answer is newer than all that is remembered.
+        if matches!(packet.kind, Kind::Ack(_) | Kind::Push(_)) {
+            self.exchange.stale_since = None;
+        }
+        self.merge(&packet.from, now);
+        if let Some(&at) = self.index.get(&packet.from.name) {
+            let entry = &mut self.entries[at];
+            if entry.record.incarnation == packet.from.incarnation {
+                entry.heard = Some(now);
+            }
+        }
+        for record in &packet.records {
+            self.merge(record, now);
+        }
+        for item in &packet.items {
+            self.put(item, unix);
+        }
+        let back = packet.from.address;
+        match packet.kind {
+            Kind::Push(probe) => {
+                let answer = self.compose(Kind::Ack(probe), Some(&packet.from), ANSWER, ANSWER);
+                out.push((back, answer));
+            }
+            Kind::Urgent => {}
+            Kind::Ack(probe) | Kind::Relayed(probe) => {
+                if let Some(Goal::Relay(asker, number)) = self.probes.answered(probe) {
+                    let answer = self.compose(Kind::Relayed(number), None, 0, 0);
+                    out.push((asker, answer));
+                }
+            }
+            Kind::Ask { probe, address } => {
+                let number = self.probes.start(Goal::Relay(back, probe), now);
+                let probe = self.compose(Kind::Push(number), None, 0, 0);
+                out.push((address, probe));
+            }
+        }
+        self.flush(random, &mut out);
+        out
+    }
+
+    /// Sends urgent changes if the budget allows.
+    pub fn flush(&mut self, random: &mut impl FnMut() -> u64, out: &mut Vec<Outgoing>) {
+        if !self.hot.has_urgent() || self.exchange.tokens < 1.0 {
+            return;
+        }
+        for peer in self.choose(URGENT_PEERS, random) {
+            if self.exchange.tokens < 1.0 {
+                return;
+            }
+            self.exchange.tokens -= 1.0;
+            let peer = self.entries[peer].record.clone();
+            let packet = self.compose(Kind::Urgent, Some(&peer), CHANGES, 0);
+            out.push((peer.address, packet));
+        }
+        self.hot.urgent_sent();
+    }
+
+    fn follow_probes(
+        &mut self,
+        now: Time,
+        random: &mut impl FnMut() -> u64,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let heard = self.exchange.heard;
+        let isolated = heard.is_none_or(|heard| now.since(heard) > ISOLATION);
+        for (number, goal, first) in self.probes.overdue(now) {
+            match goal {
+                Goal::Relay(..) => {}
+                Goal::Direct(_) | Goal::Indirect(_) if !self.exchange.is_fresh() => {}
+                Goal::Direct(name) => {
+                    let Some(&at) = self.index.get(&name) else {
+                        continue;
+                    };
+                    let address = self.entries[at].record.address;
+                    for helper in self.choose(HELPERS, random) {
+                        let helper = &self.entries[helper].record;
+                        if helper.name == name {
+                            continue;
+                        }
+                        let helper = helper.address;
+                        let kind = Kind::Ask {
+                            probe: number,
+                            address,
+                        };
+                        out.push((helper, self.compose(kind, None, 0, 0)));
+                    }
+                    self.probes.indirect(number, name, first, now);
+                }
+                Goal::Indirect(name) => {
+                    // A process that hears nobody is cut off itself.
+                    if !isolated || self.entries.len() == 1 {
+                        self.suspect(&name, first, now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn probe(&mut self, name: &ProcessName, now: Time, out: &mut Vec<Outgoing>) {
+        if self.probes.covers(name) {
+            return;
+        }
+        if let Some(&at) = self.index.get(name) {
+            let peer = self.entries[at].record.clone();
+            let number = self.probes.start(Goal::Direct(name.clone()), now);
+            let packet = self.compose(Kind::Push(number), Some(&peer), ANSWER, ANSWER);
+            out.push((peer.address, packet));
+        }
+    }
+
+    fn round(&mut self, now: Time, random: &mut impl FnMut() -> u64, out: &mut Vec<Outgoing>) {
+        let mut peers = self.choose(PEERS, random);
+        let retry = random().is_multiple_of(RETRY_ROUNDS);
+        let silent = &self.exchange.peers.as_ref().map_or(&[][..], |p| &p.silent);
+        if (retry || peers.is_empty()) && !silent.is_empty() {
+            peers.push(silent[pick(random, silent.len())]);
+        }
+        let heard = self.entries.iter().any(|entry| entry.heard.is_some());
+        if (retry || !heard) && !self.seeds.is_empty() {
+            let seed = self.seeds[pick(random, self.seeds.len())];
+            if seed != self.own.address {
+                let packet = self.compose(Kind::Push(0), None, CHANGES, MAX_PACKET);
+                out.push((seed, packet));
+            }
+        }
+        for peer in peers {
+            let peer = self.entries[peer].record.clone();
+            let number = self.probes.start(Goal::Direct(peer.name.clone()), now);
+            let packet = self.compose(Kind::Push(number), Some(&peer), CHANGES, MAX_PACKET);
+            out.push((peer.address, packet));
+        }
+    }
+
+    /// Chooses `count` peers: one in another region where there is one, the others in the own zone
+    /// or, for one of them, in another zone of the region.
+    fn choose(&mut self, count: usize, random: &mut impl FnMut() -> u64) -> Vec<usize> {
+        if self.exchange.peers.is_none() {
+            self.exchange.peers = Some(self.sort_peers());
+        }
+        let Some(peers) = &self.exchange.peers else {
+            return Vec::new();
+        };
+        let far = match self.links {
+            RegionLinks::EveryProcess => !peers.far.is_empty(),
+            RegionLinks::Relays(_) => peers.relay && !peers.far.is_empty(),
+        };
+        let mut chosen = Vec::with_capacity(count);
+        for at in 0..count {
+            let lists = match at {
+                0 if far => [&peers.far, &peers.region, &peers.zone],
+                1 => [&peers.region, &peers.zone, &peers.far],
+                _ => [&peers.zone, &peers.region, &peers.far],
+            };
+            let lists = &lists[..if far || peers.zone.is_empty() && peers.region.is_empty() {
+                3
+            } else {
+                2
+            }];
+            let list = lists.iter().find(|list| !list.is_empty());
+            let Some(list) = list else {
+                continue;
+            };
+            // A few draws avoid most repeats; a repeat costs only one packet.
+            let fresh = (0..4)
+                .map(|_| list[pick(random, list.len())])
+                .find(|peer| !chosen.contains(peer));
+            let fresh = fresh.or_else(|| {
+                let mut rest = lists.iter().flat_map(|list| list.iter());
+                rest.find(|peer| !chosen.contains(peer)).copied()
+            });
+            chosen.extend(fresh);
+        }
+        chosen
+    }
+
+    fn sort_peers(&self) -> Peers {
+        let mut peers = Peers::default();
+        let region = self.region(&self.own.zone);
+        for (at, entry) in self.entries.iter().enumerate() {
+            let zone = &entry.record.zone;
+            match entry.state() {
+                State::Gone => peers.silent.push(at),
+                _ if entry.record.liveness == Liveness::Suspect => peers.silent.push(at),
+                _ if *zone == self.own.zone => peers.zone.push(at),
+                _ if self.region(zone) == region => peers.region.push(at),
+                _ => peers.far.push(at),
+            }
+        }
+        if let RegionLinks::Relays(count) = self.links {
+            let rank = |record: &Record| xxh3_64(record.name.as_str().as_bytes());
+            let own = rank(&self.own);
+            let near = peers.zone.iter().chain(&peers.region);
+            let higher = near.filter(|at| rank(&self.entries[**at].record) > own);
+            peers.relay = higher.count() < count;
+        }
+        peers
+    }
+
+    /// Makes a packet of at most [`MAX_PACKET`] bytes, of which `changes` are for changes; what is
+    /// left up to `walk` is filled by the walk through the tables.
+    fn compose(&mut self, kind: Kind, to: Option<&Record>, changes: usize, walk: usize) -> Packet {
+        self.counters.packets += 1;
+        let mut size = Packet::head_size(&self.own);
+        let mut packet = Packet {
+            kind,
+            from: self.own.clone(),
+            records: Vec::new(),
+            items: Vec::new(),
+        };
+        let near = to.is_some_and(|to| to.zone == self.own.zone);
+        // A process that others take to be silent must learn it to refute it.
+        let receiver = to.and_then(|to| self.index.get(&to.name));
+        if let Some(&at) = receiver
+            && self.entries[at].record.state() != State::Alive
+        {
+            let record = self.entries[at].record.clone();
+            size += record.size();
+            packet.records.push(record);
+        }
+        let class = if packet.kind == Kind::Urgent {
+            Class::Urgent
+        } else {
+            Class::Bulk
+        };
+        let mut hot = std::mem::take(&mut self.hot);
+        if changes > 0 {
+            hot.offer(class, self.entries.len() + 1, |subject| match subject {
+                Subject::Member(name) if *name == self.own.name => Some(true),
+                Subject::Member(name) => {
+                    let record = &self.entries[*self.index.get(name)?].record;
+                    let fits =
+                        size + record.size() <= changes && to.is_none_or(|to| to.name != *name);
+                    if fits {
+                        size += record.size();
+                        packet.records.push(record.clone());
+                    }
+                    Some(fits)
+                }
+                Subject::Item(key) => {
+                    let value = self.store.get(key)?;
+                    let item = Item {
+                        key: key.clone(),
+                        value: value.clone(),
+                    };
+                    let fits = size + item.size() <= changes
+                        && (near || !matches!(key, ItemKey::AgentLoad(..)));
+                    if fits {
+                        size += item.size();
+                        packet.items.push(item);
+                    }
+                    Some(fits)
+                }
+            });
+        }
+        self.hot = hot;
+        self.walk(&mut packet, near, size, walk);
+        packet
+    }
+
+    /// Fills a packet with the next entries and items in turn, so that what datagrams lost is
+    /// learnt in the end.
+    fn walk(&mut self, packet: &mut Packet, near: bool, mut size: usize, limit: usize) {
+        let members = self.entries.len();
+        for _ in 0..members {
+            let at = self.exchange.walk_members % members;
+            let record = &self.entries[at].record;
+            // Part of the room is left for items where there are any.
+            let share = if self.store.is_empty() { 0 } else { limit / 8 };
+            if size + record.size() + share > limit {
+                break;
+            }
+            self.exchange.walk_members = at + 1;
+            let known = record.incarnation != Incarnation::default();
+            if known && !packet.records.iter().any(|r| r.name == record.name) {
+                size += record.size();
+                packet.records.push(record.clone());
+            }
+        }
+        for _ in 0..self.store.len() {
+            let next = self.store.after(self.exchange.walk_items.as_ref()).next();
+            let Some((key, value)) = next else {
+                self.exchange.walk_items = None;
+                break;
+            };
+            let item = Item {
+                key: key.clone(),
+                value: value.clone(),
+            };
+            if size + item.size() > limit {
+                break;
+            }
+            self.exchange.walk_items = Some(item.key.clone());
+            let local = matches!(item.key, ItemKey::AgentLoad(..));
+            if (near || !local) && !packet.items.iter().any(|found| found.key == item.key) {
+                size += item.size();
+                packet.items.push(item);
+            }
+        }
+    }
+
+    /// The first agent of a zone, by name, that reports a model sums the zone's loads up.
+    fn sum_load(&mut self, unix: u64) {
+        let mut sums: Vec<(ItemKey, bool, u32, u32)> = Vec::new();
+        for (key, value) in self.store.iter() {
+            let (
+                ItemKey::AgentLoad(model, agent),
+                Value::Load {
+                    running, capacity, ..
+                },
+            ) = (key, value)
+            else {
+                continue;
+            };
+            let zone_key = ItemKey::ZoneLoad(model.clone(), self.own.zone.clone());
+            match sums.last_mut() {
+                Some((found, _, sum, total)) if *found == zone_key => {
+                    *sum = sum.saturating_add(*running);
+                    *total = total.saturating_add(*capacity);
+                }
+                _ => sums.push((zone_key, *agent == self.own.name, *running, *capacity)),
+            }
+        }
+        for (key, first, running, capacity) in sums {
+            if first {
+                let value = Value::Load {
+                    stamp: unix,
+                    running,
+                    capacity,
+                };
+                self.put(&Item { key, value }, unix);
+            }
+        }
+    }
+}
+
+fn pick(random: &mut impl FnMut() -> u64, len: usize) -> usize {
+    let len = len.max(1) as u64;
+    usize::try_from(random() % len).unwrap_or(0)
+}
--- /dev/null
+++ b/core/src/member.rs
@@ -0,0 +1,577 @@
+//! The membership table of a process: which processes there are and which of them take work.
+//!
+//! The table is fed by the document, the platform's lagging VM list, the data path and gossip. The
+//! exchange of packets is in [`crate::exchange`].
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use crate::{
+    dissemination::{Item, Store},
+    doc::Document,
+    id::Incarnation,
+    name::{ProcessName, RegionName, TargetName, VmName, ZoneName},
+    piggyback::{Class, Piggyback, Subject},
+    probe::Probes,
+    record::{Liveness, Record, Role, State},
+    time::Time,
+};
+
+/// Entries kept, four times the processes of the largest deployment planned for.
+const MAX_MEMBERS: usize = 16_384;
+/// Time for which a suspected process may still refute.
+const SUSPICION: Duration = Duration::from_secs(4);
+/// Time after which a gone process is removed. The walk through 4,200 entries takes minutes, and
+/// an entry removed earlier could be learnt again from a process that has not heard the news.
+const REMOVAL: Duration = Duration::from_secs(900);
+/// Names of removed entries that are kept, so that old records do not bring them back.
+const MAX_REMOVED: usize = 4_096;
+/// Clock jump that shows that the process was paused, the length of the shortest lease.
+pub const LEASE: Duration = Duration::from_secs(10);
+/// Time in which the penalty for flapping halves.
+const PENALTY_HALF_LIFE: Duration = Duration::from_secs(60);
+/// Penalty from which an entry counts as suspect. One restart or false suspicion stays below it.
+const PENALTY_HIGH: f64 = 3.0;
+/// Penalty below which the entry counts by its own state again.
+const PENALTY_LOW: f64 = 1.0;
+
+/// How regions are linked.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RegionLinks {
+    /// Each process sends to one process of another region in each round.
+    #[default]
+    EveryProcess,
+    /// The given number of processes of each region, chosen by hash, send to other regions.
+    Relays(usize),
+}
+
+/// What the data path found out about a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Observation {
+    /// Its agent answered.
+    Answered,
+    /// A connection to its agent failed.
+    LinkFailed,
+}
+
+/// A line of the platform's VM list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedVm {
+    /// The VM's name.
+    pub name: VmName,
+    /// The VM's address.
+    pub address: IpAddr,
+    /// Whether the VM is about to be removed.
+    pub leaving: bool,
+}
+
+/// What other tasks act on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Targets that should get no new work, with the reason.
+    pub avoid: BTreeMap<TargetName, State>,
+    /// Routers that are alive, in the order of their names.
+    pub routers: Vec<ProcessName>,
+    /// False while the process has not heard of others since a pause: it must not act on leases.
+    pub fresh: bool,
+}
+
+impl Standing {
+    /// The first of `targets` in the best state. A leaving one is never taken; one that is taken
+    /// to be gone is better than none, since this process may be the one that is cut off.
+    pub fn prefer<'t>(
+        &self,
+        targets: impl IntoIterator<Item = &'t TargetName>,
+    ) -> Option<&'t TargetName> {
+        let rank = |name: &TargetName| match self.avoid.get(name) {
+            None | Some(State::Alive) => Some(0),
+            Some(State::Suspect) => Some(1),
+            Some(State::Gone) => Some(2),
+            Some(State::Leaving) => None,
+        };
+        let ranked = targets.into_iter();
+        let ranked = ranked.filter_map(|name| rank(name).map(|rank| (rank, name)));
+        ranked.min_by_key(|(rank, _)| *rank).map(|(_, name)| name)
+    }
+}
+
+/// What happened so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Packets composed.
+    pub packets: u64,
+    /// Processes suspected by this process.
+    pub suspected: u64,
+    /// False suspicions of this process that it refuted.
+    pub refuted: u64,
+    /// Pauses of this process.
+    pub pauses: u64,
+    /// Records refused because the table is full.
+    pub refused: u64,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub(crate) record: Record,
+    /// When a packet or answer last came from the process itself.
+    pub(crate) heard: Option<Time>,
+    /// When the state last changed.
+    pub(crate) since: Time,
+    penalty: f64,
+    penalty_at: Time,
+    damped: bool,
+    vm: Option<VmName>,
+    /// The incarnation to which the VM list's `leaving` applies.
+    listed: Option<Incarnation>,
+}
+
+impl Entry {
+    /// The state to act on: news from the process itself outweighs an older suspicion.
+    pub(crate) fn state(&self) -> State {
+        match self.record.state() {
+            State::Suspect if self.heard.is_some_and(|heard| heard > self.since) => State::Alive,
+            State::Alive if self.damped => State::Suspect,
+            state => state,
+        }
+    }
+
+    fn decay(&mut self, now: Time) {
+        let halves = now.since(self.penalty_at).as_secs_f64() / PENALTY_HALF_LIFE.as_secs_f64();
+        self.penalty *= (-halves).exp2();
+        self.penalty_at = now;
+        self.damped = self.penalty
+            >= if self.damped {
+                PENALTY_LOW
+            } else {
+                PENALTY_HIGH
+            };
+    }
+}
+
+/// The membership table and the exchange of one process.
+#[derive(Debug, Clone)]
+pub struct Members {
+    pub(crate) own: Record,
+    pub(crate) links: RegionLinks,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) index: HashMap<ProcessName, usize>,
+    pub(crate) regions: BTreeMap<ZoneName, RegionName>,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) hot: Piggyback,
+    pub(crate) store: Store,
+    pub(crate) probes: Probes,
+    pub(crate) exchange: crate::exchange::Clockwork,
+    pub(crate) counters: Counters,
+    removed: VecDeque<(ProcessName, Incarnation)>,
+}
+
+impl Members {
+    /// Starts the table of the process that `own` describes; `seeds` are asked while no other
+    /// process is known.
+    pub fn new(own: Record, seeds: Vec<SocketAddr>, links: RegionLinks) -> Self {
+        let mut members = Self {
+            hot: Piggyback::default(),
+            store: Store::default(),
+            probes: Probes::default(),
+            exchange: crate::exchange::Clockwork::default(),
+            counters: Counters::default(),
+            entries: Vec::new(),
+            index: HashMap::new(),
+            regions: BTreeMap::new(),
+            removed: VecDeque::new(),
+            own,
+            links,
+            seeds,
+        };
+        let own = Subject::Member(members.own.name.clone());
+        members.hot.push(own, Class::Normal);
+        members
+    }
+
+    /// This process.
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// Addresses that are asked while no other process is known.
+    pub fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
+    }
+
+    /// What happened so far.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// The items known.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// The number of other processes known.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no other process is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Every other process as it is recorded, with the state to act on.
+    pub fn records(&self) -> impl Iterator<Item = (&Record, State)> {
+        self.entries
+            .iter()
+            .map(|entry| (&entry.record, entry.state()))
+    }
+
+    /// The state of a process to act on.
+    pub fn state(&self, name: &str) -> Option<State> {
+        if name == self.own.name.as_str() {
+            return Some(self.own.state());
+        }
+        let name = ProcessName::new(name).ok()?;
+        Some(self.entries[*self.index.get(&name)?].state())
+    }
+
+    /// Whether the process has heard of others since it started or was paused.
+    pub fn is_fresh(&self) -> bool {
+        self.exchange.is_fresh() || self.entries.is_empty()
+    }
+
+    /// What other tasks act on.
+    pub fn standing(&self) -> Standing {
+        let mut standing = Standing {
+            fresh: self.is_fresh(),
+            ..Standing::default()
+        };
+        for entry in &self.entries {
+            let state = entry.state();
+            match entry.record.target() {
+                Some(target) if state != State::Alive => {
+                    if let Ok(target) = TargetName::new(target) {
+                        standing.avoid.insert(target, state);
+                    }
+                }
+                None if state == State::Alive => standing.routers.push(entry.record.name.clone()),
+                _ => {}
+            }
+        }
+        if self.own.role == Role::Router {
+            standing.routers.push(self.own.name.clone());
+        }
+        standing.routers.sort();
+        standing
+    }
+
+    /// Takes the zones and the agents' addresses from a document.
+    pub fn learn_document(&mut self, document: &Document, now: Time) {
+        let zones = document.zones.iter();
+        self.regions = zones
+            .map(|(name, zone)| (name.clone(), zone.region.clone()))
+            .collect();
+        self.exchange.peers_changed();
+        for (name, target) in &document.targets {
+            let Ok(process) = ProcessName::new(name.as_str()) else {
+                continue;
+            };
+            let by_target = |entry: &Entry| entry.record.target() == Some(name.as_str());
+            let known = self.index.get(&process).copied();
+            if let Some(at) = known.or_else(|| self.entries.iter().position(by_target)) {
+                let entry = &mut self.entries[at];
+                entry.vm = Some(target.vm.clone());
+                if entry.record.incarnation == Incarnation::default() {
+                    entry.record.address = target.agent;
+                }
+            } else if process != self.own.name && self.own.target() != Some(name.as_str()) {
+                let record = Record {
+                    name: process,
+                    role: Role::Agent(None),
+                    zone: target.zone.clone(),
+                    address: target.agent,
+                    incarnation: Incarnation::default(),
+                    wire: (0, 0),
+                    leaving: false,
+                    sequence: 0,
+                    liveness: Liveness::Alive,
+                };
+                if let Some(at) = self.insert(record, now) {
+                    self.entries[at].vm = Some(target.vm.clone());
+                }
+            }
+        }
+        // An agent that the document no longer names and that was never heard of does not exist.
+        let named = |entry: &Entry| {
+            let target = entry.record.target();
+            entry.record.incarnation != Incarnation::default()
+                || target.is_some_and(|target| document.targets.contains_key(target))
+        };
+        self.retain(|entry| named(entry));
+    }
+
+    /// Takes the leaving VMs from the platform's list.
+    ///
+    /// The list lags. So `leaving` applies to the incarnation that runs when it is first seen: a
+    /// process that starts on a replaced VM of the same name is not marked by the old line.
+    pub fn learn_vms(&mut self, vms: &[ListedVm], now: Time) {
+        let mut marked = Vec::new();
+        for (at, entry) in self.entries.iter_mut().enumerate() {
+            let ip = entry.record.address.ip();
+            let line = match &entry.vm {
+                Some(vm) => vms.iter().find(|line| line.name == *vm),
+                // Several VMs behind one address cannot be told apart by it.
+                None => {
+                    let mut same = vms.iter().filter(|line| line.address == ip);
+                    same.next().filter(|_| same.next().is_none())
+                }
+            };
+            match line {
+                Some(line) if line.leaving => {
+                    let incarnation = *entry.listed.get_or_insert(entry.record.incarnation);
+                    if incarnation == entry.record.incarnation && !entry.record.leaving {
+                        marked.push(at);
+                    }
+                }
+                _ => entry.listed = None,
+            }
+        }
+        for at in marked {
+            let mut record = self.entries[at].record.clone();
+            record.leaving = true;
+            self.merge(&record, now);
+        }
+    }
+
+    /// Takes what the data path found out; a failed link leads to a probe, not to a suspicion.
+    pub fn observe(&mut self, target: &TargetName, observation: Observation, now: Time) {
+        let by_target = |entry: &Entry| entry.record.target() == Some(target.as_str());
+        let process = ProcessName::new(target.as_str()).ok();
+        let known = process.and_then(|name| self.index.get(&name).copied());
+        let Some(at) = known.or_else(|| self.entries.iter().position(by_target)) else {
+            return;
+        };
+        match observation {
+            Observation::Answered => self.entries[at].heard = Some(now),
+            Observation::LinkFailed => self.exchange.probe_soon(&self.entries[at].record.name),
+        }
+    }
+
+    /// Announces that this process ends soon; from then on it refuses new work.
+    pub fn begin_leaving(&mut self) {
+        self.own.leaving = true;
+        self.hot
+            .push(Subject::Member(self.own.name.clone()), Class::Urgent);
+    }
+
+    /// Merges an item and passes it on when it is news; `unix` is in seconds since the Unix epoch.
+    pub fn put(&mut self, item: &Item, unix: u64) -> bool {
+        let changed = self.store.merge(item, unix);
+        if changed {
+            let class = if item.key.is_urgent() {
+                Class::Urgent
+            } else {
+                Class::Bulk
+            };
+            self.hot.push(Subject::Item(item.key.clone()), class);
+        }
+        changed
+    }
+
+    /// Merges what another process said about a process; true when it was news.
+    pub fn merge(&mut self, record: &Record, now: Time) -> bool {
+        if record.name == self.own.name {
+            return self.merge_own(record);
+        }
+        let Some(&at) = self.index.get(&record.name) else {
+            let removed = self.removed.iter().find(|(name, _)| *name == record.name);
+            if record.liveness == Liveness::Gone
+                || removed.is_some_and(|(_, incarnation)| record.incarnation <= *incarnation)
+            {
+                return false;
+            }
+            // The document names an agent by its target; the process may call itself otherwise.
+            if let Some(target) = record.target() {
+                let zero = Incarnation::default();
+                let placeholder = ProcessName::new(target).ok();
+                let placeholder = placeholder.and_then(|name| self.index.get(&name).copied());
+                if let Some(at) =
+                    placeholder.filter(|at| self.entries[*at].record.incarnation == zero)
+                {
+                    let name = self.entries[at].record.name.clone();
+                    self.retain(|entry| entry.record.name != name);
+                }
+            }
+            let inserted = self.insert(record.clone(), now).is_some();
+            if inserted {
+                self.pass_on(record);
+            }
+            return inserted;
+        };
+        let entry = &mut self.entries[at];
+        let before = (entry.record.incarnation, entry.record.state());
+        if !entry.record.merge(record) {
+            return false;
+        }
+        let after = (entry.record.incarnation, entry.record.state());
+        if before != after {
+            entry.since = now;
+            entry.decay(now);
+            // A first contact with a process known from the document is no flap.
+            let flap = before.0 != Incarnation::default()
+                && before.1 == State::Alive
+                && (after.0 != before.0 || after.1 == State::Suspect);
+            entry.penalty += f64::from(u8::from(flap));
+            entry.decay(now);
+            self.exchange.peers_changed();
+        }
+        let record = entry.record.clone();
+        self.pass_on(&record);
+        true
+    }
+
+    fn pass_on(&mut self, record: &Record) {
+        // A higher sequence is a refutation, which must overtake the suspicion.
+        let class = match record.state() {
+            State::Alive if record.sequence == 0 => Class::Normal,
+            _ => Class::Urgent,
+        };
+        self.hot.push(Subject::Member(record.name.clone()), class);
+    }
+
+    fn merge_own(&mut self, record: &Record) -> bool {
+        if record.incarnation != self.own.incarnation {
+            return false;
+        }
+        let suspected = record.liveness > Liveness::Alive && record.sequence >= self.own.sequence;
+        let left = record.leaving && !self.own.leaving;
+        if suspected {
+            self.own.sequence = record.sequence.saturating_add(1);
+            self.counters.refuted += 1;
+        }
+        self.own.leaving |= record.leaving;
+        if suspected || left {
+            self.hot
+                .push(Subject::Member(self.own.name.clone()), Class::Urgent);
+        }
+        suspected || left
+    }
+
+    fn insert(&mut self, record: Record, now: Time) -> Option<usize> {
+        if self.entries.len() >= MAX_MEMBERS {
+            self.counters.refused += 1;
+            return None;
+        }
+        let at = self.entries.len();
+        self.index.insert(record.name.clone(), at);
+        self.entries.push(Entry {
+            record,
+            heard: None,
+            since: now,
+            penalty: 0.0,
+            penalty_at: now,
+            damped: false,
+            vm: None,
+            listed: None,
+        });
+        self.exchange.peers_changed();
+        Some(at)
+    }
+
+    fn retain(&mut self, keep: impl Fn(&Entry) -> bool) {
+        if self.entries.iter().all(&keep) {
+            return;
+        }
+        self.entries.retain(keep);
+        let names = self.entries.iter().enumerate();
+        self.index = names
+            .map(|(at, entry)| (entry.record.name.clone(), at))
+            .collect();
+        self.exchange.peers_changed();
+    }
+
+    /// The region of a zone; zones that the document does not name count as one region each.
+    pub(crate) fn region<'m>(&'m self, zone: &'m ZoneName) -> &'m str {
+        self.regions
+            .get(zone)
+            .map_or(zone.as_str(), |region| region.as_str())
+    }
+
+    /// Suspects a process that answered neither directly nor through others since `asked`.
+    pub(crate) fn suspect(&mut self, name: &ProcessName, asked: Time, now: Time) {
+        let Some(&at) = self.index.get(name) else {
+            return;
+        };
+        let entry = &self.entries[at];
+        if entry.record.liveness != Liveness::Alive
+            || entry.heard.is_some_and(|heard| heard >= asked)
+        {
+            return;
+        }
+        let mut record = entry.record.clone();
+        record.liveness = Liveness::Suspect;
+        self.counters.suspected += 1;
+        self.merge(&record, now);
+    }
+
+    /// Decays penalties, turns old suspicions into `gone` and removes old entries.
+    pub(crate) fn age(&mut self, now: Time, unix: u64) {
+        self.store.expire(unix);
+        let mut regions: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        let mut due = Vec::new();
+        for (at, entry) in self.entries.iter().enumerate() {
+            let silent = entry.record.liveness == Liveness::Suspect
+                && entry.heard.is_none_or(|heard| heard <= entry.since);
+            let count = regions.entry(self.region(&entry.record.zone)).or_default();
+            count.0 += usize::from(entry.record.liveness != Liveness::Gone);
+            count.1 += usize::from(silent);
+            if silent && now.since(entry.since) >= SUSPICION {
+                due.push(at);
+            }
+        }
+        // When most of a region is silent, the link to it is the likelier cause. Its processes
+        // stay suspects, which spares thousands of changes when the link heals.
+        due.retain(|at| {
+            let zone = &self.entries[*at].record.zone;
+            let (all, silent) = regions[self.region(zone)];
+            self.region(zone) == self.region(&self.own.zone) || silent * 2 <= all || all < 4
+        });
+        let gone: Vec<_> = due
+            .into_iter()
+            .map(|at| self.entries[at].record.clone())
+            .collect();
+        for mut record in gone {
+            record.liveness = Liveness::Gone;
+            self.merge(&record, now);
+        }
+        for entry in &mut self.entries {
+            if entry.penalty > 0.0 {
+                entry.decay(now);
+            }
+        }
+        let old = |entry: &Entry| {
+            entry.record.liveness == Liveness::Gone && now.since(entry.since) >= REMOVAL
+        };
+        let removed = self.entries.iter().filter(|entry| old(entry));
+        let removed: Vec<_> = removed
+            .map(|entry| (entry.record.name.clone(), entry.record.incarnation))
+            .collect();
+        if !removed.is_empty() {
+            self.removed.extend(removed);
+            let excess = self.removed.len().saturating_sub(MAX_REMOVED);
+            self.removed.drain(..excess);
+            self.retain(|entry| !old(entry));
+        }
+    }
+
+    /// The process was paused: what it remembers is old, and others may have given it up.
+    pub(crate) fn resume(&mut self) {
+        self.counters.pauses += 1;
+        self.probes.clear();
+        self.own.sequence = self.own.sequence.saturating_add(1);
+        self.hot
+            .push(Subject::Member(self.own.name.clone()), Class::Urgent);
+    }
+}
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::control::ToPeer;
+
 /// Oldest wire version that this build speaks.
 pub const WIRE_MIN: u16 = 1;
 /// Newest wire version that this build speaks.
@@ -87,6 +89,8 @@
 pub enum ToAgent {
     /// Run this request.
     Submit(Box<Submit>),
+    /// A peer's question, where peers and routers share an address.
+    Control(ToPeer),
 }
 
 /// The load of a target.
