Run gossip in both daemons and avoid targets that leave

Cause: the membership table needs a socket, the VM list, the data path's observations and readers.

The gossip task owns the UDP socket and the table and publishes by watch which targets to avoid; the picker prefers targets in the best state and never takes a leaving one. On SIGTERM a daemon announces leaving at once, and an agent waits for its running requests. A process that knows of a newer configuration than the log delivered asks three peers and takes the highest one that verifies. Agents answer peers on the address that routers use; routers need `gossip` in their settings for it, since their `listen` serves HTTP.

Ruled out: a second TCP port for agents (one more address in every document); polling the VM list at a fixed interval (4,200 processes would read about 330 KB each time), so the interval grows with the list.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,8 +1,8 @@
 //! The agent: takes requests from routers and hands them to the target on its VM.
 
-use std::{io, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
-use ebonyfall_core::{admit::Capacity, code::Code, id::AttemptId, name::TargetName};
+use ebonyfall_core::{admit::Capacity, code::Code, id::AttemptId, name::TargetName, record::Role};
 use ebonyfall_wire::frame::{MAX_PART, Submit, ToAgent, ToRouter};
 use http::{Response, header::CONTENT_TYPE};
 use http_body_util::BodyExt;
@@ -10,24 +10,30 @@
 use slog::{Logger, debug, info, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::{mpsc, watch},
     time::{self, Instant, timeout_at},
 };
 
 use crate::{
     clock::{self, Clock},
+    control::{self, Control},
     engine::{self, Backend},
     gate::Gate,
+    gossip::{Gossip, Local},
     link::{Identity, Link, LinkError},
     metrics::Metrics,
     platform::Platform,
     settings::AgentConfig,
-    view,
+    view, vms,
 };
 
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which requests that routers have sent may still arrive during a shutdown.
+const HANDED_OVER: Duration = Duration::from_millis(500);
+/// Time between two looks at the running requests during a shutdown.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// Last bytes of a whole stream of server-sent events.
 const STREAM_END: &[u8] = b"data: [DONE]\n\n";
 
@@ -38,7 +44,7 @@
     #[snafu(display("cannot listen on {address}: {source}; free the address or change it"))]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// The system's error.
         source: io::Error,
     },
@@ -55,6 +61,8 @@
     target: TargetName,
     identity: Identity,
     gate: Gate,
+    control: Control,
+    stopping: watch::Receiver<bool>,
     backend: Backend,
     metrics: Metrics,
     log: Logger,
@@ -72,11 +80,43 @@
 ) -> Result<(), AgentError> {
     let clock = Clock::start();
     let platform = Platform::new(&cfg.common.platform);
-    let mut views = view::follow(platform, log.clone());
+    let (found, peers) = mpsc::channel(1);
+    let mut views = view::follow(platform.clone(), peers, log.clone());
     let address = cfg.listen;
     let listener = TcpListener::bind(address)
         .await
         .context(ListenSnafu { address })?;
+    let identity = Identity {
+        name: cfg.common.name,
+        incarnation: view::incarnation(clock::unix_time()),
+        keys: cfg.common.keys,
+    };
+    let own_target = cfg.target.as_str() != identity.name.as_str();
+    let local = Local {
+        identity: identity.clone(),
+        role: Role::Agent(own_target.then(|| cfg.target.clone())),
+        zone: cfg.common.zone,
+        address: cfg.common.gossip.unwrap_or(address),
+        seeds: cfg.common.seeds,
+    };
+    let metrics = Metrics::new();
+    let control = Control::new(views.clone());
+    let gossip = join(local, &views, &metrics, &log).await?;
+    if let Some(address) = cfg.common.gossip.filter(|own| *own != address) {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.context(ListenSnafu { address })?;
+        control
+            .clone()
+            .serve(listener, identity.clone(), log.clone());
+    }
+    vms::follow(platform, gossip.clone(), log.clone());
+    control::follow(
+        identity.clone(),
+        gossip.clone(),
+        views.clone(),
+        found,
+        log.clone(),
+    );
     let view = tokio::select! {
         view = views.wait_for(Option::is_some) => view.ok().and_then(|view| view.clone()),
         _ = stop.wait_for(|stop| *stop) => return Ok(()),
@@ -93,21 +133,35 @@
     };
     let agent = Agent {
         target: cfg.target,
-        identity: Identity {
-            name: cfg.common.name,
-            incarnation: view::incarnation(clock::unix_time()),
-            keys: cfg.common.keys,
-        },
+        identity,
+        control,
+        stopping: stop.clone(),
         gate: Gate::start(capacity, clock),
         backend: Backend::new(cfg.backend),
-        metrics: Metrics::new(),
+        metrics,
         log,
     };
     info!(agent.log, "agent ready"; "target" => %agent.target, "listen" => address);
     agent.accept(listener, stop).await;
+    gossip.leave().await;
+    agent.drain(cfg.common.drain).await;
     Ok(())
 }
 
+/// Starts gossip on the agent's address.
+async fn join(
+    local: Local,
+    views: &view::Views,
+    metrics: &Metrics,
+    log: &Logger,
+) -> Result<Gossip, AgentError> {
+    let address = local.address;
+    let socket = UdpSocket::bind(address).await;
+    let socket = socket.context(ListenSnafu { address })?;
+    let (views, metrics) = (views.clone(), metrics.clone());
+    Ok(Gossip::start(local, socket, views, metrics, log.clone()))
+}
+
 impl Agent {
     async fn accept(&self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         loop {
@@ -137,18 +191,40 @@
                 return;
             }
         };
-        while let Ok(ToAgent::Submit(submit)) = link.receive().await {
-            if let Err(error) = self.request(&mut link, *submit).await {
+        while let Ok(message) = link.receive().await {
+            let served = match message {
+                ToAgent::Submit(submit) => self.request(&mut link, *submit).await,
+                ToAgent::Control(ask) => link.send(&self.control.answer(&ask)).await,
+            };
+            if let Err(error) = served {
                 debug!(self.log, "connection lost"; "error" => %error);
                 return;
             }
         }
     }
 
+    /// Waits until no request runs, at most `longest`.
+    async fn drain(&self, longest: Duration) {
+        let idle = async {
+            // Routers may have handed requests over that are not admitted yet.
+            time::sleep(HANDED_OVER).await;
+            while self.gate.load().await.running > 0 {
+                time::sleep(DRAIN_LOOK).await;
+            }
+            // The last frames leave the process after their request has left the gate.
+            time::sleep(DRAIN_LOOK).await;
+        };
+        if time::timeout(longest, idle).await.is_err() {
+            warn!(self.log, "requests were cut when the shutdown ended"; "after" => ?longest);
+        }
+    }
+
     /// Serves one request; an error means that the connection cannot be used any more.
     async fn request(&self, link: &mut Link, submit: Submit) -> Result<(), LinkError> {
         let attempt = submit.attempt;
-        let admitted = if submit.target == self.target {
+        let admitted = if *self.stopping.borrow() {
+            Err(Code::ShuttingDown)
+        } else if submit.target == self.target {
             self.gate.enter(submit.left).await
         } else {
             Err(Code::WrongTarget)
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -27,6 +27,12 @@
     pub mismatches: Counter,
     /// Connections and frames dropped because they did not verify.
     pub rejected_frames: Counter,
+    /// Bytes of datagrams sent.
+    pub gossip_sent: Counter,
+    /// Bytes of datagrams received.
+    pub gossip_received: Counter,
+    /// Datagrams dropped because they did not verify.
+    pub gossip_dropped: Counter,
 }
 
 impl Metrics {
@@ -49,12 +55,25 @@
             "Frames that did not verify",
             rejected_frames.clone(),
         );
+        let [gossip_sent, gossip_received, gossip_dropped] = [
+            ("gossip_sent_bytes", "Bytes of datagrams sent"),
+            ("gossip_received_bytes", "Bytes of datagrams received"),
+            ("gossip_dropped", "Datagrams that did not verify"),
+        ]
+        .map(|(name, help)| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        });
         Self {
             registry: Arc::new(registry),
             results,
             retries,
             mismatches,
             rejected_frames,
+            gossip_sent,
+            gossip_received,
+            gossip_dropped,
         }
     }
 
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -10,14 +10,18 @@
     code::Code,
     doc::Runs,
     id::ChatId,
+    member::{Observation, Standing},
     name::{TargetName, VersionName},
     place::{Candidate, Table},
 };
 use ebonyfall_wire::frame::Load;
 use serde::Serialize;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::view::{Pool, View, Views};
+use crate::{
+    gossip::Gossip,
+    view::{Pool, View, Views},
+};
 
 /// Messages that may wait for the task.
 const QUEUE_LEN: usize = 4096;
@@ -61,20 +65,24 @@
 
 /// Chooses targets.
 #[derive(Debug, Clone)]
-pub struct Picker(mpsc::Sender<Ask>);
+pub struct Picker {
+    tx: mpsc::Sender<Ask>,
+    gossip: Gossip,
+}
 
 impl Picker {
     /// Starts the task; it ends when the last handle is dropped.
-    pub fn start(views: Views) -> Self {
+    pub fn start(views: Views, gossip: Gossip) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let state = State {
             views,
+            standing: gossip.standing(),
             tables: HashMap::new(),
             view: None,
             loads: HashMap::new(),
         };
         tokio::spawn(run(state, rx));
-        Self(tx)
+        Self { tx, gossip }
     }
 
     /// Chooses a target of `pool` for `chat` that is not among `tried`.
@@ -95,7 +103,7 @@
             tried,
             reply,
         };
-        self.0
+        self.tx
             .send(ask)
             .await
             .map_err(|_ended| Code::ShuttingDown)?;
@@ -104,19 +112,26 @@
 
     /// Reports the load that came with an answer.
     pub async fn heard(&self, target: TargetName, load: Load) {
-        let _ended = self.0.send(Ask::Heard { target, load }).await;
+        self.gossip.observe(&target, Observation::Answered);
+        let _ended = self.tx.send(Ask::Heard { target, load }).await;
+    }
+
+    /// Reports that a connection to the target's agent failed.
+    pub fn link_failed(&self, target: &TargetName) {
+        self.gossip.observe(target, Observation::LinkFailed);
     }
 
     /// The task's state.
     pub async fn dump(&self) -> PickerDump {
         let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Ask::Dump { reply }).await;
+        let _ended = self.tx.send(Ask::Dump { reply }).await;
         answer.await.unwrap_or_default()
     }
 }
 
 struct State {
     views: Views,
+    standing: watch::Receiver<Arc<Standing>>,
     view: Option<Arc<View>>,
     tables: HashMap<Pool, Table>,
     loads: HashMap<TargetName, Load>,
@@ -161,7 +176,8 @@
             .entry(pool.clone())
             .or_insert_with(|| table(view, pool));
         let ranked = table.rank(chat);
-        let name = ranked.into_iter().find(|name| !tried.contains(name));
+        let fresh = ranked.into_iter().filter(|name| !tried.contains(name));
+        let name = self.standing.borrow().prefer(fresh);
         let name = name.ok_or(if tried.is_empty() {
             Code::NoTarget
         } else {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -194,6 +194,7 @@
         let link = Link::dial(&self.identity, choice.agent).await;
         link.map_err(|error| {
             debug!(self.log, "cannot connect"; "target" => %choice.target, "error" => %error);
+            self.picker.link_failed(&choice.target);
             Code::EngineUnreachable
         })
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,13 +2,28 @@
 
 use std::{io, net::SocketAddr};
 
+use ebonyfall_core::record::Role;
 use slog::{Logger, info};
 use snafu::{OptionExt, ResultExt, Snafu};
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{mpsc, watch},
+    time::timeout,
+};
 
 use crate::{
-    clock, front, link::Identity, links::Links, metrics::Metrics, picker::Picker,
-    platform::Platform, relay::Relay, settings::RouterConfig, view, web,
+    clock,
+    control::{self, Control},
+    front,
+    gossip::{Gossip, Local},
+    link::Identity,
+    links::Links,
+    metrics::Metrics,
+    picker::Picker,
+    platform::Platform,
+    relay::Relay,
+    settings::RouterConfig,
+    view, vms, web,
 };
 
 /// The router cannot run.
@@ -38,15 +53,47 @@
     log: Logger,
 ) -> Result<(), RouterError> {
     let platform = Platform::new(&cfg.common.platform);
-    let views = view::follow(platform, log.clone());
-    let picker = Picker::start(views.clone());
+    let (found, peers) = mpsc::channel(1);
+    let views = view::follow(platform.clone(), peers, log.clone());
     let metrics = Metrics::new();
+    let identity = Identity {
+        name: cfg.common.name,
+        incarnation: view::incarnation(clock::unix_time()),
+        keys: cfg.common.keys,
+    };
+    let address = cfg.common.gossip.unwrap_or(cfg.listen);
+    let socket = UdpSocket::bind(address).await;
+    let local = Local {
+        identity: identity.clone(),
+        role: Role::Router,
+        zone: cfg.common.zone,
+        address,
+        seeds: cfg.common.seeds,
+    };
+    let gossip = Gossip::start(
+        local,
+        socket.context(ListenSnafu { address })?,
+        views.clone(),
+        metrics.clone(),
+        log.clone(),
+    );
+    // Callers' HTTP is on `listen`, so that peers need an address of their own.
+    if let Some(address) = cfg.common.gossip {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.context(ListenSnafu { address })?;
+        Control::new(views.clone()).serve(listener, identity.clone(), log.clone());
+    }
+    vms::follow(platform, gossip.clone(), log.clone());
+    control::follow(
+        identity.clone(),
+        gossip.clone(),
+        views.clone(),
+        found,
+        log.clone(),
+    );
+    let picker = Picker::start(views.clone(), gossip.clone());
     let relay = Relay {
-        identity: Identity {
-            name: cfg.common.name,
-            incarnation: view::incarnation(clock::unix_time()),
-            keys: cfg.common.keys,
-        },
+        identity,
         picker,
         links: Links::start(),
         metrics,
@@ -59,9 +106,13 @@
     let serving = web::serve(listener, routes, stop.clone(), log);
     tokio::pin!(serving);
     tokio::select! {
-        () = &mut serving => return Ok(()),
+        () = &mut serving => {
+            gossip.leave().await;
+            return Ok(());
+        }
         _ = stop.wait_for(|stop| *stop) => {}
     }
+    gossip.leave().await;
     timeout(cfg.common.drain, serving)
         .await
         .ok()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -54,6 +54,10 @@
     pub log_format: Format,
     /// Levels of the log lines.
     pub log_levels: Levels,
+    /// Where datagrams and peers' connections are taken; the port of `listen` by default.
+    pub gossip: Option<SocketAddr>,
+    /// Addresses of other processes, for a start during an outage of the log.
+    pub seeds: Vec<SocketAddr>,
     /// How long a shutdown waits for running requests.
     pub drain: Duration,
 }
@@ -184,6 +188,10 @@
     let platform = f.required("platform", URL, url);
     let log_format = f.optional("log-format", "json, terminal", parsed);
     let log_levels = f.optional("log-levels", "levels such as info, relay=debug", parsed);
+    let gossip = f.optional("gossip", ADDRESS, parsed);
+    let seeds = f.optional("seeds", "addresses, separated by commas", |text| {
+        text.split(',').map(|seed| parsed(seed.trim())).collect()
+    });
     let drain = f.optional("drain", "a duration such as 30s", |text| {
         text.strip_suffix('s')?
             .parse()
@@ -199,6 +207,8 @@
         platform: platform?,
         log_format: log_format.unwrap_or(Format::Json),
         log_levels: log_levels.unwrap_or_else(|| "info".parse().expect("the literal is a level")),
+        gossip,
+        seeds: seeds.unwrap_or_default(),
         drain: drain.unwrap_or(Duration::from_secs(30)),
     })
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -9,7 +9,7 @@
 };
 use slog::{Logger, info, warn};
 use tokio::{
-    sync::watch,
+    sync::{mpsc, watch},
     time::{MissedTickBehavior, interval},
 };
 
@@ -86,8 +86,9 @@
 /// The newest view, absent until the first document has been read.
 pub type Views = watch::Receiver<Option<Arc<View>>>;
 
-/// Starts the task that follows the log; it ends when the last receiver is dropped.
-pub fn follow(platform: Platform, log: Logger) -> Views {
+/// Starts the task that follows the log; it ends when the last receiver is dropped. `peers` brings
+/// documents that peers had in force.
+pub fn follow(platform: Platform, mut peers: mpsc::Receiver<View>, log: Logger) -> Views {
     let (tx, rx) = watch::channel(None);
     tokio::spawn(async move {
         let mut next = Offset::default();
@@ -96,6 +97,15 @@
         loop {
             tokio::select! {
                 _ = ticks.tick() => {}
+                Some(view) = peers.recv() => {
+                    // A process only moves forward.
+                    if view.offset >= next {
+                        next = view.offset.next();
+                        info!(log, "configuration in force"; "offset" => view.offset.to_string());
+                        tx.send_replace(Some(Arc::new(view)));
+                    }
+                    continue;
+                }
                 () = tx.closed() => return,
             }
             match step(&platform, &mut next).await {
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -213,8 +213,10 @@
             ));
         }
         let mut daemons = Vec::new();
+        let mut seeds = Vec::new();
         for (name, backend, zone, runs, slots, cold_slots) in agents {
             let addresses = [free_address(), free_address()];
+            seeds.push(addresses[0].to_string());
             let _infallible = write!(
                 document,
                 "[target {name}]\nvm = vm-{name}\nzone = {zone}\nagent = {}\n{runs}slots = {slots}\ncold-slots = {cold_slots}\n",
@@ -239,7 +241,11 @@
                 &plan.zone(index),
                 addresses,
                 &platform_url,
-                "",
+                &format!(
+                    "gossip = {}\nseeds = {}\n",
+                    free_address(),
+                    seeds[..seeds.len().min(3)].join(", ")
+                ),
             )?;
             let program = plan.programs.join("ebonyfall-router");
             routers.push(Daemon::start(&program, &name, addresses, settings)?);
