--- a/core/tests/fleet/mod.rs
+++ b/core/tests/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -17,6 +18,11 @@
 /// Time between two ticks of a process.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Each process has an IP address of its own, as on VMs.
+fn address(port: u16) -> SocketAddr {
+    ([10, 0, 0, u8::try_from(port - 1_000).unwrap()], port).into()
+}
+
 /// What happens to datagrams.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
@@ -75,7 +81,7 @@
             name: ProcessName::new(name).unwrap(),
             role,
             zone: ZoneName::new(zone).unwrap(),
-            address: ([127, 0, 0, 1], port).into(),
+            address: address(port),
             incarnation: self.now.micros().into(),
             wire: (1, 1),
             leaving: false,
@@ -83,7 +89,7 @@
             liveness: Liveness::Alive,
         };
         self.processes.push(Process {
-            members: Members::new(own, vec![([127, 0, 0, 1], 1_000).into()], self.links),
+            members: Members::new(own, vec![address(1_000)], self.links),
             paused: false,
             down: false,
         });
@@ -99,10 +105,7 @@
         let mut own = self.processes[at].members.own().clone();
         own.incarnation = self.now.micros().into();
         (own.leaving, own.sequence) = (false, 0);
-        let seeds = vec![
-            ([127, 0, 0, 1], 1_000).into(),
-            ([127, 0, 0, 1], 1_001).into(),
-        ];
+        let seeds = vec![address(1_000), address(1_001)];
         self.processes[at] = Process {
             members: Members::new(own, seeds, self.links),
             paused: false,
@@ -124,7 +127,7 @@
         side(a) != side(b)
     }
 
-    fn send(&mut self, from: usize, out: Vec<(std::net::SocketAddr, Packet)>) {
+    fn send(&mut self, from: usize, out: Vec<(SocketAddr, Packet)>) {
         for (address, mut packet) in out {
             let size = Packet::head_size(&packet.from)
                 + packet.records.iter().map(Record::size).sum::<usize>()
--- a/core/tests/member.rs
+++ b/core/tests/member.rs
@@ -131,7 +131,7 @@
             let at = fleet.find(name);
             let line = ListedVm {
                 name: VmName::new(vm).unwrap(),
-                address: [127, 0, 0, 9].into(),
+                address: fleet.processes[fleet.find(vm)].members.own().address.ip(),
                 leaving: *state == "leaving",
             };
             let now = fleet.now;
