Let regions find each other after a long split

A region's processes are suspected one after the other, so the first ones were given up while most of their region was not yet suspect; after 15 minutes they were removed, and the removed list refused their records.

A process of another region is now given up only if that region was heard from since the suspicion, and a packet from a process itself clears it from the removed list.

Ruled out: a longer time until removal (the same after a longer split); counting suspects by region (the count is low while the first suspicions expire).

--- a/bench/src/processes.rs
+++ b/bench/src/processes.rs
@@ -35,6 +35,8 @@
     resident_mb_max: f64,
     false_suspicions: u64,
     members_known_min: u64,
+    /// Processes that did not know all others.
+    incomplete: Vec<String>,
 }
 
 /// Starts `count` idle daemons, three quarters of them agents, and measures them.
@@ -84,6 +86,7 @@
     }
     let mut bytes = Vec::new();
     let (mut suspected, mut known) = (0, u64::MAX);
+    let mut incomplete = Vec::new();
     for daemon in &mut daemons {
         daemon.wait()?;
         let log = fs::read_to_string(folder.path().join(format!("{}.log", daemon.name)))?;
@@ -97,6 +100,9 @@
         );
         suspected += number("suspected");
         known = known.min(number("members"));
+        if number("members") + 1 < count as u64 {
+            incomplete.push(daemon.name.clone());
+        }
     }
     Ok(ProcessReport {
         processes: count,
@@ -109,6 +115,7 @@
         resident_mb_max: most(&memory),
         false_suspicions: suspected,
         members_known_min: known,
+        incomplete,
     })
 }
 
--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -374,6 +374,18 @@
         self.items.is_empty()
     }
 
+    /// Whether a request is quarantined at `unix` seconds since the Unix epoch.
+    pub fn is_quarantined(&self, fingerprint: Fingerprint, unix: u64) -> bool {
+        match self.get(&ItemKey::Quarantine(fingerprint)) {
+            Some(Value::Quarantine {
+                since,
+                until,
+                cleared,
+            }) => since > cleared && unix < *until,
+            _ => false,
+        }
+    }
+
     /// Running requests and capacity of `model` over all zones, from the zones' sums.
     pub fn load(&self, model: &ModelName) -> (u64, u64) {
         let sums = self
--- a/core/src/exchange.rs
+++ b/core/src/exchange.rs
@@ -21,7 +21,7 @@
 /// Peers of a round.
 const PEERS: usize = 3;
 /// Peers that get urgent changes at once. With four each, one pass reaches 98 in 100 processes.
-const URGENT_PEERS: usize = 4;
+const URGENT_PEERS: u8 = 4;
 /// Datagrams of urgent changes that may follow each other without a pause.
 const URGENT_BURST: f64 = 8.0;
 /// Datagrams of urgent changes for each second beyond the burst, so that a flood of changes stays
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Allows one transmission of urgent changes whatever was sent before.
+    pub(crate) fn allow_urgent(&mut self) {
+        self.tokens = self.tokens.max(f64::from(URGENT_PEERS));
+    }
+
     pub(crate) fn is_fresh(&self) -> bool {
         self.stale_since.is_none()
     }
@@ -140,13 +145,7 @@
         if matches!(packet.kind, Kind::Ack(_) | Kind::Push(_)) {
             self.exchange.stale_since = None;
         }
-        self.merge(&packet.from, now);
-        if let Some(&at) = self.index.get(&packet.from.name) {
-            let entry = &mut self.entries[at];
-            if entry.record.incarnation == packet.from.incarnation {
-                entry.heard = Some(now);
-            }
-        }
+        self.hear(&packet.from, now);
         for record in &packet.records {
             self.merge(record, now);
         }
@@ -181,7 +180,7 @@
         if !self.hot.has_urgent() || self.exchange.tokens < 1.0 {
             return;
         }
-        for peer in self.choose(URGENT_PEERS, random) {
+        for peer in self.choose(usize::from(URGENT_PEERS), random) {
             if self.exchange.tokens < 1.0 {
                 return;
             }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -19,4 +19,5 @@
 mod probe;
 mod read;
 pub mod record;
+pub mod standing;
 pub mod time;
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -17,6 +17,7 @@
     piggyback::{Class, Piggyback, Subject},
     probe::Probes,
     record::{Liveness, Record, Role, State},
+    standing::Standing,
     time::Time,
 };
 
@@ -29,6 +30,8 @@
 const REMOVAL: Duration = Duration::from_secs(900);
 /// Names of removed entries that are kept, so that old records do not bring them back.
 const MAX_REMOVED: usize = 4_096;
+/// Regions for which the last packet is remembered.
+const MAX_REGIONS: usize = 256;
 /// Clock jump that shows that the process was paused, the length of the shortest lease.
 pub const LEASE: Duration = Duration::from_secs(10);
 /// Time in which the penalty for flapping halves.
@@ -68,36 +71,6 @@
     pub leaving: bool,
 }
 
-/// What other tasks act on.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Standing {
-    /// Targets that should get no new work, with the reason.
-    pub avoid: BTreeMap<TargetName, State>,
-    /// Routers that are alive, in the order of their names.
-    pub routers: Vec<ProcessName>,
-    /// False while the process has not heard of others since a pause: it must not act on leases.
-    pub fresh: bool,
-}
-
-impl Standing {
-    /// The first of `targets` in the best state. A leaving one is never taken; one that is taken
-    /// to be gone is better than none, since this process may be the one that is cut off.
-    pub fn prefer<'t>(
-        &self,
-        targets: impl IntoIterator<Item = &'t TargetName>,
-    ) -> Option<&'t TargetName> {
-        let rank = |name: &TargetName| match self.avoid.get(name) {
-            None | Some(State::Alive) => Some(0),
-            Some(State::Suspect) => Some(1),
-            Some(State::Gone) => Some(2),
-            Some(State::Leaving) => None,
-        };
-        let ranked = targets.into_iter();
-        let ranked = ranked.filter_map(|name| rank(name).map(|rank| (rank, name)));
-        ranked.min_by_key(|(rank, _)| *rank).map(|(_, name)| name)
-    }
-}
-
 /// What happened so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counters {
@@ -166,6 +139,8 @@
     pub(crate) exchange: crate::exchange::Clockwork,
     pub(crate) counters: Counters,
     removed: VecDeque<(ProcessName, Incarnation)>,
+    /// When a packet last came from each region.
+    reached: BTreeMap<String, Time>,
 }
 
 impl Members {
@@ -182,6 +157,7 @@
             index: HashMap::new(),
             regions: BTreeMap::new(),
             removed: VecDeque::new(),
+            reached: BTreeMap::new(),
             own,
             links,
             seeds,
@@ -371,6 +347,7 @@
     /// Announces that this process ends soon; from then on it refuses new work.
     pub fn begin_leaving(&mut self) {
         self.own.leaving = true;
+        self.exchange.allow_urgent();
         self.hot
             .push(Subject::Member(self.own.name.clone()), Class::Urgent);
     }
@@ -553,36 +530,43 @@
     }
 
     /// Turns suspicions that were not refuted in time into `gone`.
+    ///
+    /// A process of another region is given up only when that region was heard from since the
+    /// suspicion: otherwise the link to the region is the likelier cause, and giving its processes
+    /// up one by one would end with each side having forgotten the other.
     fn give_up(&mut self, now: Time) {
-        let mut regions: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-        let mut due = Vec::new();
-        for (at, entry) in self.entries.iter().enumerate() {
-            let silent = entry.record.liveness == Liveness::Suspect
-                && entry.heard.is_none_or(|heard| heard <= entry.since);
-            let count = regions.entry(self.region(&entry.record.zone)).or_default();
-            count.0 += usize::from(entry.record.liveness != Liveness::Gone);
-            count.1 += usize::from(silent);
-            if silent && now.since(entry.since) >= SUSPICION {
-                due.push(at);
-            }
-        }
-        // When most of a region is silent, the link to it is the likelier cause. Its processes
-        // stay suspects, which spares thousands of changes when the link heals.
-        due.retain(|at| {
-            let zone = &self.entries[*at].record.zone;
-            let (all, silent) = regions[self.region(zone)];
-            self.region(zone) == self.region(&self.own.zone) || silent * 2 <= all || all < 4
+        let own = self.region(&self.own.zone);
+        let due = self.entries.iter().filter(|entry| {
+            let region = self.region(&entry.record.zone);
+            let reached = self.reached.get(region);
+            entry.record.liveness == Liveness::Suspect
+                && entry.heard.is_none_or(|heard| heard <= entry.since)
+                && now.since(entry.since) >= SUSPICION
+                && (region == own || reached.is_some_and(|heard| *heard > entry.since))
         });
-        let gone: Vec<_> = due
-            .into_iter()
-            .map(|at| self.entries[at].record.clone())
-            .collect();
+        let gone: Vec<_> = due.map(|entry| entry.record.clone()).collect();
         for mut record in gone {
             record.liveness = Liveness::Gone;
             self.merge(&record, now);
         }
     }
 
+    /// A packet came from the process itself: it runs, whatever was remembered of it.
+    pub(crate) fn hear(&mut self, from: &Record, now: Time) {
+        self.removed.retain(|(name, _)| *name != from.name);
+        self.merge(from, now);
+        if let Some(&at) = self.index.get(&from.name) {
+            let entry = &mut self.entries[at];
+            if entry.record.incarnation == from.incarnation {
+                entry.heard = Some(now);
+            }
+        }
+        let region = self.region(&from.zone).to_owned();
+        if self.reached.len() < MAX_REGIONS || self.reached.contains_key(&region) {
+            self.reached.insert(region, now);
+        }
+    }
+
     /// The process was paused: what it remembers is old, and others may have given it up.
     pub(crate) fn resume(&mut self) {
         self.counters.pauses += 1;
--- a/core/tests/member.rs
+++ b/core/tests/member.rs
@@ -276,6 +276,32 @@
     }
 }
 
+/// Guards against sides of a long split that give each other up, are forgotten, and never meet
+/// again: with 210 members and an hour, each region had forgotten the others.
+#[test]
+fn regions_find_each_other_after_a_long_split() {
+    let mut fleet = Fleet::new(3, RegionLinks::EveryProcess);
+    for at in 0..40 {
+        // Without a document each zone counts as a region.
+        fleet.add(&format!("p{at}"), Role::Router, &format!("z{}", at % 8));
+        fleet.now = fleet.now + Duration::from_micros(1);
+    }
+    fleet.run(Duration::from_secs(10));
+    // More processes elsewhere than one region can probe before the first suspicions are old.
+    let side = |side: usize| (0..40).filter(|at| at % 8 == side).collect();
+    fleet.split = (0..8).map(side).collect();
+    // Longer than gone entries are kept.
+    fleet.run(Duration::from_secs(930));
+    fleet.split.clear();
+    fleet.run(Duration::from_secs(60));
+    for at in 0..40 {
+        for other in (0..40).filter(|other| *other != at) {
+            let state = fleet.state(at, &format!("p{other}"));
+            assert_eq!(state, Some(State::Alive), "p{at} of p{other}");
+        }
+    }
+}
+
 /// Guards against a checker that accepts everything: leaving that does not travel, and verdicts
 /// that are withdrawn on their way, are both found.
 #[test]
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -5,9 +5,10 @@
 use ebonyfall_core::{
     dissemination::{Item, ItemKey, Store, Value},
     exchange::Outgoing,
-    member::{Counters, ListedVm, Members, Observation, RegionLinks, Standing},
+    member::{Counters, ListedVm, Members, Observation, RegionLinks},
     name::{TargetName, ZoneName},
     record::{Liveness, Record, Role, State},
+    standing::Standing,
 };
 use ebonyfall_wire::{
     frame::{WIRE_MAX, WIRE_MIN},
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -10,9 +10,10 @@
     code::Code,
     doc::Runs,
     id::ChatId,
-    member::{Observation, Standing},
+    member::Observation,
     name::{TargetName, VersionName},
     place::{Candidate, Table},
+    standing::Standing,
 };
 use ebonyfall_wire::frame::Load;
 use serde::Serialize;
