--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -34,6 +34,9 @@
 const TICK: Duration = Duration::from_millis(200);
 /// Messages that may wait for the task.
 const QUEUE_LEN: usize = 1_024;
+/// Processes of each region that send to other regions: one may be paused and another replaced at
+/// the same time.
+const RELAYS: usize = 3;
 /// Room for a datagram; a longer one is cut and then does not verify.
 const BUFFER: usize = 2_048;
 
@@ -110,7 +113,7 @@
             liveness: Liveness::Alive,
         };
         let task = Task {
-            members: Members::new(own, local.seeds, RegionLinks::default()),
+            members: Members::new(own, local.seeds, RegionLinks::Relays(RELAYS)),
             socket,
             sealer: Sealer::new(keys.clone(), incarnation),
             opener: Opener::new(keys),
