Merge membership, gossip and control links

The picker gives new work to targets in the best state that membership knows.

Cause of a failure after the merge: membership said that the only target of a zone was leaving while its agent restarted, which the picker took for the end of the zone; with three such zones all were ramping and requests got NoTarget (about 1,300 refusals while three agents restarted 2.5 s apart). Ruled out: late news of the restart, since serving leaving targets as a last resort did not help alone. A zone now counts as left only with more than one target.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -12,6 +12,7 @@
     id::AttemptId,
     load::OwnBound,
     name::TargetName,
+    peer::Role,
 };
 use ebonyfall_wire::frame::{Load, MAX_PART, Submit, ToAgent, ToRouter};
 use http::{Response, header::CONTENT_TYPE};
@@ -28,11 +29,14 @@
 use crate::{
     admin::Admin,
     clock::{self, Clock},
+    control::Control,
     engine::{self, Backend, Status},
     gate::{Entry, Gate, Handover},
+    gossip::Gossip,
     guard::Guard,
     link::{Identity, Link},
     metrics::Metrics,
+    peers::{self, JoinError, Joined, Joining},
     platform::Platform,
     pointers::PointerTask,
     session::Session,
@@ -62,6 +66,12 @@
         /// The system's error.
         source: io::Error,
     },
+    /// The process cannot join the others.
+    #[snafu(display("{source}"))]
+    Join {
+        /// What is wrong.
+        source: JoinError,
+    },
     /// The document does not name the target.
     #[snafu(display("the document names no target {target}; add it or correct the settings"))]
     UnknownTarget {
@@ -89,6 +99,8 @@
     guard: Guard,
     views: Views,
     pointers: PointerTask,
+    control: Control,
+    gossip: Gossip,
     backend: Backend,
     metrics: Metrics,
     log: Logger,
@@ -107,11 +119,34 @@
     let clock = Clock::start();
     let platform = Platform::new(&cfg.common.platform);
     let metrics = Metrics::new();
-    let config = view::follow(platform, &cfg.common.name, metrics.clone(), log.clone());
+    let config = view::follow(
+        platform.clone(),
+        &cfg.common.name,
+        metrics.clone(),
+        log.clone(),
+    );
     let mut views = config.views().clone();
     let incarnation = view::incarnation(clock::unix_time());
     // The gate starts when the document has told the target's capacity.
     let (gate_tx, gate_rx) = watch::channel(None::<Gate>);
+    let own_target = cfg.target.as_str() != cfg.common.name.as_str();
+    let Joined {
+        identity,
+        gossip,
+        control,
+    } = peers::join(Joining {
+        common: &cfg.common,
+        incarnation,
+        role: Role::Agent(own_target.then(|| cfg.target.clone())),
+        listen: cfg.listen,
+        config: config.clone(),
+        platform,
+        metrics: metrics.clone(),
+        stop: stop.clone(),
+        log: log.clone(),
+    })
+    .await
+    .context(JoinSnafu)?;
     let admin = Admin::new("agent", &cfg.common, incarnation, config, metrics.clone()).with_part(
         "gate",
         move || {
@@ -152,11 +187,9 @@
         guard: Guard::start(incarnation),
         gate,
         target: cfg.target,
-        identity: Identity {
-            name: cfg.common.name,
-            incarnation,
-            keys: cfg.common.keys,
-        },
+        identity,
+        control,
+        gossip,
         views: views.clone(),
         pointers: PointerTask::start(clock),
         backend: Backend::new(cfg.backend),
@@ -195,6 +228,7 @@
     ) -> Result<(), AgentError> {
         // Without the sender the process is ending anyway.
         let _ended = stop.wait_for(|stop| *stop).await;
+        self.gossip.leave().await;
         let left = self.gate.drain(drain).await;
         // Requests that were on their way meanwhile get a refusal that is certain instead of a
         // broken connection.
@@ -258,6 +292,11 @@
                 Ok(ToAgent::Submit(submit)) => self.request(link, *submit).await,
                 Ok(ToAgent::Resume { attempt, offset }) => self.resume(link, attempt, offset).await,
                 Ok(ToAgent::Cancel { .. }) => None,
+                Ok(ToAgent::Control(ask)) => {
+                    let answer = self.control.answer(&ask).await;
+                    let sent = link.send(&answer).await;
+                    sent.is_ok().then_some((link, None))
+                }
                 Ok(ToAgent::Void(claim)) => {
                     let link = self.void(link, claim).await;
                     link.map(|link| (link, None))
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -41,6 +41,12 @@
     pub mismatches: Counter,
     /// Connections and frames dropped because they did not verify.
     pub rejected_frames: Counter,
+    /// Bytes of datagrams sent.
+    pub gossip_sent: Counter,
+    /// Bytes of datagrams received.
+    pub gossip_received: Counter,
+    /// Datagrams dropped because they did not verify.
+    pub gossip_dropped: Counter,
     /// Offset of the configuration in force.
     pub configuration_offset: Gauge,
     /// 1 while the log ends before records that were read from it.
@@ -102,8 +108,21 @@
             "Configuration records that were found invalid, by cause",
             rejects.clone(),
         );
+        let [gossip_sent, gossip_received, gossip_dropped] = [
+            ("gossip_sent_bytes", "Bytes of datagrams sent"),
+            ("gossip_received_bytes", "Bytes of datagrams received"),
+            ("gossip_dropped", "Datagrams that did not verify"),
+        ]
+        .map(|(name, help)| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        });
         Self {
             registry: Arc::new(registry),
+            gossip_sent,
+            gossip_received,
+            gossip_dropped,
             results,
             open,
             retries,
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -12,20 +12,24 @@
     doc::{Runs, ZoneState},
     id::ChatId,
     load::PoolLoad,
-    name::{TargetName, VersionName, VmName},
+    member::Observation,
+    name::{TargetName, VersionName},
+    peer::State as Liveness,
     place::{Candidate, Table},
+    standing::Standing,
     zone::Zones,
 };
 use ebonyfall_wire::frame::Load;
 use serde::Serialize;
 use tokio::{
     runtime::Handle,
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     task::spawn_blocking,
 };
 
 use crate::{
     clock::Clock,
+    gossip::Gossip,
     view::{Pool, View, Views},
 };
 
@@ -129,9 +133,6 @@
         pool: Pool,
         table: Box<Table>,
     },
-    Leaving {
-        vms: HashSet<VmName>,
-    },
     Dump {
         reply: oneshot::Sender<PickerDump>,
     },
@@ -139,17 +140,20 @@
 
 /// Chooses targets.
 #[derive(Debug, Clone)]
-pub struct Picker(mpsc::Sender<Ask>);
+pub struct Picker {
+    tx: mpsc::Sender<Ask>,
+    gossip: Gossip,
+}
 
 impl Picker {
     /// Starts the task; it ends when the last handle is dropped.
-    pub fn start(views: Views, clock: Clock) -> Self {
+    pub fn start(views: Views, clock: Clock, gossip: Gossip) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let state = State {
             views,
             view: None,
             zones: Zones::default(),
-            leaving: HashSet::new(),
+            standing: gossip.standing(),
             pools: HashMap::new(),
             building: HashSet::new(),
             clock,
@@ -157,7 +161,7 @@
             tx: tx.downgrade(),
         };
         tokio::spawn(run(state, rx));
-        Self(tx)
+        Self { tx, gossip }
     }
 
     /// Chooses a target of `pool` for `chat`, whose `first` request this may be, that is not among
@@ -181,7 +185,7 @@
             tried,
             reply,
         };
-        self.0
+        self.tx
             .send(ask)
             .await
             .map_err(|_ended| Code::ShuttingDown)?;
@@ -190,17 +194,23 @@
 
     /// Reports the load that came with an answer.
     pub async fn heard(&self, target: TargetName, load: Load) {
-        let _ended = self.0.send(Ask::Heard { target, load }).await;
+        self.gossip.observe(&target, Observation::Answered);
+        let _ended = self.tx.send(Ask::Heard { target, load }).await;
+    }
+
+    /// Reports that a connection to the target's agent failed.
+    pub fn link_failed(&self, target: &TargetName) {
+        self.gossip.observe(target, Observation::LinkFailed);
     }
 
     /// Reports the sums over a pool that came by gossip.
     pub async fn heard_pool(&self, pool: Pool, load: PoolLoad) {
-        let _ended = self.0.send(Ask::HeardPool { pool, load }).await;
+        let _ended = self.tx.send(Ask::HeardPool { pool, load }).await;
     }
 
     /// Reports an agent's hint that `target` is the one to try next for `chat`.
     pub async fn hint(&self, pool: Pool, chat: ChatId, target: TargetName) {
-        let _ended = self.0.send(Ask::Hint { pool, chat, target }).await;
+        let _ended = self.tx.send(Ask::Hint { pool, chat, target }).await;
     }
 
     /// Reports that `target` serves `chat`; returns the agents that have to be told.
@@ -212,19 +222,14 @@
             target,
             reply,
         };
-        let _ended = self.0.send(ask).await;
+        let _ended = self.tx.send(ask).await;
         answer.await.unwrap_or_default()
     }
 
-    /// Replaces the set of VMs whose targets get no new work.
-    pub async fn leaving(&self, vms: HashSet<VmName>) {
-        let _ended = self.0.send(Ask::Leaving { vms }).await;
-    }
-
     /// The task's state.
     pub async fn dump(&self) -> PickerDump {
         let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Ask::Dump { reply }).await;
+        let _ended = self.tx.send(Ask::Dump { reply }).await;
         answer.await.unwrap_or_default()
     }
 }
@@ -233,7 +238,7 @@
     views: Views,
     view: Option<Arc<View>>,
     zones: Zones,
-    leaving: HashSet<VmName>,
+    standing: watch::Receiver<Arc<Standing>>,
     pools: HashMap<Pool, Placement>,
     /// Pools whose table is being built by another thread.
     building: HashSet<Pool>,
@@ -251,6 +256,10 @@
                 state.refresh();
                 continue;
             }
+            Ok(()) = state.standing.changed() => {
+                state.refresh();
+                continue;
+            }
         };
         let Some(ask) = ask else { return };
         if state.view.is_none() || state.views.has_changed().unwrap_or(false) {
@@ -312,33 +321,29 @@
                     }
                 }
             }
-            Ask::Leaving { vms } => {
-                if vms != self.leaving {
-                    self.leaving = vms;
-                    self.refresh();
-                }
-            }
             Ask::Dump { reply } => {
                 let _caller_gone = reply.send(self.dump());
             }
         }
     }
 
-    /// Takes the newest view and the VMs that are leaving.
+    /// Takes the newest view and what membership says of the targets.
     fn refresh(&mut self) {
         self.view.clone_from(&self.views.borrow_and_update());
         let Some(view) = self.view.clone() else {
             return;
         };
         let now = self.clock.now();
+        let standing = self.standing.borrow_and_update().clone();
         let document = &view.document;
         let ramp = document.limits.zone_ramp;
         self.zones.retain(|zone| document.zones.contains_key(zone));
         for (name, zone) in &document.zones {
-            let mut targets = document.targets.values().filter(|t| t.zone == *name);
-            let left = !self.leaving.is_empty()
-                && targets.clone().next().is_some()
-                && targets.all(|target| self.leaving.contains(&target.vm));
+            let mut targets = document.targets.iter().filter(|(_, t)| t.zone == *name);
+            // The restart of a zone's only target is not the end of the zone.
+            let left = targets.clone().count() > 1
+                && targets
+                    .all(|(target, _)| standing.avoid.get(target) == Some(&Liveness::Leaving));
             let state = if left { ZoneState::Out } else { zone.state };
             self.zones.set(name, state, ramp, now);
         }
@@ -368,17 +373,31 @@
         }
     }
 
+    /// The targets of a pool. Those in the best state get new work. When all of them seem to be
+    /// gone or leaving, they get it all the same: this process may be the one that is cut off, or
+    /// not have heard of a restart, and an agent that is leaving refuses by itself.
     fn members(&self, view: &View, pool: &Pool) -> Vec<Member> {
+        let standing = self.standing.borrow();
+        let rank = |name: &TargetName| match standing.avoid.get(name) {
+            None | Some(Liveness::Alive) => 0,
+            Some(Liveness::Suspect | Liveness::Gone) => 1,
+            Some(Liveness::Leaving) => 2,
+        };
         let targets = view.document.targets.iter();
-        let targets = targets.filter(|(_, target)| pool.contains(&target.runs));
+        let targets: Vec<_> = targets
+            .filter(|(_, target)| pool.contains(&target.runs))
+            .map(|(name, target)| (name, target, rank(name)))
+            .collect();
+        let best = targets.iter().map(|(_, _, rank)| *rank).min();
         targets
-            .map(|(name, target)| Member {
+            .into_iter()
+            .map(|(name, target, rank)| Member {
                 candidate: Candidate {
                     name: name.clone(),
                     zone: target.zone.clone(),
                     weight: f64::from(target.slots),
                 },
-                serving: !self.leaving.contains(&target.vm),
+                serving: Some(rank) == best,
             })
             .collect()
     }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -376,6 +376,7 @@
         match Link::dial(&self.relay.identity, choice.agent).await {
             Ok(link) => Some(link),
             Err(error) => {
+                self.relay.picker.link_failed(&choice.target);
                 debug!(self.relay.log, "cannot connect"; "target" => %choice.target, "error" => %error);
                 None
             }
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
+use ebonyfall_core::peer::Role;
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::{sync::watch, time::timeout};
@@ -11,9 +12,9 @@
     claims::Claims,
     clock::{self, Clock},
     front,
-    link::Identity,
     links::Links,
     metrics::Metrics,
+    peers::{self, JoinError, Joined, Joining},
     picker::Picker,
     platform::Platform,
     relay::Relay,
@@ -33,6 +34,12 @@
         /// The system's error.
         source: io::Error,
     },
+    /// The process cannot join the others.
+    #[snafu(display("{source}"))]
+    Join {
+        /// What is wrong.
+        source: JoinError,
+    },
     /// The shutdown ended with requests left over.
     #[snafu(display(
         "{left} requests were left when the shutdown ended; raise drain in the settings"
@@ -63,8 +70,28 @@
         log.clone(),
     );
     let views = config.views().clone();
+    let Joined {
+        identity, gossip, ..
+    } = peers::join(Joining {
+        common: &cfg.common,
+        incarnation,
+        role: Role::Router,
+        listen: cfg.listen,
+        config: config.clone(),
+        platform: platform.clone(),
+        metrics: metrics.clone(),
+        stop: stop.clone(),
+        log: log.clone(),
+    })
+    .await
+    .context(JoinSnafu)?;
     let address = cfg.common.admin;
+    let members = gossip.clone();
     Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
+        .with_part("gossip", move || {
+            let gossip = members.clone();
+            async move { gossip.dump().await }
+        })
         .with_api(platform.clone(), cfg.processes)
         .start(address, stop.clone(), log.clone())
         .await
@@ -76,13 +103,8 @@
         _ = ready.wait_for(Option::is_some) => {}
         _ = stop.wait_for(|stop| *stop) => return Ok(()),
     }
-    let picker = Picker::start(views.clone(), Clock::start());
+    let picker = Picker::start(views.clone(), Clock::start(), gossip.clone());
     let open = metrics.open.clone();
-    let identity = Identity {
-        name: cfg.common.name,
-        incarnation,
-        keys: cfg.common.keys,
-    };
     // Without a view of the live routers each one appends its claims itself.
     let (_peers, peers) = watch::channel([].into());
     let claims = Claims::start(
@@ -111,9 +133,13 @@
     let serving = web::serve(listener, routes, stop.clone(), log);
     tokio::pin!(serving);
     tokio::select! {
-        () = &mut serving => return Ok(()),
+        () = &mut serving => {
+            gossip.leave().await;
+            return Ok(());
+        }
         _ = stop.wait_for(|stop| *stop) => {}
     }
+    gossip.leave().await;
     if timeout(cfg.common.drain, serving).await.is_ok() {
         return Ok(());
     }
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -274,7 +274,15 @@
         let agents = daemons.iter().map(|agent| agent.admin);
         let admins = agents.chain(router_addresses.iter().map(|[_, admin]| *admin));
         let admins: Vec<_> = admins.map(|address| address.to_string()).collect();
-        let own = format!("processes = {}\n", admins.join(", "));
+        let seeds: Vec<_> = daemons
+            .iter()
+            .take(3)
+            .map(|agent| agent.listen.to_string())
+            .collect();
+        let mut own = format!("processes = {}\n", admins.join(", "));
+        if !seeds.is_empty() {
+            let _infallible = writeln!(own, "seeds = {}", seeds.join(", "));
+        }
         let mut routers = Vec::new();
         for (index, addresses) in (0..).zip(router_addresses) {
             let name = format!("router-{index}");
@@ -284,7 +292,7 @@
                 &plan.zone(index),
                 addresses,
                 &platform_url,
-                &own,
+                &format!("{own}gossip = {}\n", free_address()),
             )?;
             let program = plan.programs.join("ebonyfall-router");
             routers.push(Daemon::start(&program, &name, addresses, settings)?);
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -15,6 +15,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::control::ToPeer;
+
 /// Oldest wire version that this build speaks.
 pub const WIRE_MIN: u16 = 1;
 /// Newest wire version that this build speaks.
@@ -113,6 +115,8 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// A peer's question, where peers and routers share an address.
+    Control(ToPeer),
     /// Never run the request of this claim.
     Void(ClaimRef),
     /// The context of a chat has moved from its home target, which gets this notice, to another.
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,5 +4,7 @@
 
 pub mod auth;
 pub mod claims;
+pub mod control;
 pub mod frame;
+pub mod gossip;
 pub mod record;
