Follow version moves in the routers

Cause: the share, the evidence and the verdict of a version move were decided in the core but nothing used them, so that targets of a new version took their full part of a model's traffic.

Each router compares the requests that it served by either version, writes a verdict to the facts stream and sends it by gossip at once; routers that start read the stream. Pools are now per version, and a chat changes its version once while the share rises.

Figures: a version that fails half of its requests at a share of 30 % gets no request 12 s after the start, nor after a restart of every router.

--- a/bench/src/claims.rs
+++ b/bench/src/claims.rs
@@ -121,6 +121,7 @@
         let routers = u32::try_from(routers)?;
         let folder = tempfile::tempdir()?;
         let deployment = Deployment::start(&Plan {
+            new_engines: (0, EngineConfig::default()),
             programs: programs()?,
             folder: folder.path().to_owned(),
             zones: vec!["a".to_owned()],
--- a/bench/src/config.rs
+++ b/bench/src/config.rs
@@ -323,6 +323,7 @@
 async fn in_force(routers: u32, changes: u32) -> Result<InForce, Box<dyn Error>> {
     let folder = tempfile::tempdir()?;
     let deployment = Deployment::start(&Plan {
+        new_engines: (0, EngineConfig::default()),
         programs: programs()?,
         folder: folder.path().to_owned(),
         zones: ["hobart-a", "glenorchy-b", "kingston-c"]
--- a/bench/src/demo.rs
+++ b/bench/src/demo.rs
@@ -58,6 +58,7 @@
 pub async fn run(args: DemoArgs) -> Result<bool, Box<dyn Error>> {
     let folder = tempfile::tempdir()?;
     let deployment = Deployment::start(&Plan {
+        new_engines: (0, EngineConfig::default()),
         programs: programs()?,
         folder: folder.path().to_owned(),
         zones: ["hobart-a", "glenorchy-b", "kingston-c"]
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -133,6 +133,7 @@
 
 async fn deploy(folder: &Path, token_us: u64) -> Result<Deployment, Box<dyn Error>> {
     let plan = Plan {
+        new_engines: (0, EngineConfig::default()),
         programs: demo::programs()?,
         folder: folder.to_owned(),
         zones: vec!["hobart-a".to_owned()],
--- a/bench/src/processes.rs
+++ b/bench/src/processes.rs
@@ -49,6 +49,7 @@
     let routers = u32::try_from(count / 4)?;
     let folder = tempfile::tempdir()?;
     let mut deployment = Deployment::start(&Plan {
+        new_engines: (0, EngineConfig::default()),
         programs: programs()?,
         folder: folder.path().to_owned(),
         zones: ["a", "b", "c"].map(str::to_owned).to_vec(),
--- a/core/src/choose.rs
+++ b/core/src/choose.rs
@@ -65,6 +65,9 @@
     if home { Reason::Home } else { Reason::Fallback }
 }
 
+/// An absence after which a target's chats are taken to have found other targets.
+const BRIEF_ABSENCE: Duration = Duration::from_secs(60);
+
 #[derive(Debug, Clone, Copy, Default)]
 struct State {
     load: TargetLoad,
@@ -74,10 +77,26 @@
     share: f64,
     /// When the target began to take work in a pool that was in service.
     joined: Option<Time>,
+    /// Since when membership has kept the target from new work.
+    absent: Option<Time>,
     /// Whether chats in use have had time to leave their pointers with the target.
     settled: bool,
 }
 
+impl State {
+    /// Follows membership; true when the target is back after a short absence, in which its caches
+    /// have stayed warm and most of its chats have not left.
+    fn was_absent_briefly(&mut self, now: Time) -> bool {
+        if !self.serving {
+            self.absent.get_or_insert(now);
+            return false;
+        }
+        self.absent
+            .take()
+            .is_some_and(|since| now.since(since) < BRIEF_ABSENCE)
+    }
+}
+
 /// A table that is still to be built.
 #[derive(Debug)]
 pub struct Build {
@@ -229,7 +248,8 @@
             } else {
                 0.0
             };
-            if state.share <= 0.0 && share > 0.0 {
+            let brief = state.was_absent_briefly(now);
+            if state.share <= 0.0 && share > 0.0 && !brief {
                 state.joined = Some(now);
             }
             state.share = share;
--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     doc::ZoneState,
-    id::{Fingerprint, Incarnation, Offset},
+    id::{Declaration, Fingerprint, Incarnation, Offset},
     name::{ModelName, MoveName, ProcessName, RouteName, ZoneName},
     peer::Record,
 };
@@ -57,8 +57,8 @@
 /// Identifies an item; items of one key merge. The order is that of urgency.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum ItemKey {
-    /// The verdict on a move that was declared at an offset of the configuration.
-    Verdict(MoveName, Offset),
+    /// The verdict on a move of these versions.
+    Verdict(MoveName, Declaration),
     /// A quarantined request.
     Quarantine(Fingerprint),
     /// Whether a zone takes work.
--- a/core/src/id.rs
+++ b/core/src/id.rs
@@ -99,6 +99,25 @@
     }
 }
 
+/// The model and versions of a version move, hashed; a verdict holds for these alone.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:016x}")]
+pub struct Declaration(u64);
+
 /// A hash of a team and a request's content, by which a repeated request is recognised.
 #[derive(
     Debug,
--- a/core/src/rollout.rs
+++ b/core/src/rollout.rs
@@ -10,11 +10,11 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 use crate::{
     doc::{Intent, Move, Priority},
-    id::ChatId,
+    id::{ChatId, Declaration},
     name::MoveName,
     sequential::{Baseline, Check, Scores, Sums},
     tally::{History, Sample},
@@ -78,14 +78,12 @@
 /// Facts about a move beyond the document.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Facts {
-    /// When the move was published, in seconds since the Unix epoch.
-    pub published: u64,
-    /// When the present intent was published, in seconds since the Unix epoch.
+    /// When the present intent was first seen, in seconds since the Unix epoch.
     pub intent_since: u64,
     /// When enough evidence in favour was first known, in seconds since the Unix epoch.
     pub cleared: Option<u64>,
-    /// The verdict against the new version.
-    pub verdict: Option<Verdict>,
+    /// Whether there is a verdict against the new version.
+    pub faulty: bool,
     /// The part of the model's traffic that the new version's warm targets can bear, 0 to 1.
     pub capacity: f64,
 }
@@ -93,7 +91,7 @@
 /// The share of the traffic that goes to the new version, from 0 to 1, at `now` in seconds since
 /// the Unix epoch.
 pub fn share(step: &Move, facts: &Facts, now: u64) -> f64 {
-    if facts.verdict.is_some() || step.intent == Intent::Back {
+    if facts.faulty || step.intent == Intent::Back {
         return 0.0;
     }
     let now = if step.intent == Intent::Hold {
@@ -118,15 +116,24 @@
         return 0.0;
     }
     let elapsed = now.saturating_sub(cleared) as f64;
-    let span = step.due.saturating_sub(facts.published) as f64;
-    let end = step.due as f64 - RESERVE * span;
-    let left = end - cleared as f64;
+    let left = step.due.saturating_sub(cleared) as f64 * (1.0 - RESERVE);
     let doublings = (1.0 / start).log2();
     let fastest = doublings * DOUBLING.as_secs_f64();
     let progress = elapsed / left.max(fastest);
     start * (1.0 / start).powf(progress.min(1.0))
 }
 
+/// Identifies the model and versions of a move, so that a verdict does not hold for another
+/// version under the same name.
+pub fn declaration(step: &Move) -> Declaration {
+    let mut hasher = Xxh3::new();
+    for part in [step.model.as_str(), step.from.as_str(), step.to.as_str()] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.digest().into()
+}
+
 /// Whether `chat` is served by the new version at this share.
 pub fn takes_new(name: &MoveName, chat: ChatId, share: f64) -> bool {
     let hash = xxh3_64_with_seed(name.as_str().as_bytes(), chat.into());
@@ -138,7 +145,7 @@
 /// The phase that operators read back.
 pub fn phase(step: &Move, facts: &Facts, now: u64) -> Phase {
     let share = share(step, facts, now);
-    if facts.verdict.is_some() || step.intent == Intent::Back {
+    if facts.faulty || step.intent == Intent::Back {
         Phase::RolledBack
     } else if share >= 1.0 {
         Phase::Done
--- a/src/front.rs
+++ b/src/front.rs
@@ -83,9 +83,20 @@
 struct ChatRequest {
     model: String,
     #[serde(default)]
+    stream: bool,
+    #[serde(default)]
     messages: Vec<Message>,
 }
 
+/// What routing needs to know of a model request.
+struct ModelRequest {
+    model: ModelName,
+    chat: ChatId,
+    /// Whether it opens its chat.
+    first: bool,
+    streamed: bool,
+}
+
 #[derive(Deserialize, serde::Serialize)]
 struct Message {
     role: String,
@@ -142,9 +153,14 @@
                 .to_owned(),
             body,
         };
+        let mut streamed = false;
         let (pool, chat, first, repeat) = if uri.path() == CHAT_PATH && method == Method::POST {
-            let (model, chat, first) = model_request(&view, &name, &team, &headers, &call.body)?;
-            (Pool::Model(model), chat, first, Repeat::Idempotent)
+            let req = model_request(&view, &name, &team, &headers, &call.body)?;
+            streamed = req.streamed;
+            let usual = &view.document.models[&req.model].version;
+            let version = self.relay.rollouts.version(&req.model, usual, req.chat);
+            let pool = Pool::Model(req.model, version);
+            (pool, req.chat, req.first, Repeat::Idempotent)
         } else {
             let route = view
                 .route(method.as_str(), uri.path())
@@ -169,6 +185,7 @@
             pool,
             chat,
             first,
+            streamed,
             priority,
             repeat,
             left,
@@ -193,7 +210,7 @@
     team: &Team,
     headers: &HeaderMap,
     body: &Bytes,
-) -> Result<(ModelName, ChatId, bool), Refusal> {
+) -> Result<ModelRequest, Refusal> {
     let parsed: ChatRequest = serde_json::from_slice(body).map_err(|error| Refusal {
         code: Code::BadRequest,
         message: format!("the body is not a chat completion request: {error}"),
@@ -219,7 +236,12 @@
         }
     };
     let first = opening(&parsed.messages).len() == parsed.messages.len();
-    Ok((model, chat, first))
+    Ok(ModelRequest {
+        model,
+        chat,
+        first,
+        streamed: parsed.stream,
+    })
 }
 
 /// The messages up to and including the first user message; every later request repeats them.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod relay;
 pub mod remote;
 pub mod retrier;
+pub mod rollouts;
 pub mod router;
 pub mod session;
 pub mod settings;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,6 +11,8 @@
     id::{AttemptId, ChatId, Fingerprint, RequestId},
     name::{TargetName, TeamName, ZoneName},
     request::{Action, Event, Flow},
+    rollout::Lane,
+    tally::Sample,
 };
 use ebonyfall_wire::frame::{Call, Head, Load, Submit, ToAgent, ToRouter};
 use slog::{Logger, debug};
@@ -28,9 +30,12 @@
     metrics::Metrics,
     picker::{Choice, Picker},
     retrier::{self, Advice, Retrier},
+    rollouts::{Observed, Rollouts},
     view::{Pool, Views},
 };
 
+/// Lowest HTTP status by which an engine says that it failed.
+const SERVER_ERROR: u16 = 500;
 /// Parts of an answer that wait for a slow caller before the agent is slowed.
 const PARTS_IN_FLIGHT: usize = 8;
 /// Tries to replace a broken connection, and the pause between them.
@@ -50,6 +55,8 @@
     pub chat: ChatId,
     /// Whether it is the first request of its chat.
     pub first: bool,
+    /// Whether its answer is streamed.
+    pub streamed: bool,
     /// How urgent it is.
     pub priority: Priority,
     /// Whether it may run again.
@@ -95,6 +102,8 @@
     pub links: Links,
     /// Says what to avoid and whether to retry.
     pub retrier: Retrier,
+    /// Follows version moves.
+    pub rollouts: Rollouts,
     /// Counts results.
     pub metrics: Metrics,
     /// Keeps the time.
@@ -126,6 +135,7 @@
             load: Load::default(),
             crash: None,
             retry_after: Duration::ZERO,
+            progress: Progress::new(Instant::now()),
         };
         // A task of its own outlives the caller for long enough to cancel the back end's work.
         let open = self.metrics.open.clone();
@@ -220,6 +230,46 @@
     load: Load,
     crash: Option<Crash>,
     retry_after: Duration,
+    progress: Progress,
+}
+
+/// The times of an attempt's answer.
+#[derive(Debug, Clone, Copy)]
+struct Progress {
+    start: Instant,
+    first: Option<Instant>,
+    parts: u32,
+}
+
+impl Progress {
+    fn new(start: Instant) -> Self {
+        Self {
+            start,
+            first: None,
+            parts: 0,
+        }
+    }
+
+    fn part(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        self.parts += 1;
+    }
+
+    /// What a version is judged by; the time of a whole answer stands for that of its tokens where
+    /// it came in one piece.
+    fn sample(&self, failed: bool, now: Instant) -> Sample {
+        let first = self.first.unwrap_or(now);
+        let whole = now.duration_since(self.start);
+        let between = match self.parts {
+            0 | 1 => whole,
+            parts => now.duration_since(first) / (parts - 1),
+        };
+        Sample {
+            failed,
+            first: first.duration_since(self.start),
+            between,
+        }
+    }
 }
 
 impl Exchange {
@@ -320,6 +370,7 @@
         self.choice = Some(choice);
         self.link = None;
         self.crash = suspect;
+        self.progress = Progress::new(Instant::now());
         Event::Chosen { target, zone }
     }
 
@@ -428,6 +479,7 @@
                 data,
             }) => {
                 let len = data.len() as u64;
+                self.progress.part(Instant::now());
                 self.data = data;
                 Event::Part {
                     attempt,
@@ -473,6 +525,12 @@
             fingerprint: self.fingerprint,
         };
         self.relay.retrier.failed(failure).await;
+        if matches!(
+            code,
+            Code::EngineFailed | Code::EngineCrashed | Code::EngineTimeout | Code::StreamCut
+        ) {
+            self.observe(true, code != Code::EngineTimeout);
+        }
         if let Some(link) = self.link.take() {
             let target = choice.target.clone();
             self.relay.picker.heard(target, self.load).await;
@@ -480,7 +538,32 @@
         }
     }
 
+    /// Reports the attempt to the task that judges versions.
+    fn observe(&self, failed: bool, crashed: bool) {
+        let Some(choice) = &self.choice else { return };
+        let Pool::Model(model, version) = &self.job.pool else {
+            return;
+        };
+        let lane = Lane {
+            priority: self.job.priority,
+            streamed: self.job.streamed,
+        };
+        self.relay.rollouts.observe(Observed {
+            model: model.clone(),
+            version: version.clone(),
+            target: choice.target.clone(),
+            lane,
+            sample: self.progress.sample(failed, Instant::now()),
+            crashed,
+        });
+    }
+
     async fn finish(mut self, mut output: Output) {
+        let error = self
+            .head
+            .as_ref()
+            .is_some_and(|head| head.status >= SERVER_ERROR);
+        self.observe(error, false);
         // An empty answer has not started yet.
         output.give(self.head.as_ref(), Bytes::new()).await;
         self.relay.metrics.result("Ok");
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,6 +19,7 @@
     platform::Platform,
     relay::Relay,
     retrier::Retrier,
+    rollouts::Rollouts,
     settings::RouterConfig,
     view, web,
 };
@@ -85,13 +86,19 @@
     })
     .await
     .context(JoinSnafu)?;
+    let rollouts = Rollouts::start(views.clone(), gossip.clone(), platform.clone(), log.clone());
     let address = cfg.common.admin;
+    let moves = rollouts.clone();
     let members = gossip.clone();
     Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
         .with_part("gossip", move || {
             let gossip = members.clone();
             async move { gossip.dump().await }
         })
+        .with_part("moves", move || {
+            let rollouts = moves.clone();
+            async move { rollouts.dump().await }
+        })
         .with_api(platform.clone(), cfg.processes)
         .start(address, stop.clone(), log.clone())
         .await
@@ -121,6 +128,7 @@
         picker,
         links: Links::start(),
         retrier: Retrier::start(views.clone()),
+        rollouts,
         metrics,
         clock: Clock::start(),
         log: log.clone(),
--- a/src/view.rs
+++ b/src/view.rs
@@ -6,7 +6,7 @@
     config::{Digest, Entry, Refused, Snapshot, Tip},
     doc::{Document, KeyHash, Route, Runs},
     id::{Incarnation, Offset},
-    name::{ModelName, OperatorName, ProcessName, ServiceName, TeamName},
+    name::{ModelName, OperatorName, ProcessName, ServiceName, TeamName, VersionName},
 };
 use ebonyfall_wire::record;
 use serde::{Deserialize, Serialize};
@@ -34,8 +34,8 @@
 /// The targets among which one is chosen for a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Pool {
-    /// The engines of a model.
-    Model(ModelName),
+    /// The engines of a version of a model.
+    Model(ModelName, VersionName),
     /// The targets of a plain service.
     Service(ServiceName),
 }
@@ -44,7 +44,7 @@
     /// The pool of a target that runs `runs`.
     pub fn of(runs: &Runs) -> Self {
         match runs {
-            Runs::Engine { model, .. } => Self::Model(model.clone()),
+            Runs::Engine { model, version } => Self::Model(model.clone(), version.clone()),
             Runs::Service(service) => Self::Service(service.clone()),
         }
     }
@@ -52,7 +52,9 @@
     /// Whether a target that runs `runs` belongs to the pool.
     pub fn contains(&self, runs: &Runs) -> bool {
         match (self, runs) {
-            (Self::Model(name), Runs::Engine { model, .. }) => name == model,
+            (Self::Model(name, wanted), Runs::Engine { model, version }) => {
+                name == model && wanted == version
+            }
             (Self::Service(name), Runs::Service(service)) => name == service,
             _ => false,
         }
--- /dev/null
+++ b/tests/moves.rs
@@ -0,0 +1,98 @@
+//! Version moves with real processes.
+
+mod testenv;
+
+use std::time::Duration;
+
+use ebonyfall_bench::client::{Caller, messages};
+use ebonyfall_standin::engine::{EngineConfig, EngineStatus};
+use http_body_util::BodyExt;
+use testenv::{TestEnv, plan};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+/// A move that shows its fault soon: a large share from the start, and an hour until it is due.
+const MOVE: &str = "\
+[move labels-v2]
+model = labels
+from = v1
+to = v2
+due = 2099-01-01T00:00:00Z
+start-share = 30%
+";
+
+/// A deployment with two engines of each version, where the new ones fail as given.
+async fn start(fail_per_mille: u32) -> TestEnv {
+    let mut plan = plan(2, 0);
+    let new = EngineConfig {
+        fail_per_mille,
+        ..EngineConfig::default()
+    };
+    plan.new_engines = (2, new);
+    plan.document = MOVE.to_owned();
+    TestEnv::start(plan).await
+}
+
+/// Sends chats through both routers for a while.
+async fn load(env: &TestEnv, length: Duration) {
+    let end = Instant::now() + length;
+    let mut callers = JoinSet::new();
+    for index in 0..8_u64 {
+        let caller = env.caller(usize::from(index % 2 == 1));
+        callers.spawn(async move {
+            let mut chat = index;
+            while Instant::now() < end {
+                caller.chat(&messages(chat, 0, 4), 4, false).await;
+                chat += 8;
+            }
+        });
+    }
+    callers.join_all().await;
+}
+
+/// Requests that the engines of the new version have taken.
+async fn new_requests(env: &TestEnv) -> u64 {
+    let mut sum = 0;
+    for (address, _) in &env.deployment.engines[2..] {
+        let res = Caller::new(*address).send("GET", "/status", "", &[]).await;
+        let body = res.expect("the engine answers").into_body().collect().await;
+        let body = body.expect("the status is whole").to_bytes();
+        let status: EngineStatus = serde_json::from_slice(&body).expect("the status is JSON");
+        sum += status.requests;
+    }
+    sum
+}
+
+/// Guards against a faulty version that keeps its share, and against a verdict that a restarted
+/// router forgets.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_faulty_version_gets_no_more_requests() {
+    let mut env = start(500).await;
+    load(&env, Duration::from_secs(12)).await;
+    let before = new_requests(&env).await;
+    assert!(before > 0, "the new version got its share");
+    load(&env, Duration::from_secs(2)).await;
+    assert_eq!(new_requests(&env).await, before, "after the verdict");
+    for router in &mut env.deployment.routers {
+        router.restart().expect("the process starts");
+    }
+    sleep(Duration::from_secs(4)).await;
+    load(&env, Duration::from_secs(2)).await;
+    assert_eq!(
+        new_requests(&env).await,
+        before,
+        "after a restart of every router"
+    );
+}
+
+/// Guards against a good version that gets no traffic or is rolled back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_good_version_keeps_its_share() {
+    let env = start(0).await;
+    load(&env, Duration::from_secs(8)).await;
+    let before = new_requests(&env).await;
+    load(&env, Duration::from_secs(2)).await;
+    assert!(new_requests(&env).await > before);
+}
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -22,6 +22,7 @@
 pub fn plan(engines: u32, services: u32) -> Plan {
     let router = Path::new(env!("CARGO_BIN_EXE_ebonyfall-router"));
     Plan {
+        new_engines: (0, EngineConfig::default()),
         programs: router
             .parent()
             .expect("the program is in a folder")
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod auth;
 pub mod claims;
 pub mod control;
+pub mod facts;
 pub mod frame;
 pub mod gossip;
 pub mod record;
