Work out the capacity of each role and log stream

`ebonyfall-bench fit` computes slope, intercept and the largest residual, so that each fit can be repeated.

--- a/bench/src/claims.rs
+++ b/bench/src/claims.rs
@@ -58,6 +58,9 @@
     /// seed of the arrivals
     #[argh(option, default = "1")]
     seed: u64,
+    /// only print the resident bytes of a ledger of this many claims in a fresh process
+    #[argh(option)]
+    ledger: Option<u64>,
 }
 
 /// How an order is sent.
@@ -114,6 +117,12 @@
 ///
 /// Fails when the deployment cannot be started or a number cannot be read.
 pub async fn run(args: ClaimsArgs) -> Result<bool, Box<dyn Error>> {
+    if let Some(claims) = args.ledger {
+        let (ledger, bytes) = ledger_of(claims, &mut StdRng::seed_from_u64(args.seed))?;
+        println!("{bytes}");
+        drop(ledger);
+        return Ok(true);
+    }
     let limits = LogLimits::default();
     let cost = cost()?;
     let mut rows = Vec::new();
@@ -268,16 +277,7 @@
 #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
 fn cost() -> Result<Cost, Box<dyn Error>> {
     let mut rng = StdRng::seed_from_u64(1);
-    let before = resident()?;
-    let mut ledger = Ledger::new(Duration::from_secs(86_400));
-    for n in 0..LEDGER_CLAIMS {
-        ledger.apply(
-            n.into(),
-            1_800_000_000_000,
-            &[claim(rng.random(), rng.random())],
-        );
-    }
-    let resident_bytes = resident()?.saturating_sub(before);
+    let (ledger, resident_bytes) = ledger_of(LEDGER_CLAIMS, &mut rng)?;
     let per_claim = ledger.bytes() as f64 / ledger.len() as f64;
     let finished = Entry::Finished {
         key: KeyId::from(rng.random::<u128>()),
@@ -306,6 +306,20 @@
     })
 }
 
+/// A ledger of `claims` claims and the growth of resident memory that it caused, in bytes.
+fn ledger_of(claims: u64, rng: &mut StdRng) -> Result<(Ledger, u64), Box<dyn Error>> {
+    let before = resident()?;
+    let mut ledger = Ledger::new(Duration::from_secs(86_400));
+    for n in 0..claims {
+        ledger.apply(
+            n.into(),
+            1_800_000_000_000,
+            &[claim(rng.random(), rng.random())],
+        );
+    }
+    Ok((ledger, resident()?.saturating_sub(before)))
+}
+
 /// Resident memory of this process, in bytes.
 fn resident() -> Result<u64, Box<dyn Error>> {
     let status = fs::read_to_string("/proc/self/status")?;
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod config;
 pub mod demo;
+pub mod fit;
 pub mod load;
 pub mod moves;
 pub mod place;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{admit, claims, config, demo, load, moves, place};
+use ebonyfall_bench::{admit, claims, config, demo, fit, load, moves, place};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -19,6 +19,7 @@
     Claims(claims::ClaimsArgs),
     Config(config::ConfigArgs),
     Demo(demo::DemoArgs),
+    Fit(fit::FitArgs),
     Moves(moves::MovesArgs),
     Place(place::PlaceArgs),
     Admit(admit::AdmitArgs),
@@ -42,6 +43,7 @@
         Command::Claims(args) => runtime.block_on(claims::run(args))?,
         Command::Config(args) => runtime.block_on(config::run(args))?,
         Command::Demo(args) => runtime.block_on(demo::run(args))?,
+        Command::Fit(args) => fit::run(&args)?,
         Command::Moves(args) => moves::run(&args)?,
         Command::Place(args) => place::run(&args)?,
         Command::Admit(args) => admit::run(&args)?,
