--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{admit, claims, config, demo, gossip, load, moves, place};
+use ebonyfall_bench::{admit, claims, config, demo, fit, gossip, load, moves, place};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -20,6 +20,7 @@
     Config(config::ConfigArgs),
     Demo(demo::DemoArgs),
     Gossip(gossip::GossipArgs),
+    Fit(fit::FitArgs),
     Moves(moves::MovesArgs),
     Place(place::PlaceArgs),
     Admit(admit::AdmitArgs),
@@ -44,6 +45,7 @@
         Command::Config(args) => runtime.block_on(config::run(args))?,
         Command::Demo(args) => runtime.block_on(demo::run(args))?,
         Command::Gossip(args) => runtime.block_on(gossip::run(args))?,
+        Command::Fit(args) => fit::run(&args)?,
         Command::Moves(args) => moves::run(&args)?,
         Command::Place(args) => place::run(&args)?,
         Command::Admit(args) => admit::run(&args)?,
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -31,7 +31,7 @@
         ..EngineConfig::default()
     };
     plan.new_engines = (2, new);
-    plan.document = MOVE.to_owned();
+    MOVE.clone_into(&mut plan.document);
     TestEnv::start(plan).await
 }
 
