Spread quarantines of crashing requests by gossip

Cause: a request was held only by the router that had seen both crashes, so that another router let it crash more targets.

Tried and taken back: the sums of loads by gossip for the agents' load bound. The bound needs a floor in requests before agents can apply it; routers go on applying it alone.

--- a/core/src/crash.rs
+++ b/core/src/crash.rs
@@ -57,6 +57,15 @@
         self.crashes.truncate(PROOF);
     }
 
+    /// Since when the request is held: the second target's crash.
+    pub fn held_since(&self) -> Option<Time> {
+        let held = self.crashes.len() >= PROOF;
+        self.crashes
+            .first()
+            .filter(|_| held)
+            .map(|crash| crash.time)
+    }
+
     fn prune(&mut self, from: Time) {
         let cleared = self.cleared;
         self.crashes
--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -386,6 +386,15 @@
         }
     }
 
+    /// Requests that are quarantined at `unix` seconds since the Unix epoch.
+    pub fn quarantined(&self, unix: u64) -> impl Iterator<Item = Fingerprint> {
+        let keys = self.items.keys().filter_map(|key| match key {
+            ItemKey::Quarantine(fingerprint) => Some(*fingerprint),
+            _ => None,
+        });
+        keys.filter(move |fingerprint| self.is_quarantined(*fingerprint, unix))
+    }
+
     /// Running requests and capacity of `model` over all zones, from the zones' sums.
     pub fn load(&self, model: &ModelName) -> (u64, u64) {
         let sums = self
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -347,11 +347,7 @@
             let state = if left { ZoneState::Out } else { zone.state };
             self.zones.set(name, state, ramp, now);
         }
-        let pools: HashSet<_> = document
-            .targets
-            .values()
-            .map(|target| Pool::of(&target.runs))
-            .collect();
+        let pools = view.pools();
         self.pools.retain(|pool, _| pools.contains(pool));
         for pool in pools {
             let members = self.members(&view, &pool);
--- /dev/null
+++ b/src/progress.rs
@@ -0,0 +1,45 @@
+//! Times of an answer, by which versions are judged.
+
+use ebonyfall_core::tally::Sample;
+use tokio::time::Instant;
+
+/// The times of an attempt's answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Progress {
+    start: Instant,
+    first: Option<Instant>,
+    parts: u32,
+}
+
+impl Progress {
+    /// Starts with the attempt.
+    pub fn new(start: Instant) -> Self {
+        Self {
+            start,
+            first: None,
+            parts: 0,
+        }
+    }
+
+    /// Notes a part of the answer.
+    pub fn part(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        self.parts += 1;
+    }
+
+    /// What a version is judged by; the time of a whole answer stands for that of its tokens where
+    /// it came in one piece.
+    pub fn sample(&self, failed: bool, now: Instant) -> Sample {
+        let first = self.first.unwrap_or(now);
+        let whole = now.duration_since(self.start);
+        let between = match self.parts {
+            0 | 1 => whole,
+            parts => now.duration_since(first) / (parts - 1),
+        };
+        Sample {
+            failed,
+            first: first.duration_since(self.start),
+            between,
+        }
+    }
+}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -12,7 +12,6 @@
     name::{TargetName, TeamName, ZoneName},
     request::{Action, Event, Flow},
     rollout::Lane,
-    tally::Sample,
 };
 use ebonyfall_wire::frame::{Call, Head, Load, Submit, ToAgent, ToRouter};
 use slog::{Logger, debug};
@@ -29,6 +28,7 @@
     links::Links,
     metrics::Metrics,
     picker::{Choice, Picker},
+    progress::Progress,
     retrier::{self, Advice, Retrier},
     rollouts::{Observed, Rollouts},
     view::{Pool, Views},
@@ -233,45 +233,6 @@
     progress: Progress,
 }
 
-/// The times of an attempt's answer.
-#[derive(Debug, Clone, Copy)]
-struct Progress {
-    start: Instant,
-    first: Option<Instant>,
-    parts: u32,
-}
-
-impl Progress {
-    fn new(start: Instant) -> Self {
-        Self {
-            start,
-            first: None,
-            parts: 0,
-        }
-    }
-
-    fn part(&mut self, now: Instant) {
-        self.first.get_or_insert(now);
-        self.parts += 1;
-    }
-
-    /// What a version is judged by; the time of a whole answer stands for that of its tokens where
-    /// it came in one piece.
-    fn sample(&self, failed: bool, now: Instant) -> Sample {
-        let first = self.first.unwrap_or(now);
-        let whole = now.duration_since(self.start);
-        let between = match self.parts {
-            0 | 1 => whole,
-            parts => now.duration_since(first) / (parts - 1),
-        };
-        Sample {
-            failed,
-            first: first.duration_since(self.start),
-            between,
-        }
-    }
-}
-
 impl Exchange {
     async fn drive(mut self, mut output: Output) {
         let now = self.relay.clock.now();
--- a/src/retrier.rs
+++ b/src/retrier.rs
@@ -1,7 +1,7 @@
 //! The router's task that owns the retry budget, the suspects and the targets to be avoided.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -63,6 +63,7 @@
     Merge(Marks),
     Clear(Fingerprint, oneshot::Sender<bool>),
     Take(oneshot::Sender<bool>),
+    Quarantine(HashSet<Fingerprint>),
 }
 
 /// Tells requests what to avoid and whether they may be retried.
@@ -78,6 +79,7 @@
             budget: Budget::new(0.0),
             suspects: Suspects::new(Duration::ZERO),
             avoided: HashMap::new(),
+            quarantined: HashSet::new(),
         };
         tokio::spawn(state.run(rx));
         Self(tx)
@@ -118,6 +120,11 @@
         let _ended = self.0.send(Ask::Survived(fingerprint)).await;
     }
 
+    /// Replaces the requests that are quarantined in the whole fleet.
+    pub async fn quarantine(&self, requests: HashSet<Fingerprint>) {
+        let _ended = self.0.send(Ask::Quarantine(requests)).await;
+    }
+
     /// Takes a retry from the budget.
     pub async fn take(&self) -> bool {
         let (reply, answer) = oneshot::channel();
@@ -152,6 +159,7 @@
 }
 
 struct State {
+    quarantined: HashSet<Fingerprint>,
     views: Views,
     budget: Budget,
     suspects: Suspects,
@@ -188,6 +196,7 @@
                     let marks = marks.map(|(print, mark)| (print, mark.clone()));
                     let _gone = reply.send(marks.collect());
                 }
+                Ask::Quarantine(requests) => self.quarantined = requests,
                 Ask::Merge(marks) => {
                     for (fingerprint, mark) in marks {
                         self.suspects.merge(fingerprint, mark, unix_now());
@@ -210,6 +219,9 @@
         pool: &Pool,
         zones: &[ZoneName],
     ) -> Result<Advice, Code> {
+        if self.quarantined.contains(&fingerprint) {
+            return Err(Code::Held);
+        }
         let standing = self.suspects.standing(fingerprint, unix_now());
         let suspect = match standing {
             Standing::Held => return Err(Code::Held),
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,7 +21,7 @@
     retrier::Retrier,
     rollouts::Rollouts,
     settings::RouterConfig,
-    view, web,
+    spread, view, web,
 };
 
 /// The router cannot run.
@@ -121,13 +121,15 @@
         peers,
         log.clone(),
     );
+    let retrier = Retrier::start(views.clone());
+    spread::start(gossip.clone(), retrier.clone(), views.clone());
     let relay = Relay {
         identity,
         claims,
         views: views.clone(),
         picker,
         links: Links::start(),
-        retrier: Retrier::start(views.clone()),
+        retrier,
         rollouts,
         metrics,
         clock: Clock::start(),
--- a/src/view.rs
+++ b/src/view.rs
@@ -1,6 +1,10 @@
 //! The document in force, as every task of a process sees it.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use ebonyfall_core::{
     config::{Digest, Entry, Refused, Snapshot, Tip},
@@ -106,6 +110,12 @@
         self.teams.get(&key)
     }
 
+    /// The pools of the targets in the document.
+    pub fn pools(&self) -> HashSet<Pool> {
+        let targets = self.document.targets.values();
+        targets.map(|target| Pool::of(&target.runs)).collect()
+    }
+
     /// The route of a method and path.
     pub fn route(&self, method: &str, path: &str) -> Option<&Route> {
         self.routes.get(&(method.to_owned(), path.to_owned()))
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -217,6 +217,10 @@
         let (outcome, _) = caller.chat(&messages_of_crash, 4, false).await;
         assert_eq!(outcome, Outcome::Refused(Code::Held.number().into()));
     }
+    // The other router has seen none of the crashes and learns of them by gossip.
+    sleep(Duration::from_secs(3)).await;
+    let (outcome, _) = env.caller(1).chat(&messages_of_crash, 4, false).await;
+    assert_eq!(outcome, Outcome::Refused(Code::Held.number().into()));
     let mut lives = 0;
     for (address, _) in &env.deployment.engines {
         lives += status(*address).await.incarnation;
