Keep idle connections for a second during a shutdown

Cause, inferred and not traced: hyper closes idle connections at once when a shutdown begins, while a caller may be sending its next request on one, which HTTP/1.1 has no way to refuse.

During the first second answers now carry 'Connection: close', and only then idle connections are closed.

--- a/src/web.rs
+++ b/src/web.rs
@@ -14,7 +14,10 @@
     service::call_handler,
     state::{State, StateData},
 };
-use http::{HeaderMap, HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
+use http::{
+    HeaderMap, HeaderValue, Response, StatusCode,
+    header::{CONNECTION, CONTENT_TYPE},
+};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -34,6 +37,10 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for which idle connections stay open after the stop signal. A caller may be sending its next
+/// request on one; the answer tells it to use another connection from then on.
+const IDLE_GRACE: Duration = Duration::from_secs(1);
+
 /// A value that handlers find in gotham's state.
 #[derive(Debug)]
 pub struct Shared<T>(AssertUnwindSafe<T>);
@@ -87,9 +94,19 @@
         };
         let _unset = stream.set_nodelay(true);
         let router = Arc::clone(&router);
+        let stopping = stop.clone();
         let service = service_fn(move |req| {
             let state = State::from_request(req, peer);
-            call_handler(Arc::clone(&router), AssertUnwindSafe(state))
+            let answer = call_handler(Arc::clone(&router), AssertUnwindSafe(state));
+            let stopping = stopping.clone();
+            async move {
+                let mut answer = answer.await;
+                if let (Ok(res), true) = (&mut answer, *stopping.borrow()) {
+                    let headers = res.headers_mut();
+                    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                answer
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -105,6 +122,7 @@
         });
     }
     drop(listener);
+    time::sleep(IDLE_GRACE).await;
     graceful.shutdown().await;
 }
 
