Read facts before writing them

Cause: every router that reaches a verdict or a clearance wrote it, which at 1,000 routers would be up to 1,000 appends for one move, more than the log takes in a second.

A router now reads the stream first, drops what it already holds, writes one fact for each look, and starts its looks at a random time.

--- a/src/rollouts.rs
+++ b/src/rollouts.rs
@@ -19,7 +19,7 @@
 use slog::{Logger, info, warn};
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time::{MissedTickBehavior, interval},
+    time::{Instant, MissedTickBehavior, interval_at},
 };
 
 use crate::{
@@ -182,7 +182,9 @@
 
 impl Task {
     async fn run(mut self, mut rx: mpsc::Receiver<Ask>) {
-        let mut ticks = interval(TICK);
+        // Routers that start together do not write together.
+        let start = Instant::now() + TICK.mul_f64(rand::random::<f64>());
+        let mut ticks = interval_at(start, TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut looks = 0;
         loop {
@@ -332,22 +334,25 @@
         }
     }
 
-    /// Writes facts that the log has not taken, and reads those of others. A fact that is written
-    /// twice after a lost reply says the same twice.
+    /// Reads the facts of others, then writes those that the log does not hold yet. A fact that is
+    /// written twice after a lost reply says the same twice.
     async fn follow(&mut self) {
-        while let Some(fact) = self.unsent.first() {
-            let Ok(data) = facts::encode(fact) else {
-                self.unsent.remove(0);
-                continue;
-            };
-            if let Err(error) = self.platform.append(FACTS_STREAM, &data).await {
-                warn!(self.log, "cannot write a fact yet"; "error" => %error);
-                break;
-            }
-            self.unsent.remove(0);
-        }
         if let Err(error) = self.read().await {
             warn!(self.log, "cannot read facts"; "error" => %error);
+            return;
+        }
+        // Routers reach the same conclusions at about the same time; without this, each of them
+        // would write it.
+        let known = &self.known;
+        self.unsent
+            .retain(|fact| !known.iter().any(|other| other.is_same(fact)));
+        if let Some(fact) = self.unsent.first()
+            && let Ok(data) = facts::encode(fact)
+        {
+            match self.platform.append(FACTS_STREAM, &data).await {
+                Ok(_) => drop(self.unsent.remove(0)),
+                Err(error) => warn!(self.log, "cannot write a fact yet"; "error" => %error),
+            }
         }
     }
 
@@ -367,7 +372,7 @@
             for record in &batch.records {
                 if let Ok(fact) = facts::decode(&record.data) {
                     self.learn(&fact);
-                    if !self.known.contains(&fact) {
+                    if !self.known.iter().any(|other| other.is_same(&fact)) {
                         self.known.push(fact);
                     }
                 }
--- a/wire/src/facts.rs
+++ b/wire/src/facts.rs
@@ -44,6 +44,35 @@
     },
 }
 
+impl Fact {
+    /// Whether both say the same of one move; the first one in the log is the one that counts.
+    pub fn is_same(&self, other: &Self) -> bool {
+        match (self, other) {
+            (
+                Self::Faulty {
+                    step, declaration, ..
+                },
+                Self::Faulty {
+                    step: name,
+                    declaration: versions,
+                    ..
+                },
+            )
+            | (
+                Self::Cleared {
+                    step, declaration, ..
+                },
+                Self::Cleared {
+                    step: name,
+                    declaration: versions,
+                    ..
+                },
+            ) => step == name && declaration == versions,
+            _ => false,
+        }
+    }
+}
+
 /// Encodes a fact for the log.
 ///
 /// # Errors
