Tell operators how far a version move is

Cause: status showed a move only as the document declares it, so that operators could not read back whether it is done or rolled back.

status now takes the state of each move from the routers' dumps, prefers one with a verdict, and asks the operator to withdraw a move that was rolled back.

--- a/src/rollouts.rs
+++ b/src/rollouts.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    fmt,
     sync::Arc,
     time::Duration,
 };
@@ -15,7 +16,7 @@
     tally::{History, Sample},
 };
 use ebonyfall_wire::facts::{self, Fact};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -88,7 +89,7 @@
 }
 
 /// State of a move, for the dump and the operators.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MoveState {
     /// The model.
     pub model: ModelName,
@@ -102,6 +103,30 @@
     pub verdict: Option<Verdict>,
 }
 
+impl fmt::Display for MoveState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            phase,
+            share,
+            samples,
+            ..
+        } = self;
+        write!(
+            f,
+            "{phase}, share {:.1} %, {samples} requests compared",
+            share * 100.0
+        )?;
+        let Some(verdict) = &self.verdict else {
+            return Ok(());
+        };
+        write!(
+            f,
+            ", faulty by {:?} after {}",
+            verdict.check, verdict.samples
+        )
+    }
+}
+
 enum Ask {
     Observed(Box<Observed>),
     Dump(oneshot::Sender<BTreeMap<MoveName, MoveState>>),
--- a/src/status.rs
+++ b/src/status.rs
@@ -11,11 +11,12 @@
     config::Tip,
     doc::{Document, Intent, Runs, ZoneState},
     id::Offset,
+    name::MoveName,
 };
 use futures_util::future;
 use serde::{Deserialize, Serialize};
 
-use crate::{admin::Dump, operate, platform::Platform, remote};
+use crate::{admin::Dump, operate, platform::Platform, remote, rollouts::MoveState};
 
 /// Bound for a configuration to be in force everywhere; before it has passed, a process that still
 /// has the one before is not reported as wrong.
@@ -61,6 +62,8 @@
     pub intent: Intent,
     /// Whether the due time has passed.
     pub overdue: bool,
+    /// How far it is, from the router that has compared most requests.
+    pub state: Option<String>,
 }
 
 /// The state of a fleet.
@@ -127,6 +130,11 @@
     let fresh = tip
         .as_ref()
         .is_some_and(|tip| now.saturating_sub(Duration::from_millis(tip.time)) < IN_FORCE_BOUND);
+    let verdicts = move_states(
+        answers
+            .iter()
+            .filter_map(|(_, answer)| answer.as_ref().ok()),
+    );
     for (address, answer) in answers {
         let line = match answer {
             Ok(dump) => process_line(address, &dump, expected),
@@ -152,7 +160,7 @@
         status.processes.push(line);
     }
     if let Some(tip) = &tip {
-        status.describe(tip, now);
+        status.describe(tip, &verdicts, now);
     }
     status
 }
@@ -188,8 +196,28 @@
     }
 }
 
+/// The state of each move: a verdict counts before the number of requests.
+fn move_states<'d>(dumps: impl Iterator<Item = &'d Dump>) -> BTreeMap<MoveName, MoveState> {
+    let mut states: BTreeMap<MoveName, MoveState> = BTreeMap::new();
+    for dump in dumps {
+        let moves = dump.tasks.get("moves").cloned().unwrap_or_default();
+        let moves: BTreeMap<MoveName, MoveState> =
+            serde_json::from_value(moves).unwrap_or_default();
+        for (name, state) in moves {
+            let weight = |state: &MoveState| (state.verdict.is_some(), state.samples);
+            let newer = states
+                .get(&name)
+                .is_none_or(|known| weight(known) < weight(&state));
+            if newer {
+                states.insert(name, state);
+            }
+        }
+    }
+    states
+}
+
 impl Status {
-    fn describe(&mut self, tip: &Tip, now: Duration) {
+    fn describe(&mut self, tip: &Tip, states: &BTreeMap<MoveName, MoveState>, now: Duration) {
         let document: &Document = &tip.document;
         self.configuration = Some((
             document.environment.to_string(),
@@ -220,11 +248,17 @@
                 due: step.due,
                 intent: step.intent,
                 overdue,
+                state: states.get(name).map(ToString::to_string),
             });
             self.moving.push(format!(
                 "move {name}: {} from {} to {}, intent {}",
                 step.model, step.from, step.to, step.intent
             ));
+            if let Some(state) = states.get(name).filter(|state| state.verdict.is_some()) {
+                let text =
+                    format!("move {name} is {state}; withdraw it or declare another version");
+                self.needs_operator.push(text);
+            }
             if overdue {
                 let text = format!("move {name} is past its due time; finish or withdraw it");
                 self.needs_operator.push(text);
@@ -282,7 +316,11 @@
             self.intent,
             humantime::format_rfc3339_seconds(due),
             if self.overdue { ", overdue" } else { "" }
-        )
+        )?;
+        match &self.state {
+            Some(state) => write!(f, "; {state}"),
+            None => Ok(()),
+        }
     }
 }
 
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -4,8 +4,12 @@
 
 use std::time::Duration;
 
+use ebonyfall::{clock, platform::Platform, status};
 use ebonyfall_bench::client::{Caller, messages};
-use ebonyfall_standin::engine::{EngineConfig, EngineStatus};
+use ebonyfall_standin::{
+    deploy::OPERATOR_TOKEN,
+    engine::{EngineConfig, EngineStatus},
+};
 use http_body_util::BodyExt;
 use testenv::{TestEnv, plan};
 use tokio::{
@@ -75,6 +79,16 @@
     assert!(before > 0, "the new version got its share");
     load(&env, Duration::from_secs(2)).await;
     assert_eq!(new_requests(&env).await, before, "after the verdict");
+    let admins: Vec<_> = env
+        .deployment
+        .routers
+        .iter()
+        .map(|router| router.admin)
+        .collect();
+    let platform = Platform::new(&env.deployment.platform_url);
+    let status = status::collect(&platform, &admins, OPERATOR_TOKEN, clock::unix_time()).await;
+    let told = |line: &String| line.contains("labels-v2 is rolled back");
+    assert!(status.needs_operator.iter().any(told), "{status:?}");
     for router in &mut env.deployment.routers {
         router.restart().expect("the process starts");
     }
