Check datagram ports too when a test deployment takes an address

Cause, likely and not traced: a deployment failed to start in 1 of 2 runs of the process tests because nothing listened on one of its addresses. Daemons take datagrams on the port that they listen on, and only TCP was checked.

--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt::Write as _,
     fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
     ops::Range,
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
@@ -196,7 +196,8 @@
         let port = PORTS.start + next % (PORTS.end - PORTS.start);
         let port = u16::try_from(port).expect("the range holds port numbers");
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(address).is_ok() {
+        // Daemons take datagrams on the port that they listen on.
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
