Remove the exchange of marks from the agent's gate

Cause: quarantines spread through the routers alone, so that marks, merge and clear of the gate had no caller and stood a second time beside the retrier's.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -5,7 +5,7 @@
 use ebonyfall_core::{
     admit::{Admission, Capacity, End, Offer, Refusal, Step, Ticket},
     code::Code,
-    crash::{Crash, Marks, Standing, Suspects},
+    crash::{Crash, Standing, Suspects},
     doc::Priority,
     drain::{Drain, Left},
     id::{AttemptId, Fingerprint, Incarnation},
@@ -87,9 +87,6 @@
         hold: Duration,
     },
     HeardPool(PoolLoad),
-    Marks(oneshot::Sender<Marks>),
-    Merge(Marks),
-    Clear(Fingerprint, oneshot::Sender<bool>),
     Incarnation(oneshot::Sender<Option<Incarnation>>),
     Drain {
         within: Duration,
@@ -195,26 +192,6 @@
         let _ended = self.0.send(Ask::Drain { within, reply }).await;
         answer.await.unwrap_or(Left::Nothing)
     }
-
-    /// Every mark of requests that may crash targets, for the exchange with other processes and
-    /// for operators.
-    pub async fn marks(&self) -> Marks {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Ask::Marks(reply)).await;
-        answer.await.unwrap_or_default()
-    }
-
-    /// Merges the marks of another process.
-    pub async fn merge(&self, marks: Marks) {
-        let _ended = self.0.send(Ask::Merge(marks)).await;
-    }
-
-    /// Clears a held or suspect request for an operator; false when it was not marked.
-    pub async fn clear(&self, fingerprint: Fingerprint) -> bool {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Ask::Clear(fingerprint, reply)).await;
-        answer.await.unwrap_or(false)
-    }
 }
 
 #[derive(Debug)]
@@ -305,19 +282,6 @@
                 self.suspects.set_hold(hold);
             }
             Ask::HeardPool(load) => self.own.heard(load, now),
-            Ask::Marks(reply) => {
-                let marks = self.suspects.marks();
-                let marks = marks.map(|(print, mark)| (print, mark.clone()));
-                let _gone = reply.send(marks.collect());
-            }
-            Ask::Merge(marks) => {
-                for (fingerprint, mark) in marks {
-                    self.suspects.merge(fingerprint, mark, unix_now());
-                }
-            }
-            Ask::Clear(fingerprint, reply) => {
-                let _gone = reply.send(self.suspects.clear(fingerprint, unix_now()));
-            }
             Ask::Incarnation(reply) => {
                 let _gone = reply.send(self.admission.incarnation());
             }
