Place chats by one home for the whole fleet and fetch context from it

Change: one order of targets per context over all zones, load bound 1.6 x mean + 2, and the address of the likely holder sent along when a chat is placed elsewhere. Store reads wait 1.8 s (orders) and 0.9 s (targets); an empty wait confirms up to its end.

--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -4,8 +4,9 @@
 
 use crate::time::Time;
 
-/// Part of the revocation bound that is left for what is on its way to a target, in percent.
-const MARGIN_PERCENT: u32 = 20;
+/// Part of the revocation bound that is left, in percent: for what is on its way to a target, and
+/// for a store that answers from a state a second old while it drops its history.
+const MARGIN_PERCENT: u32 = 28;
 
 /// Confirmed knowledge of the desired state; times must come from a clock that also counts while
 /// the VM is suspended.
@@ -24,9 +25,9 @@
         }
     }
 
-    /// Records that nothing newer existed at `asked`, the time at which the question was sent.
-    pub fn confirm(&mut self, asked: Time) {
-        self.confirmed = self.confirmed.max(Some(asked));
+    /// Records that nothing newer existed at `time`.
+    pub fn confirm(&mut self, time: Time) {
+        self.confirmed = self.confirmed.max(Some(time));
     }
 
     /// When the knowledge was last confirmed.
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -30,10 +31,15 @@
 const FAULTY_SHARE: f64 = 0.3;
 /// How much worse than its service's other targets a faulty one has to be.
 const FAULTY_FACTOR: f64 = 2.0;
-/// Load above the mean, in requests, at which a chat leaves its home target.
+/// Load above the scaled mean, in requests, at which a chat leaves its home target. Together with
+/// the factor it stays under the fleet's bound of twice the mean and three requests.
 const SPILL_FLOOR: f64 = 2.0;
 /// Load relative to the mean at which a chat leaves its home target.
-const SPILL_FACTOR: f64 = 1.3;
+const SPILL_FACTOR: f64 = 1.6;
+/// Contexts whose last target is remembered.
+const MAX_HOLDERS: usize = 20_000;
+/// Time after which a target is no longer expected to hold a context.
+const HOLDER_LIFE: Duration = Duration::from_secs(60);
 /// Time for which a load that a target named counts.
 const LOAD_LIFE: Duration = Duration::from_secs(2);
 /// Time for which a target that declined a request is chosen last.
@@ -46,6 +52,8 @@
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Time for which content that crashed targets is held.
 const HOLD: Duration = Duration::from_secs(60);
+/// Time for which a target that has just registered is not expected to hold a context.
+const NEW: Duration = Duration::from_secs(15);
 /// Window in which requests to a cold target are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Pause that callers are told when no target can take a request.
@@ -75,6 +83,8 @@
     pub load: f64,
     /// Age of the load that the target named last, if it counts.
     pub load_age: Option<Duration>,
+    /// Where another target is likely to hold the request's context.
+    pub source: Option<SocketAddr>,
 }
 
 /// Why there is no target.
@@ -101,6 +111,7 @@
 struct Entry {
     record: TargetRecord,
     hash: u64,
+    known_since: Time,
     cold_until: Time,
     /// When the entry lapses; entries that lapsed around an outage of the store get some time.
     lapses: Option<Time>,
@@ -121,6 +132,7 @@
     fn new(record: TargetRecord, now: Time) -> Self {
         Self {
             hash: xxh3_64(record.name.as_str().as_bytes()),
+            known_since: now,
             cold_until: now + record.cold,
             record,
             lapses: None,
@@ -179,6 +191,11 @@
             && !evacuated.contains(&self.record.zone)
     }
 
+    /// Position in the order in which targets are preferred for a context.
+    fn rank_for(&self, context: u64) -> u64 {
+        xxh3_64_with_seed(&self.hash.to_le_bytes(), context)
+    }
+
     fn avoid(&mut self, now: Time) {
         let pause = (AVOID[0] * (1 << self.avoided.min(8))).min(AVOID[1]);
         self.avoided += 1;
@@ -209,6 +226,7 @@
     allowances: HashMap<ServiceName, Allowance>,
     suspects: Suspects,
     store_lost: Option<Time>,
+    holders: HashMap<u64, (TargetName, Time)>,
 }
 
 impl Steer {
@@ -225,6 +243,7 @@
             allowances: HashMap::new(),
             suspects: Suspects::new(HOLD),
             store_lost: None,
+            holders: HashMap::new(),
         }
     }
 
@@ -349,10 +368,14 @@
         } else if want.tried.is_empty() {
             allowance.first(now);
         }
+        let source = want
+            .context
+            .and_then(|context| self.hold(context, want.service, &name, now));
         let Some(entry) = self.entries.get_mut(&name) else {
             return Err(refusal(Code::NoTarget));
         };
         let choice = Choice {
+            source,
             target: entry.record.clone(),
             load: entry.load(now),
             load_age: entry
@@ -368,6 +391,49 @@
         Ok(choice)
     }
 
+    /// Remembers that `chosen` will hold the context, and returns where it is likely to be now.
+    fn hold(
+        &mut self,
+        context: u64,
+        service: &ServiceName,
+        chosen: &TargetName,
+        now: Time,
+    ) -> Option<SocketAddr> {
+        if self.holders.len() >= MAX_HOLDERS {
+            self.holders
+                .retain(|_, (_, used)| now.since(*used) < HOLDER_LIFE);
+        }
+        let known = self.holders.insert(context, (chosen.clone(), now));
+        let known = known
+            .filter(|(_, used)| now.since(*used) < HOLDER_LIFE)
+            .map(|(holder, _)| holder);
+        let holder = match known {
+            Some(holder) => holder,
+            None => self.home(context, service, chosen, now)?,
+        };
+        let entry = self.entries.get(&holder).filter(|_| holder != *chosen)?;
+        (now >= entry.avoid_until).then_some(entry.record.address)
+    }
+
+    /// The target that other routers are likely to have chosen for the context: the first in the
+    /// order of its hashes, unless it is new, in which case it takes the context over.
+    fn home(
+        &self,
+        context: u64,
+        service: &ServiceName,
+        chosen: &TargetName,
+        now: Time,
+    ) -> Option<TargetName> {
+        let young = |entry: &Entry| now.since(entry.known_since) < NEW;
+        let names = self.services.get(service)?.iter();
+        let entries = names.filter_map(|name| self.entries.get(name));
+        let home = entries
+            .filter(|entry| entry.record.name == *chosen || !young(entry))
+            .filter(|entry| !(entry.record.name == *chosen && young(entry)))
+            .min_by_key(|entry| entry.rank_for(context));
+        home.map(|entry| entry.record.name.clone())
+    }
+
     fn pick(&mut self, want: &Want<'_>, random: f64, now: Time) -> Option<TargetName> {
         let names = self.services.get(want.service)?.clone();
         let mut found = Vec::with_capacity(names.len());
@@ -403,7 +469,7 @@
             .filter(|(rank, _)| *rank == best)
             .map(|(_, entry)| *entry);
         let chosen = match want.context {
-            Some(context) => self.warmest(entries, context, mean, now),
+            Some(context) => Self::warmest(entries, context, mean, now),
             None => self.idlest(entries, random, now),
         };
         chosen.map(|entry| entry.record.name.clone())
@@ -434,32 +500,26 @@
         Some(Rank::Sound)
     }
 
-    /// The first target in the order of the context's hashes, own zone first, whose load is
-    /// within the bound.
+    /// The first target in the order of the context's hashes whose load is within the bound.
+    /// Zones do not count, so that all routers agree and a context is read once.
     fn warmest<'e>(
-        &self,
         entries: impl Iterator<Item = &'e Entry>,
         context: u64,
         mean: f64,
         now: Time,
     ) -> Option<&'e Entry> {
-        let bound = (mean * SPILL_FACTOR).max(mean + SPILL_FLOOR);
-        let mut order: Vec<_> = entries
-            .map(|entry| {
-                let hash = xxh3_64_with_seed(&entry.hash.to_le_bytes(), context);
-                (entry.record.zone != self.zone, hash, entry)
-            })
-            .collect();
-        order.sort_by_key(|(far, hash, _)| (*far, *hash));
+        let bound = mean * SPILL_FACTOR + SPILL_FLOOR;
+        let mut order: Vec<_> = entries.collect();
+        order.sort_by_key(|entry| entry.rank_for(context));
         let fits = order
             .iter()
-            .find(|(_, _, entry)| entry.load(now) + 1.0 <= bound);
+            .find(|entry| entry.load(now) + 1.0 <= bound);
         let least = || {
             order
                 .iter()
-                .min_by(|(_, _, a), (_, _, b)| a.load(now).total_cmp(&b.load(now)))
+                .min_by(|a, b| a.load(now).total_cmp(&b.load(now)))
         };
-        fits.or_else(least).map(|(_, _, entry)| *entry)
+        fits.or_else(least).copied()
     }
 
     fn idlest<'e>(
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -257,6 +257,7 @@
             team: self.job.team.as_ref(),
             priority: self.job.route.warm.then_some(self.job.priority),
             last_event,
+            source: ticket.choice.source,
         };
         let mut req = Request::new(Full::new(self.job.body.clone()));
         *req.method_mut() = self.job.method.clone();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -29,7 +29,7 @@
 };
 
 /// Age of the confirmed knowledge from which on the balancer is told to use other routers.
-const STALE: Duration = Duration::from_millis(2_600);
+const STALE: Duration = Duration::from_millis(2_800);
 /// Time after the stop signal for which new connections are taken: the balancer asks once a second
 /// and stops after two refusals.
 const LINGER: Duration = Duration::from_millis(3_200);
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -29,10 +29,10 @@
 
 /// Longest wait of one read of operators' orders. It bounds the age of what is confirmed, and a
 /// silent connection is noticed soon after.
-const ORDER_WAIT: Duration = Duration::from_millis(1_000);
+const ORDER_WAIT: Duration = Duration::from_millis(1_800);
 /// Time between two reads of the targets' entries: a leaving target gets no work 2 s after its
 /// entry says so.
-const TARGET_POLL: Duration = Duration::from_millis(600);
+const TARGET_POLL: Duration = Duration::from_millis(900);
 /// Pause after a failed call of the store.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -156,7 +156,11 @@
                     if changed {
                         self.publish_evacuated().await;
                     }
-                    if tail.next >= tail.end {
+                    // Without a record, the store has waited for the whole time, so that there was
+                    // none at the end of it.
+                    if !changed {
+                        self.confirm(asked + ORDER_WAIT);
+                    } else if tail.next >= tail.end {
                         self.confirm(asked);
                     }
                     from = tail.next;
