Take no request later than 2.8 s after the stop signal

Change: idle connections of an entry router close when the intake ends, and a request that still arrives is refused as not run. The idle grace becomes a part of the connection limits.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -30,9 +30,9 @@
 
 /// Age of the confirmed knowledge from which on the balancer is told to use other routers.
 const STALE: Duration = Duration::from_millis(2_800);
-/// Time after the stop signal for which new connections are taken: the balancer asks once a second
-/// and stops after two refusals.
-const LINGER: Duration = Duration::from_millis(3_200);
+/// Time after the stop signal for which requests are taken: the balancer asks once a second and
+/// stops after two refusals, and a request that comes later may not end within the grace period.
+const LINGER: Duration = Duration::from_millis(2_800);
 /// Part of the grace period that is left when the process ends with requests left over.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
 /// Time for which idle connections are kept beyond the longest idle time of callers.
@@ -121,10 +121,22 @@
             header: known.map_or(DEFAULT_IDLE, |known| known.idle) + IDLE_MARGIN,
             header_bytes: known.map_or(2 * MIN_HEADER, |known| known.header_bytes.max(MIN_HEADER)),
             linger: LINGER,
+            idle_grace: Duration::ZERO,
         }
     };
+    let (closing_tx, closing) = watch::channel(false);
+    let mut signal = stop.clone();
+    tokio::spawn(async move {
+        if signal.wait_for(|stop| *stop).await.is_ok() {
+            time::sleep(LINGER).await;
+            closing_tx.send_replace(true);
+        }
+        // The channel stays open, so that nobody takes its end for a change.
+        std::future::pending::<()>().await;
+    });
     let intake = Shared::new(Intake {
         beliefs,
+        closing,
         steering,
         metrics,
         log: log.clone(),
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -21,7 +21,7 @@
 use http::{HeaderMap, Method, Response, StatusCode, Uri, header::HOST};
 use http_body_util::{BodyExt, Limited};
 use slog::{Logger, info, warn};
-use tokio::time::timeout;
+use tokio::{sync::watch, time::timeout};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
@@ -48,6 +48,8 @@
 pub struct Intake {
     /// What is known of the desired state.
     pub beliefs: Beliefs,
+    /// Whether it is too late for new requests before the process ends.
+    pub closing: watch::Receiver<bool>,
     /// Chooses targets.
     pub steering: Steering,
     /// Counters.
@@ -137,6 +139,9 @@
         body: Bytes,
         arrived: Time,
     ) -> Result<(Job, Passage), Code> {
+        if *self.closing.borrow() {
+            return Err(Code::ShuttingDown);
+        }
         let desired = self.beliefs.desired.borrow().clone();
         let desired = desired.ok_or(Code::NoTarget)?;
         let fresh = self.beliefs.lease.borrow().holds(BootClock.now());
--- a/src/web.rs
+++ b/src/web.rs
@@ -37,10 +37,6 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time for which idle connections stay open after the stop signal. A caller may be sending its next
-/// request on one; the answer tells it to use another connection from then on.
-const IDLE_GRACE: Duration = Duration::from_secs(1);
-
 /// A value that handlers find in gotham's state.
 #[derive(Debug)]
 pub struct Shared<T>(AssertUnwindSafe<T>);
@@ -75,6 +71,9 @@
     pub header_bytes: usize,
     /// Time after the stop signal for which connections are still taken.
     pub linger: Duration,
+    /// Time after that for which idle connections stay open. A caller may be sending its next
+    /// request on one; the answer tells it to use another connection from then on.
+    pub idle_grace: Duration,
 }
 
 impl Default for ConnectionLimits {
@@ -83,6 +82,7 @@
             header: RECEIVE_TIMEOUT,
             header_bytes: MAX_HEADER,
             linger: Duration::ZERO,
+            idle_grace: Duration::from_secs(1),
         }
     }
 }
@@ -153,7 +153,7 @@
         });
     }
     drop(listener);
-    time::sleep(IDLE_GRACE).await;
+    time::sleep(limits().idle_grace).await;
     graceful.shutdown().await;
 }
 
