Exchange named loads, crashes and membership between entry routers

Each router also took the whole slack of the retry budget, since it did not know of the others.

Change: entry routers join the existing gossip with a key that lies in the store; loads that targets name and crashes put down to requests travel as items; the number of routers divides the retry slack and the rate of cold targets. Named loads count for 8 s and the mean is taken over targets that were heard of; idle targets of evacuated zones count in it. Target entries are read every 0.45 of the drain bound, orders with a wait of 2.2 s.

--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -14,12 +14,14 @@
 use crate::{
     doc::ZoneState,
     id::{Declaration, Fingerprint, Incarnation, Offset},
-    name::{ModelName, MoveName, ProcessName, RouteName, ZoneName},
+    name::{ModelName, MoveName, ProcessName, RouteName, TargetName, TeamName, ZoneName},
     peer::Record,
 };
 
 /// Time after which load figures say nothing any more, in seconds.
 const LOAD_LIFE: u64 = 30;
+/// Time after which a crash counts against no request any more, in seconds.
+const CRASH_LIFE: u64 = 60;
 /// Time after which counters that no longer grow are dropped, in seconds.
 const EVIDENCE_LIFE: u64 = 3_600;
 
@@ -82,6 +84,10 @@
     ZoneLoad(ModelName, ZoneName),
     /// Load of one agent; travels within its zone only.
     AgentLoad(ModelName, ProcessName),
+    /// Load that a target without an agent named in an answer.
+    TargetLoad(TargetName),
+    /// A crash of a target while it ran a request of this content.
+    Crash(Fingerprint, TargetName),
 }
 
 /// What an item says.
@@ -129,6 +135,13 @@
         /// Requests that can run at once.
         capacity: u32,
     },
+    /// A crash, with its time in seconds since the Unix epoch and the team that sent the request.
+    Crash {
+        /// When the target crashed.
+        stamp: u64,
+        /// The team.
+        team: TeamName,
+    },
 }
 
 /// A key with what is known of it.
@@ -144,8 +157,15 @@
     /// Whether a change is sent at once instead of with the next round.
     pub fn is_urgent(&self) -> bool {
         match self {
-            Self::Verdict(..) | Self::Quarantine(_) | Self::Zone(_) | Self::Tip => true,
-            Self::Evidence { .. } | Self::ZoneLoad(..) | Self::AgentLoad(..) => false,
+            Self::Verdict(..)
+            | Self::Quarantine(_)
+            | Self::Zone(_)
+            | Self::Tip
+            | Self::Crash(..) => true,
+            Self::Evidence { .. }
+            | Self::ZoneLoad(..)
+            | Self::AgentLoad(..)
+            | Self::TargetLoad(_) => false,
         }
     }
 
@@ -156,7 +176,8 @@
             Self::Quarantine(_) | Self::ZoneLoad(..) => 1_024,
             Self::Zone(_) => 128,
             Self::Tip => 1,
-            Self::Evidence { .. } => 8_192,
+            Self::Evidence { .. } | Self::TargetLoad(_) => 8_192,
+            Self::Crash(..) => 4_096,
             Self::AgentLoad(..) => 2_048,
         }
     }
@@ -170,6 +191,8 @@
             Self::Evidence { .. } => 4,
             Self::ZoneLoad(..) => 5,
             Self::AgentLoad(..) => 6,
+            Self::TargetLoad(_) => 7,
+            Self::Crash(..) => 8,
         }
     }
 
@@ -183,6 +206,7 @@
             } => agent.as_str().len() + step.as_str().len() + route.as_str().len(),
             Self::ZoneLoad(model, zone) => model.as_str().len() + zone.as_str().len(),
             Self::AgentLoad(model, agent) => model.as_str().len() + agent.as_str().len(),
+            Self::TargetLoad(target) | Self::Crash(_, target) => target.as_str().len(),
         };
         // Kind 1, three lengths 3, incarnation or offset 10, arm 1.
         text + 15
@@ -259,6 +283,12 @@
                 (*stamp, *running, *capacity) =
                     (*stamp, *running, *capacity).max((*new_stamp, *new_running, *new_capacity));
             }
+            (
+                Self::Crash { stamp, .. },
+                Self::Crash {
+                    stamp: new_stamp, ..
+                },
+            ) => *stamp = (*stamp).max(*new_stamp),
             _ => {}
         }
         *self != before
@@ -271,6 +301,7 @@
             Self::Quarantine { until, .. } => *until <= unix,
             Self::Evidence { stamp, .. } => stamp.saturating_add(EVIDENCE_LIFE) <= unix,
             Self::Load { stamp, .. } => stamp.saturating_add(LOAD_LIFE) <= unix,
+            Self::Crash { stamp, .. } => stamp.saturating_add(CRASH_LIFE) <= unix,
         }
     }
 
@@ -283,9 +314,10 @@
                 | (ItemKey::Tip, Self::Tip { .. })
                 | (ItemKey::Evidence { .. }, Self::Evidence { .. })
                 | (
-                    ItemKey::ZoneLoad(..) | ItemKey::AgentLoad(..),
+                    ItemKey::ZoneLoad(..) | ItemKey::AgentLoad(..) | ItemKey::TargetLoad(_),
                     Self::Load { .. }
                 )
+                | (ItemKey::Crash(..), Self::Crash { .. })
         )
     }
 
@@ -296,6 +328,7 @@
             Self::Quarantine { .. } => 30,
             Self::Tip { .. } | Self::Load { .. } => 20,
             Self::Evidence { .. } => 50,
+            Self::Crash { team, .. } => 11 + team.as_str().len(),
         }
     }
 }
@@ -311,7 +344,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Store {
     items: BTreeMap<ItemKey, Value>,
-    counts: [usize; 7],
+    counts: [usize; 9],
 }
 
 impl Store {
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -12,7 +12,7 @@
 use crate::{
     allowance::{Allowance, RetryBound},
     code::Code,
-    crash::{Standing, Suspects},
+    crash::{Mark, Standing, Suspects},
     id::Fingerprint,
     name::{ServiceName, TargetName, TeamName, ZoneName},
     passage::Failure,
@@ -33,15 +33,16 @@
 const FAULTY_FACTOR: f64 = 2.0;
 /// Load above the scaled mean, in requests, at which a chat leaves its home target. Together with
 /// the factor it stays under the fleet's bound of twice the mean and three requests.
-const SPILL_FLOOR: f64 = 2.0;
+const SPILL_FLOOR: f64 = 1.0;
 /// Load relative to the mean at which a chat leaves its home target.
 const SPILL_FACTOR: f64 = 1.6;
 /// Contexts whose last target is remembered.
 const MAX_HOLDERS: usize = 20_000;
 /// Time after which a target is no longer expected to hold a context.
 const HOLDER_LIFE: Duration = Duration::from_secs(60);
-/// Time for which a load that a target named counts.
-const LOAD_LIFE: Duration = Duration::from_secs(2);
+/// Time for which a load that a target named counts. A router that sees a small part of the
+/// traffic hears of one target every few seconds, and homes of busy chats stay busy.
+const LOAD_LIFE: Duration = Duration::from_secs(8);
 /// Time for which a target that declined a request is chosen last.
 const FULL: Duration = Duration::from_millis(150);
 /// Load difference, in requests, at which a plain service's request crosses to another zone.
@@ -81,6 +82,8 @@
     pub target: TargetRecord,
     /// Estimated load of the target, in requests.
     pub load: f64,
+    /// Estimated mean load of the service's targets.
+    pub mean: f64,
     /// Age of the load that the target named last, if it counts.
     pub load_age: Option<Duration>,
     /// Where another target is likely to hold the request's context.
@@ -164,6 +167,10 @@
         }
     }
 
+    fn is_heard(&self, now: Time) -> bool {
+        self.named.is_some_and(|(_, at)| now.since(at) < LOAD_LIFE)
+    }
+
     fn decay(&mut self, now: Time) {
         let lives = now.since(self.decayed).as_secs_f64() / HALF_LIFE.as_secs_f64();
         let factor = 0.5_f64.powf(lives);
@@ -353,7 +360,7 @@
         if self.suspects.standing(want.content, now) == Standing::Held {
             return Err(refusal(Code::Held));
         }
-        let name = self
+        let (name, mean) = self
             .pick(want, random, now)
             .ok_or_else(|| refusal(Code::NoTarget))?;
         let bound = self.retry;
@@ -378,6 +385,7 @@
             source,
             target: entry.record.clone(),
             load: entry.load(now),
+            mean,
             load_age: entry
                 .named
                 .map(|(_, at)| now.since(at))
@@ -434,26 +442,34 @@
         home.map(|entry| entry.record.name.clone())
     }
 
-    fn pick(&mut self, want: &Want<'_>, random: f64, now: Time) -> Option<TargetName> {
+    fn pick(&mut self, want: &Want<'_>, random: f64, now: Time) -> Option<(TargetName, f64)> {
         let names = self.services.get(want.service)?.clone();
         let mut found = Vec::with_capacity(names.len());
-        let (mut sum, mut bad_sum, mut usable) = (0.0, 0.0, 0.0);
+        let (mut sum, mut heard) = (0.0, 0.0);
+        let (mut bad_sum, mut usable) = (0.0, 0.0);
         for name in &names {
             let Some(entry) = self.entries.get_mut(name) else {
                 continue;
             };
             if !entry.is_usable(&self.evacuated, now) {
+                // The fleet's bound on loads counts targets of evacuated zones, which are idle.
+                let idle = self.evacuated.contains(&entry.record.zone);
+                heard += if idle { 1.0 } else { 0.0 };
                 continue;
             }
             entry.decay(now);
-            sum += entry.load(now);
+            // The own requests alone would pull the mean of many routers' targets down.
+            if entry.is_heard(now) || want.context.is_none() {
+                sum += entry.load(now);
+                heard += 1.0;
+            }
             bad_sum += entry.failure_share();
             usable += 1.0;
             if !want.tried.contains(name) {
                 found.push(name.clone());
             }
         }
-        let mean = sum / f64::max(usable, 1.0);
+        let mean = sum / f64::max(heard, 1.0);
         let ranked: Vec<_> = found
             .iter()
             .filter_map(|name| {
@@ -472,7 +488,7 @@
             Some(context) => Self::warmest(entries, context, mean, now),
             None => self.idlest(entries, random, now),
         };
-        chosen.map(|entry| entry.record.name.clone())
+        chosen.map(|entry| (entry.record.name.clone(), mean))
     }
 
     fn rank(&self, entry: &Entry, others: f64, now: Time) -> Option<Rank> {
@@ -548,6 +564,37 @@
         }
     }
 
+    /// Takes a load that another router heard of `age` ago.
+    pub fn heard(&mut self, target: &TargetName, load: TargetLoad, age: Duration, now: Time) {
+        let at = Time::ZERO + now.since(Time::ZERO + age);
+        if let Some(entry) = self.entries.get_mut(target)
+            && entry.named.is_none_or(|(_, own)| own < at)
+        {
+            entry.named = Some((load, at));
+            // The own requests were sent before or after the other router's answer alike.
+            entry.since_named = 0;
+        }
+    }
+
+    /// Loads that targets named in answers to this router or another one since `from`.
+    pub fn named_since(&self, from: Time) -> impl Iterator<Item = (&TargetName, TargetLoad)> {
+        let entries = self.entries.iter();
+        entries.filter_map(move |(name, entry)| {
+            let (load, at) = entry.named?;
+            (at >= from).then_some((name, load))
+        })
+    }
+
+    /// Takes a crash that another router put down to a request.
+    pub fn learn_crash(&mut self, content: Fingerprint, target: &TargetName, team: &TeamName, at: Time) {
+        self.suspects.mark(content, team, target, at);
+    }
+
+    /// Requests that were running when targets crashed.
+    pub fn crashes(&self) -> impl Iterator<Item = (Fingerprint, &Mark)> {
+        self.suspects.marks()
+    }
+
     /// Records the end of a request at `target`.
     pub fn ended(
         &mut self,
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -9,7 +9,7 @@
     events::Events,
     name::TargetName,
     passage::{Failure, Meaning, Next, Passage},
-    steer::{End, Refusal},
+    steer::{Choice, End, Refusal},
     time::Time,
 };
 use ebonyfall_platform::{
@@ -47,8 +47,8 @@
 pub struct Given {
     /// The caller's id.
     pub id: String,
-    /// The target that answered.
-    pub target: TargetName,
+    /// The target that answered, and what decided its choice.
+    pub choice: Choice,
     /// The status.
     pub status: StatusCode,
     /// The target's headers.
@@ -228,7 +228,7 @@
     /// Reads a failure's body, so that the connection can be used again.
     async fn failure_body(&self, open: Open, failure: Failure, own: bool) -> Option<Given> {
         let left = self.passage.expires().since(BootClock.now()) + LAST_WORD;
-        let target = open.ticket.choice.target.name.clone();
+        let choice = open.ticket.choice.clone();
         let body = timeout(left, open.body.collect()).await;
         let Ok(Ok(body)) = body else {
             open.ticket.finish(End::Failed(failure), None);
@@ -238,7 +238,7 @@
         open.ticket.finish(End::Failed(failure), Some(line));
         own.then(|| Given {
             id: self.job.id.clone(),
-            target,
+            choice,
             status: open.status,
             headers: open.headers,
             body: web::full(body.to_bytes()),
@@ -285,10 +285,11 @@
         let failure = match timeout(self.limit(left), open.body.collect()).await {
             Ok(Ok(body)) => {
                 let line = rested(open.line, &open.headers);
+                let choice = open.ticket.choice.clone();
                 open.ticket.finish(End::Served, Some(line));
                 return Ok(Some(Given {
                     id: self.job.id.clone(),
-                    target,
+                    choice,
                     status: open.status,
                     headers: open.headers,
                     body: web::full(body.to_bytes()),
@@ -312,7 +313,7 @@
     fn relay(mut self, open: Open) -> Given {
         self.passage.passed_on();
         let id = self.job.id.clone();
-        let target = open.ticket.choice.target.name.clone();
+        let choice = open.ticket.choice.clone();
         let (status, headers) = (open.status, open.headers.clone());
         let relay = Relay {
             carrier: self,
@@ -322,7 +323,7 @@
         let body = futures_util::stream::unfold(relay, Relay::next);
         Given {
             id,
-            target,
+            choice,
             status,
             headers,
             body: Body::new(StreamBody::new(body)),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -22,6 +22,7 @@
     follow::{self, Beliefs},
     intake::Intake,
     metrics::Metrics,
+    peering::{self, Peering},
     settings::{self, EntryConfig},
     steering::Steering,
     store::Store,
@@ -29,7 +30,7 @@
 };
 
 /// Age of the confirmed knowledge from which on the balancer is told to use other routers.
-const STALE: Duration = Duration::from_millis(2_800);
+const STALE: Duration = Duration::from_millis(3_000);
 /// Time after the stop signal for which requests are taken: the balancer asks once a second and
 /// stops after two refusals, and a request that comes later may not end within the grace period.
 const LINGER: Duration = Duration::from_millis(2_800);
@@ -80,7 +81,13 @@
     let steer = Steer::new(cfg.zone.clone(), cfg.retry);
     let steering = Steering::start(steer, BootClock);
     let store = Store::new(cfg.store);
-    let beliefs = follow::start(store, steering.clone(), cfg.revocation, log.clone());
+    let beliefs = follow::start(
+        store.clone(),
+        steering.clone(),
+        cfg.revocation,
+        cfg.drain,
+        log.clone(),
+    );
     let listener = listen(cfg.listen).await?;
     let ready = listen(cfg.ready).await?;
     let page = listen(cfg.metrics).await?;
@@ -97,6 +104,19 @@
         running.clone(),
         log.clone(),
     ));
+    peering::start(
+        Peering {
+            name: cfg.name.clone(),
+            zone: cfg.zone.clone(),
+            address: cfg.peers,
+            seeds: cfg.seeds.clone(),
+            store,
+            steering: steering.clone(),
+            metrics: metrics.clone(),
+            log: log.clone(),
+        },
+        stop.clone(),
+    );
     let shown = Shared::new(metrics.clone());
     let page_handler = move || {
         let shown = shown.clone().into_inner();
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -29,10 +29,10 @@
 
 /// Longest wait of one read of operators' orders. It bounds the age of what is confirmed, and a
 /// silent connection is noticed soon after.
-const ORDER_WAIT: Duration = Duration::from_millis(1_800);
-/// Time between two reads of the targets' entries: a leaving target gets no work 2 s after its
-/// entry says so.
-const TARGET_POLL: Duration = Duration::from_millis(900);
+const ORDER_WAIT: Duration = Duration::from_millis(2_200);
+/// Part of the time after which a leaving target must get no work, in percent, between two reads
+/// of the targets' entries.
+const TARGET_POLL_PERCENT: u32 = 45;
 /// Pause after a failed call of the store.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -48,7 +48,14 @@
 }
 
 /// Starts the tasks. Keys that are taken away must be refused after `revocation`.
-pub fn start(store: Store, steering: Steering, revocation: Duration, log: Logger) -> Beliefs {
+/// Leaving targets must get no work after `drain`.
+pub fn start(
+    store: Store,
+    steering: Steering,
+    revocation: Duration,
+    drain: Duration,
+    log: Logger,
+) -> Beliefs {
     let (desired_tx, desired) = watch::channel(None);
     let (lease_tx, lease) = watch::channel(Lease::new(revocation));
     let (targets_tx, targets) = watch::channel(false);
@@ -66,6 +73,7 @@
         store,
         steering,
         known: targets_tx,
+        poll: drain * TARGET_POLL_PERCENT / 100,
         link: Link::new("targets", log),
     };
     tokio::spawn(targets_task.run());
@@ -231,6 +239,7 @@
     store: Store,
     steering: Steering,
     known: watch::Sender<bool>,
+    poll: Duration,
     link: Link,
 }
 
@@ -270,7 +279,7 @@
 
     async fn tail(&mut self, mut from: Offset) -> StoreError {
         loop {
-            time::sleep(TARGET_POLL).await;
+            time::sleep(self.poll).await;
             match self.store.read(Topic::Targets, from, Duration::ZERO).await {
                 Ok(tail) => {
                     self.link.answered(BootClock.now());
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -195,9 +195,12 @@
 
     fn give(&self, given: Given) -> Response<Body> {
         if rand::random::<u64>().is_multiple_of(SAMPLE) {
+            let choice = &given.choice;
+            let age = choice.load_age.and_then(|age| u64::try_from(age.as_millis()).ok());
             info!(self.log, "answered"; "event" => "answer", "request" => &given.id,
-                "target" => %given.target, "status" => given.status.as_u16(),
-                "sample" => SAMPLE);
+                "target" => %choice.target.name, "status" => given.status.as_u16(),
+                "load" => choice.load, "mean" => choice.mean, "load_age_ms" => age,
+                "fetch" => choice.source.is_some(), "sample" => SAMPLE);
         }
         let mut res = Response::new(given.body);
         *res.status_mut() = given.status;
--- /dev/null
+++ b/src/peering.rs
@@ -0,0 +1,218 @@
+//! Exchange between entry routers: who is alive, loads that targets named, and crashes that are
+//! put down to requests.
+//!
+//! The key of the exchange lies in the store, so that no VM has to be set up with it. Without the
+//! store a router gets along alone.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use ebonyfall_core::{
+    dissemination::{Item, ItemKey, Value},
+    name::{ProcessName, ZoneName},
+    peer::Role,
+    target::TargetLoad,
+};
+use ebonyfall_platform::store::Topic;
+use ebonyfall_wire::auth::{Key, Keys};
+use slog::{Logger, info, warn};
+use tokio::{
+    net::UdpSocket,
+    sync::watch,
+    time::{self, MissedTickBehavior, interval},
+};
+
+use crate::{
+    clock,
+    gossip::{Gossip, Local},
+    link::Identity,
+    metrics::Metrics,
+    steering::{News, Report, Steering, Suspicion},
+    store::{Store, StoreError},
+    view,
+};
+
+/// Time between two exchanges with the steering.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a failed attempt to get the key or the socket.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Key of the record that holds the exchange's key.
+const KEY_RECORD: &str = "exchange-key";
+/// Length of the exchange's key, in bytes.
+const KEY_LEN: usize = 16;
+
+/// What the exchange needs.
+#[derive(Debug)]
+pub struct Peering {
+    /// The process's name.
+    pub name: ProcessName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// VMs of other routers.
+    pub seeds: Vec<IpAddr>,
+    /// Where the key lies.
+    pub store: Store,
+    /// Gets what other routers say.
+    pub steering: Steering,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The process's log.
+    pub log: Logger,
+}
+
+/// Starts the exchange; it announces that the process leaves when `stop` turns true.
+pub fn start(peering: Peering, stop: watch::Receiver<bool>) {
+    tokio::spawn(peering.run(stop));
+}
+
+impl Peering {
+    async fn run(self, mut stop: watch::Receiver<bool>) {
+        let key = self.key().await;
+        let gossip = self.join(key).await;
+        let leaving = gossip.clone();
+        tokio::spawn(async move {
+            if stop.wait_for(|stop| *stop).await.is_ok() {
+                leaving.leave().await;
+            }
+        });
+        let mut ticks = interval(INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut routers = 0;
+        loop {
+            ticks.tick().await;
+            for item in items(self.steering.report().await) {
+                gossip.put(item).await;
+            }
+            let known = gossip.standing().borrow().routers.len();
+            if known != routers {
+                info!(self.log, "routers changed"; "event" => "routers", "count" => known,
+                    "before" => routers);
+                routers = known;
+            }
+            let mut news = news(&gossip.items().await);
+            news.push(News::Routers(u32::try_from(known).unwrap_or(u32::MAX)));
+            self.steering.tell(news).await;
+        }
+    }
+
+    /// The fleet's key: the first one that a router wrote.
+    async fn key(&self) -> Key {
+        loop {
+            match self.find_key().await {
+                Ok(Some(key)) => return key,
+                Ok(None) => {}
+                Err(error) => {
+                    warn!(self.log, "no key for the exchange"; "event" => "exchange_key",
+                        "error" => %error);
+                    time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn find_key(&self) -> Result<Option<Key>, StoreError> {
+        let (records, end) = self.store.newest(Topic::Routers).await?;
+        let known = records.into_iter().find(|record| record.key == KEY_RECORD);
+        let known = known.and_then(|record| record.value);
+        if let Some(value) = known.and_then(|value| <[u8; KEY_LEN]>::try_from(&value[..]).ok()) {
+            return Ok(Some(Key::new(value)));
+        }
+        let fresh: [u8; KEY_LEN] = rand::random();
+        // Another router's record makes the append fail, and is read next.
+        let written = self
+            .store
+            .append_at(Topic::Routers, end, KEY_RECORD, &fresh)
+            .await;
+        match written {
+            Ok(()) => Ok(Some(Key::new(fresh))),
+            Err(StoreError::Refused { status }) if status == http::StatusCode::PRECONDITION_FAILED => {
+                Ok(None)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn join(&self, key: Key) -> Gossip {
+        let socket = loop {
+            match UdpSocket::bind(self.address).await {
+                Ok(socket) => break socket,
+                Err(error) => {
+                    warn!(self.log, "no socket for the exchange"; "event" => "exchange_socket",
+                        "address" => self.address, "error" => %error);
+                    time::sleep(PAUSE).await;
+                }
+            }
+        };
+        let port = self.address.port();
+        let seeds = self.seeds.iter().map(|seed| SocketAddr::new(*seed, port));
+        let local = Local {
+            identity: Identity {
+                name: self.name.clone(),
+                incarnation: view::incarnation(clock::unix_time()),
+                keys: Keys::new(key, None),
+            },
+            role: Role::Router,
+            zone: self.zone.clone(),
+            address: self.address,
+            seeds: seeds.collect(),
+        };
+        // There is no document here; targets come from the store.
+        let (_, views) = watch::channel(None);
+        Gossip::start(local, socket, views, self.metrics.clone(), self.log.clone())
+    }
+}
+
+fn items(report: Report) -> impl Iterator<Item = Item> {
+    let unix = clock::unix_time();
+    let loads = report.loads.into_iter().map(move |(target, load)| Item {
+        key: ItemKey::TargetLoad(target),
+        value: Value::Load {
+            stamp: unix.as_secs(),
+            running: load.running,
+            capacity: load.waiting,
+        },
+    });
+    let crashes = report.crashes.into_iter().map(move |(suspicion, age)| Item {
+        key: ItemKey::Crash(suspicion.content, suspicion.target),
+        value: Value::Crash {
+            stamp: unix.saturating_sub(age).as_secs(),
+            team: suspicion.team,
+        },
+    });
+    loads.chain(crashes)
+}
+
+fn news(items: &ebonyfall_core::dissemination::Store) -> Vec<News> {
+    let unix = clock::unix_time();
+    let age = |stamp: u64| unix.saturating_sub(Duration::from_secs(stamp));
+    let news = items.iter().filter_map(|(key, value)| match (key, value) {
+        (
+            ItemKey::TargetLoad(target),
+            Value::Load {
+                stamp,
+                running,
+                capacity,
+            },
+        ) => {
+            let load = TargetLoad {
+                running: *running,
+                waiting: *capacity,
+            };
+            Some(News::Heard(target.clone(), load, age(*stamp)))
+        }
+        (ItemKey::Crash(content, target), Value::Crash { stamp, team }) => {
+            let suspicion = Suspicion {
+                content: *content,
+                target: target.clone(),
+                team: team.clone(),
+            };
+            Some(News::Crash(suspicion, age(*stamp)))
+        }
+        _ => None,
+    });
+    news.collect()
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of one process, read from an INI file.
 
-use std::{fs, io, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+use std::{fs, io, net::{IpAddr, SocketAddr}, path::PathBuf, str::FromStr, time::Duration};
 
 use ebonyfall_core::{
     allowance::RetryBound,
@@ -105,6 +105,10 @@
     pub store: SocketAddr,
     /// Where datagrams of other routers are taken.
     pub peers: SocketAddr,
+    /// VMs of other routers, which take datagrams at the same port.
+    pub seeds: Vec<IpAddr>,
+    /// Time after which a leaving target must get no work.
+    pub drain: Duration,
     /// Time from the stop signal until the process is killed.
     pub grace: Duration,
     /// Time after which a key that was taken away must be refused.
@@ -176,6 +180,8 @@
         let metrics = f.required("metrics", ADDRESS, parsed);
         let store = f.required("store", ADDRESS, parsed);
         let peers = f.required("peers", ADDRESS, parsed);
+        let seeds = f.optional("seeds", "addresses, separated by commas", seeds);
+        let drain = f.required("drain-ms", MILLIS, millis);
         let grace = f.required("grace-s", SECONDS, seconds);
         let revocation = f.required("revocation-ms", MILLIS, millis);
         let ratio = f.required("retry-ratio", "a number such as 0.2", parsed);
@@ -190,6 +196,8 @@
             metrics: metrics?,
             store: store?,
             peers: peers?,
+            seeds: seeds.unwrap_or_default(),
+            drain: drain?,
             grace: grace?,
             revocation: revocation?,
             retry: RetryBound {
@@ -230,6 +238,14 @@
 const SECONDS: &str = "seconds, such as 8 or 0.5";
 const MILLIS: &str = "milliseconds, such as 5000";
 
+/// The ports that seeds name belong to another interface.
+fn seeds(text: &str) -> Option<Vec<IpAddr>> {
+    let names = text.split(',').map(str::trim).filter(|name| !name.is_empty());
+    names
+        .map(|name| parsed::<SocketAddr>(name).map(|address| address.ip()))
+        .collect()
+}
+
 fn seconds(text: &str) -> Option<Duration> {
     Duration::try_from_secs_f64(text.parse().ok()?).ok()
 }
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -12,6 +12,7 @@
     name::{ServiceName, TargetName, TeamName, ZoneName},
     steer::{Choice, End, Refusal, Steer, Want},
     target::{TargetLoad, TargetRecord},
+    time::Time,
 };
 use tokio::sync::{
     mpsc::{self, OwnedPermit},
@@ -64,6 +65,30 @@
     Routers(u32),
     /// The store did not answer.
     StoreLost,
+    /// A load that a target named to another router some time ago.
+    Heard(TargetName, TargetLoad, Duration),
+    /// A crash that another router put down to a request, some time ago.
+    Crash(Suspicion, Duration),
+}
+
+/// A crash that is put down to a request.
+#[derive(Debug, Clone)]
+pub struct Suspicion {
+    /// Hash of team and content.
+    pub content: Fingerprint,
+    /// The target that crashed.
+    pub target: TargetName,
+    /// The team that sent the request.
+    pub team: TeamName,
+}
+
+/// What other routers are told.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Loads that targets named since the last report.
+    pub loads: Vec<(TargetName, TargetLoad)>,
+    /// Crashes that were put down to requests, with the time that has passed since.
+    pub crashes: Vec<(Suspicion, Duration)>,
 }
 
 #[derive(Debug)]
@@ -72,7 +97,7 @@
     Ended(Box<Ended>),
     Named(TargetName, TargetLoad),
     News(Vec<News>),
-    Usable(oneshot::Sender<usize>),
+    Report(oneshot::Sender<Report>),
 }
 
 #[derive(Debug)]
@@ -146,6 +171,7 @@
             anonymous: TeamName::new("public").expect("the literal is a name"),
             clock,
             idle: HashMap::new(),
+            reported: Time::ZERO,
         };
         tokio::spawn(task.run(rx));
         Self(tx)
@@ -182,10 +208,10 @@
         let _ended = self.0.send(Ask::News(news)).await;
     }
 
-    /// Number of targets that take work.
-    pub async fn usable(&self) -> usize {
+    /// What other routers are to be told since the last call.
+    pub async fn report(&self) -> Report {
         let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Ask::Usable(reply)).await;
+        let _ended = self.0.send(Ask::Report(reply)).await;
         answer.await.unwrap_or_default()
     }
 }
@@ -196,6 +222,7 @@
     anonymous: TeamName,
     clock: BootClock,
     idle: HashMap<TargetName, Idle>,
+    reported: Time,
 }
 
 struct Idle {
@@ -223,8 +250,8 @@
                 Ask::Ended(ended) => self.ended(*ended),
                 Ask::Named(target, load) => self.steer.named(&target, load, self.clock.now()),
                 Ask::News(news) => news.into_iter().for_each(|news| self.learn(news)),
-                Ask::Usable(reply) => {
-                    let _left = reply.send(self.steer.usable(self.clock.now()));
+                Ask::Report(reply) => {
+                    let _left = reply.send(self.report());
                 }
             }
         }
@@ -272,6 +299,25 @@
         }
     }
 
+    fn report(&mut self) -> Report {
+        let now = self.clock.now();
+        let from = std::mem::replace(&mut self.reported, now);
+        let loads = self.steer.named_since(from);
+        let loads = loads.map(|(name, load)| (name.clone(), load)).collect();
+        let crashes = self.steer.crashes().flat_map(|(content, mark)| {
+            mark.crashes.iter().map(move |crash| {
+                let suspicion = Suspicion {
+                    content,
+                    target: crash.target.clone(),
+                    team: mark.team.clone(),
+                };
+                (suspicion, now.since(crash.time))
+            })
+        });
+        let crashes = crashes.collect();
+        Report { loads, crashes }
+    }
+
     fn learn(&mut self, news: News) {
         let now = self.clock.now();
         match news {
@@ -298,6 +344,16 @@
             News::ColdRates(rates) => self.steer.set_cold_rates(rates),
             News::Routers(routers) => self.steer.set_routers(routers),
             News::StoreLost => self.steer.store_lost(now),
+            News::Heard(target, load, age) => self.steer.heard(&target, load, age, now),
+            News::Crash(suspicion, age) => {
+                let Suspicion {
+                    content,
+                    target,
+                    team,
+                } = suspicion;
+                let at = Time::ZERO + now.since(Time::ZERO + age);
+                self.steer.learn_crash(content, &target, &team, at);
+            }
         }
     }
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -91,14 +91,20 @@
         store::tail(from, body).context(DecodeSnafu)
     }
 
-    /// Appends one keyed record.
+    /// Appends one keyed record if the stream ends at `at`.
     ///
     /// # Errors
     ///
-    /// Fails when the store refuses or does not answer; without an answer the record may be in
-    /// the log.
-    pub async fn append(&self, topic: Topic, key: &str, value: &[u8]) -> Result<(), StoreError> {
-        let path = store::append_path(topic);
+    /// Fails when the stream has grown, or the store refuses or does not answer; without an answer
+    /// the record may be in the log.
+    pub async fn append_at(
+        &self,
+        topic: Topic,
+        at: Offset,
+        key: &str,
+        value: &[u8],
+    ) -> Result<(), StoreError> {
+        let path = store::append_path(topic, at);
         let body = store::append_body(key, value);
         self.call(Method::POST, &path, body, Duration::ZERO).await?;
         Ok(())
--- a/wire/src/gossip.rs
+++ b/wire/src/gossip.rs
@@ -251,7 +251,7 @@
             capacity: u32::arbitrary(g),
         };
         let state = *g.choose(&[ZoneState::In, ZoneState::Out]).unwrap();
-        let (key, value) = match u8::arbitrary(g) % 7 {
+        let (key, value) = match u8::arbitrary(g) % 9 {
             0 => (
                 ItemKey::Verdict(step, n.into()),
                 Value::Verdict(Verdict::Faulty),
@@ -286,6 +286,17 @@
                 (key, Value::Evidence { counts, stamp: n })
             }
             5 => (ItemKey::ZoneLoad(model, zone), load),
+            6 => (
+                ItemKey::TargetLoad(TargetName::new(text(g)).unwrap()),
+                load,
+            ),
+            7 => (
+                ItemKey::Crash(n.into(), TargetName::new(text(g)).unwrap()),
+                Value::Crash {
+                    stamp: n,
+                    team: TeamName::new(text(g)).unwrap(),
+                },
+            ),
             _ => (ItemKey::AgentLoad(model, agent), load),
         };
         Item { key, value }
