Confirm the desired state at once after a change, and pass a target's own failure on

A request whose repeat the budget denied got 502 instead of the target's own answer.

Change: a read without waiting follows each change; orders are read with a wait of 1.8 s and the lease keeps a margin of 20 %; the target's own failure is kept while another target is sought.

--- a/core/src/desired.rs
+++ b/core/src/desired.rs
@@ -146,9 +146,7 @@
     /// The route of the host with the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.hosts.get(host)?;
-        routes
-            .iter()
-            .find(|route| path.starts_with(&*route.prefix))
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
     /// Number of routes.
--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -6,7 +6,7 @@
 
 /// Part of the revocation bound that is left, in percent: for what is on its way to a target, and
 /// for a store that answers from a state a second old while it drops its history.
-const MARGIN_PERCENT: u32 = 28;
+const MARGIN_PERCENT: u32 = 20;
 
 /// Confirmed knowledge of the desired state; times must come from a clock that also counts while
 /// the VM is suspended.
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -527,9 +527,7 @@
         let bound = mean * SPILL_FACTOR + SPILL_FLOOR;
         let mut order: Vec<_> = entries.collect();
         order.sort_by_key(|entry| entry.rank_for(context));
-        let fits = order
-            .iter()
-            .find(|entry| entry.load(now) + 1.0 <= bound);
+        let fits = order.iter().find(|entry| entry.load(now) + 1.0 <= bound);
         let least = || {
             order
                 .iter()
@@ -586,7 +584,13 @@
     }
 
     /// Takes a crash that another router put down to a request.
-    pub fn learn_crash(&mut self, content: Fingerprint, target: &TargetName, team: &TeamName, at: Time) {
+    pub fn learn_crash(
+        &mut self,
+        content: Fingerprint,
+        target: &TargetName,
+        team: &TeamName,
+        at: Time,
+    ) {
         self.suspects.mark(content, team, target, at);
     }
 
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -198,7 +198,13 @@
         log: Logger,
     ) -> io::Result<()> {
         let listener = web::bind(address).await?;
-        tokio::spawn(web::serve(listener, self.routes(), web::ConnectionLimits::default, stop, log));
+        tokio::spawn(web::serve(
+            listener,
+            self.routes(),
+            web::ConnectionLimits::default,
+            stop,
+            log,
+        ));
         Ok(())
     }
 
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -65,6 +65,8 @@
     steering: Steering,
     log: Logger,
     again: bool,
+    /// A target's own failure, which the caller gets when there is no other target.
+    failure: Option<Whole>,
 }
 
 /// A target's answer whose body has not been read.
@@ -77,11 +79,20 @@
     body: Incoming,
 }
 
+/// A whole answer of a target.
+#[derive(Debug)]
+struct Whole {
+    choice: Choice,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
 /// What sending the request to one target led to.
 enum Sent {
     Answer(Open),
-    /// The target's own failure, whole.
-    Failure(Given),
+    /// The target's own failure.
+    Failure(Whole),
 }
 
 impl Carrier {
@@ -93,6 +104,7 @@
             steering,
             log,
             again: false,
+            failure: None,
         }
     }
 
@@ -104,7 +116,7 @@
     pub async fn run(mut self) -> Result<Given, Refusal> {
         loop {
             let open = match self.open(None).await? {
-                Sent::Failure(given) => return Ok(given),
+                Sent::Failure(whole) => return Ok(self.give(whole)),
                 Sent::Answer(open) => open,
             };
             if matches!(self.job.route.form, Form::Events { .. }) {
@@ -116,6 +128,16 @@
         }
     }
 
+    fn give(&self, whole: Whole) -> Given {
+        Given {
+            id: self.job.id.clone(),
+            choice: whole.choice,
+            status: whole.status,
+            headers: whole.headers,
+            body: web::full(whole.body),
+        }
+    }
+
     /// Sends the request to targets until one answers.
     async fn open(&mut self, last_event: Option<&str>) -> Result<Sent, Refusal> {
         loop {
@@ -124,24 +146,26 @@
             }
             let (ticket, line) = match self.steering.choose(self.order()).await {
                 Ok(granted) => granted,
-                Err(refusal) => return Err(self.refusal(refusal.code, refusal.after)),
+                Err(refusal) => {
+                    let own = self.failure.take().map(Sent::Failure);
+                    return own.ok_or_else(|| self.refusal(refusal.code, refusal.after));
+                }
             };
             let target = ticket.choice.target.name.clone();
             match self.send(ticket, line, last_event).await {
                 Ok(sent) => return Ok(Sent::Answer(sent)),
                 Err((failure, own)) => match self.failed(&target, failure) {
-                    Next::Again { repeat } => self.again = repeat,
-                    Next::PassOn => match own {
-                        Some(given) => return Ok(Sent::Failure(given)),
-                        None => return Err(self.refusal(failure.code(), COME_BACK)),
-                    },
-                    Next::GiveUp(code) => {
-                        return match own {
-                            // The target's own word is truer than a code of the router.
-                            Some(given) if code == failure.code() => Ok(Sent::Failure(given)),
-                            _ => Err(self.refusal(code, COME_BACK)),
-                        };
+                    Next::Again { repeat } => {
+                        self.again = repeat;
+                        self.failure = own.or(self.failure.take());
+                    }
+                    Next::PassOn | Next::GiveUp(_) if own.is_some() => {
+                        return own
+                            .map(Sent::Failure)
+                            .ok_or_else(|| self.refusal(failure.code(), COME_BACK));
                     }
+                    Next::PassOn => return Err(self.refusal(failure.code(), COME_BACK)),
+                    Next::GiveUp(code) => return Err(self.refusal(code, COME_BACK)),
                 },
             }
         }
@@ -180,7 +204,7 @@
         ticket: Ticket,
         line: Option<Line>,
         last_event: Option<&str>,
-    ) -> Result<Open, (Failure, Option<Given>)> {
+    ) -> Result<Open, (Failure, Option<Whole>)> {
         let fail = |ticket: Ticket, failure| {
             ticket.finish(End::Failed(failure), None);
             (failure, None)
@@ -226,7 +250,7 @@
     }
 
     /// Reads a failure's body, so that the connection can be used again.
-    async fn failure_body(&self, open: Open, failure: Failure, own: bool) -> Option<Given> {
+    async fn failure_body(&self, open: Open, failure: Failure, own: bool) -> Option<Whole> {
         let left = self.passage.expires().since(BootClock.now()) + LAST_WORD;
         let choice = open.ticket.choice.clone();
         let body = timeout(left, open.body.collect()).await;
@@ -236,12 +260,11 @@
         };
         let line = rested(open.line, &open.headers);
         open.ticket.finish(End::Failed(failure), Some(line));
-        own.then(|| Given {
-            id: self.job.id.clone(),
+        own.then(|| Whole {
             choice,
             status: open.status,
             headers: open.headers,
-            body: web::full(body.to_bytes()),
+            body: body.to_bytes(),
         })
     }
 
@@ -287,13 +310,12 @@
                 let line = rested(open.line, &open.headers);
                 let choice = open.ticket.choice.clone();
                 open.ticket.finish(End::Served, Some(line));
-                return Ok(Some(Given {
-                    id: self.job.id.clone(),
+                return Ok(Some(self.give(Whole {
                     choice,
                     status: open.status,
                     headers: open.headers,
-                    body: web::full(body.to_bytes()),
-                }));
+                    body: body.to_bytes(),
+                })));
             }
             Ok(Err(_broken)) => Failure::Broken,
             Err(_late) => Failure::Silent,
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -29,7 +29,7 @@
 
 /// Longest wait of one read of operators' orders. It bounds the age of what is confirmed, and a
 /// silent connection is noticed soon after.
-const ORDER_WAIT: Duration = Duration::from_millis(2_200);
+const ORDER_WAIT: Duration = Duration::from_millis(1_800);
 /// Part of the time after which a leaving target must get no work, in percent, between two reads
 /// of the targets' entries.
 const TARGET_POLL_PERCENT: u32 = 45;
@@ -154,9 +154,10 @@
 
     /// Reads on until that fails.
     async fn tail(&mut self, mut from: Offset) -> StoreError {
+        let mut wait = ORDER_WAIT;
         loop {
             let asked = BootClock.now();
-            match self.store.read(Topic::Orders, from, ORDER_WAIT).await {
+            match self.store.read(Topic::Orders, from, wait).await {
                 Ok(tail) => {
                     self.link.answered(BootClock.now());
                     let changed = !tail.records.is_empty();
@@ -165,12 +166,14 @@
                         self.publish_evacuated().await;
                     }
                     // Without a record, the store has waited for the whole time, so that there was
-                    // none at the end of it.
-                    if !changed {
-                        self.confirm(asked + ORDER_WAIT);
-                    } else if tail.next >= tail.end {
-                        self.confirm(asked);
-                    }
+                    // none at the end of it. A record may have come late in that time, which is
+                    // only known to have begun at `asked`: the next read confirms at once.
+                    wait = if changed {
+                        Duration::ZERO
+                    } else {
+                        self.confirm(asked + wait);
+                        ORDER_WAIT
+                    };
                     from = tail.next;
                 }
                 Err(StoreError::Expired) => return StoreError::Expired,
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -196,7 +196,9 @@
     fn give(&self, given: Given) -> Response<Body> {
         if rand::random::<u64>().is_multiple_of(SAMPLE) {
             let choice = &given.choice;
-            let age = choice.load_age.and_then(|age| u64::try_from(age.as_millis()).ok());
+            let age = choice
+                .load_age
+                .and_then(|age| u64::try_from(age.as_millis()).ok());
             info!(self.log, "answered"; "event" => "answer", "request" => &given.id,
                 "target" => %choice.target.name, "status" => given.status.as_u16(),
                 "load" => choice.load, "mean" => choice.mean, "load_age_ms" => age,
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -129,7 +129,9 @@
             .await;
         match written {
             Ok(()) => Ok(Some(Key::new(fresh))),
-            Err(StoreError::Refused { status }) if status == http::StatusCode::PRECONDITION_FAILED => {
+            Err(StoreError::Refused { status })
+                if status == http::StatusCode::PRECONDITION_FAILED =>
+            {
                 Ok(None)
             }
             Err(error) => Err(error),
@@ -176,13 +178,16 @@
             capacity: load.waiting,
         },
     });
-    let crashes = report.crashes.into_iter().map(move |(suspicion, age)| Item {
-        key: ItemKey::Crash(suspicion.content, suspicion.target),
-        value: Value::Crash {
-            stamp: unix.saturating_sub(age).as_secs(),
-            team: suspicion.team,
-        },
-    });
+    let crashes = report
+        .crashes
+        .into_iter()
+        .map(move |(suspicion, age)| Item {
+            key: ItemKey::Crash(suspicion.content, suspicion.target),
+            value: Value::Crash {
+                stamp: unix.saturating_sub(age).as_secs(),
+                team: suspicion.team,
+            },
+        });
     loads.chain(crashes)
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -140,7 +140,13 @@
     info!(log, "router ready"; "listen" => address);
     let routes = front::routes(views, relay);
     let shutdown_log = log.clone();
-    let serving = web::serve(listener, routes, web::ConnectionLimits::default, stop.clone(), log);
+    let serving = web::serve(
+        listener,
+        routes,
+        web::ConnectionLimits::default,
+        stop.clone(),
+        log,
+    );
     tokio::pin!(serving);
     tokio::select! {
         () = &mut serving => {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,12 @@
 //! Settings of one process, read from an INI file.
 
-use std::{fs, io, net::{IpAddr, SocketAddr}, path::PathBuf, str::FromStr, time::Duration};
+use std::{
+    fs, io,
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    str::FromStr,
+    time::Duration,
+};
 
 use ebonyfall_core::{
     allowance::RetryBound,
@@ -240,7 +246,10 @@
 
 /// The ports that seeds name belong to another interface.
 fn seeds(text: &str) -> Option<Vec<IpAddr>> {
-    let names = text.split(',').map(str::trim).filter(|name| !name.is_empty());
+    let names = text
+        .split(',')
+        .map(str::trim)
+        .filter(|name| !name.is_empty());
     names
         .map(|name| parsed::<SocketAddr>(name).map(|address| address.ip()))
         .collect()
--- a/src/web.rs
+++ b/src/web.rs
@@ -1,7 +1,12 @@
 //! HTTP serving with gotham's router, with limits and graceful shutdown.
 
 use std::{
-    any::Any, convert::Infallible, io, net::SocketAddr, panic::{AssertUnwindSafe, RefUnwindSafe}, sync::Arc,
+    any::Any,
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    panic::{AssertUnwindSafe, RefUnwindSafe},
+    sync::Arc,
     time::Duration,
 };
 
--- a/standin/src/host.rs
+++ b/standin/src/host.rs
@@ -47,7 +47,13 @@
                     .expect("the address is free");
                 let routes = runtime.block_on(async { routes(inner.clone(), life) });
                 let log = Logger::root(Discard, o!());
-                runtime.spawn(web::serve(listener, routes, web::ConnectionLimits::default, stop, log));
+                runtime.spawn(web::serve(
+                    listener,
+                    routes,
+                    web::ConnectionLimits::default,
+                    stop,
+                    log,
+                ));
                 let event = rx.recv().unwrap_or(Event::Stop);
                 runtime.shutdown_background();
                 match event {
--- a/wire/src/gossip.rs
+++ b/wire/src/gossip.rs
@@ -286,10 +286,7 @@
                 (key, Value::Evidence { counts, stamp: n })
             }
             5 => (ItemKey::ZoneLoad(model, zone), load),
-            6 => (
-                ItemKey::TargetLoad(TargetName::new(text(g)).unwrap()),
-                load,
-            ),
+            6 => (ItemKey::TargetLoad(TargetName::new(text(g)).unwrap()), load),
             7 => (
                 ItemKey::Crash(n.into(), TargetName::new(text(g)).unwrap()),
                 Value::Crash {
