--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -161,11 +161,9 @@
             | Self::Quarantine(_)
             | Self::Zone(_)
             | Self::Tip
+            | Self::TargetLoad(_)
             | Self::Crash(..) => true,
-            Self::Evidence { .. }
-            | Self::ZoneLoad(..)
-            | Self::AgentLoad(..)
-            | Self::TargetLoad(_) => false,
+            Self::Evidence { .. } | Self::ZoneLoad(..) | Self::AgentLoad(..) => false,
         }
     }
 
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -35,7 +35,7 @@
 };
 
 /// Time between two exchanges with the steering.
-const INTERVAL: Duration = Duration::from_millis(500);
+const INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after a failed attempt to get the key or the socket.
 const PAUSE: Duration = Duration::from_secs(2);
 /// Key of the record that holds the exchange's key.
