Tell other routers the open requests of each target directly

Change: every 300 ms a router sends its open requests by target to the other routers (at most 32 datagrams); the load of a target is the sum, or what it named in the last 0.7 s if that is more.

--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -84,8 +84,9 @@
     ZoneLoad(ModelName, ZoneName),
     /// Load of one agent; travels within its zone only.
     AgentLoad(ModelName, ProcessName),
-    /// Load that a target without an agent named in an answer.
-    TargetLoad(TargetName),
+    /// Requests that a router has open at targets without an agent; each router tells the others
+    /// itself.
+    RouterLoad(ProcessName),
     /// A crash of a target while it ran a request of this content.
     Crash(Fingerprint, TargetName),
 }
@@ -135,6 +136,17 @@
         /// Requests that can run at once.
         capacity: u32,
     },
+    /// Open requests by target.
+    Open {
+        /// The router's start.
+        incarnation: Incarnation,
+        /// Grows with each report of that start.
+        number: u64,
+        /// When it was made, in seconds since the Unix epoch.
+        stamp: u64,
+        /// The targets with open requests, and how many.
+        counts: Vec<(TargetName, u32)>,
+    },
     /// A crash, with its time in seconds since the Unix epoch and the team that sent the request.
     Crash {
         /// When the target crashed.
@@ -161,9 +173,11 @@
             | Self::Quarantine(_)
             | Self::Zone(_)
             | Self::Tip
-            | Self::TargetLoad(_)
             | Self::Crash(..) => true,
-            Self::Evidence { .. } | Self::ZoneLoad(..) | Self::AgentLoad(..) => false,
+            Self::Evidence { .. }
+            | Self::ZoneLoad(..)
+            | Self::AgentLoad(..)
+            | Self::RouterLoad(_) => false,
         }
     }
 
@@ -174,7 +188,8 @@
             Self::Quarantine(_) | Self::ZoneLoad(..) => 1_024,
             Self::Zone(_) => 128,
             Self::Tip => 1,
-            Self::Evidence { .. } | Self::TargetLoad(_) => 8_192,
+            Self::Evidence { .. } => 8_192,
+            Self::RouterLoad(_) => 1_024,
             Self::Crash(..) => 4_096,
             Self::AgentLoad(..) => 2_048,
         }
@@ -189,7 +204,7 @@
             Self::Evidence { .. } => 4,
             Self::ZoneLoad(..) => 5,
             Self::AgentLoad(..) => 6,
-            Self::TargetLoad(_) => 7,
+            Self::RouterLoad(_) => 7,
             Self::Crash(..) => 8,
         }
     }
@@ -204,7 +219,8 @@
             } => agent.as_str().len() + step.as_str().len() + route.as_str().len(),
             Self::ZoneLoad(model, zone) => model.as_str().len() + zone.as_str().len(),
             Self::AgentLoad(model, agent) => model.as_str().len() + agent.as_str().len(),
-            Self::TargetLoad(target) | Self::Crash(_, target) => target.as_str().len(),
+            Self::RouterLoad(router) => router.as_str().len(),
+            Self::Crash(_, target) => target.as_str().len(),
         };
         // Kind 1, three lengths 3, incarnation or offset 10, arm 1.
         text + 15
@@ -281,6 +297,20 @@
                 (*stamp, *running, *capacity) =
                     (*stamp, *running, *capacity).max((*new_stamp, *new_running, *new_capacity));
             }
+            (
+                Self::Open {
+                    incarnation,
+                    number,
+                    ..
+                },
+                Self::Open {
+                    incarnation: new_incarnation,
+                    number: new_number,
+                    ..
+                },
+            ) if (*new_incarnation, *new_number) > (*incarnation, *number) => {
+                *self = other.clone();
+            }
             (
                 Self::Crash { stamp, .. },
                 Self::Crash {
@@ -298,7 +328,9 @@
             Self::Verdict(_) | Self::Zone { .. } | Self::Tip { .. } => false,
             Self::Quarantine { until, .. } => *until <= unix,
             Self::Evidence { stamp, .. } => stamp.saturating_add(EVIDENCE_LIFE) <= unix,
-            Self::Load { stamp, .. } => stamp.saturating_add(LOAD_LIFE) <= unix,
+            Self::Load { stamp, .. } | Self::Open { stamp, .. } => {
+                stamp.saturating_add(LOAD_LIFE) <= unix
+            }
             Self::Crash { stamp, .. } => stamp.saturating_add(CRASH_LIFE) <= unix,
         }
     }
@@ -312,10 +344,11 @@
                 | (ItemKey::Tip, Self::Tip { .. })
                 | (ItemKey::Evidence { .. }, Self::Evidence { .. })
                 | (
-                    ItemKey::ZoneLoad(..) | ItemKey::AgentLoad(..) | ItemKey::TargetLoad(_),
+                    ItemKey::ZoneLoad(..) | ItemKey::AgentLoad(..),
                     Self::Load { .. }
                 )
                 | (ItemKey::Crash(..), Self::Crash { .. })
+                | (ItemKey::RouterLoad(_), Self::Open { .. })
         )
     }
 
@@ -327,6 +360,10 @@
             Self::Tip { .. } | Self::Load { .. } => 20,
             Self::Evidence { .. } => 50,
             Self::Crash { team, .. } => 11 + team.as_str().len(),
+            Self::Open { counts, .. } => {
+                let names = counts.iter().map(|(name, _)| name.as_str().len() + 6);
+                35 + names.sum::<usize>()
+            }
         }
     }
 }
--- a/core/src/exchange.rs
+++ b/core/src/exchange.rs
@@ -8,7 +8,7 @@
 use crate::{
     dissemination::{Item, ItemKey, Kind, MAX_PACKET, Packet, Value},
     id::Incarnation,
-    member::{LEASE, Members, RegionLinks},
+    member::{Entry, LEASE, Members, RegionLinks},
     name::ProcessName,
     peer::{Liveness, Record, State},
     piggyback::{Class, Subject},
@@ -35,6 +35,8 @@
 const CHANGES: usize = 900;
 /// Bytes of an answer, which carries changes back.
 const ANSWER: usize = 400;
+/// Routers that one broadcast reaches.
+const BROADCAST: usize = 32;
 /// Time without any packet after which the silence of others says nothing about them.
 const ISOLATION: Duration = Duration::from_secs(3);
 /// One round in this many also tries a process that is taken to be silent or a seed, so that the
@@ -177,6 +179,25 @@
         out
     }
 
+    /// Sends an item to every router that is alive, or to a random part of them in a large fleet.
+    pub fn broadcast(&self, item: &Item, random: &mut impl FnMut() -> u64) -> Vec<Outgoing> {
+        let packet = Packet {
+            kind: Kind::Urgent,
+            from: self.own.clone(),
+            records: Vec::new(),
+            items: vec![item.clone()],
+        };
+        let alive = |entry: &&Entry| entry.state() == State::Alive;
+        let routers = self.entries.iter().filter(alive);
+        let routers = routers.filter(|entry| entry.record.target().is_none());
+        let mut addresses: Vec<_> = routers.map(|entry| entry.record.address).collect();
+        while addresses.len() > BROADCAST {
+            addresses.swap_remove(pick(random, addresses.len()));
+        }
+        let packets = addresses.into_iter();
+        packets.map(|address| (address, packet.clone())).collect()
+    }
+
     /// Sends urgent changes if the budget allows.
     pub fn flush(&mut self, random: &mut impl FnMut() -> u64, out: &mut Vec<Outgoing>) {
         if !self.hot.has_urgent() || self.exchange.tokens < 1.0 {
@@ -430,7 +451,7 @@
                 break;
             }
             self.exchange.walk_items = Some(item.key.clone());
-            let local = matches!(item.key, ItemKey::AgentLoad(..));
+            let local = matches!(item.key, ItemKey::AgentLoad(..) | ItemKey::RouterLoad(_));
             if (near || !local) && !packet.items.iter().any(|found| found.key == item.key) {
                 size += item.size();
                 packet.items.push(item);
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -355,7 +355,8 @@
     /// Merges an item and passes it on when it is news; `unix` is in seconds since the Unix epoch.
     pub fn put(&mut self, item: &Item, unix: u64) -> bool {
         let changed = self.store.merge(item, unix);
-        if changed {
+        // Routers tell each other their open requests directly, see `broadcast`.
+        if changed && !matches!(item.key, ItemKey::RouterLoad(_)) {
             let class = match item.key {
                 _ if item.key.is_urgent() => Class::Urgent,
                 ItemKey::AgentLoad(..) => Class::Local,
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -14,7 +14,7 @@
     code::Code,
     crash::{Mark, Standing, Suspects},
     id::Fingerprint,
-    name::{ServiceName, TargetName, TeamName, ZoneName},
+    name::{ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     passage::Failure,
     target::{Stage, TargetLoad, TargetRecord},
     time::Time,
@@ -40,9 +40,10 @@
 const MAX_HOLDERS: usize = 20_000;
 /// Time after which a target is no longer expected to hold a context.
 const HOLDER_LIFE: Duration = Duration::from_secs(60);
-/// Time for which a load that a target named counts. A router that sees a small part of the
-/// traffic hears of one target every few seconds, and homes of busy chats stay busy.
-const LOAD_LIFE: Duration = Duration::from_secs(8);
+/// Time for which a load that a target named counts.
+const LOAD_LIFE: Duration = Duration::from_millis(700);
+/// Time for which another router's report of its open requests counts.
+const OPEN_LIFE: Duration = Duration::from_secs(2);
 /// Time for which a target that declined a request is chosen last.
 const FULL: Duration = Duration::from_millis(150);
 /// Load difference, in requests, at which a plain service's request crosses to another zone.
@@ -119,6 +120,8 @@
     /// When the entry lapses; entries that lapsed around an outage of the store get some time.
     lapses: Option<Time>,
     outstanding: u32,
+    /// Requests that other routers have open.
+    elsewhere: u32,
     named: Option<(TargetLoad, Time)>,
     since_named: i64,
     good: f64,
@@ -140,6 +143,7 @@
             record,
             lapses: None,
             outstanding: 0,
+            elsewhere: 0,
             named: None,
             since_named: 0,
             good: 0.0,
@@ -154,7 +158,7 @@
     }
 
     fn load(&self, now: Time) -> f64 {
-        let own = f64::from(self.outstanding);
+        let own = f64::from(self.outstanding + self.elsewhere);
         match self.named {
             Some((load, at)) if now.since(at) < LOAD_LIFE => {
                 let named = i64::from(load.running) + i64::from(load.waiting) + self.since_named;
@@ -167,10 +171,6 @@
         }
     }
 
-    fn is_heard(&self, now: Time) -> bool {
-        self.named.is_some_and(|(_, at)| now.since(at) < LOAD_LIFE)
-    }
-
     fn decay(&mut self, now: Time) {
         let lives = now.since(self.decayed).as_secs_f64() / HALF_LIFE.as_secs_f64();
         let factor = 0.5_f64.powf(lives);
@@ -234,6 +234,15 @@
     suspects: Suspects,
     store_lost: Option<Time>,
     holders: HashMap<u64, (TargetName, Time)>,
+    open: HashMap<ProcessName, Open>,
+}
+
+/// What another router has open.
+#[derive(Debug)]
+struct Open {
+    number: u64,
+    counts: HashMap<TargetName, u32>,
+    at: Time,
 }
 
 impl Steer {
@@ -251,6 +260,7 @@
             suspects: Suspects::new(HOLD),
             store_lost: None,
             holders: HashMap::new(),
+            open: HashMap::new(),
         }
     }
 
@@ -301,6 +311,7 @@
             let broken = std::mem::take(&mut entry.broken);
             let mut fresh = Entry::new(record, now);
             fresh.outstanding = entry.outstanding;
+            fresh.elsewhere = entry.elsewhere;
             let name = fresh.record.name.clone();
             *entry = fresh;
             self.crashed(&name, broken, now);
@@ -445,7 +456,7 @@
     fn pick(&mut self, want: &Want<'_>, random: f64, now: Time) -> Option<(TargetName, f64)> {
         let names = self.services.get(want.service)?.clone();
         let mut found = Vec::with_capacity(names.len());
-        let (mut sum, mut heard) = (0.0, 0.0);
+        let (mut sum, mut counted) = (0.0, 0.0);
         let (mut bad_sum, mut usable) = (0.0, 0.0);
         for name in &names {
             let Some(entry) = self.entries.get_mut(name) else {
@@ -454,22 +465,19 @@
             if !entry.is_usable(&self.evacuated, now) {
                 // The fleet's bound on loads counts targets of evacuated zones, which are idle.
                 let idle = self.evacuated.contains(&entry.record.zone);
-                heard += if idle { 1.0 } else { 0.0 };
+                counted += if idle { 1.0 } else { 0.0 };
                 continue;
             }
             entry.decay(now);
-            // The own requests alone would pull the mean of many routers' targets down.
-            if entry.is_heard(now) || want.context.is_none() {
-                sum += entry.load(now);
-                heard += 1.0;
-            }
+            sum += entry.load(now);
+            counted += 1.0;
             bad_sum += entry.failure_share();
             usable += 1.0;
             if !want.tried.contains(name) {
                 found.push(name.clone());
             }
         }
-        let mean = sum / f64::max(heard, 1.0);
+        let mean = sum / f64::max(counted, 1.0);
         let ranked: Vec<_> = found
             .iter()
             .filter_map(|name| {
@@ -562,25 +570,44 @@
         }
     }
 
-    /// Takes a load that another router heard of `age` ago.
-    pub fn heard(&mut self, target: &TargetName, load: TargetLoad, age: Duration, now: Time) {
-        let at = Time::ZERO + now.since(Time::ZERO + age);
-        if let Some(entry) = self.entries.get_mut(target)
-            && entry.named.is_none_or(|(_, own)| own < at)
+    /// Takes the requests that another router has open; `number` grows with each of its reports.
+    pub fn learn_open(
+        &mut self,
+        router: &ProcessName,
+        number: u64,
+        counts: &[(TargetName, u32)],
+        now: Time,
+    ) {
+        if self
+            .open
+            .get(router)
+            .is_some_and(|open| open.number == number)
         {
-            entry.named = Some((load, at));
-            // The own requests were sent before or after the other router's answer alike.
-            entry.since_named = 0;
+            return;
+        }
+        let open = Open {
+            number,
+            counts: counts.iter().cloned().collect(),
+            at: now,
+        };
+        self.open.insert(router.clone(), open);
+        self.sum_open(now);
+    }
+
+    /// Sums up what the other routers have open at each target.
+    fn sum_open(&mut self, now: Time) {
+        self.open.retain(|_, open| now.since(open.at) < OPEN_LIFE);
+        for (name, entry) in &mut self.entries {
+            let counts = self.open.values().filter_map(|open| open.counts.get(name));
+            entry.elsewhere = counts.sum();
         }
     }
 
-    /// Loads that targets named in answers to this router or another one since `from`.
-    pub fn named_since(&self, from: Time) -> impl Iterator<Item = (&TargetName, TargetLoad)> {
+    /// The targets at which this router has requests open, and how many.
+    pub fn open(&self) -> impl Iterator<Item = (&TargetName, u32)> {
         let entries = self.entries.iter();
-        entries.filter_map(move |(name, entry)| {
-            let (load, at) = entry.named?;
-            (at >= from).then_some((name, load))
-        })
+        let open = entries.map(|(name, entry)| (name, entry.outstanding));
+        open.filter(|(_, count)| *count > 0)
     }
 
     /// Takes a crash that another router put down to a request.
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -69,6 +69,7 @@
 #[derive(Debug)]
 enum Ask {
     Put(Item),
+    Broadcast(Item),
     Observe(TargetName, Observation),
     Vms(Vec<ListedVm>),
     Leave(oneshot::Sender<()>),
@@ -131,6 +132,11 @@
         let _ended = self.tx.send(Ask::Put(item)).await;
     }
 
+    /// Sends an item to the other routers directly.
+    pub async fn broadcast(&self, item: Item) {
+        let _ended = self.tx.send(Ask::Broadcast(item)).await;
+    }
+
     /// Reports what the data path found out. A report is dropped while the task is behind, since
     /// the request that made it should not wait.
     pub fn observe(&self, target: &TargetName, observation: Observation) {
@@ -270,6 +276,10 @@
                 self.members.put(&item, unix());
                 self.flush().await;
             }
+            Ask::Broadcast(item) => {
+                let out = self.members.broadcast(&item, &mut rand::random);
+                self.send(out).await;
+            }
             Ask::Observe(target, observation) => {
                 let now = self.clock.now();
                 self.members.observe(&target, observation, now);
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -1,5 +1,5 @@
-//! Exchange between entry routers: who is alive, loads that targets named, and crashes that are
-//! put down to requests.
+//! Exchange between entry routers: who is alive, which requests are open at which targets, and
+//! crashes that are put down to requests.
 //!
 //! The key of the exchange lies in the store, so that no VM has to be set up with it. Without the
 //! store a router gets along alone.
@@ -11,9 +11,9 @@
 
 use ebonyfall_core::{
     dissemination::{Item, ItemKey, Value},
+    id::Incarnation,
     name::{ProcessName, ZoneName},
     peer::Role,
-    target::TargetLoad,
 };
 use ebonyfall_platform::store::Topic;
 use ebonyfall_wire::auth::{Key, Keys};
@@ -34,7 +34,7 @@
     view,
 };
 
-/// Time between two exchanges with the steering.
+/// Time between two reports of a router to the others.
 const INTERVAL: Duration = Duration::from_millis(300);
 /// Pause after a failed attempt to get the key or the socket.
 const PAUSE: Duration = Duration::from_secs(2);
@@ -72,7 +72,8 @@
 impl Peering {
     async fn run(self, mut stop: watch::Receiver<bool>) {
         let key = self.key().await;
-        let gossip = self.join(key).await;
+        let incarnation = view::incarnation(clock::unix_time());
+        let gossip = self.join(key, incarnation).await;
         let leaving = gossip.clone();
         tokio::spawn(async move {
             if stop.wait_for(|stop| *stop).await.is_ok() {
@@ -82,9 +83,23 @@
         let mut ticks = interval(INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut routers = 0;
+        let mut number = 0;
         loop {
             ticks.tick().await;
-            for item in items(self.steering.report().await) {
+            number += 1;
+            let report = self.steering.report().await;
+            gossip
+                .broadcast(Item {
+                    key: ItemKey::RouterLoad(self.name.clone()),
+                    value: Value::Open {
+                        incarnation,
+                        number,
+                        stamp: clock::unix_time().as_secs(),
+                        counts: report.open.clone(),
+                    },
+                })
+                .await;
+            for item in crashes(report) {
                 gossip.put(item).await;
             }
             let known = gossip.standing().borrow().routers.len();
@@ -138,7 +153,7 @@
         }
     }
 
-    async fn join(&self, key: Key) -> Gossip {
+    async fn join(&self, key: Key, incarnation: Incarnation) -> Gossip {
         let socket = loop {
             match UdpSocket::bind(self.address).await {
                 Ok(socket) => break socket,
@@ -154,7 +169,7 @@
         let local = Local {
             identity: Identity {
                 name: self.name.clone(),
-                incarnation: view::incarnation(clock::unix_time()),
+                incarnation,
                 keys: Keys::new(key, None),
             },
             role: Role::Router,
@@ -168,17 +183,10 @@
     }
 }
 
-fn items(report: Report) -> impl Iterator<Item = Item> {
+/// The crashes of a report as items.
+fn crashes(report: Report) -> impl Iterator<Item = Item> {
     let unix = clock::unix_time();
-    let loads = report.loads.into_iter().map(move |(target, load)| Item {
-        key: ItemKey::TargetLoad(target),
-        value: Value::Load {
-            stamp: unix.as_secs(),
-            running: load.running,
-            capacity: load.waiting,
-        },
-    });
-    let crashes = report
+    report
         .crashes
         .into_iter()
         .map(move |(suspicion, age)| Item {
@@ -187,27 +195,14 @@
                 stamp: unix.saturating_sub(age).as_secs(),
                 team: suspicion.team,
             },
-        });
-    loads.chain(crashes)
+        })
 }
 
 fn news(items: &ebonyfall_core::dissemination::Store) -> Vec<News> {
     let unix = clock::unix_time();
-    let age = |stamp: u64| unix.saturating_sub(Duration::from_secs(stamp));
     let news = items.iter().filter_map(|(key, value)| match (key, value) {
-        (
-            ItemKey::TargetLoad(target),
-            Value::Load {
-                stamp,
-                running,
-                capacity,
-            },
-        ) => {
-            let load = TargetLoad {
-                running: *running,
-                waiting: *capacity,
-            };
-            Some(News::Heard(target.clone(), load, age(*stamp)))
+        (ItemKey::RouterLoad(router), Value::Open { number, counts, .. }) => {
+            Some(News::Open(router.clone(), *number, counts.clone()))
         }
         (ItemKey::Crash(content, target), Value::Crash { stamp, team }) => {
             let suspicion = Suspicion {
@@ -215,7 +210,8 @@
                 target: target.clone(),
                 team: team.clone(),
             };
-            Some(News::Crash(suspicion, age(*stamp)))
+            let age = unix.saturating_sub(Duration::from_secs(*stamp));
+            Some(News::Crash(suspicion, age))
         }
         _ => None,
     });
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -9,7 +9,7 @@
     code::Code,
     doc::Repeat,
     id::{Fingerprint, Incarnation},
-    name::{ServiceName, TargetName, TeamName, ZoneName},
+    name::{ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     steer::{Choice, End, Refusal, Steer, Want},
     target::{TargetLoad, TargetRecord},
     time::Time,
@@ -65,8 +65,8 @@
     Routers(u32),
     /// The store did not answer.
     StoreLost,
-    /// A load that a target named to another router some time ago.
-    Heard(TargetName, TargetLoad, Duration),
+    /// Requests that another router has open at targets, with the number of its report.
+    Open(ProcessName, u64, Vec<(TargetName, u32)>),
     /// A crash that another router put down to a request, some time ago.
     Crash(Suspicion, Duration),
 }
@@ -85,8 +85,8 @@
 /// What other routers are told.
 #[derive(Debug, Default)]
 pub struct Report {
-    /// Loads that targets named since the last report.
-    pub loads: Vec<(TargetName, TargetLoad)>,
+    /// Targets at which requests are open, and how many.
+    pub open: Vec<(TargetName, u32)>,
     /// Crashes that were put down to requests, with the time that has passed since.
     pub crashes: Vec<(Suspicion, Duration)>,
 }
@@ -171,7 +171,6 @@
             anonymous: TeamName::new("public").expect("the literal is a name"),
             clock,
             idle: HashMap::new(),
-            reported: Time::ZERO,
         };
         tokio::spawn(task.run(rx));
         Self(tx)
@@ -208,7 +207,7 @@
         let _ended = self.0.send(Ask::News(news)).await;
     }
 
-    /// What other routers are to be told since the last call.
+    /// What other routers are to be told.
     pub async fn report(&self) -> Report {
         let (reply, answer) = oneshot::channel();
         let _ended = self.0.send(Ask::Report(reply)).await;
@@ -222,7 +221,6 @@
     anonymous: TeamName,
     clock: BootClock,
     idle: HashMap<TargetName, Idle>,
-    reported: Time,
 }
 
 struct Idle {
@@ -299,11 +297,10 @@
         }
     }
 
-    fn report(&mut self) -> Report {
+    fn report(&self) -> Report {
         let now = self.clock.now();
-        let from = std::mem::replace(&mut self.reported, now);
-        let loads = self.steer.named_since(from);
-        let loads = loads.map(|(name, load)| (name.clone(), load)).collect();
+        let open = self.steer.open();
+        let open = open.map(|(name, count)| (name.clone(), count)).collect();
         let crashes = self.steer.crashes().flat_map(|(content, mark)| {
             mark.crashes.iter().map(move |crash| {
                 let suspicion = Suspicion {
@@ -315,7 +312,7 @@
             })
         });
         let crashes = crashes.collect();
-        Report { loads, crashes }
+        Report { open, crashes }
     }
 
     fn learn(&mut self, news: News) {
@@ -344,7 +341,9 @@
             News::ColdRates(rates) => self.steer.set_cold_rates(rates),
             News::Routers(routers) => self.steer.set_routers(routers),
             News::StoreLost => self.steer.store_lost(now),
-            News::Heard(target, load, age) => self.steer.heard(&target, load, age, now),
+            News::Open(router, number, counts) => {
+                self.steer.learn_open(&router, number, &counts, now);
+            }
             News::Crash(suspicion, age) => {
                 let Suspicion {
                     content,
