Let a chat stay home up to 1.8 times the mean load and two requests

Cause: with true loads, the bound of 1.6 x mean + 1 moved chats that the fleet's limit of twice the mean and three requests allows to stay.

--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -33,9 +33,9 @@
 const FAULTY_FACTOR: f64 = 2.0;
 /// Load above the scaled mean, in requests, at which a chat leaves its home target. Together with
 /// the factor it stays under the fleet's bound of twice the mean and three requests.
-const SPILL_FLOOR: f64 = 1.0;
+const SPILL_FLOOR: f64 = 2.0;
 /// Load relative to the mean at which a chat leaves its home target.
-const SPILL_FACTOR: f64 = 1.6;
+const SPILL_FACTOR: f64 = 1.8;
 /// Contexts whose last target is remembered.
 const MAX_HOLDERS: usize = 20_000;
 /// Time after which a target is no longer expected to hold a context.
