Test the entry router as a real process, and confirm at once when the store is back

Cause: found by keys_lapse_without_the_store, which failed first: after an outage, the first read waited 1.8 s before it confirmed anything, so that keys stayed refused for that time.

Change: the read after a failure does not wait. Stand-ins for the keyed store and for registered targets with faults on the wire; 13 tests for unchanged requests, single runs of unsafe requests, repeats of safe ones, resumed and cut streams, cancelled work, changes in force, torn entries, lapsed keys, shutdown and secrets.

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -180,6 +180,8 @@
                 Err(error) => {
                     self.link.failed(&error, BootClock.now());
                     time::sleep(PAUSE).await;
+                    // Confirms as soon as the store is back.
+                    wait = Duration::ZERO;
                 }
             }
         }
--- /dev/null
+++ b/standin/src/keyed.rs
@@ -0,0 +1,241 @@
+//! A keyed log store as the users' platform runs it: newest record of each key, and reads that wait.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use ebonyfall::web::{self, Shared};
+use gotham::{handler::HandlerResult, prelude::FromState, state::State};
+use http::{Method, Response, StatusCode, Uri};
+use serde_json::json;
+use slog::{Discard, Logger, o};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time,
+};
+
+/// Longest record that is taken, in bytes.
+const MAX_RECORD: usize = 1 << 18;
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Not at all.
+    #[default]
+    None,
+    /// Calls get no answer.
+    Silent,
+    /// Calls are refused.
+    Busy,
+}
+
+type Record = (String, Option<Vec<u8>>);
+
+enum Ask {
+    Append(
+        String,
+        Option<u64>,
+        Record,
+        oneshot::Sender<Result<u64, u64>>,
+    ),
+    Topic(String, oneshot::Sender<Vec<Record>>),
+    Fault(StoreFault),
+}
+
+/// Steers the store.
+#[derive(Debug, Clone)]
+pub struct KeyedStore {
+    tx: mpsc::Sender<Ask>,
+    changes: watch::Receiver<u64>,
+    fault: watch::Receiver<StoreFault>,
+}
+
+impl KeyedStore {
+    /// Serves on `address`; must be called within a runtime.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the address is in use.
+    pub async fn start(address: SocketAddr) -> Self {
+        let (tx, rx) = mpsc::channel(1_024);
+        let (changed, changes) = watch::channel(0);
+        let (fault_tx, fault) = watch::channel(StoreFault::None);
+        tokio::spawn(run(rx, changed, fault_tx));
+        let store = Self { tx, changes, fault };
+        let listener = web::bind(address).await.expect("the address is free");
+        let (stop, running) = watch::channel(false);
+        let shared = Shared::new(store.clone());
+        let handler = move || {
+            let store = shared.clone();
+            Ok(move |state: State| Box::pin(handle(store.into_inner(), state)) as Answer)
+        };
+        let log = Logger::root(Discard, o!());
+        tokio::spawn(async move {
+            web::serve(
+                listener,
+                handler,
+                web::ConnectionLimits::default,
+                running,
+                log,
+            )
+            .await;
+            drop(stop);
+        });
+        store
+    }
+
+    /// Writes the newest record of a key; `None` drops the key.
+    pub async fn put(&self, topic: &str, key: &str, value: Option<&serde_json::Value>) {
+        let value = value.map(|value| value.to_string().into_bytes());
+        self.put_bytes(topic, key, value).await;
+    }
+
+    /// Writes raw bytes as the newest record of a key.
+    pub async fn put_bytes(&self, topic: &str, key: &str, value: Option<Vec<u8>>) {
+        let record = (key.to_owned(), value);
+        let _end = self
+            .ask(|reply| Ask::Append(topic.to_owned(), None, record, reply))
+            .await;
+    }
+
+    /// Makes the store misbehave from now on.
+    pub async fn set_fault(&self, fault: StoreFault) {
+        let _ended = self.tx.send(Ask::Fault(fault)).await;
+    }
+
+    async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> T {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.tx.send(ask(reply)).await;
+        answer.await.expect("the task lives as long as its handles")
+    }
+}
+
+type Answer = std::pin::Pin<Box<gotham::handler::HandlerFuture>>;
+
+async fn run(
+    mut rx: mpsc::Receiver<Ask>,
+    changed: watch::Sender<u64>,
+    fault: watch::Sender<StoreFault>,
+) {
+    let mut topics: BTreeMap<String, Vec<Record>> = BTreeMap::new();
+    while let Some(ask) = rx.recv().await {
+        match ask {
+            Ask::Append(topic, at, record, reply) => {
+                let records = topics.entry(topic).or_default();
+                let end = records.len() as u64;
+                let fits = at.is_none_or(|at| at == end);
+                if fits {
+                    records.push(record);
+                    changed.send_modify(|count| *count += 1);
+                }
+                let _gone = reply.send(if fits { Ok(end + 1) } else { Err(end) });
+            }
+            Ask::Topic(topic, reply) => {
+                let _gone = reply.send(topics.get(&topic).cloned().unwrap_or_default());
+            }
+            Ask::Fault(new) => {
+                fault.send_replace(new);
+            }
+        }
+    }
+}
+
+async fn handle(store: KeyedStore, mut state: State) -> HandlerResult {
+    let fault = *store.fault.borrow();
+    match fault {
+        StoreFault::None => {}
+        StoreFault::Silent => std::future::pending().await,
+        StoreFault::Busy => {
+            let res = web::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+            return Ok((state, res));
+        }
+    }
+    let uri = Uri::borrow_from(&state).clone();
+    let method = Method::borrow_from(&state).clone();
+    let query: BTreeMap<_, _> = uri
+        .query()
+        .unwrap_or_default()
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .collect();
+    let topic = query.get("topic").copied().unwrap_or_default().to_owned();
+    let number = |key: &str| query.get(key).and_then(|text| text.parse::<u64>().ok());
+    let res = match (method.as_str(), uri.path()) {
+        ("GET", "/api/log-newest") => {
+            let records = store.ask(|reply| Ask::Topic(topic, reply)).await;
+            newest(&records)
+        }
+        ("GET", "/api/log-read") => {
+            let from = number("from").unwrap_or_default();
+            let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
+            let records = read(&store, &topic, from, wait).await;
+            tail(&records, from)
+        }
+        ("POST", "/api/log-append") => {
+            let at = number("at");
+            let body = web::body(&mut state, MAX_RECORD).await.unwrap_or_default();
+            let record = keyed(&body).expect("the caller sends one keyed record");
+            match store
+                .ask(|reply| Ask::Append(topic, at, record, reply))
+                .await
+            {
+                Ok(end) => web::json(StatusCode::OK, &json!({ "offset": end - 1, "end": end })),
+                Err(end) => web::json(StatusCode::PRECONDITION_FAILED, &json!({ "end": end })),
+            }
+        }
+        _ => web::json(StatusCode::NOT_FOUND, &json!({})),
+    };
+    Ok((state, res))
+}
+
+async fn read(store: &KeyedStore, topic: &str, from: u64, wait: Duration) -> Vec<Record> {
+    let mut changes = store.changes.clone();
+    let until = time::Instant::now() + wait;
+    loop {
+        changes.mark_unchanged();
+        let records = store.ask(|reply| Ask::Topic(topic.to_owned(), reply)).await;
+        if records.len() as u64 > from {
+            return records;
+        }
+        if !matches!(time::timeout_at(until, changes.changed()).await, Ok(Ok(()))) {
+            return records;
+        }
+    }
+}
+
+fn newest(records: &[Record]) -> Response<gotham::helpers::http::Body> {
+    let newest: BTreeMap<_, _> = records.iter().map(|(key, value)| (key, value)).collect();
+    let entries: Vec<_> = newest
+        .into_iter()
+        .filter_map(|(key, value)| {
+            let value = BASE64_STANDARD.encode(value.as_ref()?);
+            Some(json!({ "key": key, "value": value, "offset": 0 }))
+        })
+        .collect();
+    let end = records.len();
+    web::json(
+        StatusCode::OK,
+        &json!({ "entries": entries, "has_more": false, "end": end }),
+    )
+}
+
+fn tail(records: &[Record], from: u64) -> Response<gotham::helpers::http::Body> {
+    let mut body = (records.len() as u64).to_be_bytes().to_vec();
+    body.extend(0_u64.to_be_bytes());
+    let from = usize::try_from(from).unwrap_or(usize::MAX);
+    for (key, value) in records.iter().skip(from) {
+        let value = value.as_deref().unwrap_or_default();
+        let len = u32::try_from(1 + key.len() + value.len()).expect("records are short");
+        body.extend(len.to_be_bytes());
+        body.push(u8::try_from(key.len()).expect("keys are short"));
+        body.extend(key.as_bytes());
+        body.extend(value);
+    }
+    Response::new(web::full(body))
+}
+
+fn keyed(body: &[u8]) -> Option<Record> {
+    let (len, key) = body.get(4..)?.split_first()?;
+    let (key, value) = key.split_at_checked(usize::from(*len))?;
+    let value = Some(value.to_vec()).filter(|value| !value.is_empty());
+    Some((String::from_utf8(key.to_vec()).ok()?, value))
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod deploy;
 pub mod engine;
 pub mod host;
+pub mod keyed;
 pub mod log;
 pub mod platform;
+pub mod registered;
 pub mod service;
--- /dev/null
+++ b/tests/entry.rs
@@ -0,0 +1,303 @@
+//! The entry router as a real process, between callers, a keyed store and registered targets.
+
+mod entryenv;
+
+use std::time::Duration;
+
+use ebonyfall_standin::{
+    keyed::StoreFault,
+    registered::{Habit, Seen},
+};
+use entryenv::{EntryEnv, KEY, Reply};
+use http::StatusCode;
+use serde_json::json;
+use tokio::time::{Instant, sleep};
+
+const SAFE: &str = "/status/7";
+const UNSAFE: &str = "/order/7";
+const RESUMABLE: &str = "/suggest/7";
+const STREAM: &str = "/draft/7";
+
+fn ran(env: &EntryEnv) -> Vec<Seen> {
+    env.targets.iter().flat_map(|target| target.ran()).collect()
+}
+
+fn set_all(env: &EntryEnv, habit: Habit) {
+    for target in &env.targets {
+        target.set(habit);
+    }
+}
+
+fn events(count: u32) -> String {
+    let event = |number| format!("id: {number}\ndata: token {number}\n\n");
+    (1..=count).map(event).collect()
+}
+
+/// Guards against keys that are passed on, headers of the system that callers set, and requests
+/// that are changed on the way.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_arrives_unchanged_and_without_its_key() {
+    let env = EntryEnv::start(1).await;
+    let forged = [
+        ("Ebonyfall-Tenant", "other"),
+        ("Ebonyfall-Hold", "h"),
+        ("Kv-From", "10.0.0.1:1/x"),
+        ("X-Own", "kept"),
+    ];
+    let reply = env.call("POST", "/order/7?copy=1", "spine", &forged).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(reply.body.unwrap(), "done");
+    assert_eq!(reply.headers["ebonyfall-server-seal"], "s");
+    let [seen] = &ran(&env)[..] else {
+        panic!("the request ran once");
+    };
+    assert_eq!(seen.line, "POST /order/7?copy=1 HTTP/1.1");
+    assert_eq!(seen.body, b"spine");
+    let header = |name: &str| seen.headers.get(name).map(String::as_str);
+    assert_eq!(header("x-own"), Some("kept"));
+    assert_eq!(header("ebonyfall-tenant"), Some("desk"));
+    assert_eq!(header("ebonyfall-expect-instance"), Some("t-0"));
+    for name in ["authorization", "ebonyfall-hold", "kv-from"] {
+        assert_eq!(header(name), None, "{name}");
+    }
+    let left: u64 = header("ebonyfall-deadline-ms").unwrap().parse().unwrap();
+    assert!((1..=2_000).contains(&left), "{left}");
+}
+
+/// Guards against unsafe requests that run twice, and against refusals that claim that they did
+/// not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unsafe_request_is_not_sent_again_after_it_may_have_run() {
+    let env = EntryEnv::start(2).await;
+    for habit in [Habit::Lose, Habit::Foreign, Habit::Unsealed, Habit::Cut] {
+        let before = ran(&env).len();
+        set_all(&env, habit);
+        let reply = env.call("POST", UNSAFE, "spine", &[]).await;
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{habit:?}");
+        assert_eq!(ran(&env).len(), before + 1, "{habit:?}");
+    }
+    set_all(&env, Habit::Silent);
+    let reply = env.call("POST", UNSAFE, "spine", &[]).await;
+    assert_eq!(reply.status, StatusCode::GATEWAY_TIMEOUT);
+}
+
+/// Guards against a safe request that fails although another target could serve it, and against
+/// answers of other requests that pass for its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_safe_request_goes_to_another_target() {
+    let habits = [
+        Habit::Lose,
+        Habit::Foreign,
+        Habit::Unsealed,
+        Habit::Cut,
+        Habit::Silent,
+        Habit::Fail,
+        Habit::Decline,
+        Habit::Other,
+    ];
+    for habit in habits {
+        let env = EntryEnv::start(2).await;
+        env.targets[0].set(habit);
+        for _ in 0..4 {
+            let reply = env.call("GET", SAFE, "", &[]).await;
+            assert_eq!(reply.status, StatusCode::OK, "{habit:?}");
+            assert_eq!(reply.body.unwrap(), "done");
+        }
+    }
+}
+
+/// Guards against a target's own failure that is replaced by a code of the router.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_targets_own_failure_is_passed_on() {
+    let env = EntryEnv::start(2).await;
+    set_all(&env, Habit::Fail);
+    for (method, path) in [("GET", SAFE), ("POST", UNSAFE)] {
+        let reply = env.call(method, path, "", &[]).await;
+        assert_eq!(reply.status, StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(reply.headers["ebonyfall-server-seal"], "s");
+        assert_eq!(reply.body.unwrap(), "failed");
+    }
+}
+
+/// Guards against refusals without a time to come back, and against a second target for a route
+/// that allows one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_declined_request_is_refused_with_a_time_to_come_back() {
+    let env = EntryEnv::start(2).await;
+    set_all(&env, Habit::Decline);
+    let reply = env.call("POST", UNSAFE, "spine", &[]).await;
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    let after: f64 = reply.headers["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(after > 0.0 && after < 1.0, "{after}");
+    assert_eq!(ran(&env), []);
+}
+
+/// Guards against events that are lost, doubled or joined in the middle when a stream is resumed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumable_stream_goes_on_at_another_target() {
+    let env = EntryEnv::start(2).await;
+    let whole = Habit::Events {
+        count: 9,
+        cut: None,
+    };
+    let broken = Habit::Events {
+        count: 9,
+        cut: Some(4),
+    };
+    for first in 0..2 {
+        env.targets[first].set(broken);
+        env.targets[1 - first].set(whole);
+        let reply = env.call("POST", RESUMABLE, "prompt", &[]).await;
+        assert_eq!(reply.status, StatusCode::OK);
+        assert_eq!(reply.body.unwrap(), events(9));
+    }
+}
+
+/// Guards against a stream that may not be resumed and looks complete although it was cut, or
+/// runs twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_stream_is_visibly_cut() {
+    let env = EntryEnv::start(2).await;
+    set_all(
+        &env,
+        Habit::Events {
+            count: 9,
+            cut: Some(4),
+        },
+    );
+    let reply = env.call("POST", STREAM, "prompt", &[]).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert!(reply.body.is_err());
+    assert_eq!(ran(&env).len(), 1);
+}
+
+/// Guards against work that goes on at a target after its caller has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_ends_the_connection_to_the_target() {
+    let env = EntryEnv::start(1).await;
+    env.targets[0].set(Habit::Silent);
+    env.call_and_leave("GET", SAFE, Duration::from_millis(100))
+        .await;
+    let closed = Instant::now();
+    while env.targets[0].open() > 0 {
+        assert!(closed.elapsed() < Duration::from_millis(500));
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Guards against routes, keys and zones of an older version that stay in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_are_in_force_within_two_seconds() {
+    let env = EntryEnv::start(2).await;
+    assert_eq!(
+        env.call("GET", "/none/1", "", &[]).await.status,
+        StatusCode::NOT_FOUND
+    );
+    env.state(2, &["other-key"]).await;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(
+        env.call("GET", SAFE, "", &[]).await.status,
+        StatusCode::UNAUTHORIZED
+    );
+    env.state(3, &[KEY]).await;
+    // An older version that arrives later changes nothing.
+    env.state(1, &["other-key"]).await;
+    env.store
+        .put("keyed.op", "evacuate/z0", Some(&json!({})))
+        .await;
+    sleep(Duration::from_secs(2)).await;
+    for _ in 0..6 {
+        assert_eq!(env.call("GET", SAFE, "", &[]).await.status, StatusCode::OK);
+    }
+    assert_eq!(env.targets[0].ran(), [], "its zone is out");
+    env.store.put("keyed.op", "evacuate/z0", None).await;
+    env.register(1, "draining").await;
+    sleep(Duration::from_secs(2)).await;
+    let before = env.targets[1].ran().len();
+    for _ in 0..6 {
+        assert_eq!(env.call("GET", SAFE, "", &[]).await.status, StatusCode::OK);
+    }
+    assert_eq!(env.targets[1].ran().len(), before, "it is draining");
+}
+
+/// Guards against entries of other writers that name a target or hide the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_entries_change_nothing() {
+    let env = EntryEnv::start(1).await;
+    let torn: [&[u8]; 3] = [b"{\"service\":\"plain\",\"ad", b"\xff\xfe", b"[1]"];
+    for (number, bytes) in torn.into_iter().enumerate() {
+        let key = format!("torn-{number}");
+        env.store
+            .put_bytes("keyed.servers", &key, Some(bytes.to_vec()))
+            .await;
+        env.store
+            .put_bytes("keyed.op", "config", Some(bytes.to_vec()))
+            .await;
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(env.call("GET", SAFE, "", &[]).await.status, StatusCode::OK);
+}
+
+/// Guards against a key that stays in force where the store cannot be asked: 5 s after it was
+/// taken away, no request may run on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_lapse_without_the_store() {
+    for fault in [StoreFault::Silent, StoreFault::Busy] {
+        let env = EntryEnv::start(1).await;
+        env.store.set_fault(fault).await;
+        let lost = Instant::now();
+        assert_eq!(env.call("GET", SAFE, "", &[]).await.status, StatusCode::OK);
+        sleep(Duration::from_secs(5).saturating_sub(lost.elapsed())).await;
+        let reply = env.call("GET", SAFE, "", &[]).await;
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{fault:?}");
+        assert!(!env.is_ready().await);
+        env.store.set_fault(StoreFault::None).await;
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(env.call("GET", SAFE, "", &[]).await.status, StatusCode::OK);
+        assert!(env.is_ready().await);
+    }
+}
+
+/// Guards against requests that a graceful shutdown cuts, and against requests that are taken too
+/// late to end in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shutdown_cuts_no_request() {
+    let mut env = EntryEnv::start(1).await;
+    env.targets[0].set(Habit::Slow(Duration::from_millis(1_500)));
+    let (running, ()) = tokio::join!(env.call("POST", UNSAFE, "spine", &[]), async {
+        sleep(Duration::from_millis(300)).await;
+        env.terminate();
+        sleep(Duration::from_millis(200)).await;
+        assert!(!env.is_ready().await);
+    });
+    assert_eq!(running.status, StatusCode::OK);
+    assert_eq!(running.headers["connection"], "close");
+    env.targets[0].set(Habit::Answer);
+    // The balancer may still send requests for two seconds.
+    let Reply { status, .. } = env.call("POST", UNSAFE, "spine", &[]).await;
+    assert_eq!(status, StatusCode::OK);
+    assert!(
+        env.ended(Duration::from_secs(5)).await,
+        "it ends once it is idle"
+    );
+}
+
+/// Guards against keys in logs, metrics and dumps.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_not_shown() {
+    let env = EntryEnv::start(1).await;
+    env.call("GET", SAFE, "", &[]).await;
+    env.call("GET", "/none/1", "", &[]).await;
+    env.targets[0].set(Habit::Lose);
+    env.call("POST", UNSAFE, "", &[]).await;
+    let metrics = env.metrics().await;
+    assert!(metrics.contains("ebonyfall_results"), "{metrics}");
+    sleep(Duration::from_millis(300)).await;
+    let log = env.log();
+    assert!(log.contains("\"event\":\"refusal\""), "{log}");
+    assert!(!log.contains(KEY) && !metrics.contains(KEY));
+}
