--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -185,11 +185,10 @@
     fn limit(&self) -> usize {
         match self {
             Self::Verdict(..) => 256,
-            Self::Quarantine(_) | Self::ZoneLoad(..) => 1_024,
+            Self::Quarantine(_) | Self::ZoneLoad(..) | Self::RouterLoad(_) => 1_024,
             Self::Zone(_) => 128,
             Self::Tip => 1,
             Self::Evidence { .. } => 8_192,
-            Self::RouterLoad(_) => 1_024,
             Self::Crash(..) => 4_096,
             Self::AgentLoad(..) => 2_048,
         }
--- a/core/src/events.rs
+++ b/core/src/events.rs
@@ -60,10 +60,8 @@
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|byte| *byte == b'\n');
-    let id = lines
-        .filter_map(|line| line.strip_prefix(b"id:"))
-        .next()?
-        .trim_ascii();
+    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    let id = id.trim_ascii();
     std::str::from_utf8(id).ok().map(str::to_owned)
 }
--- a/core/src/passage.rs
+++ b/core/src/passage.rs
@@ -83,6 +83,18 @@
 }
 
 impl Failure {
+    /// The name for logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::Declined => "declined",
+            Self::WrongTarget => "wrong_target",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+            Self::Failed => "failed",
+        }
+    }
+
     /// The result code where the caller learns of the failure.
     pub const fn code(self) -> Code {
         match self {
@@ -171,9 +183,8 @@
         self.tried.push(target.clone());
         let code = failure.code();
         match failure {
-            Failure::NotSent => self.unsent += 1,
             // The addressee itself never had the request.
-            Failure::WrongTarget => self.unsent += 1,
+            Failure::NotSent | Failure::WrongTarget => self.unsent += 1,
             _ => self.received += 1,
         }
         if code.ran() != Ran::NotRun {
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -58,6 +58,10 @@
 const NEW: Duration = Duration::from_secs(15);
 /// Window in which requests to a cold target are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
+/// Smallest share of a cold target's rate, in requests a window.
+const MIN_COLD_SHARE: f64 = 0.01;
+/// Requests to a cold target that are remembered.
+const MAX_COLD_SENT: usize = 256;
 /// Pause that callers are told when no target can take a request.
 const COME_BACK: Duration = Duration::from_millis(250);
 
@@ -406,6 +410,9 @@
         entry.since_named += 1;
         if now < entry.cold_until {
             entry.cold_sent.push_back(now);
+            if entry.cold_sent.len() > MAX_COLD_SENT {
+                entry.cold_sent.pop_front();
+            }
         }
         Ok(choice)
     }
@@ -506,10 +513,12 @@
         if now < entry.cold_until {
             let rate = self.cold_rates.get(&entry.record.service);
             let share = rate.map_or(f64::INFINITY, |rate| rate / f64::from(self.routers));
+            // A share below one request a window stands for one in a longer window.
+            let window = COLD_WINDOW.mul_f64(1.0 / share.clamp(MIN_COLD_SHARE, 1.0));
             let recent = entry
                 .cold_sent
                 .iter()
-                .filter(|sent| now.since(**sent) < COLD_WINDOW)
+                .filter(|sent| now.since(**sent) < window)
                 .count();
             let recent = f64::from(u32::try_from(recent).unwrap_or(u32::MAX));
             return (recent + 1.0 <= share.max(1.0)).then_some(Rank::Cold);
@@ -639,11 +648,6 @@
         };
         entry.outstanding = entry.outstanding.saturating_sub(1);
         entry.since_named -= 1;
-        while let Some(sent) = entry.cold_sent.front()
-            && now.since(*sent) >= COLD_WINDOW
-        {
-            entry.cold_sent.pop_front();
-        }
         match end {
             End::Cancelled => {}
             End::Served => {
--- /dev/null
+++ b/core/tests/steer.rs
@@ -0,0 +1,286 @@
+//! Steering: which target gets a request, by scenario in `tests/scenarios/steer` and by property.
+//!
+//! One scenario is run by `RUN=evacuate.txt cargo test -p ebonyfall-core --test steer scenarios`.
+
+use std::{collections::HashSet, fmt::Write, time::Duration};
+
+use datadriven::{TestCase, walk};
+use ebonyfall_core::{
+    allowance::{Allowance, RetryBound},
+    events::Events,
+    id::{Fingerprint, Incarnation},
+    lease::Lease,
+    name::{ProcessName, ServiceName, TargetName, TeamName, ZoneName},
+    passage::Failure,
+    steer::{End, Steer, Want},
+    target::{Stage, TargetLoad, TargetRecord},
+    time::Time,
+};
+use quickcheck::quickcheck;
+
+const BOUND: RetryBound = RetryBound {
+    ratio: 0.2,
+    slack: 58.0,
+    window: Duration::from_secs(10),
+};
+
+fn target(name: &str) -> TargetName {
+    TargetName::new(name).expect("the scenario uses valid names")
+}
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name).expect("the scenario uses valid names")
+}
+
+fn record(name: &str, at: &str, life: u64, cold: u64, stage: Stage) -> TargetRecord {
+    TargetRecord {
+        name: target(name),
+        service: ServiceName::new("s").expect("the literal is a name"),
+        address: "127.0.0.1:1".parse().expect("the literal is an address"),
+        zone: zone(at),
+        version: String::new(),
+        slots: 8,
+        stage,
+        cold: Duration::from_millis(cold),
+        life: Incarnation::from(life),
+    }
+}
+
+struct Scenario {
+    steer: Steer,
+    now: Time,
+    team: TeamName,
+}
+
+impl Scenario {
+    fn new() -> Self {
+        Self {
+            steer: Steer::new(zone("z1"), BOUND),
+            now: Time::from_millis(100_000),
+            team: TeamName::new("desk").expect("the literal is a name"),
+        }
+    }
+
+    fn run(&mut self, case: &TestCase) -> String {
+        let arg = |key: &str| {
+            case.args
+                .get(key)
+                .and_then(|values| values.first())
+                .cloned()
+        };
+        let number = |key: &str, default: u64| {
+            arg(key).map_or(default, |text| {
+                text.parse().expect("the argument is a number")
+            })
+        };
+        let name = || arg("target").expect("the directive names a target");
+        match case.directive.as_str() {
+            "put" => {
+                let stage = match arg("stage").as_deref() {
+                    Some("draining") => Stage::Draining,
+                    _ => Stage::Ready,
+                };
+                let at = arg("zone").unwrap_or_else(|| "z1".to_owned());
+                let record = record(&name(), &at, number("life", 1), number("cold", 0), stage);
+                self.steer.put(record, self.now);
+                String::new()
+            }
+            "remove" => {
+                self.steer.remove(&target(&name()), self.now);
+                String::new()
+            }
+            "listed" => {
+                let listed = case.args.get("targets").cloned().unwrap_or_default();
+                let listed: HashSet<_> = listed.iter().map(|name| target(name)).collect();
+                self.steer.retain(&listed, self.now);
+                String::new()
+            }
+            "evacuated" => {
+                let zones = case.args.get("zones").cloned().unwrap_or_default();
+                let zones = zones.iter().map(|name| zone(name)).collect();
+                self.steer.set_evacuated(zones);
+                String::new()
+            }
+            "store-lost" => {
+                self.steer.store_lost(self.now);
+                String::new()
+            }
+            "routers" => {
+                let count = u32::try_from(number("count", 1)).expect("the count is small");
+                self.steer.set_routers(count);
+                String::new()
+            }
+            "cold-rate" => {
+                #[expect(clippy::cast_precision_loss, reason = "rates are small")]
+                let rate = number("rate", 0) as f64;
+                let service = ServiceName::new("s").expect("the literal is a name");
+                self.steer.set_cold_rates([(service, rate)].into());
+                String::new()
+            }
+            "advance" => {
+                self.now = self.now + Duration::from_millis(number("ms", 0));
+                String::new()
+            }
+            "open" => {
+                let router = ProcessName::new("other").expect("the literal is a name");
+                let count = u32::try_from(number("count", 0)).expect("the count is small");
+                let counts = [(target(&name()), count)];
+                let report = number("report", 1);
+                self.steer.learn_open(&router, report, &counts, self.now);
+                String::new()
+            }
+            "named" => {
+                let running = u32::try_from(number("running", 0)).expect("the count is small");
+                let load = TargetLoad {
+                    running,
+                    waiting: 0,
+                };
+                self.steer.named(&target(&name()), load, self.now);
+                String::new()
+            }
+            "end" => {
+                let end = match arg("how").as_deref() {
+                    Some("unsent") => End::Failed(Failure::NotSent),
+                    Some("broken") => End::Failed(Failure::Broken),
+                    Some("failed") => End::Failed(Failure::Failed),
+                    Some("declined") => End::Failed(Failure::Declined),
+                    _ => End::Served,
+                };
+                let content = Fingerprint::from(number("content", 0));
+                let count = number("count", 1);
+                for _ in 0..count {
+                    self.steer
+                        .ended(&target(&name()), end, (content, &self.team), self.now);
+                }
+                String::new()
+            }
+            "choose" => self.choose(case),
+            other => panic!("unknown directive {other}"),
+        }
+    }
+
+    fn choose(&mut self, case: &TestCase) -> String {
+        let text = |key: &str| case.args.get(key).and_then(|values| values.first());
+        let number = |key: &str| text(key).and_then(|text| text.parse::<u64>().ok());
+        let tried = case.args.get("tried").cloned().unwrap_or_default();
+        let tried: Vec<_> = tried.iter().map(|name| target(name)).collect();
+        let service = ServiceName::new("s").expect("the literal is a name");
+        let mut out = String::new();
+        for turn in 0..number("count").unwrap_or(1) {
+            let want = Want {
+                service: &service,
+                context: number("context"),
+                tried: &tried,
+                repeat: text("repeat").is_some(),
+                content: Fingerprint::from(number("content").unwrap_or(0)),
+            };
+            #[expect(clippy::cast_precision_loss, reason = "turns are few")]
+            let random = turn as f64 / 100.0;
+            match self.steer.choose(&want, random, self.now) {
+                Ok(choice) => writeln!(out, "{}", choice.target.name),
+                Err(refusal) => writeln!(out, "refused: {}", refusal.code.name()),
+            }
+            .expect("writing to a string cannot fail");
+        }
+        out
+    }
+}
+
+/// Guards against work for targets that leave, are cold, evacuated, unreachable or faulty, and
+/// against chats that leave their home without need.
+#[test]
+fn scenarios() {
+    walk("tests/scenarios/steer", |file| {
+        let mut scenario = Scenario::new();
+        file.run(|case| scenario.run(case));
+    });
+}
+
+quickcheck! {
+    /// Guards against routers that disagree about a chat's home.
+    fn routers_with_the_same_targets_agree(names: Vec<u8>, context: u64) -> bool {
+        let now = Time::from_millis(1_000);
+        let service = ServiceName::new("s").expect("the literal is a name");
+        let choose = |own: &str, order: &[u8]| {
+            let mut steer = Steer::new(zone(own), BOUND);
+            for name in order {
+                let at = format!("z{}", name % 3);
+                steer.put(record(&format!("t{name}"), &at, 1, 0, Stage::Ready), now);
+            }
+            let want = Want {
+                service: &service,
+                context: Some(context),
+                tried: &[],
+                repeat: false,
+                content: Fingerprint::from(0),
+            };
+            steer.choose(&want, 0.5, now).map(|choice| choice.target.name).ok()
+        };
+        let mut turned = names.clone();
+        turned.reverse();
+        choose("z0", &names) == choose("z1", &turned)
+    }
+
+    /// Guards against routers that together repeat more than the fleet's bound allows.
+    fn shares_stay_within_the_fleets_bound(steps: Vec<(u8, bool, u8)>, routers: u8) -> bool {
+        let routers = u32::from(routers % 8) + 1;
+        let mut shares = vec![Allowance::new(BOUND); routers as usize];
+        let mut now = Time::from_millis(50_000);
+        let mut first = Vec::new();
+        let mut repeats = Vec::new();
+        for (router, repeat, pause) in steps {
+            now = now + Duration::from_millis(u64::from(pause));
+            let share = &mut shares[usize::from(router) % routers as usize];
+            if !repeat {
+                share.first(now);
+                first.push(now);
+            } else if share.take(routers, now) {
+                repeats.push(now);
+            }
+        }
+        let within = |times: &[Time], end: Time| {
+            let recent = times.iter().filter(|at| **at <= end && end.since(**at) < BOUND.window);
+            f64::from(u32::try_from(recent.count()).unwrap_or(u32::MAX))
+        };
+        repeats.iter().all(|end| {
+            within(&repeats, *end) <= BOUND.ratio * within(&first, *end) + BOUND.slack
+        })
+    }
+
+    /// Guards against events that are lost, doubled or passed on in part, however they are cut on
+    /// the way.
+    fn events_are_passed_on_whole(ids: Vec<u16>, cuts: Vec<u8>) -> bool {
+        let events = ids.iter().map(|id| format!("id: {id}\ndata: x\n\n"));
+        let text = events.collect::<Vec<_>>().concat();
+        let mut parser = Events::default();
+        let mut out = Vec::new();
+        let mut rest = text.as_bytes();
+        let mut cuts = cuts.into_iter().cycle();
+        while !rest.is_empty() {
+            let len = cuts.next().map_or(7, |cut| usize::from(cut) + 1).min(rest.len());
+            let (part, later) = rest.split_at(len);
+            if let Some(whole) = parser.push(part) {
+                if !whole.ends_with(b"\n\n") {
+                    return false;
+                }
+                out.extend_from_slice(&whole);
+            }
+            rest = later;
+        }
+        let last = ids.last().map(ToString::to_string);
+        out == text.as_bytes() && parser.last_id() == last.as_deref()
+    }
+
+    /// Guards against a lease that holds longer than the bound after its last confirmation.
+    fn a_lease_ends_before_the_bound(confirmed: Vec<u16>, later: u16) -> bool {
+        let bound = Duration::from_secs(5);
+        let mut lease = Lease::new(bound);
+        for at in &confirmed {
+            lease.confirm(Time::from_millis(u64::from(*at)));
+        }
+        let newest = confirmed.iter().max().copied().unwrap_or_default();
+        let now = Time::from_millis(u64::from(newest) + u64::from(later));
+        let due = Duration::from_millis(u64::from(later)) >= bound || confirmed.is_empty();
+        !(due && lease.holds(now))
+    }
+}
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -10,7 +10,6 @@
     name::TargetName,
     passage::{Failure, Meaning, Next, Passage},
     steer::{Choice, End, Refusal},
-    time::Time,
 };
 use ebonyfall_platform::{
     answer,
@@ -26,6 +25,7 @@
 use crate::{
     clock::BootClock,
     intake::Job,
+    metrics::Metrics,
     steering::{Order, Steering, Ticket},
     upstream::Line,
     web,
@@ -63,6 +63,7 @@
     job: Job,
     passage: Passage,
     steering: Steering,
+    metrics: Metrics,
     log: Logger,
     again: bool,
     /// A target's own failure, which the caller gets when there is no other target.
@@ -97,11 +98,18 @@
 
 impl Carrier {
     /// Starts without a target.
-    pub fn new(job: Job, passage: Passage, steering: Steering, log: Logger) -> Self {
+    pub fn new(
+        job: Job,
+        passage: Passage,
+        steering: Steering,
+        metrics: Metrics,
+        log: Logger,
+    ) -> Self {
         Self {
             job,
             passage,
             steering,
+            metrics,
             log,
             again: false,
             failure: None,
@@ -186,8 +194,9 @@
     fn failed(&mut self, target: &TargetName, failure: Failure) -> Next {
         let now = BootClock.now();
         let next = self.passage.failed(target, failure, now);
+        self.metrics.target_failure(failure.name());
         info!(self.log, "target failed"; "event" => "attempt", "request" => &self.job.id,
-            "target" => %target, "failure" => ?failure, "next" => ?next,
+            "target" => %target, "failure" => failure.name(), "next" => ?next,
             "tried" => self.passage.tried().len(), "version" => self.job.version,
             "after_ms" => millis(now.since(self.job.arrived)));
         next
@@ -430,8 +439,3 @@
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// The time of a request's end, for logs.
-pub fn elapsed(since: Time) -> u64 {
-    millis(BootClock.now().since(since))
-}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,7 +16,8 @@
 /// Routes callers' requests on an entry VM straight to targets that register themselves.
 #[derive(Debug, FromArgs)]
 pub struct EntryArgs {
-    /// the process's settings, an INI file; without it, the file that EBONYFALL_CONFIG names
+    /// the process's settings, an INI file; without it, the file that the variable
+    /// `EBONYFALL_CONFIG` names
     #[argh(option)]
     pub settings: Option<PathBuf>,
     /// read the settings, report what is wrong with them and end
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,12 +3,7 @@
 use std::{io, net::SocketAddr, path::PathBuf, pin::Pin, time::Duration};
 
 use ebonyfall_core::steer::Steer;
-use gotham::{
-    handler::{HandlerFuture, IntoResponse},
-    helpers::http::Body,
-    state::State,
-};
-use http::{Response, StatusCode};
+use gotham::{handler::HandlerFuture, state::State};
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::{
@@ -22,6 +17,7 @@
     follow::{self, Beliefs},
     intake::Intake,
     metrics::Metrics,
+    pages,
     peering::{self, Peering},
     settings::{self, EntryConfig},
     steering::Steering,
@@ -29,8 +25,6 @@
     web::{self, ConnectionLimits, Shared},
 };
 
-/// Age of the confirmed knowledge from which on the balancer is told to use other routers.
-const STALE: Duration = Duration::from_millis(3_000);
 /// Time after the stop signal for which requests are taken: the balancer asks once a second and
 /// stops after two refusals, and a request that comes later may not end within the grace period.
 const LINGER: Duration = Duration::from_millis(2_800);
@@ -86,24 +80,14 @@
         steering.clone(),
         cfg.revocation,
         cfg.drain,
+        metrics.clone(),
         log.clone(),
     );
     let listener = listen(cfg.listen).await?;
     let ready = listen(cfg.ready).await?;
     let page = listen(cfg.metrics).await?;
-    let readiness = Shared::new((beliefs.clone(), stop.clone()));
-    let ready_handler = move || {
-        let readiness = readiness.clone().into_inner();
-        Ok(move |state: State| answer(state, is_ready(&readiness.0, &readiness.1)))
-    };
-    let (_never, running) = watch::channel(false);
-    tokio::spawn(web::serve(
-        ready,
-        ready_handler,
-        ConnectionLimits::default,
-        running.clone(),
-        log.clone(),
-    ));
+    pages::ready(ready, beliefs.clone(), stop.clone(), log.clone());
+    pages::metrics(page, metrics.clone(), log.clone());
     peering::start(
         Peering {
             name: cfg.name.clone(),
@@ -117,43 +101,9 @@
         },
         stop.clone(),
     );
-    let shown = Shared::new(metrics.clone());
-    let page_handler = move || {
-        let shown = shown.clone().into_inner();
-        Ok(move |state: State| {
-            let page = Response::new(web::full(shown.encode()));
-            respond(state, page)
-        })
-    };
-    tokio::spawn(web::serve(
-        page,
-        page_handler,
-        ConnectionLimits::default,
-        running,
-        log.clone(),
-    ));
     tokio::spawn(reload(cfg.clone(), path, log.clone()));
-    let limits = beliefs.desired.clone();
-    let limits = move || {
-        let desired = limits.borrow();
-        let known = desired.as_ref().map(|known| &known.limits);
-        ConnectionLimits {
-            header: known.map_or(DEFAULT_IDLE, |known| known.idle) + IDLE_MARGIN,
-            header_bytes: known.map_or(2 * MIN_HEADER, |known| known.header_bytes.max(MIN_HEADER)),
-            linger: LINGER,
-            idle_grace: Duration::ZERO,
-        }
-    };
-    let (closing_tx, closing) = watch::channel(false);
-    let mut signal = stop.clone();
-    tokio::spawn(async move {
-        if signal.wait_for(|stop| *stop).await.is_ok() {
-            time::sleep(LINGER).await;
-            closing_tx.send_replace(true);
-        }
-        // The channel stays open, so that nobody takes its end for a change.
-        std::future::pending::<()>().await;
-    });
+    let limits = limits(&beliefs);
+    let closing = closing(stop.clone());
     let intake = Shared::new(Intake {
         beliefs,
         closing,
@@ -181,30 +131,37 @@
     Ok(())
 }
 
-async fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, EntryError> {
-    web::bind(address).await.context(ListenSnafu { address })
-}
-
-fn is_ready(beliefs: &Beliefs, stop: &watch::Receiver<bool>) -> bool {
-    let confirmed = beliefs.lease.borrow().confirmed();
-    let fresh = confirmed.is_some_and(|confirmed| BootClock.now().since(confirmed) < STALE);
-    fresh && beliefs.desired.borrow().is_some() && *beliefs.targets.borrow() && !*stop.borrow()
+/// Limits on callers' connections, as the desired state has them.
+fn limits(beliefs: &Beliefs) -> impl Fn() -> ConnectionLimits + use<> {
+    let desired = beliefs.desired.clone();
+    move || {
+        let desired = desired.borrow();
+        let known = desired.as_ref().map(|known| &known.limits);
+        ConnectionLimits {
+            header: known.map_or(DEFAULT_IDLE, |known| known.idle) + IDLE_MARGIN,
+            header_bytes: known.map_or(2 * MIN_HEADER, |known| known.header_bytes.max(MIN_HEADER)),
+            linger: LINGER,
+            idle_grace: Duration::ZERO,
+        }
+    }
 }
 
-fn answer(state: State, ready: bool) -> Pin<Box<HandlerFuture>> {
-    let status = if ready {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
-    let mut res = Response::new(web::full(""));
-    *res.status_mut() = status;
-    respond(state, res)
+/// Turns true when it is too late for new requests after the stop signal.
+fn closing(mut stop: watch::Receiver<bool>) -> watch::Receiver<bool> {
+    let (tx, closing) = watch::channel(false);
+    tokio::spawn(async move {
+        if stop.wait_for(|stop| *stop).await.is_ok() {
+            time::sleep(LINGER).await;
+            tx.send_replace(true);
+        }
+        // The channel stays open, so that nobody takes its end for a change.
+        std::future::pending::<()>().await;
+    });
+    closing
 }
 
-fn respond(state: State, res: Response<Body>) -> Pin<Box<HandlerFuture>> {
-    let res = res.into_response(&state);
-    Box::pin(async move { Ok((state, res)) })
+async fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, EntryError> {
+    web::bind(address).await.context(ListenSnafu { address })
 }
 
 /// Reads the settings again on SIGHUP and when the file changes, and says what a restart would
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     clock::BootClock,
+    metrics::Metrics,
     steering::{News, Steering},
     store::{Store, StoreError},
 };
@@ -54,6 +55,7 @@
     steering: Steering,
     revocation: Duration,
     drain: Duration,
+    metrics: Metrics,
     log: Logger,
 ) -> Beliefs {
     let (desired_tx, desired) = watch::channel(None);
@@ -65,7 +67,7 @@
         desired: desired_tx,
         lease: lease_tx,
         evacuated: HashSet::new(),
-        link: Link::new("orders", log.clone()),
+        link: Link::new("orders", metrics.clone(), log.clone()),
         log: log.clone(),
     };
     tokio::spawn(orders.run());
@@ -74,7 +76,7 @@
         steering,
         known: targets_tx,
         poll: drain * TARGET_POLL_PERCENT / 100,
-        link: Link::new("targets", log),
+        link: Link::new("targets", metrics, log),
     };
     tokio::spawn(targets_task.run());
     Beliefs {
@@ -88,19 +90,22 @@
 struct Link {
     stream: &'static str,
     lost: Option<Time>,
+    metrics: Metrics,
     log: Logger,
 }
 
 impl Link {
-    fn new(stream: &'static str, log: Logger) -> Self {
+    fn new(stream: &'static str, metrics: Metrics, log: Logger) -> Self {
         Self {
             stream,
             lost: None,
+            metrics,
             log,
         }
     }
 
     fn failed(&mut self, error: &StoreError, now: Time) {
+        self.metrics.store_failures.inc();
         if self.lost.is_none() {
             self.lost = Some(now);
             warn!(self.log, "store lost"; "event" => "dependency_lost", "stream" => self.stream,
@@ -225,6 +230,8 @@
         }
         info!(self.log, "desired state in force"; "event" => "desired",
             "version" => state.version, "before" => known, "routes" => state.routes());
+        let version = i64::try_from(state.version).unwrap_or(i64::MAX);
+        self.link.metrics.desired_version.set(version);
         let rates: HashMap<_, _> = state
             .services
             .iter()
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use ebonyfall_core::{
     code::Code,
-    desired::{Desired, Form, Route},
-    doc::Repeat,
+    desired::{Desired, Route},
     id::Fingerprint,
     name::{ServiceName, TeamName},
     passage::Passage,
@@ -183,10 +182,18 @@
 
     async fn carry(&self, job: Job, passage: Passage) -> Response<Body> {
         let id = job.id.clone();
-        let carrier = Carrier::new(job, passage, self.steering.clone(), self.log.clone());
+        let arrived = job.arrived;
+        let carrier = Carrier::new(
+            job,
+            passage,
+            self.steering.clone(),
+            self.metrics.clone(),
+            self.log.clone(),
+        );
         match carrier.run().await {
             Ok(given) => {
                 self.metrics.result("Ok");
+                self.metrics.answered(BootClock.now().since(arrived));
                 self.give(given)
             }
             Err(refusal) => self.refuse(&id, refusal),
@@ -249,13 +256,3 @@
     let team = team.ok_or(Code::Unauthenticated)?;
     Ok(Some((team.name.clone(), team.priority)))
 }
-
-/// Whether a request of the route may be sent again after it may have run.
-pub fn may_repeat(route: &Route) -> bool {
-    route.repeat == Repeat::Idempotent
-}
-
-/// Whether the route's answers are event streams.
-pub fn is_stream(route: &Route) -> bool {
-    matches!(route.form, Form::Events { .. })
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod metrics;
 pub mod once;
 pub mod operate;
+pub mod pages;
 pub mod peering;
 pub mod peers;
 pub mod picker;
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -107,6 +107,8 @@
                 info!(self.log, "routers changed"; "event" => "routers", "count" => known,
                     "before" => routers);
                 routers = known;
+                let count = i64::try_from(known).unwrap_or(i64::MAX);
+                self.metrics.routers.set(count);
             }
             let mut news = news(&gossip.items().await);
             news.push(News::Routers(u32::try_from(known).unwrap_or(u32::MAX)));
@@ -133,7 +135,7 @@
         let (records, end) = self.store.newest(Topic::Routers).await?;
         let known = records.into_iter().find(|record| record.key == KEY_RECORD);
         let known = known.and_then(|record| record.value);
-        if let Some(value) = known.and_then(|value| <[u8; KEY_LEN]>::try_from(&value[..]).ok()) {
+        if let Some(value) = known.and_then(|value| <[u8; KEY_LEN]>::try_from(&*value).ok()) {
             return Ok(Some(Key::new(value)));
         }
         let fresh: [u8; KEY_LEN] = rand::random();
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -164,6 +164,10 @@
 
 impl Steering {
     /// Starts the task; it ends when the last handle is dropped.
+    ///
+    /// # Panics
+    ///
+    /// Never: the name that is checked is a literal.
     pub fn start(steer: Steer, clock: BootClock) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let task = Task {
@@ -187,11 +191,16 @@
             after: Duration::ZERO,
         };
         let (content, team) = (order.content, order.team.clone());
-        let permit = self.0.clone().reserve_owned().await.map_err(|_| ended)?;
+        let permit = self
+            .0
+            .clone()
+            .reserve_owned()
+            .await
+            .map_err(|_ended| ended)?;
         let (reply, answer) = oneshot::channel();
         let ask = Ask::Choose(Box::new(order), reply);
-        self.0.send(ask).await.map_err(|_| ended)?;
-        let Grant { choice, line } = answer.await.map_err(|_| ended)??;
+        self.0.send(ask).await.map_err(|_ended| ended)?;
+        let Grant { choice, line } = answer.await.map_err(|_ended| ended)??;
         let ticket = Ticket {
             choice,
             permit: Some(permit),
--- a/src/web.rs
+++ b/src/web.rs
@@ -1,12 +1,7 @@
 //! HTTP serving with gotham's router, with limits and graceful shutdown.
 
 use std::{
-    any::Any,
-    convert::Infallible,
-    io,
-    net::SocketAddr,
-    panic::{AssertUnwindSafe, RefUnwindSafe},
-    sync::Arc,
+    any::Any, convert::Infallible, io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc,
     time::Duration,
 };
 
@@ -97,7 +92,7 @@
 /// limits that hold when it is taken.
 pub async fn serve(
     listener: TcpListener,
-    handler: impl NewHandler + Send + Sync + RefUnwindSafe + 'static,
+    handler: impl NewHandler + 'static,
     limits: impl Fn() -> ConnectionLimits,
     stop: watch::Receiver<bool>,
     log: Logger,
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -57,9 +57,9 @@
     /// Panics when the address is in use.
     pub async fn start(address: SocketAddr) -> Self {
         let (tx, rx) = mpsc::channel(1_024);
-        let (changed, changes) = watch::channel(0);
+        let (note, changes) = watch::channel(0);
         let (fault_tx, fault) = watch::channel(StoreFault::None);
-        tokio::spawn(run(rx, changed, fault_tx));
+        tokio::spawn(run(rx, note, fault_tx));
         let store = Self { tx, changes, fault };
         let listener = web::bind(address).await.expect("the address is free");
         let (stop, running) = watch::channel(false);
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -6,7 +6,7 @@
 
 use ebonyfall_standin::{
     keyed::StoreFault,
-    registered::{Habit, Seen},
+    registered::{Habit, Registered, Seen},
 };
 use entryenv::{EntryEnv, KEY, Reply};
 use http::StatusCode;
@@ -19,7 +19,7 @@
 const STREAM: &str = "/draft/7";
 
 fn ran(env: &EntryEnv) -> Vec<Seen> {
-    env.targets.iter().flat_map(|target| target.ran()).collect()
+    env.targets.iter().flat_map(Registered::ran).collect()
 }
 
 fn set_all(env: &EntryEnv, habit: Habit) {
@@ -30,7 +30,7 @@
 
 fn events(count: u32) -> String {
     let event = |number| format!("id: {number}\ndata: token {number}\n\n");
-    (1..=count).map(event).collect()
+    (1..=count).map(event).collect::<Vec<_>>().concat()
 }
 
 /// Guards against keys that are passed on, headers of the system that callers set, and requests
@@ -48,7 +48,7 @@
     assert_eq!(reply.status, StatusCode::OK);
     assert_eq!(reply.body.unwrap(), "done");
     assert_eq!(reply.headers["ebonyfall-server-seal"], "s");
-    let [seen] = &ran(&env)[..] else {
+    let [seen] = &*ran(&env) else {
         panic!("the request ran once");
     };
     assert_eq!(seen.line, "POST /order/7?copy=1 HTTP/1.1");
@@ -171,7 +171,7 @@
     );
     let reply = env.call("POST", STREAM, "prompt", &[]).await;
     assert_eq!(reply.status, StatusCode::OK);
-    assert!(reply.body.is_err());
+    reply.body.unwrap_err();
     assert_eq!(ran(&env).len(), 1);
 }
 
--- a/wire/src/gossip.rs
+++ b/wire/src/gossip.rs
@@ -202,7 +202,7 @@
         dissemination::{Arm, Counts, Item, ItemKey, Kind, Value, Verdict},
         doc::ZoneState,
         id::{Fingerprint, Offset},
-        name::{ModelName, MoveName, RouteName, TargetName, ZoneName},
+        name::{ModelName, MoveName, RouteName, TargetName, TeamName, ZoneName},
         peer::{Liveness, Record, Role},
     };
     use quickcheck::{Arbitrary, Gen};
@@ -286,7 +286,15 @@
                 (key, Value::Evidence { counts, stamp: n })
             }
             5 => (ItemKey::ZoneLoad(model, zone), load),
-            6 => (ItemKey::TargetLoad(TargetName::new(text(g)).unwrap()), load),
+            6 => (
+                ItemKey::RouterLoad(agent),
+                Value::Open {
+                    incarnation: n.into(),
+                    number: n,
+                    stamp: n,
+                    counts: vec![(TargetName::new(text(g)).unwrap(), u32::MAX)],
+                },
+            ),
             7 => (
                 ItemKey::Crash(n.into(), TargetName::new(text(g)).unwrap()),
                 Value::Crash {
