--- a/src/bin/ebonyfall.rs
+++ b/src/bin/ebonyfall.rs
@@ -2,16 +2,17 @@
 
 use std::{
     error::Error,
-    fs,
+    fs, io,
     path::{Path, PathBuf},
     process,
     time::{Duration, UNIX_EPOCH},
 };
 
 use ebonyfall::{
-    cli::{Command, OperatorArgs, PromoteArgs, PublishArgs, StatusArgs},
+    cli::{Command, ExplainArgs, OperatorArgs, PromoteArgs, PublishArgs, StatusArgs},
     clock, daemon,
     exit::ExitCode,
+    explain,
     operate::{self, Event, OperateError, Published, Request},
     platform::Platform,
     remote,
@@ -84,6 +85,7 @@
                 events.iter().for_each(print_event);
             }
         }
+        Command::Explain(args) => return explain(&args),
         Command::Dump(args) => {
             let token = token(args.token_file, &cfg)?;
             let dump = remote::dump(args.admin, &token).await?;
@@ -93,6 +95,36 @@
     Ok(ExitCode::Success)
 }
 
+fn explain(args: &ExplainArgs) -> Result<ExitCode, Failure> {
+    let mut steps = Vec::new();
+    if args.logs.is_empty() {
+        steps = explain::steps("standard input", io::stdin().lock(), &args.request);
+    }
+    for path in &args.logs {
+        let file = fs::File::open(path)
+            .map_err(|error| format!("cannot read {}: {error}", path.display()))?;
+        let source = path.display().to_string();
+        let log = io::BufReader::new(file);
+        steps.extend(explain::steps(&source, log, &args.request));
+    }
+    steps.sort_by(|a, b| a.time.cmp(&b.time));
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&steps)?);
+    } else {
+        for step in &steps {
+            println!("{step}");
+        }
+    }
+    if steps.is_empty() {
+        eprintln!(
+            "no line names {}; give the logs of all processes of that time",
+            args.request
+        );
+        return Ok(ExitCode::Failure);
+    }
+    Ok(ExitCode::Success)
+}
+
 async fn publish(args: PublishArgs, cfg: &OperatorConfig) -> Result<(), Failure> {
     let author = args.operator.or_else(|| cfg.name.clone());
     let author =
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -66,6 +66,23 @@
     History(HistoryArgs),
     /// Print a process's state.
     Dump(DumpArgs),
+    /// Print a request's life from logs.
+    Explain(ExplainArgs),
+}
+
+/// Prints what all processes decided on one request, in the order of time.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// the request's id
+    #[argh(positional)]
+    pub request: String,
+    /// log files; without any, standard input is read
+    #[argh(positional)]
+    pub logs: Vec<PathBuf>,
 }
 
 /// Checks a document without starting anything.
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -182,7 +182,7 @@
 
     async fn carry(&self, job: Job, passage: Passage) -> Response<Body> {
         let id = job.id.clone();
-        let arrived = job.arrived;
+        let (arrived, version) = (job.arrived, job.version);
         let carrier = Carrier::new(
             job,
             passage,
@@ -193,14 +193,16 @@
         match carrier.run().await {
             Ok(given) => {
                 self.metrics.result("Ok");
-                self.metrics.answered(BootClock.now().since(arrived));
-                self.give(given)
+                let after = BootClock.now().since(arrived);
+                self.metrics.answered(after);
+                self.give(given, version, after)
             }
             Err(refusal) => self.refuse(&id, refusal),
         }
     }
 
-    fn give(&self, given: Given) -> Response<Body> {
+    fn give(&self, given: Given, version: u64, after: Duration) -> Response<Body> {
+        let after = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
         if rand::random::<u64>().is_multiple_of(SAMPLE) {
             let choice = &given.choice;
             let age = choice
@@ -208,6 +210,7 @@
                 .and_then(|age| u64::try_from(age.as_millis()).ok());
             info!(self.log, "answered"; "event" => "answer", "request" => &given.id,
                 "target" => %choice.target.name, "status" => given.status.as_u16(),
+                "after_ms" => after, "version" => version,
                 "load" => choice.load, "mean" => choice.mean, "load_age_ms" => age,
                 "fetch" => choice.source.is_some(), "sample" => SAMPLE);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod engine;
 pub mod entry;
 pub mod exit;
+pub mod explain;
 pub mod follow;
 pub mod front;
 pub mod gate;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -517,7 +517,7 @@
     fs::write(folder.join("operator.ini"), settings).unwrap();
     let programs = Path::new(env!("CARGO_BIN_EXE_ebonyfall")).parent().unwrap();
     let path = format!("{}:{}", programs.display(), std::env::var("PATH").unwrap());
-    let page = fs::read_to_string("docs/operations.md").unwrap();
+    let page = fs::read_to_string("docs/OPERATIONS.md").unwrap();
     let commands = page.lines().filter_map(|line| line.strip_prefix("    $ "));
     let mut count = 0;
     for line in commands {
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,50 @@
+//! The `explain` command on logs of several processes.
+
+use std::{fs, process::Command};
+
+const ONE: &str = r#"edge-1 {"msg":"target failed","level":"INFO","ts":"2026-01-01T00:00:02Z","module":"m","failure":"broken","target":"i-1","request":"r-1","event":"attempt"}
+not a line
+{"msg":"answered","level":"INFO","ts":"2026-01-01T00:00:01Z","module":"m","request":"r-2","event":"answer"}
+"#;
+const TWO: &str = r#"{"msg":"no answer","level":"WARN","ts":"2026-01-01T00:00:01Z","module":"m","code":2014,"request":"r-1","event":"refusal"}
+"#;
+
+/// Guards against lines of other requests, lost lines, and an order by file instead of by time.
+#[test]
+fn a_requests_lines_are_put_in_order() {
+    let folder = tempfile::tempdir().unwrap();
+    let files = [("one.log", ONE), ("two.log", TWO)].map(|(name, text)| {
+        let path = folder.path().join(name);
+        fs::write(&path, text).unwrap();
+        path
+    });
+    let run = |args: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_ebonyfall"))
+            .args(["explain"])
+            .args(args)
+            .args(&files)
+            .output()
+            .unwrap();
+        (
+            output.status.code(),
+            String::from_utf8(output.stdout).unwrap(),
+        )
+    };
+    let (code, text) = run(&["r-1"]);
+    assert_eq!(code, Some(0));
+    let lines: Vec<_> = text.lines().collect();
+    assert_eq!(lines.len(), 2, "{text}");
+    assert!(
+        lines[0].contains("no answer") && lines[0].contains("code=2014"),
+        "{text}"
+    );
+    assert!(
+        lines[1].contains("target=i-1") && lines[1].contains("failure=broken"),
+        "{text}"
+    );
+    let (_, json) = run(&["--json", "r-1"]);
+    let steps: Vec<serde_json::Value> = serde_json::from_str(&json).unwrap();
+    assert_eq!(steps[1]["facts"]["failure"], "broken");
+    let (code, _) = run(&["r-9"]);
+    assert_eq!(code, Some(1), "nothing was found");
+}
