Soak entry routers with random faults as separate processes

Change: ebonyfall-bench soak starts three routers before four targets behind harmful proxies and a store that falls silent, injects signals, harm, changes and zones by seed, and checks single runs, true refusals, own and whole answers, zones and the recovery from what callers and targets see. Waiting calls of the stand-in store fall silent with it: keys_lapse_without_the_store failed on a call that was answered after the fault had begun.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod processes;
 pub mod ring;
 pub mod sim;
+pub mod soak;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{admit, claims, config, demo, fit, gossip, load, moves, place};
+use ebonyfall_bench::{admit, claims, config, demo, fit, gossip, load, moves, place, soak};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -25,6 +25,7 @@
     Place(place::PlaceArgs),
     Admit(admit::AdmitArgs),
     Load(load::LoadArgs),
+    Soak(soak::SoakArgs),
 }
 
 fn main() -> ExitCode {
@@ -50,6 +51,7 @@
         Command::Place(args) => place::run(&args)?,
         Command::Admit(args) => admit::run(&args)?,
         Command::Load(args) => runtime.block_on(load::run(args))?,
+        Command::Soak(args) => runtime.block_on(soak::run(args))?,
     };
     Ok(if held {
         ExitCode::SUCCESS
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -4,7 +4,7 @@
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use ebonyfall::web::{self, Shared};
-use gotham::{handler::HandlerResult, prelude::FromState, state::State};
+use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
 use http::{Method, Response, StatusCode, Uri};
 use serde_json::json;
 use slog::{Discard, Logger, o};
@@ -97,6 +97,11 @@
             .await;
     }
 
+    /// Whether the store has misbehaved since its start.
+    pub fn was_harmed(&self) -> bool {
+        self.fault.has_changed().unwrap_or(true)
+    }
+
     /// Makes the store misbehave from now on.
     pub async fn set_fault(&self, fault: StoreFault) {
         let _ended = self.tx.send(Ask::Fault(fault)).await;
@@ -140,17 +145,23 @@
 }
 
 async fn handle(store: KeyedStore, mut state: State) -> HandlerResult {
+    let res = serve(&store, &mut state).await;
+    // A call that was waiting when the fault began gets no answer either.
     let fault = *store.fault.borrow();
-    match fault {
-        StoreFault::None => {}
+    let res = match fault {
+        StoreFault::None => res,
         StoreFault::Silent => std::future::pending().await,
-        StoreFault::Busy => {
-            let res = web::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
-            return Ok((state, res));
-        }
+        StoreFault::Busy => web::json(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+    };
+    Ok((state, res))
+}
+
+async fn serve(store: &KeyedStore, state: &mut State) -> Response<Body> {
+    if *store.fault.borrow() != StoreFault::None {
+        return Response::new(web::full(""));
     }
-    let uri = Uri::borrow_from(&state).clone();
-    let method = Method::borrow_from(&state).clone();
+    let uri = Uri::borrow_from(state).clone();
+    let method = Method::borrow_from(state).clone();
     let query: BTreeMap<_, _> = uri
         .query()
         .unwrap_or_default()
@@ -159,7 +170,7 @@
         .collect();
     let topic = query.get("topic").copied().unwrap_or_default().to_owned();
     let number = |key: &str| query.get(key).and_then(|text| text.parse::<u64>().ok());
-    let res = match (method.as_str(), uri.path()) {
+    match (method.as_str(), uri.path()) {
         ("GET", "/api/log-newest") => {
             let records = store.ask(|reply| Ask::Topic(topic, reply)).await;
             newest(&records)
@@ -167,12 +178,12 @@
         ("GET", "/api/log-read") => {
             let from = number("from").unwrap_or_default();
             let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
-            let records = read(&store, &topic, from, wait).await;
+            let records = read(store, &topic, from, wait).await;
             tail(&records, from)
         }
         ("POST", "/api/log-append") => {
             let at = number("at");
-            let body = web::body(&mut state, MAX_RECORD).await.unwrap_or_default();
+            let body = web::body(state, MAX_RECORD).await.unwrap_or_default();
             let record = keyed(&body).expect("the caller sends one keyed record");
             match store
                 .ask(|reply| Ask::Append(topic, at, record, reply))
@@ -183,8 +194,7 @@
             }
         }
         _ => web::json(StatusCode::NOT_FOUND, &json!({})),
-    };
-    Ok((state, res))
+    }
 }
 
 async fn read(store: &KeyedStore, topic: &str, from: u64, wait: Duration) -> Vec<Record> {
@@ -202,7 +212,7 @@
     }
 }
 
-fn newest(records: &[Record]) -> Response<gotham::helpers::http::Body> {
+fn newest(records: &[Record]) -> Response<Body> {
     let newest: BTreeMap<_, _> = records.iter().map(|(key, value)| (key, value)).collect();
     let entries: Vec<_> = newest
         .into_iter()
@@ -218,7 +228,7 @@
     )
 }
 
-fn tail(records: &[Record], from: u64) -> Response<gotham::helpers::http::Body> {
+fn tail(records: &[Record], from: u64) -> Response<Body> {
     let mut body = (records.len() as u64).to_be_bytes().to_vec();
     body.extend(0_u64.to_be_bytes());
     let from = usize::try_from(from).unwrap_or(usize::MAX);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod deploy;
 pub mod engine;
+pub mod entrance;
 pub mod host;
 pub mod keyed;
 pub mod log;
 pub mod platform;
+pub mod proxy;
 pub mod registered;
 pub mod service;
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -12,6 +12,9 @@
 /// Time between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 
+/// Paths whose answers are streams.
+const STREAMS: [&str; 2] = ["/suggest/", "/draft/"];
+
 /// What the target does with requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Habit {
@@ -35,6 +38,11 @@
     Unsealed,
     /// Runs them and breaks the answer off in the body.
     Cut,
+    /// Runs them and answers by path: streams get this many events.
+    Paths {
+        /// Events of a stream.
+        events: u32,
+    },
     /// Streams this many events; breaks off after some of them, if so told.
     Events {
         /// Events of the whole stream.
@@ -115,9 +123,18 @@
         let id = seen.headers.get("ebonyfall-attempt-id").cloned();
         let id = id.unwrap_or_default();
         let from = seen.headers.get("last-event-id").cloned();
+        let streams = STREAMS.iter().any(|path| seen.line.contains(path));
         if !matches!(habit, Habit::Decline | Habit::Other) {
             note.send_modify(|all| all.push(seen));
         }
+        let habit = match habit {
+            Habit::Paths { events } if streams => Habit::Events {
+                count: events,
+                cut: None,
+            },
+            Habit::Paths { .. } => Habit::Answer,
+            habit => habit,
+        };
         if !answer(&mut stream, habit, &id, from.as_deref()).await {
             return;
         }
@@ -169,7 +186,7 @@
     };
     let seal = "Ebonyfall-Server-Seal: s\r\n";
     let text = match habit {
-        Habit::Answer => whole("200 OK", id, seal, "done"),
+        Habit::Answer | Habit::Paths { .. } => whole("200 OK", id, seal, "done"),
         Habit::Slow(pause) => {
             sleep(pause).await;
             whole("200 OK", id, seal, "done")
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ebonyfall_standin::{
+    entrance::Entrance,
     keyed::StoreFault,
     registered::{Habit, Registered, Seen},
 };
@@ -254,11 +255,11 @@
         sleep(Duration::from_secs(5).saturating_sub(lost.elapsed())).await;
         let reply = env.call("GET", SAFE, "", &[]).await;
         assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{fault:?}");
-        assert!(!env.is_ready().await);
+        assert!(!env.is_ready(0).await);
         env.store.set_fault(StoreFault::None).await;
         sleep(Duration::from_secs(3)).await;
         assert_eq!(env.call("GET", SAFE, "", &[]).await.status, StatusCode::OK);
-        assert!(env.is_ready().await);
+        assert!(env.is_ready(0).await);
     }
 }
 
@@ -268,12 +269,15 @@
 async fn a_shutdown_cuts_no_request() {
     let mut env = EntryEnv::start(1).await;
     env.targets[0].set(Habit::Slow(Duration::from_millis(1_500)));
-    let (running, ()) = tokio::join!(env.call("POST", UNSAFE, "spine", &[]), async {
-        sleep(Duration::from_millis(300)).await;
-        env.terminate();
-        sleep(Duration::from_millis(200)).await;
-        assert!(!env.is_ready().await);
+    let listen = env.routers[0].listen;
+    let running = tokio::spawn(async move {
+        Entrance::call(listen, "running", ("POST", UNSAFE, "spine"), &[]).await
     });
+    sleep(Duration::from_millis(300)).await;
+    env.terminate();
+    sleep(Duration::from_millis(200)).await;
+    assert!(!env.is_ready(0).await);
+    let running = running.await.unwrap().expect("the request is not cut");
     assert_eq!(running.status, StatusCode::OK);
     assert_eq!(running.headers["connection"], "close");
     env.targets[0].set(Habit::Answer);
@@ -294,10 +298,10 @@
     env.call("GET", "/none/1", "", &[]).await;
     env.targets[0].set(Habit::Lose);
     env.call("POST", UNSAFE, "", &[]).await;
-    let metrics = env.metrics().await;
+    let metrics = env.metrics(0).await;
     assert!(metrics.contains("ebonyfall_results"), "{metrics}");
     sleep(Duration::from_millis(300)).await;
-    let log = env.log();
+    let log = env.log(0);
     assert!(log.contains("\"event\":\"refusal\""), "{log}");
     assert!(!log.contains(KEY) && !metrics.contains(KEY));
 }
