Use the system's allocator in the entry router, and read entries less often

Change: ebonyfall-entry has no allocator of its own; entries of targets are read every 55 % of the drain bound instead of 45 %.

--- a/src/bin/ebonyfall-entry.rs
+++ b/src/bin/ebonyfall-entry.rs
@@ -9,10 +9,6 @@
     logs::{self, Format},
     settings,
 };
-use mimalloc::MiMalloc;
-
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
 
 /// Names the settings file where the command line does not.
 const SETTINGS_VARIABLE: &str = "EBONYFALL_CONFIG";
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -33,7 +33,7 @@
 const ORDER_WAIT: Duration = Duration::from_millis(1_800);
 /// Part of the time after which a leaving target must get no work, in percent, between two reads
 /// of the targets' entries.
-const TARGET_POLL_PERCENT: u32 = 45;
+const TARGET_POLL_PERCENT: u32 = 55;
 /// Pause after a failed call of the store.
 const PAUSE: Duration = Duration::from_millis(250);
 
