Bound reports to other routers to a datagram, and bodies before the first desired state

Cause: from the read-through: a report with more than about 60 targets would not have fitted into a datagram and would have been dropped whole; a router without a desired state read bodies without a limit.

Change: a report names the 48 busiest targets; 4 MiB is the limit of a body before the desired state names one. Test: reports_name_the_busiest_targets.

--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -62,6 +62,8 @@
 const MIN_COLD_SHARE: f64 = 0.01;
 /// Requests to a cold target that are remembered.
 const MAX_COLD_SENT: usize = 256;
+/// Targets of one report to other routers, so that it fits into a datagram.
+const MAX_OPEN: usize = 48;
 /// Pause that callers are told when no target can take a request.
 const COME_BACK: Duration = Duration::from_millis(250);
 
@@ -612,11 +614,14 @@
         }
     }
 
-    /// The targets at which this router has requests open, and how many.
-    pub fn open(&self) -> impl Iterator<Item = (&TargetName, u32)> {
+    /// The targets at which this router has most requests open, and how many.
+    pub fn open(&self) -> Vec<(TargetName, u32)> {
         let entries = self.entries.iter();
-        let open = entries.map(|(name, entry)| (name, entry.outstanding));
-        open.filter(|(_, count)| *count > 0)
+        let open = entries.map(|(name, entry)| (name.clone(), entry.outstanding));
+        let mut open: Vec<_> = open.filter(|(_, count)| *count > 0).collect();
+        open.sort_by(|(a, more), (b, less)| less.cmp(more).then_with(|| a.cmp(b)));
+        open.truncate(MAX_OPEN);
+        open
     }
 
     /// Takes a crash that another router put down to a request.
--- a/core/tests/steer.rs
+++ b/core/tests/steer.rs
@@ -196,6 +196,32 @@
     });
 }
 
+/// Guards against reports to other routers that do not fit into a datagram.
+#[test]
+fn reports_name_the_busiest_targets() {
+    let mut steer = Steer::new(zone("z1"), BOUND);
+    let service = ServiceName::new("s").expect("the literal is a name");
+    let now = Time::from_millis(1_000);
+    for number in 0..100 {
+        let name = format!("target-with-a-long-name-{number:03}");
+        steer.put(record(&name, "z1", 1, 0, Stage::Ready), now);
+    }
+    for turn in 0..150 {
+        let want = Want {
+            service: &service,
+            context: None,
+            tried: &[],
+            repeat: false,
+            content: Fingerprint::from(0),
+        };
+        let random = f64::from(turn) / 150.0;
+        steer.choose(&want, random, now).expect("targets are known");
+    }
+    let open = steer.open();
+    assert_eq!(open.len(), 48);
+    assert!(open.iter().all(|(_, count)| *count == 2), "{open:?}");
+}
+
 quickcheck! {
     /// Guards against routers that disagree about a chat's home.
     fn routers_with_the_same_targets_agree(names: Vec<u8>, context: u64) -> bool {
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -39,6 +39,8 @@
 const COME_BACK: Duration = Duration::from_millis(100);
 /// Time that a caller is taken to wait where it does not say.
 const DEFAULT_LEFT: Duration = Duration::from_secs(30);
+/// Largest body before the desired state names a limit, in bytes.
+const DEFAULT_BODY: usize = 4 << 20;
 /// One of this many successes is logged; every failure is.
 const SAMPLE: u64 = 16;
 
@@ -108,7 +110,8 @@
         };
         // The body is read also where the request is refused: a connection that is closed with
         // unread bytes loses the answer.
-        let body = Limited::new(Body::take_from(&mut state), limit.unwrap_or(usize::MAX)).collect();
+        let body =
+            Limited::new(Body::take_from(&mut state), limit.unwrap_or(DEFAULT_BODY)).collect();
         let body = match timeout(BODY_TIMEOUT, body).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Code::TooLarge),
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -309,7 +309,6 @@
     fn report(&self) -> Report {
         let now = self.clock.now();
         let open = self.steer.open();
-        let open = open.map(|(name, count)| (name.clone(), count)).collect();
         let crashes = self.steer.crashes().flat_map(|(content, mark)| {
             mark.crashes.iter().map(move |crash| {
                 let suspicion = Suspicion {
