Move the belief about one target to a module of its own

Change: Estimate in core/src/estimate.rs holds entry, load, health and warmth of one target; steer.rs chooses. No behaviour changes; the steering's scenarios and properties pass unchanged.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dissemination;
 pub mod doc;
 pub mod drain;
+mod estimate;
 pub mod events;
 pub mod exchange;
 pub mod fair;
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -2,29 +2,25 @@
 //! among them.
 
 use std::{
-    collections::{HashMap, HashSet, VecDeque},
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     time::Duration,
 };
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     allowance::{Allowance, RetryBound},
     code::Code,
     crash::{Mark, Standing, Suspects},
+    estimate::{Estimate, LOAD_LIFE},
     id::Fingerprint,
     name::{ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     passage::Failure,
-    target::{Stage, TargetLoad, TargetRecord},
+    target::{TargetLoad, TargetRecord},
     time::Time,
 };
 
-/// Bounds of the time for which an unreachable target is left alone; it doubles with each failure
-/// in a row.
-const AVOID: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(4)];
-/// Time in which counts of a target's failures and successes fall to half.
-const HALF_LIFE: Duration = Duration::from_secs(2);
 /// Failures, decayed, from which on a target can be taken to be faulty.
 const FAULTY_COUNT: f64 = 2.5;
 /// Share of failures from which on a target can be taken to be faulty.
@@ -40,8 +36,6 @@
 const MAX_HOLDERS: usize = 20_000;
 /// Time after which a target is no longer expected to hold a context.
 const HOLDER_LIFE: Duration = Duration::from_secs(60);
-/// Time for which a load that a target named counts.
-const LOAD_LIFE: Duration = Duration::from_millis(700);
 /// Time for which another router's report of its open requests counts.
 const OPEN_LIFE: Duration = Duration::from_secs(2);
 /// Time for which a target that declined a request is chosen last.
@@ -117,105 +111,6 @@
     Failed(Failure),
 }
 
-#[derive(Debug, Clone)]
-struct Entry {
-    record: TargetRecord,
-    hash: u64,
-    known_since: Time,
-    cold_until: Time,
-    /// When the entry lapses; entries that lapsed around an outage of the store get some time.
-    lapses: Option<Time>,
-    outstanding: u32,
-    /// Requests that other routers have open.
-    elsewhere: u32,
-    named: Option<(TargetLoad, Time)>,
-    since_named: i64,
-    good: f64,
-    bad: f64,
-    decayed: Time,
-    avoid_until: Time,
-    avoided: u32,
-    full_until: Time,
-    cold_sent: VecDeque<Time>,
-    broken: Vec<(Fingerprint, TeamName, Time)>,
-}
-
-impl Entry {
-    fn new(record: TargetRecord, now: Time) -> Self {
-        Self {
-            hash: xxh3_64(record.name.as_str().as_bytes()),
-            known_since: now,
-            cold_until: now + record.cold,
-            record,
-            lapses: None,
-            outstanding: 0,
-            elsewhere: 0,
-            named: None,
-            since_named: 0,
-            good: 0.0,
-            bad: 0.0,
-            decayed: now,
-            avoid_until: Time::ZERO,
-            avoided: 0,
-            full_until: Time::ZERO,
-            cold_sent: VecDeque::new(),
-            broken: Vec::new(),
-        }
-    }
-
-    fn load(&self, now: Time) -> f64 {
-        let own = f64::from(self.outstanding + self.elsewhere);
-        match self.named {
-            Some((load, at)) if now.since(at) < LOAD_LIFE => {
-                let named = i64::from(load.running) + i64::from(load.waiting) + self.since_named;
-                // A sum of small counts.
-                #[expect(clippy::cast_precision_loss, reason = "loads are far below 2^52")]
-                let named = named as f64;
-                own.max(named)
-            }
-            _ => own,
-        }
-    }
-
-    fn decay(&mut self, now: Time) {
-        let lives = now.since(self.decayed).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let factor = 0.5_f64.powf(lives);
-        self.good *= factor;
-        self.bad *= factor;
-        self.decayed = now;
-    }
-
-    fn count(&mut self, bad: bool, now: Time) {
-        self.decay(now);
-        if bad {
-            self.bad += 1.0;
-        } else {
-            self.good += 1.0;
-        }
-    }
-
-    fn failure_share(&self) -> f64 {
-        self.bad / (self.good + self.bad).max(1.0)
-    }
-
-    fn is_usable(&self, evacuated: &HashSet<ZoneName>, now: Time) -> bool {
-        self.record.stage == Stage::Ready
-            && self.lapses.is_none_or(|lapses| now < lapses)
-            && !evacuated.contains(&self.record.zone)
-    }
-
-    /// Position in the order in which targets are preferred for a context.
-    fn rank_for(&self, context: u64) -> u64 {
-        xxh3_64_with_seed(&self.hash.to_le_bytes(), context)
-    }
-
-    fn avoid(&mut self, now: Time) {
-        let pause = (AVOID[0] * (1 << self.avoided.min(8))).min(AVOID[1]);
-        self.avoided += 1;
-        self.avoid_until = now + pause;
-    }
-}
-
 /// How willingly a target is chosen; lower is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
@@ -232,7 +127,7 @@
     zone: ZoneName,
     retry: RetryBound,
     routers: u32,
-    entries: HashMap<TargetName, Entry>,
+    entries: HashMap<TargetName, Estimate>,
     services: HashMap<ServiceName, Vec<TargetName>>,
     cold_rates: HashMap<ServiceName, f64>,
     evacuated: HashSet<ZoneName>,
@@ -303,7 +198,7 @@
         let Some(entry) = self.entries.get_mut(&record.name) else {
             let service = self.services.entry(record.service.clone()).or_default();
             service.push(record.name.clone());
-            let entry = Entry::new(record, now);
+            let entry = Estimate::new(record, now);
             self.entries.insert(entry.record.name.clone(), entry);
             return;
         };
@@ -315,7 +210,7 @@
         entry.lapses = None;
         if entry.record.life != record.life {
             let broken = std::mem::take(&mut entry.broken);
-            let mut fresh = Entry::new(record, now);
+            let mut fresh = Estimate::new(record, now);
             fresh.outstanding = entry.outstanding;
             fresh.elsewhere = entry.elsewhere;
             let name = fresh.record.name.clone();
@@ -452,7 +347,7 @@
         chosen: &TargetName,
         now: Time,
     ) -> Option<TargetName> {
-        let young = |entry: &Entry| now.since(entry.known_since) < NEW;
+        let young = |entry: &Estimate| now.since(entry.known_since) < NEW;
         let names = self.services.get(service)?.iter();
         let entries = names.filter_map(|name| self.entries.get(name));
         let home = entries
@@ -508,7 +403,7 @@
         chosen.map(|entry| (entry.record.name.clone(), mean))
     }
 
-    fn rank(&self, entry: &Entry, others: f64, now: Time) -> Option<Rank> {
+    fn rank(&self, entry: &Estimate, others: f64, now: Time) -> Option<Rank> {
         if now < entry.avoid_until {
             return Some(Rank::Avoided);
         }
@@ -538,11 +433,11 @@
     /// The first target in the order of the context's hashes whose load is within the bound.
     /// Zones do not count, so that all routers agree and a context is read once.
     fn warmest<'e>(
-        entries: impl Iterator<Item = &'e Entry>,
+        entries: impl Iterator<Item = &'e Estimate>,
         context: u64,
         mean: f64,
         now: Time,
-    ) -> Option<&'e Entry> {
+    ) -> Option<&'e Estimate> {
         let bound = mean * SPILL_FACTOR + SPILL_FLOOR;
         let mut order: Vec<_> = entries.collect();
         order.sort_by_key(|entry| entry.rank_for(context));
@@ -557,10 +452,10 @@
 
     fn idlest<'e>(
         &self,
-        entries: impl Iterator<Item = &'e Entry>,
+        entries: impl Iterator<Item = &'e Estimate>,
         random: f64,
         now: Time,
-    ) -> Option<&'e Entry> {
+    ) -> Option<&'e Estimate> {
         let seed = random.to_bits();
         entries
             .map(|entry| {
