Use entries that lapsed around an outage for one second instead of two

Change: an entry that goes within 2 s of a failed call is used for 1 s, so that it ends before the router counts as in touch again.

--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -42,8 +42,11 @@
 const FULL: Duration = Duration::from_millis(150);
 /// Load difference, in requests, at which a plain service's request crosses to another zone.
 const ZONE_STEP: f64 = 1.0;
-/// Time for which entries that lapse around an outage of the store are still used.
-const LAPSE_GRACE: Duration = Duration::from_secs(2);
+/// Time after a failed call of the store in which entries may be gone only because of the outage.
+const LAPSE_WINDOW: Duration = Duration::from_secs(2);
+/// Time for which such entries are still used. With the window it stays below the 3 s after an
+/// outage from which on a target that has left must get nothing.
+const LAPSE_GRACE: Duration = Duration::from_secs(1);
 /// Time over which broken connections are put down to a crash that shows afterwards.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Time for which content that crashed targets is held.
@@ -226,7 +229,7 @@
     pub fn remove(&mut self, name: &TargetName, now: Time) {
         let outage = self
             .store_lost
-            .is_some_and(|lost| now.since(lost) < LAPSE_GRACE);
+            .is_some_and(|lost| now.since(lost) < LAPSE_WINDOW);
         match self.entries.get_mut(name) {
             Some(entry) if outage => {
                 // The server may live and have had no way to renew its entry.
