--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -84,9 +84,9 @@
     ///
     /// Panics when a process does not start or become ready.
     pub async fn start(program: &Path, folder: &Path, routers: usize, targets: usize) -> Self {
-        let store_address = free_address();
+        let (store, store_address) = KeyedStore::start().await;
         let mut env = Self {
-            store: KeyedStore::start(store_address).await,
+            store,
             targets: Vec::new(),
             proxies: Vec::new(),
             routers: Vec::new(),
@@ -94,9 +94,10 @@
             program: program.to_owned(),
         };
         for target in 0..targets {
-            let [address, own] = [free_address(), free_address()];
-            env.targets.push(Registered::start(own).await);
-            env.proxies.push(Proxy::start(address, own).await);
+            let (registered, own) = Registered::start().await;
+            let (proxy, address) = Proxy::start(own).await;
+            env.targets.push(registered);
+            env.proxies.push(proxy);
             env.addresses.push(address);
             env.register(target, "ready").await;
         }
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -1,6 +1,10 @@
 //! A keyed log store as the users' platform runs it: newest record of each key, and reads that wait.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use ebonyfall::web::{self, Shared};
@@ -13,6 +17,8 @@
     time,
 };
 
+/// Any free port of loopback.
+pub(crate) const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Longest record that is taken, in bytes.
 const MAX_RECORD: usize = 1 << 18;
 
@@ -50,18 +56,19 @@
 }
 
 impl KeyedStore {
-    /// Serves on `address`; must be called within a runtime.
+    /// Serves on a free loopback port, which it returns.
     ///
     /// # Panics
     ///
-    /// Panics when the address is in use.
-    pub async fn start(address: SocketAddr) -> Self {
+    /// Panics when no port is free.
+    pub async fn start() -> (Self, SocketAddr) {
         let (tx, rx) = mpsc::channel(1_024);
         let (note, changes) = watch::channel(0);
         let (fault_tx, fault) = watch::channel(StoreFault::None);
         tokio::spawn(run(rx, note, fault_tx));
         let store = Self { tx, changes, fault };
-        let listener = web::bind(address).await.expect("the address is free");
+        let listener = web::bind(LOOPBACK).await.expect("a port is free");
+        let address = listener.local_addr().expect("the socket has an address");
         let (stop, running) = watch::channel(false);
         let shared = Shared::new(store.clone());
         let handler = move || {
@@ -80,7 +87,7 @@
             .await;
             drop(stop);
         });
-        store
+        (store, address)
     }
 
     /// Writes the newest record of a key; `None` drops the key.
--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -13,6 +13,8 @@
     time::sleep,
 };
 
+use crate::keyed::LOOPBACK;
+
 /// Bytes that are passed on at once.
 const CHUNK: usize = 16 << 10;
 
@@ -38,20 +40,21 @@
 pub struct Proxy(watch::Sender<Harm>);
 
 impl Proxy {
-    /// Passes connections to `address` on to `server`.
+    /// Passes connections to a free loopback port, which it returns, on to `server`.
     ///
     /// # Panics
     ///
-    /// Panics when the address is in use.
-    pub async fn start(address: SocketAddr, server: SocketAddr) -> Self {
-        let listener = web::bind(address).await.expect("the address is free");
+    /// Panics when no port is free.
+    pub async fn start(server: SocketAddr) -> (Self, SocketAddr) {
+        let listener = web::bind(LOOPBACK).await.expect("a port is free");
+        let address = listener.local_addr().expect("the socket has an address");
         let (tx, harm) = watch::channel(Harm::None);
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 tokio::spawn(pass(caller, server, harm.clone()));
             }
         });
-        Self(tx)
+        (Self(tx), address)
     }
 
     /// Changes what happens from now on.
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -9,6 +9,8 @@
     time::sleep,
 };
 
+use crate::keyed::LOOPBACK;
+
 /// Time between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -72,14 +74,14 @@
 }
 
 impl Registered {
-    /// Serves on `address`.
+    /// Serves on a free loopback port, which it returns.
     ///
     /// # Panics
     ///
-    /// Panics when the address is in use.
-    pub async fn start(address: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).await;
-        let listener = listener.expect("the address is free");
+    /// Panics when no port is free.
+    pub async fn start() -> (Self, SocketAddr) {
+        let listener = TcpListener::bind(LOOPBACK).await.expect("a port is free");
+        let address = listener.local_addr().expect("the socket has an address");
         let (habit, habits) = watch::channel(Habit::Answer);
         let (note, seen) = watch::channel(Vec::new());
         let (count, open) = watch::channel(0);
@@ -93,7 +95,7 @@
                 });
             }
         });
-        Self { habit, seen, open }
+        (Self { habit, seen, open }, address)
     }
 
     /// Changes what the target does from now on.
