--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -188,14 +188,6 @@
         self.store_lost = Some(now);
     }
 
-    /// Number of targets that take work.
-    pub fn usable(&self, now: Time) -> usize {
-        let entries = self.entries.values();
-        entries
-            .filter(|entry| entry.is_usable(&self.evacuated, now))
-            .count()
-    }
-
     /// Takes a target's record.
     pub fn put(&mut self, record: TargetRecord, now: Time) {
         let Some(entry) = self.entries.get_mut(&record.name) else {
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -23,7 +23,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    clock::BootClock,
+    clock::{self, BootClock},
     intake::Job,
     metrics::Metrics,
     steering::{Order, Steering, Ticket},
@@ -162,19 +162,20 @@
             let target = ticket.choice.target.name.clone();
             match self.send(ticket, line, last_event).await {
                 Ok(sent) => return Ok(Sent::Answer(sent)),
-                Err((failure, own)) => match self.failed(&target, failure) {
-                    Next::Again { repeat } => {
-                        self.again = repeat;
-                        self.failure = own.or(self.failure.take());
-                    }
-                    Next::PassOn | Next::GiveUp(_) if own.is_some() => {
-                        return own
-                            .map(Sent::Failure)
-                            .ok_or_else(|| self.refusal(failure.code(), COME_BACK));
-                    }
-                    Next::PassOn => return Err(self.refusal(failure.code(), COME_BACK)),
-                    Next::GiveUp(code) => return Err(self.refusal(code, COME_BACK)),
-                },
+                Err((failure, own)) => {
+                    let code = match self.failed(&target, failure) {
+                        Next::Again { repeat } => {
+                            self.again = repeat;
+                            self.failure = own.or(self.failure.take());
+                            continue;
+                        }
+                        Next::PassOn => failure.code(),
+                        Next::GiveUp(code) => code,
+                    };
+                    // The target's own word is truer than a code of the router.
+                    let own = own.map(Sent::Failure);
+                    return own.ok_or_else(|| self.refusal(code, COME_BACK));
+                }
             }
         }
     }
@@ -198,7 +199,7 @@
         info!(self.log, "target failed"; "event" => "attempt", "request" => &self.job.id,
             "target" => %target, "failure" => failure.name(), "next" => ?next,
             "tried" => self.passage.tried().len(), "version" => self.job.version,
-            "after_ms" => millis(now.since(self.job.arrived)));
+            "after_ms" => clock::millis(now.since(self.job.arrived)));
         next
     }
 
@@ -435,7 +436,3 @@
     line.rest(answer::idle(headers), BootClock.now());
     line
 }
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -40,3 +40,8 @@
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
 }
+
+/// Whole milliseconds of a span, for logs.
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -22,7 +22,7 @@
 use tokio::{sync::watch, time};
 
 use crate::{
-    clock::BootClock,
+    clock::{self, BootClock},
     metrics::Metrics,
     steering::{News, Steering},
     store::{Store, StoreError},
@@ -115,7 +115,7 @@
 
     fn answered(&mut self, now: Time) {
         if let Some(lost) = self.lost.take() {
-            let away = u64::try_from(now.since(lost).as_millis()).unwrap_or(u64::MAX);
+            let away = clock::millis(now.since(lost));
             info!(self.log, "store regained"; "event" => "dependency_regained",
                 "stream" => self.stream, "away_ms" => away);
         }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -18,22 +18,19 @@
 };
 use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
 use http::{HeaderMap, Method, Response, StatusCode, Uri, header::HOST};
-use http_body_util::{BodyExt, Limited};
 use slog::{Logger, info, warn};
-use tokio::{sync::watch, time::timeout};
+use tokio::sync::watch;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     carry::{Carrier, Given},
-    clock::BootClock,
+    clock::{self, BootClock},
     follow::Beliefs,
     metrics::Metrics,
     steering::Steering,
     web,
 };
 
-/// Longest wait for a request's body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which callers come back while a router has no fresh knowledge; another router is
 /// likely to answer then.
 const COME_BACK: Duration = Duration::from_millis(100);
@@ -110,14 +107,7 @@
         };
         // The body is read also where the request is refused: a connection that is closed with
         // unread bytes loses the answer.
-        let body =
-            Limited::new(Body::take_from(&mut state), limit.unwrap_or(DEFAULT_BODY)).collect();
-        let body = match timeout(BODY_TIMEOUT, body).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Code::TooLarge),
-            Ok(Err(_)) => Err(Code::BadRequest),
-            Err(_late) => Err(Code::SlowRequest),
-        };
+        let body = web::body(&mut state, limit.unwrap_or(DEFAULT_BODY)).await;
         let job = body.and_then(|body| self.route(inbound, &host, method, uri, body, arrived));
         let res = match job {
             Ok((job, passage)) => self.carry(job, passage).await,
@@ -205,15 +195,12 @@
     }
 
     fn give(&self, given: Given, version: u64, after: Duration) -> Response<Body> {
-        let after = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
         if rand::random::<u64>().is_multiple_of(SAMPLE) {
             let choice = &given.choice;
-            let age = choice
-                .load_age
-                .and_then(|age| u64::try_from(age.as_millis()).ok());
+            let age = choice.load_age.map(clock::millis);
             info!(self.log, "answered"; "event" => "answer", "request" => &given.id,
                 "target" => %choice.target.name, "status" => given.status.as_u16(),
-                "after_ms" => after, "version" => version,
+                "after_ms" => clock::millis(after), "version" => version,
                 "load" => choice.load, "mean" => choice.mean, "load_age_ms" => age,
                 "fetch" => choice.source.is_some(), "sample" => SAMPLE);
         }
@@ -229,8 +216,7 @@
         let lease = *self.beliefs.lease.borrow();
         let age = lease
             .confirmed()
-            .map(|confirmed| BootClock.now().since(confirmed).as_millis());
-        let age = age.and_then(|age| u64::try_from(age).ok());
+            .map(|confirmed| clock::millis(BootClock.now().since(confirmed)));
         warn!(self.log, "no answer"; "event" => "refusal", "request" => id,
             "code" => code.number(), "name" => code.name(), "state_age_ms" => age);
         let status = answer::status(code);
