Drop old reports of open requests also when no other router reports

A report counts for 2 s, but it was only dropped when another report arrived. The last router of a pair kept the dead one's requests in its sums for good, and so avoided those targets.

--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -139,6 +139,8 @@
     store_lost: Option<Time>,
     holders: HashMap<u64, (TargetName, Time)>,
     open: HashMap<ProcessName, Open>,
+    /// When the oldest of these reports ceases to count.
+    open_until: Option<Time>,
 }
 
 /// What another router has open.
@@ -165,6 +167,7 @@
             store_lost: None,
             holders: HashMap::new(),
             open: HashMap::new(),
+            open_until: None,
         }
     }
 
@@ -267,6 +270,9 @@
         if self.suspects.standing(want.content, now) == Standing::Held {
             return Err(refusal(Code::Held));
         }
+        if self.open_until.is_some_and(|until| now >= until) {
+            self.sum_open(now);
+        }
         let (name, mean) = self
             .pick(want, random, now)
             .ok_or_else(|| refusal(Code::NoTarget))?;
@@ -498,6 +504,8 @@
     /// Sums up what the other routers have open at each target.
     fn sum_open(&mut self, now: Time) {
         self.open.retain(|_, open| now.since(open.at) < OPEN_LIFE);
+        let oldest = self.open.values().map(|open| open.at).min();
+        self.open_until = oldest.map(|at| at + OPEN_LIFE);
         for (name, entry) in &mut self.entries {
             let counts = self.open.values().filter_map(|open| open.counts.get(name));
             entry.elsewhere = counts.sum();
