Do not fetch contexts from targets that have restarted or are gone

Cause: the last target of a context was remembered by name. After a restart under the same name the router took it to hold the context still, and after it was gone nobody was asked, although other routers had placed the chat at the next target in the meantime. fetch.txt failed on this. The last targets move to a module of their own, with the life in which they got the context.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod exchange;
 pub mod fair;
 pub mod guard;
+mod holders;
 pub mod id;
 pub mod ini;
 pub mod lease;
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -14,6 +14,7 @@
     code::Code,
     crash::{Mark, Standing, Suspects},
     estimate::{Estimate, LOAD_LIFE},
+    holders::Holders,
     id::Fingerprint,
     name::{ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     passage::Failure,
@@ -32,10 +33,6 @@
 const SPILL_FLOOR: f64 = 2.0;
 /// Load relative to the mean at which a chat leaves its home target.
 const SPILL_FACTOR: f64 = 1.8;
-/// Contexts whose last target is remembered.
-const MAX_HOLDERS: usize = 20_000;
-/// Time after which a target is no longer expected to hold a context.
-const HOLDER_LIFE: Duration = Duration::from_secs(60);
 /// Time for which another router's report of its open requests counts.
 const OPEN_LIFE: Duration = Duration::from_secs(2);
 /// Time for which a target that declined a request is chosen last.
@@ -137,7 +134,7 @@
     allowances: HashMap<ServiceName, Allowance>,
     suspects: Suspects,
     store_lost: Option<Time>,
-    holders: HashMap<u64, (TargetName, Time)>,
+    holders: Holders,
     open: HashMap<ProcessName, Open>,
     /// When the oldest of these reports ceases to count.
     open_until: Option<Time>,
@@ -165,7 +162,7 @@
             allowances: HashMap::new(),
             suspects: Suspects::new(HOLD),
             store_lost: None,
-            holders: HashMap::new(),
+            holders: Holders::default(),
             open: HashMap::new(),
             open_until: None,
         }
@@ -290,7 +287,7 @@
         }
         let source = want
             .context
-            .and_then(|context| self.hold(context, want.service, &name, now));
+            .and_then(|context| self.source(context, want.service, &name, now));
         let Some(entry) = self.entries.get_mut(&name) else {
             return Err(refusal(Code::NoTarget));
         };
@@ -315,24 +312,22 @@
         Ok(choice)
     }
 
-    /// Remembers that `chosen` will hold the context, and returns where it is likely to be now.
-    fn hold(
+    /// Remembers that `chosen` will hold the context, and returns where it is likely to be now. A
+    /// target that has restarted or is gone has lost it.
+    fn source(
         &mut self,
         context: u64,
         service: &ServiceName,
         chosen: &TargetName,
         now: Time,
     ) -> Option<SocketAddr> {
-        if self.holders.len() >= MAX_HOLDERS {
-            self.holders
-                .retain(|_, (_, used)| now.since(*used) < HOLDER_LIFE);
-        }
-        let known = self.holders.insert(context, (chosen.clone(), now));
-        let known = known
-            .filter(|(_, used)| now.since(*used) < HOLDER_LIFE)
-            .map(|(holder, _)| holder);
+        let record = &self.entries.get(chosen)?.record;
+        let known = self.holders.place(context, record, now).filter(|holder| {
+            let entry = self.entries.get(&holder.target);
+            entry.is_some_and(|entry| entry.record.life == holder.life)
+        });
         let holder = match known {
-            Some(holder) => holder,
+            Some(holder) => holder.target,
             None => self.home(context, service, chosen, now)?,
         };
         let entry = self.entries.get(&holder).filter(|_| holder != *chosen)?;
--- a/core/tests/steer.rs
+++ b/core/tests/steer.rs
@@ -2,7 +2,7 @@
 //!
 //! One scenario is run by `RUN=evacuate.txt cargo test -p ebonyfall-core --test steer scenarios`.
 
-use std::{collections::HashSet, fmt::Write, time::Duration};
+use std::{collections::HashSet, fmt::Write, net::SocketAddr, time::Duration};
 
 use datadriven::{TestCase, walk};
 use ebonyfall_core::{
@@ -32,11 +32,22 @@
     ZoneName::new(name).expect("the scenario uses valid names")
 }
 
+/// An address whose port is the last letter of the name.
+fn address(name: &str) -> SocketAddr {
+    let port = name.bytes().last().unwrap_or_default();
+    SocketAddr::from(([127, 0, 0, 1], u16::from(port)))
+}
+
+/// The name of the target at an address.
+fn at_address(address: SocketAddr) -> char {
+    u8::try_from(address.port()).map_or('?', char::from)
+}
+
 fn record(name: &str, at: &str, life: u64, cold: u64, stage: Stage) -> TargetRecord {
     TargetRecord {
         name: target(name),
         service: ServiceName::new("s").expect("the literal is a name"),
-        address: "127.0.0.1:1".parse().expect("the literal is an address"),
+        address: address(name),
         zone: zone(at),
         version: String::new(),
         slots: 8,
@@ -177,6 +188,10 @@
             #[expect(clippy::cast_precision_loss, reason = "turns are few")]
             let random = turn as f64 / 100.0;
             match self.steer.choose(&want, random, self.now) {
+                Ok(choice) if case.args.contains_key("source") => {
+                    let source = choice.source.map_or('-', at_address);
+                    writeln!(out, "{} from {source}", choice.target.name)
+                }
                 Ok(choice) => writeln!(out, "{}", choice.target.name),
                 Err(refusal) => writeln!(out, "refused: {}", refusal.code.name()),
             }
