Read long lists page by page when the store refuses calls, and spread the calls of a fleet that starts

Cause: a refused or late page threw away the pages before, every router waited the same 250 ms, and 700 ms bounded a call however much the whole fleet read. At 300 routers and 3,000 entries the start after a kill of all processes ended only when the store had time for each of them by chance. a_long_list_is_read_although_calls_are_refused fails without the change.

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -34,7 +34,7 @@
 /// Part of the time after which a leaving target must get no work, in percent, between two reads
 /// of the targets' entries.
 const TARGET_POLL_PERCENT: u32 = 55;
-/// Pause after a failed call of the store.
+/// Mean pause after a failed call of the store.
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// What the process believes of the desired state.
@@ -90,6 +90,8 @@
 struct Link {
     stream: &'static str,
     lost: Option<Time>,
+    /// Failures since the last answer.
+    failures: u32,
     metrics: Metrics,
     log: Logger,
 }
@@ -99,6 +101,7 @@
         Self {
             stream,
             lost: None,
+            failures: 0,
             metrics,
             log,
         }
@@ -106,6 +109,7 @@
 
     fn failed(&mut self, error: &StoreError, now: Time) {
         self.metrics.store_failures.inc();
+        self.failures = self.failures.saturating_add(1);
         if self.lost.is_none() {
             self.lost = Some(now);
             warn!(self.log, "store lost"; "event" => "dependency_lost", "stream" => self.stream,
@@ -113,7 +117,13 @@
         }
     }
 
+    /// Waits before the next call; routers that failed together do not call together again.
+    async fn pause() {
+        time::sleep(PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+    }
+
     fn answered(&mut self, now: Time) {
+        self.failures = 0;
         if let Some(lost) = self.lost.take() {
             let away = clock::millis(now.since(lost));
             info!(self.log, "store regained"; "event" => "dependency_regained",
@@ -141,14 +151,14 @@
             };
             if !matches!(error, StoreError::Expired) {
                 self.link.failed(&error, BootClock.now());
-                time::sleep(PAUSE).await;
+                Link::pause().await;
             }
         }
     }
 
     async fn snapshot(&mut self) -> Result<Offset, StoreError> {
         let asked = BootClock.now();
-        let (records, end) = self.store.newest(Topic::Orders).await?;
+        let (records, end) = self.store.newest(Topic::Orders, self.link.failures).await?;
         self.link.answered(BootClock.now());
         self.evacuated.clear();
         self.take(records).await;
@@ -184,7 +194,7 @@
                 Err(StoreError::Expired) => return StoreError::Expired,
                 Err(error) => {
                     self.link.failed(&error, BootClock.now());
-                    time::sleep(PAUSE).await;
+                    Link::pause().await;
                     // Confirms as soon as the store is back.
                     wait = Duration::ZERO;
                 }
@@ -271,11 +281,14 @@
     async fn failed(&mut self, error: &StoreError) {
         self.link.failed(error, BootClock.now());
         self.steering.tell(vec![News::StoreLost]).await;
-        time::sleep(PAUSE).await;
+        Link::pause().await;
     }
 
     async fn snapshot(&mut self) -> Result<Offset, StoreError> {
-        let (records, end) = self.store.newest(Topic::Targets).await?;
+        let (records, end) = self
+            .store
+            .newest(Topic::Targets, self.link.failures)
+            .await?;
         self.link.answered(BootClock.now());
         let listed: HashSet<_> = records
             .iter()
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -132,7 +132,7 @@
     }
 
     async fn find_key(&self) -> Result<Option<Key>, StoreError> {
-        let (records, end) = self.store.newest(Topic::Routers).await?;
+        let (records, end) = self.store.newest(Topic::Routers, 0).await?;
         let known = records.into_iter().find(|record| record.key == KEY_RECORD);
         let known = known.and_then(|record| record.value);
         if let Some(value) = known.and_then(|value| <[u8; KEY_LEN]>::try_from(&*value).ok()) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -7,6 +7,7 @@
 use ebonyfall_platform::store::{self, Keyed, StoreDecodeError, Tail, Topic};
 use http::{Method, StatusCode};
 use snafu::{ResultExt, Snafu};
+use tokio::time;
 
 use crate::rest::{NoAnswer, Rest};
 
@@ -14,6 +15,13 @@
 /// answers within it; a silent connection is given up and replaced.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Doublings of that wait after failures in a row.
+const MAX_DOUBLINGS: u32 = 2;
+/// Mean pause before a page of a list is asked for a second time; it doubles each time.
+const PAGE_PAUSE: Duration = Duration::from_millis(50);
+/// Longest such pause.
+const MAX_PAGE_PAUSE: Duration = Duration::from_millis(800);
+
 /// The store gave no usable answer.
 #[derive(Debug, Snafu)]
 pub enum StoreError {
@@ -50,20 +58,28 @@
         Self(Rest::new(format!("http://{address}")))
     }
 
-    /// The newest record of each key, and the offset from which later records are read.
+    /// The newest record of each key, and the offset from which later records are read. With each
+    /// of the `failures` before, the store gets more time, since a whole fleet that starts may read
+    /// more than the store sends in the usual time.
     ///
     /// # Errors
     ///
     /// Fails when the store refuses or does not answer.
-    pub async fn newest(&self, topic: Topic) -> Result<(Vec<Keyed>, Offset), StoreError> {
+    pub async fn newest(
+        &self,
+        topic: Topic,
+        failures: u32,
+    ) -> Result<(Vec<Keyed>, Offset), StoreError> {
+        let wait = TIMEOUT * ((1 << failures.min(MAX_DOUBLINGS)) - 1);
         let mut records = Vec::new();
         let mut after = None;
         let mut end = None;
         loop {
             let path = store::newest_path(topic, after.as_deref());
-            let body = self
-                .call(Method::GET, &path, Vec::new(), Duration::ZERO)
-                .await?;
+            let body = match after {
+                None => self.call(Method::GET, &path, Vec::new(), wait).await?,
+                Some(_) => self.later_page(&path, wait).await?,
+            };
             let page = store::newest(&body).context(DecodeSnafu)?;
             records.extend(page.records);
             // Pages are not a snapshot: what changed after the first one is read again.
@@ -75,6 +91,20 @@
         }
     }
 
+    /// A page after the first one. It is asked for several times, so that one refused call does not
+    /// cost the pages before.
+    async fn later_page(&self, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
+        let mut pause = PAGE_PAUSE;
+        loop {
+            let answer = self.call(Method::GET, path, Vec::new(), wait).await;
+            if answer.is_ok() || pause > MAX_PAGE_PAUSE {
+                return answer;
+            }
+            time::sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
+            pause *= 2;
+        }
+    }
+
     /// Records from `from` on; waits up to `wait` for the first one.
     ///
     /// # Errors
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -3,6 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -19,6 +23,8 @@
 
 /// Any free port of loopback.
 pub(crate) const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Entries of one page.
+const PAGE: usize = 500;
 /// Longest record that is taken, in bytes.
 const MAX_RECORD: usize = 1 << 18;
 
@@ -32,6 +38,8 @@
     Silent,
     /// Calls are refused.
     Busy,
+    /// Every other call is refused, as where the fleet's rate of calls is used up.
+    Limited,
 }
 
 type Record = (String, Option<Vec<u8>>);
@@ -53,6 +61,7 @@
     tx: mpsc::Sender<Ask>,
     changes: watch::Receiver<u64>,
     fault: watch::Receiver<StoreFault>,
+    calls: Arc<AtomicU64>,
 }
 
 impl KeyedStore {
@@ -66,7 +75,12 @@
         let (note, changes) = watch::channel(0);
         let (fault_tx, fault) = watch::channel(StoreFault::None);
         tokio::spawn(run(rx, note, fault_tx));
-        let store = Self { tx, changes, fault };
+        let store = Self {
+            tx,
+            changes,
+            fault,
+            calls: Arc::default(),
+        };
         let listener = web::bind(LOOPBACK).await.expect("a port is free");
         let address = listener.local_addr().expect("the socket has an address");
         let (stop, running) = watch::channel(false);
@@ -156,7 +170,7 @@
     // A call that was waiting when the fault began gets no answer either.
     let fault = *store.fault.borrow();
     let res = match fault {
-        StoreFault::None => res,
+        StoreFault::None | StoreFault::Limited => res,
         StoreFault::Silent => std::future::pending().await,
         StoreFault::Busy => web::json(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
     };
@@ -164,8 +178,12 @@
 }
 
 async fn serve(store: &KeyedStore, state: &mut State) -> Response<Body> {
-    if *store.fault.borrow() != StoreFault::None {
-        return Response::new(web::full(""));
+    let call = store.calls.fetch_add(1, Ordering::Relaxed);
+    match *store.fault.borrow() {
+        StoreFault::None => {}
+        StoreFault::Limited if call.is_multiple_of(2) => {}
+        StoreFault::Limited => return web::json(StatusCode::TOO_MANY_REQUESTS, &json!({})),
+        StoreFault::Silent | StoreFault::Busy => return Response::new(web::full("")),
     }
     let uri = Uri::borrow_from(state).clone();
     let method = Method::borrow_from(state).clone();
@@ -180,7 +198,7 @@
     match (method.as_str(), uri.path()) {
         ("GET", "/api/log-newest") => {
             let records = store.ask(|reply| Ask::Topic(topic, reply)).await;
-            newest(&records)
+            newest(&records, query.get("after").copied())
         }
         ("GET", "/api/log-read") => {
             let from = number("from").unwrap_or_default();
@@ -219,19 +237,25 @@
     }
 }
 
-fn newest(records: &[Record]) -> Response<Body> {
-    let newest: BTreeMap<_, _> = records.iter().map(|(key, value)| (key, value)).collect();
-    let entries: Vec<_> = newest
+fn newest(records: &[Record], after: Option<&str>) -> Response<Body> {
+    let newest: BTreeMap<_, _> = records
+        .iter()
+        .enumerate()
+        .map(|(offset, (key, value))| (key.as_str(), (offset, value)))
+        .collect();
+    let mut live = newest
         .into_iter()
-        .filter_map(|(key, value)| {
+        .filter(|(key, _)| after.is_none_or(|after| *key > after))
+        .filter_map(|(key, (offset, value))| {
             let value = BASE64_STANDARD.encode(value.as_ref()?);
-            Some(json!({ "key": key, "value": value, "offset": 0 }))
-        })
-        .collect();
+            Some(json!({ "key": key, "value": value, "offset": offset }))
+        });
+    let entries: Vec<_> = live.by_ref().take(PAGE).collect();
+    let has_more = live.next().is_some();
     let end = records.len();
     web::json(
         StatusCode::OK,
-        &json!({ "entries": entries, "has_more": false, "end": end }),
+        &json!({ "entries": entries, "has_more": has_more, "end": end }),
     )
 }
 
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -305,3 +305,28 @@
     assert!(log.contains("\"event\":\"refusal\""), "{log}");
     assert!(!log.contains(KEY) && !metrics.contains(KEY));
 }
+
+/// Guards against a router that never knows its targets where the store refuses some of the calls
+/// that a list of several pages takes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_list_is_read_although_calls_are_refused() {
+    let mut env = EntryEnv::start(1).await;
+    for number in 0..2_600 {
+        let entry = json!({
+            "service": "other", "addr": "127.0.0.1:1", "zone": "z9", "version": "v1", "slots": 1,
+            "state": "ready", "seq": 1, "born": 1,
+        });
+        let name = format!("o-{number}");
+        env.store.put("keyed.servers", &name, Some(&entry)).await;
+    }
+    env.terminate();
+    assert!(env.ended(Duration::from_secs(5)).await);
+    env.store.set_fault(StoreFault::Limited).await;
+    env.restart();
+    let started = Instant::now();
+    while !env.is_ready(0).await {
+        assert!(started.elapsed() < Duration::from_secs(6));
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(env.call("GET", SAFE, "", &[]).await.status, StatusCode::OK);
+}
--- a/tests/entryenv/mod.rs
+++ b/tests/entryenv/mod.rs
@@ -59,6 +59,11 @@
         self.entrance.signal(0, "TERM");
     }
 
+    /// Starts the router again.
+    pub fn restart(&mut self) {
+        self.entrance.restart(0).expect("the program starts");
+    }
+
     /// Whether the router ends by itself within `limit`.
     pub async fn ended(&mut self, limit: Duration) -> bool {
         let start = Instant::now();
