Fetch contexts from targets that were there before the router

Cause: a target known for less than 15 s was taken to be new and to hold no contexts. For a router that has just started that was every target, so that in its first 15 s it fetched nothing when a chat left its home; contexts were read again instead.

--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -129,6 +129,8 @@
     retry: RetryBound,
     routers: u32,
     targets: Roster,
+    /// Whether the targets have been listed since the router's start.
+    listed: bool,
     cold_rates: HashMap<ServiceName, f64>,
     evacuated: HashSet<ZoneName>,
     allowances: HashMap<ServiceName, Allowance>,
@@ -156,6 +158,7 @@
             retry,
             routers: 1,
             targets: Roster::default(),
+            listed: false,
             cold_rates: HashMap::new(),
             evacuated: HashSet::new(),
             allowances: HashMap::new(),
@@ -191,6 +194,10 @@
     pub fn put(&mut self, record: TargetRecord, now: Time) {
         let Some(entry) = self.targets.get_mut(&record.name) else {
             let mut entry = Estimate::new(record, now);
+            if !self.listed && entry.record.cold.is_zero() {
+                // It was there before this router.
+                entry.known_since = Time::ZERO;
+            }
             entry.elsewhere = self.open_elsewhere(&entry.record.name);
             self.targets.insert(entry);
             return;
@@ -231,6 +238,7 @@
 
     /// Removes every target that is not listed.
     pub fn retain(&mut self, listed: &HashSet<TargetName>, now: Time) {
+        self.listed = true;
         let gone: Vec<_> = self
             .targets
             .names()
