Move a service's traffic between versions on the users' platform, and take bad versions back

Cause: orders of version moves were decoded and ignored, so that a bad version got the share of its targets, no good one was reported complete, and operators read nothing.

Every router now decides alike from the order: a trial share, then all traffic within the last fifth of the time, complete once old targets have nothing open. Routers tell each other their counts of bad answers (failures, and answers three times slower than the route's usual pace) as evidence items, which had no user; Page's test on the sums takes the version back. The first end that is written under the store's condition stands; routers report in order of rank and read what others have reported. Counts of one version carry the order's offset, so that a second order starts anew. Stand-in routers get addresses of their own for datagrams; before, they never heard of each other in tests.

--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -56,6 +56,25 @@
     pub slow_between: u64,
 }
 
+impl Counts {
+    /// Both together.
+    #[must_use]
+    pub fn plus(self, other: &Self) -> Self {
+        Self {
+            requests: self.requests.saturating_add(other.requests),
+            failures: self.failures.saturating_add(other.failures),
+            slow_first: self.slow_first.saturating_add(other.slow_first),
+            slow_between: self.slow_between.saturating_add(other.slow_between),
+        }
+    }
+
+    /// Requests that failed or were slow.
+    pub fn bad(&self) -> u64 {
+        let slow = self.slow_first.saturating_add(self.slow_between);
+        self.failures.saturating_add(slow).min(self.requests)
+    }
+}
+
 /// Identifies an item; items of one key merge. The order is that of urgency.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum ItemKey {
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -19,6 +19,8 @@
 const AVOID: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(4)];
 /// Time in which counts of a target's failures and successes fall to half.
 const HALF_LIFE: Duration = Duration::from_secs(2);
+/// Time over which lost requests of one target are put down to one cause.
+const LOSS_WINDOW: Duration = Duration::from_secs(2);
 /// Decayed count below which a target has no history.
 const NO_COUNT: f64 = 0.01;
 /// Time for which a load that a target named counts.
@@ -46,6 +48,8 @@
     pub(crate) full_until: Time,
     pub(crate) cold_sent: VecDeque<Time>,
     pub(crate) broken: Vec<(Fingerprint, TeamName, Time)>,
+    /// When a request was lost last.
+    lost: Option<Time>,
 }
 
 impl Estimate {
@@ -68,6 +72,7 @@
             full_until: Time::ZERO,
             cold_sent: VecDeque::new(),
             broken: Vec::new(),
+            lost: None,
         }
     }
 
@@ -106,6 +111,12 @@
         }
     }
 
+    /// Records that a request was lost, and whether it was the first one for a while.
+    pub(crate) fn is_first_loss(&mut self, now: Time) -> bool {
+        let last = self.lost.replace(now);
+        last.is_none_or(|last| now.since(last) >= LOSS_WINDOW)
+    }
+
     pub(crate) fn failure_share(&self) -> f64 {
         self.bad / (self.good + self.bad).max(1.0)
     }
--- a/core/src/sequential.rs
+++ b/core/src/sequential.rs
@@ -175,3 +175,56 @@
     };
     ratio.ln().min(MAX_STEP)
 }
+
+/// Score at which counts of two versions hold the new one to be faulty. A move has some hundred
+/// answers of the new version and few checks, so that less is needed than [`THRESHOLD`].
+const COUNTS_THRESHOLD: f64 = 8.0;
+/// Score from which on the new version gets no larger share.
+const COUNTS_DOUBT: f64 = 3.0;
+/// Requests of the old version that are enough to compare counts with.
+const ENOUGH_OLD: u64 = 30;
+/// Rate that is taken for the old version while there are fewer.
+const UNKNOWN_RATE: f64 = 0.1;
+/// Smallest rate that is taken for the old version when counts are compared.
+const MIN_COUNTS_RATE: f64 = 0.02;
+/// Smallest rise of a rate that counts of two versions are searched for.
+const MIN_COUNTS_RISE: f64 = 0.12;
+
+/// Page's test on counts that grow: the bad answers of a new version against the rate of the old
+/// one's.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Score {
+    value: f64,
+    seen: (u64, u64),
+}
+
+impl Score {
+    /// Takes the present counts of bad answers and of all answers.
+    pub fn update(&mut self, old: (u64, u64), new: (u64, u64)) {
+        let (bad, all) = new;
+        let more_bad = bad.saturating_sub(self.seen.0);
+        let more = all.saturating_sub(self.seen.1).max(more_bad);
+        self.seen = new;
+        let narrow = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
+        let rate = if old.1 < ENOUGH_OLD {
+            UNKNOWN_RATE
+        } else {
+            cautious(narrow(old.0), narrow(old.1)).max(MIN_COUNTS_RATE)
+        };
+        let risen = (2.0 * rate).max(rate + MIN_COUNTS_RISE).min(0.98);
+        let for_bad = f64::from(narrow(more_bad)) * (risen / rate).ln();
+        let good = f64::from(narrow(more - more_bad));
+        let for_good = good * ((1.0 - risen) / (1.0 - rate)).ln();
+        self.value = (self.value + for_bad + for_good).max(0.0);
+    }
+
+    /// Whether the new version is faulty.
+    pub fn is_fault(&self) -> bool {
+        self.value >= COUNTS_THRESHOLD
+    }
+
+    /// Whether the new version may be faulty.
+    pub fn is_doubtful(&self) -> bool {
+        self.value >= COUNTS_DOUBT
+    }
+}
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -11,13 +11,18 @@
 
 use crate::{
     allowance::{Allowance, RetryBound},
+    changeover::{MoveOrder, Progress},
     code::Code,
     crash::{Mark, Standing, Suspects},
+    dissemination::Verdict,
     estimate::{Estimate, LOAD_LIFE},
     holders::Holders,
     id::Fingerprint,
-    name::{ProcessName, ServiceName, TargetName, TeamName, ZoneName},
+    moves::{Evidence, MoveState, Moves},
+    name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
+    pace::Timing,
     passage::Failure,
+    reports::Reports,
     roster::Roster,
     target::{TargetLoad, TargetRecord},
     time::Time,
@@ -34,8 +39,6 @@
 const SPILL_FLOOR: f64 = 2.0;
 /// Load relative to the mean at which a chat leaves its home target.
 const SPILL_FACTOR: f64 = 1.8;
-/// Time for which another router's report of its open requests counts.
-const OPEN_LIFE: Duration = Duration::from_secs(2);
 /// Time for which a target that declined a request is chosen last.
 const FULL: Duration = Duration::from_millis(150);
 /// Load difference, in requests, at which a plain service's request crosses to another zone.
@@ -101,6 +104,21 @@
     pub after: Duration,
 }
 
+/// A request that has ended at a target.
+#[derive(Debug, Clone, Copy)]
+pub struct Finished<'a> {
+    /// How it ended.
+    pub end: End,
+    /// Hash of team and content.
+    pub content: Fingerprint,
+    /// The team.
+    pub team: &'a TeamName,
+    /// The route.
+    pub route: &'a RouteName,
+    /// How long its answer took, where that says something.
+    pub timing: Option<Timing>,
+}
+
 /// How a request at a target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -129,6 +147,7 @@
     retry: RetryBound,
     routers: u32,
     targets: Roster,
+    moves: Moves,
     /// Whether the targets have been listed since the router's start.
     listed: bool,
     cold_rates: HashMap<ServiceName, f64>,
@@ -137,17 +156,7 @@
     suspects: Suspects,
     store_lost: Option<Time>,
     holders: Holders,
-    open: HashMap<ProcessName, Open>,
-    /// When the oldest of these reports ceases to count.
-    open_until: Option<Time>,
-}
-
-/// What another router has open.
-#[derive(Debug)]
-struct Open {
-    number: u64,
-    counts: Vec<(TargetName, u32)>,
-    at: Time,
+    reports: Reports,
 }
 
 impl Steer {
@@ -158,6 +167,7 @@
             retry,
             routers: 1,
             targets: Roster::default(),
+            moves: Moves::default(),
             listed: false,
             cold_rates: HashMap::new(),
             evacuated: HashSet::new(),
@@ -165,8 +175,7 @@
             suspects: Suspects::new(HOLD),
             store_lost: None,
             holders: Holders::default(),
-            open: HashMap::new(),
-            open_until: None,
+            reports: Reports::default(),
         }
     }
 
@@ -175,6 +184,41 @@
         self.routers = routers.max(1);
     }
 
+    /// Takes the number of routers that report the state of version moves before this one.
+    pub fn set_rank(&mut self, rank: u32) {
+        self.moves.set_rank(rank);
+    }
+
+    /// Takes all orders of version moves that are in force.
+    pub fn set_moves(&mut self, orders: Vec<MoveOrder>, now: Time) {
+        self.moves.set_orders(orders, now);
+    }
+
+    /// Takes the state of a version move that operators can read.
+    pub fn move_reported(&mut self, order: &MoveOrder, progress: Progress) {
+        self.moves.reported(order, progress);
+    }
+
+    /// Takes another router's verdict on a version move.
+    pub fn move_judged(&mut self, step: &MoveName, verdict: Verdict) {
+        self.moves.judged(step, verdict);
+    }
+
+    /// Takes what another router has counted of a version move.
+    pub fn learn_evidence(&mut self, router: &ProcessName, evidence: &Evidence) {
+        self.moves.learn(router, evidence);
+    }
+
+    /// What this router has counted of version moves.
+    pub fn evidence(&self) -> Vec<Evidence> {
+        self.moves.evidence()
+    }
+
+    /// The state of every version move, and what this router has to report of it now.
+    pub fn moves(&mut self, now: Time) -> Vec<MoveState> {
+        self.moves.states(&self.targets, now)
+    }
+
     /// Takes the rates that cold targets of the services bear, in requests a second.
     pub fn set_cold_rates(&mut self, rates: HashMap<ServiceName, f64>) {
         self.cold_rates = rates;
@@ -198,7 +242,7 @@
                 // It was there before this router.
                 entry.known_since = Time::ZERO;
             }
-            entry.elsewhere = self.open_elsewhere(&entry.record.name);
+            entry.elsewhere = self.reports.at(&entry.record.name);
             self.targets.insert(entry);
             return;
         };
@@ -264,9 +308,7 @@
         if self.suspects.standing(want.content, now) == Standing::Held {
             return Err(refusal(Code::Held));
         }
-        if self.open_until.is_some_and(|until| now >= until) {
-            self.expire_open(now);
-        }
+        self.reports.expire(&mut self.targets, now);
         let (name, mean) = self
             .pick(want, random, now)
             .ok_or_else(|| refusal(Code::NoTarget))?;
@@ -320,8 +362,8 @@
     ) -> Option<SocketAddr> {
         let record = &self.targets.get(chosen)?.record;
         let known = self.holders.place(context, record, now).filter(|holder| {
-            let entry = self.targets.get(&holder.target);
-            entry.is_some_and(|entry| entry.record.life == holder.life)
+            let entry = self.targets.get(&holder.target).map(|entry| &entry.record);
+            entry.is_some_and(|held| held.life == holder.life && held.version == record.version)
         });
         let holder = match known {
             Some(holder) => holder.target,
@@ -342,7 +384,9 @@
     ) -> Option<TargetName> {
         let young = |entry: &Estimate| now.since(entry.known_since) < NEW;
         let known = self.targets.of(service);
+        let version = &self.targets.get(chosen)?.record.version;
         let home = known
+            .filter(|entry| entry.record.version == *version)
             .filter(|entry| entry.record.name == *chosen || !young(entry))
             .filter(|entry| !(entry.record.name == *chosen && young(entry)))
             .min_by_key(|entry| entry.rank_for(context));
@@ -370,13 +414,13 @@
         let found = self.targets.of(want.service).filter(|entry| {
             entry.is_usable(&self.evacuated, now) && !want.tried.contains(&entry.record.name)
         });
-        let ranked: Vec<_> = found
-            .filter_map(|entry| {
-                let others = (bad_sum - entry.failure_share()) / f64::max(usable - 1.0, 1.0);
-                let rank = self.rank(entry, others, now)?;
-                Some((rank, entry))
-            })
-            .collect();
+        let ranked = found.filter_map(|entry| {
+            let others = (bad_sum - entry.failure_share()) / f64::max(usable - 1.0, 1.0);
+            let rank = self.rank(entry, others, now)?;
+            Some((rank, entry))
+        });
+        let version = self.moves.choose(want.service, want.context, random, now);
+        let ranked = version.of(ranked.collect(), &self.targets);
         let best = ranked.iter().map(|(rank, _)| *rank).min()?;
         let entries = ranked
             .iter()
@@ -470,48 +514,8 @@
         counts: &[(TargetName, u32)],
         now: Time,
     ) {
-        let known = self.open.get(router);
-        if known.is_some_and(|open| open.number == number) {
-            return;
-        }
-        let open = Open {
-            number,
-            counts: counts.to_vec(),
-            at: now,
-        };
-        self.add_open(&open, u32::saturating_add);
-        if let Some(old) = self.open.insert(router.clone(), open) {
-            self.add_open(&old, u32::saturating_sub);
-        }
-        self.open_until.get_or_insert(now + OPEN_LIFE);
-    }
-
-    /// Changes the sums of what other routers have open by one report.
-    fn add_open(&mut self, open: &Open, change: impl Fn(u32, u32) -> u32) {
-        for (name, count) in &open.counts {
-            if let Some(entry) = self.targets.get_mut(name) {
-                entry.elsewhere = change(entry.elsewhere, *count);
-            }
-        }
-    }
-
-    /// What the other routers have open at a target.
-    fn open_elsewhere(&self, target: &TargetName) -> u32 {
-        let counts = self.open.values().flat_map(|open| &open.counts);
-        let counts = counts.filter(|(name, _)| name == target);
-        counts.map(|(_, count)| count).sum()
-    }
-
-    /// Drops reports that are too old to count.
-    fn expire_open(&mut self, now: Time) {
-        let old = self
-            .open
-            .extract_if(|_, open| now.since(open.at) >= OPEN_LIFE);
-        for (_, open) in old.collect::<Vec<_>>() {
-            self.add_open(&open, u32::saturating_sub);
-        }
-        let oldest = self.open.values().map(|open| open.at).min();
-        self.open_until = oldest.map(|at| at + OPEN_LIFE);
+        self.reports
+            .learn(router, number, counts, &mut self.targets, now);
     }
 
     /// The targets at which this router has most requests open, and how many.
@@ -541,19 +545,15 @@
     }
 
     /// Records the end of a request at `target`.
-    pub fn ended(
-        &mut self,
-        target: &TargetName,
-        end: End,
-        content: (Fingerprint, &TeamName),
-        now: Time,
-    ) {
+    pub fn ended(&mut self, target: &TargetName, finished: &Finished<'_>, now: Time) {
         let Some(entry) = self.targets.get_mut(target) else {
             return;
         };
         entry.outstanding = entry.outstanding.saturating_sub(1);
         entry.since_named -= 1;
-        match end {
+        self.moves.count(entry, finished, now);
+        let content = (finished.content, finished.team);
+        match finished.end {
             End::Cancelled => {}
             End::Served => {
                 entry.count(false, now);
--- a/core/src/target.rs
+++ b/core/src/target.rs
@@ -1,6 +1,6 @@
 //! What a target says of itself.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     id::Incarnation,
@@ -28,7 +28,7 @@
     /// Its zone.
     pub zone: ZoneName,
     /// Version of its software.
-    pub version: String,
+    pub version: Arc<str>,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it takes new work.
--- a/core/tests/steer.rs
+++ b/core/tests/steer.rs
@@ -15,9 +15,9 @@
     events::Events,
     id::{Fingerprint, Incarnation},
     lease::Lease,
-    name::{ProcessName, ServiceName, TargetName, TeamName, ZoneName},
+    name::{ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     passage::Failure,
-    steer::{End, Steer, Want},
+    steer::{End, Finished, Steer, Want},
     target::{Stage, TargetLoad, TargetRecord},
     time::Time,
 };
@@ -54,7 +54,7 @@
         service: ServiceName::new("s").expect("the literal is a name"),
         address: address(name),
         zone: zone(at),
-        version: String::new(),
+        version: "".into(),
         slots: 8,
         stage,
         cold: Duration::from_millis(cold),
@@ -66,6 +66,7 @@
     steer: Steer,
     now: Time,
     team: TeamName,
+    route: RouteName,
 }
 
 impl Scenario {
@@ -74,6 +75,7 @@
             steer: Steer::new(zone("z1"), BOUND),
             now: Time::from_millis(100_000),
             team: TeamName::new("desk").expect("the literal is a name"),
+            route: RouteName::new("r").expect("the literal is a name"),
         }
     }
 
@@ -137,23 +139,6 @@
                 self.now = self.now + Duration::from_millis(number("ms", 0));
                 String::new()
             }
-            "open" => {
-                let router = ProcessName::new("other").expect("the literal is a name");
-                let count = u32::try_from(number("count", 0)).expect("the count is small");
-                let counts = [(target(&name()), count)];
-                let report = number("report", 1);
-                self.steer.learn_open(&router, report, &counts, self.now);
-                String::new()
-            }
-            "named" => {
-                let running = u32::try_from(number("running", 0)).expect("the count is small");
-                let load = TargetLoad {
-                    running,
-                    waiting: 0,
-                };
-                self.steer.named(&target(&name()), load, self.now);
-                String::new()
-            }
             "end" => {
                 let end = match arg("how").as_deref() {
                     Some("unsent") => End::Failed(Failure::NotSent),
@@ -165,16 +150,50 @@
                 let content = Fingerprint::from(number("content", 0));
                 let count = number("count", 1);
                 for _ in 0..count {
-                    self.steer
-                        .ended(&target(&name()), end, (content, &self.team), self.now);
+                    let finished = Finished {
+                        end,
+                        content,
+                        team: &self.team,
+                        route: &self.route,
+                        timing: None,
+                    };
+                    self.steer.ended(&target(&name()), &finished, self.now);
                 }
                 String::new()
             }
             "choose" => self.choose(case),
+            "open" | "named" => {
+                self.load(case);
+                String::new()
+            }
             other => panic!("unknown directive {other}"),
         }
     }
 
+    /// Takes what other routers or a target say of a target's load.
+    fn load(&mut self, case: &TestCase) {
+        let text = |key: &str| case.args.get(key).and_then(|values| values.first());
+        let number = |key: &str, default: u64| {
+            text(key).map_or(default, |text| {
+                text.parse().expect("the argument is a number")
+            })
+        };
+        let name = target(text("target").expect("the directive names a target"));
+        let count = |key: &str| u32::try_from(number(key, 0)).expect("the count is small");
+        if case.directive == "open" {
+            let router = ProcessName::new("other").expect("the literal is a name");
+            let counts = [(name, count("count"))];
+            self.steer
+                .learn_open(&router, number("report", 1), &counts, self.now);
+        } else {
+            let load = TargetLoad {
+                running: count("running"),
+                waiting: 0,
+            };
+            self.steer.named(&name, load, self.now);
+        }
+    }
+
     fn choose(&mut self, case: &TestCase) -> String {
         let text = |key: &str| case.args.get(key).and_then(|values| values.first());
         let number = |key: &str| text(key).and_then(|text| text.parse::<u64>().ok());
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -8,8 +8,10 @@
     desired::Form,
     events::Events,
     name::TargetName,
+    pace::{Rhythm, Timing},
     passage::{Failure, Meaning, Next, Passage},
     steer::{Choice, End, Refusal},
+    time::Time,
 };
 use ebonyfall_platform::{
     answer,
@@ -78,6 +80,7 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Incoming,
+    sent: Time,
 }
 
 /// A whole answer of a target.
@@ -189,6 +192,7 @@
             repeat: self.passage.repeat(),
             content: self.job.content,
             team: self.job.team.clone(),
+            route: self.job.route.name.clone(),
         }
     }
 
@@ -246,6 +250,7 @@
             status: head.status,
             headers: head.headers,
             body,
+            sent: now,
         };
         let failure = match decoded.meaning() {
             Meaning::Answer => return Ok(open),
@@ -312,13 +317,15 @@
     }
 
     /// Reads a whole answer; `None` when it broke and the request goes to another target.
-    async fn collect(&mut self, open: Open) -> Result<Option<Given>, Refusal> {
+    async fn collect(&mut self, mut open: Open) -> Result<Option<Given>, Refusal> {
         let left = self.passage.expires().since(BootClock.now());
         let target = open.ticket.choice.target.name.clone();
         let failure = match timeout(self.limit(left), open.body.collect()).await {
             Ok(Ok(body)) => {
                 let line = rested(open.line, &open.headers);
                 let choice = open.ticket.choice.clone();
+                let took = BootClock.now().since(open.sent);
+                open.ticket.timed(Timing::Whole(took));
                 open.ticket.finish(End::Served, Some(line));
                 return Ok(Some(self.give(Whole {
                     choice,
@@ -351,6 +358,7 @@
             carrier: self,
             open: Some(open),
             events: Events::default(),
+            rhythm: Rhythm::default(),
         };
         let body = futures_util::stream::unfold(relay, Relay::next);
         Given {
@@ -368,6 +376,7 @@
     carrier: Carrier,
     open: Option<Open>,
     events: Events,
+    rhythm: Rhythm,
 }
 
 type Part = io::Result<Frame<Bytes>>;
@@ -384,14 +393,18 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    self.rhythm.beat(BootClock.now());
                     match self.events.push(&data) {
                         Some(whole) => return Some((Ok(Frame::data(whole)), self)),
                         None => continue,
                     }
                 }
                 Ok(None) => {
-                    let open = self.open.take()?;
+                    let mut open = self.open.take()?;
                     let line = rested(open.line, &open.headers);
+                    if let Some(between) = self.rhythm.between() {
+                        open.ticket.timed(Timing::Events(between));
+                    }
                     open.ticket.finish(End::Served, Some(line));
                     let rest = self.events.take_rest();
                     if rest.is_empty() {
@@ -421,6 +434,7 @@
             return false;
         };
         self.carrier.again = repeat;
+        self.rhythm = Rhythm::default();
         let last = self.events.last_id().map(str::to_owned);
         match self.carrier.open(last.as_deref()).await {
             Ok(Sent::Answer(open)) => {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -19,6 +19,7 @@
     metrics::Metrics,
     pages,
     peering::{self, Peering},
+    report,
     settings::{self, EntryConfig},
     steering::Steering,
     store::Store,
@@ -88,6 +89,7 @@
     let page = listen(cfg.metrics).await?;
     pages::ready(ready, beliefs.clone(), stop.clone(), log.clone());
     pages::metrics(page, metrics.clone(), log.clone());
+    report::start(store.clone(), steering.clone(), log.clone());
     peering::start(
         Peering {
             name: cfg.name.clone(),
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -7,14 +7,15 @@
 };
 
 use ebonyfall_core::{
+    changeover::MoveOrder,
     desired::Desired,
     id::Offset,
     lease::Lease,
-    name::{TargetName, ZoneName},
+    name::{ServiceName, TargetName, ZoneName},
     time::Time,
 };
 use ebonyfall_platform::{
-    desired,
+    desired, moves,
     store::{self, Keyed, Order, Topic},
     target,
 };
@@ -67,6 +68,7 @@
         desired: desired_tx,
         lease: lease_tx,
         evacuated: HashSet::new(),
+        moves: HashMap::new(),
         link: Link::new("orders", metrics.clone(), log.clone()),
         log: log.clone(),
     };
@@ -138,6 +140,7 @@
     desired: watch::Sender<Option<Arc<Desired>>>,
     lease: watch::Sender<Lease>,
     evacuated: HashSet<ZoneName>,
+    moves: HashMap<ServiceName, MoveOrder>,
     link: Link,
     log: Logger,
 }
@@ -161,8 +164,9 @@
         let (records, end) = self.store.newest(Topic::Orders, self.link.failures).await?;
         self.link.answered(BootClock.now());
         self.evacuated.clear();
+        self.moves.clear();
         self.take(records).await;
-        self.publish_evacuated().await;
+        self.publish().await;
         self.confirm(asked);
         Ok(end)
     }
@@ -178,7 +182,7 @@
                     let changed = !tail.records.is_empty();
                     self.take(tail.records).await;
                     if changed {
-                        self.publish_evacuated().await;
+                        self.publish().await;
                     }
                     // Without a record, the store has waited for the whole time, so that there was
                     // none at the end of it. A record may have come late in that time, which is
@@ -220,11 +224,32 @@
                         self.evacuated.remove(&zone);
                     }
                 }
+                (Some(Order::Move(service)), value) => {
+                    self.take_move(service, value.as_deref(), record.offset);
+                }
                 _ => {}
             }
         }
     }
 
+    fn take_move(&mut self, service: ServiceName, value: Option<&[u8]>, number: Offset) {
+        let Some(value) = value else {
+            info!(self.log, "version move withdrawn"; "event" => "move_withdrawn",
+                "service" => %service);
+            self.moves.remove(&service);
+            return;
+        };
+        let Some(order) = moves::order(&service, value, number) else {
+            warn!(self.log, "order of a version move ignored"; "event" => "move_bad",
+                "service" => %service);
+            return;
+        };
+        info!(self.log, "version move ordered"; "event" => "move_ordered", "service" => %service,
+            "version" => %order.version, "within_s" => order.within.as_secs_f64(),
+            "order" => %number);
+        self.moves.insert(service, order);
+    }
+
     async fn take_desired(&mut self, value: &[u8]) {
         let state = match desired::decode(value) {
             Ok(state) => state,
@@ -251,9 +276,10 @@
         self.steering.tell(vec![News::ColdRates(rates)]).await;
     }
 
-    async fn publish_evacuated(&self) {
-        let news = News::Evacuated(self.evacuated.clone());
-        self.steering.tell(vec![news]).await;
+    async fn publish(&self) {
+        let evacuated = News::Evacuated(self.evacuated.clone());
+        let moves = News::Moves(self.moves.values().cloned().collect());
+        self.steering.tell(vec![evacuated, moves]).await;
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod progress;
 pub mod relay;
 pub mod remote;
+pub mod report;
 pub mod rest;
 pub mod retrier;
 pub mod rollouts;
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -5,13 +5,15 @@
 //! store a router gets along alone.
 
 use std::{
+    collections::HashMap,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
 
 use ebonyfall_core::{
-    dissemination::{Item, ItemKey, Value},
+    dissemination::{Counts, Item, ItemKey, Value},
     id::Incarnation,
+    moves::Evidence,
     name::{ProcessName, ZoneName},
     peer::Role,
 };
@@ -84,6 +86,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut routers = 0;
         let mut number = 0;
+        let mut told = HashMap::new();
         loop {
             ticks.tick().await;
             number += 1;
@@ -99,10 +102,21 @@
                     },
                 })
                 .await;
+            for item in self.evidence(&report, incarnation, &mut told) {
+                gossip.put(item).await;
+            }
+            for item in verdicts(&report) {
+                gossip.put(item).await;
+            }
             for item in crashes(report) {
                 gossip.put(item).await;
             }
-            let known = gossip.standing().borrow().routers.len();
+            let (known, before) = {
+                let standing = gossip.standing();
+                let routers = &standing.borrow().routers;
+                let before = routers.iter().filter(|router| **router < self.name);
+                (routers.len(), before.count())
+            };
             if known != routers {
                 info!(self.log, "routers changed"; "event" => "routers", "count" => known,
                     "before" => routers);
@@ -110,12 +124,41 @@
                 let count = i64::try_from(known).unwrap_or(i64::MAX);
                 self.metrics.routers.set(count);
             }
-            let mut news = news(&gossip.items().await);
-            news.push(News::Routers(u32::try_from(known).unwrap_or(u32::MAX)));
+            let mut news = news(&gossip.items().await, &self.name);
+            let narrow = |count| u32::try_from(count).unwrap_or(u32::MAX);
+            news.push(News::Routers(narrow(known), narrow(before)));
             self.steering.tell(news).await;
         }
     }
 
+    /// What has been counted of version moves since it was last told.
+    fn evidence(
+        &self,
+        report: &Report,
+        incarnation: Incarnation,
+        told: &mut HashMap<ItemKey, Counts>,
+    ) -> Vec<Item> {
+        let stamp = clock::unix_time().as_secs();
+        let items = report.evidence.iter().filter_map(|evidence| {
+            let key = ItemKey::Evidence {
+                agent: self.name.clone(),
+                incarnation,
+                step: evidence.step.clone(),
+                arm: evidence.arm,
+                route: evidence.route.clone(),
+            };
+            let counts = evidence.counts;
+            let before = told.insert(key.clone(), counts);
+            let value = Value::Evidence { counts, stamp };
+            (before != Some(counts)).then_some(Item { key, value })
+        });
+        let items = items.collect();
+        if report.evidence.is_empty() {
+            told.clear();
+        }
+        items
+    }
+
     /// The fleet's key: the first one that a router wrote.
     async fn key(&self) -> Key {
         loop {
@@ -185,6 +228,16 @@
     }
 }
 
+/// The verdicts of a report as items.
+fn verdicts(report: &Report) -> impl Iterator<Item = Item> + use<'_> {
+    report.moves.iter().filter_map(|state| {
+        Some(Item {
+            key: ItemKey::Verdict(state.order.name()?, state.order.declaration()),
+            value: Value::Verdict(state.verdict?),
+        })
+    })
+}
+
 /// The crashes of a report as items.
 fn crashes(report: Report) -> impl Iterator<Item = Item> {
     let unix = clock::unix_time();
@@ -200,7 +253,7 @@
         })
 }
 
-fn news(items: &ebonyfall_core::dissemination::Store) -> Vec<News> {
+fn news(items: &ebonyfall_core::dissemination::Store, own: &ProcessName) -> Vec<News> {
     let unix = clock::unix_time();
     let news = items.iter().filter_map(|(key, value)| match (key, value) {
         (ItemKey::RouterLoad(router), Value::Open { number, counts, .. }) => {
@@ -215,6 +268,27 @@
             let age = unix.saturating_sub(Duration::from_secs(*stamp));
             Some(News::Crash(suspicion, age))
         }
+        (
+            ItemKey::Evidence {
+                agent,
+                step,
+                arm,
+                route,
+                ..
+            },
+            Value::Evidence { counts, .. },
+        ) if agent != own => {
+            let evidence = Evidence {
+                step: step.clone(),
+                route: route.clone(),
+                arm: *arm,
+                counts: *counts,
+            };
+            Some(News::Evidence(agent.clone(), evidence))
+        }
+        (ItemKey::Verdict(step, _), Value::Verdict(verdict)) => {
+            Some(News::MoveJudged(step.clone(), *verdict))
+        }
         _ => None,
     });
     news.collect()
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -6,11 +6,15 @@
 };
 
 use ebonyfall_core::{
+    changeover::{MoveOrder, Progress},
     code::Code,
+    dissemination::Verdict,
     doc::Repeat,
     id::{Fingerprint, Incarnation},
-    name::{ProcessName, ServiceName, TargetName, TeamName, ZoneName},
-    steer::{Choice, End, Refusal, Steer, Want},
+    moves::{Evidence, MoveState},
+    name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
+    pace::Timing,
+    steer::{Choice, End, Finished, Refusal, Steer, Want},
     target::{TargetLoad, TargetRecord},
     time::Time,
 };
@@ -46,6 +50,18 @@
     pub content: Fingerprint,
     /// The team.
     pub team: Option<TeamName>,
+    /// The route.
+    pub route: RouteName,
+}
+
+impl Order {
+    fn sender(&self) -> Sender {
+        Sender {
+            content: self.content,
+            team: self.team.clone(),
+            route: self.route.clone(),
+        }
+    }
 }
 
 /// A change of what is known of targets, operators' orders or the store.
@@ -61,8 +77,16 @@
     Evacuated(HashSet<ZoneName>),
     /// Requests a second that a cold target of each service bears.
     ColdRates(HashMap<ServiceName, f64>),
-    /// Routers that share the fleet's bounds.
-    Routers(u32),
+    /// Routers that share the fleet's bounds, and how many of them come before this one.
+    Routers(u32, u32),
+    /// All orders of version moves.
+    Moves(Vec<MoveOrder>),
+    /// The state of a version move that operators can read.
+    MoveReported(MoveOrder, Progress),
+    /// Another router's verdict on a version move.
+    MoveJudged(MoveName, Verdict),
+    /// What another router has counted of a version move.
+    Evidence(ProcessName, Evidence),
     /// The store did not answer.
     StoreLost,
     /// Requests that another router has open at targets, with the number of its report.
@@ -89,6 +113,10 @@
     pub open: Vec<(TargetName, u32)>,
     /// Crashes that were put down to requests, with the time that has passed since.
     pub crashes: Vec<(Suspicion, Duration)>,
+    /// Counts of version moves.
+    pub evidence: Vec<Evidence>,
+    /// The state of version moves.
+    pub moves: Vec<MoveState>,
 }
 
 #[derive(Debug)]
@@ -98,6 +126,7 @@
     Named(TargetName, TargetLoad),
     News(Vec<News>),
     Report(oneshot::Sender<Report>),
+    Moves(oneshot::Sender<Vec<MoveState>>),
 }
 
 #[derive(Debug)]
@@ -111,8 +140,16 @@
     target: TargetName,
     end: End,
     line: Option<Line>,
+    sender: Sender,
+    timing: Option<Timing>,
+}
+
+/// Whose request it is, for what its end says about targets.
+#[derive(Debug, Clone)]
+struct Sender {
     content: Fingerprint,
     team: Option<TeamName>,
+    route: RouteName,
 }
 
 /// A place at a target. Dropping it tells the task that the caller left.
@@ -122,8 +159,8 @@
     pub choice: Choice,
     permit: Option<OwnedPermit<Ask>>,
     steering: Steering,
-    content: Fingerprint,
-    team: Option<TeamName>,
+    sender: Sender,
+    timing: Option<Timing>,
 }
 
 impl Ticket {
@@ -134,6 +171,11 @@
         let _full = self.steering.0.try_send(Ask::Named(target, load));
     }
 
+    /// Records how long the answer took.
+    pub fn timed(&mut self, timing: Timing) {
+        self.timing = Some(timing);
+    }
+
     /// Gives the place back, with the connection if it can be used again.
     pub fn finish(mut self, end: End, line: Option<Line>) {
         self.release(end, line);
@@ -145,8 +187,8 @@
                 target: self.choice.target.name.clone(),
                 end,
                 line,
-                content: self.content,
-                team: self.team.clone(),
+                sender: self.sender.clone(),
+                timing: self.timing,
             })));
         }
     }
@@ -190,7 +232,7 @@
             code: Code::ShuttingDown,
             after: Duration::ZERO,
         };
-        let (content, team) = (order.content, order.team.clone());
+        let sender = order.sender();
         let permit = self
             .0
             .clone()
@@ -205,8 +247,8 @@
             choice,
             permit: Some(permit),
             steering: self.clone(),
-            content,
-            team,
+            sender,
+            timing: None,
         };
         Ok((ticket, line))
     }
@@ -222,6 +264,13 @@
         let _ended = self.0.send(Ask::Report(reply)).await;
         answer.await.unwrap_or_default()
     }
+
+    /// The state of version moves, and what this router has to report of them now.
+    pub async fn moves(&self) -> Vec<MoveState> {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.0.send(Ask::Moves(reply)).await;
+        answer.await.unwrap_or_default()
+    }
 }
 
 struct Task {
@@ -249,8 +298,8 @@
                             target: grant.choice.target.name,
                             end: End::Cancelled,
                             line: grant.line,
-                            content: order.content,
-                            team: order.team,
+                            sender: order.sender(),
+                            timing: None,
                         });
                     }
                 }
@@ -260,6 +309,9 @@
                 Ask::Report(reply) => {
                     let _left = reply.send(self.report());
                 }
+                Ask::Moves(reply) => {
+                    let _left = reply.send(self.steer.moves(self.clock.now()));
+                }
             }
         }
     }
@@ -293,11 +345,17 @@
             target,
             end,
             line,
-            content,
-            team,
+            sender,
+            timing,
         } = ended;
-        let team = team.as_ref().unwrap_or(&self.anonymous);
-        self.steer.ended(&target, end, (content, team), now);
+        let finished = Finished {
+            end,
+            content: sender.content,
+            team: sender.team.as_ref().unwrap_or(&self.anonymous),
+            route: &sender.route,
+            timing,
+        };
+        self.steer.ended(&target, &finished, now);
         if let Some(line) = line
             && let Some(idle) = self.idle.get_mut(&target)
             && idle.lines.len() < MAX_IDLE
@@ -306,7 +364,7 @@
         }
     }
 
-    fn report(&self) -> Report {
+    fn report(&mut self) -> Report {
         let now = self.clock.now();
         let open = self.steer.open();
         let crashes = self.steer.crashes().flat_map(|(content, mark)| {
@@ -320,7 +378,13 @@
             })
         });
         let crashes = crashes.collect();
-        Report { open, crashes }
+        let moves = self.steer.moves(now);
+        Report {
+            open,
+            crashes,
+            evidence: self.steer.evidence(),
+            moves,
+        }
     }
 
     fn learn(&mut self, news: News) {
@@ -347,7 +411,14 @@
             }
             News::Evacuated(zones) => self.steer.set_evacuated(zones),
             News::ColdRates(rates) => self.steer.set_cold_rates(rates),
-            News::Routers(routers) => self.steer.set_routers(routers),
+            News::Routers(routers, before) => {
+                self.steer.set_routers(routers);
+                self.steer.set_rank(before);
+            }
+            News::Moves(orders) => self.steer.set_moves(orders, now),
+            News::MoveReported(order, progress) => self.steer.move_reported(&order, progress),
+            News::MoveJudged(step, verdict) => self.steer.move_judged(&step, verdict),
+            News::Evidence(router, evidence) => self.steer.learn_evidence(&router, &evidence),
             News::StoreLost => self.steer.store_lost(now),
             News::Open(router, number, counts) => {
                 self.steer.learn_open(&router, number, &counts, now);
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -24,6 +24,8 @@
 
 /// A key of the team `desk`.
 pub const KEY: &str = "key-of-the-desk";
+/// Routers whose addresses every router is told.
+const MAX_SEEDS: usize = 3;
 /// Longest wait for a connection to a router.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Longest wait for a router's start.
@@ -102,11 +104,17 @@
             env.register(target, "ready").await;
         }
         env.state(1, &[KEY]).await;
+        let peers_port = free_address().port();
+        // Routers take datagrams at one port, so that each needs an address of its own.
+        let peers = |router: usize| format!("127.0.1.{}:{peers_port}", router + 1);
+        let seeds: Vec<_> = (0..routers.min(MAX_SEEDS)).map(peers).collect();
+        let seeds = seeds.join(",");
         for router in 0..routers {
-            let [listen, ready, metrics, peers] = [(); 4].map(|()| free_address());
+            let [listen, ready, metrics] = [(); 3].map(|()| free_address());
+            let peers = peers(router);
             let settings = format!(
                 "[entry]\nname = e-{router}\nzone = z0\nlisten = {listen}\nready = {ready}\n\
-                 metrics = {metrics}\nstore = {store_address}\npeers = {peers}\nseeds =\n\
+                 metrics = {metrics}\nstore = {store_address}\npeers = {peers}\nseeds = {seeds}\n\
                  drain-ms = 2000\ngrace-s = 8\nrevocation-ms = 5000\nretry-ratio = 0.2\n\
                  retry-slack = 58\nretry-window-s = 10\n"
             );
@@ -212,9 +220,14 @@
 
     /// Writes a target's entry.
     pub async fn register(&self, target: usize, state: &str) {
+        self.register_version(target, state, "v1").await;
+    }
+
+    /// Writes the entry of a target whose software has this version.
+    pub async fn register_version(&self, target: usize, state: &str, version: &str) {
         let entry = json!({
             "service": "plain", "addr": self.addresses[target], "zone": format!("z{target}"),
-            "version": "v1", "slots": 8, "state": state, "warmup_left_ms": 0, "seq": 1,
+            "version": version, "slots": 8, "state": state, "warmup_left_ms": 0, "seq": 1,
             "born": 1,
         });
         let key = format!("t-{target}");
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -118,6 +118,13 @@
             .await;
     }
 
+    /// Every value that a key has had, from the first one on.
+    pub async fn values(&self, topic: &str, key: &str) -> Vec<Vec<u8>> {
+        let records = self.ask(|reply| Ask::Topic(topic.to_owned(), reply)).await;
+        let found = records.into_iter().filter(|(known, _)| known == key);
+        found.filter_map(|(_, value)| value).collect()
+    }
+
     /// Whether the store has misbehaved since its start.
     pub fn was_harmed(&self) -> bool {
         self.fault.has_changed().unwrap_or(true)
--- a/tests/entryenv/mod.rs
+++ b/tests/entry/env.rs
@@ -32,10 +32,15 @@
 impl EntryEnv {
     /// Starts a router before `count` targets.
     pub async fn start(count: usize) -> Self {
+        Self::start_fleet(1, count).await
+    }
+
+    /// Starts routers before `count` targets.
+    pub async fn start_fleet(routers: usize, count: usize) -> Self {
         let folder = tempfile::tempdir().expect("the system has a folder for temporary files");
         let program = Path::new(env!("CARGO_BIN_EXE_ebonyfall-entry"));
         Self {
-            entrance: Entrance::start(program, folder.path(), 1, count).await,
+            entrance: Entrance::start(program, folder.path(), routers, count).await,
             _folder: folder,
         }
     }
@@ -47,9 +52,21 @@
         path: &str,
         body: &str,
         headers: &[(&str, &str)],
+    ) -> Reply {
+        self.call_router(0, method, path, body, headers).await
+    }
+
+    /// Calls one of the routers on a connection of its own.
+    pub async fn call_router(
+        &self,
+        router: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
     ) -> Reply {
         let id = format!("id-{}", CALLS.fetch_add(1, Ordering::Relaxed));
-        let listen = self.routers[0].listen;
+        let listen = self.routers[router].listen;
         let reply = Entrance::call(listen, &id, (method, path, body), headers).await;
         reply.expect("the router answers")
     }
--- a/tests/entry.rs
+++ b/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! The entry router as a real process, between callers, a keyed store and registered targets.
 
-mod entryenv;
+mod env;
+mod moves;
 
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
     keyed::StoreFault,
     registered::{Habit, Registered, Seen},
 };
-use entryenv::{EntryEnv, KEY, Reply};
+use env::{EntryEnv, KEY, Reply};
 use http::StatusCode;
 use serde_json::json;
 use tokio::time::{Instant, sleep};
