Show an entry router's state on request, and split the order of targets from the steering state

Cause: the house asks for a dump of each process's state; the entry router had none, so that on-call could not see which targets, zones and versions a router believes in without its logs. /dump on the metrics address shows the desired state's version and age, targets with load, failures, cold and avoided times, zones out and version moves. the_dump_shows_what_the_router_believes failed before; keys_are_not_shown reads the dump too. The ranking of targets moves to preference.rs.

--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -7,8 +7,6 @@
     time::Duration,
 };
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use crate::{
     allowance::{Allowance, RetryBound},
     changeover::{MoveOrder, Progress},
@@ -18,31 +16,20 @@
     estimate::{Estimate, LOAD_LIFE},
     holders::Holders,
     id::Fingerprint,
+    inspect::{MoveLine, SteerState, TargetState},
     moves::{Evidence, MoveState, Moves},
     name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     pace::Timing,
     passage::Failure,
+    preference,
     reports::Reports,
     roster::Roster,
     target::{TargetLoad, TargetRecord},
     time::Time,
 };
 
-/// Failures, decayed, from which on a target can be taken to be faulty.
-const FAULTY_COUNT: f64 = 2.5;
-/// Share of failures from which on a target can be taken to be faulty.
-const FAULTY_SHARE: f64 = 0.3;
-/// How much worse than its service's other targets a faulty one has to be.
-const FAULTY_FACTOR: f64 = 2.0;
-/// Load above the scaled mean, in requests, at which a chat leaves its home target. Together with
-/// the factor it stays under the fleet's bound of twice the mean and three requests.
-const SPILL_FLOOR: f64 = 2.0;
-/// Load relative to the mean at which a chat leaves its home target.
-const SPILL_FACTOR: f64 = 1.8;
 /// Time for which a target that declined a request is chosen last.
 const FULL: Duration = Duration::from_millis(150);
-/// Load difference, in requests, at which a plain service's request crosses to another zone.
-const ZONE_STEP: f64 = 1.0;
 /// Time after a failed call of the store in which entries may be gone only because of the outage.
 const LAPSE_WINDOW: Duration = Duration::from_secs(2);
 /// Time for which such entries are still used. With the window it stays below the 3 s after an
@@ -54,10 +41,6 @@
 const HOLD: Duration = Duration::from_secs(60);
 /// Time for which a target that has just registered is not expected to hold a context.
 const NEW: Duration = Duration::from_secs(15);
-/// Window in which requests to a cold target are counted.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
-/// Smallest share of a cold target's rate, in requests a window.
-const MIN_COLD_SHARE: f64 = 0.01;
 /// Requests to a cold target that are remembered.
 const MAX_COLD_SENT: usize = 256;
 /// Targets of one report to other routers, so that it fits into a datagram.
@@ -130,16 +113,6 @@
     Failed(Failure),
 }
 
-/// How willingly a target is chosen; lower is better.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Rank {
-    Sound,
-    Full,
-    Faulty,
-    Cold,
-    Avoided,
-}
-
 /// The steering state of a router.
 #[derive(Debug)]
 pub struct Steer {
@@ -219,6 +192,24 @@
         self.moves.states(&self.targets, now)
     }
 
+    /// The state as people read it.
+    pub fn inspect(&mut self, now: Time) -> SteerState {
+        let targets = self.targets.iter();
+        let mut targets: Vec<_> = targets.map(|entry| TargetState::new(entry, now)).collect();
+        targets.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut moves: Vec<MoveLine> = self.moves(now).into_iter().map(Into::into).collect();
+        moves.sort_by(|a, b| a.service.cmp(&b.service));
+        let mut evacuated: Vec<_> = self.evacuated.iter().cloned().collect();
+        evacuated.sort();
+        SteerState {
+            routers: self.routers,
+            evacuated,
+            suspects: self.suspects.marks().count(),
+            targets,
+            moves,
+        }
+    }
+
     /// Takes the rates that cold targets of the services bear, in requests a second.
     pub fn set_cold_rates(&mut self, rates: HashMap<ServiceName, f64>) {
         self.cold_rates = rates;
@@ -414,9 +405,11 @@
         let found = self.targets.of(want.service).filter(|entry| {
             entry.is_usable(&self.evacuated, now) && !want.tried.contains(&entry.record.name)
         });
+        let rate = self.cold_rates.get(want.service);
+        let cold_rate = rate.map_or(f64::INFINITY, |rate| rate / f64::from(self.routers));
         let ranked = found.filter_map(|entry| {
             let others = (bad_sum - entry.failure_share()) / f64::max(usable - 1.0, 1.0);
-            let rank = self.rank(entry, others, now)?;
+            let rank = preference::rank(entry, others, cold_rate, now)?;
             Some((rank, entry))
         });
         let version = self.moves.choose(want.service, want.context, random, now);
@@ -427,77 +420,12 @@
             .filter(|(rank, _)| *rank == best)
             .map(|(_, entry)| *entry);
         let chosen = match want.context {
-            Some(context) => Self::warmest(entries, context, mean, now),
-            None => self.idlest(entries, random, now),
+            Some(context) => preference::warmest(entries, context, mean, now),
+            None => preference::idlest(entries, &self.zone, random, now),
         };
         chosen.map(|entry| (entry.record.name.clone(), mean))
     }
 
-    fn rank(&self, entry: &Estimate, others: f64, now: Time) -> Option<Rank> {
-        if now < entry.avoid_until {
-            return Some(Rank::Avoided);
-        }
-        if now < entry.cold_until {
-            let rate = self.cold_rates.get(&entry.record.service);
-            let share = rate.map_or(f64::INFINITY, |rate| rate / f64::from(self.routers));
-            // A share below one request a window stands for one in a longer window.
-            let window = COLD_WINDOW.mul_f64(1.0 / share.clamp(MIN_COLD_SHARE, 1.0));
-            let recent = entry
-                .cold_sent
-                .iter()
-                .filter(|sent| now.since(**sent) < window)
-                .count();
-            let recent = f64::from(u32::try_from(recent).unwrap_or(u32::MAX));
-            return (recent + 1.0 <= share.max(1.0)).then_some(Rank::Cold);
-        }
-        let share = entry.failure_share();
-        if entry.bad >= FAULTY_COUNT && share > FAULTY_SHARE && share > others * FAULTY_FACTOR {
-            return Some(Rank::Faulty);
-        }
-        if now < entry.full_until {
-            return Some(Rank::Full);
-        }
-        Some(Rank::Sound)
-    }
-
-    /// The first target in the order of the context's hashes whose load is within the bound.
-    /// Zones do not count, so that all routers agree and a context is read once.
-    fn warmest<'e>(
-        entries: impl Iterator<Item = &'e Estimate> + Clone,
-        context: u64,
-        mean: f64,
-        now: Time,
-    ) -> Option<&'e Estimate> {
-        let bound = mean * SPILL_FACTOR + SPILL_FLOOR;
-        let fits = entries
-            .clone()
-            .filter(|entry| entry.load(now) + 1.0 <= bound);
-        fits.min_by_key(|entry| entry.rank_for(context))
-            .or_else(|| {
-                let spread = entries.map(|entry| (entry.load(now), entry));
-                let least = spread.min_by(|a, b| a.0.total_cmp(&b.0));
-                least.map(|(_, entry)| entry)
-            })
-    }
-
-    fn idlest<'e>(
-        &self,
-        entries: impl Iterator<Item = &'e Estimate>,
-        random: f64,
-        now: Time,
-    ) -> Option<&'e Estimate> {
-        let seed = random.to_bits();
-        entries
-            .map(|entry| {
-                let far = entry.record.zone != self.zone;
-                let cost = entry.load(now) + if far { ZONE_STEP } else { 0.0 };
-                let tie = xxh3_64_with_seed(&entry.hash.to_le_bytes(), seed);
-                (cost, tie, entry)
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
-            .map(|(_, _, entry)| entry)
-    }
-
     /// Takes the load that a target named in an answer.
     pub fn named(&mut self, target: &TargetName, load: TargetLoad, now: Time) {
         if let Some(entry) = self.targets.get_mut(target) {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,7 +17,7 @@
     follow::{self, Beliefs},
     intake::Intake,
     metrics::Metrics,
-    pages,
+    pages::{self, Insight},
     peering::{self, Peering},
     report,
     settings::{self, EntryConfig},
@@ -88,7 +88,14 @@
     let ready = listen(cfg.ready).await?;
     let page = listen(cfg.metrics).await?;
     pages::ready(ready, beliefs.clone(), stop.clone(), log.clone());
-    pages::metrics(page, metrics.clone(), log.clone());
+    let insight = Insight {
+        name: cfg.name.clone(),
+        zone: cfg.zone.clone(),
+        beliefs: beliefs.clone(),
+        steering: steering.clone(),
+        metrics: metrics.clone(),
+    };
+    pages::insight(page, insight, log.clone());
     report::start(store.clone(), steering.clone(), log.clone());
     peering::start(
         Peering {
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -11,6 +11,7 @@
     dissemination::Verdict,
     doc::Repeat,
     id::{Fingerprint, Incarnation},
+    inspect::SteerState,
     moves::{Evidence, MoveState},
     name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     pace::Timing,
@@ -127,6 +128,7 @@
     News(Vec<News>),
     Report(oneshot::Sender<Report>),
     Moves(oneshot::Sender<Vec<MoveState>>),
+    Inspect(oneshot::Sender<SteerState>),
 }
 
 #[derive(Debug)]
@@ -265,6 +267,13 @@
         answer.await.unwrap_or_default()
     }
 
+    /// The task's state as people read it.
+    pub async fn inspect(&self) -> SteerState {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.0.send(Ask::Inspect(reply)).await;
+        answer.await.unwrap_or_default()
+    }
+
     /// The state of version moves, and what this router has to report of them now.
     pub async fn moves(&self) -> Vec<MoveState> {
         let (reply, answer) = oneshot::channel();
@@ -309,6 +318,9 @@
                 Ask::Report(reply) => {
                     let _left = reply.send(self.report());
                 }
+                Ask::Inspect(reply) => {
+                    let _left = reply.send(self.steer.inspect(self.clock.now()));
+                }
                 Ask::Moves(reply) => {
                     let _left = reply.send(self.steer.moves(self.clock.now()));
                 }
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -264,7 +264,7 @@
 
     /// Whether a router tells the balancer that it is ready.
     pub async fn is_ready(&self, router: usize) -> bool {
-        let reply = get(self.routers[router].ready).await;
+        let reply = get(self.routers[router].ready, "/").await;
         reply.is_some_and(|reply| reply.status == StatusCode::OK)
     }
 
@@ -274,8 +274,21 @@
     ///
     /// Panics when they are not served.
     pub async fn metrics(&self, router: usize) -> String {
-        let reply = get(self.routers[router].metrics).await;
-        let reply = reply.expect("metrics are served");
+        self.page(router, "/metrics").await
+    }
+
+    /// A router's state dump.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it is not served.
+    pub async fn dump(&self, router: usize) -> String {
+        self.page(router, "/dump").await
+    }
+
+    async fn page(&self, router: usize, path: &str) -> String {
+        let reply = get(self.routers[router].metrics, path).await;
+        let reply = reply.expect("the page is served");
         reply.body.expect("the answer is whole")
     }
 
@@ -308,8 +321,8 @@
         .expect("the parts are valid")
 }
 
-async fn get(address: SocketAddr) -> Option<Reply> {
-    let req = Request::builder().uri("/").header("host", "x");
+async fn get(address: SocketAddr, path: &str) -> Option<Reply> {
+    let req = Request::builder().uri(path).header("host", "x");
     send(address, req.body(Full::from("")).ok()?).await
 }
 
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -304,7 +304,8 @@
     sleep(Duration::from_millis(300)).await;
     let log = env.log(0);
     assert!(log.contains("\"event\":\"refusal\""), "{log}");
-    assert!(!log.contains(KEY) && !metrics.contains(KEY));
+    let dump = env.dump(0).await;
+    assert!(!log.contains(KEY) && !metrics.contains(KEY) && !dump.contains(KEY));
 }
 
 /// Guards against a router that never knows its targets where the store refuses some of the calls
@@ -331,3 +332,30 @@
     }
     assert_eq!(env.call("GET", SAFE, "", &[]).await.status, StatusCode::OK);
 }
+
+/// Guards against a dump that does not show what the router believes of the desired state, of its
+/// targets and of zones.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_dump_shows_what_the_router_believes() {
+    let env = EntryEnv::start(2).await;
+    env.register(1, "draining").await;
+    env.store
+        .put("keyed.op", "evacuate/z0", Some(&json!({})))
+        .await;
+    sleep(Duration::from_secs(2)).await;
+    let dump: serde_json::Value = serde_json::from_str(&env.dump(0).await).expect("it is JSON");
+    assert_eq!(dump["name"], "e-0");
+    assert_eq!(dump["desired_version"], 1);
+    assert!(dump["state_age_ms"].as_u64().is_some_and(|age| age < 4_000));
+    let steering = &dump["steering"];
+    assert_eq!(steering["evacuated"], json!(["z0"]));
+    let targets = steering["targets"].as_array().expect("it is a list");
+    let draining: Vec<_> = targets
+        .iter()
+        .map(|target| (target["name"].as_str(), target["draining"].as_bool()))
+        .collect();
+    assert_eq!(
+        draining,
+        [(Some("t-0"), Some(false)), (Some("t-1"), Some(true))]
+    );
+}
