Let routers that the store turns away read from the others

Cause: a router that the store refused or did not answer, while it served the others, refused all callers with keys after 4 s, and learned of no revoked key, zone or leaving target. Such a router now asks another one, over an authenticated connection to the datagram port, for the records since its own offset. An answer counts from the moment of the question less the age that the other router gives, so that delays never make knowledge look fresher. Where the other router does not know all dropped keys since then, it sends the whole list. The balancer is still told to prefer routers that the store serves, and the store is asked less often meanwhile. Tests: follows_the_others with silent and with reset connections failed before (503 after 4 s); it also checks that the lease still ends when no router has the store.

--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -45,6 +45,13 @@
         self.0 / 1_000
     }
 
+    /// The time `span` before, the epoch at the earliest.
+    #[must_use]
+    pub fn before(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// The time from `earlier` to `self`, zero when `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -76,11 +76,12 @@
     let steer = Steer::new(cfg.zone.clone(), cfg.retry);
     let steering = Steering::start(steer, BootClock);
     let store = Store::new(cfg.store);
+    let (access_tx, access) = watch::channel(None);
     let beliefs = follow::start(
         store.clone(),
         steering.clone(),
-        cfg.revocation,
-        cfg.drain,
+        access,
+        (cfg.revocation, cfg.drain),
         metrics.clone(),
         log.clone(),
     );
@@ -105,6 +106,8 @@
             seeds: cfg.seeds.clone(),
             store,
             steering: steering.clone(),
+            mirrors: beliefs.mirrors.clone(),
+            access: access_tx,
             metrics: metrics.clone(),
             log: log.clone(),
         },
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -19,12 +19,15 @@
     store::{self, Keyed, Order, Topic},
     target,
 };
+use ebonyfall_wire::mirror::Stream;
 use slog::{Logger, info, warn};
 use tokio::{sync::watch, time};
 
 use crate::{
     clock::{self, BootClock},
     metrics::Metrics,
+    mirror::Mirror,
+    neighbours::{Access, Mirrors, Neighbours, Read},
     steering::{News, Steering},
     store::{Store, StoreError},
 };
@@ -37,6 +40,8 @@
 const TARGET_POLL_PERCENT: u32 = 55;
 /// Mean pause after a failed call of the store.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Mean pause after a failed call where another router has answered instead.
+const NEIGHBOUR_PAUSE: Duration = Duration::from_millis(700);
 
 /// What the process believes of the desired state.
 #[derive(Debug, Clone)]
@@ -45,8 +50,12 @@
     pub desired: watch::Receiver<Option<Arc<Desired>>>,
     /// How fresh that knowledge is.
     pub lease: watch::Receiver<Lease>,
+    /// When the store itself answered last.
+    pub contact: watch::Receiver<Option<Time>>,
     /// Whether the targets' entries have been read.
     pub targets: watch::Receiver<bool>,
+    /// What routers that the store does not serve may read.
+    pub mirrors: Mirrors,
 }
 
 /// Starts the tasks. Keys that are taken away must be refused after `revocation`.
@@ -54,22 +63,28 @@
 pub fn start(
     store: Store,
     steering: Steering,
-    revocation: Duration,
-    drain: Duration,
+    access: watch::Receiver<Option<Access>>,
+    (revocation, drain): (Duration, Duration),
     metrics: Metrics,
     log: Logger,
 ) -> Beliefs {
     let (desired_tx, desired) = watch::channel(None);
     let (lease_tx, lease) = watch::channel(Lease::new(revocation));
+    let (contact_tx, contact) = watch::channel(None);
     let (targets_tx, targets) = watch::channel(false);
+    let (order_mirror, order_records) = watch::channel(Mirror::default());
+    let (target_mirror, target_records) = watch::channel(Mirror::default());
     let orders = Orders {
         store: store.clone(),
         steering: steering.clone(),
         desired: desired_tx,
         lease: lease_tx,
+        contact: contact_tx,
         evacuated: HashSet::new(),
         moves: HashMap::new(),
         link: Link::new("orders", metrics.clone(), log.clone()),
+        mirror: order_mirror,
+        neighbours: Neighbours::new(Stream::Orders, access.clone(), log.clone()),
         log: log.clone(),
     };
     tokio::spawn(orders.run());
@@ -78,13 +93,20 @@
         steering,
         known: targets_tx,
         poll: drain * TARGET_POLL_PERCENT / 100,
-        link: Link::new("targets", metrics, log),
+        link: Link::new("targets", metrics, log.clone()),
+        mirror: target_mirror,
+        neighbours: Neighbours::new(Stream::Targets, access, log),
     };
     tokio::spawn(targets_task.run());
     Beliefs {
         desired,
         lease,
+        contact,
         targets,
+        mirrors: Mirrors {
+            orders: order_records,
+            targets: target_records,
+        },
     }
 }
 
@@ -120,8 +142,8 @@
     }
 
     /// Waits before the next call; routers that failed together do not call together again.
-    async fn pause() {
-        time::sleep(PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+    async fn pause(mean: Duration) {
+        time::sleep(mean.mul_f64(rand::random_range(0.5..1.5))).await;
     }
 
     fn answered(&mut self, now: Time) {
@@ -139,9 +161,12 @@
     steering: Steering,
     desired: watch::Sender<Option<Arc<Desired>>>,
     lease: watch::Sender<Lease>,
+    contact: watch::Sender<Option<Time>>,
     evacuated: HashSet<ZoneName>,
     moves: HashMap<ServiceName, MoveOrder>,
     link: Link,
+    mirror: watch::Sender<Mirror>,
+    neighbours: Neighbours,
     log: Logger,
 }
 
@@ -154,7 +179,7 @@
             };
             if !matches!(error, StoreError::Expired) {
                 self.link.failed(&error, BootClock.now());
-                Link::pause().await;
+                Link::pause(PAUSE).await;
             }
         }
     }
@@ -162,13 +187,26 @@
     async fn snapshot(&mut self) -> Result<Offset, StoreError> {
         let asked = BootClock.now();
         let (records, end) = self.store.newest(Topic::Orders, self.link.failures).await?;
-        self.link.answered(BootClock.now());
+        self.answered();
+        self.replace(records, end).await;
+        self.confirm(asked);
+        Ok(end)
+    }
+
+    fn answered(&mut self) {
+        let now = BootClock.now();
+        self.link.answered(now);
+        self.contact.send_replace(Some(now));
+    }
+
+    /// Takes a list of all records.
+    async fn replace(&mut self, records: Vec<Keyed>, end: Offset) {
         self.evacuated.clear();
         self.moves.clear();
+        self.mirror
+            .send_modify(|mirror| mirror.reset(&records, end));
         self.take(records).await;
         self.publish().await;
-        self.confirm(asked);
-        Ok(end)
     }
 
     /// Reads on until that fails.
@@ -178,12 +216,9 @@
             let asked = BootClock.now();
             match self.store.read(Topic::Orders, from, wait).await {
                 Ok(tail) => {
-                    self.link.answered(BootClock.now());
+                    self.answered();
                     let changed = !tail.records.is_empty();
-                    self.take(tail.records).await;
-                    if changed {
-                        self.publish().await;
-                    }
+                    self.follow(tail.records, tail.next).await;
                     // Without a record, the store has waited for the whole time, so that there was
                     // none at the end of it. A record may have come late in that time, which is
                     // only known to have begun at `asked`: the next read confirms at once.
@@ -198,7 +233,20 @@
                 Err(StoreError::Expired) => return StoreError::Expired,
                 Err(error) => {
                     self.link.failed(&error, BootClock.now());
-                    Link::pause().await;
+                    if let Some(read) = self.neighbours.read(from).await {
+                        from = read.next;
+                        if read.whole {
+                            self.replace(read.records, from).await;
+                        } else {
+                            self.follow(read.records, from).await;
+                        }
+                        if let Some(confirmed) = read.confirmed {
+                            self.confirm(confirmed);
+                        }
+                        Link::pause(NEIGHBOUR_PAUSE).await;
+                    } else {
+                        Link::pause(PAUSE).await;
+                    }
                     // Confirms as soon as the store is back.
                     wait = Duration::ZERO;
                 }
@@ -206,8 +254,20 @@
         }
     }
 
+    /// Takes records that follow those known.
+    async fn follow(&mut self, records: Vec<Keyed>, next: Offset) {
+        if records.is_empty() {
+            return;
+        }
+        self.mirror
+            .send_modify(|mirror| mirror.take(&records, next));
+        self.take(records).await;
+        self.publish().await;
+    }
+
     fn confirm(&self, asked: Time) {
         self.lease.send_modify(|lease| lease.confirm(asked));
+        self.mirror.send_modify(|mirror| mirror.confirm(asked));
     }
 
     async fn take(&mut self, records: Vec<Keyed>) {
@@ -289,6 +349,8 @@
     known: watch::Sender<bool>,
     poll: Duration,
     link: Link,
+    mirror: watch::Sender<Mirror>,
+    neighbours: Neighbours,
 }
 
 impl Targets {
@@ -307,23 +369,15 @@
     async fn failed(&mut self, error: &StoreError) {
         self.link.failed(error, BootClock.now());
         self.steering.tell(vec![News::StoreLost]).await;
-        Link::pause().await;
+        Link::pause(PAUSE).await;
     }
 
     async fn snapshot(&mut self) -> Result<Offset, StoreError> {
-        let (records, end) = self
-            .store
-            .newest(Topic::Targets, self.link.failures)
-            .await?;
+        let asked = BootClock.now();
+        let failures = self.link.failures;
+        let (records, end) = self.store.newest(Topic::Targets, failures).await?;
         self.link.answered(BootClock.now());
-        let listed: HashSet<_> = records
-            .iter()
-            .filter(|record| record.value.is_some())
-            .filter_map(|record| TargetName::new(&record.key).ok())
-            .collect();
-        let mut news = changes(records);
-        news.push(News::Listed(listed));
-        self.steering.tell(news).await;
+        self.replace(records, end, Some(asked)).await;
         self.known.send_replace(true);
         Ok(end)
     }
@@ -331,17 +385,63 @@
     async fn tail(&mut self, mut from: Offset) -> StoreError {
         loop {
             time::sleep(self.poll).await;
+            let asked = BootClock.now();
             match self.store.read(Topic::Targets, from, Duration::ZERO).await {
                 Ok(tail) => {
                     self.link.answered(BootClock.now());
-                    self.steering.tell(changes(tail.records)).await;
+                    self.follow(tail.records, tail.next, Some(asked)).await;
                     from = tail.next;
                 }
                 Err(StoreError::Expired) => return StoreError::Expired,
-                Err(error) => self.failed(&error).await,
+                Err(error) => match self.neighbours.read(from).await {
+                    Some(read) if self.is_fresh(&read) => {
+                        self.link.failed(&error, BootClock.now());
+                        from = read.next;
+                        if read.whole {
+                            self.replace(read.records, from, read.confirmed).await;
+                        } else {
+                            self.follow(read.records, from, read.confirmed).await;
+                        }
+                    }
+                    // Entries may lapse at the store because nobody can renew them.
+                    _ => self.failed(&error).await,
+                },
             }
         }
     }
+
+    /// Whether the other router has read the entries lately itself.
+    fn is_fresh(&self, read: &Read) -> bool {
+        let age = read.confirmed.map(|at| BootClock.now().since(at));
+        age.is_some_and(|age| age < self.poll * 2)
+    }
+
+    /// Takes a list of all records.
+    async fn replace(&self, records: Vec<Keyed>, end: Offset, confirmed: Option<Time>) {
+        self.mirror.send_modify(|mirror| {
+            mirror.reset(&records, end);
+            if let Some(confirmed) = confirmed {
+                mirror.confirm(confirmed);
+            }
+        });
+        let live = records.iter().filter(|record| record.value.is_some());
+        let listed = live.filter_map(|record| TargetName::new(&record.key).ok());
+        let listed = News::Listed(listed.collect());
+        let mut news = changes(records);
+        news.push(listed);
+        self.steering.tell(news).await;
+    }
+
+    /// Takes records that follow those known.
+    async fn follow(&self, records: Vec<Keyed>, next: Offset, confirmed: Option<Time>) {
+        self.mirror.send_modify(|mirror| {
+            mirror.take(&records, next);
+            if let Some(confirmed) = confirmed {
+                mirror.confirm(confirmed);
+            }
+        });
+        self.steering.tell(changes(records)).await;
+    }
 }
 
 /// What the records say; those that cannot be read name no target and change nothing.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,8 @@
 pub mod links;
 pub mod logs;
 pub mod metrics;
+pub mod mirror;
+pub mod neighbours;
 pub mod once;
 pub mod operate;
 pub mod pages;
--- /dev/null
+++ b/src/mirror.rs
@@ -0,0 +1,83 @@
+//! The newest records of a stream of the store, kept for routers that the store does not serve.
+
+use std::collections::{HashMap, HashSet};
+
+use bytes::Bytes;
+use ebonyfall_core::{id::Offset, time::Time};
+use ebonyfall_platform::store::Keyed;
+use ebonyfall_wire::mirror::{Changes, Record};
+
+/// Bytes of records in one answer, below the largest frame. Nothing larger is answered.
+const MAX_ANSWER: usize = 4 << 20;
+/// Dropped keys that are remembered.
+const MAX_DROPPED: usize = 4_096;
+
+/// The newest record of each key.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    records: HashMap<String, Keyed>,
+    /// Offset from which on every dropped key is known.
+    floor: Option<Offset>,
+    next: Option<Offset>,
+    confirmed: Option<Time>,
+}
+
+impl Mirror {
+    /// Takes a list of all keys; others have been dropped.
+    pub fn reset(&mut self, listed: &[Keyed], next: Offset) {
+        let keys: HashSet<_> = listed.iter().map(|record| &record.key).collect();
+        for record in self.records.values_mut() {
+            if !keys.contains(&record.key) {
+                record.value = None;
+                record.offset = next;
+            }
+        }
+        self.floor.get_or_insert(next);
+        self.take(listed, next);
+    }
+
+    /// Takes records that follow those known.
+    pub fn take(&mut self, records: &[Keyed], next: Offset) {
+        for record in records {
+            self.records.insert(record.key.clone(), record.clone());
+        }
+        self.next = self.next.max(Some(next));
+        let dropped = self.records.values();
+        if dropped.filter(|record| record.value.is_none()).count() > MAX_DROPPED {
+            self.records.retain(|_, record| record.value.is_some());
+            self.floor = self.next;
+        }
+    }
+
+    /// Records that nothing newer existed at `at`.
+    pub fn confirm(&mut self, at: Time) {
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// What has changed from an offset on, or all records where drops since then are not known;
+    /// `None` before the first list.
+    pub fn since(&self, from: Offset, now: Time) -> Option<Changes> {
+        let whole = from < self.floor?;
+        let changed = self.records.values().filter(|record| {
+            let live = record.value.is_some();
+            if whole { live } else { record.offset >= from }
+        });
+        let mut changed: Vec<_> = changed.collect();
+        changed.sort_by_key(|record| record.offset);
+        let size = |record: &&Keyed| record.key.len() + record.value.as_ref().map_or(0, Bytes::len);
+        if changed.iter().map(size).sum::<usize>() > MAX_ANSWER {
+            return None;
+        }
+        let records = changed.into_iter().map(|record| Record {
+            key: record.key.clone(),
+            value: record.value.clone(),
+            offset: record.offset,
+        });
+        Some(Changes {
+            whole,
+            records: records.collect(),
+            next: self.next?,
+            age: self.confirmed.map(|confirmed| now.since(confirmed)),
+        })
+    }
+}
--- a/src/pages.rs
+++ b/src/pages.rs
@@ -20,7 +20,8 @@
     web::{self, ConnectionLimits, Shared},
 };
 
-/// Age of the confirmed knowledge from which on the balancer is told to use other routers.
+/// Time without an answer of the store after which the balancer is told to use other routers, also
+/// where this one reads from them: they know sooner.
 const STALE: Duration = Duration::from_millis(3_000);
 
 /// Path of the state dump.
@@ -102,9 +103,9 @@
 }
 
 fn is_ready(beliefs: &Beliefs, stop: &watch::Receiver<bool>) -> bool {
-    let confirmed = beliefs.lease.borrow().confirmed();
-    let fresh = confirmed.is_some_and(|confirmed| BootClock.now().since(confirmed) < STALE);
-    fresh && beliefs.desired.borrow().is_some() && *beliefs.targets.borrow() && !*stop.borrow()
+    let contact = *beliefs.contact.borrow();
+    let served = contact.is_some_and(|contact| BootClock.now().since(contact) < STALE);
+    served && beliefs.desired.borrow().is_some() && *beliefs.targets.borrow() && !*stop.borrow()
 }
 
 /// Serves pages by path until the process ends.
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -31,6 +31,7 @@
     gossip::{Gossip, Local},
     link::Identity,
     metrics::Metrics,
+    neighbours::{self, Access, Mirrors},
     steering::{News, Report, Steering, Suspicion},
     store::{Store, StoreError},
     view,
@@ -60,6 +61,10 @@
     pub store: Store,
     /// Gets what other routers say.
     pub steering: Steering,
+    /// What routers that the store does not serve may read.
+    pub mirrors: Mirrors,
+    /// Gets what is needed to reach other routers.
+    pub access: watch::Sender<Option<Access>>,
     /// Counters.
     pub metrics: Metrics,
     /// The process's log.
@@ -75,7 +80,23 @@
     async fn run(self, mut stop: watch::Receiver<bool>) {
         let key = self.key().await;
         let incarnation = view::incarnation(clock::unix_time());
-        let gossip = self.join(key, incarnation).await;
+        let identity = Identity {
+            name: self.name.clone(),
+            incarnation,
+            keys: Keys::new(key, None),
+        };
+        let gossip = self.join(identity.clone()).await;
+        let access = Access {
+            identity,
+            gossip: gossip.clone(),
+            own: self.address,
+        };
+        tokio::spawn(neighbours::serve(
+            access.clone(),
+            self.mirrors.clone(),
+            self.log.clone(),
+        ));
+        self.access.send_replace(Some(access));
         let leaving = gossip.clone();
         tokio::spawn(async move {
             if stop.wait_for(|stop| *stop).await.is_ok() {
@@ -198,7 +219,7 @@
         }
     }
 
-    async fn join(&self, key: Key, incarnation: Incarnation) -> Gossip {
+    async fn join(&self, identity: Identity) -> Gossip {
         let socket = loop {
             match UdpSocket::bind(self.address).await {
                 Ok(socket) => break socket,
@@ -212,11 +233,7 @@
         let port = self.address.port();
         let seeds = self.seeds.iter().map(|seed| SocketAddr::new(*seed, port));
         let local = Local {
-            identity: Identity {
-                name: self.name.clone(),
-                incarnation,
-                keys: Keys::new(key, None),
-            },
+            identity,
             role: Role::Router,
             zone: self.zone.clone(),
             address: self.address,
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -73,6 +73,8 @@
     pub targets: Vec<Registered>,
     /// What stands before each target.
     pub proxies: Vec<Proxy>,
+    /// What stands between each router and the store.
+    pub store_links: Vec<Proxy>,
     /// The routers.
     pub routers: Vec<Router>,
     addresses: Vec<SocketAddr>,
@@ -91,6 +93,7 @@
             store,
             targets: Vec::new(),
             proxies: Vec::new(),
+            store_links: Vec::new(),
             routers: Vec::new(),
             addresses: Vec::new(),
             program: program.to_owned(),
@@ -112,9 +115,11 @@
         for router in 0..routers {
             let [listen, ready, metrics] = [(); 3].map(|()| free_address());
             let peers = peers(router);
+            let (store_link, store) = Proxy::start(store_address).await;
+            env.store_links.push(store_link);
             let settings = format!(
                 "[entry]\nname = e-{router}\nzone = z0\nlisten = {listen}\nready = {ready}\n\
-                 metrics = {metrics}\nstore = {store_address}\npeers = {peers}\nseeds = {seeds}\n\
+                 metrics = {metrics}\nstore = {store}\npeers = {peers}\nseeds = {seeds}\n\
                  drain-ms = 2000\ngrace-s = 8\nrevocation-ms = 5000\nretry-ratio = 0.2\n\
                  retry-slack = 58\nretry-window-s = 10\n"
             );
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -8,6 +8,7 @@
 use ebonyfall_standin::{
     entrance::Entrance,
     keyed::StoreFault,
+    proxy::Harm,
     registered::{Habit, Registered, Seen},
 };
 use env::{EntryEnv, KEY, Reply};
@@ -359,3 +360,52 @@
         [(Some("t-0"), Some(false)), (Some("t-1"), Some(true))]
     );
 }
+
+/// Guards against a router that refuses callers, serves revoked keys or uses targets that leave
+/// because its connections to the store fall silent while the store serves the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_the_store_does_not_answer_follows_the_others() {
+    follows_the_others(Harm::Silence).await;
+}
+
+/// The same where its connections to the store are reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_the_store_turns_away_follows_the_others() {
+    follows_the_others(Harm::Reset).await;
+}
+
+async fn follows_the_others(harm: Harm) {
+    let env = EntryEnv::start_fleet(2, 2).await;
+    // Routers find each other within a second.
+    sleep(Duration::from_millis(1_500)).await;
+    env.store_links[0].set(harm);
+    sleep(Duration::from_secs(6)).await;
+    for _ in 0..4 {
+        let reply = env.call("GET", SAFE, "", &[]).await;
+        assert_eq!(reply.status, StatusCode::OK, "{harm:?}");
+    }
+    // The balancer is to prefer routers that the store serves.
+    assert!(!env.is_ready(0).await, "{harm:?}");
+    env.register(0, "draining").await;
+    env.state(2, &["other-key"]).await;
+    sleep(Duration::from_secs(4)).await;
+    let before = env.targets[0].ran().len();
+    let revoked = env.call("GET", SAFE, "", &[]).await;
+    assert_eq!(revoked.status, StatusCode::UNAUTHORIZED, "{harm:?}");
+    env.state(3, &[KEY]).await;
+    sleep(Duration::from_secs(4)).await;
+    for _ in 0..6 {
+        let reply = env.call("GET", SAFE, "", &[]).await;
+        assert_eq!(reply.status, StatusCode::OK, "{harm:?}");
+    }
+    assert_eq!(
+        env.targets[0].ran().len(),
+        before,
+        "{harm:?}: it is draining"
+    );
+    // Without a router that the store serves, knowledge gets old.
+    env.store_links[1].set(harm);
+    sleep(Duration::from_secs(5)).await;
+    let reply = env.call("GET", SAFE, "", &[]).await;
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{harm:?}");
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod facts;
 pub mod frame;
 pub mod gossip;
+pub mod mirror;
 pub mod record;
