--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -16,7 +16,7 @@
     entrance::{Entrance, KEY},
     keyed::StoreFault,
     proxy::Harm,
-    registered::Habit,
+    registered::{Habit, Registered},
 };
 use http::StatusCode;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -29,10 +29,12 @@
 
 use crate::demo::programs;
 
-/// Routers of one soak.
-const ROUTERS: usize = 3;
-/// Targets of one soak.
-const TARGETS: usize = 4;
+/// A key that is given and taken away during a soak.
+const GUEST_KEY: &str = "key-of-a-guest";
+/// Pause between two calls with that key, in milliseconds.
+const GUEST_PAUSE: u64 = 100;
+/// Time after which a key that was taken away must not work, wherever a router stands.
+const REVOCATION_BOUND: Duration = Duration::from_secs(5);
 /// Bounds of the pause between two faults, in milliseconds.
 const FAULT_PAUSE: [u64; 2] = [200, 1_500];
 /// Pause between two calls of one caller, in milliseconds.
@@ -62,6 +64,12 @@
     /// number of seeds
     #[argh(option, default = "1")]
     seeds: u64,
+    /// routers of a deployment
+    #[argh(option, default = "3")]
+    routers: usize,
+    /// targets of a deployment
+    #[argh(option, default = "4")]
+    targets: usize,
     /// seconds of faults for each seed
     #[argh(option, default = "20")]
     seconds: u64,
@@ -76,6 +84,8 @@
         Self {
             seed,
             seeds: 1,
+            routers: 3,
+            targets: 4,
             seconds,
             programs: Some(programs.into()),
         }
@@ -138,17 +148,23 @@
     };
     let program = folder.join("ebonyfall-entry");
     for seed in args.seed..args.seed + args.seeds {
-        let report = soak(seed, Duration::from_secs(args.seconds), &program).await?;
+        let length = Duration::from_secs(args.seconds);
+        let report = soak(seed, length, &program, (args.routers, args.targets)).await?;
         held &= report.broken.is_empty();
         println!("{}", serde_json::to_string(&report)?);
     }
     Ok(held)
 }
 
-async fn soak(seed: u64, length: Duration, program: &Path) -> Result<Report, Box<dyn Error>> {
+async fn soak(
+    seed: u64,
+    length: Duration,
+    program: &Path,
+    (routers, targets): (usize, usize),
+) -> Result<Report, Box<dyn Error>> {
     let mut random = StdRng::seed_from_u64(seed);
     let folder = tempfile::tempdir()?;
-    let mut env = Entrance::start(program, folder.path(), ROUTERS, TARGETS).await;
+    let mut env = Entrance::start(program, folder.path(), routers, targets).await;
     for target in &env.targets {
         target.set(answering());
     }
@@ -159,11 +175,14 @@
         let random = StdRng::seed_from_u64(random.random());
         callers.spawn(call_on(caller, listen.clone(), random, until));
     }
+    let guest_random = StdRng::seed_from_u64(random.random());
+    let guest = tokio::spawn(guest_calls(listen.clone(), guest_random, until));
     let mut faults = Faults {
         random,
         version: 1,
         count: 0,
         out: None,
+        guest: vec![(Instant::now(), false)],
         broken: Vec::new(),
     };
     while Instant::now() < until {
@@ -177,6 +196,8 @@
     while let Some(caller) = callers.join_next().await {
         calls.extend(caller?);
     }
+    let guest = guest.await?;
+    faults.check_guest(&env, &guest);
     sleep(RECOVERY).await;
     let mut last_served = 0;
     for number in 0..LAST_CALLS.0 {
@@ -191,6 +212,7 @@
             "only {last_served} calls served after the recovery"
         ));
     }
+    calls.extend(guest.into_iter().map(|(_, seen)| seen));
     broken.extend(check(&env, &calls));
     let served = calls
         .iter()
@@ -232,9 +254,32 @@
     seen
 }
 
+/// Calls with the guest's key, with the moment at which each call began.
+async fn guest_calls(
+    listen: Vec<SocketAddr>,
+    mut random: StdRng,
+    until: Instant,
+) -> Vec<(Instant, Seen)> {
+    let key = format!("Bearer {GUEST_KEY}");
+    let mut seen = Vec::new();
+    while Instant::now() < until {
+        let address = listen[random.random_range(0..listen.len())];
+        let began = Instant::now();
+        let id = format!("guest-{}", seen.len());
+        let headers = [("authorization", key.as_str())];
+        seen.push((began, call_with(address, id, Kind::Safe, &headers).await));
+        sleep(Duration::from_millis(GUEST_PAUSE)).await;
+    }
+    seen
+}
+
 async fn call(address: SocketAddr, id: String, kind: Kind) -> Seen {
+    call_with(address, id, kind, &[]).await
+}
+
+async fn call_with(address: SocketAddr, id: String, kind: Kind, headers: &[(&str, &str)]) -> Seen {
     let (method, path) = kind.request();
-    let reply = Entrance::call(address, &id, (method, path, &id), &[]);
+    let reply = Entrance::call(address, &id, (method, path, &id), headers);
     let reply = timeout(PATIENCE, reply).await;
     let reply = reply.ok().flatten();
     Seen {
@@ -300,6 +345,8 @@
     count: usize,
     /// The zone that is out, since when, and what its target had run once that was in force.
     out: Option<(usize, Instant, Option<usize>)>,
+    /// When the guest's key was given or taken away.
+    guest: Vec<(Instant, bool)>,
     broken: Vec<String>,
 }
 
@@ -307,26 +354,24 @@
     async fn next(&mut self, env: &mut Entrance) -> Result<(), Box<dyn Error>> {
         self.count += 1;
         self.watch_zone(env);
-        let router = self.random.random_range(0..ROUTERS);
-        let target = self.random.random_range(0..TARGETS);
-        match self.random.random_range(0..10) {
+        let router = self.random.random_range(0..env.routers.len());
+        let target = self.random.random_range(0..env.targets.len());
+        match self.random.random_range(0..13) {
             0 => env.signal(router, "KILL"),
             1 => env.signal(router, "TERM"),
             2 => env.signal(router, "STOP"),
             3 => env.signal(router, "HUP"),
             4 => {
-                let faults = [StoreFault::Silent, StoreFault::Busy, StoreFault::None];
+                let faults = [
+                    StoreFault::Silent,
+                    StoreFault::Busy,
+                    StoreFault::Limited,
+                    StoreFault::None,
+                ];
                 env.store.set_fault(faults[target % faults.len()]).await;
             }
             5 | 6 => {
-                let harms = [
-                    Harm::Delay(Duration::from_millis(30)),
-                    Harm::Reset,
-                    Harm::CutUp,
-                    Harm::CutDown,
-                    Harm::Silence,
-                ];
-                let harm = harms[self.random.random_range(0..harms.len())];
+                let harm = self.harm();
                 env.proxies[target].set(harm);
             }
             7 => {
@@ -340,24 +385,72 @@
                 ];
                 env.targets[target].set(habits[self.random.random_range(0..habits.len())]);
             }
-            8 => {
-                self.version += 1;
-                env.state(self.version, &[KEY]).await;
+            8 | 9 => self.change_state(env).await,
+            10 | 11 => {
+                let harm = self.harm();
+                env.store_links[router].set(harm);
             }
             _ => self.turn_zone(env, target).await,
         }
         // Earlier faults end while new ones begin.
         let (router, target) = (
-            self.random.random_range(0..ROUTERS),
-            self.random.random_range(0..TARGETS),
+            self.random.random_range(0..env.routers.len()),
+            self.random.random_range(0..env.targets.len()),
         );
         env.signal(router, "CONT");
         env.restart(router)?;
         env.proxies[target].set(Harm::None);
         env.targets[target].set(answering());
+        let router = self.random.random_range(0..env.routers.len());
+        env.store_links[router].set(Harm::None);
         Ok(())
     }
 
+    fn harm(&mut self) -> Harm {
+        let harms = [
+            Harm::Delay(Duration::from_millis(30)),
+            Harm::Reset,
+            Harm::CutUp,
+            Harm::CutDown,
+            Harm::Silence,
+        ];
+        harms[self.random.random_range(0..harms.len())]
+    }
+
+    /// Writes a new version; every other one takes the guest's key away or gives it back.
+    async fn change_state(&mut self, env: &Entrance) {
+        self.version += 1;
+        let known = self.guest.last().is_some_and(|(_, known)| *known);
+        let known = known ^ self.random.random_bool(0.5);
+        let keys: &[&str] = if known { &[KEY, GUEST_KEY] } else { &[KEY] };
+        // Giving counts from its beginning, taking away from its acknowledgement.
+        let began = Instant::now();
+        env.state(self.version, keys).await;
+        let at = if known { began } else { Instant::now() };
+        self.guest.push((at, known));
+    }
+
+    /// A key that was taken away works nowhere after the bound.
+    fn check_guest(&mut self, env: &Entrance, calls: &[(Instant, Seen)]) {
+        let ran = env.targets.iter().flat_map(Registered::ran);
+        let ran: BTreeSet<_> = ran
+            .filter_map(|seen| seen.headers.get("ebonyfall-attempt-id").cloned())
+            .collect();
+        for (began, seen) in calls {
+            let mut before = self.guest.iter().rev();
+            let taken = before.find(|(at, _)| at <= began);
+            // Every version since then has to be without the key.
+            let since = self.guest.iter().rev().skip_while(|(at, _)| at > began);
+            let since = since.take_while(|(_, known)| !known).last();
+            let lapsed = taken.is_some_and(|(_, known)| !known)
+                && since.is_some_and(|(at, _)| began.duration_since(*at) > REVOCATION_BOUND);
+            if lapsed && ran.contains(&seen.id) {
+                self.broken
+                    .push(format!("{} ran on a key that was taken away", seen.id));
+            }
+        }
+    }
+
     async fn turn_zone(&mut self, env: &Entrance, target: usize) {
         let out = self.out.take();
         let zone = out.map_or(target, |(zone, ..)| zone);
@@ -392,17 +485,18 @@
             let key = format!("evacuate/z{zone}");
             env.store.put("keyed.op", &key, None).await;
         }
-        for target in 0..TARGETS {
+        for target in 0..env.targets.len() {
             env.proxies[target].set(Harm::None);
             env.targets[target].set(answering());
         }
-        for router in 0..ROUTERS {
+        for router in 0..env.routers.len() {
+            env.store_links[router].set(Harm::None);
             env.signal(router, "CONT");
         }
         // A router that was told to stop ends within its grace period.
         let deadline = Instant::now() + STOP_BOUND;
         while Instant::now() < deadline {
-            for router in 0..ROUTERS {
+            for router in 0..env.routers.len() {
                 env.restart(router)?;
             }
             sleep(Duration::from_millis(200)).await;
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -317,8 +317,10 @@
         .uri(path)
         .header("host", "spine.example")
         .header("ebonyfall-attempt-id", id)
-        .header("ebonyfall-deadline-ms", "2000")
-        .header("authorization", format!("Bearer {KEY}"));
+        .header("ebonyfall-deadline-ms", "2000");
+    if !headers.iter().any(|(name, _)| *name == "authorization") {
+        req = req.header("authorization", format!("Bearer {KEY}"));
+    }
     for (name, value) in headers {
         req = req.header(*name, *value);
     }
