--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -142,33 +142,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::collections::HashSet;
-
-    use super::*;
-
-    /// Guards against two codes that share a number.
-    #[test]
-    fn numbers_are_unique_and_ascending() {
-        let numbers: Vec<_> = Code::ALL.iter().map(|code| code.number()).collect();
-        assert!(numbers.is_sorted());
-        assert_eq!(numbers.iter().collect::<HashSet<_>>().len(), numbers.len());
-    }
-
-    /// Guards against a code that the page for callers does not explain.
-    #[test]
-    fn the_page_lists_every_code() {
-        let page = include_str!("../../docs/result-codes.md");
-        for code in Code::ALL {
-            let row = format!(
-                "| {} | {} | {} | {} | {} |",
-                code.number(),
-                code.name(),
-                code.status(),
-                code.ran(),
-                code.advice()
-            );
-            assert!(page.contains(&row), "missing row: {row}");
-        }
-    }
-}
+#[path = "../tests/unit/code.rs"]
+mod tests;
--- a/wire/src/auth.rs
+++ b/wire/src/auth.rs
@@ -182,36 +182,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn pair() -> (Channel, Channel) {
-        let key = Key::new([3; 16]);
-        (
-            Channel::new(key, [1, 2], true),
-            Channel::new(key, [1, 2], false),
-        )
-    }
-
-    /// Guards against replayed, reflected and reordered frames.
-    #[test]
-    fn each_frame_verifies_once_in_order() {
-        let (mut a, mut b) = pair();
-        let first = a.seal(&"one").unwrap();
-        let second = a.seal(&"two").unwrap();
-        b.open::<String>(&second).unwrap_err();
-        assert_eq!(b.open::<String>(&first).unwrap(), "one");
-        b.open::<String>(&first).unwrap_err();
-        a.open::<String>(&first).unwrap_err();
-        assert_eq!(b.open::<String>(&second).unwrap(), "two");
-    }
-
-    /// Guards against a panic on arbitrary bytes.
-    #[test]
-    fn garbage_is_refused() {
-        fn property(bytes: Vec<u8>) -> bool {
-            pair().1.open::<String>(&bytes).is_err()
-        }
-        quickcheck::quickcheck(property as fn(Vec<u8>) -> bool);
-    }
-}
+#[path = "../tests/unit/auth.rs"]
+mod tests;
--- a/wire/src/claims.rs
+++ b/wire/src/claims.rs
@@ -76,39 +76,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use ebonyfall_core::{
-        claim::{ClaimId, KeyId},
-        code::Ran,
-    };
-
-    use super::*;
-
-    /// Guards against records that come back altered, and a decoder that panics.
-    #[test]
-    fn batches_come_back_and_garbage_does_not_panic() {
-        fn property(bytes: Vec<u8>) -> bool {
-            let _entries = decode(&bytes);
-            true
-        }
-        let claim = ClaimId {
-            offset: 9.into(),
-            index: 3,
-        };
-        let key = KeyId::from(u128::MAX);
-        let entries = vec![
-            Entry::Released { key, claim },
-            Entry::Finished {
-                key,
-                claim,
-                ran: Ran::Unknown,
-                status: 200,
-                digest: 5,
-            },
-        ];
-        let data = encode(entries.clone()).unwrap();
-        assert_eq!(decode(&data).unwrap(), entries);
-        decode(&[9]).unwrap_err();
-        quickcheck::quickcheck(property as fn(Vec<u8>) -> bool);
-    }
-}
+#[path = "../tests/unit/claims.rs"]
+mod tests;
--- /dev/null
+++ b/wire/tests/unit/facts.rs
@@ -0,0 +1,19 @@
+//! Tests of the internals of `src/facts.rs`.
+
+use super::*;
+
+/// Guards against a decoder that panics on arbitrary bytes, and a form that is not checked.
+#[test]
+fn garbage_is_refused_without_a_panic() {
+    fn property(bytes: Vec<u8>) -> bool {
+        let known = bytes.first() == Some(&FORM);
+        known || decode(&bytes).is_err()
+    }
+    quickcheck::quickcheck(property as fn(Vec<u8>) -> bool);
+    let fact = Fact::Cleared {
+        step: MoveName::new("labels-v2").unwrap(),
+        declaration: 7.into(),
+        since: 9,
+    };
+    assert_eq!(decode(&encode(&fact).unwrap()).unwrap(), fact);
+}
--- /dev/null
+++ b/wire/tests/unit/gossip.rs
@@ -0,0 +1,228 @@
+//! Tests of the internals of `src/gossip.rs`.
+
+use ebonyfall_core::{
+    dissemination::{Arm, Counts, Item, ItemKey, Kind, Value, Verdict},
+    doc::ZoneState,
+    id::{Fingerprint, Offset},
+    name::{ModelName, MoveName, RouteName, TargetName, TeamName, ZoneName},
+    peer::{Liveness, Record, Role},
+};
+use quickcheck::{Arbitrary, Gen};
+
+use super::*;
+use crate::auth::Key;
+
+fn text(g: &mut Gen) -> String {
+    let len = usize::arbitrary(g) % 64 + 1;
+    "abcdefghij-_.0123456789"
+        .chars()
+        .cycle()
+        .take(len)
+        .collect()
+}
+
+fn record(g: &mut Gen) -> Record {
+    let role = match u8::arbitrary(g) % 3 {
+        0 => Role::Router,
+        1 => Role::Agent(None),
+        _ => Role::Agent(Some(TargetName::new(text(g)).unwrap())),
+    };
+    let states = [Liveness::Alive, Liveness::Suspect, Liveness::Gone];
+    Record {
+        name: ProcessName::new(text(g)).unwrap(),
+        role,
+        zone: ZoneName::new(text(g)).unwrap(),
+        address: Arbitrary::arbitrary(g),
+        incarnation: u64::arbitrary(g).into(),
+        wire: Arbitrary::arbitrary(g),
+        leaving: bool::arbitrary(g),
+        sequence: u32::arbitrary(g),
+        liveness: *g.choose(&states).unwrap(),
+    }
+}
+
+fn item(g: &mut Gen) -> Item {
+    let n = u64::arbitrary(g);
+    let model = ModelName::new(text(g)).unwrap();
+    let step = MoveName::new(text(g)).unwrap();
+    let zone = ZoneName::new(text(g)).unwrap();
+    let agent = ProcessName::new(text(g)).unwrap();
+    let load = Value::Load {
+        stamp: n,
+        running: u32::MAX,
+        capacity: u32::arbitrary(g),
+    };
+    let state = *g.choose(&[ZoneState::In, ZoneState::Out]).unwrap();
+    let (key, value) = match u8::arbitrary(g) % 9 {
+        0 => (
+            ItemKey::Verdict(step, n.into()),
+            Value::Verdict(Verdict::Faulty),
+        ),
+        1 => (
+            ItemKey::Quarantine(Fingerprint::from(n)),
+            Value::Quarantine {
+                since: n,
+                until: u64::MAX,
+                cleared: n,
+            },
+        ),
+        2 => (ItemKey::Zone(zone), Value::Zone { version: n, state }),
+        3 => {
+            let offset = Offset::from(u64::MAX);
+            (ItemKey::Tip, Value::Tip { offset, digest: n })
+        }
+        4 => {
+            let counts = Counts {
+                requests: u64::MAX,
+                failures: n,
+                slow_first: n,
+                slow_between: n,
+            };
+            let key = ItemKey::Evidence {
+                agent,
+                incarnation: n.into(),
+                step,
+                arm: Arm::New,
+                route: RouteName::new(text(g)).unwrap(),
+            };
+            (key, Value::Evidence { counts, stamp: n })
+        }
+        5 => (ItemKey::ZoneLoad(model, zone), load),
+        6 => (
+            ItemKey::RouterLoad(agent),
+            Value::Open {
+                incarnation: n.into(),
+                number: n,
+                stamp: n,
+                counts: vec![(TargetName::new(text(g)).unwrap(), u32::MAX)],
+            },
+        ),
+        7 => (
+            ItemKey::Crash(n.into(), TargetName::new(text(g)).unwrap()),
+            Value::Crash {
+                stamp: n,
+                team: TeamName::new(text(g)).unwrap(),
+            },
+        ),
+        _ => (ItemKey::AgentLoad(model, agent), load),
+    };
+    Item { key, value }
+}
+
+#[derive(Debug, Clone)]
+struct Any(Packet);
+
+impl Arbitrary for Any {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let kinds = [
+            Kind::Push(u32::arbitrary(g)),
+            Kind::Urgent,
+            Kind::Ack(u32::MAX),
+            Kind::Relayed(1),
+            Kind::Ask {
+                probe: u32::arbitrary(g),
+                address: Arbitrary::arbitrary(g),
+            },
+        ];
+        let kind = g.choose(&kinds).unwrap().clone();
+        let from = record(g);
+        let records = (0..u8::arbitrary(g) % 4).map(|_| record(g)).collect();
+        let items = (0..u8::arbitrary(g) % 4).map(|_| item(g)).collect();
+        Self(Packet {
+            kind,
+            from,
+            records,
+            items,
+        })
+    }
+}
+
+fn keys(byte: u8, previous: Option<u8>) -> Keys {
+    Keys::new(
+        Key::new([byte; 16]),
+        previous.map(|byte| Key::new([byte; 16])),
+    )
+}
+
+fn pair(packet: &Packet) -> (Sealer, Opener) {
+    let sealer = Sealer::new(keys(1, None), packet.from.incarnation);
+    (sealer, Opener::new(keys(1, None)))
+}
+
+/// Guards against packets that change on their way, and against a size estimate below the
+/// encoded length, which would lead to datagrams that are too long.
+#[test]
+fn packets_return_whole_and_within_their_estimate() {
+    fn property(Any(packet): Any) -> bool {
+        let estimate = Packet::head_size(&packet.from)
+            + packet.records.iter().map(Record::size).sum::<usize>()
+            + packet.items.iter().map(Item::size).sum::<usize>();
+        let (mut sealer, mut opener) = pair(&packet);
+        let encoded = postcard::to_stdvec(&packet).unwrap();
+        let whole = match sealer.seal(&packet) {
+            Ok(datagram) => opener.open(&datagram).is_ok_and(|found| found == packet),
+            Err(error) => matches!(error, GossipError::Long { .. }) && estimate > 1_152,
+        };
+        whole && encoded.len() <= estimate
+    }
+    quickcheck::quickcheck(property as fn(Any) -> bool);
+}
+
+/// Guards against a panic or an accepted packet on arbitrary or altered bytes.
+#[test]
+fn garbage_is_dropped() {
+    fn property(bytes: Vec<u8>, Any(packet): Any, at: usize) -> bool {
+        let (mut sealer, mut opener) = pair(&packet);
+        let altered = sealer.seal(&packet).map(|mut datagram| {
+            let at = at % datagram.len();
+            datagram[at] ^= 1;
+            datagram
+        });
+        // Bytes that verify but are no packet.
+        let no_packet = auth::seal(keys(1, None).current(), CONTEXT, &bytes).unwrap();
+        opener.open(&bytes).is_err()
+            && opener.open(&no_packet).is_err()
+            && altered.is_ok_and(|datagram| opener.open(&datagram).is_err())
+    }
+    fn small(bytes: Vec<u8>, mut any: Any, at: usize) -> bool {
+        any.0.records.clear();
+        any.0.items.clear();
+        property(bytes, any, at)
+    }
+    quickcheck::quickcheck(small as fn(Vec<u8>, Any, usize) -> bool);
+}
+
+/// Guards against replayed datagrams, and against late ones that are taken for replayed.
+#[test]
+fn each_counter_is_accepted_once_within_the_window() {
+    let Any(mut packet) = Any::arbitrary(&mut Gen::new(8));
+    packet.records.clear();
+    packet.items.clear();
+    packet.from.incarnation = 5.into();
+    let (mut sealer, mut opener) = pair(&packet);
+    let sent: Vec<_> = (0..200).map(|_| sealer.seal(&packet).unwrap()).collect();
+    opener.open(&sent[1]).unwrap();
+    opener.open(&sent[0]).unwrap();
+    opener.open(&sent[0]).unwrap_err();
+    opener.open(&sent[199]).unwrap();
+    opener.open(&sent[198 - 126]).unwrap();
+    opener.open(&sent[2]).unwrap_err();
+    packet.from.incarnation = 6.into();
+    let mut next = Sealer::new(keys(1, None), 6.into());
+    opener.open(&next.seal(&packet).unwrap()).unwrap();
+    opener.open(&sent[150]).unwrap_err();
+}
+
+/// Guards against a rotation of keys that cuts processes off, and against foreign keys.
+#[test]
+fn the_previous_key_is_accepted() {
+    let Any(mut packet) = Any::arbitrary(&mut Gen::new(8));
+    packet.records.clear();
+    packet.items.clear();
+    let incarnation = packet.from.incarnation;
+    let old = Sealer::new(keys(1, None), incarnation)
+        .seal(&packet)
+        .unwrap();
+    Opener::new(keys(2, Some(1))).open(&old).unwrap();
+    Opener::new(keys(2, None)).open(&old).unwrap_err();
+}
