--- a/bench/src/demo.rs
+++ b/bench/src/demo.rs
@@ -1,6 +1,10 @@
 //! The demo: a small deployment on loopback that serves returning chats and orders.
 
-use std::{error::Error, path::PathBuf, sync::Arc};
+use std::{
+    error::Error,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
 
 use argh::FromArgs;
 use ebonyfall_standin::{
@@ -50,28 +54,33 @@
     lost_orders: u64,
 }
 
-/// Runs the demo and prints its report as JSON; false means that a promise was broken.
-///
-/// # Errors
-///
-/// Fails when the deployment cannot be started.
-pub async fn run(args: DemoArgs) -> Result<bool, Box<dyn Error>> {
-    let folder = tempfile::tempdir()?;
-    let deployment = Deployment::start(&Plan {
-        new_engines: (0, EngineConfig::default()),
-        programs: programs()?,
-        folder: folder.path().to_owned(),
+/// Two routers, six model engines and two plain services in three zones.
+pub fn plan(programs: PathBuf, folder: &Path, engine: EngineConfig) -> Plan {
+    Plan {
+        new_engines: (0, engine.clone()),
+        programs,
+        folder: folder.to_owned(),
         zones: ["hobart-a", "glenorchy-b", "kingston-c"]
             .map(str::to_owned)
             .to_vec(),
         engines: 6,
         services: 2,
         routers: 2,
-        engine: EngineConfig::default(),
+        engine,
         log: LogLimits::default(),
         document: String::new(),
-    })
-    .await?;
+    }
+}
+
+/// Runs the demo and prints its report as JSON; false means that a promise was broken.
+///
+/// # Errors
+///
+/// Fails when the deployment cannot be started.
+pub async fn run(args: DemoArgs) -> Result<bool, Box<dyn Error>> {
+    let folder = tempfile::tempdir()?;
+    let plan = plan(programs()?, folder.path(), EngineConfig::default());
+    let deployment = Deployment::start(&plan).await?;
     let routers: Arc<[_]> = deployment
         .routers
         .iter()
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod ring;
 pub mod sim;
 pub mod soak;
+pub mod up;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{admit, claims, config, demo, fit, gossip, load, moves, place, soak};
+use ebonyfall_bench::{admit, claims, config, demo, fit, gossip, load, moves, place, soak, up};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -26,6 +26,7 @@
     Admit(admit::AdmitArgs),
     Load(load::LoadArgs),
     Soak(soak::SoakArgs),
+    Up(up::UpArgs),
 }
 
 fn main() -> ExitCode {
@@ -52,6 +53,7 @@
         Command::Admit(args) => admit::run(&args)?,
         Command::Load(args) => runtime.block_on(load::run(args))?,
         Command::Soak(args) => runtime.block_on(soak::run(args))?,
+        Command::Up(args) => runtime.block_on(up::run(args))?,
     };
     Ok(if held {
         ExitCode::SUCCESS
