Complete version moves of services with few requests, and none without answers

Cause: the traffic moved only after 20 answers of the new version, which a service with one request a second does not give in time, so that a good version stayed in progress (a_good_version_is_complete_in_time failed with one request a second). The answers expected are now 1 in 25 of the old version's, 20 at most, and a move is complete only where the new version has targets (a_version_without_answers_is_not_complete).

--- a/core/src/changeover.rs
+++ b/core/src/changeover.rs
@@ -35,8 +35,10 @@
 const MOVED_PART: f64 = 0.80;
 /// Part of the time at which the move is reported complete although the old version still works.
 const LATEST_PART: f64 = 0.95;
-/// Answers of the new version without which the traffic does not move.
+/// Answers of the new version without which the traffic does not move, unless the service has few.
 const MIN_ANSWERS: u64 = 20;
+/// Answers of the old version for each answer that is expected of the new one.
+const OLD_PER_NEW: u64 = 25;
 /// Time after which the next router in order reports what the one before it should have reported.
 const RANK_STEP: Duration = Duration::from_millis(400);
 /// Time for which the version of a withdrawn order gets nothing; its targets leave meanwhile.
@@ -193,14 +195,13 @@
             Some(Progress::Complete) => return 1.0,
             Some(Progress::InProgress) | None => {}
         }
-        if self.sum(None, Arm::New).requests < MIN_ANSWERS {
-            return FIRST_SHARE;
-        }
+        let first = self.sum(None, Arm::New).requests < MIN_ANSWERS;
+        let trial = if first { FIRST_SHARE } else { TRIAL_SHARE };
         let moved = (self.elapsed(now) - TRIAL_PART) / (MOVED_PART - TRIAL_PART);
         if moved <= 0.0 || !self.is_trusted() {
-            return TRIAL_SHARE;
+            return trial;
         }
-        (TRIAL_SHARE + moved * (1.0 - TRIAL_SHARE)).min(1.0)
+        (trial + moved * (1.0 - trial)).min(1.0)
     }
 
     /// The version for a request. A context changes its version at most once while the share
@@ -243,9 +244,12 @@
         known.insert((route.clone(), arm), counts);
     }
 
-    /// Whether nothing speaks against the new version.
+    /// Whether the new version has answered and nothing speaks against it.
     fn is_trusted(&self) -> bool {
-        self.scores.values().all(|score| !score.is_doubtful())
+        let expected = self.sum(None, Arm::Old).requests / OLD_PER_NEW;
+        let answers = self.sum(None, Arm::New).requests;
+        answers >= expected.min(MIN_ANSWERS)
+            && self.scores.values().all(|score| !score.is_doubtful())
     }
 
     /// What all routers have counted of a version, on one route or on all of them.
@@ -276,11 +280,13 @@
     }
 
     /// The state that this router has to report now, if any. `old_open` is the number of requests
-    /// that old targets still work on, `rank` the number of routers that report before this one,
+    /// that old targets still work on, `has_new` tells whether there are targets of the new version,
+    /// `rank` the number of routers that report before this one,
     /// and `reported` the state that the operators can read.
     pub fn due(
         &mut self,
         old_open: u32,
+        has_new: bool,
         rank: u32,
         reported: Option<Progress>,
         now: Time,
@@ -290,7 +296,7 @@
         }
         self.judge();
         let drained = old_open == 0 || self.elapsed(now) >= LATEST_PART;
-        if !self.is_over() && self.share(now) >= 1.0 && drained && self.elapsed(now) >= MOVED_PART {
+        if !self.is_over() && self.share(now) >= 1.0 && drained && has_new {
             let wanted = self.wait(Progress::Complete, rank, now);
             return wanted.filter(|wanted| Some(*wanted) != reported);
         }
--- a/core/src/moves.rs
+++ b/core/src/moves.rs
@@ -136,12 +136,12 @@
         let (reported, rank) = (&self.reported, self.rank);
         let state = |active: &mut Changeover| {
             let order = active.order().clone();
-            let old = targets
+            let (new, old): (Vec<_>, Vec<_>) = targets
                 .of(&order.service)
-                .filter(|entry| active.arm(&entry.record.version) == Arm::Old);
-            let open = old.map(|entry| entry.outstanding + entry.elsewhere).sum();
+                .partition(|entry| active.arm(&entry.record.version) == Arm::New);
+            let open = old.iter().map(|entry| entry.outstanding + entry.elsewhere);
             let reported = reported.get(&order.service).copied();
-            let due = active.due(open, rank, reported, now);
+            let due = active.due(open.sum(), !new.is_empty(), rank, reported, now);
             MoveState {
                 order,
                 progress: active.progress(),
--- a/core/tests/changeover.rs
+++ b/core/tests/changeover.rs
@@ -81,6 +81,22 @@
     }
 }
 
+/// Targets below 6 have the old version.
+fn record(target: u16, stage: Stage) -> TargetRecord {
+    let version = if target < 6 { "v1" } else { "v2" };
+    TargetRecord {
+        name: TargetName::new(format!("t{target}")).expect("it is a name"),
+        service: service(),
+        address: ([127, 0, 0, 1], target + 1).into(),
+        zone: ZoneName::new("z").expect("the literal is a name"),
+        version: version.into(),
+        slots: 8,
+        stage,
+        cold: Duration::ZERO,
+        life: Incarnation::from(1),
+    }
+}
+
 impl World {
     fn new(seed: u64, nature: Nature) -> Self {
         let bound = RetryBound {
@@ -93,19 +109,7 @@
         let steers = (0..ROUTERS).map(|number| {
             let mut steer = Steer::new(zone.clone(), bound);
             for target in 0..12 {
-                let version = if target < 6 { "v1" } else { "v2" };
-                let record = TargetRecord {
-                    name: TargetName::new(format!("t{target}")).expect("it is a name"),
-                    service: service(),
-                    address: ([127, 0, 0, 1], target + 1).into(),
-                    zone: zone.clone(),
-                    version: version.into(),
-                    slots: 8,
-                    stage: Stage::Ready,
-                    cold: Duration::ZERO,
-                    life: Incarnation::from(1),
-                };
-                steer.put(record, now);
+                steer.put(record(target, Stage::Ready), now);
             }
             steer.set_routers(ROUTERS);
             steer.set_rank(number);
@@ -251,7 +255,7 @@
 #[test]
 fn a_good_version_is_complete_in_time() {
     for seed in 0..60 {
-        for per_second in [20, 100] {
+        for per_second in [1, 20, 100] {
             let run = World::new(seed, Nature::Good).run(per_second);
             assert_eq!(
                 ends(&run),
@@ -306,6 +310,29 @@
     }
 }
 
+/// Guards against a move that is reported complete, and stops the old targets, although no target of
+/// the new version has come or answered.
+#[test]
+fn a_version_without_answers_is_not_complete() {
+    for registered in [false, true] {
+        let mut world = World::new(1, Nature::Good);
+        for steer in &mut world.steers {
+            for target in 6..12 {
+                let name = TargetName::new(format!("t{target}")).expect("it is a name");
+                if registered {
+                    // Nothing can be sent to it.
+                    steer.put(record(target, Stage::Draining), world.now);
+                } else {
+                    steer.remove(&name, world.now);
+                }
+            }
+        }
+        let run = world.run(50);
+        assert_eq!(ends(&run), [Progress::InProgress]);
+        assert!(run.new.is_empty());
+    }
+}
+
 /// Guards against a version that gets traffic again after its order was taken back, and against an
 /// end of an earlier order that is taken for that of a new one.
 #[test]
