--- /dev/null
+++ b/tests/mirror.rs
@@ -0,0 +1,129 @@
+//! The copy of the store's records from which other routers read.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use ebonyfall::mirror::Mirror;
+use ebonyfall_core::{id::Offset, time::Time};
+use ebonyfall_platform::store::Keyed;
+use ebonyfall_wire::mirror::Changes;
+use quickcheck::quickcheck;
+
+/// The store's stream, with the newest record of each key.
+#[derive(Default)]
+struct Log(Vec<(u8, Option<u8>)>);
+
+impl Log {
+    fn records(&self, from: usize) -> Vec<Keyed> {
+        let records = self.0.iter().enumerate().skip(from);
+        records
+            .map(|(offset, (key, value))| Keyed {
+                key: key.to_string(),
+                value: value.map(|value| Bytes::from(vec![value])),
+                offset: Offset::from(offset as u64),
+            })
+            .collect()
+    }
+
+    fn live(&self) -> BTreeMap<String, Bytes> {
+        let mut live = BTreeMap::new();
+        take(&mut live, self.records(0));
+        live
+    }
+
+    /// The list of all keys, as the store gives it.
+    fn listed(&self) -> Vec<Keyed> {
+        let newest: BTreeMap<_, _> = self
+            .records(0)
+            .into_iter()
+            .map(|record| (record.key.clone(), record))
+            .collect();
+        let live = newest.into_values().filter(|record| record.value.is_some());
+        live.collect()
+    }
+
+    fn end(&self) -> Offset {
+        Offset::from(self.0.len() as u64)
+    }
+}
+
+fn take(live: &mut BTreeMap<String, Bytes>, records: Vec<Keyed>) {
+    for record in records {
+        match record.value {
+            Some(value) => live.insert(record.key, value),
+            None => live.remove(&record.key),
+        };
+    }
+}
+
+fn apply(live: &mut BTreeMap<String, Bytes>, changes: Changes) {
+    if changes.whole {
+        live.clear();
+    }
+    let records = changes.records.into_iter().map(|record| Keyed {
+        key: record.key,
+        value: record.value,
+        offset: record.offset,
+    });
+    take(live, records.collect());
+}
+
+quickcheck! {
+    /// Guards against keys that a router keeps, misses or takes back to an older value when it reads
+    /// from another one, wherever either of them began.
+    fn a_reader_ends_with_what_the_store_holds(
+        before: Vec<(u8, Option<u8>)>,
+        steps: Vec<(u8, Option<u8>, u8)>,
+        known: usize
+    ) -> bool {
+        let mut log = Log(before.into_iter().map(|(key, value)| (key % 8, value)).collect());
+        let now = Time::from_millis(1_000);
+        let mut mirror = Mirror::default();
+        // The reader knows the stream up to some offset, the mirror begins at its present end.
+        let known = known % (log.0.len() + 1);
+        let mut live = BTreeMap::new();
+        take(&mut live, log.records(0).into_iter().take(known).collect());
+        let mut from = Offset::from(known as u64);
+        if mirror.since(from, now).is_some() {
+            return false;
+        }
+        mirror.reset(&log.listed(), log.end());
+        for (key, value, what) in steps {
+            let read = log.0.len();
+            log.0.push((key % 8, value));
+            match what % 4 {
+                0 => mirror.reset(&log.listed(), log.end()),
+                1 | 2 => mirror.take(&log.records(read), log.end()),
+                _ => {
+                    mirror.take(&log.records(read), log.end());
+                    let Some(changes) = mirror.since(from, now) else {
+                        return false;
+                    };
+                    from = changes.next;
+                    apply(&mut live, changes);
+                    if live != log.live() {
+                        return false;
+                    }
+                }
+            }
+        }
+        let Some(changes) = mirror.since(from, now) else {
+            return false;
+        };
+        apply(&mut live, changes);
+        live == log.live()
+    }
+
+    /// Guards against knowledge that looks fresher than it is.
+    fn the_age_counts_from_the_last_confirmation(confirmed: Vec<u16>, later: u16) -> bool {
+        let log = Log::default();
+        let mut mirror = Mirror::default();
+        mirror.reset(&log.listed(), log.end());
+        let times = confirmed.iter().map(|at| Time::from_millis(u64::from(*at)));
+        times.clone().for_each(|at| mirror.confirm(at));
+        let now = Time::from_millis(u64::from(u16::MAX) + u64::from(later));
+        let age = mirror.since(log.end(), now).and_then(|changes| changes.age);
+        let expected = times.max().map(|last| now.since(last));
+        age == expected && age.is_none_or(|age| age >= Duration::from_millis(u64::from(later)))
+    }
+}
