Sum up counts of version moves with each judgement, and forget withdrawn moves in time

Cause: every request of a moving service summed the counts of all routers, routes and versions, which grows with the fleet; and a move that was taken back was forgotten only when another order arrived. Behaviour is otherwise the same: core/tests/changeover.rs passes, a_new_order_starts_anew also checks that a withdrawn move is gone after a minute.

--- a/core/src/changeover.rs
+++ b/core/src/changeover.rs
@@ -109,6 +109,9 @@
     own: BTreeMap<(RouteName, Arm), Counts>,
     others: HashMap<ProcessName, BTreeMap<(RouteName, Arm), Counts>>,
     scores: BTreeMap<Option<RouteName>, Score>,
+    /// Answers of the old and of the new version that all routers have counted. They are summed up
+    /// with each judgement, since every request asks for them.
+    answers: [u64; 2],
     /// What is to be reported, and since when.
     due: Option<(Progress, Time)>,
 }
@@ -124,6 +127,7 @@
             own: BTreeMap::new(),
             others: HashMap::new(),
             scores: BTreeMap::new(),
+            answers: [0; 2],
             due: None,
         }
     }
@@ -168,11 +172,17 @@
         matches!(self.progress, Some(Progress::Complete | Progress::Reverted))
     }
 
-    /// Records that the operator has taken the order back; true when the move can be forgotten.
-    pub fn withdraw(&mut self, now: Time) -> bool {
-        let since = *self.withdrawn.get_or_insert(now);
+    /// Records that the operator has taken the order back.
+    pub fn withdraw(&mut self, now: Time) {
+        self.withdrawn.get_or_insert(now);
         self.adopt(Progress::Reverted);
-        self.progress == Some(Progress::Complete) || now.since(since) >= WITHDRAWN
+    }
+
+    /// Whether the order was taken back and the move says nothing any more.
+    pub fn is_forgotten(&self, now: Time) -> bool {
+        self.withdrawn.is_some_and(|since| {
+            self.progress == Some(Progress::Complete) || now.since(since) >= WITHDRAWN
+        })
     }
 
     /// The verdict that other routers are told.
@@ -195,7 +205,8 @@
             Some(Progress::Complete) => return 1.0,
             Some(Progress::InProgress) | None => {}
         }
-        let first = self.sum(None, Arm::New).requests < MIN_ANSWERS;
+        let [_, answers] = self.answers;
+        let first = answers < MIN_ANSWERS;
         let trial = if first { FIRST_SHARE } else { TRIAL_SHARE };
         let moved = (self.elapsed(now) - TRIAL_PART) / (MOVED_PART - TRIAL_PART);
         if moved <= 0.0 || !self.is_trusted() {
@@ -224,6 +235,7 @@
     pub fn count(&mut self, route: &RouteName, arm: Arm, outcome: Outcome) {
         let counts = self.own.entry((route.clone(), arm)).or_default();
         counts.requests += 1;
+        self.answers[usize::from(arm == Arm::New)] += 1;
         match outcome {
             Outcome::Good => {}
             Outcome::Slow => counts.slow_between += 1,
@@ -246,9 +258,8 @@
 
     /// Whether the new version has answered and nothing speaks against it.
     fn is_trusted(&self) -> bool {
-        let expected = self.sum(None, Arm::Old).requests / OLD_PER_NEW;
-        let answers = self.sum(None, Arm::New).requests;
-        answers >= expected.min(MIN_ANSWERS)
+        let [old, new] = self.answers;
+        new >= (old / OLD_PER_NEW).min(MIN_ANSWERS)
             && self.scores.values().all(|score| !score.is_doubtful())
     }
 
@@ -263,6 +274,7 @@
 
     /// Compares the versions on each route and on all of them.
     fn judge(&mut self) {
+        self.answers = [Arm::Old, Arm::New].map(|arm| self.sum(None, arm).requests);
         let all = std::iter::once(&self.own).chain(self.others.values());
         let routes = all.flatten().map(|((route, _), _)| Some(route.clone()));
         let mut routes: Vec<_> = routes.chain([None]).collect();
--- a/core/src/moves.rs
+++ b/core/src/moves.rs
@@ -64,10 +64,14 @@
 
     /// Takes all orders that are in force.
     pub(crate) fn set_orders(&mut self, orders: Vec<MoveOrder>, now: Time) {
-        self.active.retain(|service, active| {
-            let kept = orders.iter().any(|order| order.service == *service);
-            kept || !active.withdraw(now)
-        });
+        for active in self.active.values_mut() {
+            if !orders
+                .iter()
+                .any(|order| order.service == active.order().service)
+            {
+                active.withdraw(now);
+            }
+        }
         for order in orders {
             let known = self.active.get(&order.service);
             if known.is_none_or(|known| *known.order() != order) {
@@ -133,6 +137,7 @@
 
     /// The state of every move.
     pub(crate) fn states(&mut self, targets: &Roster, now: Time) -> Vec<MoveState> {
+        self.active.retain(|_, active| !active.is_forgotten(now));
         let (reported, rank) = (&self.reported, self.rank);
         let state = |active: &mut Changeover| {
             let order = active.order().clone();
--- a/core/tests/changeover.rs
+++ b/core/tests/changeover.rs
@@ -344,6 +344,8 @@
     assert!(steer.moves(now)[0].share <= 0.0);
     steer.set_moves(Vec::new(), now);
     assert!(steer.moves(now)[0].share <= 0.0);
+    // The version's targets have left by then.
+    assert!(steer.moves(now + Duration::from_secs(61)).is_empty());
     let again = MoveOrder {
         number: Offset::from(9),
         ..order()
--- a/src/report.rs
+++ b/src/report.rs
@@ -25,7 +25,6 @@
 
 /// Time between two looks at what has to be reported.
 const INTERVAL: Duration = Duration::from_millis(300);
-
 /// Time between two looks at what other routers have reported.
 const READ_INTERVAL: Duration = Duration::from_millis(1_500);
 
