Answer every connection that was made when a server closes its listener

The listener was dropped as soon as accept had nothing cached, while connections that the system had made since the runtime last asked for events were waiting; closing a listener resets them. Ruled out: requests cut by an agent's end (the reset came before any byte of the answer). Change: after the time to linger, a socket filter drops opening packets, so that callers try again and find the port closed, and connections are taken for 100 ms more before the listener is closed. The cap of 1,024 late connections is gone, since the filter bounds them.

--- a/src/web.rs
+++ b/src/web.rs
@@ -26,14 +26,23 @@
 };
 use serde::Serialize;
 use slog::{Logger, debug, warn};
-use tokio::{net::TcpListener, sync::watch, time};
+use socket2::{SockFilter, SockRef};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time,
+};
 
 /// Longest wait for a request's header, and for its body.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest request header, in bytes.
 const MAX_HEADER: usize = 16 << 10;
-/// Connections still taken after the stop signal: as many as may wait for being accepted.
-const MAX_LATE: u32 = 1024;
+/// Time for which connections are still taken once no new ones are let in: longer than the rest of a
+/// handshake that has begun.
+const HANDSHAKE: Duration = Duration::from_millis(100);
+/// Position of the flags in a TCP header, in bytes, and the flag of an opening packet.
+const TCP_FLAGS: u32 = 13;
+const SYN: u32 = 0x02;
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -88,8 +97,8 @@
 }
 
 /// Serves `handler` on `listener` until `stop` turns true, then ends when every request has.
-/// Connections that the system had taken by then are still served. Each connection gets the
-/// limits that hold when it is taken.
+/// Connections that the system had made by then are still served. Each connection gets the limits
+/// that hold when it is taken.
 pub async fn serve(
     listener: TcpListener,
     handler: impl NewHandler + 'static,
@@ -97,42 +106,66 @@
     stop: watch::Receiver<bool>,
     log: Logger,
 ) {
-    let router = Arc::new(handler);
-    let graceful = GracefulShutdown::new();
-    let mut late = 0;
-    let mut signal = stop.clone();
-    let lingered = async {
-        // The channel closes only with the process.
-        let _closed = signal.wait_for(|stop| *stop).await.is_err();
-        time::sleep(limits().linger).await;
+    let server = Server {
+        handler: Arc::new(handler),
+        graceful: GracefulShutdown::new(),
+        stop,
+        log,
     };
-    tokio::pin!(lingered);
-    while late < MAX_LATE {
-        late += u32::from(*stop.borrow());
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = &mut lingered => break,
-        };
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                warn!(log, "cannot accept a connection"; "error" => %error);
-                time::sleep(ACCEPT_PAUSE).await;
-                continue;
+    server.accept(listener, &limits).await;
+    time::sleep(limits().idle_grace).await;
+    server.graceful.shutdown().await;
+}
+
+/// The connections of callers.
+struct Server<H> {
+    handler: Arc<H>,
+    graceful: GracefulShutdown,
+    stop: watch::Receiver<bool>,
+    log: Logger,
+}
+
+impl<H: NewHandler + 'static> Server<H> {
+    /// Takes connections until the stop signal and the time to linger after it.
+    async fn accept(&self, listener: TcpListener, limits: &impl Fn() -> ConnectionLimits) {
+        let mut stop = self.stop.clone();
+        let closed = async {
+            // The channel closes only with the process.
+            let _closed = stop.wait_for(|stop| *stop).await.is_err();
+            time::sleep(limits().linger).await;
+            if let Err(error) = stop_handshakes(&listener) {
+                warn!(self.log, "callers that connect during the shutdown may be reset"; "error" => %error);
             }
+            time::sleep(HANDSHAKE).await;
         };
+        tokio::pin!(closed);
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = &mut closed => return,
+            };
+            match accepted {
+                Ok((stream, peer)) => self.start(stream, peer, limits()),
+                Err(error) => {
+                    warn!(self.log, "cannot accept a connection"; "error" => %error);
+                    time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Serves a connection in a task of its own.
+    fn start(&self, stream: TcpStream, peer: SocketAddr, limits: ConnectionLimits) {
         let _unset = stream.set_nodelay(true);
-        let limits = limits();
-        let router = Arc::clone(&router);
-        let stopping = stop.clone();
+        let (handler, stop) = (Arc::clone(&self.handler), self.stop.clone());
         let service = service_fn(move |req| {
             let state = State::from_request(req, peer);
-            let answer = call_handler(Arc::clone(&router), AssertUnwindSafe(state));
-            let stopping = stopping.clone();
+            let answer = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
+            let stop = stop.clone();
             async move {
                 let mut answer = answer.await;
-                if let (Ok(res), true) = (&mut answer, *stopping.borrow()) {
+                if let (Ok(res), true) = (&mut answer, *stop.borrow()) {
                     let headers = res.headers_mut();
                     headers.insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -144,17 +177,26 @@
             .header_read_timeout(limits.header)
             .max_buf_size(limits.header_bytes)
             .serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        let log = log.clone();
+        let connection = self.graceful.watch(connection);
+        let log = self.log.clone();
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 debug!(log, "connection ended early"; "peer" => peer, "error" => %error);
             }
         });
     }
-    drop(listener);
-    time::sleep(limits().idle_grace).await;
-    graceful.shutdown().await;
+}
+
+/// Drops the opening packets of new connections, whose callers try again and then find the port
+/// closed. Closing the listener alone resets connections that were made but not yet taken.
+fn stop_handshakes(listener: &TcpListener) -> io::Result<()> {
+    let [load_byte, jump_if_set, ret] = [0x30, 0x45, 0x06];
+    SockRef::from(listener).attach_filter(&[
+        SockFilter::new(load_byte, 0, 0, TCP_FLAGS),
+        SockFilter::new(jump_if_set, 0, 1, SYN),
+        SockFilter::new(ret, 0, 0, 0),
+        SockFilter::new(ret, 0, 0, u32::MAX),
+    ])
 }
 
 /// Binds a listener.
