Fetch the beginning of a prompt from a target that read it with another context

Cause: the first part of a prompt, which many contexts share, was read again at each target that got a context for the first time, since only whole contexts were looked up. Change: the router remembers the last target of each beginning and which targets it gave it to, and names the last one as source where nobody is likely to have the whole context.

--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -53,8 +53,9 @@
 pub struct Want<'a> {
     /// The service that the request goes to.
     pub service: &'a ServiceName,
-    /// Hash of the prompt parts that it shares with others, where it has any.
-    pub context: Option<u64>,
+    /// Hashes of the prompt parts that it shares with others: of the first one, of the first two,
+    /// and so on. The last one names its context.
+    pub contexts: &'a [u64],
     /// Targets that were tried before.
     pub tried: &'a [TargetName],
     /// Whether it takes a repeat from the retry budget.
@@ -315,9 +316,7 @@
         } else if want.tried.is_empty() {
             allowance.first(now);
         }
-        let source = want
-            .context
-            .and_then(|context| self.source(context, want.service, &name, now));
+        let source = self.source(want, &name, now);
         let Some(entry) = self.targets.get_mut(&name) else {
             return Err(refusal(Code::NoTarget));
         };
@@ -342,26 +341,39 @@
         Ok(choice)
     }
 
-    /// Remembers that `chosen` will hold the context, and returns where it is likely to be now. A
-    /// target that has restarted or is gone has lost it.
-    fn source(
-        &mut self,
-        context: u64,
-        service: &ServiceName,
-        chosen: &TargetName,
-        now: Time,
-    ) -> Option<SocketAddr> {
-        let record = &self.targets.get(chosen)?.record;
-        let known = self.holders.place(context, record, now).filter(|holder| {
+    /// Remembers that `chosen` will hold the request's context, and returns where most of it is
+    /// likely to be now.
+    fn source(&mut self, want: &Want<'_>, chosen: &TargetName, now: Time) -> Option<SocketAddr> {
+        let (&context, beginnings) = want.contexts.split_last()?;
+        let last = self.place(context, chosen, now);
+        let has_it = last.as_ref() == Some(chosen);
+        let last = last.or_else(|| self.home(context, want.service, chosen, now));
+        let mut holder = last.filter(|holder| holder != chosen);
+        for beginning in beginnings.iter().rev() {
+            let last = self.place(*beginning, chosen, now);
+            // Where nobody is likely to have read the whole context, its beginning may have been
+            // read with another one.
+            if holder.is_none() && !has_it {
+                holder = last.filter(|last| last != chosen);
+            }
+        }
+        let holder = holder?;
+        let entry = self.targets.get(&holder)?;
+        (now >= entry.avoid_until).then_some(entry.record.address)
+    }
+
+    /// Remembers that `chosen` will hold a context, and returns the target that was given it
+    /// last; `chosen` itself when it has it. A target that has restarted or is gone has lost it.
+    fn place(&mut self, context: u64, chosen: &TargetName, now: Time) -> Option<TargetName> {
+        let entry = self.targets.get(chosen)?;
+        let key = entry.rank_for(context);
+        let record = &entry.record;
+        let known = self.holders.place(context, key, record, now);
+        let known = known.filter(|holder| {
             let entry = self.targets.get(&holder.target).map(|entry| &entry.record);
             entry.is_some_and(|held| held.life == holder.life && held.version == record.version)
         });
-        let holder = match known {
-            Some(holder) => holder.target,
-            None => self.home(context, service, chosen, now)?,
-        };
-        let entry = self.targets.get(&holder).filter(|_| holder != *chosen)?;
-        (now >= entry.avoid_until).then_some(entry.record.address)
+        known.map(|holder| holder.target)
     }
 
     /// The target that other routers are likely to have chosen for the context: the first in the
@@ -412,14 +424,15 @@
             let rank = preference::rank(entry, others, cold_rate, now)?;
             Some((rank, entry))
         });
-        let version = self.moves.choose(want.service, want.context, random, now);
+        let context = want.contexts.last().copied();
+        let version = self.moves.choose(want.service, context, random, now);
         let ranked = version.of(ranked.collect(), &self.targets);
         let best = ranked.iter().map(|(rank, _)| *rank).min()?;
         let entries = ranked
             .iter()
             .filter(|(rank, _)| *rank == best)
             .map(|(_, entry)| *entry);
-        let chosen = match want.context {
+        let chosen = match context {
             Some(context) => preference::warmest(entries, context, mean, now),
             None => preference::idlest(entries, &self.zone, random, now),
         };
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -186,7 +186,7 @@
     fn order(&self) -> Order {
         Order {
             service: self.job.service.clone(),
-            context: self.job.context,
+            contexts: self.job.contexts.clone(),
             tried: self.passage.tried().to_vec(),
             again: self.again,
             repeat: self.passage.repeat(),
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -69,8 +69,8 @@
     pub team: Option<TeamName>,
     /// Urgency of the team, or else of the route.
     pub priority: u8,
-    /// Hash of the prompt parts that it shares with others.
-    pub context: Option<u64>,
+    /// Hashes of the prompt parts that it shares with others, the shortest first.
+    pub contexts: Vec<u64>,
     /// Hash of team and content.
     pub content: Fingerprint,
     /// The method.
@@ -161,7 +161,11 @@
             service: service.clone(),
             team,
             priority,
-            context: inbound.context.filter(|_| route.warm),
+            contexts: if route.warm {
+                inbound.contexts
+            } else {
+                Vec::new()
+            },
             content: hash.digest().into(),
             method,
             uri,
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -39,8 +39,8 @@
 pub struct Order {
     /// The service that it goes to.
     pub service: ServiceName,
-    /// Hash of the prompt parts that it shares with others.
-    pub context: Option<u64>,
+    /// Hashes of the prompt parts that it shares with others, the shortest first.
+    pub contexts: Vec<u64>,
     /// Targets that were tried before.
     pub tried: Vec<TargetName>,
     /// Whether it takes a repeat from the retry budget.
@@ -332,7 +332,7 @@
         let now = self.clock.now();
         let want = Want {
             service: &order.service,
-            context: order.context,
+            contexts: &order.contexts,
             tried: &order.tried,
             repeat: order.again,
             content: order.content,
