Tell other routers of contexts that are placed away from their home

The reports are now bounded by bytes: 48 targets with long names took 1,392 bytes and did not fit into a datagram.

--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -16,6 +16,7 @@
     id::{Declaration, Fingerprint, Incarnation, Offset},
     name::{ModelName, MoveName, ProcessName, RouteName, TargetName, TeamName, ZoneName},
     peer::Record,
+    reports::OpenReport,
 };
 
 /// Time after which load figures say nothing any more, in seconds.
@@ -159,12 +160,10 @@
     Open {
         /// The router's start.
         incarnation: Incarnation,
-        /// Grows with each report of that start.
-        number: u64,
         /// When it was made, in seconds since the Unix epoch.
         stamp: u64,
-        /// The targets with open requests, and how many.
-        counts: Vec<(TargetName, u32)>,
+        /// The requests.
+        report: OpenReport,
     },
     /// A crash, with its time in seconds since the Unix epoch and the team that sent the request.
     Crash {
@@ -318,15 +317,15 @@
             (
                 Self::Open {
                     incarnation,
-                    number,
+                    report,
                     ..
                 },
                 Self::Open {
                     incarnation: new_incarnation,
-                    number: new_number,
+                    report: new,
                     ..
                 },
-            ) if (*new_incarnation, *new_number) > (*incarnation, *number) => {
+            ) if (*new_incarnation, new.number) > (*incarnation, report.number) => {
                 *self = other.clone();
             }
             (
@@ -378,10 +377,7 @@
             Self::Tip { .. } | Self::Load { .. } => 20,
             Self::Evidence { .. } => 50,
             Self::Crash { team, .. } => 11 + team.as_str().len(),
-            Self::Open { counts, .. } => {
-                let names = counts.iter().map(|(name, _)| name.as_str().len() + 6);
-                35 + names.sum::<usize>()
-            }
+            Self::Open { report, .. } => 35 + report.size(),
         }
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -44,7 +44,7 @@
 pub mod ramp;
 mod read;
 pub mod record;
-mod reports;
+pub mod reports;
 pub mod request;
 pub mod retry;
 pub mod rollout;
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -22,7 +22,7 @@
     pace::Timing,
     passage::Failure,
     preference,
-    reports::Reports,
+    reports::{OpenReport, Reports},
     roster::Roster,
     target::{TargetLoad, TargetRecord},
     time::Time,
@@ -43,8 +43,6 @@
 const NEW: Duration = Duration::from_secs(15);
 /// Requests to a cold target that are remembered.
 const MAX_COLD_SENT: usize = 256;
-/// Targets of one report to other routers, so that it fits into a datagram.
-const MAX_OPEN: usize = 48;
 /// Pause that callers are told when no target can take a request.
 const COME_BACK: Duration = Duration::from_millis(250);
 
@@ -131,6 +129,8 @@
     store_lost: Option<Time>,
     holders: Holders,
     reports: Reports,
+    /// Reports made for other routers.
+    number: u64,
 }
 
 impl Steer {
@@ -150,6 +150,7 @@
             store_lost: None,
             holders: Holders::default(),
             reports: Reports::default(),
+            number: 0,
         }
     }
 
@@ -345,6 +346,7 @@
     /// likely to be now.
     fn source(&mut self, want: &Want<'_>, chosen: &TargetName, now: Time) -> Option<SocketAddr> {
         let (&context, beginnings) = want.contexts.split_last()?;
+        self.tell_placement(context, want.service, chosen, now);
         let last = self.place(context, chosen, now);
         let has_it = last.as_ref() == Some(chosen);
         let last = last.or_else(|| self.home(context, want.service, chosen, now));
@@ -362,6 +364,35 @@
         (now >= entry.avoid_until).then_some(entry.record.address)
     }
 
+    /// Tells other routers of a context that goes to another target than its home for the first
+    /// time: they look for it there.
+    fn tell_placement(
+        &mut self,
+        context: u64,
+        service: &ServiceName,
+        chosen: &TargetName,
+        now: Time,
+    ) {
+        let Some(entry) = self.targets.get(chosen) else {
+            return;
+        };
+        if self
+            .holders
+            .has(entry.rank_for(context), &entry.record, now)
+        {
+            return;
+        }
+        let version = &entry.record.version;
+        let same = self
+            .targets
+            .of(service)
+            .filter(|entry| entry.record.version == *version);
+        let home = same.min_by_key(|entry| entry.rank_for(context));
+        if home.is_some_and(|home| home.record.name != *chosen) {
+            self.holders.tell(context, chosen);
+        }
+    }
+
     /// Remembers that `chosen` will hold a context, and returns the target that was given it
     /// last; `chosen` itself when it has it. A target that has restarted or is gone has lost it.
     fn place(&mut self, context: u64, chosen: &TargetName, now: Time) -> Option<TargetName> {
@@ -447,26 +478,26 @@
         }
     }
 
-    /// Takes the requests that another router has open; `number` grows with each of its reports.
-    pub fn learn_open(
-        &mut self,
-        router: &ProcessName,
-        number: u64,
-        counts: &[(TargetName, u32)],
-        now: Time,
-    ) {
-        self.reports
-            .learn(router, number, counts, &mut self.targets, now);
+    /// Takes what another router says of its requests.
+    pub fn learn_report(&mut self, router: &ProcessName, report: &OpenReport, now: Time) {
+        let is_new = self.reports.learn(router, report, &mut self.targets, now);
+        for (context, target) in report.placed.iter().filter(|_| is_new) {
+            self.place(*context, target, now);
+        }
     }
 
-    /// The targets at which this router has most requests open, and how many.
-    pub fn open(&self) -> Vec<(TargetName, u32)> {
+    /// What the other routers are told of the requests of this one.
+    pub fn report(&mut self) -> OpenReport {
+        self.number += 1;
+        let mut report = OpenReport {
+            number: self.number,
+            counts: Vec::new(),
+            placed: self.holders.report(),
+        };
         let busy = self.targets.iter().filter(|entry| entry.outstanding > 0);
         let open = busy.map(|entry| (entry.record.name.clone(), entry.outstanding));
-        let mut open: Vec<_> = open.collect();
-        open.sort_by(|(a, more), (b, less)| less.cmp(more).then_with(|| a.cmp(b)));
-        open.truncate(MAX_OPEN);
-        open
+        report.fill(open.collect());
+        report
     }
 
     /// Takes a crash that another router put down to a request.
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -106,20 +106,17 @@
         let mut ticks = interval(INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut routers = 0;
-        let mut number = 0;
         let mut told = HashMap::new();
         loop {
             ticks.tick().await;
-            number += 1;
             let report = self.steering.report().await;
             gossip
                 .broadcast(Item {
                     key: ItemKey::RouterLoad(self.name.clone()),
                     value: Value::Open {
                         incarnation,
-                        number,
                         stamp: clock::unix_time().as_secs(),
-                        counts: report.open.clone(),
+                        report: report.open.clone(),
                     },
                 })
                 .await;
@@ -273,8 +270,8 @@
 fn news(items: &ebonyfall_core::dissemination::Store, own: &ProcessName) -> Vec<News> {
     let unix = clock::unix_time();
     let news = items.iter().filter_map(|(key, value)| match (key, value) {
-        (ItemKey::RouterLoad(router), Value::Open { number, counts, .. }) => {
-            Some(News::Open(router.clone(), *number, counts.clone()))
+        (ItemKey::RouterLoad(router), Value::Open { report, .. }) => {
+            Some(News::Open(router.clone(), report.clone()))
         }
         (ItemKey::Crash(content, target), Value::Crash { stamp, team }) => {
             let suspicion = Suspicion {
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -15,6 +15,7 @@
     moves::{Evidence, MoveState},
     name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     pace::Timing,
+    reports::OpenReport,
     steer::{Choice, End, Finished, Refusal, Steer, Want},
     target::{TargetLoad, TargetRecord},
     time::Time,
@@ -90,8 +91,8 @@
     Evidence(ProcessName, Evidence),
     /// The store did not answer.
     StoreLost,
-    /// Requests that another router has open at targets, with the number of its report.
-    Open(ProcessName, u64, Vec<(TargetName, u32)>),
+    /// What another router says of its requests.
+    Open(ProcessName, OpenReport),
     /// A crash that another router put down to a request, some time ago.
     Crash(Suspicion, Duration),
 }
@@ -110,8 +111,8 @@
 /// What other routers are told.
 #[derive(Debug, Default)]
 pub struct Report {
-    /// Targets at which requests are open, and how many.
-    pub open: Vec<(TargetName, u32)>,
+    /// The requests.
+    pub open: OpenReport,
     /// Crashes that were put down to requests, with the time that has passed since.
     pub crashes: Vec<(Suspicion, Duration)>,
     /// Counts of version moves.
@@ -378,7 +379,7 @@
 
     fn report(&mut self) -> Report {
         let now = self.clock.now();
-        let open = self.steer.open();
+        let open = self.steer.report();
         let crashes = self.steer.crashes().flat_map(|(content, mark)| {
             mark.crashes.iter().map(move |crash| {
                 let suspicion = Suspicion {
@@ -432,9 +433,7 @@
             News::MoveJudged(step, verdict) => self.steer.move_judged(&step, verdict),
             News::Evidence(router, evidence) => self.steer.learn_evidence(&router, &evidence),
             News::StoreLost => self.steer.store_lost(now),
-            News::Open(router, number, counts) => {
-                self.steer.learn_open(&router, number, &counts, now);
-            }
+            News::Open(router, report) => self.steer.learn_report(&router, &report, now),
             News::Crash(suspicion, age) => {
                 let Suspicion {
                     content,
--- a/wire/tests/unit/gossip.rs
+++ b/wire/tests/unit/gossip.rs
@@ -6,6 +6,7 @@
     id::{Fingerprint, Offset},
     name::{ModelName, MoveName, RouteName, TargetName, TeamName, ZoneName},
     peer::{Liveness, Record, Role},
+    reports::OpenReport,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -92,9 +93,12 @@
             ItemKey::RouterLoad(agent),
             Value::Open {
                 incarnation: n.into(),
-                number: n,
                 stamp: n,
-                counts: vec![(TargetName::new(text(g)).unwrap(), u32::MAX)],
+                report: OpenReport {
+                    number: n,
+                    counts: vec![(TargetName::new(text(g)).unwrap(), u32::MAX)],
+                    placed: vec![(n, TargetName::new(text(g)).unwrap())],
+                },
             },
         ),
         7 => (
