Remember several holders of a context, and take a new home for the likeliest one

Change: the last six targets of a context are remembered, those that cannot be reached are passed over, and a home that is new is the source where no other target is likelier. The code of contexts moved from steer.rs to holders.rs.

--- a/core/src/holders.rs
+++ b/core/src/holders.rs
@@ -1,17 +1,25 @@
-//! Which targets were given each context, so that another one can fetch it from there.
+//! Where contexts are: which targets were given each one, so that another target can fetch it from
+//! there.
 
 use std::{
     collections::{HashMap, VecDeque},
+    net::SocketAddr,
     time::Duration,
 };
 
-use crate::{id::Incarnation, name::TargetName, target::TargetRecord, time::Time};
+use crate::{
+    estimate::Estimate, id::Incarnation, name::TargetName, roster::Roster, target::TargetRecord,
+    time::Time,
+};
 
-/// Contexts whose last target is remembered, and pairs of context and target.
+/// Contexts whose last targets are remembered, and pairs of context and target.
 const MAX_HOLDERS: usize = 20_000;
+/// Last targets of one context that are remembered.
+const MAX_LAST: usize = 6;
 /// Time after which a target is no longer expected to hold a context.
 const HOLDER_LIFE: Duration = Duration::from_secs(60);
-
+/// Time for which a target that has just registered is not expected to hold a context.
+const NEW: Duration = Duration::from_secs(15);
 /// Placements that wait to be told to other routers.
 const MAX_NEWS: usize = 64;
 /// Placements of one report.
@@ -21,15 +29,27 @@
 
 /// A target, in the life in which it was given a context.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Holder {
-    pub(crate) target: TargetName,
-    pub(crate) life: Incarnation,
+struct Holder {
+    target: TargetName,
+    life: Incarnation,
+    at: Time,
+}
+
+/// Where a context is believed to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    /// At the target that the request goes to.
+    Here,
+    /// At another target.
+    At(SocketAddr),
+    Unknown,
 }
 
 /// The targets of each context.
 #[derive(Debug, Default)]
 pub(crate) struct Holders {
-    last: HashMap<u64, (Holder, Time)>,
+    /// The last targets of a context, the newest last.
+    last: HashMap<u64, Vec<Holder>>,
     /// By hash of context and target.
     given: HashMap<u64, (Incarnation, Time)>,
     /// Placements away from the home, and how often they are still to be told.
@@ -37,44 +57,96 @@
 }
 
 impl Holders {
-    /// Records that `chosen` gets the context, and returns the target that had it before: `chosen`
-    /// itself where it has it, else the last one. `pair` is the hash of context and target.
-    pub(crate) fn place(
+    /// Remembers that `chosen` gets a request with these contexts, the shortest first, and returns
+    /// where most of the last one is likely to be now.
+    pub(crate) fn source(
         &mut self,
-        context: u64,
-        pair: u64,
-        chosen: &TargetRecord,
+        contexts: &[u64],
+        chosen: &TargetName,
+        targets: &Roster,
         now: Time,
-    ) -> Option<Holder> {
-        let fresh = |used: Time| now.since(used) < HOLDER_LIFE;
-        if self.last.len() >= MAX_HOLDERS {
-            self.last.retain(|_, (_, used)| fresh(*used));
+    ) -> Option<SocketAddr> {
+        let (&context, beginnings) = contexts.split_last()?;
+        let chosen = targets.get(chosen)?;
+        if !self.has(context, chosen, now) && !is_home(context, chosen, targets) {
+            self.tell(context, &chosen.record.name);
         }
-        if self.given.len() >= MAX_HOLDERS {
-            self.given.retain(|_, (_, used)| fresh(*used));
+        let mut place = self.place(context, chosen, targets, now);
+        if place == Place::Unknown {
+            place = at_home(context, chosen, targets, now);
+        }
+        for beginning in beginnings.iter().rev() {
+            let begun = self.place(*beginning, chosen, targets, now);
+            // Where nobody is likely to have read the whole context, its beginning may have been
+            // read with another one.
+            if place == Place::Unknown {
+                place = begun;
+            }
+        }
+        match place {
+            Place::At(address) => Some(address),
+            Place::Here | Place::Unknown => None,
         }
-        let holder = Holder {
-            target: chosen.name.clone(),
-            life: chosen.life,
+    }
+
+    /// Takes another router's word that a target was given a context.
+    pub(crate) fn learn(&mut self, context: u64, target: &TargetName, targets: &Roster, now: Time) {
+        if let Some(target) = targets.get(target) {
+            self.place(context, target, targets, now);
+        }
+    }
+
+    /// Records that `chosen` gets the context, and returns where it was before.
+    fn place(&mut self, context: u64, chosen: &Estimate, targets: &Roster, now: Time) -> Place {
+        self.forget(now);
+        let record = &chosen.record;
+        let had = self.has(context, chosen, now);
+        self.given
+            .insert(chosen.rank_for(context), (record.life, now));
+        let last = self.last.entry(context).or_default();
+        let others = last.iter().rev().filter(|holder| is_fresh(holder.at, now));
+        let mut usable = others.filter_map(|holder| {
+            let entry = targets.get(&holder.target)?;
+            let same = entry.record.life == holder.life && entry.record.version == record.version;
+            (same && now >= entry.avoid_until && holder.target != record.name)
+                .then_some(entry.record.address)
+        });
+        let place = match usable.next() {
+            _ if had => Place::Here,
+            Some(address) => Place::At(address),
+            None => Place::Unknown,
         };
-        let given = self.given.insert(pair, (chosen.life, now));
-        let last = self.last.insert(context, (holder.clone(), now));
-        if given.is_some_and(|(life, used)| life == chosen.life && fresh(used)) {
-            return Some(holder);
+        last.retain(|holder| holder.target != record.name);
+        if last.len() >= MAX_LAST {
+            last.remove(0);
         }
-        let (last, used) = last?;
-        fresh(used).then_some(last)
+        last.push(Holder {
+            target: record.name.clone(),
+            life: record.life,
+            at: now,
+        });
+        place
+    }
+
+    /// Whether the target, in its present life, is known to have been given the context.
+    fn has(&self, context: u64, target: &Estimate, now: Time) -> bool {
+        let given = self.given.get(&target.rank_for(context));
+        given.is_some_and(|(life, at)| *life == target.record.life && is_fresh(*at, now))
     }
 
-    /// Whether the target, in its present life, is known to have been given the context; `pair` is
-    /// the hash of both.
-    pub(crate) fn has(&self, pair: u64, target: &TargetRecord, now: Time) -> bool {
-        let given = self.given.get(&pair);
-        given.is_some_and(|(life, used)| *life == target.life && now.since(*used) < HOLDER_LIFE)
+    /// Drops old entries when there are too many.
+    fn forget(&mut self, now: Time) {
+        if self.last.len() >= MAX_HOLDERS {
+            self.last
+                .retain(|_, holders| holders.last().is_some_and(|last| is_fresh(last.at, now)));
+        }
+        if self.given.len() >= MAX_HOLDERS {
+            self.given.retain(|_, (_, at)| is_fresh(*at, now));
+        }
     }
 
     /// Tells other routers with the next reports that the target was given the context.
-    pub(crate) fn tell(&mut self, context: u64, target: &TargetName) {
+    fn tell(&mut self, context: u64, target: &TargetName) {
         if self.news.len() >= MAX_NEWS {
             self.news.pop_front();
         }
@@ -93,3 +165,46 @@
             .collect()
     }
 }
+
+fn is_fresh(at: Time, now: Time) -> bool {
+    now.since(at) < HOLDER_LIFE
+}
+
+fn is_young(entry: &Estimate, now: Time) -> bool {
+    now.since(entry.known_since) < NEW
+}
+
+/// Targets that could hold a context for `chosen`.
+fn alike<'t>(chosen: &'t Estimate, targets: &'t Roster) -> impl Iterator<Item = &'t Estimate> {
+    let TargetRecord {
+        service, version, ..
+    } = &chosen.record;
+    targets
+        .of(service)
+        .filter(move |entry| entry.record.version == *version)
+}
+
+/// Whether the target comes first in the order of the context's hashes.
+fn is_home(context: u64, target: &Estimate, targets: &Roster) -> bool {
+    let first = alike(target, targets).min_by_key(|entry| entry.rank_for(context));
+    first.is_some_and(|first| first.record.name == target.record.name)
+}
+
+/// Where other routers are likely to have placed the context: at the first target in the order of
+/// its hashes, or the first of those that are not new.
+fn at_home(context: u64, chosen: &Estimate, targets: &Roster, now: Time) -> Place {
+    let first = |young: bool| {
+        let entries = alike(chosen, targets).filter(|entry| young || !is_young(entry, now));
+        entries.min_by_key(|entry| entry.rank_for(context))
+    };
+    let other = |entry: &&Estimate| entry.record.name != chosen.record.name;
+    let home = match first(true) {
+        // The home itself has it from other routers, if any of them has seen it, unless it is new.
+        Some(home) if !other(&home) && !is_young(chosen, now) => None,
+        home => first(false).filter(other).or(home.filter(other)),
+    };
+    match home.filter(|home| now >= home.avoid_until) {
+        Some(home) => Place::At(home.record.address),
+        None => Place::Unknown,
+    }
+}
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -39,8 +39,6 @@
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Time for which content that crashed targets is held.
 const HOLD: Duration = Duration::from_secs(60);
-/// Time for which a target that has just registered is not expected to hold a context.
-const NEW: Duration = Duration::from_secs(15);
 /// Requests to a cold target that are remembered.
 const MAX_COLD_SENT: usize = 256;
 /// Pause that callers are told when no target can take a request.
@@ -317,7 +315,9 @@
         } else if want.tried.is_empty() {
             allowance.first(now);
         }
-        let source = self.source(want, &name, now);
+        let source = self
+            .holders
+            .source(want.contexts, &name, &self.targets, now);
         let Some(entry) = self.targets.get_mut(&name) else {
             return Err(refusal(Code::NoTarget));
         };
@@ -342,91 +342,6 @@
         Ok(choice)
     }
 
-    /// Remembers that `chosen` will hold the request's context, and returns where most of it is
-    /// likely to be now.
-    fn source(&mut self, want: &Want<'_>, chosen: &TargetName, now: Time) -> Option<SocketAddr> {
-        let (&context, beginnings) = want.contexts.split_last()?;
-        self.tell_placement(context, want.service, chosen, now);
-        let last = self.place(context, chosen, now);
-        let has_it = last.as_ref() == Some(chosen);
-        let last = last.or_else(|| self.home(context, want.service, chosen, now));
-        let mut holder = last.filter(|holder| holder != chosen);
-        for beginning in beginnings.iter().rev() {
-            let last = self.place(*beginning, chosen, now);
-            // Where nobody is likely to have read the whole context, its beginning may have been
-            // read with another one.
-            if holder.is_none() && !has_it {
-                holder = last.filter(|last| last != chosen);
-            }
-        }
-        let holder = holder?;
-        let entry = self.targets.get(&holder)?;
-        (now >= entry.avoid_until).then_some(entry.record.address)
-    }
-
-    /// Tells other routers of a context that goes to another target than its home for the first
-    /// time: they look for it there.
-    fn tell_placement(
-        &mut self,
-        context: u64,
-        service: &ServiceName,
-        chosen: &TargetName,
-        now: Time,
-    ) {
-        let Some(entry) = self.targets.get(chosen) else {
-            return;
-        };
-        if self
-            .holders
-            .has(entry.rank_for(context), &entry.record, now)
-        {
-            return;
-        }
-        let version = &entry.record.version;
-        let same = self
-            .targets
-            .of(service)
-            .filter(|entry| entry.record.version == *version);
-        let home = same.min_by_key(|entry| entry.rank_for(context));
-        if home.is_some_and(|home| home.record.name != *chosen) {
-            self.holders.tell(context, chosen);
-        }
-    }
-
-    /// Remembers that `chosen` will hold a context, and returns the target that was given it
-    /// last; `chosen` itself when it has it. A target that has restarted or is gone has lost it.
-    fn place(&mut self, context: u64, chosen: &TargetName, now: Time) -> Option<TargetName> {
-        let entry = self.targets.get(chosen)?;
-        let key = entry.rank_for(context);
-        let record = &entry.record;
-        let known = self.holders.place(context, key, record, now);
-        let known = known.filter(|holder| {
-            let entry = self.targets.get(&holder.target).map(|entry| &entry.record);
-            entry.is_some_and(|held| held.life == holder.life && held.version == record.version)
-        });
-        known.map(|holder| holder.target)
-    }
-
-    /// The target that other routers are likely to have chosen for the context: the first in the
-    /// order of its hashes, unless it is new, in which case it takes the context over.
-    fn home(
-        &self,
-        context: u64,
-        service: &ServiceName,
-        chosen: &TargetName,
-        now: Time,
-    ) -> Option<TargetName> {
-        let young = |entry: &Estimate| now.since(entry.known_since) < NEW;
-        let known = self.targets.of(service);
-        let version = &self.targets.get(chosen)?.record.version;
-        let home = known
-            .filter(|entry| entry.record.version == *version)
-            .filter(|entry| entry.record.name == *chosen || !young(entry))
-            .filter(|entry| !(entry.record.name == *chosen && young(entry)))
-            .min_by_key(|entry| entry.rank_for(context));
-        home.map(|entry| entry.record.name.clone())
-    }
-
     fn pick(&mut self, want: &Want<'_>, random: f64, now: Time) -> Option<(TargetName, f64)> {
         let (mut sum, mut counted) = (0.0, 0.0);
         let (mut bad_sum, mut usable) = (0.0, 0.0);
@@ -482,7 +397,7 @@
     pub fn learn_report(&mut self, router: &ProcessName, report: &OpenReport, now: Time) {
         let is_new = self.reports.learn(router, report, &mut self.targets, now);
         for (context, target) in report.placed.iter().filter(|_| is_new) {
-            self.place(*context, target, now);
+            self.holders.learn(*context, target, &self.targets, now);
         }
     }
 
