Count choices, gaps of streams, store calls, reads from peers, moves and beliefs

Cause: reads from other routers, version moves, choices and the age of the desired state could only be seen in logs, and the time in the steering queue and between parts of a stream nowhere. Change: metrics of the entry router in src/meters.rs; a test reads them with a parser from the registry and checks prefix and units. A failed accept of a router's connection is logged. The state of version moves is no longer judged a second time for the exchange, and names of moves are not formatted anew for each piece of evidence.

--- a/core/src/changeover.rs
+++ b/core/src/changeover.rs
@@ -88,6 +88,13 @@
     Reverted,
 }
 
+impl Progress {
+    /// Whether the move has ended.
+    pub fn is_over(self) -> bool {
+        matches!(self, Self::Complete | Self::Reverted)
+    }
+}
+
 /// How a target did with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -103,6 +110,8 @@
 #[derive(Debug)]
 pub struct Changeover {
     order: MoveOrder,
+    /// Name of the order, which routers ask for with each piece of evidence.
+    name: Option<MoveName>,
     since: Time,
     progress: Option<Progress>,
     withdrawn: Option<Time>,
@@ -120,6 +129,7 @@
     /// Starts at the moment at which the router has learned of the order.
     pub fn new(order: MoveOrder, now: Time) -> Self {
         Self {
+            name: order.name(),
             order,
             since: now,
             progress: None,
@@ -137,6 +147,11 @@
         &self.order
     }
 
+    /// The name under which routers tell each other about the move.
+    pub fn name(&self) -> Option<&MoveName> {
+        self.name.as_ref()
+    }
+
     /// What is known of the move's state.
     pub fn progress(&self) -> Option<Progress> {
         self.progress
@@ -169,7 +184,7 @@
 
     /// Whether the move has ended.
     pub fn is_over(&self) -> bool {
-        matches!(self.progress, Some(Progress::Complete | Progress::Reverted))
+        self.progress.is_some_and(Progress::is_over)
     }
 
     /// Records that the operator has taken the order back.
--- a/core/src/moves.rs
+++ b/core/src/moves.rs
@@ -6,6 +6,7 @@
     changeover::{Changeover, MoveOrder, Outcome, Progress},
     dissemination::{Arm, Counts, Verdict},
     estimate::Estimate,
+    id::Declaration,
     name::{MoveName, ProcessName, RouteName, ServiceName},
     pace::{Paces, Timing},
     passage::Failure,
@@ -27,6 +28,17 @@
     pub counts: Counts,
 }
 
+/// A verdict on a move, for other routers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Judgement {
+    /// The move.
+    pub step: MoveName,
+    /// Tells the order from others under the same name.
+    pub declaration: Declaration,
+    /// The verdict.
+    pub verdict: Verdict,
+}
+
 /// The state of one move, for operators, other routers and logs.
 #[derive(Debug, Clone)]
 pub struct MoveState {
@@ -84,7 +96,7 @@
 
     fn named(&mut self, step: &MoveName) -> Option<&mut Changeover> {
         let mut active = self.active.values_mut();
-        active.find(|active| active.order().name().as_ref() == Some(step))
+        active.find(|active| active.name() == Some(step))
     }
 
     /// Takes the state of an order that operators can read.
@@ -122,7 +134,7 @@
     /// What this router has counted.
     pub(crate) fn evidence(&self) -> Vec<Evidence> {
         let of = |active: &Changeover| {
-            let step = active.order().name()?;
+            let step = active.name()?;
             let counts = active.counts();
             let evidence = counts.map(|(route, arm, counts)| Evidence {
                 step: step.clone(),
@@ -135,6 +147,18 @@
         self.active.values().filter_map(of).flatten().collect()
     }
 
+    /// The verdicts that other routers are told.
+    pub(crate) fn verdicts(&self) -> Vec<Judgement> {
+        let of = |active: &Changeover| {
+            Some(Judgement {
+                step: active.name()?.clone(),
+                declaration: active.order().declaration(),
+                verdict: active.verdict()?,
+            })
+        };
+        self.active.values().filter_map(of).collect()
+    }
+
     /// The state of every move.
     pub(crate) fn states(&mut self, targets: &Roster, now: Time) -> Vec<MoveState> {
         self.active.retain(|_, active| !active.is_forgotten(now));
--- a/core/src/pace.rs
+++ b/core/src/pace.rs
@@ -44,11 +44,13 @@
 }
 
 impl Rhythm {
-    /// Records that a part arrived.
-    pub fn beat(&mut self, now: Time) {
+    /// Records that a part arrived, and returns the time since the one before.
+    pub fn beat(&mut self, now: Time) -> Option<Duration> {
+        let gap = self.first.map(|_| now.since(self.last));
         self.first.get_or_insert(now);
         self.last = now;
         self.parts += 1;
+        gap
     }
 
     /// Mean time between two parts, where there were enough of them.
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -17,7 +17,7 @@
     holders::Holders,
     id::Fingerprint,
     inspect::{MoveLine, SteerState, TargetState},
-    moves::{Evidence, MoveState, Moves},
+    moves::{Evidence, Judgement, MoveState, Moves},
     name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     pace::Timing,
     passage::Failure,
@@ -187,6 +187,11 @@
         self.moves.evidence()
     }
 
+    /// Verdicts on version moves, for other routers.
+    pub fn verdicts(&self) -> Vec<Judgement> {
+        self.moves.verdicts()
+    }
+
     /// The state of every version move, and what this router has to report of it now.
     pub fn moves(&mut self, now: Time) -> Vec<MoveState> {
         self.moves.states(&self.targets, now)
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -155,8 +155,18 @@
             if BootClock.now() >= self.passage.expires() {
                 return Err(self.refusal(Code::DeadlinePassed, COME_BACK));
             }
+            let asked = BootClock.now();
             let (ticket, line) = match self.steering.choose(self.order()).await {
-                Ok(granted) => granted,
+                Ok(granted) => {
+                    let context = match granted.0.choice.source {
+                        Some(_) => "fetch",
+                        None if self.job.contexts.is_empty() => "none",
+                        None => "held",
+                    };
+                    let waited = BootClock.now().since(asked);
+                    self.metrics.entry.chosen(context, waited);
+                    granted
+                }
                 Err(refusal) => {
                     let own = self.failure.take().map(Sent::Failure);
                     return own.ok_or_else(|| self.refusal(refusal.code, refusal.after));
@@ -199,7 +209,7 @@
     fn failed(&mut self, target: &TargetName, failure: Failure) -> Next {
         let now = BootClock.now();
         let next = self.passage.failed(target, failure, now);
-        self.metrics.target_failure(failure.name());
+        self.metrics.entry.target_failure(failure.name());
         info!(self.log, "target failed"; "event" => "attempt", "request" => &self.job.id,
             "target" => %target, "failure" => failure.name(), "next" => ?next,
             "tried" => self.passage.tried().len(), "version" => self.job.version,
@@ -393,7 +403,9 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    self.rhythm.beat(BootClock.now());
+                    if let Some(gap) = self.rhythm.beat(BootClock.now()) {
+                        self.carrier.metrics.entry.gap(gap);
+                    }
                     match self.events.push(&data) {
                         Some(whole) => return Some((Ok(Frame::data(whole)), self)),
                         None => continue,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -75,7 +75,7 @@
     let metrics = Metrics::new();
     let steer = Steer::new(cfg.zone.clone(), cfg.retry);
     let steering = Steering::start(steer, BootClock);
-    let store = Store::new(cfg.store);
+    let store = Store::new(cfg.store, metrics.entry.clone());
     let (access_tx, access) = watch::channel(None);
     let beliefs = follow::start(
         store.clone(),
@@ -97,7 +97,12 @@
         metrics: metrics.clone(),
     };
     pages::insight(page, insight, log.clone());
-    report::start(store.clone(), steering.clone(), log.clone());
+    report::start(
+        store.clone(),
+        steering.clone(),
+        metrics.entry.clone(),
+        log.clone(),
+    );
     peering::start(
         Peering {
             name: cfg.name.clone(),
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -84,7 +84,12 @@
         moves: HashMap::new(),
         link: Link::new("orders", metrics.clone(), log.clone()),
         mirror: order_mirror,
-        neighbours: Neighbours::new(Stream::Orders, access.clone(), log.clone()),
+        neighbours: Neighbours::new(
+            Stream::Orders,
+            access.clone(),
+            metrics.entry.clone(),
+            log.clone(),
+        ),
         log: log.clone(),
     };
     tokio::spawn(orders.run());
@@ -93,9 +98,9 @@
         steering,
         known: targets_tx,
         poll: drain * TARGET_POLL_PERCENT / 100,
-        link: Link::new("targets", metrics, log.clone()),
+        link: Link::new("targets", metrics.clone(), log.clone()),
         mirror: target_mirror,
-        neighbours: Neighbours::new(Stream::Targets, access, log),
+        neighbours: Neighbours::new(Stream::Targets, access, metrics.entry, log),
     };
     tokio::spawn(targets_task.run());
     Beliefs {
@@ -132,7 +137,7 @@
     }
 
     fn failed(&mut self, error: &StoreError, now: Time) {
-        self.metrics.store_failures.inc();
+        self.metrics.entry.store_failures.inc();
         self.failures = self.failures.saturating_add(1);
         if self.lost.is_none() {
             self.lost = Some(now);
@@ -278,6 +283,7 @@
                     let out = value.is_some();
                     info!(self.log, "zone changed"; "event" => "zone", "zone" => %zone,
                         "out" => out);
+                    self.link.metrics.entry.belief("zone", 1);
                     if out {
                         self.evacuated.insert(zone);
                     } else {
@@ -296,6 +302,7 @@
         let Some(value) = value else {
             info!(self.log, "version move withdrawn"; "event" => "move_withdrawn",
                 "service" => %service);
+            self.link.metrics.entry.belief("move", 1);
             self.moves.remove(&service);
             return;
         };
@@ -307,6 +314,7 @@
         info!(self.log, "version move ordered"; "event" => "move_ordered", "service" => %service,
             "version" => %order.version, "within_s" => order.within.as_secs_f64(),
             "order" => %number);
+        self.link.metrics.entry.belief("move", 1);
         self.moves.insert(service, order);
     }
 
@@ -326,7 +334,8 @@
         info!(self.log, "desired state in force"; "event" => "desired",
             "version" => state.version, "before" => known, "routes" => state.routes());
         let version = i64::try_from(state.version).unwrap_or(i64::MAX);
-        self.link.metrics.desired_version.set(version);
+        self.link.metrics.entry.desired_version.set(version);
+        self.link.metrics.entry.belief("desired", 1);
         let rates: HashMap<_, _> = state
             .services
             .iter()
@@ -440,6 +449,8 @@
                 mirror.confirm(confirmed);
             }
         });
+        let gone = records.iter().filter(|record| record.value.is_none());
+        self.link.metrics.entry.belief("target_gone", gone.count());
         self.steering.tell(changes(records)).await;
     }
 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -191,7 +191,7 @@
             Ok(given) => {
                 self.metrics.result("Ok");
                 let after = BootClock.now().since(arrived);
-                self.metrics.answered(after);
+                self.metrics.entry.answered(after);
                 self.give(given, version, after)
             }
             Err(refusal) => self.refuse(&id, refusal),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod link;
 pub mod links;
 pub mod logs;
+pub mod meters;
 pub mod metrics;
 pub mod mirror;
 pub mod neighbours;
--- /dev/null
+++ b/src/meters.rs
@@ -0,0 +1,188 @@
+//! Metrics of what an entry router decides and believes.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+/// Upper bounds of the time to an answer's head, in seconds, about the objectives of the callers.
+const ANSWER_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.15, 0.3, 0.5, 1.0, 2.5, 5.0, 12.0];
+/// Upper bounds of the time between two parts of a stream, in seconds, about the objectives of the
+/// callers.
+const GAP_BUCKETS: [f64; 8] = [0.005, 0.02, 0.05, 0.078, 0.2, 0.4, 1.0, 2.0];
+/// Upper bounds of the time until a target is chosen, in seconds.
+const CHOICE_BUCKETS: [f64; 7] = [0.000_1, 0.000_5, 0.002, 0.01, 0.05, 0.2, 1.0];
+/// Upper bounds of the time of a call of the store, in seconds; reads may wait for records.
+const STORE_BUCKETS: [f64; 8] = [0.005, 0.01, 0.03, 0.1, 0.3, 0.7, 2.0, 5.0];
+
+/// Labels of a counter of failures at targets.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FailureLabels {
+    /// How it failed.
+    pub failure: &'static str,
+}
+
+/// Labels of a counter of choices.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ChoiceLabels {
+    /// Whether the target gets the context from another one: `fetch`, `held` or `none`.
+    pub context: &'static str,
+}
+
+/// Labels of a counter of reads from other routers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PeerReadLabels {
+    /// The stream that was read.
+    pub stream: &'static str,
+    /// `answered` or `failed`.
+    pub outcome: &'static str,
+}
+
+/// Labels of a counter of reports of version moves.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MoveLabels {
+    /// The state that operators read, or `unreported`.
+    pub state: &'static str,
+}
+
+/// Labels of a counter of changes of belief.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BeliefLabels {
+    /// What has changed.
+    pub change: &'static str,
+}
+
+/// Counters, histograms and gauges of an entry router.
+#[derive(Debug, Clone)]
+pub struct Meters {
+    /// Routers that are alive, with this one.
+    pub routers: Gauge,
+    /// Version of the desired state in force.
+    pub desired_version: Gauge,
+    /// Calls of the store without a usable answer.
+    pub store_failures: Counter,
+    state_age: Gauge<f64, std::sync::atomic::AtomicU64>,
+    failures: Family<FailureLabels, Counter>,
+    choices: Family<ChoiceLabels, Counter>,
+    peer_reads: Family<PeerReadLabels, Counter>,
+    moves: Family<MoveLabels, Counter>,
+    beliefs: Family<BeliefLabels, Counter>,
+    answered: Histogram,
+    gap: Histogram,
+    choice: Histogram,
+    store: Histogram,
+}
+
+impl Meters {
+    /// Registers the metrics.
+    pub(crate) fn register(registry: &mut Registry) -> Self {
+        let meters = Self {
+            routers: Gauge::default(),
+            desired_version: Gauge::default(),
+            store_failures: Counter::default(),
+            state_age: Gauge::default(),
+            failures: Family::default(),
+            choices: Family::default(),
+            peer_reads: Family::default(),
+            moves: Family::default(),
+            beliefs: Family::default(),
+            answered: Histogram::new(ANSWER_BUCKETS),
+            gap: Histogram::new(GAP_BUCKETS),
+            choice: Histogram::new(CHOICE_BUCKETS),
+            store: Histogram::new(STORE_BUCKETS),
+        };
+        meters.register_counts(registry);
+        meters.register_times(registry);
+        meters
+    }
+
+    fn register_counts(&self, registry: &mut Registry) {
+        let help = "Routers that are alive, with this one";
+        registry.register("routers", help, self.routers.clone());
+        let help = "Version of the desired state in force";
+        registry.register("desired_version", help, self.desired_version.clone());
+        let help = "Calls of the store without a usable answer";
+        registry.register("store_failures", help, self.store_failures.clone());
+        let help = "Requests that failed at a target, by how";
+        registry.register("target_failures", help, self.failures.clone());
+        let help = "Targets chosen, by where the prompt's context is believed to be";
+        registry.register("choices", help, self.choices.clone());
+        let help = "Reads of the store's streams from other routers";
+        registry.register("peer_reads", help, self.peer_reads.clone());
+        let help = "Reports of the state of version moves";
+        registry.register("move_reports", help, self.moves.clone());
+        let help = "Changes of what the router believes of targets, zones and moves";
+        registry.register("belief_changes", help, self.beliefs.clone());
+    }
+
+    fn register_times(&self, registry: &mut Registry) {
+        let mut add = |name: &str, help: &str, histogram: &Histogram| {
+            registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
+        };
+        let help = "Time from a request's arrival to the head of its answer";
+        add("answer", help, &self.answered);
+        let help = "Time between two parts of a stream";
+        add("stream_gap", help, &self.gap);
+        let help = "Time from asking for a target to the choice";
+        add("choice", help, &self.choice);
+        let help = "Time of a call of the store, with the time that a read waits for records";
+        add("store_call", help, &self.store);
+        let help = "Age of the confirmed knowledge of the desired state";
+        registry.register_with_unit("state_age", help, Unit::Seconds, self.state_age.clone());
+    }
+
+    /// Counts a request that failed at a target.
+    pub fn target_failure(&self, failure: &'static str) {
+        let counter = self.failures.get_or_create(&FailureLabels { failure });
+        counter.inc();
+    }
+
+    /// Notes a choice of a target and how long it took.
+    pub fn chosen(&self, context: &'static str, after: Duration) {
+        self.choices.get_or_create(&ChoiceLabels { context }).inc();
+        self.choice.observe(after.as_secs_f64());
+    }
+
+    /// Counts a read of a stream from other routers.
+    pub fn peer_read(&self, stream: &'static str, answered: bool) {
+        let outcome = if answered { "answered" } else { "failed" };
+        let labels = PeerReadLabels { stream, outcome };
+        self.peer_reads.get_or_create(&labels).inc();
+    }
+
+    /// Counts a report of a version move's state.
+    pub fn move_report(&self, state: &'static str) {
+        self.moves.get_or_create(&MoveLabels { state }).inc();
+    }
+
+    /// Counts changes of what the router believes.
+    pub fn belief(&self, change: &'static str, count: usize) {
+        if count > 0 {
+            let counter = self.beliefs.get_or_create(&BeliefLabels { change });
+            counter.inc_by(count as u64);
+        }
+    }
+
+    /// Notes the time from a request's arrival to the head of its answer.
+    pub fn answered(&self, after: Duration) {
+        self.answered.observe(after.as_secs_f64());
+    }
+
+    /// Notes the time between two parts of a stream.
+    pub fn gap(&self, gap: Duration) {
+        self.gap.observe(gap.as_secs_f64());
+    }
+
+    /// Notes the time of a call of the store.
+    pub fn store_call(&self, after: Duration) {
+        self.store.observe(after.as_secs_f64());
+    }
+
+    /// Notes the age of the confirmed knowledge of the desired state.
+    pub fn state_age(&self, age: Duration) {
+        self.state_age.set(age.as_secs_f64());
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,21 +8,11 @@
     registry::Registry,
 };
 
-use crate::tail::Rejects;
+use crate::{meters::Meters, tail::Rejects};
 
 /// Upper bounds of the time to in force, in seconds, about the goal of 3 s and the bound of 8 s.
 const IN_FORCE_BUCKETS: [f64; 8] = [0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 8.0, 30.0];
 
-/// Upper bounds of the time to an answer's head, in seconds, about the objectives of the callers.
-const ANSWER_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.15, 0.3, 0.5, 1.0, 2.5, 5.0, 12.0];
-
-/// Labels of a counter of failures at targets.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct FailureLabels {
-    /// How it failed.
-    pub failure: &'static str,
-}
-
 /// Labels of a result counter.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ResultLabels {
@@ -61,14 +51,8 @@
     pub configuration_offset: Gauge,
     /// 1 while the log ends before records that were read from it.
     pub log_reset: Gauge,
-    /// Routers that are alive, with this one.
-    pub routers: Gauge,
-    /// Version of the desired state in force.
-    pub desired_version: Gauge,
-    /// Calls of the store without a usable answer.
-    pub store_failures: Counter,
-    failures: Family<FailureLabels, Counter>,
-    answered: Histogram,
+    /// Metrics of an entry router.
+    pub entry: Meters,
     log_read: Gauge,
     in_force: Histogram,
     rejects: Family<RejectLabels, Gauge>,
@@ -125,40 +109,10 @@
         let gossip_received = counter(&mut registry, "gossip_received_bytes", help);
         let help = "Datagrams that did not verify";
         let gossip_dropped = counter(&mut registry, "gossip_dropped", help);
-        let routers = gauge(
-            &mut registry,
-            "routers",
-            "Routers that are alive, with this one",
-        );
-        let desired_version = gauge(
-            &mut registry,
-            "desired_version",
-            "Version of the desired state in force",
-        );
-        let store_failures = counter(
-            &mut registry,
-            "store_failures",
-            "Calls of the store without a usable answer",
-        );
-        let failures = Family::default();
-        registry.register(
-            "target_failures",
-            "Requests that failed at a target, by how",
-            failures.clone(),
-        );
-        let answered = Histogram::new(ANSWER_BUCKETS);
-        registry.register(
-            "answer_seconds",
-            "Time from a request's arrival to the head of its answer",
-            answered.clone(),
-        );
+        let entry = Meters::register(&mut registry);
         Self {
             registry: Arc::new(registry),
-            routers,
-            desired_version,
-            store_failures,
-            failures,
-            answered,
+            entry,
             gossip_sent,
             gossip_received,
             gossip_dropped,
@@ -180,17 +134,6 @@
         self.results.get_or_create(&ResultLabels { code }).inc();
     }
 
-    /// Counts a request that failed at a target.
-    pub fn target_failure(&self, failure: &'static str) {
-        let counter = self.failures.get_or_create(&FailureLabels { failure });
-        counter.inc();
-    }
-
-    /// Notes the time from a request's arrival to the head of its answer.
-    pub fn answered(&self, after: Duration) {
-        self.answered.observe(after.as_secs_f64());
-    }
-
     /// Notes a successful read of the log at `unix_time`.
     pub fn log_read(&self, unix_time: Duration) {
         let seconds = i64::try_from(unix_time.as_secs()).unwrap_or(i64::MAX);
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -21,6 +21,7 @@
     clock::BootClock,
     gossip::Gossip,
     link::{Identity, Link, LinkError},
+    meters::Meters,
     mirror::Mirror,
     web,
 };
@@ -75,22 +76,39 @@
     stream: Stream,
     access: watch::Receiver<Option<Access>>,
     link: Option<Link>,
+    meters: Meters,
     log: Logger,
 }
 
 impl Neighbours {
     /// Starts without a connection.
-    pub fn new(stream: Stream, access: watch::Receiver<Option<Access>>, log: Logger) -> Self {
+    pub fn new(
+        stream: Stream,
+        access: watch::Receiver<Option<Access>>,
+        meters: Meters,
+        log: Logger,
+    ) -> Self {
         Self {
             stream,
             access,
             link: None,
+            meters,
             log,
         }
     }
 
     /// Records from `from` on, as another router knows them; `None` when none answers.
     pub async fn read(&mut self, from: Offset) -> Option<Read> {
+        let read = self.read_any(from).await;
+        let stream = match self.stream {
+            Stream::Orders => "orders",
+            Stream::Targets => "targets",
+        };
+        self.meters.peer_read(stream, read.is_some());
+        read
+    }
+
+    async fn read_any(&mut self, from: Offset) -> Option<Read> {
         let access = self.access.borrow().clone()?;
         let since = Since {
             stream: self.stream,
@@ -164,9 +182,14 @@
     };
     let free = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(log, "cannot accept a router's connection"; "event" => "exchange_socket",
+                    "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         // Beyond the limit the connection is closed, and the other router asks elsewhere.
         let Ok(permit) = Arc::clone(&free).try_acquire_owned() else {
--- a/src/pages.rs
+++ b/src/pages.rs
@@ -69,18 +69,29 @@
 }
 
 impl Insight {
+    /// Age of the confirmed knowledge of the desired state.
+    fn state_age(&self) -> Option<Duration> {
+        let confirmed = self.beliefs.lease.borrow().confirmed()?;
+        Some(BootClock.now().since(confirmed))
+    }
+
+    fn metrics(&self) -> Response<Body> {
+        if let Some(age) = self.state_age() {
+            self.metrics.entry.state_age(age);
+        }
+        Response::new(web::full(self.metrics.encode()))
+    }
+
     async fn dump(&self) -> Response<Body> {
         let steering = self.steering.inspect().await;
         let desired = self.beliefs.desired.borrow().clone();
-        let confirmed = self.beliefs.lease.borrow().confirmed();
-        let age = confirmed.map(|confirmed| BootClock.now().since(confirmed));
         let dump = Dump {
             build: env!("CARGO_PKG_VERSION"),
             name: &self.name,
             zone: &self.zone,
             desired_version: desired.as_ref().map(|desired| desired.version),
             routes: desired.as_ref().map(|desired| desired.routes()),
-            state_age_ms: age.map(clock::millis),
+            state_age_ms: self.state_age().map(clock::millis),
             steering,
         };
         web::json(StatusCode::OK, &dump)
@@ -96,7 +107,7 @@
             if uri.path() == DUMP {
                 insight.dump().await
             } else {
-                Response::new(web::full(insight.metrics.encode()))
+                insight.metrics()
             }
         }
     });
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -140,7 +140,7 @@
                     "before" => routers);
                 routers = known;
                 let count = i64::try_from(known).unwrap_or(i64::MAX);
-                self.metrics.routers.set(count);
+                self.metrics.entry.routers.set(count);
             }
             let mut news = news(&gossip.items().await, &self.name);
             let narrow = |count| u32::try_from(count).unwrap_or(u32::MAX);
@@ -244,11 +244,9 @@
 
 /// The verdicts of a report as items.
 fn verdicts(report: &Report) -> impl Iterator<Item = Item> + use<'_> {
-    report.moves.iter().filter_map(|state| {
-        Some(Item {
-            key: ItemKey::Verdict(state.order.name()?, state.order.declaration()),
-            value: Value::Verdict(state.verdict?),
-        })
+    report.verdicts.iter().map(|judged| Item {
+        key: ItemKey::Verdict(judged.step.clone(), judged.declaration),
+        value: Value::Verdict(judged.verdict),
     })
 }
 
--- a/src/report.rs
+++ b/src/report.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     clock::BootClock,
+    meters::Meters,
     steering::{News, Steering},
     store::{Store, StoreError},
 };
@@ -29,10 +30,11 @@
 const READ_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Starts the task.
-pub fn start(store: Store, steering: Steering, log: Logger) {
+pub fn start(store: Store, steering: Steering, meters: Meters, log: Logger) {
     let task = Task {
         store,
         steering,
+        meters,
         log,
         known: HashMap::new(),
     };
@@ -42,6 +44,7 @@
 struct Task {
     store: Store,
     steering: Steering,
+    meters: Meters,
     log: Logger,
     known: HashMap<ServiceName, Known>,
 }
@@ -77,10 +80,7 @@
         let order = state.order;
         let known = self.known.entry(order.service.clone()).or_default();
         let now = BootClock.now();
-        let is_over = matches!(
-            state.progress,
-            Some(Progress::Complete | Progress::Reverted)
-        );
+        let is_over = state.progress.is_some_and(Progress::is_over);
         if state.due.is_none() && (is_over || now.since(known.read) < READ_INTERVAL) {
             return;
         }
@@ -92,6 +92,7 @@
         match answer {
             Ok(Some(known)) => {
                 if state.due.is_some() {
+                    self.meters.move_report(name(known));
                     info!(self.log, "version move reported"; "event" => "move_reported",
                         "service" => %order.service, "version" => %order.version,
                         "order" => %order.number, "state" => %known,
@@ -102,9 +103,12 @@
             }
             // Another router has written meanwhile; the next look reads that.
             Ok(None) => {}
-            Err(error) => warn!(self.log, "state of a version move neither read nor written";
-                "event" => "move_unreported", "service" => %order.service,
-                "due" => state.due.map(|due| due.to_string()), "error" => %error),
+            Err(error) => {
+                self.meters.move_report("unreported");
+                warn!(self.log, "state of a version move neither read nor written";
+                    "event" => "move_unreported", "service" => %order.service,
+                    "due" => state.due.map(|due| due.to_string()), "error" => %error);
+            }
         }
     }
 
@@ -162,3 +166,12 @@
         }
     }
 }
+
+/// The state as a metric's label.
+fn name(progress: Progress) -> &'static str {
+    match progress {
+        Progress::InProgress => "in_progress",
+        Progress::Complete => "complete",
+        Progress::Reverted => "reverted",
+    }
+}
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -12,7 +12,7 @@
     doc::Repeat,
     id::{Fingerprint, Incarnation},
     inspect::SteerState,
-    moves::{Evidence, MoveState},
+    moves::{Evidence, Judgement, MoveState},
     name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     pace::Timing,
     reports::OpenReport,
@@ -117,8 +117,8 @@
     pub crashes: Vec<(Suspicion, Duration)>,
     /// Counts of version moves.
     pub evidence: Vec<Evidence>,
-    /// The state of version moves.
-    pub moves: Vec<MoveState>,
+    /// Verdicts on version moves.
+    pub verdicts: Vec<Judgement>,
 }
 
 #[derive(Debug)]
@@ -391,12 +391,12 @@
             })
         });
         let crashes = crashes.collect();
-        let moves = self.steer.moves(now);
+        let verdicts = self.steer.verdicts();
         Report {
             open,
             crashes,
             evidence: self.steer.evidence(),
-            moves,
+            verdicts,
         }
     }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -9,7 +9,11 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time;
 
-use crate::rest::{NoAnswer, Rest};
+use crate::{
+    clock::BootClock,
+    meters::Meters,
+    rest::{NoAnswer, Rest},
+};
 
 /// Longest wait for an answer beyond the time that the store was asked to wait. A slow store
 /// answers within it; a silent connection is given up and replaced.
@@ -50,12 +54,16 @@
 
 /// Calls the store.
 #[derive(Debug, Clone)]
-pub struct Store(Rest);
+pub struct Store {
+    rest: Rest,
+    meters: Meters,
+}
 
 impl Store {
     /// Makes a client of the store at `address`.
-    pub fn new(address: SocketAddr) -> Self {
-        Self(Rest::new(format!("http://{address}")))
+    pub fn new(address: SocketAddr, meters: Meters) -> Self {
+        let rest = Rest::new(format!("http://{address}"));
+        Self { rest, meters }
     }
 
     /// The newest record of each key, and the offset from which later records are read. With each
@@ -147,11 +155,10 @@
         body: Vec<u8>,
         wait: Duration,
     ) -> Result<Bytes, StoreError> {
-        let (status, body) = self
-            .0
-            .call(method, path, body, wait + TIMEOUT)
-            .await
-            .context(CallSnafu)?;
+        let asked = BootClock.now();
+        let answer = self.rest.call(method, path, body, wait + TIMEOUT).await;
+        self.meters.store_call(BootClock.now().since(asked));
+        let (status, body) = answer.context(CallSnafu)?;
         match status {
             StatusCode::GONE => ExpiredSnafu.fail(),
             status if status.is_success() => Ok(body),
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -201,7 +201,7 @@
             json!({
                 "name": name, "host": "spine.example", "path_prefix": format!("/{name}/"),
                 "type": kind, "timeout_ms": 2_000, "slo_ms": 500, "priority": 0,
-                "service": "plain", "max_attempts": attempts, "public": false, "sticky": false,
+                "service": "plain", "max_attempts": attempts, "public": false, "sticky": kind == "stream",
                 "resumable": resumable,
             })
         };
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! The entry router as a real process, between callers, a keyed store and registered targets.
 
 mod env;
+mod metrics;
 mod moves;
 
 use std::time::Duration;
