Measure where returning chats land through entry routers, with model servers that keep prompts

Change: a task owns the memories of all stand-in targets (limited, least recently used parts yield) and counts what is kept, fetched, read first and read again; ebonyfall-bench entry drives returning chats through real routers and compares with a router that knows everything.

--- /dev/null
+++ b/bench/src/entry.rs
@@ -0,0 +1,191 @@
+//! Returning chats through entry routers to model servers that keep prompts, as separate processes.
+
+use std::{
+    error::Error,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use ebonyfall_standin::{entrance::Entrance, memory::Memories, registered::Habit};
+use hdrhistogram::Histogram;
+use http::StatusCode;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::Serialize;
+use tokio::task::JoinSet;
+
+use crate::demo::programs;
+
+/// Prompt tokens that a model server keeps.
+const ROOM: u64 = 400_000;
+/// Events of an answer.
+const EVENTS: u32 = 8;
+/// Beginnings of prompts, which contexts share.
+const BEGINNINGS: u64 = 4;
+/// Tokens of a beginning.
+const BEGINNING_TOKENS: u64 = 500;
+/// Tokens of the shortest context, and what each next one has more.
+const CONTEXT_TOKENS: [u64; 2] = [2_000, 250];
+/// Contexts after which the lengths begin anew.
+const LENGTHS: u64 = 24;
+/// Tokens of a request's own part.
+const OWN_TOKENS: u64 = 200;
+
+/// Measures where returning chats land through entry routers: which parts of prompts are kept,
+/// fetched, or read again, and the time to the first token.
+#[derive(Debug, Clone, FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub struct EntryArgs {
+    /// routers, 3 by default
+    #[argh(option, default = "3")]
+    pub routers: usize,
+    /// model servers, 6 by default
+    #[argh(option, default = "6")]
+    pub targets: usize,
+    /// contexts that callers return to, 60 by default
+    #[argh(option, default = "60")]
+    pub contexts: u64,
+    /// callers, 24 by default
+    #[argh(option, default = "24")]
+    pub callers: usize,
+    /// seconds, 5 by default
+    #[argh(option, default = "5")]
+    pub seconds: u64,
+    /// seed of what callers send, 1 by default
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
+
+/// What was measured.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Row {
+    /// Requests.
+    pub requests: u64,
+    /// Requests without a whole answer.
+    pub failed: u64,
+    /// Median time to the head of an answer, in milliseconds.
+    pub first_p50_ms: f64,
+    /// Time to the head of an answer for 95 in 100, in milliseconds.
+    pub first_p95_ms: f64,
+    /// Tokens of the shared parts of all prompts.
+    pub shared_tokens: u64,
+    /// Part of them that the server had kept.
+    pub kept: f64,
+    /// Part of them that was fetched from another server.
+    pub fetched: f64,
+    /// Part of them that was read for the first time.
+    pub read_first: f64,
+    /// Part of them that was read although some server had read them.
+    pub read_again: f64,
+    /// Part of what an all-knowing router would not have had to read that was not read.
+    pub reuse_of_best: f64,
+}
+
+/// What callers have counted.
+#[derive(Debug)]
+struct Calls {
+    first: Histogram<u64>,
+    failed: u64,
+}
+
+impl Calls {
+    fn new() -> Self {
+        Self {
+            first: Histogram::new(3).expect("three digits are supported"),
+            failed: 0,
+        }
+    }
+}
+
+/// Runs the measurement and prints its row.
+///
+/// # Errors
+///
+/// Fails when programs or folders are missing.
+pub async fn run(args: EntryArgs) -> Result<bool, Box<dyn Error>> {
+    let folder = tempfile::tempdir()?;
+    let program = programs()?.join("ebonyfall-entry");
+    let row = measure(&program, folder.path(), &args).await;
+    println!("{}", serde_json::to_string_pretty(&row)?);
+    Ok(row.failed == 0)
+}
+
+/// Sends returning chats for a while, through routers of the program.
+pub async fn measure(program: &Path, folder: &Path, args: &EntryArgs) -> Row {
+    let env = Entrance::start(program, folder, args.routers, args.targets).await;
+    let memories = env.set_engines(ROOM);
+    for target in &env.targets {
+        target.set(Habit::Paths { events: EVENTS });
+    }
+    let end = Instant::now() + Duration::from_secs(args.seconds);
+    let mut callers = JoinSet::new();
+    for caller in 0..args.callers {
+        let address = env.routers[caller % args.routers].listen;
+        let mut rng = SmallRng::seed_from_u64(args.seed.wrapping_mul(1_000) + caller as u64);
+        let contexts = args.contexts;
+        callers.spawn(async move {
+            let mut calls = Calls::new();
+            while Instant::now() < end {
+                let id = format!("{:016x}", rng.random::<u64>());
+                let prompt = prompt(contexts, &mut rng);
+                let headers = [("ebonyfall-prefix-hash", &*prompt)];
+                let reply = Entrance::call(address, &id, ("POST", "/draft/1", ""), &headers).await;
+                match reply {
+                    Some(reply) if reply.status == StatusCode::OK && reply.body.is_ok() => {
+                        let micros = u64::try_from(reply.first.as_micros()).unwrap_or(u64::MAX);
+                        calls.first.record(micros).expect("the histogram grows");
+                    }
+                    _ => calls.failed += 1,
+                }
+            }
+            calls
+        });
+    }
+    let mut all = Calls::new();
+    for calls in callers.join_all().await {
+        all.first += calls.first;
+        all.failed += calls.failed;
+    }
+    row(&all, &memories).await
+}
+
+/// A prompt of a context, of which some are much more popular than others.
+fn prompt(contexts: u64, rng: &mut SmallRng) -> String {
+    let place = rng.random::<f64>();
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "contexts are few"
+    )]
+    let context = (place * place * contexts as f64) as u64;
+    let [shortest, step] = CONTEXT_TOKENS;
+    let tokens = shortest + step * (context % LENGTHS);
+    let own = rng.random::<u32>();
+    format!(
+        "b{:x}:{BEGINNING_TOKENS},c{context:x}:{tokens},{own:x}:{OWN_TOKENS}",
+        context % BEGINNINGS
+    )
+}
+
+async fn row(calls: &Calls, memories: &Memories) -> Row {
+    let sum = memories.sum().await;
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    let part = |tokens: u64, of: u64| tokens as f64 / of.max(1) as f64;
+    let millis = |quantile: f64| {
+        let micros = calls.first.value_at_quantile(quantile);
+        Duration::from_micros(micros).as_secs_f64() * 1_000.0
+    };
+    Row {
+        requests: calls.first.len() + calls.failed,
+        failed: calls.failed,
+        first_p50_ms: millis(0.5),
+        first_p95_ms: millis(0.95),
+        shared_tokens: sum.total(),
+        kept: part(sum.kept, sum.total()),
+        fetched: part(sum.fetched, sum.total()),
+        read_first: part(sum.first, sum.total()),
+        read_again: part(sum.again, sum.total()),
+        reuse_of_best: part(sum.kept + sum.fetched, sum.total() - sum.first),
+    }
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod config;
 pub mod demo;
+pub mod entry;
 pub mod fit;
 pub mod gossip;
 pub mod load;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,9 @@
 use std::{error::Error, process::ExitCode};
 
 use argh::FromArgs;
-use ebonyfall_bench::{admit, claims, config, demo, fit, gossip, load, moves, place, soak, up};
+use ebonyfall_bench::{
+    admit, claims, config, demo, entry, fit, gossip, load, moves, place, soak, up,
+};
 use tokio::runtime::Builder;
 
 /// Measures an ebonyfall fleet.
@@ -19,6 +21,7 @@
     Claims(claims::ClaimsArgs),
     Config(config::ConfigArgs),
     Demo(demo::DemoArgs),
+    Entry(entry::EntryArgs),
     Gossip(gossip::GossipArgs),
     Fit(fit::FitArgs),
     Moves(moves::MovesArgs),
@@ -46,6 +49,7 @@
         Command::Claims(args) => runtime.block_on(claims::run(args))?,
         Command::Config(args) => runtime.block_on(config::run(args))?,
         Command::Demo(args) => runtime.block_on(demo::run(args))?,
+        Command::Entry(args) => runtime.block_on(entry::run(args))?,
         Command::Gossip(args) => runtime.block_on(gossip::run(args))?,
         Command::Fit(args) => fit::run(&args)?,
         Command::Moves(args) => moves::run(&args)?,
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -20,7 +20,13 @@
     time::{Instant, sleep, timeout},
 };
 
-use crate::{deploy::free_address, keyed::KeyedStore, proxy::Proxy, registered::Registered};
+use crate::{
+    deploy::free_address,
+    keyed::KeyedStore,
+    memory::Memories,
+    proxy::Proxy,
+    registered::{Engine, Registered},
+};
 
 /// A key of the team `desk`.
 pub const KEY: &str = "key-of-the-desk";
@@ -36,6 +42,8 @@
 pub struct Reply {
     /// The status.
     pub status: StatusCode,
+    /// Time until the head of the answer, from the moment at which the connection was made.
+    pub first: Duration,
     /// The headers.
     pub headers: HeaderMap,
     /// The body.
@@ -77,7 +85,8 @@
     pub store_links: Vec<Proxy>,
     /// The routers.
     pub routers: Vec<Router>,
-    addresses: Vec<SocketAddr>,
+    /// Where routers reach the targets.
+    pub addresses: Vec<SocketAddr>,
     program: PathBuf,
 }
 
@@ -145,6 +154,18 @@
         env
     }
 
+    /// Makes the targets model servers with room for this many prompt tokens each.
+    pub fn set_engines(&self, room: u64) -> Memories {
+        let memories = Memories::start(room);
+        for (target, address) in self.targets.iter().zip(&self.addresses) {
+            target.set_engine(Engine {
+                memories: memories.clone(),
+                address: *address,
+            });
+        }
+        memories
+    }
+
     /// Starts a router's process unless it runs.
     ///
     /// # Errors
@@ -338,11 +359,14 @@
     let stream = stream.ok()?.ok()?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
+    let sent = Instant::now();
     let res = sender.send_request(req).await.ok()?;
+    let first = sent.elapsed();
     let (head, body) = res.into_parts();
     let body = body.collect().await;
     Some(Reply {
         status: head.status,
+        first,
         headers: head.headers,
         body: body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned()),
     })
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod host;
 pub mod keyed;
 pub mod log;
+pub mod memory;
 pub mod platform;
 pub mod proxy;
 pub mod registered;
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -9,11 +9,21 @@
     time::sleep,
 };
 
-use crate::keyed::LOOPBACK;
+use crate::{
+    keyed::LOOPBACK,
+    memory::{Memories, Reading},
+};
 
 /// Time between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 
+/// Prompt tokens that a model server reads in a millisecond.
+const TOKENS_PER_MS: u64 = 55;
+/// Time until a fetch from another server starts.
+const FETCH_SETUP: Duration = Duration::from_millis(5);
+/// Prompt tokens that are fetched in a millisecond.
+const FETCHED_PER_MS: u64 = 1_900;
+
 /// Paths whose answers are streams.
 const STREAMS: [&str; 2] = ["/suggest/", "/draft/"];
 
@@ -54,6 +64,38 @@
     },
 }
 
+/// A model server's memory of prompts.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Owns the memories of all servers.
+    pub memories: Memories,
+    /// The address that routers know the target by.
+    pub address: SocketAddr,
+}
+
+impl Engine {
+    /// Takes a request's prompt, and waits for as long as that takes.
+    async fn prefill(&self, seen: &Seen) {
+        let header = |name: &str| seen.headers.get(name);
+        let Some(prompt) = header("ebonyfall-prefix-hash").cloned() else {
+            return;
+        };
+        let source = header("kv-fetch").and_then(|address| address.parse().ok());
+        let reading = self.memories.read(self.address, prompt, source).await;
+        sleep(prefill_time(reading)).await;
+    }
+}
+
+fn prefill_time(reading: Reading) -> Duration {
+    let setup = if reading.fetched > 0 {
+        FETCH_SETUP
+    } else {
+        Duration::ZERO
+    };
+    let millis = reading.read() / TOKENS_PER_MS + reading.fetched / FETCHED_PER_MS;
+    setup + Duration::from_millis(millis)
+}
+
 /// A request as the target got it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -69,6 +111,7 @@
 #[derive(Debug)]
 pub struct Registered {
     habit: watch::Sender<Habit>,
+    engine: watch::Sender<Option<Engine>>,
     seen: watch::Receiver<Vec<Seen>>,
     open: watch::Receiver<usize>,
 }
@@ -83,19 +126,27 @@
         let listener = TcpListener::bind(LOOPBACK).await.expect("a port is free");
         let address = listener.local_addr().expect("the socket has an address");
         let (habit, habits) = watch::channel(Habit::Answer);
+        let (engine, engines) = watch::channel(None);
         let (note, seen) = watch::channel(Vec::new());
         let (count, open) = watch::channel(0);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (habits, note, count) = (habits.clone(), note.clone(), count.clone());
+                let (habits, engines) = (habits.clone(), engines.clone());
+                let (note, count) = (note.clone(), count.clone());
                 tokio::spawn(async move {
                     count.send_modify(|open| *open += 1);
-                    serve(stream, habits, note).await;
+                    serve(stream, habits, engines, note).await;
                     count.send_modify(|open| *open -= 1);
                 });
             }
         });
-        (Self { habit, seen, open }, address)
+        let registered = Self {
+            habit,
+            engine,
+            seen,
+            open,
+        };
+        (registered, address)
     }
 
     /// Changes what the target does from now on.
@@ -103,6 +154,11 @@
         self.habit.send_replace(habit);
     }
 
+    /// Makes the target a model server: it reads prompts before it answers.
+    pub fn set_engine(&self, engine: Engine) {
+        self.engine.send_replace(Some(engine));
+    }
+
     /// Connections that are open.
     pub fn open(&self) -> usize {
         *self.open.borrow()
@@ -117,6 +173,7 @@
 async fn serve(
     mut stream: TcpStream,
     habits: watch::Receiver<Habit>,
+    engines: watch::Receiver<Option<Engine>>,
     note: watch::Sender<Vec<Seen>>,
 ) {
     let mut buf = Vec::new();
@@ -127,6 +184,10 @@
         let from = seen.headers.get("last-event-id").cloned();
         let streams = STREAMS.iter().any(|path| seen.line.contains(path));
         if !matches!(habit, Habit::Decline | Habit::Other) {
+            let engine = engines.borrow().clone();
+            if let Some(engine) = engine {
+                engine.prefill(&seen).await;
+            }
             note.send_modify(|all| all.push(seen));
         }
         let habit = match habit {
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! The entry router as a real process, between callers, a keyed store and registered targets.
 
+mod contexts;
 mod env;
 mod metrics;
 mod moves;
