--- a/bench/src/entry.rs
+++ b/bench/src/entry.rs
@@ -111,6 +111,10 @@
 }
 
 /// Sends returning chats for a while, through routers of the program.
+///
+/// # Panics
+///
+/// Panics when a process does not start.
 pub async fn measure(program: &Path, folder: &Path, args: &EntryArgs) -> Row {
     let env = Entrance::start(program, folder, args.routers, args.targets).await;
     let memories = env.set_engines(ROOM);
--- a/core/src/id.rs
+++ b/core/src/id.rs
@@ -1,26 +1,43 @@
 //! Identifiers that travel between processes.
 
+use std::fmt;
+
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
 
-/// A caller's request, unique over all routers.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    From,
-    Into,
-    Serialize,
-    Deserialize,
-)]
-#[display("{_0:032x}")]
-pub struct RequestId(u128);
+macro_rules! ids {
+    ($($(#[$meta:meta])* $name:ident($of:ty) as $format:literal;)*) => {$(
+        $(#[$meta])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, From, Into, Serialize,
+            Deserialize,
+        )]
+        pub struct $name($of);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, $format, self.0)
+            }
+        }
+    )*};
+}
+
+ids! {
+    /// A caller's request, unique over all routers.
+    RequestId(u128) as "{:032x}";
+    /// The identity of a chat, a 64-bit hash.
+    ChatId(u64) as "{:016x}";
+    /// One life of a process or engine; a restarted one has a higher incarnation.
+    #[derive(Default)]
+    Incarnation(u64) as "{}";
+    /// The position of a record in a stream of the platform's log.
+    #[derive(Default)]
+    Offset(u64) as "{}";
+    /// The model and versions of a version move, hashed; a verdict holds for these alone.
+    Declaration(u64) as "{:016x}";
+    /// A hash of a team and a request's content, by which a repeated request is recognised.
+    Fingerprint(u64) as "{:016x}";
+}
 
 /// One try of a request at one target.
 #[derive(
@@ -34,63 +51,6 @@
     pub number: u32,
 }
 
-/// The identity of a chat, a 64-bit hash.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    From,
-    Into,
-    Serialize,
-    Deserialize,
-)]
-#[display("{_0:016x}")]
-pub struct ChatId(u64);
-
-/// One life of a process or engine; a restarted one has a higher incarnation.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    From,
-    Into,
-    Serialize,
-    Deserialize,
-)]
-pub struct Incarnation(u64);
-
-/// The position of a record in a stream of the platform's log.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    From,
-    Into,
-    Serialize,
-    Deserialize,
-)]
-pub struct Offset(u64);
-
 impl Offset {
     /// The position after this one.
     #[must_use]
@@ -98,41 +58,3 @@
         Self(self.0.saturating_add(1))
     }
 }
-
-/// The model and versions of a version move, hashed; a verdict holds for these alone.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    From,
-    Into,
-    Serialize,
-    Deserialize,
-)]
-#[display("{_0:016x}")]
-pub struct Declaration(u64);
-
-/// A hash of a team and a request's content, by which a repeated request is recognised.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    From,
-    Into,
-    Serialize,
-    Deserialize,
-)]
-#[display("{_0:016x}")]
-pub struct Fingerprint(u64);
--- a/tests/entry/contexts.rs
+++ b/tests/entry/contexts.rs
@@ -25,7 +25,7 @@
         .call_router(router, "POST", RESUMABLE, "", &headers)
         .await;
     assert_eq!(reply.status, StatusCode::OK);
-    assert!(reply.body.is_ok());
+    reply.body.expect("the answer is whole");
 }
 
 /// Guards against contexts that are read again because a router does not know where another one has
