Bound the contexts that a router remembers, also when all of them are in use

Cause: entries were dropped only when older than 60 s, so that a router with more than 20,000 contexts in use kept all of them and looked through them with each request: 50,000 contexts took 160 s in the new test, and all were kept. Change: beyond the limit the oldest are dropped until fewer than half are left. The dump shows the number. Before: the test failed with 50,000 contexts. After: it passes, the whole file in 0.37 s.

--- a/core/src/holders.rs
+++ b/core/src/holders.rs
@@ -134,14 +134,19 @@
         given.is_some_and(|(life, at)| *life == target.record.life && is_fresh(*at, now))
     }
 
+    /// Contexts whose last targets are remembered.
+    pub(crate) fn len(&self) -> usize {
+        self.last.len()
+    }
+
     /// Drops old entries when there are too many.
     fn forget(&mut self, now: Time) {
         if self.last.len() >= MAX_HOLDERS {
-            self.last
-                .retain(|_, holders| holders.last().is_some_and(|last| is_fresh(last.at, now)));
+            let newest = |holders: &Vec<Holder>| holders.last().map_or(Time::ZERO, |last| last.at);
+            shrink(&mut self.last, newest, now);
         }
         if self.given.len() >= MAX_HOLDERS {
-            self.given.retain(|_, (_, at)| is_fresh(*at, now));
+            shrink(&mut self.given, |(_, at)| *at, now);
         }
     }
 
@@ -166,6 +171,16 @@
     }
 }
 
+/// Keeps the newest entries, less than half of the limit, so that entries are looked through only
+/// once in many.
+fn shrink<V>(entries: &mut HashMap<u64, V>, at: impl Fn(&V) -> Time, now: Time) {
+    let mut life = HOLDER_LIFE;
+    while entries.len() >= MAX_HOLDERS / 2 {
+        entries.retain(|_, entry| now.since(at(entry)) < life);
+        life /= 2;
+    }
+}
+
 fn is_fresh(at: Time, now: Time) -> bool {
     now.since(at) < HOLDER_LIFE
 }
--- a/core/src/inspect.rs
+++ b/core/src/inspect.rs
@@ -21,6 +21,8 @@
     pub evacuated: Vec<ZoneName>,
     /// Contents that are suspected of crashing targets.
     pub suspects: usize,
+    /// Contexts whose last targets are remembered.
+    pub contexts: usize,
     /// The targets, by name.
     pub targets: Vec<TargetState>,
     /// Version moves, by service.
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -210,6 +210,7 @@
             routers: self.routers,
             evacuated,
             suspects: self.suspects.marks().count(),
+            contexts: self.holders.len(),
             targets,
             moves,
         }
--- a/core/tests/steer.rs
+++ b/core/tests/steer.rs
@@ -303,6 +303,31 @@
     assert_eq!(steer.report().placed, []);
 }
 
+/// Guards against memory and time that grow with the number of contexts that callers use.
+#[test]
+fn contexts_that_are_remembered_are_bounded() {
+    let mut steer = Steer::new(zone("z1"), BOUND);
+    let service = ServiceName::new("s").expect("the literal is a name");
+    let now = Time::from_millis(1_000);
+    for name in ["a", "b"] {
+        steer.put(record(name, "z1", 1, 0, Stage::Ready), now);
+    }
+    for context in 0..50_000 {
+        let want = Want {
+            service: &service,
+            contexts: &[context],
+            tried: &[],
+            repeat: false,
+            content: Fingerprint::from(0),
+        };
+        // A few milliseconds pass, so that all of them are used within the time of remembering.
+        let now = Time::from_millis(1_000 + context / 10);
+        steer.choose(&want, 0.5, now).expect("targets are known");
+    }
+    let contexts = steer.inspect(now).contexts;
+    assert!((1_000..=20_000).contains(&contexts), "{contexts}");
+}
+
 quickcheck! {
     /// Guards against routers that disagree about a chat's home.
     fn routers_with_the_same_targets_agree(names: Vec<u8>, context: u64) -> bool {
