--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -40,7 +40,7 @@
 /// Pause between two calls of one caller, in milliseconds.
 const CALL_PAUSE: u64 = 25;
 /// Longest wait of a caller.
-const PATIENCE: Duration = Duration::from_secs(12);
+const CALL_TIMEOUT: Duration = Duration::from_secs(12);
 /// Time within which a router that was told to stop has ended.
 const STOP_BOUND: Duration = Duration::from_secs(9);
 /// Callers at once.
@@ -280,7 +280,7 @@
 async fn call_with(address: SocketAddr, id: String, kind: Kind, headers: &[(&str, &str)]) -> Seen {
     let (method, path) = kind.request();
     let reply = Entrance::call(address, &id, (method, path, &id), headers);
-    let reply = timeout(PATIENCE, reply).await;
+    let reply = timeout(CALL_TIMEOUT, reply).await;
     let reply = reply.ok().flatten();
     Seen {
         id,
--- a/core/src/holders.rs
+++ b/core/src/holders.rs
@@ -20,12 +20,13 @@
 const HOLDER_LIFE: Duration = Duration::from_secs(60);
 /// Time for which a target that has just registered is not expected to hold a context.
 const NEW: Duration = Duration::from_secs(15);
-/// Placements that wait to be told to other routers.
-const MAX_NEWS: usize = 64;
+/// Placements that wait to be announced to other routers.
+const MAX_ANNOUNCEMENTS: usize = 64;
 /// Placements of one report.
 const MAX_PLACED: usize = 16;
-/// Reports in which a placement is told, since a report may be lost or replaced before it is read.
-const TELLINGS: u8 = 3;
+/// Reports in which a placement is announced, since a report may be lost or replaced before it is
+/// read.
+const REPEATS: u8 = 3;
 
 /// A target, in the life in which it was given a context.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,8 +53,8 @@
     last: HashMap<u64, Vec<Holder>>,
     /// By hash of context and target.
     given: HashMap<u64, (Incarnation, Time)>,
-    /// Placements away from the home, and how often they are still to be told.
-    news: VecDeque<(u64, TargetName, u8)>,
+    /// Placements away from the home, and in how many reports they are still to be announced.
+    announcements: VecDeque<(u64, TargetName, u8)>,
 }
 
 impl Holders {
@@ -69,7 +70,7 @@
         let (&context, beginnings) = contexts.split_last()?;
         let chosen = targets.get(chosen)?;
         if !self.has(context, chosen, now) && !is_home(context, chosen, targets) {
-            self.tell(context, &chosen.record.name);
+            self.announce(context, &chosen.record.name);
         }
         let mut place = self.place(context, chosen, targets, now);
         if place == Place::Unknown {
@@ -89,7 +90,7 @@
         }
     }
 
-    /// Takes another router's word that a target was given a context.
+    /// Records a placement that another router has announced.
     pub(crate) fn learn(&mut self, context: u64, target: &TargetName, targets: &Roster, now: Time) {
         if let Some(target) = targets.get(target) {
             self.place(context, target, targets, now);
@@ -150,22 +151,24 @@
         }
     }
 
-    /// Tells other routers with the next reports that the target was given the context.
-    fn tell(&mut self, context: u64, target: &TargetName) {
-        if self.news.len() >= MAX_NEWS {
-            self.news.pop_front();
+    /// Announces to other routers, with the next reports, that the target was given the context.
+    fn announce(&mut self, context: u64, target: &TargetName) {
+        if self.announcements.len() >= MAX_ANNOUNCEMENTS {
+            self.announcements.pop_front();
         }
-        self.news.push_back((context, target.clone(), TELLINGS));
+        self.announcements
+            .push_back((context, target.clone(), REPEATS));
     }
 
     /// The placements of the next report.
     pub(crate) fn report(&mut self) -> Vec<(u64, TargetName)> {
-        let count = self.news.len().min(MAX_PLACED);
-        let told: Vec<_> = self.news.drain(..count).collect();
-        let again = told.iter().filter(|(_, _, left)| *left > 1);
+        let count = self.announcements.len().min(MAX_PLACED);
+        let announced: Vec<_> = self.announcements.drain(..count).collect();
+        let again = announced.iter().filter(|(_, _, left)| *left > 1);
         let again = again.map(|(context, target, left)| (*context, target.clone(), left - 1));
-        self.news.extend(again);
-        told.into_iter()
+        self.announcements.extend(again);
+        announced
+            .into_iter()
             .map(|(context, target, _)| (context, target))
             .collect()
     }
--- a/core/src/pace.rs
+++ b/core/src/pace.rs
@@ -37,15 +37,15 @@
 
 /// Arrivals of a stream's parts.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Rhythm {
+pub struct Arrivals {
     first: Option<Time>,
     last: Time,
     parts: u32,
 }
 
-impl Rhythm {
+impl Arrivals {
     /// Records that a part arrived, and returns the time since the one before.
-    pub fn beat(&mut self, now: Time) -> Option<Duration> {
+    pub fn record(&mut self, now: Time) -> Option<Duration> {
         let gap = self.first.map(|_| now.since(self.last));
         self.first.get_or_insert(now);
         self.last = now;
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -41,8 +41,8 @@
 const HOLD: Duration = Duration::from_secs(60);
 /// Requests to a cold target that are remembered.
 const MAX_COLD_SENT: usize = 256;
-/// Pause that callers are told when no target can take a request.
-const COME_BACK: Duration = Duration::from_millis(250);
+/// Pause that refused callers are asked to make when no target can take a request.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// What a request asks for.
 #[derive(Debug, Clone)]
@@ -300,7 +300,7 @@
     pub fn choose(&mut self, want: &Want<'_>, random: f64, now: Time) -> Result<Choice, Refusal> {
         let refusal = |code| Refusal {
             code,
-            after: COME_BACK,
+            after: RETRY_AFTER,
         };
         if self.suspects.standing(want.content, now) == Standing::Held {
             return Err(refusal(Code::Held));
@@ -407,7 +407,7 @@
         }
     }
 
-    /// What the other routers are told of the requests of this one.
+    /// The report of this router's requests for the others.
     pub fn report(&mut self) -> OpenReport {
         self.number += 1;
         let mut report = OpenReport {
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -8,7 +8,7 @@
     desired::Form,
     events::Events,
     name::TargetName,
-    pace::{Rhythm, Timing},
+    pace::{Arrivals, Timing},
     passage::{Failure, Meaning, Next, Passage},
     steer::{Choice, End, Refusal},
     time::Time,
@@ -35,14 +35,14 @@
 
 /// Part of the objective, in percent, after which a request that may run again is sent to
 /// another target while the first one is silent.
-const PATIENCE_PERCENT: u32 = 60;
+const RETRY_PERCENT: u32 = 60;
 /// Time without an event after which a stream is resumed at another target.
 const EVENT_GAP: Duration = Duration::from_millis(1_200);
 /// Time for which an answer is waited for beyond the time that a target was given, so that the
-/// target's own last word still arrives.
-const LAST_WORD: Duration = Duration::from_millis(60);
+/// target's own final answer still arrives.
+const ANSWER_GRACE: Duration = Duration::from_millis(60);
 /// Pause after which a caller may come back when a request was refused.
-const COME_BACK: Duration = Duration::from_millis(100);
+const RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// An answer for the caller.
 #[derive(Debug)]
@@ -153,7 +153,7 @@
     async fn open(&mut self, last_event: Option<&str>) -> Result<Sent, Refusal> {
         loop {
             if BootClock.now() >= self.passage.expires() {
-                return Err(self.refusal(Code::DeadlinePassed, COME_BACK));
+                return Err(self.refusal(Code::DeadlinePassed, RETRY_AFTER));
             }
             let asked = BootClock.now();
             let (ticket, line) = match self.steering.choose(self.order()).await {
@@ -185,9 +185,9 @@
                         Next::PassOn => failure.code(),
                         Next::GiveUp(code) => code,
                     };
-                    // The target's own word is truer than a code of the router.
+                    // The target's own answer says more than a code of the router.
                     let own = own.map(Sent::Failure);
-                    return own.ok_or_else(|| self.refusal(code, COME_BACK));
+                    return own.ok_or_else(|| self.refusal(code, RETRY_AFTER));
                 }
             }
         }
@@ -269,14 +269,14 @@
             Meaning::WrongTarget => Failure::WrongTarget,
             Meaning::Foreign => return Err(fail(open.ticket, Failure::Broken)),
         };
-        // Only a sealed failure is the target's own word to this caller.
+        // Only a sealed failure is the target's own answer to this caller.
         let own = decoded.sealed && failure == Failure::Failed;
         Err((failure, self.failure_body(open, failure, own).await))
     }
 
     /// Reads a failure's body, so that the connection can be used again.
     async fn failure_body(&self, open: Open, failure: Failure, own: bool) -> Option<Whole> {
-        let left = self.passage.expires().since(BootClock.now()) + LAST_WORD;
+        let left = self.passage.expires().since(BootClock.now()) + ANSWER_GRACE;
         let choice = open.ticket.choice.clone();
         let body = timeout(left, open.body.collect()).await;
         let Ok(Ok(body)) = body else {
@@ -317,13 +317,13 @@
     /// How long the head of an answer is waited for.
     fn limit(&self, left: Duration) -> Duration {
         if !self.passage.has_spare() {
-            return left + LAST_WORD;
+            return left + ANSWER_GRACE;
         }
-        let patience = match self.job.route.form {
-            Form::Whole => self.job.route.objective * PATIENCE_PERCENT / 100,
+        let wait = match self.job.route.form {
+            Form::Whole => self.job.route.objective * RETRY_PERCENT / 100,
             Form::Events { .. } => EVENT_GAP,
         };
-        patience.min(left + LAST_WORD)
+        wait.min(left + ANSWER_GRACE)
     }
 
     /// Reads a whole answer; `None` when it broke and the request goes to another target.
@@ -353,8 +353,8 @@
                 self.again = repeat;
                 Ok(None)
             }
-            Next::GiveUp(code) => Err(self.refusal(code, COME_BACK)),
-            Next::PassOn => Err(self.refusal(failure.code(), COME_BACK)),
+            Next::GiveUp(code) => Err(self.refusal(code, RETRY_AFTER)),
+            Next::PassOn => Err(self.refusal(failure.code(), RETRY_AFTER)),
         }
     }
 
@@ -368,7 +368,7 @@
             carrier: self,
             open: Some(open),
             events: Events::default(),
-            rhythm: Rhythm::default(),
+            arrivals: Arrivals::default(),
         };
         let body = futures_util::stream::unfold(relay, Relay::next);
         Given {
@@ -386,7 +386,7 @@
     carrier: Carrier,
     open: Option<Open>,
     events: Events,
-    rhythm: Rhythm,
+    arrivals: Arrivals,
 }
 
 type Part = io::Result<Frame<Bytes>>;
@@ -396,14 +396,14 @@
         loop {
             let open = self.open.as_mut()?;
             let resumable = self.carrier.passage.has_spare();
-            let left = self.carrier.passage.expires().since(BootClock.now()) + LAST_WORD;
+            let left = self.carrier.passage.expires().since(BootClock.now()) + ANSWER_GRACE;
             let limit = if resumable { left.min(EVENT_GAP) } else { left };
             let failure = match timeout(limit, open.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    if let Some(gap) = self.rhythm.beat(BootClock.now()) {
+                    if let Some(gap) = self.arrivals.record(BootClock.now()) {
                         self.carrier.metrics.entry.gap(gap);
                     }
                     match self.events.push(&data) {
@@ -414,7 +414,7 @@
                 Ok(None) => {
                     let mut open = self.open.take()?;
                     let line = rested(open.line, &open.headers);
-                    if let Some(between) = self.rhythm.between() {
+                    if let Some(between) = self.arrivals.between() {
                         open.ticket.timed(Timing::Events(between));
                     }
                     open.ticket.finish(End::Served, Some(line));
@@ -446,7 +446,7 @@
             return false;
         };
         self.carrier.again = repeat;
-        self.rhythm = Rhythm::default();
+        self.arrivals = Arrivals::default();
         let last = self.events.last_id().map(str::to_owned);
         match self.carrier.open(last.as_deref()).await {
             Ok(Sent::Answer(open)) => {
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -28,7 +28,7 @@
     metrics::Metrics,
     mirror::Mirror,
     neighbours::{Access, Mirrors, Neighbours, Read},
-    steering::{News, Steering},
+    steering::{Steering, Update},
     store::{Store, StoreError},
 };
 
@@ -342,13 +342,13 @@
             .map(|(name, service)| (name.clone(), service.cold_rate))
             .collect();
         self.desired.send_replace(Some(Arc::new(state)));
-        self.steering.tell(vec![News::ColdRates(rates)]).await;
+        self.steering.update(vec![Update::ColdRates(rates)]).await;
     }
 
     async fn publish(&self) {
-        let evacuated = News::Evacuated(self.evacuated.clone());
-        let moves = News::Moves(self.moves.values().cloned().collect());
-        self.steering.tell(vec![evacuated, moves]).await;
+        let evacuated = Update::Evacuated(self.evacuated.clone());
+        let moves = Update::Moves(self.moves.values().cloned().collect());
+        self.steering.update(vec![evacuated, moves]).await;
     }
 }
 
@@ -377,7 +377,7 @@
 
     async fn failed(&mut self, error: &StoreError) {
         self.link.failed(error, BootClock.now());
-        self.steering.tell(vec![News::StoreLost]).await;
+        self.steering.update(vec![Update::StoreLost]).await;
         Link::pause(PAUSE).await;
     }
 
@@ -435,10 +435,10 @@
         });
         let live = records.iter().filter(|record| record.value.is_some());
         let listed = live.filter_map(|record| TargetName::new(&record.key).ok());
-        let listed = News::Listed(listed.collect());
-        let mut news = changes(records);
-        news.push(listed);
-        self.steering.tell(news).await;
+        let listed = Update::Listed(listed.collect());
+        let mut updates = changes(records);
+        updates.push(listed);
+        self.steering.update(updates).await;
     }
 
     /// Takes records that follow those known.
@@ -451,15 +451,15 @@
         });
         let gone = records.iter().filter(|record| record.value.is_none());
         self.link.metrics.entry.belief("target_gone", gone.count());
-        self.steering.tell(changes(records)).await;
+        self.steering.update(changes(records)).await;
     }
 }
 
 /// What the records say; those that cannot be read name no target and change nothing.
-fn changes(records: Vec<Keyed>) -> Vec<News> {
+fn changes(records: Vec<Keyed>) -> Vec<Update> {
     let change = |record: Keyed| match record.value {
-        None => TargetName::new(&record.key).ok().map(News::Remove),
-        Some(value) => target::decode(&record.key, &value).map(News::Put),
+        None => TargetName::new(&record.key).ok().map(Update::Remove),
+        Some(value) => target::decode(&record.key, &value).map(Update::Put),
     };
     records.into_iter().filter_map(change).collect()
 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -33,7 +33,7 @@
 
 /// Time after which callers come back while a router has no fresh knowledge; another router is
 /// likely to answer then.
-const COME_BACK: Duration = Duration::from_millis(100);
+const RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time that a caller is taken to wait where it does not say.
 const DEFAULT_LEFT: Duration = Duration::from_secs(30);
 /// Largest body before the desired state names a limit, in bytes.
@@ -115,7 +115,7 @@
                 &id,
                 Refusal {
                     code,
-                    after: COME_BACK,
+                    after: RETRY_AFTER,
                 },
             ),
         };
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -32,7 +32,7 @@
     link::Identity,
     metrics::Metrics,
     neighbours::{self, Access, Mirrors},
-    steering::{News, Report, Steering, Suspicion},
+    steering::{Report, Steering, Suspicion, Update},
     store::{Store, StoreError},
     view,
 };
@@ -106,7 +106,7 @@
         let mut ticks = interval(INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut routers = 0;
-        let mut told = HashMap::new();
+        let mut reported = HashMap::new();
         loop {
             ticks.tick().await;
             let report = self.steering.report().await;
@@ -120,7 +120,7 @@
                     },
                 })
                 .await;
-            for item in self.evidence(&report, incarnation, &mut told) {
+            for item in self.evidence(&report, incarnation, &mut reported) {
                 gossip.put(item).await;
             }
             for item in verdicts(&report) {
@@ -142,19 +142,19 @@
                 let count = i64::try_from(known).unwrap_or(i64::MAX);
                 self.metrics.entry.routers.set(count);
             }
-            let mut news = news(&gossip.items().await, &self.name);
+            let mut updates = updates(&gossip.items().await, &self.name);
             let narrow = |count| u32::try_from(count).unwrap_or(u32::MAX);
-            news.push(News::Routers(narrow(known), narrow(before)));
-            self.steering.tell(news).await;
+            updates.push(Update::Routers(narrow(known), narrow(before)));
+            self.steering.update(updates).await;
         }
     }
 
-    /// What has been counted of version moves since it was last told.
+    /// What has been counted of version moves since it was last reported.
     fn evidence(
         &self,
         report: &Report,
         incarnation: Incarnation,
-        told: &mut HashMap<ItemKey, Counts>,
+        reported: &mut HashMap<ItemKey, Counts>,
     ) -> Vec<Item> {
         let stamp = clock::unix_time().as_secs();
         let items = report.evidence.iter().filter_map(|evidence| {
@@ -166,13 +166,13 @@
                 route: evidence.route.clone(),
             };
             let counts = evidence.counts;
-            let before = told.insert(key.clone(), counts);
+            let before = reported.insert(key.clone(), counts);
             let value = Value::Evidence { counts, stamp };
             (before != Some(counts)).then_some(Item { key, value })
         });
         let items = items.collect();
         if report.evidence.is_empty() {
-            told.clear();
+            reported.clear();
         }
         items
     }
@@ -265,11 +265,11 @@
         })
 }
 
-fn news(items: &ebonyfall_core::dissemination::Store, own: &ProcessName) -> Vec<News> {
+fn updates(items: &ebonyfall_core::dissemination::Store, own: &ProcessName) -> Vec<Update> {
     let unix = clock::unix_time();
-    let news = items.iter().filter_map(|(key, value)| match (key, value) {
+    let updates = items.iter().filter_map(|(key, value)| match (key, value) {
         (ItemKey::RouterLoad(router), Value::Open { report, .. }) => {
-            Some(News::Open(router.clone(), report.clone()))
+            Some(Update::Open(router.clone(), report.clone()))
         }
         (ItemKey::Crash(content, target), Value::Crash { stamp, team }) => {
             let suspicion = Suspicion {
@@ -278,7 +278,7 @@
                 team: team.clone(),
             };
             let age = unix.saturating_sub(Duration::from_secs(*stamp));
-            Some(News::Crash(suspicion, age))
+            Some(Update::Crash(suspicion, age))
         }
         (
             ItemKey::Evidence {
@@ -296,12 +296,12 @@
                 arm: *arm,
                 counts: *counts,
             };
-            Some(News::Evidence(agent.clone(), evidence))
+            Some(Update::Evidence(agent.clone(), evidence))
         }
         (ItemKey::Verdict(step, _), Value::Verdict(verdict)) => {
-            Some(News::MoveJudged(step.clone(), *verdict))
+            Some(Update::MoveJudged(step.clone(), *verdict))
         }
         _ => None,
     });
-    news.collect()
+    updates.collect()
 }
--- a/src/report.rs
+++ b/src/report.rs
@@ -20,7 +20,7 @@
 use crate::{
     clock::BootClock,
     meters::Meters,
-    steering::{News, Steering},
+    steering::{Steering, Update},
     store::{Store, StoreError},
 };
 
@@ -98,8 +98,8 @@
                         "order" => %order.number, "state" => %known,
                         "written" => state.due == Some(known));
                 }
-                let news = News::MoveReported(order, known);
-                self.steering.tell(vec![news]).await;
+                let update = Update::MoveReported(order, known);
+                self.steering.update(vec![update]).await;
             }
             // Another router has written meanwhile; the next look reads that.
             Ok(None) => {}
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -68,7 +68,7 @@
 
 /// A change of what is known of targets, operators' orders or the store.
 #[derive(Debug)]
-pub enum News {
+pub enum Update {
     /// A target's record.
     Put(TargetRecord),
     /// A target's entry is gone.
@@ -108,7 +108,7 @@
     pub team: TeamName,
 }
 
-/// What other routers are told.
+/// What is reported to other routers.
 #[derive(Debug, Default)]
 pub struct Report {
     /// The requests.
@@ -126,7 +126,7 @@
     Choose(Box<Order>, oneshot::Sender<Result<Grant, Refusal>>),
     Ended(Box<Ended>),
     Named(TargetName, TargetLoad),
-    News(Vec<News>),
+    Update(Vec<Update>),
     Report(oneshot::Sender<Report>),
     Moves(oneshot::Sender<Vec<MoveState>>),
     Inspect(oneshot::Sender<SteerState>),
@@ -256,12 +256,12 @@
         Ok((ticket, line))
     }
 
-    /// Tells the task what has changed.
-    pub async fn tell(&self, news: Vec<News>) {
-        let _ended = self.0.send(Ask::News(news)).await;
+    /// Sends changes to the task.
+    pub async fn update(&self, updates: Vec<Update>) {
+        let _ended = self.0.send(Ask::Update(updates)).await;
     }
 
-    /// What other routers are to be told.
+    /// What is to be reported to other routers.
     pub async fn report(&self) -> Report {
         let (reply, answer) = oneshot::channel();
         let _ended = self.0.send(Ask::Report(reply)).await;
@@ -315,7 +315,7 @@
                 }
                 Ask::Ended(ended) => self.ended(*ended),
                 Ask::Named(target, load) => self.steer.named(&target, load, self.clock.now()),
-                Ask::News(news) => news.into_iter().for_each(|news| self.learn(news)),
+                Ask::Update(updates) => updates.into_iter().for_each(|update| self.learn(update)),
                 Ask::Report(reply) => {
                     let _left = reply.send(self.report());
                 }
@@ -400,10 +400,10 @@
         }
     }
 
-    fn learn(&mut self, news: News) {
+    fn learn(&mut self, update: Update) {
         let now = self.clock.now();
-        match news {
-            News::Put(record) => {
+        match update {
+            Update::Put(record) => {
                 let idle = self.idle.entry(record.name.clone()).or_insert(Idle {
                     life: record.life,
                     lines: Vec::new(),
@@ -414,27 +414,27 @@
                 }
                 self.steer.put(record, now);
             }
-            News::Remove(name) => {
+            Update::Remove(name) => {
                 self.idle.remove(&name);
                 self.steer.remove(&name, now);
             }
-            News::Listed(names) => {
+            Update::Listed(names) => {
                 self.idle.retain(|name, _| names.contains(name));
                 self.steer.retain(&names, now);
             }
-            News::Evacuated(zones) => self.steer.set_evacuated(zones),
-            News::ColdRates(rates) => self.steer.set_cold_rates(rates),
-            News::Routers(routers, before) => {
+            Update::Evacuated(zones) => self.steer.set_evacuated(zones),
+            Update::ColdRates(rates) => self.steer.set_cold_rates(rates),
+            Update::Routers(routers, before) => {
                 self.steer.set_routers(routers);
                 self.steer.set_rank(before);
             }
-            News::Moves(orders) => self.steer.set_moves(orders, now),
-            News::MoveReported(order, progress) => self.steer.move_reported(&order, progress),
-            News::MoveJudged(step, verdict) => self.steer.move_judged(&step, verdict),
-            News::Evidence(router, evidence) => self.steer.learn_evidence(&router, &evidence),
-            News::StoreLost => self.steer.store_lost(now),
-            News::Open(router, report) => self.steer.learn_report(&router, &report, now),
-            News::Crash(suspicion, age) => {
+            Update::Moves(orders) => self.steer.set_moves(orders, now),
+            Update::MoveReported(order, progress) => self.steer.move_reported(&order, progress),
+            Update::MoveJudged(step, verdict) => self.steer.move_judged(&step, verdict),
+            Update::Evidence(router, evidence) => self.steer.learn_evidence(&router, &evidence),
+            Update::StoreLost => self.steer.store_lost(now),
+            Update::Open(router, report) => self.steer.learn_report(&router, &report, now),
+            Update::Crash(suspicion, age) => {
                 let Suspicion {
                     content,
                     target,
