Serve an unmodified chat client: the code of an error is text

Cause: a chat client from the registry (async-openai 0.43) read plain and streamed answers once the stand-in engine sent the usual fields, but no refusal: it expects the error's code as text and got a number. Change: the code is text in an error's body.

--- a/src/web.rs
+++ b/src/web.rs
@@ -25,6 +25,7 @@
     server::graceful::GracefulShutdown,
 };
 use serde::Serialize;
+use serde_with::{DisplayFromStr, serde_as};
 use slog::{Logger, debug, warn};
 use socket2::{SockFilter, SockRef};
 use tokio::{
@@ -255,8 +256,11 @@
     error: ErrorDetail<'a>,
 }
 
+#[serde_as]
 #[derive(Serialize)]
 struct ErrorDetail<'a> {
+    /// As text, since usual chat clients expect one.
+    #[serde_as(as = "DisplayFromStr")]
     code: u16,
     name: &'a str,
     ran: ebonyfall_core::code::Ran,
