Make the usual request of the steering tests in one place

No product code. Checked: the nine tests of the file, clippy of the core with all targets, the formatter.

--- a/core/tests/steer.rs
+++ b/core/tests/steer.rs
@@ -233,6 +233,17 @@
     }
 }
 
+/// What a first try of a request asks for.
+fn want<'a>(service: &'a ServiceName, contexts: &'a [u64], tried: &'a [TargetName]) -> Want<'a> {
+    Want {
+        service,
+        contexts,
+        tried,
+        repeat: false,
+        content: Fingerprint::from(0),
+    }
+}
+
 /// Guards against work for targets that leave, are cold, evacuated, unreachable or faulty, and
 /// against chats that leave their home without need.
 #[test]
@@ -254,15 +265,11 @@
         steer.put(record(&name, "z1", 1, 0, Stage::Ready), now);
     }
     for turn in 0..150 {
-        let want = Want {
-            service: &service,
-            contexts: &[],
-            tried: &[],
-            repeat: false,
-            content: Fingerprint::from(0),
-        };
+        let wanted = want(&service, &[], &[]);
         let random = f64::from(turn) / 150.0;
-        steer.choose(&want, random, now).expect("targets are known");
+        steer
+            .choose(&wanted, random, now)
+            .expect("targets are known");
     }
     let report = steer.report();
     assert!(report.size() <= MAX_PACKET - 200, "{}", report.size());
@@ -282,14 +289,8 @@
         steer.put(record(name, "z1", 1, 0, Stage::Ready), now);
     }
     let choose = |steer: &mut Steer, tried: &[TargetName]| {
-        let want = Want {
-            service: &service,
-            contexts: &[7],
-            tried,
-            repeat: false,
-            content: Fingerprint::from(0),
-        };
-        let choice = steer.choose(&want, 0.5, now).expect("targets are known");
+        let wanted = want(&service, &[7], tried);
+        let choice = steer.choose(&wanted, 0.5, now).expect("targets are known");
         choice.target.name
     };
     let home = choose(&mut steer, &[]);
@@ -313,16 +314,11 @@
         steer.put(record(name, "z1", 1, 0, Stage::Ready), now);
     }
     for context in 0..50_000 {
-        let want = Want {
-            service: &service,
-            contexts: &[context],
-            tried: &[],
-            repeat: false,
-            content: Fingerprint::from(0),
-        };
+        let contexts = [context];
+        let wanted = want(&service, &contexts, &[]);
         // A few milliseconds pass, so that all of them are used within the time of remembering.
         let now = Time::from_millis(1_000 + context / 10);
-        steer.choose(&want, 0.5, now).expect("targets are known");
+        steer.choose(&wanted, 0.5, now).expect("targets are known");
     }
     let contexts = steer.inspect(now).contexts;
     assert!((1_000..=20_000).contains(&contexts), "{contexts}");
@@ -339,14 +335,9 @@
                 let at = format!("z{}", name % 3);
                 steer.put(record(&format!("t{name}"), &at, 1, 0, Stage::Ready), now);
             }
-            let want = Want {
-                service: &service,
-                contexts: &[context],
-                tried: &[],
-                repeat: false,
-                content: Fingerprint::from(0),
-            };
-            steer.choose(&want, 0.5, now).map(|choice| choice.target.name).ok()
+            let contexts = [context];
+            let wanted = want(&service, &contexts, &[]);
+            steer.choose(&wanted, 0.5, now).map(|choice| choice.target.name).ok()
         };
         let mut turned = names.clone();
         turned.reverse();
@@ -379,14 +370,8 @@
                 put(&mut steer, now);
             }
         }
-        let want = Want {
-            service: &service,
-            contexts: &[],
-            tried: &[],
-            repeat: false,
-            content: Fingerprint::from(0),
-        };
-        let choice = steer.choose(&want, 0.5, now).expect("the target is ready");
+        let wanted = want(&service, &[], &[]);
+        let choice = steer.choose(&wanted, 0.5, now).expect("the target is ready");
         let life = Duration::from_secs(2);
         let fresh = reports.values().filter(|(at, _)| now.since(*at) < life);
         let sum: u32 = fresh.map(|(_, count)| count).sum();
