Count a given-up request until its engine has noticed

Cause: the agent freed the slot of a cancelled or timed-out request at once, while the engine still worked on it. When many callers left together, the next requests overloaded a cold engine, which crashed. Ruled out: the engine's own report, which lags and may be from before the requests that left; a count of its running requests cannot tell which have gone. Change: `End::Abandoned` keeps the slot for 500 ms, or until the engine crashes; load that routers see includes it. A cold engine of two slots serves less when callers cancel often, which is the price.

--- a/core/src/admit.rs
+++ b/core/src/admit.rs
@@ -31,6 +31,11 @@
 /// Bounds of the time after which a refused caller is told to come back.
 const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(30)];
 
+/// Time for which a request that was given up still counts at the engine, which notices a closed
+/// connection only between two steps of its batch. Without it, the next requests overloaded a cold
+/// engine when many callers left together.
+const LEAVE_TIME: Duration = Duration::from_millis(500);
+
 /// Limits of one target.
 #[derive(Debug, Clone, Copy)]
 pub struct Capacity {
@@ -86,8 +91,10 @@
 pub enum End {
     /// The answer of this many bytes is whole.
     Whole(usize),
-    /// The engine refused or failed the request, or its caller went away.
+    /// The engine refused or failed the request.
     Failed,
+    /// The request was given up while the engine worked on it.
+    Abandoned,
     /// The engine crashed while the request ran.
     Crashed,
     /// The engine could not be reached, so that the request did not run.
@@ -143,6 +150,8 @@
     classes: [FairQueue<Waiter>; 3],
     suspects: VecDeque<Waiter>,
     running: HashMap<Ticket, Running>,
+    /// When each request that was given up has left the engine, earliest first.
+    leaving: VecDeque<Time>,
     suspect_running: Option<Ticket>,
     /// Starts that are owed to overnight requests.
     owed: f64,
@@ -168,6 +177,7 @@
             classes: Default::default(),
             suspects: VecDeque::new(),
             running: HashMap::new(),
+            leaving: VecDeque::new(),
             suspect_running: None,
             owed: 0.0,
             service: Default::default(),
@@ -225,11 +235,13 @@
     /// and at the time given by `wake`.
     pub fn next(&mut self, now: Time) -> Option<Step> {
         self.expire(now);
+        let left = self.leaving.partition_point(|until| *until <= now);
+        self.leaving.drain(..left);
         loop {
             if let Some((ticket, refusal)) = self.refused.pop_front() {
                 return Some(Step::Refuse(ticket, refusal));
             }
-            if self.running() >= self.ramp.limit() {
+            if self.occupied() >= self.ramp.limit() {
                 return None;
             }
             let waiter = self.pick()?;
@@ -248,7 +260,8 @@
 
     /// When `next` has to be called again if nothing else happens.
     pub fn wake(&self) -> Option<Time> {
-        self.earliest
+        let left = self.leaving.front().copied();
+        self.earliest.into_iter().chain(left).min()
     }
 
     /// Withdraws a waiting request whose caller went away; false when it is not waiting.
@@ -285,8 +298,11 @@
                 let pace = took / (FIXED_BYTES + factor(bytes));
                 self.ramp.completed(pace, running.epoch);
             }
+            End::Abandoned if running.life == self.life => {
+                self.leaving.push_back(now + LEAVE_TIME);
+            }
             End::Unreachable => self.ramp.unreachable(),
-            End::Failed | End::Crashed => {}
+            End::Abandoned | End::Failed | End::Crashed => {}
         }
         victims
     }
@@ -310,6 +326,7 @@
     fn crashed(&mut self) -> Vec<(Fingerprint, TeamName)> {
         let life = self.life;
         self.life += 1;
+        self.leaving.clear();
         self.ramp.lost();
         let running = self.running.values();
         running
@@ -334,6 +351,12 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
+    /// Requests that the engine may be working on now, those given up lately included.
+    pub fn occupied(&self) -> u32 {
+        let leaving = u32::try_from(self.leaving.len()).unwrap_or(u32::MAX);
+        self.running().saturating_add(leaving)
+    }
+
     /// Requests waiting now.
     pub fn waiting(&self) -> u32 {
         let classes: usize = self.classes.iter().map(FairQueue::len).sum();
@@ -373,7 +396,7 @@
             let before = self.suspects.len() + usize::from(self.suspect_running.is_some());
             return factor(before) * mean;
         }
-        if self.waiting() == 0 && self.running() < self.ramp.limit() {
+        if self.waiting() == 0 && self.occupied() < self.ramp.limit() {
             return 0.0;
         }
         let class = offer.priority as usize;
--- a/core/tests/admit.rs
+++ b/core/tests/admit.rs
@@ -180,6 +180,7 @@
         for word in case.input.split_whitespace() {
             let end = match arg(case, "end") {
                 Some("failed") => End::Failed,
+                Some("abandoned") => End::Abandoned,
                 Some("crashed") => End::Crashed,
                 Some("unreachable") => End::Unreachable,
                 _ => End::Whole(0),
--- a/core/tests/schedule.rs
+++ b/core/tests/schedule.rs
@@ -25,6 +25,8 @@
 const WARM_AFTER: u32 = 8;
 /// Requests under way at once.
 const OPEN: usize = 24;
+/// Longest time in which an engine notices that a request was given up, in milliseconds.
+const MAX_LEAVE_MS: u64 = 400;
 
 /// A deliberate fault that a checker must find.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +67,8 @@
 struct Agent {
     admission: Admission,
     works: HashMap<AttemptId, Work>,
+    /// When the engine notices that each request was given up.
+    leaving: Vec<Time>,
     paused: bool,
     finished: u32,
 }
@@ -112,6 +116,7 @@
             queue: 6,
         }),
         works: HashMap::new(),
+        leaving: Vec::new(),
         paused: false,
         finished: 0,
     }
@@ -367,7 +372,11 @@
                 if let Some(work) = agent.works.remove(&attempt)
                     && !agent.admission.cancel(work.ticket)
                 {
-                    agent.admission.finish(work.ticket, End::Failed, self.now);
+                    agent
+                        .admission
+                        .finish(work.ticket, End::Abandoned, self.now);
+                    let noticed = Duration::from_millis(self.rng.random_range(0..=MAX_LEAVE_MS));
+                    agent.leaving.push(self.now + noticed);
                 }
             }
         }
@@ -420,8 +429,10 @@
                 }
             }
         }
-        let agent = &self.agents[target];
+        let agent = &mut self.agents[target];
+        agent.leaving.retain(|until| *until > now);
         let running = agent.works.values().filter(|work| work.running).count();
+        let running = running + agent.leaving.len();
         let bound = if agent.finished < WARM_AFTER {
             COLD
         } else {
@@ -482,6 +493,7 @@
         let now = self.now;
         let agent = &mut self.agents[target];
         agent.finished = 0;
+        agent.leaving.clear();
         agent.admission.unreachable();
         let mut running: Vec<_> = agent
             .works
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -418,6 +418,7 @@
             Ok(length) => End::Whole(usize::try_from(length).unwrap_or(usize::MAX)),
             Err(Code::EngineCrashed) => End::Crashed,
             Err(Code::EngineUnreachable) => End::Unreachable,
+            Err(Code::EngineTimeout) => End::Abandoned,
             Err(_) => End::Failed,
         };
         let (load, suspect) = self.gate.finish(attempt, end).await;
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -264,7 +264,7 @@
                 if let Some(known) = self.attempts.remove(&attempt) {
                     self.tickets.remove(&known.ticket);
                     if !self.admission.cancel(known.ticket) {
-                        self.admission.finish(known.ticket, End::Failed, now);
+                        self.admission.finish(known.ticket, End::Abandoned, now);
                     }
                 }
             }
@@ -372,7 +372,7 @@
 
     fn load(&self) -> Load {
         Load {
-            running: self.admission.running(),
+            running: self.admission.occupied(),
             waiting: self.admission.waiting(),
             limit: self.admission.limit(),
         }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -24,9 +24,6 @@
 /// Tokens of an answer under load; at 5 ms each an answer takes longer than a restart's signal.
 const TOKENS: u32 = 30;
 
-/// Callers that leave together.
-const LEAVING: u64 = 48;
-
 fn slow_engine() -> EngineConfig {
     EngineConfig {
         token_us: 5_000,
@@ -310,8 +307,31 @@
         ..slow_engine()
     };
     let env = TestEnv::start(plan_with(3, engine)).await;
+    leave_together(&env, 48).await;
+    for (address, _) in &env.deployment.engines {
+        assert_eq!(status(*address).await.running, 0);
+    }
+}
+
+/// Guards against the next requests that start before the engine has noticed that others left,
+/// which crashes a cold engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_leave_together_overload_no_cold_engine() {
+    let env = TestEnv::start(plan_with(3, slow_engine())).await;
+    leave_together(&env, 100).await;
+    for (address, _) in &env.deployment.engines {
+        let EngineStatus {
+            incarnation, most, ..
+        } = status(*address).await;
+        assert_eq!(incarnation, 0, "the engine has not crashed");
+        assert!(most <= slow_engine().cold_slots, "{most} requests at once");
+    }
+}
+
+/// Lets `count` callers ask for long answers and go away at the same time.
+async fn leave_together(env: &TestEnv, count: u64) {
     let mut callers = JoinSet::new();
-    for chat in 0..LEAVING {
+    for chat in 0..count {
         let caller = env.caller(0);
         callers.spawn(async move {
             let messages = messages(chat, 0, 0);
@@ -322,7 +342,4 @@
     let left = callers.join_all().await;
     assert!(left.iter().all(|left| *left), "no answer ended before");
     sleep(Duration::from_millis(500)).await;
-    for (address, _) in &env.deployment.engines {
-        assert_eq!(status(*address).await.running, 0);
-    }
 }
