Break the import circles between modules

Cause: admit and ramp, rollout, sequential and tally, doc and read, exchange and member, steer and moves, and carry and intake imported each other, so that none could be read alone. No decision changes.

--- a/bench/src/admit.rs
+++ b/bench/src/admit.rs
@@ -10,10 +10,11 @@
 
 use argh::FromArgs;
 use ebonyfall_core::{
-    admit::{Admission, Capacity, End, Offer, Step, Ticket},
+    admit::{Admission, End, Offer, Step, Ticket},
     doc::Priority,
     id::Fingerprint,
     name::TeamName,
+    ramp::Capacity,
     retry::{Budget, MAX_ATTEMPTS},
     time::Time,
 };
--- a/bench/src/moves.rs
+++ b/bench/src/moves.rs
@@ -7,8 +7,8 @@
 use ebonyfall_core::{
     doc::{Intent, Move, Priority},
     name::{ModelName, VersionName},
-    rollout::{Comparison, Facts, Lane, Trial, share},
-    tally::{History, Sample},
+    rollout::{Comparison, Facts, Trial, share},
+    tally::{History, Lane, Sample},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::Serialize;
--- a/core/src/admit.rs
+++ b/core/src/admit.rs
@@ -13,7 +13,7 @@
     fair::{FairQueue, factor},
     id::{Fingerprint, Incarnation},
     name::TeamName,
-    ramp::Ramp,
+    ramp::{Capacity, Ramp},
     time::Time,
 };
 
@@ -36,17 +36,6 @@
 /// engine when many callers left together.
 const LEAVE_TIME: Duration = Duration::from_millis(500);
 
-/// Limits of one target.
-#[derive(Debug, Clone, Copy)]
-pub struct Capacity {
-    /// Requests borne at once when warm.
-    pub slots: u32,
-    /// Requests borne at once in cold start.
-    pub cold_slots: u32,
-    /// Requests that may wait.
-    pub queue: u32,
-}
-
 /// Names a request from its offer to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 pub struct Ticket(pub u64);
--- a/core/src/doc.rs
+++ b/core/src/doc.rs
@@ -5,13 +5,9 @@
 use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    ini::{self, Fault},
-    name::{
-        EnvironmentName, ModelName, MoveName, RegionName, RouteName, ServiceName, TargetName,
-        TeamName, VersionName, VmName, ZoneName,
-    },
-    read::Reader,
+use crate::name::{
+    EnvironmentName, ModelName, MoveName, RegionName, RouteName, ServiceName, TargetName, TeamName,
+    VersionName, VmName, ZoneName,
 };
 
 /// How urgent a request is.
@@ -259,25 +255,6 @@
 }
 
 impl Document {
-    /// Parses and checks `text`; `file` is named in faults.
-    ///
-    /// # Errors
-    ///
-    /// Returns every fault found, with its line.
-    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
-        let sections = ini::sections(file, text)?;
-        let mut reader = Reader::new(file);
-        let document = reader.document(&sections, text);
-        reader.check_references(&sections, &document);
-        reader.check_duplicates(&sections, &document);
-        let faults = reader.finish();
-        if faults.is_empty() {
-            Ok(document)
-        } else {
-            Err(faults)
-        }
-    }
-
     /// The version moves of `model`.
     pub fn moves_of(&self, model: &ModelName) -> impl Iterator<Item = (&MoveName, &Move)> {
         self.moves
--- a/core/src/exchange.rs
+++ b/core/src/exchange.rs
@@ -13,6 +13,7 @@
     peer::{Liveness, Record, State},
     piggyback::{Class, Subject},
     probe::Goal,
+    rounds::{HELPERS, Peers, URGENT_PEERS},
     time::Time,
 };
 
@@ -20,17 +21,11 @@
 const ROUND: Duration = Duration::from_secs(1);
 /// Peers of a round.
 const PEERS: usize = 3;
-/// Peers that get urgent changes at once. With four each, one pass reaches 98 in 100 processes.
-const URGENT_PEERS: u8 = 4;
 /// Datagrams of urgent changes that may follow each other without a pause.
 const URGENT_BURST: f64 = 8.0;
 /// Datagrams of urgent changes for each second beyond the burst, so that a flood of changes stays
 /// within the 15 KB/s of a daemon.
 const URGENT_RATE: f64 = 2.0;
-/// Processes that are asked to probe another one, besides a second direct probe. With 5 % of the
-/// datagrams lost, two helpers and no second probe led to thousands of false suspicions among 1,000
-/// processes within minutes.
-const HELPERS: usize = 3;
 /// Bytes of a packet for changes; the rest is for the walk through the tables.
 const CHANGES: usize = 900;
 /// Bytes of an answer, which carries changes back.
@@ -46,51 +41,6 @@
 /// A packet and where to send it.
 pub type Outgoing = (SocketAddr, Packet);
 
-/// State of the rounds.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Clockwork {
-    next_round: Time,
-    last_tick: Option<(Time, u64)>,
-    heard: Option<Time>,
-    stale_since: Option<Time>,
-    tokens: f64,
-    soon: Vec<ProcessName>,
-    peers: Option<Peers>,
-    walk_members: usize,
-    walk_items: Option<ItemKey>,
-}
-
-/// Indexes of the entries that can be peers.
-#[derive(Debug, Clone, Default)]
-struct Peers {
-    zone: Vec<usize>,
-    region: Vec<usize>,
-    far: Vec<usize>,
-    silent: Vec<usize>,
-    relay: bool,
-}
-
-impl Clockwork {
-    pub(crate) fn peers_changed(&mut self) {
-        self.peers = None;
-    }
-
-    pub(crate) fn probe_soon(&mut self, name: &ProcessName) {
-        if self.soon.len() < HELPERS && !self.soon.contains(name) {
-            self.soon.push(name.clone());
-        }
-    }
-
-    /// Allows one transmission of urgent changes whatever was sent before.
-    pub(crate) fn allow_urgent(&mut self) {
-        self.tokens = self.tokens.max(f64::from(URGENT_PEERS));
-    }
-
-    pub(crate) fn is_fresh(&self) -> bool {
-        self.stale_since.is_none()
-    }
-}
-
 impl Members {
     /// Does what is due: rounds, probes, urgent changes. Call it every 100 to 200 ms; `unix` is in
     /// seconds since the Unix epoch, `random` gives uniform random numbers.
@@ -101,29 +51,29 @@
         random: &mut impl FnMut() -> u64,
     ) -> Vec<Outgoing> {
         let mut out = Vec::new();
-        if let Some((then, then_unix)) = self.exchange.last_tick {
+        if let Some((then, then_unix)) = self.rounds.last_tick {
             let gap = now.since(then);
             // The monotonic clock of a VM may stand still while it is paused.
             let wall = Duration::from_secs(unix.saturating_sub(then_unix));
             if gap > LEASE || wall > LEASE {
-                self.exchange.stale_since = Some(now);
+                self.rounds.stale_since = Some(now);
                 self.resume();
             }
             let earned = gap.as_secs_f64() * URGENT_RATE;
-            self.exchange.tokens = (self.exchange.tokens + earned).min(URGENT_BURST);
+            self.rounds.tokens = (self.rounds.tokens + earned).min(URGENT_BURST);
         } else {
-            self.exchange.tokens = URGENT_BURST;
-            self.exchange.stale_since = Some(now);
+            self.rounds.tokens = URGENT_BURST;
+            self.rounds.stale_since = Some(now);
         }
-        self.exchange.last_tick = Some((now, unix));
+        self.rounds.last_tick = Some((now, unix));
         self.follow_probes(now, random, &mut out);
-        for name in std::mem::take(&mut self.exchange.soon) {
+        for name in std::mem::take(&mut self.rounds.soon) {
             self.probe(&name, now, &mut out);
         }
-        if now >= self.exchange.next_round {
+        if now >= self.rounds.next_round {
             let jitter = 900 + random() % 201;
             let millis = u64::try_from(ROUND.as_millis()).unwrap_or(1_000) * jitter / 1_000;
-            self.exchange.next_round = now + Duration::from_millis(millis);
+            self.rounds.next_round = now + Duration::from_millis(millis);
             self.age(now, unix);
             self.sum_load(unix);
             self.round(now, random, &mut out);
@@ -144,10 +94,10 @@
         if packet.from.name == self.own.name {
             return out;
         }
-        self.exchange.heard = Some(now);
+        self.rounds.heard = Some(now);
         // After a pause, one whole answer is newer than all that is remembered.
         if matches!(packet.kind, Kind::Ack(_) | Kind::Push(_)) {
-            self.exchange.stale_since = None;
+            self.rounds.stale_since = None;
         }
         self.hear(&packet.from, now);
         for record in &packet.records {
@@ -200,14 +150,14 @@
 
     /// Sends urgent changes if the budget allows.
     pub fn flush(&mut self, random: &mut impl FnMut() -> u64, out: &mut Vec<Outgoing>) {
-        if !self.hot.has_urgent() || self.exchange.tokens < 1.0 {
+        if !self.hot.has_urgent() || self.rounds.tokens < 1.0 {
             return;
         }
         for peer in self.choose(usize::from(URGENT_PEERS), random) {
-            if self.exchange.tokens < 1.0 {
+            if self.rounds.tokens < 1.0 {
                 return;
             }
-            self.exchange.tokens -= 1.0;
+            self.rounds.tokens -= 1.0;
             let peer = self.entries[peer].record.clone();
             let packet = self.compose(Kind::Urgent, Some(&peer), CHANGES, 0);
             out.push((peer.address, packet));
@@ -221,12 +171,12 @@
         random: &mut impl FnMut() -> u64,
         out: &mut Vec<Outgoing>,
     ) {
-        let heard = self.exchange.heard;
+        let heard = self.rounds.heard;
         let isolated = heard.is_none_or(|heard| now.since(heard) > ISOLATION);
         for (number, goal, first) in self.probes.overdue(now) {
             match goal {
                 Goal::Relay(..) => {}
-                Goal::Direct(_) | Goal::Indirect(_) if !self.exchange.is_fresh() => {}
+                Goal::Direct(_) | Goal::Indirect(_) if !self.rounds.is_fresh() => {}
                 Goal::Direct(name) => {
                     let Some(&at) = self.index.get(&name) else {
                         continue;
@@ -272,7 +222,7 @@
     fn round(&mut self, now: Time, random: &mut impl FnMut() -> u64, out: &mut Vec<Outgoing>) {
         let mut peers = self.choose(PEERS, random);
         let retry = random().is_multiple_of(RETRY_ROUNDS);
-        let silent = &self.exchange.peers.as_ref().map_or(&[][..], |p| &p.silent);
+        let silent = &self.rounds.peers.as_ref().map_or(&[][..], |p| &p.silent);
         if (retry || peers.is_empty()) && !silent.is_empty() {
             peers.push(silent[pick(random, silent.len())]);
         }
@@ -295,10 +245,10 @@
     /// Chooses `count` peers: one in another region where there is one, the others in the own zone
     /// or, for one of them, in another zone of the region.
     fn choose(&mut self, count: usize, random: &mut impl FnMut() -> u64) -> Vec<usize> {
-        if self.exchange.peers.is_none() {
-            self.exchange.peers = Some(self.sort_peers());
+        if self.rounds.peers.is_none() {
+            self.rounds.peers = Some(self.sort_peers());
         }
-        let Some(peers) = &self.exchange.peers else {
+        let Some(peers) = &self.rounds.peers else {
             return Vec::new();
         };
         let far = match self.links {
@@ -423,14 +373,14 @@
     fn walk(&mut self, packet: &mut Packet, near: bool, mut size: usize, limit: usize) {
         let members = self.entries.len();
         for _ in 0..members {
-            let at = self.exchange.walk_members % members;
+            let at = self.rounds.walk_members % members;
             let record = &self.entries[at].record;
             // Part of the room is left for items where there are any.
             let share = if self.store.is_empty() { 0 } else { limit / 8 };
             if size + record.size() + share > limit {
                 break;
             }
-            self.exchange.walk_members = at + 1;
+            self.rounds.walk_members = at + 1;
             let known = record.incarnation != Incarnation::default();
             if known && !packet.records.iter().any(|r| r.name == record.name) {
                 size += record.size();
@@ -438,9 +388,9 @@
             }
         }
         for _ in 0..self.store.len() {
-            let next = self.store.after(self.exchange.walk_items.as_ref()).next();
+            let next = self.store.after(self.rounds.walk_items.as_ref()).next();
             let Some((key, value)) = next else {
-                self.exchange.walk_items = None;
+                self.rounds.walk_items = None;
                 break;
             };
             let item = Item {
@@ -450,7 +400,7 @@
             if size + item.size() > limit {
                 break;
             }
-            self.exchange.walk_items = Some(item.key.clone());
+            self.rounds.walk_items = Some(item.key.clone());
             let local = matches!(item.key, ItemKey::AgentLoad(..) | ItemKey::RouterLoad(_));
             if (near || !local) && !packet.items.iter().any(|found| found.key == item.key) {
                 size += item.size();
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -1,7 +1,7 @@
 //! The membership table of a process: which processes there are and which of them take work.
 //!
 //! The table is fed by the document, the platform's lagging VM list, the data path and gossip. The
-//! exchange of packets is in [`crate::exchange`].
+//! exchange of packets is in the module `exchange`.
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -17,6 +17,7 @@
     peer::{Liveness, Record, Role, State},
     piggyback::{Class, Piggyback, Subject},
     probe::Probes,
+    rounds::Rounds,
     standing::Standing,
     time::Time,
 };
@@ -136,7 +137,7 @@
     pub(crate) hot: Piggyback,
     pub(crate) store: Store,
     pub(crate) probes: Probes,
-    pub(crate) exchange: crate::exchange::Clockwork,
+    pub(crate) rounds: Rounds,
     pub(crate) counters: Counters,
     removed: VecDeque<(ProcessName, Incarnation)>,
     /// When a packet last came from each region.
@@ -151,7 +152,7 @@
             hot: Piggyback::default(),
             store: Store::default(),
             probes: Probes::default(),
-            exchange: crate::exchange::Clockwork::default(),
+            rounds: Rounds::default(),
             counters: Counters::default(),
             entries: Vec::new(),
             index: HashMap::new(),
@@ -215,7 +216,7 @@
 
     /// Whether the process has heard of others since it started or was paused.
     pub fn is_fresh(&self) -> bool {
-        self.exchange.is_fresh() || self.entries.is_empty()
+        self.rounds.is_fresh() || self.entries.is_empty()
     }
 
     /// What other tasks act on.
@@ -249,7 +250,7 @@
         self.regions = zones
             .map(|(name, zone)| (name.clone(), zone.region.clone()))
             .collect();
-        self.exchange.peers_changed();
+        self.rounds.peers_changed();
         for (name, target) in &document.targets {
             let Ok(process) = ProcessName::new(name.as_str()) else {
                 continue;
@@ -340,14 +341,14 @@
         };
         match observation {
             Observation::Answered => self.entries[at].heard = Some(now),
-            Observation::LinkFailed => self.exchange.probe_soon(&self.entries[at].record.name),
+            Observation::LinkFailed => self.rounds.probe_soon(&self.entries[at].record.name),
         }
     }
 
     /// Announces that this process ends soon; from then on it refuses new work.
     pub fn begin_leaving(&mut self) {
         self.own.leaving = true;
-        self.exchange.allow_urgent();
+        self.rounds.allow_urgent();
         self.hot
             .push(Subject::Member(self.own.name.clone()), Class::Urgent);
     }
@@ -412,7 +413,7 @@
                 && (after.0 != before.0 || after.1 == State::Suspect);
             entry.penalty += f64::from(u8::from(flap));
             entry.decay(now);
-            self.exchange.peers_changed();
+            self.rounds.peers_changed();
         }
         let record = entry.record.clone();
         self.pass_on(&record);
@@ -464,7 +465,7 @@
             vm: None,
             listed: None,
         });
-        self.exchange.peers_changed();
+        self.rounds.peers_changed();
         Some(at)
     }
 
@@ -477,7 +478,7 @@
         self.index = names
             .map(|(at, entry)| (entry.record.name.clone(), at))
             .collect();
-        self.exchange.peers_changed();
+        self.rounds.peers_changed();
     }
 
     /// The region of a zone; zones that the document does not name count as one region each.
--- a/core/src/moves.rs
+++ b/core/src/moves.rs
@@ -8,10 +8,10 @@
     estimate::Estimate,
     id::Declaration,
     name::{MoveName, ProcessName, RouteName, ServiceName},
+    outcome::{End, Finished},
     pace::{Paces, Timing},
     passage::Failure,
     roster::Roster,
-    steer::{End, Finished},
     time::Time,
 };
 
--- a/core/src/ramp.rs
+++ b/core/src/ramp.rs
@@ -1,6 +1,6 @@
 //! The concurrency limit of a target in cold start.
 
-use crate::{admit::Capacity, id::Incarnation};
+use crate::id::Incarnation;
 
 /// Requests at normal speed that prove the target fit for twice the load.
 const PROOF: u32 = 16;
@@ -16,6 +16,17 @@
 /// becomes the new normal after about seventy requests.
 const DRIFT: f64 = 1.02;
 
+/// Limits of one target.
+#[derive(Debug, Clone, Copy)]
+pub struct Capacity {
+    /// Requests borne at once when warm.
+    pub slots: u32,
+    /// Requests borne at once in cold start.
+    pub cold_slots: u32,
+    /// Requests that may wait.
+    pub queue: u32,
+}
+
 /// Raises the limit of a target from its cold capacity as it proves its health.
 #[derive(Debug)]
 pub struct Ramp {
--- a/core/src/read.rs
+++ b/core/src/read.rs
@@ -12,7 +12,7 @@
         Document, Intent, KeyHash, Limits, Model, Move, Priority, Repeat, Route, Runs, Target,
         Team, Zone, ZoneState,
     },
-    ini::{Fault, Fields, Section},
+    ini::{self, Fault, Fields, Section},
     name::{EnvironmentName, VersionName},
 };
 
@@ -24,6 +24,27 @@
 const MIN_RETENTION: Duration = Duration::from_secs(32);
 const KINDS: &str = "environment, limits, zone, team, model, target, route, move";
 
+impl Document {
+    /// Parses and checks `text`; `file` is named in faults.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault found, with its line.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        let sections = ini::sections(file, text)?;
+        let mut reader = Reader::new(file);
+        let document = reader.document(&sections, text);
+        reader.check_references(&sections, &document);
+        reader.check_duplicates(&sections, &document);
+        let faults = reader.finish();
+        if faults.is_empty() {
+            Ok(document)
+        } else {
+            Err(faults)
+        }
+    }
+}
+
 /// Builds a document from sections and collects faults.
 pub(crate) struct Reader<'a> {
     file: &'a str,
--- a/core/src/rollout.rs
+++ b/core/src/rollout.rs
@@ -13,11 +13,11 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 use crate::{
-    doc::{Intent, Move, Priority},
+    doc::{Intent, Move},
     id::{ChatId, Declaration},
     name::MoveName,
     sequential::{Baseline, Check, Scores, Sums},
-    tally::{History, Sample},
+    tally::{History, Lane, Sample},
 };
 
 /// Requests of the new version that must have been compared before its share rises.
@@ -32,15 +32,6 @@
 /// Requests that may wait to be compared.
 const MAX_WAITING: usize = 8192;
 
-/// A kind of model request that a version may serve worse than others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Lane {
-    /// How urgent the requests are.
-    pub priority: Priority,
-    /// Whether the answers are streamed.
-    pub streamed: bool,
-}
-
 /// The state of a version move, as operators read it back.
 #[derive(Debug, Clone, Copy, PartialEq, Display, Serialize, Deserialize)]
 pub enum Phase {
--- a/core/src/sequential.rs
+++ b/core/src/sequential.rs
@@ -5,10 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    rollout::Lane,
-    tally::{Histogram, History, Sample, Tally, bucket},
-};
+use crate::tally::{Histogram, History, Lane, Sample, Tally, bucket};
 
 /// Score at which a check holds a version to be faulty.
 ///
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -18,8 +18,8 @@
     id::Fingerprint,
     inspect::{MoveLine, SteerState, TargetState},
     moves::{Evidence, Judgement, MoveState, Moves},
-    name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
-    pace::Timing,
+    name::{MoveName, ProcessName, ServiceName, TargetName, TeamName, ZoneName},
+    outcome::{End, Finished},
     passage::Failure,
     preference,
     reports::{OpenReport, Reports},
@@ -84,32 +84,6 @@
     pub after: Duration,
 }
 
-/// A request that has ended at a target.
-#[derive(Debug, Clone, Copy)]
-pub struct Finished<'a> {
-    /// How it ended.
-    pub end: End,
-    /// Hash of team and content.
-    pub content: Fingerprint,
-    /// The team.
-    pub team: &'a TeamName,
-    /// The route.
-    pub route: &'a RouteName,
-    /// How long its answer took, where that says something.
-    pub timing: Option<Timing>,
-}
-
-/// How a request at a target ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum End {
-    /// With a whole answer.
-    Served,
-    /// The caller left.
-    Cancelled,
-    /// It failed.
-    Failed(Failure),
-}
-
 /// The steering state of a router.
 #[derive(Debug)]
 pub struct Steer {
--- a/core/src/tally.rs
+++ b/core/src/tally.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::rollout::Lane;
+use crate::doc::Priority;
 
 /// Seconds that are kept.
 pub const KEPT_SECONDS: u64 = 60;
@@ -13,6 +13,15 @@
 /// Lower edge of the first bucket.
 const FIRST_EDGE: Duration = Duration::from_millis(1);
 
+/// A kind of model request that a version may serve worse than others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Lane {
+    /// How urgent the requests are.
+    pub priority: Priority,
+    /// Whether the answers are streamed.
+    pub streamed: bool,
+}
+
 /// One finished request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Sample {
--- a/core/tests/admit.rs
+++ b/core/tests/admit.rs
@@ -7,13 +7,14 @@
 
 use datadriven::{TestCase, TestFile, walk};
 use ebonyfall_core::{
-    admit::{Admission, Capacity, End, Offer, Step, Ticket},
+    admit::{Admission, End, Offer, Step, Ticket},
     code::Code,
     crash::{Standing, Suspects},
     doc::{Priority, Repeat},
     drain::Drain,
     id::{AttemptId, Fingerprint, Incarnation},
     name::{TargetName, TeamName, ZoneName},
+    ramp::Capacity,
     request::{Event, Flow},
     retry::Budget,
     time::Time,
--- a/core/tests/changeover.rs
+++ b/core/tests/changeover.rs
@@ -8,9 +8,10 @@
     changeover::{MoveOrder, Progress},
     id::{Fingerprint, Incarnation, Offset},
     name::{ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
+    outcome::{End, Finished},
     pace::Timing,
     passage::Failure,
-    steer::{End, Finished, Steer, Want},
+    steer::{Steer, Want},
     target::{Stage, TargetRecord},
     time::Time,
 };
--- a/core/tests/rollout.rs
+++ b/core/tests/rollout.rs
@@ -6,9 +6,9 @@
     doc::{Intent, Move, Priority},
     id::ChatId,
     name::{ModelName, MoveName, VersionName},
-    rollout::{Comparison, Evidence, Facts, Lane, Phase, Trial, Verdict, phase, share, takes_new},
+    rollout::{Comparison, Evidence, Facts, Phase, Trial, Verdict, phase, share, takes_new},
     sequential::Check,
-    tally::{History, Sample},
+    tally::{History, Lane, Sample},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
--- a/core/tests/schedule.rs
+++ b/core/tests/schedule.rs
@@ -8,11 +8,12 @@
 use std::{collections::HashMap, env, time::Duration};
 
 use ebonyfall_core::{
-    admit::{Admission, Capacity, End, Offer, Step, Ticket},
+    admit::{Admission, End, Offer, Step, Ticket},
     code::{Code, Ran},
     doc::{Priority, Repeat},
     id::{AttemptId, Fingerprint, RequestId},
     name::{TargetName, ZoneName},
+    ramp::Capacity,
     request::{Action, Event, Flow},
     time::Time,
 };
--- a/core/tests/steer.rs
+++ b/core/tests/steer.rs
@@ -17,9 +17,10 @@
     id::{Fingerprint, Incarnation},
     lease::Lease,
     name::{ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
+    outcome::{End, Finished},
     passage::Failure,
     reports::OpenReport,
-    steer::{End, Finished, Steer, Want},
+    steer::{Steer, Want},
     target::{Stage, TargetLoad, TargetRecord},
     time::Time,
 };
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -3,7 +3,7 @@
 use std::{io, time::Duration};
 
 use ebonyfall_core::{
-    admit::{Capacity, End},
+    admit::End,
     chat,
     claim::ClaimRef,
     code::{Code, Ran},
@@ -13,6 +13,7 @@
     load::OwnBound,
     name::TargetName,
     peer::Role,
+    ramp::Capacity,
 };
 use ebonyfall_wire::frame::{Load, MAX_PART, Submit, ToAgent, ToRouter};
 use http::{Response, header::CONTENT_TYPE};
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -1,16 +1,18 @@
 //! Carries one request to targets and its answer back.
 
-use std::{io, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use ebonyfall_core::{
     code::Code,
-    desired::Form,
+    desired::{Form, Route},
     events::Events,
-    name::TargetName,
+    id::Fingerprint,
+    name::{ServiceName, TargetName, TeamName},
+    outcome::End,
     pace::{Arrivals, Timing},
     passage::{Failure, Meaning, Next, Passage},
-    steer::{Choice, End, Refusal},
+    steer::{Choice, Refusal},
     time::Time,
 };
 use ebonyfall_platform::{
@@ -18,7 +20,7 @@
     request::{self, Outbound},
 };
 use gotham::helpers::http::Body;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use slog::{Logger, info};
@@ -26,7 +28,6 @@
 
 use crate::{
     clock::{self, BootClock},
-    intake::Job,
     metrics::Metrics,
     steering::{Order, Steering, Ticket},
     upstream::Line,
@@ -44,6 +45,37 @@
 /// Pause after which a caller may come back when a request was refused.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// A caller's request with all that sending it takes.
+#[derive(Debug)]
+pub struct Job {
+    /// The caller's id.
+    pub id: String,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: ServiceName,
+    /// The team that its key belongs to.
+    pub team: Option<TeamName>,
+    /// Urgency of the team, or else of the route.
+    pub priority: u8,
+    /// Hashes of the prompt parts that it shares with others, the shortest first.
+    pub contexts: Vec<u64>,
+    /// Hash of team and content.
+    pub content: Fingerprint,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers for the target.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When it arrived.
+    pub arrived: Time,
+    /// Version of the desired state that routed it.
+    pub version: u64,
+}
+
 /// An answer for the caller.
 #[derive(Debug)]
 pub struct Given {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use ebonyfall_core::{
-    admit::{Admission, Capacity, End, Offer, Refusal, Step, Ticket},
+    admit::{Admission, End, Offer, Refusal, Step, Ticket},
     code::Code,
     crash::{Crash, Standing, Suspects},
     doc::Priority,
@@ -11,6 +11,7 @@
     id::{AttemptId, Fingerprint, Incarnation},
     load::{OwnBound, PoolLoad},
     name::{TargetName, TeamName},
+    ramp::Capacity,
     time::Time,
 };
 use ebonyfall_wire::frame::Load;
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -6,8 +6,7 @@
 use ebonyfall_core::{
     code::Code,
     desired::{Desired, Route},
-    id::Fingerprint,
-    name::{ServiceName, TeamName},
+    name::TeamName,
     passage::Passage,
     steer::Refusal,
     time::Time,
@@ -23,7 +22,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    carry::{Carrier, Given},
+    carry::{Carrier, Given, Job},
     clock::{self, BootClock},
     follow::Beliefs,
     metrics::Metrics,
@@ -56,37 +55,6 @@
     pub log: Logger,
 }
 
-/// A caller's request with all that sending it takes.
-#[derive(Debug)]
-pub struct Job {
-    /// The caller's id.
-    pub id: String,
-    /// Its route.
-    pub route: Arc<Route>,
-    /// The service that it goes to.
-    pub service: ServiceName,
-    /// The team that its key belongs to.
-    pub team: Option<TeamName>,
-    /// Urgency of the team, or else of the route.
-    pub priority: u8,
-    /// Hashes of the prompt parts that it shares with others, the shortest first.
-    pub contexts: Vec<u64>,
-    /// Hash of team and content.
-    pub content: Fingerprint,
-    /// The method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// Headers for the target.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-    /// When it arrived.
-    pub arrived: Time,
-    /// Version of the desired state that routed it.
-    pub version: u64,
-}
-
 impl Intake {
     /// Answers one request.
     ///
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,7 +11,7 @@
     id::{AttemptId, ChatId, Fingerprint, RequestId},
     name::{TargetName, TeamName, ZoneName},
     request::{Action, Event, Flow},
-    rollout::Lane,
+    tally::Lane,
 };
 use ebonyfall_wire::frame::{Call, Head, Load, Submit, ToAgent, ToRouter};
 use slog::{Logger, debug};
--- a/src/rollouts.rs
+++ b/src/rollouts.rs
@@ -12,8 +12,8 @@
     doc::{Move, Runs},
     id::{ChatId, Declaration, Offset},
     name::{ModelName, MoveName, TargetName, VersionName},
-    rollout::{self, Comparison, Facts, Lane, Trial, Verdict},
-    tally::{History, Sample},
+    rollout::{self, Comparison, Facts, Trial, Verdict},
+    tally::{History, Lane, Sample},
 };
 use ebonyfall_wire::facts::{self, Fact};
 use serde::{Deserialize, Serialize};
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -14,9 +14,10 @@
     inspect::SteerState,
     moves::{Evidence, Judgement, MoveState},
     name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
+    outcome::{End, Finished},
     pace::Timing,
     reports::OpenReport,
-    steer::{Choice, End, Finished, Refusal, Steer, Want},
+    steer::{Choice, Refusal, Steer, Want},
     target::{TargetLoad, TargetRecord},
     time::Time,
 };
