Check desired states of entry routers

Cause: `ebonyfall check` knew only the fleet's own documents; a desired state that names an undescribed service, or a route that nobody has a key for, showed itself only by failed requests. Change: `Desired::faults` in the core; `check` reads a JSON object as a desired state and ends with code 2 on faults; a router that takes such a state in force logs `desired_faults` with their number and the first one.

--- a/core/src/desired.rs
+++ b/core/src/desired.rs
@@ -3,6 +3,8 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use derive_more::Display;
+
 use crate::{
     doc::{KeyHash, Repeat},
     name::{RouteName, ServiceName, TeamName},
@@ -103,6 +105,37 @@
     pub priority: Option<u8>,
 }
 
+/// What keeps requests from being served although the state can be read.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum Fault {
+    /// A service has no entry, so that the bounds of its targets are not known.
+    #[display("route {_0}: service {_1} is not described; add it or correct the name")]
+    UnknownService(RouteName, ServiceName),
+    /// No service gets any request.
+    #[display("route {_0}: no service has a weight above zero; name a service or raise a weight")]
+    NoService(RouteName),
+    /// Two routes take the same requests, of which one gets none.
+    #[display("route {_0}: {_1} has the same host and path prefix; change or remove one of them")]
+    SameAddress(RouteName, RouteName),
+    /// The prefix takes requests of other paths, or none.
+    #[display("route {_0}: path prefix {_1:?} has to begin and end with a slash")]
+    Prefix(RouteName, Arc<str>),
+    /// Requests have no time at all.
+    #[display("route {_0}: the longest wait is zero; raise it")]
+    NoTime(RouteName),
+    /// The objective is never missed before the caller has gone.
+    #[display("route {_0}: the objective is longer than the longest wait; lower it")]
+    LateObjective(RouteName),
+    /// No target may be asked.
+    #[display("route {_0}: no attempt is allowed; allow one at least")]
+    NoAttempt(RouteName),
+    /// Nobody can use the route.
+    #[display(
+        "route {_0}: it takes a key, but no team has one; add a team or make the route public"
+    )]
+    NoKey(RouteName),
+}
+
 /// One version of the desired state.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Desired {
@@ -153,4 +186,41 @@
     pub fn routes(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
     }
+
+    /// Everything that keeps requests from being served, by the names of the routes.
+    pub fn faults(&self) -> Vec<Fault> {
+        let mut routes: Vec<_> = self.hosts.values().flatten().collect();
+        routes.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut addresses = HashMap::new();
+        let mut faults = Vec::new();
+        for route in routes {
+            let name = || route.name.clone();
+            let address = (&route.host, &route.prefix);
+            if let Some(other) = addresses.insert(address, name()) {
+                faults.push(Fault::SameAddress(name(), other));
+            }
+            if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+                faults.push(Fault::Prefix(name(), Arc::clone(&route.prefix)));
+            }
+            if route.shares.iter().all(|share| share.weight == 0) {
+                faults.push(Fault::NoService(name()));
+            }
+            let unknown = route.shares.iter().map(|share| &share.service);
+            let unknown = unknown.filter(|service| !self.services.contains_key(*service));
+            faults.extend(unknown.map(|service| Fault::UnknownService(name(), service.clone())));
+            if route.timeout.is_zero() {
+                faults.push(Fault::NoTime(name()));
+            }
+            if route.objective > route.timeout {
+                faults.push(Fault::LateObjective(name()));
+            }
+            if route.attempts == 0 {
+                faults.push(Fault::NoAttempt(name()));
+            }
+            if !route.public && self.keys.as_ref().is_none_or(HashMap::is_empty) {
+                faults.push(Fault::NoKey(name()));
+            }
+        }
+        faults
+    }
 }
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -112,7 +112,9 @@
 impl From<OperateError> for Refusal {
     fn from(error: OperateError) -> Self {
         let code = match &error {
-            OperateError::Faults { .. } => Code::InvalidDocument,
+            OperateError::Faults { .. }
+            | OperateError::Desired { .. }
+            | OperateError::DesiredFaults { .. } => Code::InvalidDocument,
             OperateError::Conflict { .. } => Code::Conflict,
             OperateError::Log { .. } | OperateError::Lost | OperateError::Nothing => {
                 Code::LogUnavailable
--- a/src/bin/ebonyfall.rs
+++ b/src/bin/ebonyfall.rs
@@ -44,7 +44,11 @@
         Err(error) => {
             let code = match error.downcast_ref::<OperateError>() {
                 Some(OperateError::Conflict { .. }) => ExitCode::Conflict,
-                Some(OperateError::Faults { .. }) => ExitCode::Usage,
+                Some(
+                    OperateError::Faults { .. }
+                    | OperateError::Desired { .. }
+                    | OperateError::DesiredFaults { .. },
+                ) => ExitCode::Usage,
                 _ => return Err(error),
             };
             eprintln!("{error}");
@@ -56,9 +60,16 @@
 async fn command(command: Command, cfg: OperatorConfig) -> Result<ExitCode, Failure> {
     match command {
         Command::Check(args) => {
-            let sections = operate::check(&args.file.display().to_string(), &text(&args.file)?)?;
-            let count = sections.titles().count();
-            println!("{}: no faults, {count} sections", args.file.display());
+            let (file, text) = (args.file.display().to_string(), text(&args.file)?);
+            // Documents begin with a section or a comment, desired states are JSON objects.
+            let found = if text.trim_start().starts_with('{') {
+                let state = operate::check_desired(&file, &text)?;
+                format!("version {}, {} routes", state.version, state.routes())
+            } else {
+                let sections = operate::check(&file, &text)?;
+                format!("{} sections", sections.titles().count())
+            };
+            println!("{file}: no faults, {found}");
         }
         Command::Diff(args) => {
             let file = args.file.display().to_string();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -52,7 +52,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
-    /// Check a document.
+    /// Check a document or a desired state.
     Check(CheckArgs),
     /// Compare a document with the one in force.
     Diff(DiffArgs),
@@ -85,11 +85,11 @@
     pub logs: Vec<PathBuf>,
 }
 
-/// Checks a document without starting anything.
+/// Checks a document, or a desired state of entry routers, without starting anything.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct CheckArgs {
-    /// the document
+    /// the document, or a desired state as JSON
     #[argh(positional)]
     pub file: PathBuf,
 }
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -333,6 +333,11 @@
         }
         info!(self.log, "desired state in force"; "event" => "desired",
             "version" => state.version, "before" => known, "routes" => state.routes());
+        let faults = state.faults();
+        if let Some(first) = faults.first() {
+            warn!(self.log, "desired state has faults"; "event" => "desired_faults",
+                "version" => state.version, "faults" => faults.len(), "first" => %first);
+        }
         let version = i64::try_from(state.version).unwrap_or(i64::MAX);
         self.link.metrics.entry.desired_version.set(version);
         self.link.metrics.entry.belief("desired", 1);
--- a/src/operate.rs
+++ b/src/operate.rs
@@ -4,12 +4,14 @@
 
 use ebonyfall_core::{
     config::{Change, Entry, Record, Tip},
+    desired::{self, Desired},
     doc::Document,
     id::Offset,
     ini::Fault,
     name::OperatorName,
     sections::{Difference, Sections},
 };
+use ebonyfall_platform::desired::{DesiredError, decode};
 use ebonyfall_wire::record;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -35,6 +37,22 @@
         /// Every fault found.
         faults: Vec<Fault>,
     },
+    /// The desired state cannot be read.
+    #[snafu(display("{file}: {source}; correct the file"))]
+    Desired {
+        /// The file.
+        file: String,
+        /// What is wrong.
+        source: DesiredError,
+    },
+    /// The desired state has faults.
+    #[snafu(display("{}", file_lines(file, faults)))]
+    DesiredFaults {
+        /// The file.
+        file: String,
+        /// Every fault found.
+        faults: Vec<desired::Fault>,
+    },
     /// Another operator's change came first.
     #[snafu(display("{conflict}"))]
     Conflict {
@@ -84,6 +102,14 @@
     },
 }
 
+fn file_lines(file: &str, faults: &[desired::Fault]) -> String {
+    let lines: Vec<_> = faults
+        .iter()
+        .map(|fault| format!("{file}: {fault}"))
+        .collect();
+    lines.join("\n")
+}
+
 fn lines(faults: &[Fault]) -> String {
     let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
     lines.join("\n")
@@ -165,6 +191,21 @@
     checked.map_err(|faults| OperateError::Faults { faults })
 }
 
+/// Checks a desired state of entry routers.
+///
+/// # Errors
+///
+/// Fails when it cannot be read, or returns every fault found.
+pub fn check_desired(file: &str, text: &str) -> Result<Desired, OperateError> {
+    let state = decode(text.as_bytes()).context(DesiredSnafu { file })?;
+    let faults = state.faults();
+    if faults.is_empty() {
+        Ok(state)
+    } else {
+        DesiredFaultsSnafu { file, faults }.fail()
+    }
+}
+
 /// Reads the configuration in force from the log.
 ///
 /// # Errors
