Give the soak's callers time budgets, repeats and early ends

Cause: callers of the soak sent each request once with the same budget and waited for 12 s, so that late final answers, refusals without a time to come back and runs in several tries could not be seen. A soak with wrong clocks is still missing: the processes' clocks cannot be changed from outside without privileges.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,12 +2,14 @@
 
 pub mod admit;
 mod cache;
+mod callers;
 pub mod case;
 pub mod claims;
 pub mod client;
 pub mod config;
 pub mod demo;
 pub mod entry;
+mod faults;
 pub mod fit;
 pub mod gossip;
 pub mod load;
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -337,10 +337,12 @@
         .method(method)
         .uri(path)
         .header("host", "spine.example")
-        .header("ebonyfall-attempt-id", id)
-        .header("ebonyfall-deadline-ms", "2000");
-    if !headers.iter().any(|(name, _)| *name == "authorization") {
-        req = req.header("authorization", format!("Bearer {KEY}"));
+        .header("ebonyfall-attempt-id", id);
+    let key = format!("Bearer {KEY}");
+    for (name, value) in [("ebonyfall-deadline-ms", "2000"), ("authorization", &key)] {
+        if !headers.iter().any(|(given, _)| *given == name) {
+            req = req.header(name, value);
+        }
     }
     for (name, value) in headers {
         req = req.header(*name, *value);
