Look for a context's homes in one pass, and measure the cost of a decision

Cause: no figure told what a choice costs as targets grow. Change: one pass finds both candidates, and only for a context that the target does not hold; the list has its size.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod ring;
 pub mod sim;
 pub mod soak;
+pub mod steer;
 pub mod up;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 use ebonyfall_bench::{
-    admit, claims, config, demo, entry, fit, gossip, load, moves, place, soak, up,
+    admit, claims, config, demo, entry, fit, gossip, load, moves, place, soak, steer, up,
 };
 use tokio::runtime::Builder;
 
@@ -29,6 +29,7 @@
     Admit(admit::AdmitArgs),
     Load(load::LoadArgs),
     Soak(soak::SoakArgs),
+    Steer(steer::SteerArgs),
     Up(up::UpArgs),
 }
 
@@ -57,6 +58,7 @@
         Command::Admit(args) => admit::run(&args)?,
         Command::Load(args) => runtime.block_on(load::run(args))?,
         Command::Soak(args) => runtime.block_on(soak::run(args))?,
+        Command::Steer(args) => steer::run(&args)?,
         Command::Up(args) => runtime.block_on(up::run(args))?,
     };
     Ok(if held {
--- a/core/src/holders.rs
+++ b/core/src/holders.rs
@@ -7,10 +7,7 @@
     time::Duration,
 };
 
-use crate::{
-    estimate::Estimate, id::Incarnation, name::TargetName, roster::Roster, target::TargetRecord,
-    time::Time,
-};
+use crate::{estimate::Estimate, id::Incarnation, name::TargetName, roster::Roster, time::Time};
 
 /// Contexts whose last targets are remembered, and pairs of context and target.
 const MAX_HOLDERS: usize = 20_000;
@@ -69,12 +66,16 @@
     ) -> Option<SocketAddr> {
         let (&context, beginnings) = contexts.split_last()?;
         let chosen = targets.get(chosen)?;
-        if !self.has(context, chosen, now) && !is_home(context, chosen, targets) {
+        let known = self.has(context, chosen, now);
+        let homes = (!known).then(|| Homes::of(context, chosen, targets, now));
+        if homes.as_ref().is_some_and(|homes| !homes.is_first(chosen)) {
             self.announce(context, &chosen.record.name);
         }
         let mut place = self.place(context, chosen, targets, now);
-        if place == Place::Unknown {
-            place = at_home(context, chosen, targets, now);
+        if place == Place::Unknown
+            && let Some(homes) = homes
+        {
+            place = homes.place(chosen, now);
         }
         for beginning in beginnings.iter().rev() {
             let begun = self.place(*beginning, chosen, targets, now);
@@ -192,37 +193,54 @@
     now.since(entry.known_since) < NEW
 }
 
-/// Targets that could hold a context for `chosen`.
-fn alike<'t>(chosen: &'t Estimate, targets: &'t Roster) -> impl Iterator<Item = &'t Estimate> {
-    let TargetRecord {
-        service, version, ..
-    } = &chosen.record;
-    targets
-        .of(service)
-        .filter(move |entry| entry.record.version == *version)
+/// Where routers that know nothing else place a context: the first targets in the order of its
+/// hashes, among those that could hold it for the chosen one.
+struct Homes<'t> {
+    first: Option<&'t Estimate>,
+    /// The first one that is not new.
+    settled: Option<&'t Estimate>,
 }
 
-/// Whether the target comes first in the order of the context's hashes.
-fn is_home(context: u64, target: &Estimate, targets: &Roster) -> bool {
-    let first = alike(target, targets).min_by_key(|entry| entry.rank_for(context));
-    first.is_some_and(|first| first.record.name == target.record.name)
-}
+impl<'t> Homes<'t> {
+    fn of(context: u64, chosen: &Estimate, targets: &'t Roster, now: Time) -> Self {
+        let (mut first, mut settled) = (None, None);
+        let record = &chosen.record;
+        for entry in targets.of(&record.service) {
+            if entry.record.version != record.version {
+                continue;
+            }
+            let rank = entry.rank_for(context);
+            let is_before = |known: &Option<(u64, _)>| known.is_none_or(|(least, _)| rank < least);
+            if is_before(&first) {
+                first = Some((rank, entry));
+            }
+            if is_before(&settled) && !is_young(entry, now) {
+                settled = Some((rank, entry));
+            }
+        }
+        Self {
+            first: first.map(|(_, entry)| entry),
+            settled: settled.map(|(_, entry)| entry),
+        }
+    }
+
+    fn is_first(&self, target: &Estimate) -> bool {
+        self.first
+            .is_some_and(|first| first.record.name == target.record.name)
+    }
 
-/// Where other routers are likely to have placed the context: at the first target in the order of
-/// its hashes, or the first of those that are not new.
-fn at_home(context: u64, chosen: &Estimate, targets: &Roster, now: Time) -> Place {
-    let first = |young: bool| {
-        let entries = alike(chosen, targets).filter(|entry| young || !is_young(entry, now));
-        entries.min_by_key(|entry| entry.rank_for(context))
-    };
-    let other = |entry: &&Estimate| entry.record.name != chosen.record.name;
-    let home = match first(true) {
-        // The home itself has it from other routers, if any of them has seen it, unless it is new.
-        Some(home) if !other(&home) && !is_young(chosen, now) => None,
-        home => first(false).filter(other).or(home.filter(other)),
-    };
-    match home.filter(|home| now >= home.avoid_until) {
-        Some(home) => Place::At(home.record.address),
-        None => Place::Unknown,
+    /// Where other routers are likely to have placed the context, for a request to `chosen`.
+    fn place(&self, chosen: &Estimate, now: Time) -> Place {
+        let other = |entry: &&Estimate| entry.record.name != chosen.record.name;
+        let home = match self.first {
+            // The home itself has it from other routers, if any of them has seen it, unless it is
+            // new.
+            Some(home) if !other(&home) && !is_young(chosen, now) => None,
+            home => self.settled.filter(other).or(home.filter(other)),
+        };
+        match home.filter(|home| now >= home.avoid_until) {
+            Some(home) => Place::At(home.record.address),
+            None => Place::Unknown,
+        }
     }
 }
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -324,7 +324,7 @@
 
     fn pick(&mut self, want: &Want<'_>, random: f64, now: Time) -> Option<(TargetName, f64)> {
         let (mut sum, mut counted) = (0.0, 0.0);
-        let (mut bad_sum, mut usable) = (0.0, 0.0);
+        let (mut bad_sum, mut usable, mut places) = (0.0, 0.0, 0);
         let evacuated = &self.evacuated;
         self.targets.each_of(want.service, |entry| {
             if !entry.is_usable(evacuated, now) {
@@ -338,6 +338,7 @@
             counted += 1.0;
             bad_sum += entry.failure_share();
             usable += 1.0;
+            places += 1;
         });
         let mean = sum / f64::max(counted, 1.0);
         let found = self.targets.of(want.service).filter(|entry| {
@@ -352,7 +353,9 @@
         });
         let context = want.contexts.last().copied();
         let version = self.moves.choose(want.service, context, random, now);
-        let ranked = version.of(ranked.collect(), &self.targets);
+        let mut all = Vec::with_capacity(places);
+        all.extend(ranked);
+        let ranked = version.of(all, &self.targets);
         let best = ranked.iter().map(|(rank, _)| *rank).min()?;
         let entries = ranked
             .iter()
