Give the test of the operators' page the desired state that the page checks

Cause: the page got `ebonyfall check state.json`; tests/config.rs runs every command of the page, and its folder had no such file. Change: one desired state in tests/testenv/state.json for both tests.

--- a/tests/check.rs
+++ b/tests/check.rs
@@ -5,15 +5,7 @@
 use tempfile::TempDir;
 
 /// A desired state without faults.
-const STATE: &str = r#"{"version":7,"routes":[
-    {"name":"drafts","host":"one.example","path_prefix":"/a/","type":"stream","timeout_ms":12000,
-     "slo_ms":20000,"split":[{"service":"x","weight":90},{"service":"y","weight":10}],
-     "max_attempts":2},
-    {"name":"labels","host":"one.example","path_prefix":"/b/","type":"safe","timeout_ms":500,
-     "service":"y","max_attempts":1,"public":true}],
-    "services":[{"name":"x"},{"name":"y"}],
-    "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"idle_timeout_ms":15000},
-    "tenants":[{"name":"desk","api_keys":["k1"]}]}"#;
+const STATE: &str = include_str!("testenv/state.json");
 
 /// Exit code and output of a check.
 fn check(text: &str) -> (Option<i32>, String) {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -508,6 +508,8 @@
     let production = trial.replace("name = trial", "name = production");
     fs::write(folder.join("production.ini"), production).unwrap();
     fs::write(folder.join("operator.token"), OPERATOR_TOKEN).unwrap();
+    let state = include_str!("testenv/state.json");
+    fs::write(folder.join("state.json"), state).unwrap();
     let processes: Vec<_> = admins(&env).iter().map(ToString::to_string).collect();
     let settings = format!(
         "[operator]\nname = ann\nplatform = {}\ntoken-file = operator.token\nprocesses = {}\n",
