--- a/src/orders.rs
+++ b/src/orders.rs
@@ -11,8 +11,9 @@
     name::{TargetName, VersionName},
     order::{Action, Event, Goal, Intent, Orders, Reading},
 };
-use ebonyfall_wire::order;
+use ebonyfall_wire::order::{self, OrderError};
 use slog::{Logger, info, warn};
+use snafu::{ResultExt, Snafu};
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
@@ -29,6 +30,23 @@
 /// Records of a stream that are read at once.
 const BATCH: u32 = 500;
 
+/// An intent is not known to be on the log.
+#[derive(Debug, Snafu)]
+enum IntentError {
+    /// It cannot be encoded.
+    #[snafu(display("{source}"))]
+    Encode {
+        /// What is wrong.
+        source: OrderError,
+    },
+    /// The log does not answer.
+    #[snafu(display("{source}; the order is given when the log is back"))]
+    Log {
+        /// The platform's error.
+        source: PlatformError,
+    },
+}
+
 /// What the engine is known to run, none for one that takes no orders.
 #[derive(Debug, Clone)]
 pub struct Loaded(watch::Receiver<Option<Reading>>);
@@ -163,13 +181,14 @@
 
     /// Appends the intent; returns its offset and the newest one of another agent for a newer
     /// configuration.
-    async fn intend(
-        &self,
-        intent: &Intent,
-    ) -> Result<(Offset, Option<Offset>), Box<dyn std::error::Error + Send + Sync>> {
+    async fn intend(&self, intent: &Intent) -> Result<(Offset, Option<Offset>), IntentError> {
         let stream = format!("orders-{}", self.target);
-        let data = order::encode(intent)?;
-        let offset = self.platform.append(&stream, &data).await?;
+        let data = order::encode(intent).context(EncodeSnafu)?;
+        let offset = self
+            .platform
+            .append(&stream, &data)
+            .await
+            .context(LogSnafu)?;
         let mut newer = None;
         let mut from = Offset::from(0);
         loop {
@@ -178,7 +197,7 @@
                     from = first;
                     continue;
                 }
-                batch => batch?,
+                batch => batch.context(LogSnafu)?,
             };
             let found = batch
                 .records
