Share the accept loop, the engine's short calls and the agent's platform client

Cause: the last read found four accept loops with the same pause (one of them without a log line), a second HTTP call in the engine's client beside that of its status, a second client of the platform in the agent, and a read of the orders' stream that needed one call more than the log's own end tells. Change: `web::accept`; `Backend::ask` for status, model and load with their limits as before; the agent's loader gets a clone of the one client; the stream is read until `next`. The control listener now logs failed accepts, too.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -41,10 +41,9 @@
     session::Session,
     settings::AgentConfig,
     view::{self, View, Views},
+    web,
 };
 
-/// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time between two questions for the engine's report; it bounds how long a restart goes unnoticed.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
 /// How long an agent without requests still answers before it ends.
@@ -136,7 +135,7 @@
         role: Role::Agent(own_target.then(|| cfg.target.clone())),
         listen: cfg.listen,
         config: config.clone(),
-        platform,
+        platform: platform.clone(),
         metrics: metrics.clone(),
         stop: stop.clone(),
         log: log.clone(),
@@ -184,7 +183,7 @@
         target: cfg.target.clone(),
         agent: incarnation,
         backend: backend.clone(),
-        platform: Platform::new(&cfg.common.platform),
+        platform,
         views: views.clone(),
         clock,
         log: log.clone(),
@@ -215,16 +214,9 @@
 impl Agent {
     async fn accept(&self, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let agent = self.clone();
-                    tokio::spawn(async move { agent.connection(stream).await });
-                }
-                Err(error) => {
-                    warn!(self.log, "cannot accept a connection"; "error" => %error);
-                    time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            let (stream, _) = web::accept(&listener, &self.log).await;
+            let agent = self.clone();
+            tokio::spawn(async move { agent.connection(stream).await });
         }
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -22,6 +22,7 @@
     gossip::Gossip,
     link::{Identity, Link, LinkError},
     view::Config,
+    web,
 };
 
 /// Peers' connections served at once.
@@ -30,8 +31,6 @@
 const ANSWERS: usize = 2;
 /// Time for which an answer counts as being sent, which bounds answers to 8 a second.
 const ANSWER_PAUSE: Duration = Duration::from_millis(250);
-/// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest silence on a peer's connection.
 const IDLE: Duration = Duration::from_secs(5);
 /// Peers asked for a configuration, so that one that is behind or wrong does not decide.
@@ -88,10 +87,7 @@
         let connections = Arc::new(Semaphore::new(CONNECTIONS));
         tokio::spawn(async move {
             loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    sleep(ACCEPT_PAUSE).await;
-                    continue;
-                };
+                let (stream, _) = web::accept(&listener, &log).await;
                 let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
                     continue;
                 };
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -1,6 +1,6 @@
 //! The agent's HTTP client of its engine or service.
 
-use std::time::Duration;
+use std::{error::Error, time::Duration};
 
 use bytes::Bytes;
 use ebonyfall_core::{
@@ -102,32 +102,25 @@
 
     /// Asks the engine for its report of itself.
     pub async fn status(&self) -> Status {
-        let Ok(uri) = format!("{}/status", self.base).parse() else {
-            return Status::Silent;
-        };
-        let ask = async {
-            let res = self.pooled.get(uri).await.map_err(|_broken| Status::Down)?;
-            let body = Limited::new(res.into_body(), MAX_STATUS).collect().await;
-            let body = body.map_err(|_broken| Status::Down)?.to_bytes();
-            serde_json::from_slice(&body).map_err(|_other| Status::Silent)
-        };
-        match timeout(STATUS_TIMEOUT, ask).await {
+        let asked = self.ask(Method::GET, "/status", Bytes::new(), STATUS_TIMEOUT);
+        match asked.await.map(|(_, body)| serde_json::from_slice(&body)) {
             Ok(Ok(Report { incarnation, cold })) => Status::Up {
                 incarnation: incarnation.into(),
                 cold,
             },
-            Ok(Err(status)) => status,
-            Err(_) => Status::Silent,
+            Ok(Err(_other)) => Status::Silent,
+            Err(status) => status,
         }
     }
 
     /// Asks the engine which model it runs.
     pub async fn model(&self) -> Model {
-        match self.control("model", Method::GET, Bytes::new()).await {
-            Some((StatusCode::OK, body)) => {
+        let asked = self.ask(Method::GET, "/model", Bytes::new(), CONTROL_TIMEOUT);
+        match asked.await {
+            Ok((StatusCode::OK, body)) => {
                 serde_json::from_slice(&body).map_or(Model::Lost, Model::Reading)
             }
-            Some((StatusCode::NOT_FOUND, _)) => Model::Unmanaged,
+            Ok((StatusCode::NOT_FOUND, _)) => Model::Unmanaged,
             _ => Model::Lost,
         }
     }
@@ -137,33 +130,39 @@
         let Ok(body) = serde_json::to_vec(&Load { goal, token }) else {
             return Event::Lost;
         };
-        match self.control("load", Method::POST, body.into()).await {
-            Some((status, _)) if status.is_success() => Event::Accepted,
-            Some((StatusCode::CONFLICT, _)) => Event::Fenced,
-            Some((StatusCode::TOO_MANY_REQUESTS, _)) => Event::Busy { pause: BUSY_PAUSE },
+        let asked = self.ask(Method::POST, "/load", body.into(), CONTROL_TIMEOUT);
+        match asked.await {
+            Ok((status, _)) if status.is_success() => Event::Accepted,
+            Ok((StatusCode::CONFLICT, _)) => Event::Fenced,
+            Ok((StatusCode::TOO_MANY_REQUESTS, _)) => Event::Busy { pause: BUSY_PAUSE },
             _ => Event::Lost,
         }
     }
 
-    async fn control(
+    /// Makes a short call; without an answer, says whether the engine is down or silent.
+    async fn ask(
         &self,
-        path: &str,
         method: Method,
+        path: &str,
         body: Bytes,
-    ) -> Option<(StatusCode, Bytes)> {
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), Status> {
         let req = Request::builder()
             .method(method)
-            .uri(format!("{}/{path}", self.base))
+            .uri(format!("{}{path}", self.base))
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
-            .ok()?;
+            .map_err(|_error| Status::Silent)?;
         let answer = async {
-            let res = self.pooled.request(req).await.ok()?;
+            let res = self.pooled.request(req).await?;
             let status = res.status();
-            let body = Limited::new(res.into_body(), MAX_STATUS).collect().await;
-            Some((status, body.ok()?.to_bytes()))
+            let body = Limited::new(res.into_body(), MAX_STATUS).collect().await?;
+            Ok::<_, Box<dyn Error + Send + Sync>>((status, body.to_bytes()))
         };
-        timeout(CONTROL_TIMEOUT, answer).await.ok()?
+        match timeout(limit, answer).await {
+            Ok(answer) => answer.map_err(|_broken| Status::Down),
+            Err(_) => Err(Status::Silent),
+        }
     }
 
     /// Sends a call once and returns when the answer starts.
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -10,11 +10,11 @@
 use ebonyfall_platform::store::Keyed;
 use ebonyfall_wire::mirror::{Changes, Since, Stream};
 use rand::seq::SliceRandom;
-use slog::{Logger, debug, info, warn};
+use slog::{Logger, debug, info, o, warn};
 use tokio::{
     net::TcpStream,
     sync::{Semaphore, watch},
-    time::{sleep, timeout},
+    time::timeout,
 };
 
 use crate::{
@@ -34,8 +34,6 @@
 const CONNECTIONS: usize = 16;
 /// Longest silence on a connection.
 const IDLE: Duration = Duration::from_secs(5);
-/// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What a router needs to reach others; it is known once the exchange's key is.
 #[derive(Debug, Clone)]
@@ -181,16 +179,9 @@
         }
     };
     let free = Arc::new(Semaphore::new(CONNECTIONS));
+    let socket = log.new(o!("event" => "exchange_socket"));
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!(log, "cannot accept a router's connection"; "event" => "exchange_socket",
-                    "error" => %error);
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let (stream, _) = web::accept(&listener, &socket).await;
         // Beyond the limit the connection is closed, and the other router asks elsewhere.
         let Ok(permit) = Arc::clone(&free).try_acquire_owned() else {
             continue;
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -204,11 +204,10 @@
                 .iter()
                 .filter(|record| self.is_newer(record, intent));
             newer = found.map(|record| record.offset).next_back().or(newer);
-            if batch.records.is_empty() {
+            from = batch.records.last().map_or(from, |last| last.offset.next());
+            if from >= batch.next || batch.records.is_empty() {
                 return Ok((offset, newer));
             }
-            let count = u64::try_from(batch.records.len()).unwrap_or(u64::MAX);
-            from = Offset::from(u64::from(batch.records[0].offset).saturating_add(count));
         }
     }
 
--- a/src/web.rs
+++ b/src/web.rs
@@ -141,18 +141,12 @@
         };
         tokio::pin!(closed);
         loop {
-            let accepted = tokio::select! {
+            let (stream, peer) = tokio::select! {
                 biased;
-                accepted = listener.accept() => accepted,
+                accepted = accept(&listener, &self.log) => accepted,
                 () = &mut closed => return,
             };
-            match accepted {
-                Ok((stream, peer)) => self.start(stream, peer, limits()),
-                Err(error) => {
-                    warn!(self.log, "cannot accept a connection"; "error" => %error);
-                    time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            self.start(stream, peer, limits());
         }
     }
 
@@ -200,6 +194,19 @@
     ])
 }
 
+/// The next connection; failures are logged and tried again after a pause.
+pub(crate) async fn accept(listener: &TcpListener, log: &Logger) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(error) => {
+                warn!(log, "cannot accept a connection"; "error" => %error);
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Binds a listener.
 ///
 /// # Errors
