--- a/core/tests/claims.rs
+++ b/core/tests/claims.rs
@@ -5,10 +5,12 @@
 //! `REWRITE=1` writes the outputs anew. `EBONYFALL_STEPS=1000000` and `EBONYFALL_SEED` set the
 //! length and the seed of the random schedules.
 
+mod common;
 mod world;
 
 use std::{env, fmt::Write as _};
 
+use common::variable;
 use datadriven::TestCase;
 use ebonyfall_core::{code::Code, owner::Verdict};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -157,16 +159,11 @@
     text + "\n"
 }
 
-fn setting(name: &str, default: u64) -> u64 {
-    let value = env::var(name).ok();
-    value.map_or(default, |text| text.parse().expect("a number"))
-}
-
 /// Guards against a second run, or a false `not run`, under any mixture of faults, keys and routers.
 #[test]
 fn random_schedules_keep_the_promises() {
-    let steps = setting("EBONYFALL_STEPS", 20_000);
-    let seed = setting("EBONYFALL_SEED", 1);
+    let steps = variable("EBONYFALL_STEPS", 20_000);
+    let seed = variable("EBONYFALL_SEED", 1);
     let mut totals = [0_u64; 3];
     for episode in 0..steps.div_ceil(EPISODE) {
         let seed = seed.wrapping_mul(1_000_003).wrapping_add(episode);
--- a/core/tests/routers.rs
+++ b/core/tests/routers.rs
@@ -2,12 +2,14 @@
 //! order; routers start anew; targets leave, crash, come back cold and fail; zones go out and return.
 //! Bounds that the routers keep together are checked from outside.
 
+mod common;
+
 use std::{
     collections::{HashMap, HashSet, VecDeque},
-    env,
     time::Duration,
 };
 
+use common::variable;
 use ebonyfall_core::{
     allowance::RetryBound,
     code::Code,
@@ -468,13 +470,6 @@
     f64::from(u32::try_from(len).unwrap_or(u32::MAX))
 }
 
-fn variable(name: &str, default: u64) -> u64 {
-    let value = env::var(name).ok();
-    value.map_or(default, |value| {
-        value.parse().expect("the variable is a number")
-    })
-}
-
 fn schedules(variant: Variant, seeds: std::ops::Range<u64>) -> Result<(u32, u32), String> {
     let (mut served, mut refused) = (0, 0);
     for seed in seeds {
--- a/tests/client.rs
+++ b/tests/client.rs
@@ -13,15 +13,13 @@
         CreateChatCompletionRequestArgs,
     },
 };
-use ebonyfall_bench::client::Caller;
 use ebonyfall_core::code::Code;
 use ebonyfall_standin::{
     deploy::{Plan, TEAM_KEY},
-    engine::{EngineConfig, EngineStatus},
+    engine::EngineConfig,
 };
 use futures_util::StreamExt;
-use http_body_util::BodyExt;
-use testenv::{TestEnv, plan};
+use testenv::{TestEnv, engine_status, plan};
 use tokio::time::sleep;
 
 /// Time within which the work for a caller that left is cancelled.
@@ -46,14 +44,6 @@
         .expect("the request is whole")
 }
 
-async fn status(env: &TestEnv) -> EngineStatus {
-    let caller = Caller::new(env.deployment.engines[0].0);
-    let res = caller.send("GET", "/status", "", &[]).await;
-    let body = res.expect("the engine answers").into_body().collect().await;
-    let body = body.expect("the status is whole").to_bytes();
-    serde_json::from_slice(&body).expect("the status is JSON")
-}
-
 /// Guards against answers that usual clients cannot read, plainly, streamed, cancelled or refused.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_usual_client_is_served() {
@@ -90,10 +80,10 @@
         .await
         .expect("a part comes")
         .expect("it is whole");
-    assert_eq!(status(&env).await.running, 1);
+    assert_eq!(engine_status(env.deployment.engines[0].0).await.running, 1);
     drop(stream);
     sleep(CANCELLED_WITHIN).await;
-    assert_eq!(status(&env).await.running, 0);
+    assert_eq!(engine_status(env.deployment.engines[0].0).await.running, 0);
 
     let refused = client(&env, "bad-key").chat().create(request(4)).await;
     let Err(OpenAIError::ApiError(error)) = refused else {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -10,9 +10,8 @@
     deploy::free_address,
     engine::{CRASH_MARK, EngineConfig, EngineStatus},
 };
-use http_body_util::BodyExt;
 use serde_json::json;
-use testenv::{TestEnv, plan};
+use testenv::{TestEnv, engine_status, plan};
 use tokio::{
     io::copy_bidirectional,
     net::{TcpListener, TcpStream},
@@ -107,20 +106,6 @@
     }
 }
 
-async fn status(engine: SocketAddr) -> EngineStatus {
-    let caller = Caller::new(engine);
-    let res = caller
-        .send("GET", "/status", "", &[])
-        .await
-        .expect("the engine answers");
-    let body = res
-        .into_body()
-        .collect()
-        .await
-        .expect("the status is whole");
-    serde_json::from_slice(&body.to_bytes()).expect("the status is JSON")
-}
-
 /// Guards against a router that lets callers in before it has read the document.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_router_refuses_nothing() {
@@ -188,7 +173,7 @@
     let (address, host) = &env.deployment.engines[0];
     host.crash(Duration::from_millis(400));
     sleep(Duration::from_secs(3)).await;
-    let status = status(*address).await;
+    let status = engine_status(*address).await;
     let tally = load.finish().await;
     assert_eq!(tally.cut_plain, 0, "{tally:?}");
     assert!(tally.refused.is_empty(), "{tally:?}");
@@ -223,7 +208,7 @@
     assert_eq!(outcome, Outcome::Refused(Code::Held.number().into()));
     let mut lives = 0;
     for (address, _) in &env.deployment.engines {
-        lives += status(*address).await.incarnation;
+        lives += engine_status(*address).await.incarnation;
     }
     assert_eq!(lives, 2, "two engines crashed once each");
     for chat in 0..20 {
@@ -244,7 +229,7 @@
             .await
             .unwrap_err();
         sleep(Duration::from_millis(500)).await;
-        let status = status(env.deployment.engines[0].0).await;
+        let status = engine_status(env.deployment.engines[0].0).await;
         assert_eq!(
             (status.running, status.cancelled),
             (0, 1 + u64::from(!stream))
@@ -309,7 +294,7 @@
     let env = TestEnv::start(plan_with(3, engine)).await;
     leave_together(&env, 48).await;
     for (address, _) in &env.deployment.engines {
-        assert_eq!(status(*address).await.running, 0);
+        assert_eq!(engine_status(*address).await.running, 0);
     }
 }
 
@@ -322,7 +307,7 @@
     for (address, _) in &env.deployment.engines {
         let EngineStatus {
             incarnation, most, ..
-        } = status(*address).await;
+        } = engine_status(*address).await;
         assert_eq!(incarnation, 0, "the engine has not crashed");
         assert!(most <= slow_engine().cold_slots, "{most} requests at once");
     }
--- a/tests/loading.rs
+++ b/tests/loading.rs
@@ -6,9 +6,9 @@
 
 use ebonyfall_bench::client::{Caller, Outcome, messages};
 use ebonyfall_core::order::{Goal, Reading};
-use ebonyfall_standin::engine::{EngineConfig, EngineStatus, Loads};
+use ebonyfall_standin::engine::{EngineConfig, Loads};
 use http_body_util::BodyExt;
-use testenv::{TestEnv, plan};
+use testenv::{TestEnv, engine_status, plan};
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep},
@@ -49,12 +49,7 @@
 
 /// Requests that the first engine has taken in this life.
 async fn requests(env: &TestEnv) -> u64 {
-    let caller = Caller::new(env.deployment.engines[0].0);
-    let res = caller.send("GET", "/status", "", &[]).await;
-    let body = res.expect("the engine answers").into_body().collect().await;
-    let body = body.expect("the status is whole").to_bytes();
-    let status: EngineStatus = serde_json::from_slice(&body).expect("the status is JSON");
-    status.requests
+    engine_status(env.deployment.engines[0].0).await.requests
 }
 
 /// Waits until every engine runs this version.
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -1,13 +1,14 @@
 //! A small deployment for integration tests.
 
-use std::path::Path;
+use std::{net::SocketAddr, path::Path};
 
 use ebonyfall_bench::client::Caller;
 use ebonyfall_standin::{
     deploy::{Deployment, Plan},
-    engine::EngineConfig,
+    engine::{EngineConfig, EngineStatus},
     log::LogLimits,
 };
+use http_body_util::BodyExt;
 use tempfile::TempDir;
 
 /// A running deployment; everything ends when it is dropped.
@@ -70,3 +71,12 @@
         Caller::new(self.deployment.routers[index].listen)
     }
 }
+
+/// What an engine reports of itself.
+#[allow(dead_code, reason = "not every test file uses it")]
+pub async fn engine_status(engine: SocketAddr) -> EngineStatus {
+    let res = Caller::new(engine).send("GET", "/status", "", &[]).await;
+    let body = res.expect("the engine answers").into_body().collect().await;
+    let body = body.expect("the status is whole").to_bytes();
+    serde_json::from_slice(&body).expect("the status is JSON")
+}
