Share the form of log records, the text of faults and a request's last end

Cause: the last read found the form number, its errors and its codec twice in wire/, faults joined to lines three times, the same end of a request twice in carry.rs, a count kept in two types in steer.rs, and six channel handles that were cloned for each request only to check its key. Change: wire/src/form.rs for facts and orders; `ini::lines`; `Carrier::no_other`; one count of usable targets; beliefs are shared by one `Arc`. The stand-in engine's model is a `Slot`, since `memory` is the module of prompts. In the whole test command one test failed, a_log_that_was_set_back_is_noticed_and_not_followed (log_reset false; again in 1 of 6 runs alone); being traced.

--- a/core/src/ini.rs
+++ b/core/src/ini.rs
@@ -35,6 +35,12 @@
     }
 }
 
+/// Faults as text, one a line.
+pub fn lines(faults: impl IntoIterator<Item = impl ToString>) -> String {
+    let lines: Vec<_> = faults.into_iter().map(|fault| fault.to_string()).collect();
+    lines.join("\n")
+}
+
 /// A `key = value` line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Property {
--- a/core/src/steer.rs
+++ b/core/src/steer.rs
@@ -324,7 +324,7 @@
 
     fn pick(&mut self, want: &Want<'_>, random: f64, now: Time) -> Option<(TargetName, f64)> {
         let (mut sum, mut counted) = (0.0, 0.0);
-        let (mut bad_sum, mut usable, mut places) = (0.0, 0.0, 0);
+        let (mut bad_sum, mut usable) = (0.0, 0_u32);
         let evacuated = &self.evacuated;
         self.targets.each_of(want.service, |entry| {
             if !entry.is_usable(evacuated, now) {
@@ -337,8 +337,7 @@
             sum += entry.load(now);
             counted += 1.0;
             bad_sum += entry.failure_share();
-            usable += 1.0;
-            places += 1;
+            usable += 1;
         });
         let mean = sum / f64::max(counted, 1.0);
         let found = self.targets.of(want.service).filter(|entry| {
@@ -347,13 +346,14 @@
         let rate = self.cold_rates.get(want.service);
         let cold_rate = rate.map_or(f64::INFINITY, |rate| rate / f64::from(self.routers));
         let ranked = found.filter_map(|entry| {
-            let others = (bad_sum - entry.failure_share()) / f64::max(usable - 1.0, 1.0);
+            let others =
+                (bad_sum - entry.failure_share()) / f64::from(usable.saturating_sub(1).max(1));
             let rank = preference::rank(entry, others, cold_rate, now)?;
             Some((rank, entry))
         });
         let context = want.contexts.last().copied();
         let version = self.moves.choose(want.service, context, random, now);
-        let mut all = Vec::with_capacity(places);
+        let mut all = Vec::with_capacity(usable as usize);
         all.extend(ranked);
         let ranked = version.of(all, &self.targets);
         let best = ranked.iter().map(|(rank, _)| *rank).min()?;
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -100,7 +100,7 @@
 pub struct Carrier {
     job: Job,
     passage: Passage,
-    beliefs: Beliefs,
+    beliefs: Arc<Beliefs>,
     steering: Steering,
     metrics: Metrics,
     log: Logger,
@@ -141,7 +141,7 @@
     pub fn new(
         job: Job,
         passage: Passage,
-        beliefs: Beliefs,
+        beliefs: Arc<Beliefs>,
         steering: Steering,
         metrics: Metrics,
         log: Logger,
@@ -206,10 +206,7 @@
                     self.metrics.entry.chosen(context, waited);
                     granted
                 }
-                Err(refusal) => {
-                    let own = self.failure.take().map(Sent::Failure);
-                    return own.ok_or_else(|| self.refusal(refusal.code, refusal.after));
-                }
+                Err(Refusal { code, after }) => return self.no_other(code, after),
             };
             let target = ticket.choice.target.name.clone();
             let sent = match self.line(&ticket, line).await {
@@ -217,8 +214,7 @@
                     // The key may have been taken away while a connection was made or another
                     // target worked.
                     if let Err(code) = self.permit() {
-                        let own = self.failure.take().map(Sent::Failure);
-                        return own.ok_or_else(|| self.refusal(code, RETRY_AFTER));
+                        return self.no_other(code, RETRY_AFTER);
                     }
                     self.send(ticket, line, last_event).await
                 }
@@ -276,6 +272,13 @@
         Refusal { code, after }
     }
 
+    /// The end where no other target gets the request: a target's own failure says more than a
+    /// code of the router.
+    fn no_other(&mut self, code: Code, after: Duration) -> Result<Sent, Refusal> {
+        let own = self.failure.take().map(Sent::Failure);
+        own.ok_or_else(|| self.refusal(code, after))
+    }
+
     /// Whether the request may still be handed to a target.
     fn permit(&self) -> Result<(), Code> {
         let Some(key) = &self.job.key else {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,6 @@
 //! The router on an entry VM: serves callers from targets that register themselves.
 
-use std::{io, net::SocketAddr, path::PathBuf, pin::Pin, time::Duration};
+use std::{io, net::SocketAddr, path::PathBuf, pin::Pin, sync::Arc, time::Duration};
 
 use ebonyfall_core::steer::Steer;
 use gotham::{handler::HandlerFuture, state::State};
@@ -122,7 +122,7 @@
     let limits = limits(&beliefs);
     let closing = closing(stop.clone());
     let intake = Shared::new(Intake {
-        beliefs,
+        beliefs: Arc::new(beliefs),
         closing,
         steering,
         metrics,
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone)]
 pub struct Intake {
     /// What is known of the desired state.
-    pub beliefs: Beliefs,
+    pub beliefs: Arc<Beliefs>,
     /// Whether it is too late for new requests before the process ends.
     pub closing: watch::Receiver<bool>,
     /// Chooses targets.
@@ -145,7 +145,7 @@
         let carrier = Carrier::new(
             job,
             passage,
-            self.beliefs.clone(),
+            Arc::clone(&self.beliefs),
             self.steering.clone(),
             self.metrics.clone(),
             self.log.clone(),
--- a/src/operate.rs
+++ b/src/operate.rs
@@ -7,7 +7,7 @@
     desired::{self, Desired},
     doc::Document,
     id::Offset,
-    ini::Fault,
+    ini::{Fault, lines},
     name::OperatorName,
     sections::{Difference, Sections},
 };
@@ -46,7 +46,7 @@
         source: DesiredError,
     },
     /// The desired state has faults.
-    #[snafu(display("{}", file_lines(file, faults)))]
+    #[snafu(display("{}", lines(faults.iter().map(|fault| format!("{file}: {fault}")))))]
     DesiredFaults {
         /// The file.
         file: String,
@@ -102,19 +102,6 @@
     },
 }
 
-fn file_lines(file: &str, faults: &[desired::Fault]) -> String {
-    let lines: Vec<_> = faults
-        .iter()
-        .map(|fault| format!("{file}: {fault}"))
-        .collect();
-    lines.join("\n")
-}
-
-fn lines(faults: &[Fault]) -> String {
-    let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
-    lines.join("\n")
-}
-
 /// Who was first, and what differs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Conflict {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,7 +11,7 @@
 use ebonyfall_core::{
     allowance::RetryBound,
     doc::KeyHash,
-    ini::{self, Fault, Fields},
+    ini::{self, Fault, Fields, lines},
     name::{OperatorName, ProcessName, TargetName, ZoneName},
 };
 use ebonyfall_wire::auth::{Key, Keys};
@@ -38,11 +38,6 @@
     },
 }
 
-fn lines(faults: &[Fault]) -> String {
-    let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
-    lines.join("\n")
-}
-
 /// What every process is told.
 #[derive(Debug, Clone)]
 pub struct Common {
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -136,16 +136,16 @@
     token: Offset,
 }
 
-/// The model of an engine that takes orders.
+/// Where an engine that takes orders has its model.
 #[derive(Debug)]
-struct Memory {
+struct Slot {
     cfg: Loads,
     reading: Reading,
     /// When what is loading runs.
     due: Instant,
 }
 
-impl Memory {
+impl Slot {
     fn new(cfg: Loads, incarnation: u64) -> Self {
         let reading = Reading {
             runs: Some(cfg.runs.clone()),
@@ -219,7 +219,7 @@
     let mut finished = 0;
     let mut cache: VecDeque<u64> = VecDeque::new();
     let loads = cfg.loads.clone();
-    let mut memory = loads.map(|loads| Memory::new(loads, incarnation));
+    let mut slot = loads.map(|loads| Slot::new(loads, incarnation));
     while let Some(ask) = rx.recv().await {
         match ask {
             Ask::Begin {
@@ -263,10 +263,10 @@
                 let _gone = reply.send(status.clone());
             }
             Ask::Model(reply) => {
-                let _gone = reply.send(memory.as_mut().map(Memory::read));
+                let _gone = reply.send(slot.as_mut().map(Slot::read));
             }
             Ask::Load { order, reply } => {
-                let taken = memory.as_mut().map(|memory| memory.load(order));
+                let taken = slot.as_mut().map(|slot| slot.load(order));
                 let _gone = reply.send(taken.unwrap_or(StatusCode::NOT_FOUND));
             }
         }
--- a/wire/src/facts.rs
+++ b/wire/src/facts.rs
@@ -2,25 +2,12 @@
 
 use ebonyfall_core::{id::Declaration, name::MoveName, rollout::Verdict};
 use serde::{Deserialize, Serialize};
-use snafu::{ResultExt, Snafu, ensure};
+
+use crate::form::{self, FormError};
 
 /// Number of the record's form, its first byte.
 const FORM: u8 = 1;
 
-/// A record that cannot be used.
-#[derive(Debug, Snafu)]
-pub enum FactError {
-    /// It was written in a form that this build does not know.
-    #[snafu(display("a fact has an unknown form; upgrade this process"))]
-    Form,
-    /// It cannot be decoded or encoded.
-    #[snafu(display("a fact cannot be decoded: {source}"))]
-    Codec {
-        /// The codec's error.
-        source: postcard::Error,
-    },
-}
-
 /// Something that holds for every process from then on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Fact {
@@ -78,8 +65,8 @@
 /// # Errors
 ///
 /// Fails when it cannot be encoded.
-pub fn encode(fact: &Fact) -> Result<Vec<u8>, FactError> {
-    postcard::to_extend(fact, vec![FORM]).context(CodecSnafu)
+pub fn encode(fact: &Fact) -> Result<Vec<u8>, FormError> {
+    form::encode(FORM, fact)
 }
 
 /// Decodes a record of the log.
@@ -87,9 +74,8 @@
 /// # Errors
 ///
 /// Fails when the record has another form or is malformed.
-pub fn decode(data: &[u8]) -> Result<Fact, FactError> {
-    ensure!(data.first() == Some(&FORM), FormSnafu);
-    postcard::from_bytes(&data[1..]).context(CodecSnafu)
+pub fn decode(data: &[u8]) -> Result<Fact, FormError> {
+    form::decode(FORM, data)
 }
 
 #[cfg(test)]
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod control;
 pub mod facts;
+pub mod form;
 pub mod frame;
 pub mod gossip;
 pub mod mirror;
