Make the stand-ins' resets and ports exact

Cause: the stand-in proxy read bytes, and then passed them on without looking at its fault again, so one answer of the store reached a router after its connections were reset (listed in KNOWN-RED.txt). The choice of ports checked each port with a listening socket, of which a process that another thread was starting kept a copy until it had loaded its program.

Ruled out: the router, which reported the answer that it got.

Change: the proxy writes while it holds the fault, so that no byte passes once a fault is set. The check of a port does not listen.

Before: both tests of tests/standin.rs fail. After: both pass.

--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -4,7 +4,7 @@
 use std::{
     fmt::Write as _,
     fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     ops::Range,
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
@@ -17,6 +17,7 @@
     operate::{self, PublishRequest},
     platform::Platform as Client,
 };
+use socket2::{Domain, Socket, Type};
 
 use crate::{
     engine::{self, EngineConfig},
@@ -199,13 +200,35 @@
         let port = u16::try_from(port).expect("the range holds port numbers");
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         // Daemons also receive datagrams on their TCP port.
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+        if tcp_is_free(address).is_ok() && udp_is_free(port).is_ok_and(|is_free| is_free) {
             return address;
         }
     }
     panic!("loopback has no free port in the range for servers")
 }
 
+/// Checks that a listener can be bound to `address`.
+///
+/// The check does not listen: a process that another thread starts at this moment keeps a copy of
+/// the socket until it has loaded its program, and the copy of a listening socket would make the
+/// next bind fail.
+fn tcp_is_free(address: SocketAddr) -> io::Result<()> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())
+}
+
+/// Checks in the kernel's list of UDP sockets that no address has `port`. Binding a socket as a
+/// check would leave a copy of it in a process that another thread starts.
+fn udp_is_free(port: u16) -> io::Result<bool> {
+    let sockets = fs::read_to_string("/proc/net/udp")?;
+    let suffix = format!(":{port:04X}");
+    let mut local_addresses = sockets
+        .lines()
+        .filter_map(|line| line.split_ascii_whitespace().nth(1));
+    Ok(!local_addresses.any(|address| address.ends_with(&suffix)))
+}
+
 impl Deployment {
     /// Publishes a configuration document; `document` stays unchanged.
     ///
--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -1,10 +1,10 @@
 //! Loopback TCP proxy that injects faults into connections.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use ebonyfall::web;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncReadExt,
     net::{
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -21,7 +21,8 @@
 /// Fault that the proxy injects into every connection.
 ///
 /// A direction that has dropped bytes forwards nothing more until the connection ends, even after
-/// the fault is cleared.
+/// the fault is cleared. Once a fault that stops bytes is set, no byte is forwarded any more, not
+/// even one that the proxy has already read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionFault {
     /// Bytes are forwarded in both directions.
@@ -67,6 +68,9 @@
 }
 
 async fn relay(caller: TcpStream, server: SocketAddr, fault: watch::Receiver<ConnectionFault>) {
+    if *fault.borrow() == ConnectionFault::Reset {
+        return;
+    }
     let Ok(server) = TcpStream::connect(server).await else {
         return;
     };
@@ -80,11 +84,20 @@
     }
 }
 
+/// Result of forwarding one chunk of bytes.
+enum Forwarded {
+    Whole,
+    /// The fault drops the bytes and all later ones of this direction.
+    Dropped,
+    /// The connection has to be closed.
+    Closed,
+}
+
 /// Forwards one direction, and drops its bytes under `drop_fault`. Returns when either side closes,
 /// which closes the whole connection.
 async fn copy(
     mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    to: OwnedWriteHalf,
     fault: watch::Receiver<ConnectionFault>,
     drop_fault: ConnectionFault,
 ) {
@@ -93,16 +106,46 @@
         if len == 0 {
             return;
         }
-        let fault = *fault.borrow();
-        if fault == ConnectionFault::DropAll || fault == drop_fault {
+        let pause = match *fault.borrow() {
+            ConnectionFault::Delay(pause) => Some(pause),
+            _ => None,
+        };
+        if let Some(pause) = pause {
+            sleep(pause).await;
+        }
+        match forward(&to, &buf[..len], &fault, drop_fault).await {
+            Forwarded::Whole => {}
             // Bytes are dropped without closing the connection, so the copy must not return.
-            return std::future::pending().await;
+            Forwarded::Dropped => return std::future::pending().await,
+            Forwarded::Closed => return,
         }
-        if let ConnectionFault::Delay(pause) = fault {
-            sleep(pause).await;
+    }
+}
+
+/// Writes `bytes` unless the fault forbids it. The fault is read-locked during each write, so that
+/// no byte is written after [`Proxy::set_fault`] has returned.
+async fn forward(
+    to: &OwnedWriteHalf,
+    mut bytes: &[u8],
+    fault: &watch::Receiver<ConnectionFault>,
+    drop_fault: ConnectionFault,
+) -> Forwarded {
+    while !bytes.is_empty() {
+        if to.writable().await.is_err() {
+            return Forwarded::Closed;
         }
-        if to.write_all(&buf[..len]).await.is_err() {
-            return;
+        let fault = fault.borrow();
+        if *fault == ConnectionFault::Reset {
+            return Forwarded::Closed;
+        }
+        if *fault == ConnectionFault::DropAll || *fault == drop_fault {
+            return Forwarded::Dropped;
+        }
+        match to.try_write(bytes) {
+            Ok(len) => bytes = &bytes[len..],
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return Forwarded::Closed,
         }
     }
+    Forwarded::Whole
 }
