Believe no byte of a target before it is checked

Cause: found by reading, and by a target that follows scripts of bytes. A 421 counted as not run whatever request it named, and a mark of not run counted on an answer without an attempt id, so an earlier refusal that was written once more made a running request end as not run, or run at a second target. Bodies, interim answers and events were collected without a limit, a comment now and then kept a stalled stream open, the body of a refusal could hold up the retry, and a stream that broke off before its first event closed the caller's connection without an answer.

Ruled out: answers to other requests on a kept connection; the attempt id and the HTTP library already kept these apart.

Change: nothing is concluded from an answer that does not name the attempt; a request has not run only by a marked 400, 421, 429 or 503. The head of a stream goes to the caller with its first event.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -50,22 +50,44 @@
 }
 
 impl AnswerHead {
-    /// Classifies the answer. A success counts only with the seal and the request's identifier, and
-    /// without a content encoding.
+    /// Classifies the answer.
+    ///
+    /// Nothing is concluded from an answer that does not name this attempt, since a target may
+    /// write an earlier answer once more. The request has not run only if the target states so with
+    /// a status for that purpose. A success counts only with the seal and without a content
+    /// encoding.
     pub fn kind(&self) -> AnswerKind {
+        if self.matches != Some(true) {
+            return AnswerKind::Unrelated;
+        }
+        if self.not_run {
+            return match self.status {
+                421 => AnswerKind::WrongTarget,
+                400 | 429 | 503 => AnswerKind::Declined,
+                _ => AnswerKind::Unrelated,
+            };
+        }
         match self.status {
-            421 => AnswerKind::WrongTarget,
-            _ if self.matches == Some(false) => AnswerKind::Unrelated,
-            _ if self.not_run => AnswerKind::Declined,
-            200..300 if self.sealed && self.matches == Some(true) && !self.encoded => {
-                AnswerKind::Answer
-            }
+            200..300 if self.sealed && !self.encoded => AnswerKind::Answer,
             200..300 => AnswerKind::Unrelated,
+            _ if self.states_not_run() => AnswerKind::Failed,
             500.. => AnswerKind::Failed,
             _ if self.sealed => AnswerKind::Answer,
             _ => AnswerKind::Unrelated,
         }
     }
+
+    /// Whether an answer of the kind [`AnswerKind::Failed`] may be passed on to the caller. A
+    /// status that tells callers that the request has not run is not passed on, because the target
+    /// did not confirm that.
+    pub fn may_pass_on(&self) -> bool {
+        self.kind() == AnswerKind::Failed && self.sealed && !self.states_not_run()
+    }
+
+    /// Whether callers take the status as a statement that the request has not run.
+    fn states_not_run(&self) -> bool {
+        matches!(self.status, 408 | 421 | 429 | 503)
+    }
 }
 
 /// Why an attempt failed.
@@ -79,6 +101,8 @@
     WrongTarget,
     /// The connection broke, or the answer was incomplete or belongs to another request.
     Broken,
+    /// The target sent more bytes than the limits on answers allow.
+    Oversized,
     /// The target did not answer in time.
     TimedOut,
     /// The target answered with a server error.
@@ -93,6 +117,7 @@
             Self::Declined => "declined",
             Self::WrongTarget => "wrong_target",
             Self::Broken => "broken",
+            Self::Oversized => "oversized",
             Self::TimedOut => "silent",
             Self::Failed => "failed",
         }
@@ -104,7 +129,7 @@
             Self::NotSent => Code::EngineUnreachable,
             Self::Declined => Code::EngineRefused,
             Self::WrongTarget => Code::WrongTarget,
-            Self::Broken => Code::LinkLost,
+            Self::Broken | Self::Oversized => Code::LinkLost,
             Self::TimedOut => Code::EngineTimeout,
             Self::Failed => Code::EngineFailed,
         }
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -474,7 +474,9 @@
                     .broken_requests
                     .push((content.0, content.1.clone(), now));
             }
-            End::Failed(Failure::TimedOut | Failure::Failed) => entry.count_result(true, now),
+            End::Failed(Failure::Oversized | Failure::TimedOut | Failure::Failed) => {
+                entry.count_result(true, now);
+            }
         }
     }
 
--- a/core/tests/direct.rs
+++ b/core/tests/direct.rs
@@ -13,11 +13,12 @@
 };
 use quickcheck::quickcheck;
 
-const FAILURES: [Failure; 6] = [
+const FAILURES: [Failure; 7] = [
     Failure::NotSent,
     Failure::Declined,
     Failure::WrongTarget,
     Failure::Broken,
+    Failure::Oversized,
     Failure::TimedOut,
     Failure::Failed,
 ];
@@ -84,16 +85,73 @@
     for head in unrelated {
         assert_eq!(head.kind(), AnswerKind::Unrelated, "{head:?}");
     }
-    let declined = AnswerHead {
-        not_run: true,
+    assert_eq!(head(404).kind(), AnswerKind::Answer);
+}
+
+/// Guards against a refusal that a target wrote earlier, and writes once more on a kept connection,
+/// being taken for the answer to a request that the target runs: only a refusal that names this
+/// attempt proves that it did not run.
+#[test]
+fn only_a_refusal_of_this_attempt_proves_that_it_did_not_run() {
+    let not_run =
+        |head: &AnswerHead| matches!(head.kind(), AnswerKind::Declined | AnswerKind::WrongTarget);
+    for status in [400, 421, 429, 503] {
+        for sealed in [false, true] {
+            let refusal = AnswerHead {
+                not_run: true,
+                sealed,
+                ..head(status)
+            };
+            assert!(not_run(&refusal), "{refusal:?}");
+            for matches in [None, Some(false)] {
+                let stale = AnswerHead {
+                    matches,
+                    ..refusal.clone()
+                };
+                assert_eq!(stale.kind(), AnswerKind::Unrelated, "{stale:?}");
+            }
+        }
+    }
+    for status in [408, 421, 429, 503] {
+        let unmarked = head(status);
+        assert_eq!(unmarked.kind(), AnswerKind::Failed, "{unmarked:?}");
+        assert!(
+            !unmarked.may_pass_on(),
+            "the status would state that it did not run"
+        );
+    }
+    for status in [200, 204, 302, 404, 408, 500, 502] {
+        let contradictory = AnswerHead {
+            not_run: true,
+            ..head(status)
+        };
+        assert_eq!(
+            contradictory.kind(),
+            AnswerKind::Unrelated,
+            "{contradictory:?}"
+        );
+    }
+}
+
+/// Guards against an error answer to another request, or one that the target did not seal, being
+/// passed on as the target's answer.
+#[test]
+fn only_a_sealed_failure_of_this_attempt_is_passed_on() {
+    assert!(head(500).may_pass_on());
+    for matches in [None, Some(false)] {
+        let stale = AnswerHead {
+            matches,
+            ..head(500)
+        };
+        assert_eq!(stale.kind(), AnswerKind::Unrelated);
+        assert!(!stale.may_pass_on());
+    }
+    let unsealed = AnswerHead {
         sealed: false,
-        ..head(503)
+        ..head(500)
     };
-    assert_eq!(declined.kind(), AnswerKind::Declined);
-    // A 503 without the not-executed header may have run.
-    assert_eq!(head(503).kind(), AnswerKind::Failed);
-    assert_eq!(head(421).kind(), AnswerKind::WrongTarget);
-    assert_eq!(head(404).kind(), AnswerKind::Answer);
+    assert_eq!(unsealed.kind(), AnswerKind::Failed);
+    assert!(!unsealed.may_pass_on());
 }
 
 quickcheck! {
--- a/core/tests/selector.rs
+++ b/core/tests/selector.rs
@@ -430,11 +430,11 @@
         while !rest.is_empty() {
             let len = cuts.next().map_or(7, |cut| usize::from(cut) + 1).min(rest.len());
             let (part, later) = rest.split_at(len);
-            if let Some(whole) = parser.push(part) {
-                if !whole.ends_with(b"\n\n") {
+            if let Ok(Some(whole)) = parser.push(part) {
+                if !whole.bytes.ends_with(b"\n\n") || !whole.has_event {
                     return false;
                 }
-                out.extend_from_slice(&whole);
+                out.extend_from_slice(&whole.bytes);
             }
             rest = later;
         }
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -1,7 +1,7 @@
 //! Forwards one request from an entry router to a target over HTTP, or to another target if that
 //! fails, and returns the answer to the caller.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use ebonyfall_core::{
@@ -9,13 +9,12 @@
     desired::{DesiredRoute, ResponseKind},
     direct::{AnswerKind, DirectRequest, Failure, NextStep},
     doc::KeyHash,
-    events::EventSplitter,
     id::Fingerprint,
     name::{ServiceName, TargetName, TeamName},
     outcome::End,
     selector::{Choice, SelectionRefusal},
     time::Time,
-    timing::{Arrivals, Timing},
+    timing::Timing,
 };
 use ebonyfall_platform::{
     answer,
@@ -23,8 +22,8 @@
 };
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use slog::{Logger, info};
 use tokio::time::timeout;
 
@@ -32,9 +31,10 @@
     clock::{self, BootClock},
     follow::StoreState,
     metrics::Metrics,
+    receive::{AnswerBuffers, BufferedBody, MAX_ANSWER_BYTES, MAX_ERROR_BYTES, ReceiveFault},
     selection::{Reservation, SelectionRequest, SelectorHandle},
+    streaming::StreamRelay,
     upstream::TargetConnection,
-    web,
 };
 
 /// Percentage of the latency objective after which an idempotent request is retried at another
@@ -42,10 +42,13 @@
 const RETRY_PERCENT: u32 = 60;
 /// Maximum time until the headers of a stream, and between two parts of it, while another attempt
 /// is left. After a longer gap the stream is resumed at another target.
-const MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
+pub(crate) const MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
+/// Longest wait for the body of an error answer that is not passed on; it is read only so that the
+/// connection can be used again.
+const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time added to the deadline given to a target while waiting for its answer, so that an error
 /// answer that the target sends at the deadline still arrives.
-const ANSWER_GRACE: Duration = Duration::from_millis(60);
+pub(crate) const ANSWER_GRACE: Duration = Duration::from_millis(60);
 /// Delay after which a caller may retry a refused request.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -98,72 +101,104 @@
     pub body: Body,
 }
 
+/// Handles that all requests of the process share.
+#[derive(Debug)]
+pub struct Forwarding {
+    /// Last received desired state, and the lease that shows whether that state is current.
+    pub store_state: StoreState,
+    /// Task that chooses targets.
+    pub selector: SelectorHandle,
+    /// Memory for answers.
+    pub buffers: AnswerBuffers,
+    /// Metrics of this process.
+    pub metrics: Metrics,
+    /// Logger of this process.
+    pub log: Logger,
+}
+
 /// Forwards one request. Dropping the forwarder closes the connection to the target, which ends the
 /// work there.
 #[derive(Debug)]
 pub struct Forwarder {
     job: ForwardJob,
-    attempts: DirectRequest,
-    store_state: Arc<StoreState>,
-    selector: SelectorHandle,
-    metrics: Metrics,
-    log: Logger,
-    charge_retry: bool,
+    pub(crate) attempts: DirectRequest,
+    pub(crate) shared: Arc<Forwarding>,
+    pub(crate) charge_retry: bool,
     /// Error answer of a target, returned to the caller if no other target can be tried.
     failure: Option<CompleteAnswer>,
 }
 
 /// Answer of a target whose headers have been read, but not the body.
 #[derive(Debug)]
-struct OpenAnswer {
-    reservation: Reservation,
-    connection: TargetConnection,
+pub(crate) struct OpenAnswer {
+    pub(crate) reservation: Reservation,
+    pub(crate) connection: TargetConnection,
     status: StatusCode,
-    headers: HeaderMap,
-    body: Incoming,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
     sent_at: Time,
 }
 
+/// Status and headers of a target's answer, for the caller.
+pub(crate) struct StreamHead {
+    choice: Choice,
+    status: StatusCode,
+    headers: HeaderMap,
+}
+
+impl OpenAnswer {
+    pub(crate) fn head(&self) -> StreamHead {
+        StreamHead {
+            choice: self.reservation.choice.clone(),
+            status: self.status,
+            headers: self.headers.clone(),
+        }
+    }
+}
+
 /// Answer of a target that has been read to the end.
 #[derive(Debug)]
-struct CompleteAnswer {
+pub(crate) struct CompleteAnswer {
     choice: Choice,
     status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    body: BufferedBody,
 }
 
 /// Result of sending the request to targets until one of them replies.
-enum TargetReply {
+pub(crate) enum TargetReply {
     Answer(OpenAnswer),
     /// Error answer of a target, sealed by that target.
     Failure(CompleteAnswer),
 }
 
+impl Forwarding {
+    /// Counts an answer that was not read to its end; returns how the attempt failed.
+    fn count_receive_fault(&self, fault: ReceiveFault) -> Failure {
+        let limit = match fault {
+            ReceiveFault::Broken => return Failure::Broken,
+            ReceiveFault::TooLong => "body",
+            ReceiveFault::BuffersFull => "buffers",
+        };
+        self.metrics.entry.count_limit_exceeded(limit);
+        Failure::Oversized
+    }
+}
+
 impl Forwarder {
     /// Creates a forwarder for a request that has not been sent to any target.
-    pub fn new(
-        job: ForwardJob,
-        attempts: DirectRequest,
-        store_state: Arc<StoreState>,
-        selector: SelectorHandle,
-        metrics: Metrics,
-        log: Logger,
-    ) -> Self {
+    pub fn new(job: ForwardJob, attempts: DirectRequest, shared: Arc<Forwarding>) -> Self {
         Self {
             job,
             attempts,
-            store_state,
-            selector,
-            metrics,
-            log,
+            shared,
             charge_retry: false,
             failure: None,
         }
     }
 
     /// Sends the request to targets until one of them has answered or no attempt is left. A stream
-    /// counts as answered when its headers have arrived; the body relays its events.
+    /// counts as answered when its first event has arrived; the body relays the others.
     ///
     /// # Errors
     ///
@@ -175,7 +210,7 @@
                 TargetReply::Answer(open) => open,
             };
             if matches!(self.job.route.response, ResponseKind::EventStream { .. }) {
-                return Ok(self.relay_stream(open));
+                return StreamRelay::start(self, open).await;
             }
             if let Some(caller_answer) = self.read_answer(open).await? {
                 return Ok(caller_answer);
@@ -183,29 +218,48 @@
         }
     }
 
-    fn caller_answer(&self, complete: CompleteAnswer) -> CallerAnswer {
+    pub(crate) fn caller_answer(&self, complete: CompleteAnswer) -> CallerAnswer {
         CallerAnswer {
             attempt_id: self.job.attempt_id.clone(),
             choice: complete.choice,
             status: complete.status,
             headers: complete.headers,
-            body: web::full_body(complete.body),
+            body: complete.body.into(),
         }
     }
 
+    /// Returns the answer to the caller whose body is `body`.
+    pub(crate) fn streamed_answer(
+        attempt_id: String,
+        head: StreamHead,
+        body: Body,
+    ) -> CallerAnswer {
+        CallerAnswer {
+            attempt_id,
+            choice: head.choice,
+            status: head.status,
+            headers: head.headers,
+            body,
+        }
+    }
+
+    pub(crate) fn attempt_id(&self) -> &str {
+        &self.job.attempt_id
+    }
+
     /// Sends the request to one target after another until one replies with an answer, or with an
     /// error that ends the request.
-    async fn send_to_targets(
+    pub(crate) async fn send_to_targets(
         &mut self,
         last_event: Option<&str>,
     ) -> Result<TargetReply, SelectionRefusal> {
         loop {
             if BootClock.now() >= self.attempts.deadline() {
-                return Err(self.refusal(Code::DeadlinePassed, RETRY_AFTER));
+                return Err(self.refusal(Code::DeadlinePassed));
             }
             let requested_at = BootClock.now();
             let (reservation, connection) =
-                match self.selector.choose(self.selection_request()).await {
+                match self.shared.selector.choose(self.selection_request()).await {
                     Ok(selected) => {
                         let context = match selected.0.choice.context_source {
                             Some(_) => "fetch",
@@ -213,7 +267,7 @@
                             None => "held",
                         };
                         let waited = BootClock.now().since(requested_at);
-                        self.metrics.entry.observe_choice(context, waited);
+                        self.shared.metrics.entry.observe_choice(context, waited);
                         selected
                     }
                     Err(SelectionRefusal { code, after }) => {
@@ -249,7 +303,7 @@
                     };
                     // The target's error answer is more specific than a result code of the router.
                     let target_answer = target_answer.map(TargetReply::Failure);
-                    return target_answer.ok_or_else(|| self.refusal(code, RETRY_AFTER));
+                    return target_answer.ok_or_else(|| self.refusal(code));
                 }
             }
         }
@@ -268,18 +322,25 @@
         }
     }
 
-    fn record_failure(&mut self, target: &TargetName, failure: Failure) -> NextStep {
+    pub(crate) fn record_failure(&mut self, target: &TargetName, failure: Failure) -> NextStep {
         let now = BootClock.now();
         let next = self.attempts.on_failure(target, failure, now);
-        self.metrics.entry.count_target_failure(failure.name());
-        info!(self.log, "target failed"; "event" => "attempt", "request" => &self.job.attempt_id,
+        self.shared
+            .metrics
+            .entry
+            .count_target_failure(failure.name());
+        info!(self.shared.log, "target failed"; "event" => "attempt", "request" => &self.job.attempt_id,
             "target" => %target, "failure" => failure.name(), "next" => ?next,
             "tried" => self.attempts.tried().len(), "version" => self.job.version,
             "after_ms" => clock::millis(now.since(self.job.arrived)));
         next
     }
 
-    fn refusal(&self, code: Code, after: Duration) -> SelectionRefusal {
+    pub(crate) fn refusal(&self, code: Code) -> SelectionRefusal {
+        self.refusal_after(code, RETRY_AFTER)
+    }
+
+    fn refusal_after(&self, code: Code, after: Duration) -> SelectionRefusal {
         let code = self.attempts.final_code(code);
         SelectionRefusal { code, after }
     }
@@ -292,7 +353,7 @@
         after: Duration,
     ) -> Result<TargetReply, SelectionRefusal> {
         let target_answer = self.failure.take().map(TargetReply::Failure);
-        target_answer.ok_or_else(|| self.refusal(code, after))
+        target_answer.ok_or_else(|| self.refusal_after(code, after))
     }
 
     /// Checks that the API key is still valid, by a desired state that is recent enough.
@@ -300,9 +361,9 @@
         let Some(key) = &self.job.key else {
             return Ok(());
         };
-        let desired = self.store_state.desired.borrow();
+        let desired = self.shared.store_state.desired.borrow();
         let desired = desired.as_ref().ok_or(Code::StaleState)?;
-        let lease = self.store_state.lease.borrow();
+        let lease = self.shared.store_state.lease.borrow();
         lease.authorize(desired, key, BootClock.now())
     }
 
@@ -337,7 +398,12 @@
         let req = self.target_request(&reservation, time_left, last_event);
         let res = match timeout(limit, connection.send(req)).await {
             Ok(Ok(res)) => res,
-            Ok(Err(failure)) => return Err(fail(reservation, failure)),
+            Ok(Err(failure)) => {
+                if failure == Failure::Oversized {
+                    self.shared.metrics.entry.count_limit_exceeded("head");
+                }
+                return Err(fail(reservation, failure));
+            }
             Err(_late) => return Err(fail(reservation, Failure::TimedOut)),
         };
         let (head, body) = res.into_parts();
@@ -360,8 +426,7 @@
             AnswerKind::WrongTarget => Failure::WrongTarget,
             AnswerKind::Unrelated => return Err(fail(open.reservation, Failure::Broken)),
         };
-        // Only an error sealed by the target may be passed on as its answer to this request.
-        let keep = decoded.sealed && failure == Failure::Failed;
+        let keep = decoded.may_pass_on();
         Err((failure, self.read_failure(open, failure, keep).await))
     }
 
@@ -373,21 +438,33 @@
         failure: Failure,
         keep: bool,
     ) -> Option<CompleteAnswer> {
-        let time_left = self.attempts.deadline().since(BootClock.now()) + ANSWER_GRACE;
+        let limit = if keep {
+            self.answer_timeout(self.attempts.deadline().since(BootClock.now()))
+        } else {
+            UNUSED_BODY_TIMEOUT
+        };
         let choice = open.reservation.choice.clone();
-        let body = timeout(time_left, open.body.collect()).await;
-        let Ok(Ok(body)) = body else {
-            open.reservation.finish(End::Failed(failure), None);
-            return None;
+        let body = self.shared.buffers.read(open.body, MAX_ERROR_BYTES);
+        let body = match timeout(limit, body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(fault)) => {
+                self.shared.count_receive_fault(fault);
+                open.reservation.finish(End::Failed(failure), None);
+                return None;
+            }
+            Err(_late) => {
+                open.reservation.finish(End::Failed(failure), None);
+                return None;
+            }
         };
         let connection = mark_idle(open.connection, &open.headers);
         open.reservation
             .finish(End::Failed(failure), Some(connection));
-        keep.then(|| CompleteAnswer {
+        keep.then_some(CompleteAnswer {
             choice,
             status: open.status,
             headers: open.headers,
-            body: body.to_bytes(),
+            body,
         })
     }
 
@@ -432,7 +509,8 @@
     ) -> Result<Option<CallerAnswer>, SelectionRefusal> {
         let time_left = self.attempts.deadline().since(BootClock.now());
         let target = open.reservation.choice.target.name.clone();
-        let failure = match timeout(self.answer_timeout(time_left), open.body.collect()).await {
+        let body = self.shared.buffers.read(open.body, MAX_ANSWER_BYTES);
+        let failure = match timeout(self.answer_timeout(time_left), body).await {
             Ok(Ok(body)) => {
                 let connection = mark_idle(open.connection, &open.headers);
                 let choice = open.reservation.choice.clone();
@@ -443,10 +521,10 @@
                     choice,
                     status: open.status,
                     headers: open.headers,
-                    body: body.to_bytes(),
+                    body,
                 })));
             }
-            Ok(Err(_broken)) => Failure::Broken,
+            Ok(Err(fault)) => self.shared.count_receive_fault(fault),
             Err(_late) => Failure::TimedOut,
         };
         open.reservation.finish(End::Failed(failure), None);
@@ -455,118 +533,13 @@
                 self.charge_retry = repeat;
                 Ok(None)
             }
-            NextStep::GiveUp(code) => Err(self.refusal(code, RETRY_AFTER)),
-            NextStep::PassOn => Err(self.refusal(failure.code(), RETRY_AFTER)),
-        }
-    }
-
-    /// Returns an answer whose body relays the stream as it arrives.
-    fn relay_stream(mut self, open: OpenAnswer) -> CallerAnswer {
-        self.attempts.record_answer_begun();
-        let attempt_id = self.job.attempt_id.clone();
-        let choice = open.reservation.choice.clone();
-        let (status, headers) = (open.status, open.headers.clone());
-        let relay = StreamRelay {
-            forwarder: self,
-            open: Some(open),
-            events: EventSplitter::default(),
-            arrivals: Arrivals::default(),
-        };
-        let body = futures_util::stream::unfold(relay, StreamRelay::next);
-        CallerAnswer {
-            attempt_id,
-            choice,
-            status,
-            headers,
-            body: Body::new(StreamBody::new(body)),
-        }
-    }
-}
-
-/// Stream that is being relayed to the caller.
-struct StreamRelay {
-    forwarder: Forwarder,
-    open: Option<OpenAnswer>,
-    events: EventSplitter,
-    arrivals: Arrivals,
-}
-
-type FrameResult = io::Result<Frame<Bytes>>;
-
-impl StreamRelay {
-    async fn next(mut self) -> Option<(FrameResult, Self)> {
-        loop {
-            let open = self.open.as_mut()?;
-            let resumable = self.forwarder.attempts.has_attempts_left();
-            let time_left =
-                self.forwarder.attempts.deadline().since(BootClock.now()) + ANSWER_GRACE;
-            let limit = if resumable {
-                time_left.min(MAX_EVENT_GAP)
-            } else {
-                time_left
-            };
-            let failure = match timeout(limit, open.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    if let Some(gap) = self.arrivals.record(BootClock.now()) {
-                        self.forwarder.metrics.entry.observe_stream_gap(gap);
-                    }
-                    match self.events.push(&data) {
-                        Some(complete) => return Some((Ok(Frame::data(complete)), self)),
-                        None => continue,
-                    }
-                }
-                Ok(None) => {
-                    let mut open = self.open.take()?;
-                    let connection = mark_idle(open.connection, &open.headers);
-                    if let Some(mean_gap) = self.arrivals.mean_gap() {
-                        open.reservation.record_timing(Timing::Events(mean_gap));
-                    }
-                    open.reservation.finish(End::Served, Some(connection));
-                    let partial = self.events.take_partial();
-                    if partial.is_empty() {
-                        return None;
-                    }
-                    return Some((Ok(Frame::data(partial)), self));
-                }
-                Ok(Some(Err(_broken))) => Failure::Broken,
-                Err(_late) => Failure::TimedOut,
-            };
-            let open = self.open.take()?;
-            let target = open.reservation.choice.target.name.clone();
-            open.reservation.finish(End::Failed(failure), None);
-            // Closing the connection ends the work at this target before another one resumes the
-            // stream.
-            drop(open.connection);
-            self.events.drop_partial();
-            if !self.resume(&target, failure).await {
-                let cut = io::Error::other("stream from the target broke off and was not resumed");
-                return Some((Err(cut), self));
-            }
-        }
-    }
-
-    /// Resumes the stream at another target after its last complete event. False if that failed.
-    async fn resume(&mut self, target: &TargetName, failure: Failure) -> bool {
-        let NextStep::Again { repeat } = self.forwarder.record_failure(target, failure) else {
-            return false;
-        };
-        self.forwarder.charge_retry = repeat;
-        self.arrivals = Arrivals::default();
-        let last = self.events.last_id().map(str::to_owned);
-        match self.forwarder.send_to_targets(last.as_deref()).await {
-            Ok(TargetReply::Answer(open)) => {
-                self.open = Some(open);
-                true
-            }
-            Ok(TargetReply::Failure(_)) | Err(_) => false,
+            NextStep::GiveUp(code) => Err(self.refusal(code)),
+            NextStep::PassOn => Err(self.refusal(failure.code())),
         }
     }
 }
 
-fn mark_idle(mut connection: TargetConnection, headers: &HeaderMap) -> TargetConnection {
+pub(crate) fn mark_idle(mut connection: TargetConnection, headers: &HeaderMap) -> TargetConnection {
     connection.mark_idle(answer::keep_alive_timeout(headers), BootClock.now());
     connection
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,12 +14,14 @@
 };
 
 use crate::{
+    carry::Forwarding,
     clock::BootClock,
     follow::{self, StoreState},
     intake::Intake,
     metrics::Metrics,
     monitoring::{self, Monitoring},
     peering::{self, Peering},
+    receive::AnswerBuffers,
     report,
     selection::SelectorHandle,
     settings::{self, EntryConfig},
@@ -126,12 +128,16 @@
     tokio::spawn(watch_settings(cfg.clone(), path, log.clone()));
     let limits = limits(&store_state);
     let closing = closing(stop.clone());
-    let intake = Shared::new(Intake {
-        store_state: Arc::new(store_state),
-        closing,
+    let forwarding = Forwarding {
+        store_state,
         selector,
+        buffers: AnswerBuffers::default(),
         metrics,
         log: log.clone(),
+    };
+    let intake = Shared::new(Intake {
+        shared: Arc::new(forwarding),
+        closing,
     });
     let handler = move || {
         let intake = intake.clone().into_inner();
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -11,16 +11,13 @@
 };
 use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
 use http::{HeaderMap, Method, Response, StatusCode, Uri, header::HOST};
-use slog::{Logger, info, warn};
+use slog::{info, warn};
 use tokio::sync::watch;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    carry::{CallerAnswer, ForwardJob, Forwarder},
+    carry::{CallerAnswer, ForwardJob, Forwarder, Forwarding},
     clock::{self, BootClock},
-    follow::StoreState,
-    metrics::Metrics,
-    selection::SelectorHandle,
     web,
 };
 
@@ -37,16 +34,10 @@
 /// Handles that every request uses; cloning shares them.
 #[derive(Debug, Clone)]
 pub struct Intake {
-    /// Last received desired state, and the lease that shows whether that state is current.
-    pub store_state: Arc<StoreState>,
+    /// Handles that forwarding a request needs, too.
+    pub shared: Arc<Forwarding>,
     /// Whether new requests are refused because the process is shutting down.
     pub closing: watch::Receiver<bool>,
-    /// Task that chooses targets.
-    pub selector: SelectorHandle,
-    /// Metrics of this process.
-    pub metrics: Metrics,
-    /// Logger of this process.
-    pub log: Logger,
 }
 
 impl Intake {
@@ -64,7 +55,7 @@
         let inbound = request::decode(headers);
         let attempt_id = inbound.attempt_id.clone();
         let limit = {
-            let desired = self.store_state.desired.borrow();
+            let desired = self.shared.store_state.desired.borrow();
             desired.as_ref().map(|state| state.limits.max_body_bytes)
         };
         // The body is read even if the request is refused: closing a connection with unread bytes
@@ -96,9 +87,14 @@
         if *self.closing.borrow() {
             return Err(Code::ShuttingDown);
         }
-        let desired = self.store_state.desired.borrow().clone();
+        let desired = self.shared.store_state.desired.borrow().clone();
         let desired = desired.ok_or(Code::NoTarget)?;
-        let lease_valid = self.store_state.lease.borrow().is_valid(BootClock.now());
+        let lease_valid = self
+            .shared
+            .store_state
+            .lease
+            .borrow()
+            .is_valid(BootClock.now());
         let unless_stale = |code| if lease_valid { code } else { Code::StaleState };
         let route = desired.route(host, uri.path()).ok_or(Code::NoRoute);
         let route = route.map_err(unless_stale)?;
@@ -146,19 +142,12 @@
     async fn forward(&self, job: ForwardJob, direct: DirectRequest) -> Response<Body> {
         let attempt_id = job.attempt_id.clone();
         let (arrived, version) = (job.arrived, job.version);
-        let forwarder = Forwarder::new(
-            job,
-            direct,
-            Arc::clone(&self.store_state),
-            self.selector.clone(),
-            self.metrics.clone(),
-            self.log.clone(),
-        );
+        let forwarder = Forwarder::new(job, direct, Arc::clone(&self.shared));
         match forwarder.run().await {
             Ok(given) => {
-                self.metrics.count_result("Ok");
+                self.shared.metrics.count_result("Ok");
                 let after = BootClock.now().since(arrived);
-                self.metrics.entry.observe_answer_time(after);
+                self.shared.metrics.entry.observe_answer_time(after);
                 self.respond(given, version, after)
             }
             Err(refusal) => self.refuse(&attempt_id, refusal),
@@ -169,7 +158,7 @@
         if rand::random::<u64>().is_multiple_of(LOG_SAMPLE_INTERVAL) {
             let choice = &given.choice;
             let age = choice.load_age.map(clock::millis);
-            info!(self.log, "request answered"; "event" => "answer", "request" => &given.attempt_id,
+            info!(self.shared.log, "request answered"; "event" => "answer", "request" => &given.attempt_id,
                 "target" => %choice.target.name, "status" => given.status.as_u16(),
                 "after_ms" => clock::millis(after), "version" => version,
                 "load" => choice.load, "mean" => choice.mean, "load_age_ms" => age,
@@ -183,12 +172,12 @@
 
     fn refuse(&self, attempt_id: &str, refusal: SelectionRefusal) -> Response<Body> {
         let code = refusal.code;
-        self.metrics.count_result(code.name());
-        let lease = *self.store_state.lease.borrow();
+        self.shared.metrics.count_result(code.name());
+        let lease = *self.shared.store_state.lease.borrow();
         let age = lease
             .confirmed_at()
             .map(|confirmed| clock::millis(BootClock.now().since(confirmed)));
-        warn!(self.log, "request refused"; "event" => "refusal", "request" => attempt_id,
+        warn!(self.shared.log, "request refused"; "event" => "refusal", "request" => attempt_id,
             "code" => code.number(), "name" => code.name(), "state_age_ms" => age);
         let status = answer::status(code);
         let mut res = Response::new(web::full_body(code.name()));
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -28,6 +28,13 @@
     pub failure: &'static str,
 }
 
+/// Labels of the counter of bytes from other processes that exceeded a limit.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LimitLabels {
+    /// Limit that was exceeded, such as `head`, `body` or `event`.
+    pub limit: &'static str,
+}
+
 /// Labels of the counter of target selections.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ChoiceLabels {
@@ -70,6 +77,7 @@
     pub store_failures: Counter,
     state_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     failures: Family<FailureLabels, Counter>,
+    exceeded: Family<LimitLabels, Counter>,
     choices: Family<ChoiceLabels, Counter>,
     peer_reads: Family<PeerReadLabels, Counter>,
     moves: Family<MoveLabels, Counter>,
@@ -89,6 +97,7 @@
             store_failures: Counter::default(),
             state_age: Gauge::default(),
             failures: Family::default(),
+            exceeded: Family::default(),
             choices: Family::default(),
             peer_reads: Family::default(),
             moves: Family::default(),
@@ -112,6 +121,8 @@
         registry.register("store_failures", help, self.store_failures.clone());
         let help = "Requests that failed at a target, by how";
         registry.register("target_failures", help, self.failures.clone());
+        let help = "Answers and requests that were cut off because they exceeded a limit";
+        registry.register("limits_exceeded", help, self.exceeded.clone());
         let help = "Targets chosen, by where the prompt's context is believed to be";
         registry.register("choices", help, self.choices.clone());
         let help = "Reads of the store's streams from other routers";
@@ -144,6 +155,11 @@
         counter.inc();
     }
 
+    /// Counts bytes from another process that exceeded a limit.
+    pub fn count_limit_exceeded(&self, limit: &'static str) {
+        self.exceeded.get_or_create(&LimitLabels { limit }).inc();
+    }
+
     /// Counts the selection of a target and records how long it took.
     pub fn observe_choice(&self, context: &'static str, after: Duration) {
         self.choices.get_or_create(&ChoiceLabels { context }).inc();
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -364,10 +364,13 @@
             }
             idle.connections
                 .retain(|connection| connection.is_usable(now));
-            let newest = idle.connections.last()?;
+            let newest = idle
+                .connections
+                .iter()
+                .rposition(TargetConnection::is_ready)?;
             let reusable = request.idempotency == Idempotency::Idempotent
-                || newest.idle_for(now) < MAX_IDLE_NON_IDEMPOTENT;
-            reusable.then(|| idle.connections.pop()).flatten()
+                || idle.connections[newest].idle_for(now) < MAX_IDLE_NON_IDEMPOTENT;
+            reusable.then(|| idle.connections.remove(newest))
         });
         Ok(Selection { choice, connection })
     }
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -1,6 +1,16 @@
 //! HTTP connections from an entry router to targets.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use ebonyfall_core::{direct::Failure, time::Time};
@@ -12,7 +22,12 @@
 };
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    task::AbortHandle,
+    time::timeout,
+};
 
 /// Longest wait for a new connection. When a SYN packet is lost, trying another target is faster
 /// than waiting for the retransmission.
@@ -25,6 +40,90 @@
 /// Time before the target's idle time-out from which a connection is not used again.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Largest head of an answer, and largest part of a body that is read at once, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Most bytes that a target may send before the head of its answer has been read: interim answers,
+/// the head, and the part of the body that arrives with it.
+const MAX_BYTES_TO_HEAD: usize = 2 * MAX_HEAD_BYTES;
+/// Most header fields of an answer.
+const MAX_HEADERS: usize = 100;
+
+/// Bytes that a connection may still receive; `usize::MAX` means no limit. The connection's task
+/// counts them, the request that uses the connection sets them.
+#[derive(Debug, Clone)]
+struct ReceiveBudget(Arc<AtomicUsize>);
+
+impl ReceiveBudget {
+    fn set(&self, bytes: usize) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    fn is_used_up(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == 0
+    }
+
+    fn count(&self, bytes: usize) {
+        let left = self.0.load(Ordering::Relaxed);
+        if left != usize::MAX {
+            self.set(left.saturating_sub(bytes));
+        }
+    }
+}
+
+/// A stream that fails once its budget of received bytes is used up. The HTTP library reads interim
+/// answers without a limit on their number.
+struct LimitedStream {
+    stream: TcpStream,
+    budget: ReceiveBudget,
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.budget.is_used_up() {
+            let reason = format!("no complete head within {MAX_BYTES_TO_HEAD} bytes");
+            return Poll::Ready(Err(io::Error::other(reason)));
+        }
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.budget.count(buf.filled().len() - before);
+        polled
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 /// Aborts a connection's task when it is dropped, which closes the socket.
 #[derive(Debug)]
 struct ConnectionTask(AbortHandle);
@@ -40,6 +139,7 @@
 pub struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
     _task: ConnectionTask,
+    budget: ReceiveBudget,
     idle_since: Time,
     idle_limit: Duration,
 }
@@ -56,7 +156,15 @@
             .map_err(|_late| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let budget = ReceiveBudget(Arc::new(AtomicUsize::new(MAX_BYTES_TO_HEAD)));
+        let limited = LimitedStream {
+            stream,
+            budget: budget.clone(),
+        };
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .max_headers(MAX_HEADERS)
+            .handshake(TokioIo::new(limited))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -66,6 +174,7 @@
         Ok(Self {
             sender,
             _task: ConnectionTask(task.abort_handle()),
+            budget,
             idle_since: now,
             idle_limit: DEFAULT_IDLE_LIMIT,
         })
@@ -75,13 +184,19 @@
     ///
     /// # Errors
     ///
-    /// Fails with `NotSent` when the target cannot have received any byte of the request, and with
-    /// `Broken` otherwise.
+    /// Fails with `NotSent` when the target cannot have received any byte of the request, with
+    /// `Oversized` when no head ends within the limit, and with `Broken` otherwise.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        self.budget.set(MAX_BYTES_TO_HEAD);
         match self.sender.try_send_request(req).await {
-            Ok(res) => Ok(res),
+            Ok(res) => {
+                // From here on the reader of the body sets the pace and the limit.
+                self.budget.set(usize::MAX);
+                Ok(res)
+            }
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => Err(Failure::NotSent),
+                None if self.budget.is_used_up() => Err(Failure::Oversized),
                 None => Err(Failure::Broken),
             },
         }
@@ -102,6 +217,12 @@
         !self.sender.is_closed() && self.idle_for(now) < self.idle_limit
     }
 
+    /// Whether a request would be sent at once. It would wait if the target answered the last one
+    /// without reading all of its body.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
     /// Time since [`mark_idle`](Self::mark_idle) was last called, or else since the connection was
     /// made.
     pub fn idle_for(&self, now: Time) -> Duration {
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -265,6 +265,27 @@
         self.store.put("keyed.servers", &key, Some(&entry)).await;
     }
 
+    /// Writes an entry for a target of the service that this deployment did not start.
+    pub async fn register_address(&self, name: &str, address: SocketAddr) {
+        let entry = json!({
+            "service": "plain", "addr": address, "zone": "z0", "version": "v1", "slots": 8,
+            "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": 1,
+        });
+        self.store.put("keyed.servers", name, Some(&entry)).await;
+    }
+
+    /// Returns the largest amount of memory that a router's process has held, in bytes. `None` if
+    /// it has ended.
+    pub fn peak_memory(&self, router: usize) -> Option<u64> {
+        let process = self.routers[router].process.as_ref()?;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).ok()?;
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: u64 = peak.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kib << 10)
+    }
+
     /// Sends a request on a new connection to `address`. Returns `None` when the connection fails
     /// or closes before an answer.
     pub async fn call(
--- /dev/null
+++ b/standin/src/hostile.rs
@@ -0,0 +1,164 @@
+//! Target that follows a script of bytes instead of a protocol, to test what a faulty or hostile
+//! server can do to a router.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+use crate::{keyed::LOOPBACK, registered::read_request};
+
+/// One step of a script. In the bytes to send, `{id}` stands for the attempt id of the last request
+/// on the connection, and `{first}` for that of the first one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Reads a request and executes it.
+    Execute,
+    /// Reads a request without executing it.
+    Ignore,
+    /// Sends the text.
+    Send(String),
+    /// Sends the text again and again, without or with a pause, until the connection is closed.
+    Repeat(String, Duration),
+    /// Waits.
+    Wait(Duration),
+    /// Closes the connection.
+    Close,
+}
+
+/// Handle of a running target.
+#[derive(Debug)]
+pub struct HostileTarget {
+    script: Arc<Mutex<Arc<[Step]>>>,
+    executed: Arc<Mutex<Vec<String>>>,
+    sent_bytes: Arc<AtomicU64>,
+}
+
+impl HostileTarget {
+    /// Starts a target on a free loopback port and returns its address. Until a script is set, it
+    /// closes every connection.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no port is free.
+    pub async fn start() -> (Self, SocketAddr) {
+        let listener = TcpListener::bind(LOOPBACK).await.expect("a port is free");
+        let address = listener.local_addr().expect("the socket has an address");
+        let target = Self {
+            script: Arc::new(Mutex::new(Arc::default())),
+            executed: Arc::default(),
+            sent_bytes: Arc::default(),
+        };
+        let (script, executed) = (Arc::clone(&target.script), Arc::clone(&target.executed));
+        let sent_bytes = Arc::clone(&target.sent_bytes);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let connection = Connection {
+                    stream,
+                    buf: Vec::new(),
+                    ids: Vec::new(),
+                    executed: Arc::clone(&executed),
+                    sent_bytes: Arc::clone(&sent_bytes),
+                };
+                let script = script
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .clone();
+                tokio::spawn(connection.play(script));
+            }
+        });
+        (target, address)
+    }
+
+    /// Sets the script of connections that are accepted from now on. A connection is closed at the
+    /// end of its script.
+    pub fn set_script(&self, script: impl Into<Arc<[Step]>>) {
+        *self.script.lock().unwrap_or_else(PoisonError::into_inner) = script.into();
+    }
+
+    /// Returns how often the target executed the attempt with this id.
+    pub fn executions(&self, id: &str) -> usize {
+        let executed = self.executed.lock().unwrap_or_else(PoisonError::into_inner);
+        executed.iter().filter(|executed| *executed == id).count()
+    }
+
+    /// Returns the number of bytes that the target has sent, including those that the system's
+    /// buffers hold.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+}
+
+struct Connection {
+    stream: TcpStream,
+    buf: Vec<u8>,
+    ids: Vec<String>,
+    executed: Arc<Mutex<Vec<String>>>,
+    sent_bytes: Arc<AtomicU64>,
+}
+
+impl Connection {
+    async fn play(mut self, script: Arc<[Step]>) {
+        for step in &*script {
+            if self.step(step).await.is_none() {
+                return;
+            }
+        }
+    }
+
+    /// Plays one step; `None` when the connection is closed.
+    async fn step(&mut self, step: &Step) -> Option<()> {
+        match step {
+            Step::Execute | Step::Ignore => {
+                let req = read_request(&mut self.stream, &mut self.buf).await?;
+                let id = req.headers.get("ebonyfall-attempt-id");
+                let id = id.cloned().unwrap_or_default();
+                if *step == Step::Execute {
+                    let executed = self.executed.lock();
+                    let mut executed = executed.unwrap_or_else(PoisonError::into_inner);
+                    executed.push(id.clone());
+                }
+                self.ids.push(id);
+            }
+            Step::Send(text) => {
+                let text = self.fill_in(text);
+                self.send(text.as_bytes()).await?;
+            }
+            Step::Repeat(text, pause) => {
+                let text = self.fill_in(text);
+                loop {
+                    self.send(text.as_bytes()).await?;
+                    if !pause.is_zero() {
+                        sleep(*pause).await;
+                    }
+                }
+            }
+            Step::Wait(time) => sleep(*time).await,
+            Step::Close => return None,
+        }
+        Some(())
+    }
+
+    fn fill_in(&self, text: &str) -> String {
+        let id = |id: Option<&String>| id.map_or("", String::as_str).to_owned();
+        text.replace("{id}", &id(self.ids.last()))
+            .replace("{first}", &id(self.ids.first()))
+    }
+
+    async fn send(&mut self, bytes: &[u8]) -> Option<()> {
+        self.stream.write_all(bytes).await.ok()?;
+        self.sent_bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        Some(())
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod entrance;
 pub mod host;
+pub mod hostile;
 pub mod keyed;
 pub mod log;
 pub mod memory;
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -39,7 +39,8 @@
     Fail,
     /// Answers with status 503 and `ebonyfall-not-executed`, as a server without free capacity.
     Decline,
-    /// Answers with status 421, as a server other than the one that the router expects.
+    /// Answers with status 421 and `ebonyfall-not-executed`, as a server other than the one that the
+    /// router expects.
     WrongTarget,
     /// Executes requests and closes the connection without an answer.
     CloseUnanswered,
@@ -212,7 +213,10 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<ReceivedRequest> {
+pub(crate) async fn read_request(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+) -> Option<ReceivedRequest> {
     let end = loop {
         if let Some(at) = buf.windows(4).position(|part| part == b"\r\n\r\n") {
             break at + 4;
@@ -274,7 +278,12 @@
             "Ebonyfall-Not-Executed: 1\r\n",
             "",
         ),
-        AnswerMode::WrongTarget => response("421 Misdirected Request", id, "", ""),
+        AnswerMode::WrongTarget => response(
+            "421 Misdirected Request",
+            id,
+            "Ebonyfall-Not-Executed: 1\r\n",
+            "",
+        ),
         AnswerMode::CloseUnanswered => return false,
         AnswerMode::NeverAnswer => {
             // The caller sends nothing more, so the read returns when the caller disconnects.
