Let two routers of each zone read the store for the others

Ruled out: longer waits, which make revoked keys valid for longer; one stream instead of two, since the operators and the targets write to both; an elected reader, which needs agreement.

Change: core/src/readers.rs derives from the membership which routers of a zone read the store. The others read from these over the connections between routers, with the age of the confirmation, and go to the store when a reader does not answer within 250 ms or is too old. Reads of orders wait at the reader for a change. Answers of the store are limited to 4 MiB.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -44,6 +44,7 @@
 mod probe;
 pub mod ramp;
 mod read;
+pub mod readers;
 pub mod record;
 pub mod reports;
 pub mod request;
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -13,7 +13,6 @@
     dissemination::{Item, ItemKey, ItemStore},
     doc::Document,
     id::Incarnation,
-    membership::MembershipView,
     name::{ProcessName, RegionName, TargetName, VmName, ZoneName},
     peer::{Liveness, MemberRecord, MemberState, Role},
     piggyback::{Piggyback, Subject, Urgency},
@@ -226,31 +225,6 @@
         self.rounds.is_fresh() || self.entries.is_empty()
     }
 
-    /// Summarises the table for other tasks.
-    pub fn view(&self) -> MembershipView {
-        let mut view = MembershipView {
-            fresh: self.is_fresh(),
-            ..MembershipView::default()
-        };
-        for entry in &self.entries {
-            let state = entry.state();
-            match entry.record.target() {
-                Some(target) if state != MemberState::Alive => {
-                    if let Ok(target) = TargetName::new(target) {
-                        view.avoid.insert(target, state);
-                    }
-                }
-                None if state == MemberState::Alive => view.routers.push(entry.record.name.clone()),
-                _ => {}
-            }
-        }
-        if self.own.role == Role::Router {
-            view.routers.push(self.own.name.clone());
-        }
-        view.routers.sort();
-        view
-    }
-
     /// Updates the regions of zones and the agents' addresses from a document.
     pub fn apply_document(&mut self, document: &Document, now: Time) {
         let zones = document.zones.iter();
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 
 use crate::{
+    member::Members,
     name::{ProcessName, TargetName},
-    peer::MemberState,
+    peer::{MemberState, Role},
+    readers::ZoneRouter,
 };
 
 /// The part of the membership table that other tasks use.
@@ -14,11 +16,46 @@
     pub avoid: BTreeMap<TargetName, MemberState>,
     /// Routers that are alive, including this process if it is one, sorted by name.
     pub routers: Vec<ProcessName>,
+    /// Routers of this process's zone that are alive, including this process if it is one, in the
+    /// order that decides which of them read the store.
+    pub zone_routers: Vec<ZoneRouter>,
     /// False from the start or a pause until another process has answered, if any is known. The
     /// process must not act on leases until then.
     pub fresh: bool,
 }
 
+impl Members {
+    /// Summarises the table for other tasks.
+    pub fn view(&self) -> MembershipView {
+        let mut view = MembershipView {
+            fresh: self.is_fresh(),
+            ..MembershipView::default()
+        };
+        let own = self.own();
+        let own = (own.role == Role::Router).then_some((own, MemberState::Alive));
+        for (record, state) in self.records().chain(own) {
+            match record.target() {
+                Some(target) if state != MemberState::Alive => {
+                    if let Ok(target) = TargetName::new(target) {
+                        view.avoid.insert(target, state);
+                    }
+                }
+                None if state == MemberState::Alive => {
+                    view.routers.push(record.name.clone());
+                    if record.zone == self.own().zone {
+                        let router = ZoneRouter::new(record.name.clone(), record.address);
+                        view.zone_routers.push(router);
+                    }
+                }
+                _ => {}
+            }
+        }
+        view.routers.sort();
+        view.zone_routers.sort();
+        view
+    }
+}
+
 impl MembershipView {
     /// The first of `targets` in the best state. A leaving target is never chosen. One believed to
     /// be gone is better than none, since this process may itself be cut off.
--- /dev/null
+++ b/src/follow/orders.rs
@@ -0,0 +1,283 @@
+//! Follows the stream of operators' orders.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use ebonyfall_core::{
+    changeover::MoveOrder,
+    desired::DesiredState,
+    id::Offset,
+    lease::Lease,
+    name::{ServiceName, ZoneName},
+    readers::{self, Source, SourceChoice},
+    time::Time,
+};
+use ebonyfall_platform::{
+    desired, moves,
+    store::{self, KeyedRecord, OrderKey, Topic},
+};
+use slog::{Logger, info, warn};
+use tokio::sync::watch;
+
+use super::{RETRY_DELAY, StoreHealth};
+use crate::{
+    clock::BootClock,
+    mirror::Mirror,
+    neighbours::{PeerRead, PeerReader},
+    selection::{SelectorHandle, Update},
+    store::{StoreClient, StoreError},
+};
+
+/// Long-poll timeout for reads of operators' orders, which bounds the age of the last confirmation
+/// and the time until a connection without any answer is detected.
+const ORDER_READ_WAIT: Duration = Duration::from_millis(1_800);
+/// The same for a router that others follow: their state is older than its own.
+const READER_WAIT: Duration = Duration::from_millis(900);
+/// Longest time for which a read from another router waits for a change.
+const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+/// Mean delay before the next call after the store has failed and another router has supplied the
+/// records.
+const PEER_READ_DELAY: Duration = Duration::from_millis(700);
+
+/// Task that follows operators' orders.
+pub(super) struct OrderTask {
+    pub(super) store: StoreClient,
+    pub(super) selector: SelectorHandle,
+    pub(super) desired: watch::Sender<Option<Arc<DesiredState>>>,
+    pub(super) source: SourceChoice,
+    pub(super) lease: watch::Sender<Lease>,
+    pub(super) last_answer: watch::Sender<Option<Time>>,
+    pub(super) evacuated: HashSet<ZoneName>,
+    pub(super) moves: HashMap<ServiceName, MoveOrder>,
+    pub(super) health: StoreHealth,
+    pub(super) mirror: watch::Sender<Mirror>,
+    pub(super) peers: PeerReader,
+    pub(super) log: Logger,
+}
+
+impl OrderTask {
+    pub(super) async fn run(mut self) {
+        loop {
+            let error = match self.snapshot().await {
+                Ok(from) => self.tail(from).await,
+                Err(error) => error,
+            };
+            if !matches!(error, StoreError::Expired) {
+                self.health.record_failure(&error, BootClock.now());
+                StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
+            }
+        }
+    }
+
+    async fn snapshot(&mut self) -> Result<Offset, StoreError> {
+        let requested_at = BootClock.now();
+        let (records, end) = self
+            .store
+            .newest(Topic::Orders, self.health.failures)
+            .await?;
+        self.record_answer();
+        self.replace_all(records, end).await;
+        self.confirm(requested_at);
+        Ok(end)
+    }
+
+    fn record_answer(&mut self) {
+        let now = BootClock.now();
+        self.health.record_answer(now);
+        self.last_answer.send_replace(Some(now));
+    }
+
+    /// Replaces all records by a complete list.
+    async fn replace_all(&mut self, records: Vec<KeyedRecord>, end: Offset) {
+        self.evacuated.clear();
+        self.moves.clear();
+        self.mirror
+            .send_modify(|mirror| mirror.reset(&records, end));
+        self.apply(records).await;
+        self.publish().await;
+    }
+
+    /// Reads changes until the records at the next offset have expired; returns that error.
+    async fn tail(&mut self, mut from: Offset) -> StoreError {
+        // The first read confirms the state at once.
+        let mut wait = Duration::ZERO;
+        loop {
+            let (source, longest_wait) = self.next_source();
+            if let Source::Reader(reader) = source {
+                match self.peers.read_from(reader, from, FOLLOW_WAIT).await {
+                    Some(read) if self.source.is_recent(read.confirmed, BootClock.now()) => {
+                        self.health.record_answer(BootClock.now());
+                        self.last_answer.send_replace(read.confirmed);
+                        from = self.apply_read(read).await;
+                    }
+                    _ => self.source.record_failure(rand::random(), BootClock.now()),
+                }
+                wait = Duration::ZERO;
+                continue;
+            }
+            let requested_at = BootClock.now();
+            match self.store.read(Topic::Orders, from, wait).await {
+                Ok(tail) => {
+                    self.record_answer();
+                    let changed = !tail.records.is_empty();
+                    self.apply_changes(tail.records, tail.next).await;
+                    // An empty answer means that the store waited for the full time and had no new
+                    // record at the end of it, so the state is confirmed for that moment. An answer
+                    // with records may have been sent at any time after `requested_at`, so the next
+                    // read does not wait and confirms the state at once.
+                    wait = if changed {
+                        Duration::ZERO
+                    } else {
+                        self.confirm(requested_at + wait);
+                        longest_wait
+                    };
+                    from = tail.next;
+                }
+                Err(StoreError::Expired) => return StoreError::Expired,
+                Err(error) => {
+                    self.health.record_failure(&error, BootClock.now());
+                    if let Some(read) = self.peers.read(from).await {
+                        from = self.apply_read(read).await;
+                        StoreHealth::sleep_with_jitter(PEER_READ_DELAY).await;
+                    } else {
+                        StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
+                    }
+                    // Reads without waiting, so that the state is confirmed as soon as the store
+                    // answers.
+                    wait = Duration::ZERO;
+                }
+            }
+        }
+    }
+
+    /// Source of the next read, and how long a read of the store may wait for a record.
+    fn next_source(&self) -> (Source, Duration) {
+        let Some((own, routers)) = self.peers.zone_routers() else {
+            return (Source::Store, ORDER_READ_WAIT);
+        };
+        let confirmed = self.lease.borrow().confirmed_at();
+        let source = self
+            .source
+            .source(&own, &routers, confirmed, BootClock.now());
+        let longest_wait = if readers::has_followers(&own, &routers) {
+            READER_WAIT
+        } else {
+            ORDER_READ_WAIT
+        };
+        (source, longest_wait)
+    }
+
+    /// Applies records from another router; returns the next offset.
+    async fn apply_read(&mut self, read: PeerRead) -> Offset {
+        if read.is_complete {
+            self.replace_all(read.records, read.next).await;
+        } else {
+            self.apply_changes(read.records, read.next).await;
+        }
+        if let Some(confirmed) = read.confirmed {
+            self.confirm(confirmed);
+        }
+        read.next
+    }
+
+    /// Applies records that follow the last known offset.
+    async fn apply_changes(&mut self, records: Vec<KeyedRecord>, next: Offset) {
+        if records.is_empty() {
+            return;
+        }
+        self.mirror
+            .send_modify(|mirror| mirror.apply(&records, next));
+        self.apply(records).await;
+        self.publish().await;
+    }
+
+    fn confirm(&self, at: Time) {
+        self.lease.send_modify(|lease| lease.confirm(at));
+        self.mirror.send_modify(|mirror| mirror.confirm(at));
+    }
+
+    async fn apply(&mut self, records: Vec<KeyedRecord>) {
+        for record in records {
+            match (store::decode_order_key(&record.key), record.value) {
+                (Some(OrderKey::Desired), Some(value)) => self.apply_desired(&value).await,
+                (Some(OrderKey::Evacuate(zone)), value) => {
+                    let out = value.is_some();
+                    info!(self.log, "zone evacuation changed"; "event" => "zone", "zone" => %zone,
+                        "out" => out);
+                    self.health.metrics.entry.count_belief_changes("zone", 1);
+                    if out {
+                        self.evacuated.insert(zone);
+                    } else {
+                        self.evacuated.remove(&zone);
+                    }
+                }
+                (Some(OrderKey::Move(service)), value) => {
+                    self.apply_move_order(service, value.as_deref(), record.offset);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn apply_move_order(&mut self, service: ServiceName, value: Option<&[u8]>, number: Offset) {
+        let Some(value) = value else {
+            info!(self.log, "order for version move withdrawn"; "event" => "move_withdrawn",
+                "service" => %service);
+            self.health.metrics.entry.count_belief_changes("move", 1);
+            self.moves.remove(&service);
+            return;
+        };
+        let Some(order) = moves::decode_order(&service, value, number) else {
+            warn!(self.log, "cannot decode order for version move; ignoring it";
+                "event" => "move_bad", "service" => %service);
+            return;
+        };
+        info!(self.log, "order for version move in force";
+            "event" => "move_ordered", "service" => %service,
+            "version" => %order.version, "within_s" => order.within.as_secs_f64(),
+            "order" => %number);
+        self.health.metrics.entry.count_belief_changes("move", 1);
+        self.moves.insert(service, order);
+    }
+
+    async fn apply_desired(&mut self, value: &[u8]) {
+        let state = match desired::decode(value) {
+            Ok(state) => state,
+            Err(error) => {
+                warn!(self.log, "cannot decode desired state; keeping the current one";
+                    "event" => "desired_bad", "error" => %error);
+                return;
+            }
+        };
+        let known = self.desired.borrow().as_ref().map(|known| known.version);
+        if known.is_some_and(|known| known >= state.version) {
+            return;
+        }
+        info!(self.log, "desired state in force"; "event" => "desired",
+            "version" => state.version, "before" => known, "routes" => state.route_count());
+        let faults = state.faults();
+        if let Some(first) = faults.first() {
+            warn!(self.log, "desired state in force has faults"; "event" => "desired_faults",
+                "version" => state.version, "faults" => faults.len(), "first" => %first);
+        }
+        let version = i64::try_from(state.version).unwrap_or(i64::MAX);
+        self.health.metrics.entry.desired_version.set(version);
+        self.health.metrics.entry.count_belief_changes("desired", 1);
+        let rates: HashMap<_, _> = state
+            .services
+            .iter()
+            .map(|(name, service)| (name.clone(), service.cold_requests_per_second))
+            .collect();
+        self.desired.send_replace(Some(Arc::new(state)));
+        self.selector.update(vec![Update::ColdRates(rates)]).await;
+    }
+
+    async fn publish(&self) {
+        let evacuated = Update::EvacuatedZones(self.evacuated.clone());
+        let moves = Update::Moves(self.moves.values().cloned().collect());
+        self.selector.update(vec![evacuated, moves]).await;
+    }
+}
--- a/src/mirror.rs
+++ b/src/mirror.rs
@@ -58,9 +58,20 @@
         self.confirmed = self.confirmed.max(Some(at));
     }
 
+    /// When the mirror was last known to be up to date; `None` if it never was.
+    pub fn confirmed(&self) -> Option<Time> {
+        self.confirmed
+    }
+
+    /// Whether the mirror has a record at or after offset `from`.
+    pub fn has_changes(&self, from: Offset) -> bool {
+        self.next.is_some_and(|next| next > from)
+    }
+
     /// Returns the records from offset `from` on, or all current records if tombstones since then
-    /// may be missing. `None` before the first complete list, or if the answer is too large.
-    pub fn since(&self, from: Offset, now: Time) -> Option<Changes> {
+    /// may be missing. `None` before the first complete list, or if the answer is too large. The
+    /// age in the answer is that at `requested_at`.
+    pub fn since(&self, from: Offset, requested_at: Time) -> Option<Changes> {
         let is_complete = from < self.complete_since?;
         let changed = self.records.values().filter(|record| {
             let live = record.value.is_some();
@@ -86,7 +97,9 @@
             is_complete,
             records: records.collect(),
             next: self.next?,
-            age: self.confirmed.map(|confirmed| now.since(confirmed)),
+            age: self
+                .confirmed
+                .map(|confirmed| requested_at.since(confirmed)),
         })
     }
 }
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -1,13 +1,13 @@
 //! Reads the store's streams through other routers, and serves such reads to them.
 //!
-//! The store may be unreachable from one router while it serves the others. That router then reads
-//! the store's records from the other routers. An answer contains the age of its last confirmation.
+//! Most routers of a large zone read the store's records from the zone's readers. A router that the
+//! store does not answer reads them from any other router. An answer contains the age of its last confirmation.
 //! The reader subtracts that age from the time at which it sent the request, so that network delays
 //! never make the records look more recent than they are.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use ebonyfall_core::{id::Offset, time::Time};
+use ebonyfall_core::{id::Offset, name::ProcessName, readers::ZoneRouter, time::Time};
 use ebonyfall_platform::store::KeyedRecord;
 use ebonyfall_wire::mirror::{Changes, ChangesRequest, Stream};
 use rand::seq::SliceRandom;
@@ -31,8 +31,13 @@
 const MAX_PEERS_TRIED: usize = 2;
 /// Timeout for connecting to a router, and for its answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum number of connections from other routers.
-const MAX_CONNECTIONS: usize = 16;
+/// Time in addition to the wait within which a reader answers. A follower asks the store then, while
+/// its own state is still recent enough.
+const READER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum number of connections from other routers: two for each follower in a zone.
+const MAX_CONNECTIONS: usize = 128;
+/// Longest time for which an answer waits for a record.
+const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -74,7 +79,7 @@
 pub struct PeerReader {
     stream: Stream,
     access: watch::Receiver<Option<PeerAccess>>,
-    link: Option<Link>,
+    link: Option<(SocketAddr, Link)>,
     meters: EntryMetrics,
     log: Logger,
 }
@@ -96,58 +101,111 @@
         }
     }
 
-    /// Reads the records from offset `from` on. `None` if no router answered.
+    /// Reads the records from offset `from` on from any router. `None` if none answered.
     pub async fn read(&mut self, from: Offset) -> Option<PeerRead> {
         let read = self.read_from_any(from).await;
+        self.count(read.is_some());
+        read
+    }
+
+    /// Reads the records from offset `from` on from the router at `peer`, which waits up to `wait`
+    /// for one. `None` if it did not answer.
+    pub async fn read_from(
+        &mut self,
+        peer: SocketAddr,
+        from: Offset,
+        wait: Duration,
+    ) -> Option<PeerRead> {
+        let access = self.access.borrow().clone()?;
+        let link = match self.link.take() {
+            Some((address, link)) if address == peer => Some(link),
+            _ => timeout(READER_TIMEOUT, self.dial(&access, peer))
+                .await
+                .ok()?,
+        };
+        let read = self.request(peer, link?, from, wait, READER_TIMEOUT).await;
+        self.count(read.is_some());
+        read
+    }
+
+    /// Routers of this process's zone and its own name. `None` until the membership is known.
+    pub fn zone_routers(&self) -> Option<(ProcessName, Vec<ZoneRouter>)> {
+        let access = self.access.borrow();
+        let access = access.as_ref()?;
+        let membership = access.gossip.membership();
+        let membership = membership.borrow();
+        let routers = membership.fresh.then(|| membership.zone_routers.clone());
+        Some((access.identity.name.clone(), routers.unwrap_or_default()))
+    }
+
+    fn count(&self, answered: bool) {
         let stream = match self.stream {
             Stream::Orders => "orders",
             Stream::Targets => "targets",
         };
-        self.meters.count_peer_read(stream, read.is_some());
-        read
+        self.meters.count_peer_read(stream, answered);
     }
 
     async fn read_from_any(&mut self, from: Offset) -> Option<PeerRead> {
         let access = self.access.borrow().clone()?;
-        let request = ChangesRequest {
-            stream: self.stream,
-            from,
-        };
         let last_link = self.link.take();
         let mut peers = access.gossip.peer_addresses().await;
         peers.retain(|peer| *peer != access.own_address);
         peers.shuffle(&mut rand::rng());
-        if let Some(link) = last_link
-            && let Some(read) = self.request(link, request).await
+        if let Some((peer, link)) = last_link
+            && let Some(read) = self
+                .request(peer, link, from, Duration::ZERO, ANSWER_TIMEOUT)
+                .await
         {
             return Some(read);
         }
         for peer in peers.into_iter().take(MAX_PEERS_TRIED) {
-            match timeout(ANSWER_TIMEOUT, Link::dial(&access.identity, peer)).await {
-                Ok(Ok(link)) => {
-                    info!(self.log, "reading the store's records from another router";
-                        "event" => "peer_read",
-                        "stream" => ?self.stream, "peer" => %link.peer().name);
-                    if let Some(read) = self.request(link, request).await {
-                        return Some(read);
-                    }
-                }
-                Ok(Err(error)) => debug!(self.log, "cannot connect to router"; "peer" => %peer,
-                    "error" => %error),
-                Err(_late) => debug!(self.log, "connecting to router timed out"; "peer" => %peer),
+            if let Some(link) = self.dial(&access, peer).await
+                && let Some(read) = self
+                    .request(peer, link, from, Duration::ZERO, ANSWER_TIMEOUT)
+                    .await
+            {
+                return Some(read);
+            }
+        }
+        None
+    }
+
+    async fn dial(&self, access: &PeerAccess, peer: SocketAddr) -> Option<Link> {
+        match timeout(ANSWER_TIMEOUT, Link::dial(&access.identity, peer)).await {
+            Ok(Ok(link)) => {
+                info!(self.log, "reading the store's records from another router";
+                    "event" => "peer_read",
+                    "stream" => ?self.stream, "peer" => %link.peer().name);
+                return Some(link);
             }
+            Ok(Err(error)) => debug!(self.log, "cannot connect to router"; "peer" => %peer,
+                "error" => %error),
+            Err(_late) => debug!(self.log, "connecting to router timed out"; "peer" => %peer),
         }
         None
     }
 
     /// Sends a request on `link`, and keeps the connection if the router answers.
-    async fn request(&mut self, mut link: Link, request: ChangesRequest) -> Option<PeerRead> {
+    async fn request(
+        &mut self,
+        peer: SocketAddr,
+        mut link: Link,
+        from: Offset,
+        wait: Duration,
+        limit: Duration,
+    ) -> Option<PeerRead> {
+        let request = ChangesRequest {
+            stream: self.stream,
+            from,
+            wait,
+        };
         let requested_at = BootClock.now();
         let answer = async {
             link.send(&request).await?;
             link.receive::<Option<Changes>>().await
         };
-        let changes = match timeout(ANSWER_TIMEOUT, answer).await {
+        let changes = match timeout(limit + wait, answer).await {
             Ok(Ok(changes)) => changes?,
             Ok(Err(error)) => {
                 debug!(self.log, "router did not answer a read of the store's records";
@@ -156,7 +214,7 @@
             }
             Err(_late) => return None,
         };
-        self.link = Some(link);
+        self.link = Some((peer, link));
         let records = changes.records.into_iter().map(|record| KeyedRecord {
             key: record.key,
             value: record.value,
@@ -206,12 +264,16 @@
 ) -> Result<(), LinkError> {
     let mut link = Link::accept(identity, stream).await?;
     while let Ok(request) = timeout(IDLE_TIMEOUT, link.receive::<ChangesRequest>()).await {
-        let ChangesRequest { stream, from } = request?;
-        let mirror = match stream {
-            Stream::Orders => &mirrors.orders,
-            Stream::Targets => &mirrors.targets,
+        let ChangesRequest { stream, from, wait } = request?;
+        let requested_at = BootClock.now();
+        let mut mirror = match stream {
+            Stream::Orders => mirrors.orders.clone(),
+            Stream::Targets => mirrors.targets.clone(),
         };
-        let changes = mirror.borrow().since(from, BootClock.now());
+        let record = mirror.wait_for(|mirror| mirror.has_changes(from));
+        // Without a record in time, the answer confirms that there is none.
+        let _none = timeout(wait.min(MAX_WAIT), record).await.is_err();
+        let changes = mirror.borrow().since(from, requested_at);
         link.send(&changes).await?;
     }
     Ok(())
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -16,6 +16,8 @@
 
 /// Timeout for a call to the platform.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of an answer, in bytes; a batch of configuration records may be long.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
 
 /// Reason why a call to the platform failed.
 #[derive(Debug, Snafu)]
@@ -118,7 +120,7 @@
     /// Creates a client for the platform at the URL `base`.
     pub fn new(base: impl Into<String>) -> Self {
         Self {
-            rest: Rest::new(base),
+            rest: Rest::new(base, MAX_ANSWER_BYTES),
         }
     }
 
--- a/src/rest.rs
+++ b/src/rest.rs
@@ -13,9 +13,6 @@
 use snafu::Snafu;
 use tokio::time::timeout;
 
-/// Maximum size of an answer's body, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
-
 /// A call got no complete answer, but may have taken effect.
 #[derive(Debug, Snafu)]
 #[snafu(display("no answer: {reason}"))]
@@ -28,12 +25,14 @@
 #[derive(Debug, Clone)]
 pub struct Rest {
     base: String,
+    max_answer_bytes: usize,
     http: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl Rest {
-    /// Creates a client of the service at the URL `base`, to which paths are appended.
-    pub fn new(base: impl Into<String>) -> Self {
+    /// Creates a client of the service at the URL `base`, to which paths are appended. The body of
+    /// an answer may have up to `max_answer_bytes`.
+    pub fn new(base: impl Into<String>, max_answer_bytes: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         // A call that the library sends again could take effect twice.
@@ -42,6 +41,7 @@
             .build(connector);
         Self {
             base: base.into(),
+            max_answer_bytes,
             http,
         }
     }
@@ -50,7 +50,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when no complete answer arrives in time. The connection is then not reused.
+    /// Fails when no complete answer within the size limit arrives in time. The connection is then
+    /// not reused.
     pub async fn call(
         &self,
         method: Method,
@@ -72,7 +73,7 @@
                 .await
                 .map_err(|error| no_answer(error.to_string()))?;
             let status = res.status();
-            let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES)
+            let body = Limited::new(res.into_body(), self.max_answer_bytes)
                 .collect()
                 .await;
             let body = body.map_err(|error| no_answer(error.to_string()))?;
--- a/src/store.rs
+++ b/src/store.rs
@@ -19,6 +19,9 @@
 /// slow store answers within it; a connection without an answer is closed and replaced.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Maximum size of an answer, in bytes. The store returns at most 1 MiB of records in a call, a third
+/// more in a list, where values are in base64.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Largest number of times that the timeout doubles after consecutive failures.
 const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
 /// Mean pause before the first retry of a page of a list, doubled with each further retry.
@@ -62,7 +65,7 @@
 impl StoreClient {
     /// Creates a client of the store at `address`, which records call times in `meters`.
     pub fn new(address: SocketAddr, meters: EntryMetrics) -> Self {
-        let rest = Rest::new(format!("http://{address}"));
+        let rest = Rest::new(format!("http://{address}"), MAX_ANSWER_BYTES);
         Self { rest, meters }
     }
 
--- a/tests/entry/env.rs
+++ b/tests/entry/env.rs
@@ -76,6 +76,11 @@
         self.entrance.signal(0, "TERM");
     }
 
+    /// Sends a signal such as `KILL` to the router with index `router`.
+    pub fn signal(&mut self, router: usize, signal: &str) {
+        self.entrance.signal(router, signal);
+    }
+
     /// Starts the first router again.
     pub fn restart(&mut self) {
         self.entrance.restart(0).expect("the program starts");
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,8 @@
 mod env;
 mod metrics;
 mod moves;
+mod readers;
+mod reports;
 
 use std::time::Duration;
 
--- a/wire/src/mirror.rs
+++ b/wire/src/mirror.rs
@@ -23,6 +23,8 @@
     pub stream: Stream,
     /// Offset of the first record that the requesting router does not have.
     pub from: Offset,
+    /// Time for which the answer may wait for such a record.
+    pub wait: Duration,
 }
 
 /// The newest record of a key.
@@ -46,7 +48,7 @@
     pub records: Vec<KeyRecord>,
     /// Offset after the last record that the answering router has.
     pub next: Offset,
-    /// Time since the platform last confirmed to the answering router that no newer record exists;
-    /// `None` if it never did.
+    /// Time from when the platform last confirmed to the answering router that no newer record
+    /// exists to the arrival of the request; zero if that was later, `None` if it never did.
     pub age: Option<Duration>,
 }
