--- a/src/follow.rs
+++ b/src/follow.rs
@@ -28,6 +28,9 @@
 /// Longest age of the targets' records, as a percentage of the time within which a draining target
 /// must stop getting requests.
 const TARGET_AGE_PERCENT: u32 = 55;
+/// Age of a reader's copy of the targets' records from which a router asks the store instead, in the
+/// same unit. What is left covers the pause until the next read and a reader that does not answer.
+const TARGET_FOLLOW_PERCENT: u32 = 41;
 /// Age of the orders from which a router reads the store itself, as a percentage of the time within
 /// which a revoked key must be refused.
 const ORDER_AGE_PERCENT: u32 = 48;
@@ -93,7 +96,7 @@
         selector,
         loaded: loaded_tx,
         max_age: drain * TARGET_AGE_PERCENT / 100,
-        source: SourceChoice::new(drain * TARGET_AGE_PERCENT * 3 / 400),
+        source: SourceChoice::new(drain * TARGET_FOLLOW_PERCENT / 100),
         health: StoreHealth::new("targets", metrics.clone(), log.clone()),
         mirror: target_mirror,
         peers: PeerReader::new(Stream::Targets, access, metrics.entry, log),
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -102,8 +102,7 @@
 
     /// Reads changes until the records at the next offset have expired; returns that error.
     async fn tail(&mut self, mut from: Offset) -> StoreError {
-        // The first read confirms the state at once.
-        let mut wait = Duration::ZERO;
+        let mut wait = ORDER_READ_WAIT;
         loop {
             let (source, longest_wait) = self.next_source();
             if let Source::Reader(reader) = source {
