--- a/core/src/moves.rs
+++ b/core/src/moves.rs
@@ -1,6 +1,6 @@
 //! Version moves of all services at one router.
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::HashMap;
 
 use crate::{
     changeover::{AnswerQuality, Changeover, MoveOrder, MoveProgress},
@@ -15,15 +15,6 @@
     timing::{RouteMeanTimes, Timing},
 };
 
-/// Routers that read the recorded progress of moves often. They also write it first, see
-/// [`Changeover::due_report`].
-const FREQUENT_READERS: u32 = 8;
-/// Interval between two reads by these.
-const FREQUENT_READ_INTERVAL: Duration = Duration::from_millis(1_500);
-/// Interval between two reads by all others. They learn verdicts from other routers; the reads make
-/// sure that the recorded end of a move reaches a router which has missed these.
-const READ_INTERVAL: Duration = Duration::from_secs(6);
-
 /// One router's counts of a version's answers on one route, as sent to other routers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionCounts {
@@ -65,8 +56,6 @@
     pub new: RequestCounts,
     /// Progress that this router has to report now, `None` for nothing.
     pub due: Option<MoveProgress>,
-    /// Interval at which this router reads the recorded progress while the move is not over.
-    pub read_interval: Duration,
 }
 
 /// Moves whose orders are in force or were withdrawn recently.
@@ -179,11 +168,6 @@
     pub(crate) fn states(&mut self, targets: &TargetTable, now: Time) -> Vec<MoveState> {
         self.active.retain(|_, active| !active.is_expired(now));
         let (reported, rank) = (&self.reported, self.rank);
-        let read_interval = if rank < FREQUENT_READERS {
-            FREQUENT_READ_INTERVAL
-        } else {
-            READ_INTERVAL
-        };
         let state = |active: &mut Changeover| {
             let order = active.order().clone();
             let (new, old): (Vec<_>, Vec<_>) = targets
@@ -202,7 +186,6 @@
                 old: active.sum(None, Arm::Old),
                 new: active.sum(None, Arm::New),
                 due,
-                read_interval,
             }
         };
         self.active.values_mut().map(state).collect()
--- a/src/report.rs
+++ b/src/report.rs
@@ -26,6 +26,8 @@
 
 /// Interval between checks for progress that has to be recorded.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Minimum interval between reads of the progress that other routers have recorded.
+const READ_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Starts the task, which runs until the process ends.
 pub fn start(store: StoreClient, selector: SelectorHandle, meters: EntryMetrics, log: Logger) {
@@ -79,7 +81,7 @@
         let known = self.reports.entry(order.service.clone()).or_default();
         let now = BootClock.now();
         let is_over = state.progress.is_some_and(MoveProgress::is_over);
-        if state.due.is_none() && (is_over || now.since(known.read_at) < state.read_interval) {
+        if state.due.is_none() && (is_over || now.since(known.read_at) < READ_INTERVAL) {
             return;
         }
         known.read_at = now;
