Give each request to an engine a connection of its own

Cause: found by looking for the faults that operators of similar systems reported. An agent kept connections to its engine for requests that may run again. Answers of an engine need not name their request, so a second copy of an earlier answer, late, was taken for the answer to the next one.

Ruled out: an id that engines must send back, which usual engines do not.

Before: tests/backend.rs gets the answer to /chat/0000 for /chat/0001.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use ebonyfall_core::{
     code::Code,
-    doc::{Idempotency, Priority},
+    doc::Priority,
     id::{AttemptId, Incarnation, Offset},
     order::{Event, ModelStatus, ModelVersion},
 };
@@ -76,8 +76,10 @@
 #[derive(Debug, Clone)]
 pub struct Backend {
     base: String,
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    unpooled: Client<HttpConnector, Full<Bytes>>,
+    /// Client of control calls, which keeps connections.
+    control: Client<HttpConnector, Full<Bytes>>,
+    /// Client of callers' requests, with a connection for each.
+    requests: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl Backend {
@@ -89,14 +91,15 @@
         // The library must not resend requests, since some may run at most once.
         builder.retry_canceled_requests(false);
         builder.http1_read_buf_exact_size(READ_BUFFER_BYTES);
-        let pooled = builder.build(connector.clone());
-        // A call that may run at most once uses a new connection. On a pooled one that the back end
-        // has just closed, it would be unknown whether the call was run.
+        let control = builder.build(connector.clone());
+        // Answers of a back end need not name their request. On a connection that is used again, a
+        // second copy of an earlier answer would be taken for the answer to the next request; and
+        // after one that the back end has just closed, it would be unknown whether the call was run.
         builder.pool_max_idle_per_host(0);
         Self {
             base: base.into(),
-            pooled,
-            unpooled: builder.build(connector),
+            control,
+            requests: builder.build(connector),
         }
     }
 
@@ -161,7 +164,7 @@
             .body(Full::new(body))
             .map_err(|_error| EngineStatus::Unknown)?;
         let answer = async {
-            let res = self.pooled.request(req).await?;
+            let res = self.control.request(req).await?;
             let status = res.status();
             let body = Limited::new(res.into_body(), MAX_CONTROL_ANSWER_BYTES)
                 .collect()
@@ -174,7 +177,7 @@
         }
     }
 
-    /// Sends a call once and returns when the head of the answer has arrived.
+    /// Sends a call once, on a new connection, and returns when the head of the answer has arrived.
     ///
     /// # Errors
     ///
@@ -183,7 +186,6 @@
         &self,
         attempt: AttemptId,
         priority: Priority,
-        idempotency: Idempotency,
         is_engine: bool,
         call: Call,
     ) -> Result<Response<Incoming>, Code> {
@@ -195,11 +197,7 @@
             .header(CONTENT_TYPE, call.content_type)
             .body(Full::new(call.body))
             .map_err(|_error| Code::BadRequest)?;
-        let client = match idempotency {
-            Idempotency::Idempotent => &self.pooled,
-            Idempotency::AtMostOnce => &self.unpooled,
-        };
-        let res = client.request(req).await.map_err(|error| {
+        let res = self.requests.request(req).await.map_err(|error| {
             if error.is_connect() {
                 Code::EngineUnreachable
             } else {
--- a/src/mirror.rs
+++ b/src/mirror.rs
@@ -1,5 +1,5 @@
-//! Copy of a stream of the store: the newest record of each key, for routers that cannot reach the
-//! store.
+//! Copy of a stream of the store: the newest record of each key, for routers that read from this one
+//! instead of the store.
 
 use std::collections::{HashMap, HashSet};
 
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -34,13 +34,9 @@
     ) -> Option<Result<u64, Code>> {
         let engine = submit.version.is_some();
         let claimed = submit.claim.is_some();
-        let call = self.backend.call(
-            submit.attempt,
-            submit.priority,
-            submit.idempotency,
-            engine,
-            submit.call,
-        );
+        let call = self
+            .backend
+            .call(submit.attempt, submit.priority, engine, submit.call);
         // Boxed and dropped early: the future is large and is not needed while the body arrives.
         let mut call = Box::pin(timeout_at(deadline, call));
         let res = loop {
--- /dev/null
+++ b/tests/backend.rs
@@ -0,0 +1,76 @@
+//! Tests of the agent's client against a faulty engine.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use ebonyfall::engine::Backend;
+use ebonyfall_core::{
+    doc::Priority,
+    id::{AttemptId, RequestId},
+};
+use ebonyfall_wire::frame::Call;
+use http_body_util::BodyExt;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// Requests that are sent one after another.
+const REQUESTS: u32 = 20;
+
+/// Answers each request with its path. On a connection that is used again, a second copy of the
+/// first answer comes before the answer.
+async fn serve(mut stream: TcpStream) {
+    let mut first: Option<String> = None;
+    let mut buf = vec![0; 4_096];
+    while let Ok(len @ 1..) = stream.read(&mut buf).await {
+        let req = String::from_utf8_lossy(&buf[..len]).into_owned();
+        let path = req.split(' ').nth(1).unwrap_or_default().to_owned();
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{path}",
+            path.len()
+        );
+        let sent = first.clone().unwrap_or_default() + &answer;
+        first.get_or_insert(answer);
+        if stream.write_all(sent.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn start() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream));
+        }
+    });
+    address
+}
+
+/// Guards against a second copy of an earlier answer, late on a connection that is used again, that
+/// is passed to the next caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_copy_of_an_answer_reaches_no_other_request() {
+    let backend = Backend::new(format!("http://{}", start().await));
+    for number in 0..REQUESTS {
+        let path = format!("/chat/{number:04}");
+        let call = Call {
+            method: "POST".to_owned(),
+            path: path.clone(),
+            content_type: String::new(),
+            body: Bytes::new(),
+        };
+        let attempt = AttemptId {
+            request: RequestId::from(u128::from(number)),
+            number: 0,
+        };
+        let res = backend.call(attempt, Priority::Desk, true, call).await;
+        let body = res.expect("the engine answers").into_body().collect().await;
+        let body = body.expect("the answer is complete").to_bytes();
+        assert_eq!(body, path.as_bytes());
+    }
+}
--- a/wire/src/mirror.rs
+++ b/wire/src/mirror.rs
@@ -1,5 +1,5 @@
-//! Messages with which a router that gets no answers from the platform's store reads streams from
-//! another router.
+//! Messages with which a router reads streams of the platform's store from another router: most
+//! routers of a large zone do so, and any router that the store does not answer.
 
 use std::time::Duration;
 
