Read long records from the store instead of a reader

Change: an answer that waits has at most 32 KiB of records; a follower gets longer ones from the store.

--- a/src/mirror.rs
+++ b/src/mirror.rs
@@ -8,9 +8,6 @@
 use ebonyfall_platform::store::KeyedRecord;
 use ebonyfall_wire::mirror::{Changes, KeyRecord};
 
-/// Maximum size of the records in one answer, in bytes; less than the largest frame. Larger answers
-/// are not sent.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Maximum number of tombstones (records of deleted keys).
 const MAX_TOMBSTONES: usize = 4_096;
 
@@ -69,9 +66,9 @@
     }
 
     /// Returns the records from offset `from` on, or all current records if tombstones since then
-    /// may be missing. `None` before the first complete list, or if the answer is too large. The
-    /// age in the answer is that at `requested_at`.
-    pub fn since(&self, from: Offset, requested_at: Time) -> Option<Changes> {
+    /// may be missing. `None` before the first complete list, or if the records have more than
+    /// `max_bytes`. The age in the answer is that at `requested_at`.
+    pub fn since(&self, from: Offset, requested_at: Time, max_bytes: usize) -> Option<Changes> {
         let is_complete = from < self.complete_since?;
         let changed = self.records.values().filter(|record| {
             let live = record.value.is_some();
@@ -85,7 +82,7 @@
         changed.sort_by_key(|record| record.offset);
         let size =
             |record: &&KeyedRecord| record.key.len() + record.value.as_ref().map_or(0, Bytes::len);
-        if changed.iter().map(size).sum::<usize>() > MAX_ANSWER_BYTES {
+        if changed.iter().map(size).sum::<usize>() > max_bytes {
             return None;
         }
         let records = changed.into_iter().map(|record| KeyRecord {
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -38,6 +38,11 @@
 const MAX_CONNECTIONS: usize = 128;
 /// Longest time for which an answer waits for a record.
 const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Maximum size of the records in one answer, in bytes; less than the largest frame.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// The same for a read that waits. A follower can get longer records from the store; sending them to
+/// all followers would hold up the requests of a reader's own callers.
+const MAX_FOLLOW_BYTES: usize = 32 << 10;
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -273,7 +278,12 @@
         let record = mirror.wait_for(|mirror| mirror.has_changes(from));
         // Without a record in time, the answer confirms that there is none.
         let _none = timeout(wait.min(MAX_WAIT), record).await.is_err();
-        let changes = mirror.borrow().since(from, requested_at);
+        let max_bytes = if wait.is_zero() {
+            MAX_ANSWER_BYTES
+        } else {
+            MAX_FOLLOW_BYTES
+        };
+        let changes = mirror.borrow().since(from, requested_at, max_bytes);
         link.send(&changes).await?;
     }
     Ok(())
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -9,6 +9,9 @@
 use ebonyfall_wire::mirror::Changes;
 use quickcheck::quickcheck;
 
+/// Size limit of answers, which the records of the model do not reach.
+const MAX_BYTES: usize = 4 << 20;
+
 /// Model of a stream in the store. The offset of a record is its index.
 #[derive(Default)]
 struct Log(Vec<(u8, Option<u8>)>);
@@ -84,7 +87,7 @@
         let mut live = BTreeMap::new();
         apply_records(&mut live, log.records(0).into_iter().take(known).collect());
         let mut from = Offset::from(known as u64);
-        if mirror.since(from, now).is_some() {
+        if mirror.since(from, now, MAX_BYTES).is_some() {
             return false;
         }
         mirror.reset(&log.listed(), log.end());
@@ -96,7 +99,7 @@
                 1 | 2 => mirror.apply(&log.records(read), log.end()),
                 _ => {
                     mirror.apply(&log.records(read), log.end());
-                    let Some(changes) = mirror.since(from, now) else {
+                    let Some(changes) = mirror.since(from, now, MAX_BYTES) else {
                         return false;
                     };
                     from = changes.next;
@@ -107,7 +110,7 @@
                 }
             }
         }
-        let Some(changes) = mirror.since(from, now) else {
+        let Some(changes) = mirror.since(from, now, MAX_BYTES) else {
             return false;
         };
         apply_changes(&mut live, changes);
@@ -122,8 +125,25 @@
         let times = confirmed.iter().map(|at| Time::from_millis(u64::from(*at)));
         times.clone().for_each(|at| mirror.confirm(at));
         let now = Time::from_millis(u64::from(u16::MAX) + u64::from(later));
-        let age = mirror.since(log.end(), now).and_then(|changes| changes.age);
+        let age = mirror.since(log.end(), now, MAX_BYTES).and_then(|changes| changes.age);
         let expected = times.max().map(|last| now.since(last));
         age == expected && age.is_none_or(|age| age >= Duration::from_millis(u64::from(later)))
     }
 }
+
+/// Guards against records that a reader sends to all its followers although they are long.
+#[test]
+fn records_over_the_limit_are_not_sent() {
+    let record = KeyedRecord {
+        key: "config".to_owned(),
+        value: Some(Bytes::from(vec![0; 1_000])),
+        offset: Offset::from(0),
+    };
+    let now = Time::from_millis(5);
+    let mut mirror = Mirror::default();
+    mirror.reset(&[record], Offset::from(1));
+    assert!(mirror.since(Offset::from(0), now, 2_000).is_some());
+    assert!(mirror.since(Offset::from(0), now, 1_000).is_none());
+    // A router that has the record can follow the later ones.
+    assert!(mirror.since(Offset::from(1), now, 1_000).is_some());
+}
