Log the prompt parts of failed attempts and the crashes of targets

A failed attempt now names the shared parts of its prompt, and a crash that a router attributes to a request is a line of its own, with the time since the request broke off. No decision changes.

--- a/bench/src/steer.rs
+++ b/bench/src/steer.rs
@@ -1,13 +1,13 @@
 //! Measures an entry router's target selection: time and allocations per request and per report
 //! from another router.
 
-use std::{error::Error, hint::black_box, net::SocketAddr, time::Duration};
+use std::{error::Error, hint::black_box, net::SocketAddr, sync::Arc, time::Duration};
 
 use allocation_counter::AllocationInfo;
 use argh::FromArgs;
 use ebonyfall_core::{
     budget::RetryBound,
-    id::{Fingerprint, Incarnation},
+    id::{Fingerprint, Incarnation, PartId},
     name::{ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
     reports::OpenReport,
@@ -76,6 +76,8 @@
     selector: TargetSelector,
     service: ServiceName,
     route: RouteName,
+    /// Prompt parts of the requests: none.
+    parts: Arc<[PartId]>,
     team: TeamName,
     random: StdRng,
     now: Time,
@@ -94,6 +96,7 @@
             selector: TargetSelector::new(zone(0), bound),
             service: "engines".parse().expect("the literal is a name"),
             route: "drafts".parse().expect("the literal is a name"),
+            parts: Arc::from([]),
             team: "desk".parse().expect("the literal is a name"),
             random: StdRng::seed_from_u64(seed),
             now: Time::from_millis(100_000),
@@ -162,6 +165,7 @@
                 let finished = Finished {
                     end: End::Served,
                     content: Fingerprint::from(context),
+                    parts: &self.parts,
                     team: &self.team,
                     route: &self.route,
                     timing: None,
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -2,13 +2,14 @@
 
 use std::{
     collections::{HashSet, VecDeque},
+    sync::Arc,
     time::Duration,
 };
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
-    id::Fingerprint,
+    id::{Fingerprint, PartId},
     name::{TeamName, ZoneName},
     target::{ReportedLoad, Stage, TargetRecord},
     time::Time,
@@ -61,10 +62,19 @@
     /// Times of recent requests while the target was cold.
     pub(crate) cold_sent: VecDeque<Time>,
     /// Requests whose connections broke recently; they become suspects if the target crashed.
-    pub(crate) broken_requests: Vec<(Fingerprint, TeamName, Time)>,
+    pub(crate) broken_requests: Vec<BrokenRequest>,
     last_loss: Option<Time>,
 }
 
+/// A request whose connection to the target broke.
+#[derive(Debug, Clone)]
+pub(crate) struct BrokenRequest {
+    pub(crate) content: Fingerprint,
+    pub(crate) team: TeamName,
+    pub(crate) parts: Arc<[PartId]>,
+    pub(crate) at: Time,
+}
+
 impl Estimate {
     pub(crate) fn new(record: TargetRecord, now: Time) -> Self {
         Self {
--- a/core/src/id.rs
+++ b/core/src/id.rs
@@ -38,6 +38,8 @@
     DeclarationHash(u64) as "{:016x}";
     /// Hash of the team and the content of a request, which identifies repetitions of the request.
     Fingerprint(u64) as "{:016x}";
+    /// Identifier of one part of a prompt, which many requests may have in common.
+    PartId(u64) as "{:016x}";
 }
 
 /// Identifier of one attempt to execute a request at one target.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -59,5 +59,6 @@
 mod targets;
 pub mod time;
 pub mod timing;
+pub mod trace;
 mod visit;
 pub mod zone;
--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -1,8 +1,10 @@
 //! Results of requests at targets.
 
+use std::sync::Arc;
+
 use crate::{
     direct::Failure,
-    id::Fingerprint,
+    id::{Fingerprint, PartId},
     name::{RouteName, TeamName},
     timing::Timing,
 };
@@ -14,6 +16,8 @@
     pub end: End,
     /// Hash of team and content, which identifies requests that crash targets.
     pub content: Fingerprint,
+    /// Shared parts of the request's prompt.
+    pub parts: &'a Arc<[PartId]>,
     /// Team that sent the request.
     pub team: &'a TeamName,
     /// Route by which the request arrived.
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -14,7 +15,7 @@
     crash::{ContentStatus, Mark, Suspects},
     direct::Failure,
     dissemination::MoveDecision,
-    estimate::{Estimate, LOAD_TTL},
+    estimate::{BrokenRequest, Estimate, LOAD_TTL},
     holders::Holders,
     id::Fingerprint,
     inspect::{MoveSummary, RoutingState, TargetState},
@@ -26,6 +27,7 @@
     target::{ReportedLoad, TargetRecord},
     targets::TargetTable,
     time::Time,
+    trace::TraceEvent,
 };
 
 /// Time for which a target counts as full after it declined a request.
@@ -110,6 +112,7 @@
     reports: RouterReports,
     /// Number of reports made for other routers, used to number them.
     reports_sent: u64,
+    trace: Vec<TraceEvent>,
 }
 
 impl TargetSelector {
@@ -130,9 +133,15 @@
             holders: Holders::default(),
             reports: RouterReports::default(),
             reports_sent: 0,
+            trace: Vec::new(),
         }
     }
 
+    /// Removes and returns what has changed since the last call, for the log.
+    pub fn take_trace(&mut self) -> Vec<TraceEvent> {
+        std::mem::take(&mut self.trace)
+    }
+
     /// Sets the number of routers, this one included, that share the retry budgets and the rates of
     /// cold targets.
     pub fn set_routers(&mut self, routers: u32) {
@@ -451,7 +460,6 @@
         entry.outstanding = entry.outstanding.saturating_sub(1);
         entry.change_since_report -= 1;
         self.moves.record_answer(entry, finished, now);
-        let content = (finished.content, finished.team);
         match finished.end {
             End::Cancelled => {}
             End::Served => {
@@ -469,10 +477,13 @@
                 entry.count_result(true, now);
                 entry
                     .broken_requests
-                    .retain(|(_, _, at)| now.since(*at) < CRASH_ATTRIBUTION_WINDOW);
-                entry
-                    .broken_requests
-                    .push((content.0, content.1.clone(), now));
+                    .retain(|request| now.since(request.at) < CRASH_ATTRIBUTION_WINDOW);
+                entry.broken_requests.push(BrokenRequest {
+                    content: finished.content,
+                    team: finished.team.clone(),
+                    parts: Arc::clone(finished.parts),
+                    at: now,
+                });
             }
             End::Failed(Failure::Oversized | Failure::TimedOut | Failure::Failed) => {
                 entry.count_result(true, now);
@@ -484,16 +495,24 @@
     fn mark_running_requests(
         &mut self,
         target: &TargetName,
-        broken: Vec<(Fingerprint, TeamName, Time)>,
+        mut broken: Vec<BrokenRequest>,
         now: Time,
     ) {
+        broken.retain(|request| now.since(request.at) < CRASH_ATTRIBUTION_WINDOW);
+        if broken.is_empty() {
+            return;
+        }
         let running: Vec<_> = broken
-            .into_iter()
-            .filter(|(_, _, at)| now.since(*at) < CRASH_ATTRIBUTION_WINDOW)
-            .map(|(content, team, _)| (content, team))
+            .iter()
+            .map(|request| (request.content, request.team.clone()))
             .collect();
-        if !running.is_empty() {
-            self.suspects.record_crash(target, &running, now);
-        }
+        self.suspects.record_crash(target, &running, now);
+        let events = broken.into_iter().map(|request| TraceEvent::Crash {
+            target: target.clone(),
+            content: request.content,
+            parts: request.parts,
+            broken_for: now.since(request.at),
+        });
+        self.trace.extend(events);
     }
 }
--- a/core/tests/changeover.rs
+++ b/core/tests/changeover.rs
@@ -1,7 +1,7 @@
 //! Version moves by several routers that share targets: the traffic that bad versions get, the
 //! completion of good ones, and a single reported result.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use ebonyfall_core::{
     budget::RetryBound,
@@ -191,6 +191,7 @@
             let finished = Finished {
                 end,
                 content: Fingerprint::from(1),
+                parts: &Arc::from([]),
                 team: &team,
                 route: &route,
                 timing: Some(Timing::Whole(took)),
--- a/core/tests/routers.rs
+++ b/core/tests/routers.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
+    sync::Arc,
     time::Duration,
 };
 
@@ -328,6 +329,7 @@
             let finished = Finished {
                 end,
                 content: Fingerprint::from(running.content),
+                parts: &Arc::from([]),
                 team: &team,
                 route: &route,
                 timing: None,
--- a/core/tests/selector.rs
+++ b/core/tests/selector.rs
@@ -7,6 +7,7 @@
     collections::{BTreeMap, HashSet},
     fmt::Write,
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -157,6 +158,7 @@
                     let finished = Finished {
                         end,
                         content,
+                        parts: &Arc::from([]),
                         team: &self.team,
                         route: &self.route,
                         timing: None,
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -9,7 +9,7 @@
     desired::{DesiredRoute, ResponseKind},
     direct::{AnswerKind, DirectRequest, Failure, NextStep},
     doc::KeyHash,
-    id::Fingerprint,
+    id::{Fingerprint, PartId},
     name::{ServiceName, TargetName, TeamName},
     outcome::End,
     selector::{Choice, SelectionRefusal},
@@ -30,6 +30,7 @@
 use crate::{
     clock::{self, BootClock},
     follow::StoreState,
+    logs,
     metrics::Metrics,
     receive::{AnswerBuffers, BufferedBody, MAX_ANSWER_BYTES, MAX_ERROR_BYTES, ReceiveFault},
     selection::{Reservation, SelectionRequest, SelectorHandle},
@@ -72,6 +73,8 @@
     pub contexts: Vec<u64>,
     /// Hash of team, path and body, which identifies requests that crash targets.
     pub content: Fingerprint,
+    /// Shared parts of the request's prompt.
+    pub parts: Arc<[PartId]>,
     /// HTTP method, sent to the target unchanged.
     pub method: Method,
     /// Path and query, sent to the target unchanged.
@@ -317,6 +320,7 @@
             charge_retry: self.charge_retry,
             idempotency: self.attempts.idempotency(),
             content: self.job.content,
+            parts: Arc::clone(&self.job.parts),
             team: self.job.team.clone(),
             route: self.job.route.name.clone(),
         }
@@ -332,6 +336,7 @@
         info!(self.shared.log, "target failed"; "event" => "attempt", "request" => &self.job.attempt_id,
             "target" => %target, "failure" => failure.name(), "next" => ?next,
             "tried" => self.attempts.tried().len(), "version" => self.job.version,
+            "parts" => logs::list(&self.job.parts),
             "after_ms" => clock::millis(now.since(self.job.arrived)));
         next
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -81,7 +81,7 @@
         "version" => env!("CARGO_PKG_VERSION"));
     let metrics = Metrics::new();
     let selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
-    let selector = SelectorHandle::start(selector, BootClock);
+    let selector = SelectorHandle::start(selector, BootClock, log.clone());
     let store = StoreClient::new(cfg.store, metrics.entry.clone());
     let (access_tx, access) = watch::channel(None);
     let store_state = follow::start(
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -129,6 +129,7 @@
                 Vec::new()
             },
             content: hash.digest().into(),
+            parts: inbound.parts.into(),
             method,
             uri,
             headers: inbound.headers,
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,6 +1,6 @@
 //! Structured logging as JSON lines, or as text for a terminal.
 
-use std::{collections::BTreeMap, io, str::FromStr};
+use std::{collections::BTreeMap, fmt, io, str::FromStr};
 
 use slog::{Drain, FnValue, Level, Logger, Record, o};
 use slog_async::OverflowStrategy;
@@ -9,6 +9,12 @@
 /// of dropped records is logged.
 const MAX_QUEUED_RECORDS: usize = 4096;
 
+/// Text of several values in one field of a log line, separated by commas.
+pub fn list(values: &[impl fmt::Display]) -> String {
+    let values: Vec<_> = values.iter().map(ToString::to_string).collect();
+    values.join(",")
+}
+
 /// Output format of the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Format {
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    sync::Arc,
     time::Duration,
 };
 
@@ -10,7 +11,7 @@
     code::Code,
     dissemination::MoveDecision,
     doc::Idempotency,
-    id::{Fingerprint, Incarnation},
+    id::{Fingerprint, Incarnation, PartId},
     inspect::RoutingState,
     moves::{MoveState, MoveVerdict, VersionCounts},
     name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
@@ -20,13 +21,19 @@
     target::{ReportedLoad, TargetRecord},
     time::Time,
     timing::Timing,
+    trace::TraceEvent,
 };
+use slog::{Logger, info};
 use tokio::sync::{
     mpsc::{self, OwnedPermit},
     oneshot,
 };
 
-use crate::{clock::BootClock, upstream::TargetConnection};
+use crate::{
+    clock::{self, BootClock},
+    logs,
+    upstream::TargetConnection,
+};
 
 /// Maximum number of commands in the task's queue.
 const QUEUE_LEN: usize = 8_192;
@@ -52,6 +59,8 @@
     pub idempotency: Idempotency,
     /// Hash of team, path and body, which identifies requests that crash targets.
     pub content: Fingerprint,
+    /// Shared parts of the request's prompt.
+    pub parts: Arc<[PartId]>,
     /// Team that sent the request; `None` on a public route.
     pub team: Option<TeamName>,
     /// Route by which the request arrived; answer times are compared within a route.
@@ -62,6 +71,7 @@
     fn origin(&self) -> RequestOrigin {
         RequestOrigin {
             content: self.content,
+            parts: Arc::clone(&self.parts),
             team: self.team.clone(),
             route: self.route.clone(),
         }
@@ -157,6 +167,7 @@
 #[derive(Debug, Clone)]
 struct RequestOrigin {
     content: Fingerprint,
+    parts: Arc<[PartId]>,
     team: Option<TeamName>,
     route: RouteName,
 }
@@ -222,13 +233,14 @@
     /// # Panics
     ///
     /// Does not panic: the team name to parse is a literal.
-    pub fn start(selector: TargetSelector, clock: BootClock) -> Self {
+    pub fn start(selector: TargetSelector, clock: BootClock, log: Logger) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let task = Task {
             selector,
             anonymous: TeamName::new("public").expect("the literal is a name"),
             clock,
             idle: HashMap::new(),
+            log,
         };
         tokio::spawn(task.run(rx));
         Self(tx)
@@ -304,6 +316,7 @@
     anonymous: TeamName,
     clock: BootClock,
     idle: HashMap<TargetName, IdleConnections>,
+    log: Logger,
 }
 
 struct IdleConnections {
@@ -344,6 +357,24 @@
                     let _caller_gone = reply.send(self.selector.moves(self.clock.now()));
                 }
             }
+            for event in self.selector.take_trace() {
+                self.log_change(&event);
+            }
+        }
+    }
+
+    fn log_change(&self, event: &TraceEvent) {
+        match event {
+            TraceEvent::Crash {
+                target,
+                content,
+                parts,
+                broken_for,
+            } => {
+                info!(self.log, "target crashed while it ran a request"; "event" => "crash",
+                    "target" => %target, "content" => %content, "parts" => logs::list(parts),
+                    "broken_ms" => clock::millis(*broken_for));
+            }
         }
     }
 
@@ -387,6 +418,7 @@
         let finished = Finished {
             end,
             content: origin.content,
+            parts: &origin.parts,
             team: origin.team.as_ref().unwrap_or(&self.anonymous),
             route: &origin.route,
             timing,
