--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -6,7 +6,8 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{mpsc, watch},
+    task::JoinSet,
     time::sleep,
 };
 
@@ -25,6 +26,9 @@
 /// Prompt tokens that are transferred from another server in a millisecond.
 const FETCH_TOKENS_PER_MS: u64 = 1_900;
 
+/// Time for which a target that has crashed is down.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+
 /// Path segments of requests that [`AnswerMode::ByPath`] answers with an event stream.
 const STREAM_PATHS: [&str; 2] = ["/suggest/", "/draft/"];
 
@@ -120,10 +124,21 @@
 pub struct RegisteredTarget {
     mode: watch::Sender<AnswerMode>,
     model_server: watch::Sender<Option<ModelServer>>,
+    deadly_part: watch::Sender<Option<String>>,
     received: watch::Receiver<Vec<ReceivedRequest>>,
     open: watch::Receiver<usize>,
 }
 
+/// What the connections of a target share.
+#[derive(Debug, Clone)]
+struct Behaviour {
+    mode: watch::Receiver<AnswerMode>,
+    model_server: watch::Receiver<Option<ModelServer>>,
+    deadly_part: watch::Receiver<Option<String>>,
+    received: watch::Sender<Vec<ReceivedRequest>>,
+    crash: mpsc::Sender<()>,
+}
+
 impl RegisteredTarget {
     /// Starts a target on a free loopback port and returns its address.
     ///
@@ -135,22 +150,22 @@
         let address = listener.local_addr().expect("the socket has an address");
         let (mode, mode_rx) = watch::channel(AnswerMode::Answer);
         let (model_server, model_server_rx) = watch::channel(None);
+        let (deadly_part, deadly_part_rx) = watch::channel(None);
         let (received_tx, received) = watch::channel(Vec::new());
         let (open_tx, open) = watch::channel(0);
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (mode_rx, model_server_rx) = (mode_rx.clone(), model_server_rx.clone());
-                let (received_tx, open_tx) = (received_tx.clone(), open_tx.clone());
-                tokio::spawn(async move {
-                    open_tx.send_modify(|open| *open += 1);
-                    serve(stream, mode_rx, model_server_rx, received_tx).await;
-                    open_tx.send_modify(|open| *open -= 1);
-                });
-            }
-        });
+        let (crash, crashes) = mpsc::channel(1);
+        let behaviour = Behaviour {
+            mode: mode_rx,
+            model_server: model_server_rx,
+            deadly_part: deadly_part_rx,
+            received: received_tx,
+            crash,
+        };
+        tokio::spawn(run(listener, behaviour, crashes, open_tx));
         let registered = Self {
             mode,
             model_server,
+            deadly_part,
             received,
             open,
         };
@@ -168,6 +183,12 @@
         self.model_server.send_replace(Some(model_server));
     }
 
+    /// Makes the target crash when it begins to answer a request whose prompt has the part with this
+    /// identifier. It is back after 300 ms.
+    pub fn set_deadly_part(&self, id: &str) {
+        self.deadly_part.send_replace(Some(id.to_owned()));
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         *self.open.borrow()
@@ -179,25 +200,67 @@
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
-    mode_rx: watch::Receiver<AnswerMode>,
-    model_server_rx: watch::Receiver<Option<ModelServer>>,
-    received_tx: watch::Sender<Vec<ReceivedRequest>>,
+/// Accepts connections until the target's handle is dropped. A crash closes the listener and all
+/// connections for [`DOWN_TIME`].
+async fn run(
+    mut listener: TcpListener,
+    behaviour: Behaviour,
+    mut crashes: mpsc::Receiver<()>,
+    open: watch::Sender<usize>,
 ) {
+    let address = listener.local_addr().expect("the socket has an address");
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { return };
+                let (behaviour, open) = (behaviour.clone(), open.clone());
+                connections.spawn(async move {
+                    open.send_modify(|open| *open += 1);
+                    serve(stream, behaviour).await;
+                    open.send_modify(|open| *open -= 1);
+                });
+            }
+            Some(()) = crashes.recv() => {
+                drop(listener);
+                connections.shutdown().await;
+                open.send_replace(0);
+                sleep(DOWN_TIME).await;
+                listener = TcpListener::bind(address).await.expect("the port is free again");
+                while crashes.try_recv().is_ok() {}
+            }
+        }
+    }
+}
+
+/// Whether the prompt of the request has the part with this identifier.
+fn has_part(req: &ReceivedRequest, id: &str) -> bool {
+    let prompt = req.headers.get("ebonyfall-prefix-hash");
+    let mut parts = prompt.into_iter().flat_map(|prompt| prompt.split(','));
+    parts.any(|part| part.split(':').next() == Some(id))
+}
+
+async fn serve(mut stream: TcpStream, behaviour: Behaviour) {
     let mut buf = Vec::new();
     while let Some(req) = read_request(&mut stream, &mut buf).await {
-        let mode = *mode_rx.borrow();
+        let mode = *behaviour.mode.borrow();
         let id = req.headers.get("ebonyfall-attempt-id").cloned();
         let id = id.unwrap_or_default();
         let last_event_id = req.headers.get("last-event-id").cloned();
         let is_stream = STREAM_PATHS.iter().any(|path| req.line.contains(path));
         if !matches!(mode, AnswerMode::Decline | AnswerMode::WrongTarget) {
-            let model_server = model_server_rx.borrow().clone();
+            let model_server = behaviour.model_server.borrow().clone();
             if let Some(model_server) = model_server {
                 model_server.prefill(&req).await;
             }
-            received_tx.send_modify(|all| all.push(req));
+            let deadly_part = behaviour.deadly_part.borrow().clone();
+            let is_deadly = deadly_part.is_some_and(|id| has_part(&req, &id));
+            behaviour.received.send_modify(|all| all.push(req));
+            if is_deadly {
+                let _already_down = behaviour.crash.send(()).await;
+                // The crash aborts this task.
+                std::future::pending::<()>().await;
+            }
         }
         let mode = match mode {
             AnswerMode::ByPath { events } if is_stream => AnswerMode::Stream {
