Hold prompt parts that crash targets, and notice crashes at once

Cause: a crash was recorded under a hash of team, path and body, so that requests which share only one prompt part never met. Besides, a router took a crash for one only when its next request to that target failed within 2 s. Class: evidence kept under a key that is finer than the cause.

Fix: a crash counts against the shared parts of the requests that had got no answer, in the whole fleet by gossip, and an answer that begins clears its parts. After two crashes in a row the part is held. A request counts only if it was sent after the crash before was known: targets that end together must not have the first part of all prompts held. A router opens a connection to a target as soon as a request to it breaks; a refused one is a crash.

--- a/bench/src/steer.rs
+++ b/bench/src/steer.rs
@@ -154,6 +154,8 @@
                 tried: &[],
                 is_retry: false,
                 content: Fingerprint::from(context),
+                parts: &self.parts,
+                team: &self.team,
             };
             let random = self.random.random();
             if let Ok(choice) = self.selector.choose(&criteria, random, self.now) {
@@ -166,6 +168,8 @@
                     end: End::Served,
                     content: Fingerprint::from(context),
                     parts: &self.parts,
+                    sent_at: self.now,
+                    answer_begun: true,
                     team: &self.team,
                     route: &self.route,
                     timing: None,
--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -4,6 +4,7 @@
 //! reordered datagrams all lead to the same state. Features only put items and read them.
 
 use std::{
+    cmp::Ordering,
     collections::BTreeMap,
     net::SocketAddr,
     ops::Bound::{Excluded, Unbounded},
@@ -13,8 +14,9 @@
 
 use crate::{
     doc::ZoneState,
-    id::{DeclarationHash, Fingerprint, Incarnation, Offset},
+    id::{DeclarationHash, Fingerprint, Incarnation, Offset, PartId},
     name::{ModelName, MoveName, ProcessName, RouteName, TargetName, TeamName, ZoneName},
+    parts::PartMark,
     peer::MemberRecord,
     reports::OpenReport,
 };
@@ -111,6 +113,8 @@
     RouterLoad(ProcessName),
     /// A crash of a target while it ran a request of this content.
     Crash(Fingerprint, TargetName),
+    /// Crashes of targets that began to answer requests with this prompt part.
+    Part(PartId),
 }
 
 /// The content of an item.
@@ -174,6 +178,13 @@
         /// The team that sent the request.
         team: TeamName,
     },
+    /// Crashes counted against a prompt part.
+    Part {
+        /// Last change of the mark, in seconds since the Unix epoch.
+        stamp: u64,
+        /// The crashes.
+        mark: PartMark,
+    },
 }
 
 /// A key and its value.
@@ -193,7 +204,8 @@
             | Self::Quarantine(_)
             | Self::Zone(_)
             | Self::Tip
-            | Self::Crash(..) => true,
+            | Self::Crash(..)
+            | Self::Part(_) => true,
             Self::Evidence { .. }
             | Self::ZoneLoad(..)
             | Self::AgentLoad(..)
@@ -205,7 +217,7 @@
     fn limit(&self) -> usize {
         match self {
             Self::Verdict(..) => 256,
-            Self::Quarantine(_) | Self::ZoneLoad(..) | Self::RouterLoad(_) => 1_024,
+            Self::Quarantine(_) | Self::ZoneLoad(..) | Self::RouterLoad(_) | Self::Part(_) => 1_024,
             Self::Zone(_) => 128,
             Self::Tip => 1,
             Self::Evidence { .. } => 8_192,
@@ -225,13 +237,14 @@
             Self::AgentLoad(..) => 6,
             Self::RouterLoad(_) => 7,
             Self::Crash(..) => 8,
+            Self::Part(_) => 9,
         }
     }
 
     fn size(&self) -> usize {
         let text = match self {
             Self::Verdict(name, _) => name.as_str().len(),
-            Self::Quarantine(_) | Self::Tip => 0,
+            Self::Quarantine(_) | Self::Tip | Self::Part(_) => 0,
             Self::Zone(name) => name.as_str().len(),
             Self::Evidence {
                 agent,
@@ -339,6 +352,13 @@
                     stamp: new_stamp, ..
                 },
             ) => *stamp = (*stamp).max(*new_stamp),
+            (
+                Self::Part { stamp, mark },
+                Self::Part {
+                    stamp: new_stamp,
+                    mark: new,
+                },
+            ) => merge_part((stamp, mark), (*new_stamp, new)),
             _ => {}
         }
         *self != before
@@ -354,6 +374,7 @@
                 stamp.saturating_add(LOAD_TTL_SECONDS) <= unix
             }
             Self::Crash { stamp, .. } => stamp.saturating_add(CRASH_TTL_SECONDS) <= unix,
+            Self::Part { stamp, mark } => stamp.saturating_add(mark.retention().as_secs()) <= unix,
         }
     }
 
@@ -371,6 +392,7 @@
                 )
                 | (ItemKey::Crash(..), Self::Crash { .. })
                 | (ItemKey::RouterLoad(_), Self::Open { .. })
+                | (ItemKey::Part(_), Self::Part { .. })
         )
     }
 
@@ -383,10 +405,22 @@
             Self::Evidence { .. } => 50,
             Self::Crash { team, .. } => 11 + team.as_str().len(),
             Self::Open { report, .. } => 35 + report.size(),
+            Self::Part { mark, .. } => 11 + mark.size(),
         }
     }
 }
 
+/// Merges a mark of a prompt part and the time of its last change.
+fn merge_part((stamp, mark): (&mut u64, &mut PartMark), (new_stamp, new): (u64, &PartMark)) {
+    let rank = |mark: &PartMark| (mark.epoch, mark.crashes);
+    match rank(new).cmp(&rank(mark)) {
+        Ordering::Less => {}
+        Ordering::Equal => *stamp = (*stamp).max(new_stamp),
+        Ordering::Greater => *stamp = new_stamp,
+    }
+    mark.merge(new);
+}
+
 impl Item {
     /// An upper bound of the encoded length, in bytes.
     pub fn size(&self) -> usize {
@@ -398,7 +432,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ItemStore {
     items: BTreeMap<ItemKey, Value>,
-    counts: [usize; 9],
+    counts: [usize; 10],
 }
 
 impl ItemStore {
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -63,6 +63,10 @@
     pub(crate) cold_sent: VecDeque<Time>,
     /// Requests whose connections broke recently; they become suspects if the target crashed.
     pub(crate) broken_requests: Vec<BrokenRequest>,
+    /// Whether it is being checked if the target still accepts connections.
+    pub(crate) probing: bool,
+    /// When the target last refused a connection after requests to it had broken.
+    pub(crate) crashed_at: Option<Time>,
     last_loss: Option<Time>,
 }
 
@@ -72,6 +76,8 @@
     pub(crate) content: Fingerprint,
     pub(crate) team: TeamName,
     pub(crate) parts: Arc<[PartId]>,
+    pub(crate) sent_at: Time,
+    pub(crate) answer_begun: bool,
     pub(crate) at: Time,
 }
 
@@ -95,6 +101,8 @@
             full_until: Time::ZERO,
             cold_sent: VecDeque::new(),
             broken_requests: Vec::new(),
+            probing: false,
+            crashed_at: None,
             last_loss: None,
         }
     }
--- a/core/src/inspect.rs
+++ b/core/src/inspect.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 
 use serde::Serialize;
+use serde_with::{DisplayFromStr, serde_as};
 
 use crate::{
     estimate::Estimate,
+    id::PartId,
     moves::MoveState,
-    name::{ServiceName, TargetName, ZoneName},
+    name::{ServiceName, TargetName, TeamName, ZoneName},
     target::Stage,
     time::Time,
 };
@@ -21,6 +23,8 @@
     pub evacuated: Vec<ZoneName>,
     /// Number of request contents that are suspected of crashing targets.
     pub suspects: usize,
+    /// Prompt parts that are suspected of crashing targets, those with the most crashes first.
+    pub parts: Vec<PartState>,
     /// Number of prompt contexts for which the last target is known.
     pub contexts: usize,
     /// The known targets, ordered by name.
@@ -29,6 +33,21 @@
     pub moves: Vec<MoveSummary>,
 }
 
+/// Crashes counted against a prompt part.
+#[serde_as]
+#[derive(Debug, Clone, Serialize)]
+pub struct PartState {
+    /// The part.
+    #[serde_as(as = "DisplayFromStr")]
+    pub part: PartId,
+    /// Number of crashes in a row.
+    pub crashes: u32,
+    /// Teams whose requests crashed targets, at most two.
+    pub teams: Vec<TeamName>,
+    /// Remaining time, in milliseconds, for which requests with the part are refused.
+    pub held_ms: u128,
+}
+
 /// A router's view of one target.
 #[derive(Debug, Clone, Serialize)]
 pub struct TargetState {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod order;
 pub mod outcome;
 pub mod owner;
+pub mod parts;
 pub mod peer;
 pub mod piggyback;
 pub mod place;
--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -2,10 +2,13 @@
 
 use std::sync::Arc;
 
+use derive_more::Display;
+
 use crate::{
     direct::Failure,
     id::{Fingerprint, PartId},
     name::{RouteName, TeamName},
+    time::Time,
     timing::Timing,
 };
 
@@ -18,6 +21,10 @@
     pub content: Fingerprint,
     /// Shared parts of the request's prompt.
     pub parts: &'a Arc<[PartId]>,
+    /// When the target was chosen, before the request was sent.
+    pub sent_at: Time,
+    /// Whether a part of an answer had arrived.
+    pub answer_begun: bool,
     /// Team that sent the request.
     pub team: &'a TeamName,
     /// Route by which the request arrived.
@@ -36,3 +43,15 @@
     /// The request failed at or on its way to the target.
     Failed(Failure),
 }
+
+/// Result of a connection to a target that was opened after a request to the target broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "lowercase")]
+pub enum Probe {
+    /// The target accepts connections.
+    Accepted,
+    /// Nothing listens at the target's address.
+    Refused,
+    /// No result, for example because the connection timed out.
+    Unknown,
+}
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -12,24 +12,27 @@
     budget::{FleetRetryBudget, RetryBound},
     changeover::{MoveOrder, MoveProgress},
     code::Code,
-    crash::{ContentStatus, Mark, Suspects},
+    crash::{ContentStatus, Suspects},
     direct::Failure,
     dissemination::MoveDecision,
     estimate::{BrokenRequest, Estimate, LOAD_TTL},
     holders::Holders,
-    id::Fingerprint,
+    id::{Fingerprint, PartId},
     inspect::{MoveSummary, RoutingState, TargetState},
     moves::{MoveState, MoveVerdict, Moves, VersionCounts},
     name::{MoveName, ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
+    parts::PartMarks,
     preference,
     reports::{OpenReport, RouterReports},
     target::{ReportedLoad, TargetRecord},
     targets::TargetTable,
     time::Time,
-    trace::TraceEvent,
+    trace::{PartCause, TraceEvent},
 };
 
+mod crashes;
+
 /// Time for which a target counts as full after it declined a request.
 const DECLINE_COOLDOWN: Duration = Duration::from_millis(150);
 /// Time after a failed store call in which a missing entry may be due to the outage alone.
@@ -64,6 +67,10 @@
     pub is_retry: bool,
     /// Hash of team and content, which identifies requests that crash targets.
     pub content: Fingerprint,
+    /// Shared parts of the request's prompt.
+    pub parts: &'a [PartId],
+    /// Team that sent the request.
+    pub team: &'a TeamName,
 }
 
 /// The chosen target, with the figures that led to the choice.
@@ -89,6 +96,8 @@
     pub code: Code,
     /// Delay after which the caller may retry.
     pub after: Duration,
+    /// Prompt part for which the request is held; `None` for another reason.
+    pub part: Option<PartId>,
 }
 
 /// Target selection state of one router.
@@ -107,6 +116,7 @@
     evacuated: HashSet<ZoneName>,
     retry_budgets: HashMap<ServiceName, FleetRetryBudget>,
     suspects: Suspects,
+    parts: PartMarks,
     store_failed_at: Option<Time>,
     holders: Holders,
     reports: RouterReports,
@@ -129,6 +139,7 @@
             evacuated: HashSet::new(),
             retry_budgets: HashMap::new(),
             suspects: Suspects::new(HOLD_DURATION),
+            parts: PartMarks::default(),
             store_failed_at: None,
             holders: Holders::default(),
             reports: RouterReports::default(),
@@ -201,6 +212,7 @@
             routers: self.routers,
             evacuated,
             suspects: self.suspects.marks().count(),
+            parts: self.parts.inspect(now),
             contexts: self.holders.len(),
             targets,
             moves,
@@ -302,7 +314,15 @@
         let refusal = |code| SelectionRefusal {
             code,
             after: RETRY_AFTER,
+            part: None,
         };
+        if let Some(hold) = self.parts.held(criteria.parts, criteria.team, now) {
+            return Err(SelectionRefusal {
+                code: Code::Held,
+                after: hold.remaining,
+                part: Some(hold.part),
+            });
+        }
         if self.suspects.status(criteria.content, now) == ContentStatus::Held {
             return Err(refusal(Code::Held));
         }
@@ -436,27 +456,21 @@
         report
     }
 
-    /// Records a crash that another router attributes to the request with this `content`.
-    pub fn record_crash(
+    /// Records the end of a request at `target` and updates the target's health accordingly. Returns
+    /// the target's record when it has to be checked if the target still accepts connections; the
+    /// result goes to [`Self::record_probe`].
+    pub fn record_end(
         &mut self,
-        content: Fingerprint,
         target: &TargetName,
-        team: &TeamName,
-        at: Time,
-    ) {
-        self.suspects.add_mark(content, team, target, at);
-    }
-
-    /// The requests that were running when targets crashed, by content.
-    pub fn crash_marks(&self) -> impl Iterator<Item = (Fingerprint, &Mark)> {
-        self.suspects.marks()
-    }
-
-    /// Records the end of a request at `target` and updates the target's health accordingly.
-    pub fn record_end(&mut self, target: &TargetName, finished: &Finished<'_>, now: Time) {
-        let Some(entry) = self.targets.get_mut(target) else {
-            return;
-        };
+        finished: &Finished<'_>,
+        now: Time,
+    ) -> Option<TargetRecord> {
+        if finished.answer_begun || finished.end == End::Served {
+            for part in self.parts.record_answer(finished.parts, now) {
+                self.trace_part(part, PartCause::Answer);
+            }
+        }
+        let entry = self.targets.get_mut(target)?;
         entry.outstanding = entry.outstanding.saturating_sub(1);
         entry.change_since_report -= 1;
         self.moves.record_answer(entry, finished, now);
@@ -482,37 +496,23 @@
                     content: finished.content,
                     team: finished.team.clone(),
                     parts: Arc::clone(finished.parts),
+                    sent_at: finished.sent_at,
+                    answer_begun: finished.answer_begun,
                     at: now,
                 });
+                let crashed_at = entry.crashed_at;
+                if crashed_at.is_some_and(|at| now.since(at) < CRASH_ATTRIBUTION_WINDOW) {
+                    let broken = std::mem::take(&mut entry.broken_requests);
+                    self.mark_running_requests(target, broken, now);
+                } else if !entry.probing {
+                    entry.probing = true;
+                    return Some(entry.record.clone());
+                }
             }
             End::Failed(Failure::Oversized | Failure::TimedOut | Failure::Failed) => {
                 entry.count_result(true, now);
             }
         }
-    }
-
-    /// Records the recently `broken` requests of a crashed target as suspects.
-    fn mark_running_requests(
-        &mut self,
-        target: &TargetName,
-        mut broken: Vec<BrokenRequest>,
-        now: Time,
-    ) {
-        broken.retain(|request| now.since(request.at) < CRASH_ATTRIBUTION_WINDOW);
-        if broken.is_empty() {
-            return;
-        }
-        let running: Vec<_> = broken
-            .iter()
-            .map(|request| (request.content, request.team.clone()))
-            .collect();
-        self.suspects.record_crash(target, &running, now);
-        let events = broken.into_iter().map(|request| TraceEvent::Crash {
-            target: target.clone(),
-            content: request.content,
-            parts: request.parts,
-            broken_for: now.since(request.at),
-        });
-        self.trace.extend(events);
+        None
     }
 }
--- a/core/src/trace.rs
+++ b/core/src/trace.rs
@@ -2,11 +2,26 @@
 
 use std::{sync::Arc, time::Duration};
 
+use derive_more::Display;
+
 use crate::{
     id::{Fingerprint, PartId},
-    name::TargetName,
+    name::{TargetName, TeamName},
+    outcome::Probe,
 };
 
+/// Why the mark of a prompt part changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "lowercase")]
+pub enum PartCause {
+    /// A target crashed while it ran requests of this router.
+    Crash,
+    /// The answer to a request with the part began.
+    Answer,
+    /// Another router reported the mark.
+    Report,
+}
+
 /// A change that the target selector made, with the inputs that decided it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TraceEvent {
@@ -21,4 +36,22 @@
         /// Time between the break of the request's connection and the detection of the crash.
         broken_for: Duration,
     },
+    /// A connection to a target was opened because a request to it had broken.
+    Probe {
+        /// The target.
+        target: TargetName,
+        /// The result.
+        result: Probe,
+    },
+    /// The crashes that are counted against a prompt part have changed.
+    Part {
+        /// The part.
+        part: PartId,
+        /// Why they changed.
+        cause: PartCause,
+        /// Number of crashes in a row.
+        crashes: u32,
+        /// Teams whose requests crashed targets, at most two.
+        teams: Vec<TeamName>,
+    },
 }
--- a/core/tests/changeover.rs
+++ b/core/tests/changeover.rs
@@ -149,12 +149,15 @@
             .rng
             .random_bool(0.5)
             .then(|| self.rng.random_range(0..40));
+        let team = TeamName::new("desk").expect("the literal is a name");
         let criteria = Criteria {
             service: &service,
             contexts: context.as_slice(),
             tried: &[],
             is_retry: false,
             content: Fingerprint::from(self.rng.random::<u64>()),
+            parts: &[],
+            team: &team,
         };
         let random = self.rng.random();
         let choice = self.selectors[router_index].choose(&criteria, random, self.now);
@@ -192,6 +195,8 @@
                 end,
                 content: Fingerprint::from(1),
                 parts: &Arc::from([]),
+                sent_at: at,
+                answer_begun: end == End::Served,
                 team: &team,
                 route: &route,
                 timing: Some(Timing::Whole(took)),
--- a/core/tests/routers.rs
+++ b/core/tests/routers.rs
@@ -330,6 +330,8 @@
                 end,
                 content: Fingerprint::from(running.content),
                 parts: &Arc::from([]),
+                sent_at: now,
+                answer_begun: end == End::Served,
                 team: &team,
                 route: &route,
                 timing: None,
@@ -359,6 +361,8 @@
             tried: &tried,
             is_retry: !tried.is_empty(),
             content: Fingerprint::from(content),
+            parts: &[],
+            team: &"desk".parse().expect("the literal is a name"),
         };
         let random = self.rng.random();
         let choice = match router.selector.choose(&criteria, random, now) {
--- a/core/tests/selector.rs
+++ b/core/tests/selector.rs
@@ -7,7 +7,7 @@
     collections::{BTreeMap, HashSet},
     fmt::Write,
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, LazyLock},
     time::Duration,
 };
 
@@ -34,6 +34,9 @@
     window: Duration::from_secs(10),
 };
 
+static TEAM: LazyLock<TeamName> =
+    LazyLock::new(|| TeamName::new("desk").expect("the literal is a name"));
+
 fn target(name: &str) -> TargetName {
     TargetName::new(name).expect("the scenario uses valid names")
 }
@@ -79,7 +82,7 @@
         Self {
             selector: TargetSelector::new(zone("z1"), RETRY_BOUND),
             now: Time::from_millis(100_000),
-            team: TeamName::new("desk").expect("the literal is a name"),
+            team: TEAM.clone(),
             route: RouteName::new("r").expect("the literal is a name"),
         }
     }
@@ -159,6 +162,8 @@
                         end,
                         content,
                         parts: &Arc::from([]),
+                        sent_at: self.now,
+                        answer_begun: end == End::Served,
                         team: &self.team,
                         route: &self.route,
                         timing: None,
@@ -221,6 +226,8 @@
                 tried: &tried,
                 is_retry: text("repeat").is_some(),
                 content: Fingerprint::from(number("content").unwrap_or(0)),
+                parts: &[],
+                team: &self.team,
             };
             #[expect(clippy::cast_precision_loss, reason = "turns are few")]
             let random = turn as f64 / 100.0;
@@ -250,6 +257,8 @@
         tried,
         is_retry: false,
         content: Fingerprint::from(0),
+        parts: &[],
+        team: &TEAM,
     }
 }
 
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -273,9 +273,7 @@
                         self.shared.metrics.entry.observe_choice(context, waited);
                         selected
                     }
-                    Err(SelectionRefusal { code, after }) => {
-                        return self.final_failure(code, after);
-                    }
+                    Err(refusal) => return self.final_failure(refusal),
                 };
             let target = reservation.choice.target.name.clone();
             let result = match self.connect(&reservation, connection).await {
@@ -283,7 +281,11 @@
                     // The key may have been revoked while the connection was opened or during an
                     // earlier attempt.
                     if let Err(code) = self.check_key() {
-                        return self.final_failure(code, RETRY_AFTER);
+                        return self.final_failure(SelectionRefusal {
+                            code,
+                            after: RETRY_AFTER,
+                            part: None,
+                        });
                     }
                     self.send(reservation, connection, last_event).await
                 }
@@ -342,23 +344,22 @@
     }
 
     pub(crate) fn refusal(&self, code: Code) -> SelectionRefusal {
-        self.refusal_after(code, RETRY_AFTER)
-    }
-
-    fn refusal_after(&self, code: Code, after: Duration) -> SelectionRefusal {
-        let code = self.attempts.final_code(code);
-        SelectionRefusal { code, after }
+        SelectionRefusal {
+            code: self.attempts.final_code(code),
+            after: RETRY_AFTER,
+            part: None,
+        }
     }
 
     /// Result if no other target can be tried: an earlier target's error answer if there is one,
     /// since it is more specific than a result code of the router.
     fn final_failure(
         &mut self,
-        code: Code,
-        after: Duration,
+        mut refusal: SelectionRefusal,
     ) -> Result<TargetReply, SelectionRefusal> {
+        refusal.code = self.attempts.final_code(refusal.code);
         let target_answer = self.failure.take().map(TargetReply::Failure);
-        target_answer.ok_or_else(|| self.refusal_after(code, after))
+        target_answer.ok_or(refusal)
     }
 
     /// Checks that the API key is still valid, by a desired state that is recent enough.
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -69,6 +69,7 @@
                 SelectionRefusal {
                     code,
                     after: RETRY_AFTER,
+                    part: None,
                 },
             ),
         };
@@ -179,7 +180,8 @@
             .confirmed_at()
             .map(|confirmed| clock::millis(BootClock.now().since(confirmed)));
         warn!(self.shared.log, "request refused"; "event" => "refusal", "request" => attempt_id,
-            "code" => code.number(), "name" => code.name(), "state_age_ms" => age);
+            "code" => code.number(), "name" => code.name(), "state_age_ms" => age,
+            "part" => refusal.part.map(|part| part.to_string()));
         let status = answer::status(code);
         let mut res = Response::new(web::full_body(code.name()));
         *res.status_mut() = status;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod status;
 pub mod store;
 pub mod streaming;
+mod trace;
 pub mod upstream;
 pub mod view;
 pub mod vms;
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -128,6 +128,9 @@
             for item in verdicts(&report) {
                 gossip.put(item).await;
             }
+            for item in parts(&report) {
+                gossip.put(item).await;
+            }
             for item in crashes(report) {
                 gossip.put(item).await;
             }
@@ -254,6 +257,18 @@
     })
 }
 
+/// Converts the crashes that a report counts against prompt parts to gossip items.
+fn parts(report: &RouterReport) -> impl Iterator<Item = Item> + use<'_> {
+    let unix = clock::unix_time();
+    report.parts.iter().map(move |(part, mark, age)| Item {
+        key: ItemKey::Part(*part),
+        value: Value::Part {
+            stamp: unix.saturating_sub(*age).as_secs(),
+            mark: mark.clone(),
+        },
+    })
+}
+
 /// Converts the crashes of a report to gossip items.
 fn crashes(report: RouterReport) -> impl Iterator<Item = Item> {
     let unix = clock::unix_time();
@@ -284,6 +299,10 @@
             let age = unix.saturating_sub(Duration::from_secs(*stamp));
             Some(Update::Crash(attribution, age))
         }
+        (ItemKey::Part(part), Value::Part { stamp, mark }) => {
+            let age = unix.saturating_sub(Duration::from_secs(*stamp));
+            Some(Update::Part(*part, mark.clone(), age))
+        }
         (
             ItemKey::Evidence {
                 agent,
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    io,
     sync::Arc,
     time::Duration,
 };
@@ -15,25 +16,21 @@
     inspect::RoutingState,
     moves::{MoveState, MoveVerdict, VersionCounts},
     name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
-    outcome::{End, Finished},
+    outcome::{End, Finished, Probe},
+    parts::PartMark,
     reports::OpenReport,
     selector::{Choice, Criteria, SelectionRefusal, TargetSelector},
     target::{ReportedLoad, TargetRecord},
     time::Time,
     timing::Timing,
-    trace::TraceEvent,
 };
-use slog::{Logger, info};
+use slog::Logger;
 use tokio::sync::{
     mpsc::{self, OwnedPermit},
     oneshot,
 };
 
-use crate::{
-    clock::{self, BootClock},
-    logs,
-    upstream::TargetConnection,
-};
+use crate::{clock::BootClock, trace, upstream::TargetConnection};
 
 /// Maximum number of commands in the task's queue.
 const QUEUE_LEN: usize = 8_192;
@@ -108,6 +105,9 @@
     OpenReport(ProcessName, OpenReport),
     /// Crash attributed to a request by another router, with the time since the crash.
     Crash(CrashAttribution, Duration),
+    /// Crashes that another router counts against a prompt part, with the time since their last
+    /// change.
+    Part(PartId, PartMark, Duration),
 }
 
 /// Crash of a target that is attributed to a request.
@@ -128,6 +128,8 @@
     pub open: OpenReport,
     /// Crashes attributed to requests, with the time since each crash.
     pub crashes: Vec<(CrashAttribution, Duration)>,
+    /// Crashes counted against prompt parts, with the time since the last change.
+    pub parts: Vec<(PartId, PartMark, Duration)>,
     /// Request counts for version moves in progress.
     pub evidence: Vec<VersionCounts>,
     /// Verdicts on version moves, to be sent to other routers.
@@ -141,6 +143,7 @@
         oneshot::Sender<Result<Selection, SelectionRefusal>>,
     ),
     Ended(Box<EndedRequest>),
+    Probed(Box<TargetRecord>, Probe, Option<TargetConnection>),
     Load(TargetName, ReportedLoad),
     Update(Vec<Update>),
     Report(oneshot::Sender<RouterReport>),
@@ -160,6 +163,8 @@
     end: End,
     connection: Option<TargetConnection>,
     origin: RequestOrigin,
+    sent_at: Time,
+    answer_begun: bool,
     timing: Option<Timing>,
 }
 
@@ -181,6 +186,8 @@
     permit: Option<OwnedPermit<Command>>,
     selector: SelectorHandle,
     origin: RequestOrigin,
+    sent_at: Time,
+    answer_begun: bool,
     timing: Option<Timing>,
 }
 
@@ -198,6 +205,12 @@
         self.timing = Some(timing);
     }
 
+    /// Records that a part of the answer has arrived, which shows that the request does not crash the
+    /// target.
+    pub fn record_answer_begun(&mut self) {
+        self.answer_begun = true;
+    }
+
     /// Releases the slot and records the result. `connection` is kept for reuse; `None` if it
     /// cannot be reused.
     pub fn finish(mut self, end: End, connection: Option<TargetConnection>) {
@@ -211,6 +224,8 @@
                 end,
                 connection,
                 origin: self.origin.clone(),
+                sent_at: self.sent_at,
+                answer_begun: self.answer_begun,
                 timing: self.timing,
             })));
         }
@@ -240,6 +255,7 @@
             anonymous: TeamName::new("public").expect("the literal is a name"),
             clock,
             idle: HashMap::new(),
+            probes: tx.downgrade(),
             log,
         };
         tokio::spawn(task.run(rx));
@@ -260,8 +276,10 @@
         let ended = SelectionRefusal {
             code: Code::ShuttingDown,
             after: Duration::ZERO,
+            part: None,
         };
         let origin = request.origin();
+        let sent_at = BootClock.now();
         let permit = self
             .0
             .clone()
@@ -277,6 +295,8 @@
             permit: Some(permit),
             selector: self.clone(),
             origin,
+            sent_at,
+            answer_begun: false,
             timing: None,
         };
         Ok((reservation, connection))
@@ -316,6 +336,8 @@
     anonymous: TeamName,
     clock: BootClock,
     idle: HashMap<TargetName, IdleConnections>,
+    /// Queue of this task, for the results of probes.
+    probes: mpsc::WeakSender<Command>,
     log: Logger,
 }
 
@@ -338,11 +360,17 @@
                             end: End::Cancelled,
                             connection: selection.connection,
                             origin: request.origin(),
+                            sent_at: self.clock.now(),
+                            answer_begun: false,
                             timing: None,
                         });
                     }
                 }
                 Command::Ended(ended) => self.record_end(*ended),
+                Command::Probed(target, probe, connection) => {
+                    self.selector.record_probe(&target, probe, self.clock.now());
+                    self.keep_idle(&target.name, connection);
+                }
                 Command::Load(target, load) => {
                     self.selector.record_load(&target, load, self.clock.now());
                 }
@@ -358,22 +386,7 @@
                 }
             }
             for event in self.selector.take_trace() {
-                self.log_change(&event);
-            }
-        }
-    }
-
-    fn log_change(&self, event: &TraceEvent) {
-        match event {
-            TraceEvent::Crash {
-                target,
-                content,
-                parts,
-                broken_for,
-            } => {
-                info!(self.log, "target crashed while it ran a request"; "event" => "crash",
-                    "target" => %target, "content" => %content, "parts" => logs::list(parts),
-                    "broken_ms" => clock::millis(*broken_for));
+                trace::log(&self.log, &event);
             }
         }
     }
@@ -386,6 +399,8 @@
             tried: &request.tried,
             is_retry: request.charge_retry,
             content: request.content,
+            parts: &request.parts,
+            team: request.team.as_ref().unwrap_or(&self.anonymous),
         };
         let choice = self.selector.choose(&criteria, rand::random(), now)?;
         let idle = self.idle.get_mut(&choice.target.name);
@@ -413,25 +428,56 @@
             end,
             connection,
             origin,
+            sent_at,
+            answer_begun,
             timing,
         } = ended;
         let finished = Finished {
             end,
             content: origin.content,
             parts: &origin.parts,
+            sent_at,
+            answer_begun,
             team: origin.team.as_ref().unwrap_or(&self.anonymous),
             route: &origin.route,
             timing,
         };
-        self.selector.record_end(&target, &finished, now);
+        let doubtful = self.selector.record_end(&target, &finished, now);
+        self.keep_idle(&target, connection);
+        if let Some(target) = doubtful {
+            self.probe(target);
+        }
+    }
+
+    fn keep_idle(&mut self, target: &TargetName, connection: Option<TargetConnection>) {
         if let Some(connection) = connection
-            && let Some(idle) = self.idle.get_mut(&target)
+            && let Some(idle) = self.idle.get_mut(target)
             && idle.connections.len() < MAX_IDLE_PER_TARGET
         {
             idle.connections.push(connection);
         }
     }
 
+    /// Opens a connection to a target after a request to it broke, so that a crash is noticed before
+    /// further requests are sent there. A connection that is established is kept for one of them.
+    fn probe(&self, target: TargetRecord) {
+        let Some(queue) = self.probes.upgrade() else {
+            return;
+        };
+        let now = self.clock.now();
+        tokio::spawn(async move {
+            let (probe, connection) = match TargetConnection::connect(target.address, now).await {
+                Ok(connection) => (Probe::Accepted, Some(connection)),
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    (Probe::Refused, None)
+                }
+                Err(_timeout_or_cut) => (Probe::Unknown, None),
+            };
+            let command = Command::Probed(Box::new(target), probe, connection);
+            let _ended = queue.send(command).await;
+        });
+    }
+
     fn report(&mut self) -> RouterReport {
         let now = self.clock.now();
         let open = self.selector.next_report();
@@ -446,10 +492,14 @@
             })
         });
         let crashes = crashes.collect();
+        let parts = self.selector.part_marks(now);
+        let parts = parts.map(|(part, mark, age)| (part, mark.clone(), age));
+        let parts = parts.collect();
         let verdicts = self.selector.verdicts();
         RouterReport {
             open,
             crashes,
+            parts,
             evidence: self.selector.version_counts(),
             verdicts,
         }
@@ -505,6 +555,7 @@
                 let at = Time::ZERO + now.since(Time::ZERO + age);
                 self.selector.record_crash(content, &target, &team, at);
             }
+            Update::Part(part, mark, age) => self.selector.record_part(part, &mark, age, now),
         }
     }
 }
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -125,6 +125,7 @@
                     match self.events.push(&data) {
                         Ok(Some(complete)) => {
                             if complete.has_event {
+                                open.reservation.record_answer_begun();
                                 self.record_event();
                             }
                             return Ok(Some(complete.bytes));
--- /dev/null
+++ b/src/trace.rs
@@ -0,0 +1,36 @@
+//! Log lines for changes in the target selector.
+
+use ebonyfall_core::{parts::CRASHES_TO_HOLD, trace::TraceEvent};
+use slog::{Logger, info};
+
+use crate::{clock, logs};
+
+/// Writes the log line of a change.
+pub fn log(log: &Logger, event: &TraceEvent) {
+    match event {
+        TraceEvent::Crash {
+            target,
+            content,
+            parts,
+            broken_for,
+        } => {
+            info!(log, "target crashed while it ran a request"; "event" => "crash",
+                    "target" => %target, "content" => %content, "parts" => logs::list(parts),
+                    "broken_ms" => clock::millis(*broken_for));
+        }
+        TraceEvent::Probe { target, result } => {
+            info!(log, "opened a connection to a target because a request to it broke";
+                    "event" => "probe", "target" => %target, "result" => %result);
+        }
+        TraceEvent::Part {
+            part,
+            cause,
+            crashes,
+            teams,
+        } => {
+            info!(log, "crashes counted against a prompt part"; "event" => "part",
+                    "part" => %part, "cause" => %cause, "crashes" => crashes,
+                    "teams" => logs::list(teams), "held" => *crashes >= CRASHES_TO_HOLD);
+        }
+    }
+}
--- a/wire/tests/unit/gossip.rs
+++ b/wire/tests/unit/gossip.rs
@@ -3,8 +3,9 @@
 use ebonyfall_core::{
     dissemination::{Arm, Item, ItemKey, MoveDecision, PacketKind, RequestCounts, Value},
     doc::ZoneState,
-    id::{Fingerprint, Offset},
+    id::{Fingerprint, Offset, PartId},
     name::{ModelName, MoveName, RouteName, TargetName, TeamName, ZoneName},
+    parts::PartMark,
     peer::{Liveness, MemberRecord, Role},
     reports::OpenReport,
 };
@@ -54,7 +55,7 @@
         capacity: u32::arbitrary(g),
     };
     let state = *g.choose(&[ZoneState::In, ZoneState::Out]).unwrap();
-    let (key, value) = match u8::arbitrary(g) % 9 {
+    let (key, value) = match u8::arbitrary(g) % 10 {
         0 => (
             ItemKey::Verdict(move_name, n.into()),
             Value::Verdict(MoveDecision::Faulty),
@@ -108,6 +109,18 @@
                 team: TeamName::new(any_name(g)).unwrap(),
             },
         ),
+        8 => (
+            ItemKey::Part(n.into()),
+            Value::Part {
+                stamp: n,
+                mark: PartMark {
+                    epoch: u32::MAX,
+                    crashes: u32::arbitrary(g),
+                    teams: vec![TeamName::new(any_name(g)).unwrap()],
+                    companions: vec![PartId::from(u64::MAX); 8],
+                },
+            },
+        ),
         _ => (ItemKey::AgentLoad(model, agent), load),
     };
     Item { key, value }
