Tell other routers of suspected prompt parts at once

The task that owns the selector now signals changes of its own, and the gossip task signals changes of urgent items. The messages of the selector move to a module of their own.

--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -86,6 +86,8 @@
     pub pauses: u64,
     /// Records refused because the table is full.
     pub refused: u64,
+    /// Changes of urgent items.
+    pub urgent: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -346,6 +348,7 @@
         let changed = self.store.merge(item, unix);
         // Each router sends its open requests to the others directly, see `broadcast`.
         if changed && !matches!(item.key, ItemKey::RouterLoad(_)) {
+            self.counters.urgent += u64::from(item.key.is_urgent());
             let urgency = match item.key {
                 _ if item.key.is_urgent() => Urgency::Urgent,
                 ItemKey::AgentLoad(..) => Urgency::Local,
--- a/core/src/trace.rs
+++ b/core/src/trace.rs
@@ -55,3 +55,10 @@
         teams: Vec<TeamName>,
     },
 }
+
+impl TraceEvent {
+    /// Whether requests of this router changed what counts against a prompt part.
+    pub fn is_own_suspicion(&self) -> bool {
+        matches!(self, Self::Part { cause, .. } if *cause != PartCause::Report)
+    }
+}
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -86,6 +86,7 @@
 pub struct Gossip {
     tx: mpsc::Sender<Command>,
     membership: watch::Receiver<Arc<MembershipView>>,
+    urgent: watch::Receiver<u64>,
 }
 
 impl Gossip {
@@ -99,6 +100,7 @@
     ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let (publish, membership) = watch::channel(Arc::default());
+        let (urgent_tx, urgent) = watch::channel(0);
         let Identity {
             name,
             incarnation,
@@ -122,11 +124,16 @@
             opener: Opener::new(keys),
             clock: Clock::start(),
             publish,
+            urgent: urgent_tx,
             metrics,
             log,
         };
         tokio::spawn(task.run(rx, views));
-        Self { tx, membership }
+        Self {
+            tx,
+            membership,
+            urgent,
+        }
     }
 
     /// Merges an item into the store and disseminates it if it is new.
@@ -187,6 +194,11 @@
         answer.await.unwrap_or_default()
     }
 
+    /// Returns a receiver that changes when urgent items have arrived from other processes.
+    pub fn urgent_changes(&self) -> watch::Receiver<u64> {
+        self.urgent.clone()
+    }
+
     /// Returns a receiver of the targets to avoid and the live routers.
     pub fn membership(&self) -> watch::Receiver<Arc<MembershipView>> {
         self.membership.clone()
@@ -200,6 +212,7 @@
     opener: Opener,
     clock: Clock,
     publish: watch::Sender<Arc<MembershipView>>,
+    urgent: watch::Sender<u64>,
     metrics: Metrics,
     log: Logger,
 }
@@ -247,6 +260,7 @@
                     .members
                     .receive(&packet, now, unix_seconds(), &mut rand::random);
                 self.send(out).await;
+                self.publish_urgent_changes();
             }
             Err(error) => {
                 self.metrics.gossip_dropped.inc();
@@ -351,6 +365,15 @@
         self.flush().await;
     }
 
+    fn publish_urgent_changes(&self) {
+        let count = self.members.counters().urgent;
+        self.urgent.send_if_modified(|known| {
+            let is_new = *known != count;
+            *known = count;
+            is_new
+        });
+    }
+
     fn publish_membership(&self) {
         let membership = self.members.view();
         self.publish.send_if_modified(|old| {
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -32,7 +32,7 @@
     link::Identity,
     metrics::Metrics,
     neighbours::{self, Mirrors, PeerAccess},
-    selection::{CrashAttribution, RouterReport, SelectorHandle, Update},
+    selection::{CrashAttribution, PartReport, RouterReport, SelectorHandle, Update},
     store::{StoreClient, StoreError},
     view,
 };
@@ -107,51 +107,80 @@
         });
         let mut ticks = interval(REPORT_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut routers = 0;
+        let mut suspicions = self.selector.suspicions();
+        let mut urgent = gossip.urgent_changes();
         let mut reported = HashMap::new();
+        let mut routers = 0;
         loop {
-            ticks.tick().await;
-            let report = self.selector.report().await;
-            gossip
-                .broadcast(Item {
-                    key: ItemKey::RouterLoad(self.name.clone()),
-                    value: Value::Open {
-                        incarnation,
-                        stamp: clock::unix_time().as_secs(),
-                        report: report.open.clone(),
-                    },
-                })
-                .await;
-            for item in self.evidence(&report, incarnation, &mut reported) {
-                gossip.put(item).await;
-            }
-            for item in verdicts(&report) {
-                gossip.put(item).await;
-            }
-            for item in parts(&report) {
-                gossip.put(item).await;
-            }
-            for item in crashes(report) {
-                gossip.put(item).await;
-            }
-            let (count, rank) = {
-                let membership = gossip.membership();
-                let routers = &membership.borrow().routers;
-                let earlier = routers.iter().filter(|router| **router < self.name);
-                (routers.len(), earlier.count())
-            };
-            if count != routers {
-                info!(self.log, "number of live routers changed";
-                    "event" => "routers", "count" => count, "before" => routers);
-                routers = count;
-                let gauge = i64::try_from(count).unwrap_or(i64::MAX);
-                self.metrics.entry.routers.set(gauge);
+            tokio::select! {
+                _ = ticks.tick() => {
+                    self.send_report(&gossip, incarnation, &mut reported).await;
+                    routers = self.update_routers(&gossip, routers).await;
+                }
+                // A part that crashes targets must not wait for the next report.
+                Ok(()) = suspicions.changed() => {
+                    for item in parts(&self.selector.part_marks().await) {
+                        gossip.put(item).await;
+                    }
+                    continue;
+                }
+                Ok(()) = urgent.changed() => {}
             }
-            let mut updates = updates(&gossip.items().await, &self.name);
-            let saturating_u32 = |count| u32::try_from(count).unwrap_or(u32::MAX);
-            updates.push(Update::Routers(saturating_u32(count), saturating_u32(rank)));
-            self.selector.update(updates).await;
+            let items = gossip.items().await;
+            self.selector.update(updates(&items, &self.name)).await;
+        }
+    }
+
+    async fn send_report(
+        &self,
+        gossip: &Gossip,
+        incarnation: Incarnation,
+        reported: &mut HashMap<ItemKey, RequestCounts>,
+    ) {
+        let report = self.selector.report().await;
+        gossip
+            .broadcast(Item {
+                key: ItemKey::RouterLoad(self.name.clone()),
+                value: Value::Open {
+                    incarnation,
+                    stamp: clock::unix_time().as_secs(),
+                    report: report.open.clone(),
+                },
+            })
+            .await;
+        for item in self.evidence(&report, incarnation, reported) {
+            gossip.put(item).await;
+        }
+        for item in verdicts(&report) {
+            gossip.put(item).await;
+        }
+        for item in parts(&report.parts) {
+            gossip.put(item).await;
+        }
+        for item in crashes(report) {
+            gossip.put(item).await;
+        }
+    }
+
+    /// Tells the selector how many routers are alive, and logs when that differs from `before`.
+    /// Returns their number.
+    async fn update_routers(&self, gossip: &Gossip, before: usize) -> usize {
+        let (count, rank) = {
+            let membership = gossip.membership();
+            let routers = &membership.borrow().routers;
+            let earlier = routers.iter().filter(|router| **router < self.name);
+            (routers.len(), earlier.count())
+        };
+        if count != before {
+            info!(self.log, "number of live routers changed";
+                "event" => "routers", "count" => count, "before" => before);
+            let gauge = i64::try_from(count).unwrap_or(i64::MAX);
+            self.metrics.entry.routers.set(gauge);
         }
+        let saturating_u32 = |count| u32::try_from(count).unwrap_or(u32::MAX);
+        let update = Update::Routers(saturating_u32(count), saturating_u32(rank));
+        self.selector.update(vec![update]).await;
+        count
     }
 
     /// Returns the request counts that have changed since they were last reported.
@@ -257,14 +286,14 @@
     })
 }
 
-/// Converts the crashes that a report counts against prompt parts to gossip items.
-fn parts(report: &RouterReport) -> impl Iterator<Item = Item> + use<'_> {
+/// Converts the crashes that are counted against prompt parts to gossip items.
+fn parts(reports: &[PartReport]) -> impl Iterator<Item = Item> + use<'_> {
     let unix = clock::unix_time();
-    report.parts.iter().map(move |(part, mark, age)| Item {
-        key: ItemKey::Part(*part),
+    reports.iter().map(move |report| Item {
+        key: ItemKey::Part(report.part),
         value: Value::Part {
-            stamp: unix.saturating_sub(*age).as_secs(),
-            mark: mark.clone(),
+            stamp: unix.saturating_sub(report.age).as_secs(),
+            mark: report.mark.clone(),
         },
     })
 }
@@ -301,7 +330,11 @@
         }
         (ItemKey::Part(part), Value::Part { stamp, mark }) => {
             let age = unix.saturating_sub(Duration::from_secs(*stamp));
-            Some(Update::Part(*part, mark.clone(), age))
+            Some(Update::Part(PartReport {
+                part: *part,
+                mark: mark.clone(),
+                age,
+            }))
         }
         (
             ItemKey::Evidence {
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -1,24 +1,15 @@
 //! The entry router's task that owns the target selector and the idle connections to targets.
 
-use std::{
-    collections::{HashMap, HashSet},
-    io,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, io, sync::Arc, time::Duration};
 
 use ebonyfall_core::{
-    changeover::{MoveOrder, MoveProgress},
     code::Code,
-    dissemination::MoveDecision,
     doc::Idempotency,
     id::{Fingerprint, Incarnation, PartId},
     inspect::RoutingState,
-    moves::{MoveState, MoveVerdict, VersionCounts},
-    name::{MoveName, ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
+    moves::MoveState,
+    name::{RouteName, ServiceName, TargetName, TeamName},
     outcome::{End, Finished, Probe},
-    parts::PartMark,
-    reports::OpenReport,
     selector::{Choice, Criteria, SelectionRefusal, TargetSelector},
     target::{ReportedLoad, TargetRecord},
     time::Time,
@@ -27,11 +18,15 @@
 use slog::Logger;
 use tokio::sync::{
     mpsc::{self, OwnedPermit},
-    oneshot,
+    oneshot, watch,
 };
 
 use crate::{clock::BootClock, trace, upstream::TargetConnection};
 
+mod update;
+
+pub use update::{CrashAttribution, PartReport, RouterReport, Update};
+
 /// Maximum number of commands in the task's queue.
 const QUEUE_LEN: usize = 8_192;
 /// Maximum idle time of a connection that may carry a request that is not idempotent. A target may
@@ -75,67 +70,6 @@
     }
 }
 
-/// Change in the state of targets, operators' orders, other routers or the store.
-#[derive(Debug)]
-pub enum Update {
-    /// A target's record is new or has changed.
-    PutTarget(TargetRecord),
-    /// A target's record was deleted from the store.
-    RemoveTarget(TargetName),
-    /// Complete list of registered targets; all others are removed.
-    RetainTargets(HashSet<TargetName>),
-    /// Complete list of evacuated zones, whose targets get no new requests.
-    EvacuatedZones(HashSet<ZoneName>),
-    /// Maximum requests per second to a cold target, by service.
-    ColdRates(HashMap<ServiceName, f64>),
-    /// Number of live routers with this one, which share the fleet-wide limits, and this router's
-    /// rank: the number of routers whose names sort before its own.
-    Routers(u32, u32),
-    /// Complete list of orders for version moves.
-    Moves(Vec<MoveOrder>),
-    /// Progress of a version move as recorded in the store.
-    MoveProgress(MoveOrder, MoveProgress),
-    /// Verdict of another router on a version move.
-    MoveVerdict(MoveName, MoveDecision),
-    /// Request counts of another router for a version move.
-    Evidence(ProcessName, VersionCounts),
-    /// A call to the store failed, so that targets may be unable to renew their records.
-    StoreFailed,
-    /// Another router's report of its open requests.
-    OpenReport(ProcessName, OpenReport),
-    /// Crash attributed to a request by another router, with the time since the crash.
-    Crash(CrashAttribution, Duration),
-    /// Crashes that another router counts against a prompt part, with the time since their last
-    /// change.
-    Part(PartId, PartMark, Duration),
-}
-
-/// Crash of a target that is attributed to a request.
-#[derive(Debug, Clone)]
-pub struct CrashAttribution {
-    /// Hash of team, path and body of the request.
-    pub content: Fingerprint,
-    /// Target that crashed.
-    pub target: TargetName,
-    /// Team that sent the request; `public` on a public route.
-    pub team: TeamName,
-}
-
-/// Report of this router to the other routers.
-#[derive(Debug, Default)]
-pub struct RouterReport {
-    /// Open requests by target, and recently placed contexts.
-    pub open: OpenReport,
-    /// Crashes attributed to requests, with the time since each crash.
-    pub crashes: Vec<(CrashAttribution, Duration)>,
-    /// Crashes counted against prompt parts, with the time since the last change.
-    pub parts: Vec<(PartId, PartMark, Duration)>,
-    /// Request counts for version moves in progress.
-    pub evidence: Vec<VersionCounts>,
-    /// Verdicts on version moves, to be sent to other routers.
-    pub verdicts: Vec<MoveVerdict>,
-}
-
 #[derive(Debug)]
 enum Command {
     Choose(
@@ -147,6 +81,7 @@
     Load(TargetName, ReportedLoad),
     Update(Vec<Update>),
     Report(oneshot::Sender<RouterReport>),
+    PartMarks(oneshot::Sender<Vec<PartReport>>),
     Moves(oneshot::Sender<Vec<MoveState>>),
     Inspect(oneshot::Sender<RoutingState>),
 }
@@ -196,7 +131,7 @@
     /// queue is full, since a later answer carries a newer one.
     pub fn record_load(&self, load: ReportedLoad) {
         let target = self.choice.target.name.clone();
-        let _full = self.selector.0.try_send(Command::Load(target, load));
+        let _full = self.selector.tx.try_send(Command::Load(target, load));
     }
 
     /// Sets the duration of a single answer, or the mean time between events of a stream. It is
@@ -240,7 +175,10 @@
 
 /// Handle of the task that owns the target selector.
 #[derive(Debug, Clone)]
-pub struct SelectorHandle(mpsc::Sender<Command>);
+pub struct SelectorHandle {
+    tx: mpsc::Sender<Command>,
+    suspicions: watch::Receiver<u64>,
+}
 
 impl SelectorHandle {
     /// Starts the task, which ends when the last handle and reservation are dropped.
@@ -250,16 +188,18 @@
     /// Does not panic: the team name to parse is a literal.
     pub fn start(selector: TargetSelector, clock: BootClock, log: Logger) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
+        let (suspicions_tx, suspicions) = watch::channel(0);
         let task = Task {
             selector,
             anonymous: TeamName::new("public").expect("the literal is a name"),
             clock,
             idle: HashMap::new(),
             probes: tx.downgrade(),
+            suspicions: suspicions_tx,
             log,
         };
         tokio::spawn(task.run(rx));
-        Self(tx)
+        Self { tx, suspicions }
     }
 
     /// Selects a target. The connection is an idle one to that target; `None` if the caller has to
@@ -281,14 +221,14 @@
         let origin = request.origin();
         let sent_at = BootClock.now();
         let permit = self
-            .0
+            .tx
             .clone()
             .reserve_owned()
             .await
             .map_err(|_ended| ended)?;
         let (reply, answer) = oneshot::channel();
         let command = Command::Choose(Box::new(request), reply);
-        self.0.send(command).await.map_err(|_ended| ended)?;
+        self.tx.send(command).await.map_err(|_ended| ended)?;
         let Selection { choice, connection } = answer.await.map_err(|_ended| ended)??;
         let reservation = Reservation {
             choice,
@@ -304,20 +244,33 @@
 
     /// Applies `updates` in order.
     pub async fn update(&self, updates: Vec<Update>) {
-        let _ended = self.0.send(Command::Update(updates)).await;
+        let _ended = self.tx.send(Command::Update(updates)).await;
     }
 
     /// Returns the next report to the other routers.
     pub async fn report(&self) -> RouterReport {
         let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Command::Report(reply)).await;
+        let _ended = self.tx.send(Command::Report(reply)).await;
+        answer.await.unwrap_or_default()
+    }
+
+    /// Returns a receiver that changes when this router's requests change what counts against prompt
+    /// parts.
+    pub fn suspicions(&self) -> watch::Receiver<u64> {
+        self.suspicions.clone()
+    }
+
+    /// Returns the crashes counted against prompt parts.
+    pub async fn part_marks(&self) -> Vec<PartReport> {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.tx.send(Command::PartMarks(reply)).await;
         answer.await.unwrap_or_default()
     }
 
     /// Returns a description of the selector's state for the dump.
     pub async fn inspect(&self) -> RoutingState {
         let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Command::Inspect(reply)).await;
+        let _ended = self.tx.send(Command::Inspect(reply)).await;
         answer.await.unwrap_or_default()
     }
 
@@ -325,7 +278,7 @@
     /// now.
     pub async fn moves(&self) -> Vec<MoveState> {
         let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Command::Moves(reply)).await;
+        let _ended = self.tx.send(Command::Moves(reply)).await;
         answer.await.unwrap_or_default()
     }
 }
@@ -338,6 +291,8 @@
     idle: HashMap<TargetName, IdleConnections>,
     /// Queue of this task, for the results of probes.
     probes: mpsc::WeakSender<Command>,
+    /// Changes of what this router counts against prompt parts.
+    suspicions: watch::Sender<u64>,
     log: Logger,
 }
 
@@ -381,11 +336,17 @@
                 Command::Inspect(reply) => {
                     let _caller_gone = reply.send(self.selector.inspect(self.clock.now()));
                 }
+                Command::PartMarks(reply) => {
+                    let _caller_gone = reply.send(self.part_marks());
+                }
                 Command::Moves(reply) => {
                     let _caller_gone = reply.send(self.selector.moves(self.clock.now()));
                 }
             }
             for event in self.selector.take_trace() {
+                if event.is_own_suspicion() {
+                    self.suspicions.send_modify(|changes| *changes += 1);
+                }
                 trace::log(&self.log, &event);
             }
         }
@@ -492,9 +453,7 @@
             })
         });
         let crashes = crashes.collect();
-        let parts = self.selector.part_marks(now);
-        let parts = parts.map(|(part, mark, age)| (part, mark.clone(), age));
-        let parts = parts.collect();
+        let parts = self.part_marks();
         let verdicts = self.selector.verdicts();
         RouterReport {
             open,
@@ -505,6 +464,16 @@
         }
     }
 
+    fn part_marks(&self) -> Vec<PartReport> {
+        let marks = self.selector.part_marks(self.clock.now());
+        let reports = marks.map(|(part, mark, age)| PartReport {
+            part,
+            mark: mark.clone(),
+            age,
+        });
+        reports.collect()
+    }
+
     fn apply(&mut self, update: Update) {
         let now = self.clock.now();
         match update {
@@ -555,7 +524,9 @@
                 let at = Time::ZERO + now.since(Time::ZERO + age);
                 self.selector.record_crash(content, &target, &team, at);
             }
-            Update::Part(part, mark, age) => self.selector.record_part(part, &mark, age, now),
+            Update::Part(PartReport { part, mark, age }) => {
+                self.selector.record_part(part, &mark, age, now);
+            }
         }
     }
 }
