Take a stream that ends inside an event for broken off

Callers saw a stream that looked complete although its last event was cut: an answer may come with neither a length nor chunks, so that its end is that of the connection, and a target that crashes closes its connections like one that has sent everything. The rest of the event was passed on.

Fix: a stream is complete only if an event has arrived and none has begun since. Otherwise it is resumed where the route allows, or cut visibly; without any event the caller gets a result code. Comments at the end are passed on as before. An answer to a stream's route that is not a success is read as a whole, since it has no events.

tests/hostile: a_stream_that_ends_inside_an_event_is_not_complete gets 'id: 2\ndata: tok' as the end of a complete body without the change.

--- a/core/src/events.rs
+++ b/core/src/events.rs
@@ -99,6 +99,12 @@
         self.last_id.as_deref()
     }
 
+    /// Whether a stream that ended now would break off inside an event. Comments and blank lines may
+    /// remain.
+    pub fn is_inside_event(&self) -> bool {
+        has_event(&self.pending)
+    }
+
     /// Discards the buffered bytes of an event whose remainder will not arrive.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -212,7 +212,8 @@
                 TargetReply::Failure(complete) => return Ok(self.caller_answer(complete)),
                 TargetReply::Answer(open) => open,
             };
-            if matches!(self.job.route.response, ResponseKind::EventStream { .. }) {
+            let is_stream = matches!(self.job.route.response, ResponseKind::EventStream { .. });
+            if is_stream && open.status.is_success() {
                 return StreamRelay::start(self, open).await;
             }
             if let Some(caller_answer) = self.read_answer(open).await? {
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -32,6 +32,8 @@
     open: Option<OpenAnswer>,
     events: EventSplitter,
     arrivals: Arrivals,
+    /// Whether an event has arrived, from any target.
+    has_events: bool,
     /// Time spent waiting for the target since its last event. The time that the caller takes to
     /// read does not count, and bytes without an event do not end the wait.
     waited: Duration,
@@ -62,6 +64,7 @@
             open: Some(open),
             events: EventSplitter::default(),
             arrivals: Arrivals::default(),
+            has_events: false,
             waited: Duration::ZERO,
         };
         let first = loop {
@@ -134,7 +137,8 @@
                         Err(fault) => self.count_fault(fault),
                     }
                 }
-                Ok(None) => return Ok(self.finish()),
+                Ok(None) if self.is_complete() => return Ok(self.finish()),
+                Ok(None) => Failure::Broken,
                 Ok(Some(Err(_broken))) => Failure::Broken,
                 Err(_late) => Failure::TimedOut,
             };
@@ -149,6 +153,12 @@
         }
     }
 
+    /// Whether the stream may end here. A target that crashes may close its connection like one that
+    /// has sent everything.
+    fn is_complete(&self) -> bool {
+        self.has_events && !self.events.is_inside_event()
+    }
+
     /// Time to wait for more bytes.
     fn wait_limit(&self) -> Duration {
         let attempts = &self.forwarder.attempts;
@@ -174,6 +184,7 @@
     }
 
     fn record_event(&mut self) {
+        self.has_events = true;
         self.waited = Duration::ZERO;
         if let Some(gap) = self.arrivals.record(BootClock.now()) {
             let metrics = &self.forwarder.shared.metrics;
--- a/tests/hostile/named.rs
+++ b/tests/hostile/named.rs
@@ -5,6 +5,7 @@
 use ebonyfall_standin::{
     entrance::{EntryDeployment, Reply},
     hostile::{HostileTarget, Step},
+    registered::AnswerMode,
 };
 use http::StatusCode;
 use tempfile::TempDir;
@@ -321,7 +322,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stalled_stream_is_resumed_although_bytes_arrive() {
     let env = Env::start(1).await;
-    env.deployment.targets[0].set_mode(ebonyfall_standin::registered::AnswerMode::Stream {
+    env.deployment.targets[0].set_mode(AnswerMode::Stream {
         count: 3,
         cut_after: None,
     });
@@ -405,3 +406,27 @@
         }
     }
 }
+
+/// Guards against a stream that looks complete although its connection closed inside an event: it has
+/// neither a length nor chunks, so that nothing else shows the break.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_inside_an_event_is_not_complete() {
+    for cut in ["id: 2\ndata: tok", "id: 2\ndata: token 2\n"] {
+        let env = Env::start(0).await;
+        env.hostile.set_script([
+            Step::Execute,
+            send(&stream_head()),
+            send("id: 1\ndata: token 1\n\n"),
+            Step::Wait(Duration::from_millis(50)),
+            send(cut),
+            Step::Close,
+        ]);
+        let reply = env.call("inside", "POST", STREAM).await;
+        assert!(reply.body.is_err(), "{cut:?}: {:?}", reply.body);
+    }
+    let env = Env::start(0).await;
+    env.hostile
+        .set_script([Step::Execute, send(&stream_head()), Step::Close]);
+    let reply = env.call("empty", "POST", STREAM).await;
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+}
