--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -13,6 +13,7 @@
 };
 use futures_util::stream::{self, StreamExt};
 use gotham::helpers::http::Body;
+use http::header::CONTENT_LENGTH;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::time::timeout;
@@ -154,9 +155,11 @@
     }
 
     /// Whether the stream may end here. A target that crashes may close its connection like one that
-    /// has sent everything.
+    /// has sent everything, unless the answer has a length.
     fn is_complete(&self) -> bool {
-        self.has_events && !self.events.is_inside_event()
+        let headers = self.open.as_ref().map(|open| &open.headers);
+        let has_length = headers.is_some_and(|headers| headers.contains_key(CONTENT_LENGTH));
+        has_length || (self.has_events && !self.events.is_inside_event())
     }
 
     /// Time to wait for more bytes.
