Continue a stream only with a stream of the same kind

Callers found the text of an error in the middle of their stream, which then ended as if it were complete. Looked for after a report from operators of similar systems; it could happen here.

Cause: when a stream had begun and broke off, the answer of the next target was relayed whatever its status, if it bore the target's seal: a 404, or a 200 of another type. A 5xx was not relayed.

Fix: such an answer has to have the status and the content type of the head that the caller has got. Otherwise the attempt counts as failed, and the stream goes on elsewhere or is cut, with a log line. A stream that breaks off before its first part goes back to the loop of attempts, so that the preparation of a retry exists once.

--- a/src/carry.rs
+++ b/src/carry.rs
@@ -21,7 +21,7 @@
     request::{self, TargetHeaders},
 };
 use gotham::helpers::http::Body;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, StatusCode, Uri, header::CONTENT_TYPE};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use slog::{Logger, info};
@@ -143,6 +143,7 @@
 }
 
 /// Status and headers of a target's answer, for the caller.
+#[derive(Debug, Clone)]
 pub(crate) struct StreamHead {
     choice: Choice,
     status: StatusCode,
@@ -150,6 +151,12 @@
 }
 
 impl OpenAnswer {
+    /// Whether the answer is a stream of the same kind as the one with this head.
+    pub(crate) fn continues(&self, head: &StreamHead) -> bool {
+        let same_type = self.headers.get(CONTENT_TYPE) == head.headers.get(CONTENT_TYPE);
+        self.status == head.status && same_type
+    }
+
     pub(crate) fn head(&self) -> StreamHead {
         StreamHead {
             choice: self.reservation.choice.clone(),
@@ -214,9 +221,14 @@
             };
             let is_stream = matches!(self.job.route.response, ResponseKind::EventStream { .. });
             if is_stream && open.status.is_success() {
-                return StreamRelay::start(self, open).await;
-            }
-            if let Some(caller_answer) = self.read_answer(open).await? {
+                match StreamRelay::start(self, open).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(unstarted) => {
+                        self = unstarted.forwarder;
+                        self.prepare_retry(&unstarted.target, unstarted.failure)?;
+                    }
+                }
+            } else if let Some(caller_answer) = self.read_answer(open).await? {
                 return Ok(caller_answer);
             }
         }
@@ -535,10 +547,24 @@
             Err(_late) => Failure::TimedOut,
         };
         open.reservation.finish(End::Failed(failure), None);
-        match self.record_failure(&target, failure) {
+        self.prepare_retry(&target, failure)?;
+        Ok(None)
+    }
+
+    /// Records a failed attempt and prepares the next one.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the result code for the caller when no other target may be tried.
+    pub(crate) fn prepare_retry(
+        &mut self,
+        target: &TargetName,
+        failure: Failure,
+    ) -> Result<(), SelectionRefusal> {
+        match self.record_failure(target, failure) {
             NextStep::Again { repeat } => {
                 self.charge_retry = repeat;
-                Ok(None)
+                Ok(())
             }
             NextStep::GiveUp(code) => Err(self.refusal(code)),
             NextStep::PassOn => Err(self.refusal(failure.code())),
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use ebonyfall_core::{
-    direct::{Failure, NextStep},
+    direct::Failure,
     events::{EventSplitter, StreamFault},
     name::TargetName,
     outcome::End,
@@ -16,12 +16,13 @@
 use http::header::CONTENT_LENGTH;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use slog::warn;
 use tokio::time::timeout;
 
 use crate::{
     carry::{
-        ANSWER_GRACE, CallerAnswer, CompleteAnswer, Forwarder, MAX_EVENT_GAP, OpenAnswer,
-        TargetReply, mark_idle,
+        ANSWER_GRACE, CallerAnswer, Forwarder, MAX_EVENT_GAP, OpenAnswer, StreamHead, TargetReply,
+        mark_idle,
     },
     clock::BootClock,
 };
@@ -29,6 +30,8 @@
 /// Stream that is being relayed to the caller.
 pub(crate) struct StreamRelay {
     forwarder: Forwarder,
+    /// Head of the answer that the caller gets.
+    head: StreamHead,
     /// Target that is sending, `None` after the end of the stream.
     open: Option<OpenAnswer>,
     events: EventSplitter,
@@ -40,51 +43,46 @@
     waited: Duration,
 }
 
-/// Why a stream ends before its last event.
-enum BrokenStream {
-    Refused(SelectionRefusal),
-    /// Error answer of the target that was to resume the stream.
-    Failed(Box<CompleteAnswer>),
+/// Stream that broke off before its first part, so that the caller has got nothing.
+pub(crate) struct Unstarted {
+    pub(crate) forwarder: Forwarder,
+    pub(crate) target: TargetName,
+    pub(crate) failure: Failure,
 }
 
 impl StreamRelay {
     /// Waits for the first part of the stream and returns an answer whose body relays the stream
-    /// while the caller reads it. Until then the caller has got nothing, so a stream that breaks
-    /// off can still end with a result code.
+    /// while the caller reads it.
     ///
     /// # Errors
     ///
-    /// Fails with the result code for the caller when no target sends a first part.
+    /// Fails with the forwarder when the target sends no first part.
     pub(crate) async fn start(
         forwarder: Forwarder,
         open: OpenAnswer,
-    ) -> Result<CallerAnswer, SelectionRefusal> {
-        let mut head = open.head();
+    ) -> Result<CallerAnswer, Box<Unstarted>> {
         let mut relay = Self {
             forwarder,
+            head: open.head(),
             open: Some(open),
             events: EventSplitter::default(),
             arrivals: Arrivals::default(),
             has_events: false,
             waited: Duration::ZERO,
         };
-        let first = loop {
-            match relay.part().await {
-                Ok(first) => break first,
-                Err((target, failure)) => match relay.resume(&target, failure).await {
-                    Ok(open) => {
-                        head = open.head();
-                        relay.open = Some(open);
-                    }
-                    Err(BrokenStream::Failed(complete)) => {
-                        return Ok(relay.forwarder.caller_answer(*complete));
-                    }
-                    Err(BrokenStream::Refused(refusal)) => return Err(refusal),
-                },
+        let first = match relay.part().await {
+            Ok(first) => first,
+            Err((target, failure)) => {
+                return Err(Box::new(Unstarted {
+                    forwarder: relay.forwarder,
+                    target,
+                    failure,
+                }));
             }
         };
         relay.forwarder.attempts.record_answer_begun();
         let attempt_id = relay.forwarder.attempt_id().to_owned();
+        let head = relay.head.clone();
         let first = first.map(|bytes| Ok(Frame::data(bytes)));
         let rest = stream::unfold(relay, Self::next);
         let body = Body::new(StreamBody::new(stream::iter(first).chain(rest)));
@@ -98,11 +96,16 @@
                 Ok(part) => return part.map(|bytes| (Ok(Frame::data(bytes)), self)),
                 Err(failed) => failed,
             };
-            let Ok(open) = self.resume(&target, failure).await else {
-                let cut = io::Error::other("stream from the target broke off and was not resumed");
-                return Some((Err(cut), self));
-            };
-            self.open = Some(open);
+            match self.resume(target, failure).await {
+                Ok(open) => self.open = Some(open),
+                Err(refusal) => {
+                    warn!(self.forwarder.shared.log, "stream broke off and was not resumed";
+                        "event" => "cut", "request" => self.forwarder.attempt_id(),
+                        "name" => refusal.code.name());
+                    let cut = "stream from the target broke off and was not resumed";
+                    return Some((Err(io::Error::other(cut)), self));
+                }
+            }
         }
     }
 
@@ -206,34 +209,32 @@
         Failure::Oversized
     }
 
-    /// Resumes the stream at another target after its last complete event.
+    /// Resumes the stream at another target after its last complete event. The answer of that target
+    /// has to be a stream like the one that the caller is reading; bytes of any other would end up
+    /// within it.
     ///
     /// # Errors
     ///
-    /// Fails when no other target may be tried or accepts the request.
+    /// Fails when no other target may be tried or continues the stream.
     async fn resume(
         &mut self,
-        target: &TargetName,
-        failure: Failure,
-    ) -> Result<OpenAnswer, BrokenStream> {
-        match self.forwarder.record_failure(target, failure) {
-            NextStep::Again { repeat } => self.forwarder.charge_retry = repeat,
-            NextStep::GiveUp(code) => {
-                let refusal = self.forwarder.refusal(code);
-                return Err(BrokenStream::Refused(refusal));
-            }
-            NextStep::PassOn => {
-                let refusal = self.forwarder.refusal(failure.code());
-                return Err(BrokenStream::Refused(refusal));
+        mut target: TargetName,
+        mut failure: Failure,
+    ) -> Result<OpenAnswer, SelectionRefusal> {
+        loop {
+            self.forwarder.prepare_retry(&target, failure)?;
+            self.arrivals = Arrivals::default();
+            self.waited = Duration::ZERO;
+            let last = self.events.last_id().map(str::to_owned);
+            let TargetReply::Answer(open) = self.forwarder.send_to_targets(last.as_deref()).await?
+            else {
+                return Err(self.forwarder.refusal(Failure::Failed.code()));
+            };
+            if open.continues(&self.head) {
+                return Ok(open);
             }
-        }
-        self.arrivals = Arrivals::default();
-        self.waited = Duration::ZERO;
-        let last = self.events.last_id().map(str::to_owned);
-        match self.forwarder.send_to_targets(last.as_deref()).await {
-            Ok(TargetReply::Answer(open)) => Ok(open),
-            Ok(TargetReply::Failure(complete)) => Err(BrokenStream::Failed(Box::new(complete))),
-            Err(refusal) => Err(BrokenStream::Refused(refusal)),
+            (target, failure) = (open.reservation.choice.target.name.clone(), Failure::Failed);
+            open.reservation.finish(End::Failed(failure), None);
         }
     }
 }
--- a/tests/hostile/named.rs
+++ b/tests/hostile/named.rs
@@ -430,3 +430,37 @@
     let reply = env.call("empty", "POST", STREAM).await;
     assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
 }
+
+/// Guards against the error of the target that was to resume a stream being passed on as a part of
+/// that stream, or ending it as if it were complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_error_answer_does_not_continue_a_stream() {
+    let error = "no such model\n\n";
+    for answer in [
+        sealed("404 Not Found", "", error),
+        sealed("500 Internal Server Error", "", error),
+        sealed("200 OK", "Content-Type: application/json\r\n", error),
+    ] {
+        let env = Env::start(1).await;
+        env.deployment.targets[0].set_mode(AnswerMode::Stream {
+            count: 3,
+            cut_after: Some(1),
+        });
+        env.hostile.set_script([Step::Execute, send(&answer)]);
+        let mut begun = false;
+        for request in 0..40 {
+            let reply = env
+                .call(&format!("joined-{request}"), "POST", RESUMABLE)
+                .await;
+            match reply.body {
+                // The error is the whole answer where its target was the first one.
+                Ok(body) => assert_eq!(body, error, "{answer}"),
+                Err(_cut) => begun = true,
+            }
+            if begun {
+                break;
+            }
+        }
+        assert!(begun, "{answer}: no request reached the other target first");
+    }
+}
