Test odd entries in the list of targets

Reported by operators of similar systems; it cannot happen here. Entries that are nested 50,000 deep, with numbers out of range or a port above 65535 are left out or harmless, and routers follow the list on.

--- a/tests/entry/reports.rs
+++ b/tests/entry/reports.rs
@@ -105,3 +105,35 @@
     assert_eq!(reply.body.expect("the stream is complete"), events(300));
     assert_eq!(executed(&env).len(), 1, "no second target ran it");
 }
+
+/// Guards against routers that end, or stop following the list of targets, because another writer
+/// left an odd entry there.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_entry_of_another_writer_stops_nothing() {
+    let env = EntryEnv::start(2).await;
+    let entry = |addr: &str, warmup: &str, later: &str| {
+        format!(
+            "{{\"service\":\"plain\",\"addr\":\"{addr}\",\"zone\":\"z0\",\"version\":\"v1\",\"slots\":8,\
+             \"state\":\"ready\",\"warmup_left_ms\":{warmup},\"seq\":1,\"born\":1,\"later\":{later}}}"
+        )
+    };
+    let deep = "[".repeat(50_000) + &"]".repeat(50_000);
+    for (name, odd) in [
+        ("deep", entry("127.0.0.1:9", "0", &deep)),
+        ("unclosed", "[".repeat(100_000)),
+        ("huge", entry("127.0.0.1:9", "1e308", "1")),
+        ("long", entry("127.0.0.1:9", "1e18", "1")),
+        ("port", entry("127.0.0.1:70000", "0", "1")),
+    ] {
+        let odd = Some(odd.into_bytes());
+        env.store.put_bytes("keyed.servers", name, odd).await;
+    }
+    env.register(0, "draining").await;
+    sleep(Duration::from_secs(2)).await;
+    for _ in 0..8 {
+        let reply = env.call("POST", UNSAFE, "", &[]).await;
+        assert_eq!(reply.status, StatusCode::OK);
+    }
+    assert_eq!(env.targets[1].executed_requests().len(), 8);
+    assert_eq!(env.log(0).matches("\"event\":\"start\"").count(), 1);
+}
