Log the limits that targets state

No code read Server-Limit, and the logs did not say which target stated what. The statement is decoded with an answer's head, kept for each target and run, logged when it changes, and shown in the dump. Values that are no usable number change nothing and are logged once for each target; a limit of zero is the lowest one that is obeyed, since only answers tell when a limit ends. No decision changes.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -7,6 +7,7 @@
     code::{Code, Execution},
     desired::{DesiredRoute, ResponseKind},
     doc::Idempotency,
+    limit::StatedLimit,
     name::TargetName,
     target::ReportedLoad,
     time::Time,
@@ -17,7 +18,7 @@
 const MAX_UNSENT_ATTEMPTS: u32 = 5;
 
 /// Status and relevant headers of a target's answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AnswerHead {
     /// The HTTP status code.
     pub status: u16,
@@ -32,6 +33,8 @@
     pub encoded: bool,
     /// The load that the target reports; `None` if the answer has no load header.
     pub load: Option<ReportedLoad>,
+    /// What the target states about the requests that it takes.
+    pub limit: StatedLimit,
 }
 
 /// Classification of an answer by its status and headers.
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     id::{Fingerprint, PartId},
+    limit::TargetLimit,
     name::{TeamName, ZoneName},
     target::{ReportedLoad, Stage, TargetRecord},
     time::Time,
@@ -67,6 +68,8 @@
     pub(crate) probing: bool,
     /// When the target last refused a connection after requests to it had broken.
     pub(crate) crashed_at: Option<Time>,
+    /// What the target states about the requests that it takes.
+    pub(crate) limit: TargetLimit,
     last_loss: Option<Time>,
 }
 
@@ -103,6 +106,7 @@
             broken_requests: Vec::new(),
             probing: false,
             crashed_at: None,
+            limit: TargetLimit::default(),
             last_loss: None,
         }
     }
--- a/core/src/inspect.rs
+++ b/core/src/inspect.rs
@@ -74,6 +74,8 @@
     pub open_elsewhere: u32,
     /// Share of failures among recent answers, from 0 to 1.
     pub failure_share: f64,
+    /// Requests per second that the target takes from all routers together; `None` for no limit.
+    pub limit_per_s: Option<f64>,
     /// Remaining time of the cold start, in milliseconds.
     pub cold_ms: u128,
     /// Remaining time, in milliseconds, for which the target gets no requests because it was
@@ -113,6 +115,7 @@
             open: entry.outstanding,
             open_elsewhere: entry.outstanding_elsewhere,
             failure_share: entry.failure_share(),
+            limit_per_s: entry.limit.rate(),
             cold_ms: entry.cold_until.since(now).as_millis(),
             avoided_ms: entry.backoff_until.since(now).as_millis(),
         }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod inspect;
 pub mod lease;
 pub mod ledger;
+pub mod limit;
 pub mod load;
 pub mod member;
 pub mod membership;
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -32,6 +32,7 @@
 };
 
 mod crashes;
+mod limits;
 
 /// Time for which a target counts as full after it declined a request.
 const DECLINE_COOLDOWN: Duration = Duration::from_millis(150);
--- a/core/src/trace.rs
+++ b/core/src/trace.rs
@@ -23,7 +23,7 @@
 }
 
 /// A change that the target selector made, with the inputs that decided it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum TraceEvent {
     /// A target crashed, and a request that had been running there is suspected.
     Crash {
@@ -36,6 +36,20 @@
         /// Time between the break of the request's connection and the detection of the crash.
         broken_for: Duration,
     },
+    /// A target stated another limit on its requests than before, or none any more.
+    Limit {
+        /// The target.
+        target: TargetName,
+        /// Requests per second that it takes from all routers together; `None` for no limit.
+        rate: Option<f64>,
+        /// Time since the statement was heard, by this or another router.
+        age: Duration,
+    },
+    /// A target's statement of its limit cannot be used.
+    MalformedLimit {
+        /// The target.
+        target: TargetName,
+    },
     /// A connection to a target was opened because a request to it had broken.
     Probe {
         /// The target.
--- a/core/tests/direct.rs
+++ b/core/tests/direct.rs
@@ -8,6 +8,7 @@
     desired::{DesiredRoute, ResponseKind},
     direct::{AnswerHead, AnswerKind, DirectRequest, Failure, NextStep},
     doc::Idempotency,
+    limit::StatedLimit,
     name::{RouteName, TargetName},
     time::Time,
 };
@@ -48,6 +49,7 @@
         not_run: false,
         encoded: false,
         load: None,
+        limit: StatedLimit::None,
     }
 }
 
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -430,6 +430,9 @@
         if let Some(load) = decoded.load {
             reservation.record_load(load);
         }
+        if decoded.matches == Some(true) {
+            reservation.record_limit(decoded.limit);
+        }
         let open = OpenAnswer {
             reservation,
             connection,
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -7,6 +7,7 @@
     doc::Idempotency,
     id::{Fingerprint, Incarnation, PartId},
     inspect::RoutingState,
+    limit::StatedLimit,
     moves::MoveState,
     name::{RouteName, ServiceName, TargetName, TeamName},
     outcome::{End, Finished, Probe},
@@ -79,6 +80,7 @@
     Ended(Box<EndedRequest>),
     Probed(Box<TargetRecord>, Probe, Option<TargetConnection>),
     Load(TargetName, ReportedLoad),
+    Limit(Box<TargetRecord>, StatedLimit, Time),
     Update(Vec<Update>),
     Report(oneshot::Sender<RouterReport>),
     PartMarks(oneshot::Sender<Vec<PartReport>>),
@@ -134,6 +136,14 @@
         let _full = self.selector.tx.try_send(Command::Load(target, load));
     }
 
+    /// Records what the target states about the requests that it takes. The statement is dropped if
+    /// the task's queue is full, since a later answer repeats it.
+    pub fn record_limit(&self, limit: StatedLimit) {
+        let target = self.choice.target.clone();
+        let command = Command::Limit(Box::new(target), limit, self.sent_at);
+        let _full = self.selector.tx.try_send(command);
+    }
+
     /// Sets the duration of a single answer, or the mean time between events of a stream. It is
     /// recorded when the request finishes.
     pub fn record_timing(&mut self, timing: Timing) {
@@ -329,6 +339,10 @@
                 Command::Load(target, load) => {
                     self.selector.record_load(&target, load, self.clock.now());
                 }
+                Command::Limit(target, limit, sent_at) => {
+                    let now = self.clock.now();
+                    self.selector.record_limit(&target, limit, sent_at, now);
+                }
                 Command::Update(batch) => batch.into_iter().for_each(|update| self.apply(update)),
                 Command::Report(reply) => {
                     let _caller_gone = reply.send(self.report());
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -1,7 +1,7 @@
 //! Log lines for changes in the target selector.
 
 use ebonyfall_core::{parts::CRASHES_TO_HOLD, trace::TraceEvent};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 
 use crate::{clock, logs};
 
@@ -18,6 +18,14 @@
                     "target" => %target, "content" => %content, "parts" => logs::list(parts),
                     "broken_ms" => clock::millis(*broken_for));
         }
+        TraceEvent::Limit { target, rate, age } => {
+            info!(log, "a target states another limit on its requests"; "event" => "limit",
+                "target" => %target, "per_s" => rate, "age_ms" => clock::millis(*age));
+        }
+        TraceEvent::MalformedLimit { target } => {
+            warn!(log, "a target states a limit that is not a usable number; ignored";
+                "event" => "limit_bad", "target" => %target);
+        }
         TraceEvent::Probe { target, result } => {
             info!(log, "opened a connection to a target because a request to it broke";
                     "event" => "probe", "target" => %target, "result" => %result);
