Add a failing test for limits that targets state

A fleet of 1, 6, 24 and 103 routers in the core with a fake clock, whose demand is twice what most targets state.

--- /dev/null
+++ b/core/tests/limits.rs
@@ -0,0 +1,251 @@
+//! Tests of limits that targets state, in fleets of routers whose demand is above the limits.
+
+mod common;
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use common::variable;
+use ebonyfall_core::{
+    budget::RetryBound,
+    id::{Fingerprint, Incarnation},
+    limit::StatedLimit,
+    name::{RouteName, ServiceName, TargetName, TeamName},
+    outcome::{End, Finished},
+    selector::{Criteria, TargetSelector},
+    target::{Stage, TargetRecord},
+    time::Time,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const TICK: Duration = Duration::from_millis(5);
+/// Share of targets that state a limit, and the limit relative to the mean demand.
+const LIMITED: f64 = 0.7;
+const LIMIT_SHARE: f64 = 0.5;
+/// Longest time until the head of an answer arrives, and time to its end.
+const MAX_HEAD_MS: u64 = 400;
+const WHOLE: Duration = Duration::from_millis(1_200);
+/// Time from the first statement on after which the bound holds, and time after which a router that
+/// has heard one has to obey it.
+const CONTACT: Duration = Duration::from_secs(3);
+const HEARD: Duration = Duration::from_millis(500);
+/// Bound on the requests in any window: a multiple of what the limit allows, and additional ones.
+const WINDOW: Duration = Duration::from_secs(4);
+const FACTOR: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+struct Request {
+    router: usize,
+    target: TargetRecord,
+    sent_at: Time,
+    head_at: Time,
+    has_head: bool,
+}
+
+struct Target {
+    record: TargetRecord,
+    rate: Option<f64>,
+    /// When each router first heard the limit.
+    heard: Vec<Option<Time>>,
+    /// Requests in the last window of routers that have to obey the limit.
+    counted: VecDeque<Time>,
+    arrivals: u32,
+}
+
+struct Fleet {
+    rng: SmallRng,
+    now: Time,
+    routers: Vec<TargetSelector>,
+    targets: Vec<Target>,
+    running: Vec<Request>,
+    refused: u32,
+    service: ServiceName,
+    team: TeamName,
+    route: RouteName,
+}
+
+fn to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).expect("the count is small"))
+}
+
+impl Fleet {
+    fn new(routers: u32, targets: u16, demand: f64, seed: u64) -> Self {
+        let now = Time::from_millis(1_000_000);
+        let bound = RetryBound {
+            ratio: 0.2,
+            slack: 58.0,
+            window: Duration::from_secs(10),
+        };
+        let service: ServiceName = "s".parse().expect("the literal is a name");
+        let targets: Vec<_> = (0..targets)
+            .map(|number| Target {
+                record: TargetRecord {
+                    name: format!("t{number}").parse().expect("it is a name"),
+                    service: service.clone(),
+                    address: ([127, 0, 0, 1], number + 1).into(),
+                    zone: "z".parse().expect("the literal is a name"),
+                    version: "v1".into(),
+                    slots: 64,
+                    stage: Stage::Ready,
+                    cold: Duration::ZERO,
+                    incarnation: Incarnation::from(1),
+                },
+                rate: (f64::from(number) < LIMITED * f64::from(targets))
+                    .then(|| LIMIT_SHARE * demand / f64::from(targets)),
+                heard: vec![None; routers as usize],
+                counted: VecDeque::new(),
+                arrivals: 0,
+            })
+            .collect();
+        let router = |rank| {
+            let mut selector = TargetSelector::new("z".parse().expect("it is a name"), bound);
+            for target in &targets {
+                selector.put(target.record.clone(), now);
+            }
+            selector.set_routers(routers);
+            selector.set_rank(rank);
+            selector
+        };
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            now,
+            routers: (0..routers).map(router).collect(),
+            targets,
+            running: Vec::new(),
+            refused: 0,
+            service,
+            team: "desk".parse().expect("the literal is a name"),
+            route: "r".parse().expect("the literal is a name"),
+        }
+    }
+
+    fn run(&mut self, length: Duration, demand: f64) -> Result<(), String> {
+        let start = self.now;
+        while self.now < start + length {
+            self.now = self.now + TICK;
+            let mut due = demand * TICK.as_secs_f64();
+            while due > 0.0 {
+                if self.rng.random_bool(due.min(1.0)) {
+                    self.arrive(start + CONTACT)?;
+                }
+                due -= 1.0;
+            }
+            self.answer();
+        }
+        Ok(())
+    }
+
+    fn arrive(&mut self, bound_from: Time) -> Result<(), String> {
+        let now = self.now;
+        let router = self.rng.random_range(0..self.routers.len());
+        let context = self.rng.random_range(0..1_000);
+        let criteria = Criteria {
+            service: &self.service,
+            contexts: &[context],
+            tried: &[],
+            is_retry: false,
+            content: Fingerprint::from(context),
+            parts: &[],
+            team: &self.team,
+        };
+        let random = self.rng.random();
+        let Ok(choice) = self.routers[router].choose(&criteria, random, now) else {
+            self.refused += 1;
+            return Ok(());
+        };
+        let record = choice.target;
+        let delay = Duration::from_millis(self.rng.random_range(20..MAX_HEAD_MS));
+        let target = &mut self.targets[usize::from(record.address.port()) - 1];
+        target.arrivals += 1;
+        let obeys = target.heard[router].is_some_and(|at| now.since(at) >= HEARD);
+        if let Some(rate) = target.rate.filter(|_| obeys && now >= bound_from) {
+            target.counted.push_back(now);
+            let old = target
+                .counted
+                .partition_point(|at| now.since(*at) >= WINDOW);
+            target.counted.drain(..old);
+            let allowed = FACTOR * rate * WINDOW.as_secs_f64() + SLACK;
+            if to_f64(target.counted.len()) > allowed {
+                return Err(format!(
+                    "{} got {} requests",
+                    record.name,
+                    target.counted.len()
+                ));
+            }
+        }
+        self.running.push(Request {
+            router,
+            target: record,
+            sent_at: now,
+            head_at: now + delay,
+            has_head: false,
+        });
+        Ok(())
+    }
+
+    /// Delivers heads, with what they state, and ends of answers.
+    fn answer(&mut self) {
+        let now = self.now;
+        for request in &mut self.running {
+            if !request.has_head && now >= request.head_at {
+                request.has_head = true;
+                let target = &mut self.targets[usize::from(request.target.address.port()) - 1];
+                let limit = target.rate.map_or(StatedLimit::None, StatedLimit::new);
+                if target.rate.is_some() {
+                    target.heard[request.router].get_or_insert(now);
+                }
+                let router = &mut self.routers[request.router];
+                router.record_limit(&request.target, limit, request.sent_at, now);
+            }
+        }
+        let ended = self
+            .running
+            .extract_if(.., |request| now.since(request.sent_at) >= WHOLE);
+        for request in ended {
+            let finished = Finished {
+                end: End::Served,
+                content: Fingerprint::from(0),
+                parts: &Arc::from([]),
+                sent_at: request.sent_at,
+                answer_begun: true,
+                team: &self.team,
+                route: &self.route,
+                timing: None,
+            };
+            let name: &TargetName = &request.target.name;
+            self.routers[request.router].record_end(name, &finished, now);
+        }
+    }
+}
+
+/// Guards against a target that gets more requests than it has stated, because each router sends as
+/// much as if there were no limit, or as if it were the only router.
+#[test]
+fn a_stated_limit_holds_over_all_routers() {
+    let seed = variable("LIMITS_SEED", 1);
+    for (routers, targets, demand) in [
+        (1, 6, 30.0),
+        (6, 18, 95.0),
+        (24, 44, 250.0),
+        (103, 180, 980.0),
+    ] {
+        let mut fleet = Fleet::new(routers, targets, demand, seed);
+        let length = Duration::from_secs(15);
+        let result = fleet.run(length, demand);
+        let limited = fleet
+            .targets
+            .iter()
+            .filter_map(|target| Some((target, target.rate?)));
+        let (used, allowed) = limited.fold((0.0, 0.0), |(used, allowed), (target, rate)| {
+            (
+                used + f64::from(target.arrivals),
+                allowed + rate * length.as_secs_f64(),
+            )
+        });
+        println!(
+            "{routers} routers: {:.2} of what the limits allow, {} refused",
+            used / allowed,
+            fleet.refused
+        );
+        assert_eq!(result, Ok(()), "{routers} routers, seed {seed}");
+    }
+}
