Obey the limits that targets state, over all routers together

Cause: no code read the statement. Class: a target's wish for all routers that no router knows of.

Fix: routers take turns at such a target, on the time of day and by the order of their names. They tell each other of limits and of their ends by gossip. Tokens of each router that add up would break the bound with many routers, since all of them could be used at once.

The items of the gossip store move to a module of their own.

--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -3,24 +3,24 @@
 //! The merge of items is commutative, associative and idempotent, so that lost, late, repeated and
 //! reordered datagrams all lead to the same state. Features only put items and read them.
 
-use std::{
-    cmp::Ordering,
-    collections::BTreeMap,
-    net::SocketAddr,
-    ops::Bound::{Excluded, Unbounded},
-};
+use std::{cmp::Ordering, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     doc::ZoneState,
     id::{DeclarationHash, Fingerprint, Incarnation, Offset, PartId},
+    limit::LIMIT_TTL,
     name::{ModelName, MoveName, ProcessName, RouteName, TargetName, TeamName, ZoneName},
     parts::PartMark,
     peer::MemberRecord,
     reports::OpenReport,
 };
 
+mod store;
+
+pub use store::ItemStore;
+
 /// Time after which load figures expire, in seconds.
 const LOAD_TTL_SECONDS: u64 = 30;
 /// Time for which a crash makes requests of the same content suspect, in seconds.
@@ -115,6 +115,8 @@
     Crash(Fingerprint, TargetName),
     /// Crashes of targets that began to answer requests with this prompt part.
     Part(PartId),
+    /// The limit that a target states on its requests.
+    Limit(TargetName),
 }
 
 /// The content of an item.
@@ -185,6 +187,20 @@
         /// The crashes.
         mark: PartMark,
     },
+    /// The limit that a target states on the requests of all routers.
+    Limit(HeardLimit),
+}
+
+/// What a target states about the requests that it takes. Of two statements the one of the later
+/// incarnation holds, then the one that was heard later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct HeardLimit {
+    /// The target's incarnation.
+    pub incarnation: Incarnation,
+    /// When the statement was heard, in milliseconds since the Unix epoch.
+    pub stamp_ms: u64,
+    /// Requests in 1,000 s; `None` for no limit any more.
+    pub per_1000_s: Option<u64>,
 }
 
 /// A key and its value.
@@ -205,7 +221,8 @@
             | Self::Zone(_)
             | Self::Tip
             | Self::Crash(..)
-            | Self::Part(_) => true,
+            | Self::Part(_)
+            | Self::Limit(_) => true,
             Self::Evidence { .. }
             | Self::ZoneLoad(..)
             | Self::AgentLoad(..)
@@ -221,7 +238,7 @@
             Self::Zone(_) => 128,
             Self::Tip => 1,
             Self::Evidence { .. } => 8_192,
-            Self::Crash(..) => 4_096,
+            Self::Crash(..) | Self::Limit(_) => 4_096,
             Self::AgentLoad(..) => 2_048,
         }
     }
@@ -238,6 +255,7 @@
             Self::RouterLoad(_) => 7,
             Self::Crash(..) => 8,
             Self::Part(_) => 9,
+            Self::Limit(_) => 10,
         }
     }
 
@@ -255,7 +273,7 @@
             Self::ZoneLoad(model, zone) => model.as_str().len() + zone.as_str().len(),
             Self::AgentLoad(model, agent) => model.as_str().len() + agent.as_str().len(),
             Self::RouterLoad(router) => router.as_str().len(),
-            Self::Crash(_, target) => target.as_str().len(),
+            Self::Crash(_, target) | Self::Limit(target) => target.as_str().len(),
         };
         // Bytes: kind 1, three lengths 3, incarnation or offset 10, arm 1.
         text + 15
@@ -359,6 +377,7 @@
                     mark: new,
                 },
             ) => merge_part((stamp, mark), (*new_stamp, new)),
+            (Self::Limit(own), Self::Limit(new)) => *own = (*own).max(*new),
             _ => {}
         }
         *self != before
@@ -375,6 +394,9 @@
             }
             Self::Crash { stamp, .. } => stamp.saturating_add(CRASH_TTL_SECONDS) <= unix,
             Self::Part { stamp, mark } => stamp.saturating_add(mark.retention().as_secs()) <= unix,
+            Self::Limit(heard) => {
+                (heard.stamp_ms / 1_000).saturating_add(LIMIT_TTL.as_secs()) <= unix
+            }
         }
     }
 
@@ -393,6 +415,7 @@
                 | (ItemKey::Crash(..), Self::Crash { .. })
                 | (ItemKey::RouterLoad(_), Self::Open { .. })
                 | (ItemKey::Part(_), Self::Part { .. })
+                | (ItemKey::Limit(_), Self::Limit(_))
         )
     }
 
@@ -406,6 +429,7 @@
             Self::Crash { team, .. } => 11 + team.as_str().len(),
             Self::Open { report, .. } => 35 + report.size(),
             Self::Part { mark, .. } => 11 + mark.size(),
+            Self::Limit(_) => 31,
         }
     }
 }
@@ -428,114 +452,6 @@
     }
 }
 
-/// The items that a process knows, up to a limit for each kind.
-#[derive(Debug, Clone, Default)]
-pub struct ItemStore {
-    items: BTreeMap<ItemKey, Value>,
-    counts: [usize; 10],
-}
-
-impl ItemStore {
-    /// Merges an item; returns whether the store changed. An item is refused if its value is of
-    /// another kind than its key, if it has expired, or if its kind is at its limit.
-    pub fn merge(&mut self, item: &Item, unix: u64) -> bool {
-        if !item.value.matches_key(&item.key) || item.value.is_expired(unix) {
-            return false;
-        }
-        if let Some(value) = self.items.get_mut(&item.key) {
-            return value.merge(&item.value);
-        }
-        let kind = item.key.kind();
-        if self.counts[kind] >= item.key.limit() {
-            return false;
-        }
-        self.counts[kind] += 1;
-        self.items.insert(item.key.clone(), item.value.clone());
-        true
-    }
-
-    /// Drops items that have expired at `unix` seconds since the Unix epoch.
-    pub fn expire(&mut self, unix: u64) {
-        let counts = &mut self.counts;
-        self.items.retain(|key, value| {
-            let keep = !value.is_expired(unix);
-            counts[key.kind()] -= usize::from(!keep);
-            keep
-        });
-    }
-
-    /// The value of `key`, `None` where there is none.
-    pub fn get(&self, key: &ItemKey) -> Option<&Value> {
-        self.items.get(key)
-    }
-
-    /// All items, the most urgent kinds first.
-    pub fn iter(&self) -> impl Iterator<Item = (&ItemKey, &Value)> {
-        self.items.iter()
-    }
-
-    /// Items after `key` in the order of keys; all items for `None`.
-    pub fn after<'s>(
-        &'s self,
-        key: Option<&ItemKey>,
-    ) -> impl Iterator<Item = (&'s ItemKey, &'s Value)> + use<'s> {
-        match key {
-            Some(key) => self.items.range((Excluded(key.clone()), Unbounded)),
-            None => self.items.range::<ItemKey, _>(..),
-        }
-    }
-
-    /// The number of items.
-    pub fn len(&self) -> usize {
-        self.items.len()
-    }
-
-    /// Whether there are no items.
-    pub fn is_empty(&self) -> bool {
-        self.items.is_empty()
-    }
-
-    /// Whether requests of this content are quarantined at `unix` seconds since the Unix epoch.
-    pub fn is_quarantined(&self, fingerprint: Fingerprint, unix: u64) -> bool {
-        match self.get(&ItemKey::Quarantine(fingerprint)) {
-            Some(Value::Quarantine {
-                since,
-                until,
-                cleared,
-            }) => since > cleared && unix < *until,
-            _ => false,
-        }
-    }
-
-    /// Request contents that are quarantined at `unix` seconds since the Unix epoch.
-    pub fn quarantined(&self, unix: u64) -> impl Iterator<Item = Fingerprint> {
-        let keys = self.items.keys().filter_map(|key| match key {
-            ItemKey::Quarantine(fingerprint) => Some(*fingerprint),
-            _ => None,
-        });
-        keys.filter(move |fingerprint| self.is_quarantined(*fingerprint, unix))
-    }
-
-    /// Running requests and capacity of `model`, summed over all zones.
-    pub fn load(&self, model: &ModelName) -> (u64, u64) {
-        let sums = self
-            .items
-            .iter()
-            .filter_map(|(key, value)| match (key, value) {
-                (
-                    ItemKey::ZoneLoad(found, _),
-                    Value::Load {
-                        running, capacity, ..
-                    },
-                ) if found == model => Some((u64::from(*running), u64::from(*capacity))),
-                _ => None,
-            });
-        sums.fold((0, 0), |sum, (running, capacity)| {
-            (sum.0 + running, sum.1 + capacity)
-        })
-    }
-}
-
 /// The purpose of a packet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PacketKind {
--- a/core/src/inspect.rs
+++ b/core/src/inspect.rs
@@ -115,7 +115,7 @@
             open: entry.outstanding,
             open_elsewhere: entry.outstanding_elsewhere,
             failure_share: entry.failure_share(),
-            limit_per_s: entry.limit.rate(),
+            limit_per_s: entry.limit.rate(now),
             cold_ms: entry.cold_until.since(now).as_millis(),
             avoided_ms: entry.backoff_until.since(now).as_millis(),
         }
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -19,6 +19,7 @@
     holders::Holders,
     id::{Fingerprint, PartId},
     inspect::{MoveSummary, RoutingState, TargetState},
+    limit::Turns,
     moves::{MoveState, MoveVerdict, Moves, VersionCounts},
     name::{MoveName, ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
@@ -106,8 +107,9 @@
 pub struct TargetSelector {
     zone: ZoneName,
     retry: RetryBound,
-    /// Routers that share the retry budget and the rates of cold targets, at least 1.
-    routers: u32,
+    /// Routers that share the retry budget, the rates of cold targets and the limits that targets
+    /// state.
+    turns: Turns,
     targets: TargetTable,
     moves: Moves,
     /// Whether a full list of targets has arrived since the router started.
@@ -132,7 +134,7 @@
         Self {
             zone,
             retry,
-            routers: 1,
+            turns: Turns::default(),
             targets: TargetTable::default(),
             moves: Moves::default(),
             initial_list_received: false,
@@ -157,12 +159,19 @@
     /// Sets the number of routers, this one included, that share the retry budgets and the rates of
     /// cold targets.
     pub fn set_routers(&mut self, routers: u32) {
-        self.routers = routers.max(1);
+        self.turns.routers = routers.max(1);
     }
 
-    /// Sets the number of routers that precede this one in reporting the state of version moves.
+    /// Sets the number of routers that precede this one in reporting the state of version moves, and
+    /// in taking turns at targets that state a limit.
     pub fn set_rank(&mut self, rank: u32) {
         self.moves.set_rank(rank);
+        self.turns.rank = rank;
+    }
+
+    /// Sets the time of day at the epoch of the router's own times.
+    pub fn set_unix_offset(&mut self, unix_offset: Duration) {
+        self.turns.unix_offset = unix_offset;
     }
 
     /// Replaces the orders of version moves by all that are in force.
@@ -210,7 +219,7 @@
         let mut evacuated: Vec<_> = self.evacuated.iter().cloned().collect();
         evacuated.sort();
         RoutingState {
-            routers: self.routers,
+            routers: self.turns.routers,
             evacuated,
             suspects: self.suspects.marks().count(),
             parts: self.parts.inspect(now),
@@ -330,14 +339,17 @@
         self.reports.expire(&mut self.targets, now);
         let (name, mean) = self
             .select(criteria, random, now)
-            .ok_or_else(|| refusal(Code::NoTarget))?;
+            .ok_or_else(|| SelectionRefusal {
+                after: self.time_to_next_turn(criteria.service, now),
+                ..refusal(Code::NoTarget)
+            })?;
         let bound = self.retry;
         let budget = self
             .retry_budgets
             .entry(criteria.service.clone())
             .or_insert_with(|| FleetRetryBudget::new(bound));
         if criteria.is_retry {
-            if !budget.try_take(self.routers, now) {
+            if !budget.try_take(self.turns.routers, now) {
                 return Err(refusal(Code::Overloaded));
             }
         } else if criteria.tried.is_empty() {
@@ -361,6 +373,7 @@
         };
         entry.outstanding += 1;
         entry.change_since_report += 1;
+        entry.limit.take(&self.turns, now);
         if now < entry.cold_until {
             entry.cold_sent.push_back(now);
             if entry.cold_sent.len() > MAX_COLD_SENT {
@@ -399,9 +412,10 @@
             .filter(|entry| {
                 entry.is_usable(&self.evacuated, now)
                     && !criteria.tried.contains(&entry.record.name)
+                    && entry.limit.wait(&self.turns, now).is_zero()
             });
         let rate = self.cold_rates.get(criteria.service);
-        let cold_rate = rate.map_or(f64::INFINITY, |rate| rate / f64::from(self.routers));
+        let cold_rate = rate.map_or(f64::INFINITY, |rate| rate / f64::from(self.turns.routers));
         let ranked = untried.filter_map(|entry| {
             let others_failure_share =
                 (failure_sum - entry.failure_share()) / f64::from(usable.saturating_sub(1).max(1));
--- a/core/src/targets.rs
+++ b/core/src/targets.rs
@@ -67,6 +67,11 @@
         list.filter_map(|slot| self.entries[*slot].as_ref())
     }
 
+    /// Calls `visit` for each target.
+    pub(crate) fn for_each(&mut self, visit: impl FnMut(&mut Estimate)) {
+        self.entries.iter_mut().flatten().for_each(visit);
+    }
+
     /// Calls `visit` for each target of a service.
     pub(crate) fn for_each_target(
         &mut self,
--- a/core/tests/limits.rs
+++ b/core/tests/limits.rs
@@ -8,7 +8,7 @@
 use ebonyfall_core::{
     budget::RetryBound,
     id::{Fingerprint, Incarnation},
-    limit::StatedLimit,
+    limit::{LimitReport, StatedLimit},
     name::{RouteName, ServiceName, TargetName, TeamName},
     outcome::{End, Finished},
     selector::{Criteria, TargetSelector},
@@ -24,6 +24,10 @@
 /// Longest time until the head of an answer arrives, and time to its end.
 const MAX_HEAD_MS: u64 = 400;
 const WHOLE: Duration = Duration::from_millis(1_200);
+/// Interval of the routers' reports, their longest delay, and the share of them that is lost.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+const MAX_DELAY_MS: u64 = 1_000;
+const LOSS: f64 = 0.2;
 /// Time from the first statement on after which the bound holds, and time after which a router that
 /// has heard one has to obey it.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -57,6 +61,8 @@
     routers: Vec<TargetSelector>,
     targets: Vec<Target>,
     running: Vec<Request>,
+    /// Reports in transit with their time of arrival and receiver.
+    reports: Vec<(Time, usize, TargetRecord, LimitReport)>,
     refused: u32,
     service: ServiceName,
     team: TeamName,
@@ -111,6 +117,7 @@
             routers: (0..routers).map(router).collect(),
             targets,
             running: Vec::new(),
+            reports: Vec::new(),
             refused: 0,
             service,
             team: "desk".parse().expect("the literal is a name"),
@@ -120,6 +127,7 @@
 
     fn run(&mut self, length: Duration, demand: f64) -> Result<(), String> {
         let start = self.now;
+        let mut next_report = start;
         while self.now < start + length {
             self.now = self.now + TICK;
             let mut due = demand * TICK.as_secs_f64();
@@ -130,6 +138,11 @@
                 due -= 1.0;
             }
             self.answer();
+            if self.now >= next_report {
+                next_report = self.now + REPORT_INTERVAL;
+                self.exchange_reports();
+            }
+            self.deliver();
         }
         Ok(())
     }
@@ -182,6 +195,38 @@
         Ok(())
     }
 
+    fn exchange_reports(&mut self) {
+        for sender in 0..self.routers.len() {
+            for (target, _, report) in self.routers[sender].limit_reports(self.now) {
+                let target = self
+                    .targets
+                    .iter()
+                    .find(|known| known.record.name == target);
+                let record = target.expect("the target exists").record.clone();
+                for receiver in 0..self.routers.len() {
+                    if receiver == sender || self.rng.random_bool(LOSS) {
+                        continue;
+                    }
+                    let delay = Duration::from_millis(self.rng.random_range(0..MAX_DELAY_MS));
+                    let late = LimitReport {
+                        age: report.age + delay,
+                        ..report
+                    };
+                    self.reports
+                        .push((self.now + delay, receiver, record.clone(), late));
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        for (_, receiver, target, report) in self.reports.extract_if(.., |(at, ..)| *at <= now) {
+            let incarnation = target.incarnation;
+            self.routers[receiver].record_limit_report(&target.name, incarnation, report, now);
+        }
+    }
+
     /// Delivers heads, with what they state, and ends of answers.
     fn answer(&mut self) {
         let now = self.now;
@@ -249,3 +294,33 @@
         assert_eq!(result, Ok(()), "{routers} routers, seed {seed}");
     }
 }
+
+/// Guards against routers that go on obeying a limit after its end, because the few requests that
+/// they may send do not tell them.
+#[test]
+fn the_end_of_a_limit_reaches_all_routers() {
+    let (routers, demand) = (24, 250.0);
+    let mut fleet = Fleet::new(routers, 44, demand, variable("LIMITS_SEED", 1));
+    fleet
+        .run(Duration::from_secs(6), demand)
+        .expect("the limits hold");
+    for target in &mut fleet.targets {
+        target.rate = None;
+    }
+    fleet
+        .run(Duration::from_secs(4), demand)
+        .expect("there is no limit");
+    let limited = |router: &mut TargetSelector| {
+        let targets = router.inspect(fleet.now).targets.into_iter();
+        targets
+            .filter(|target| target.limit_per_s.is_some())
+            .count()
+    };
+    let still_limited: usize = fleet.routers.iter_mut().map(limited).sum();
+    // A report may be lost; the target's own answers tell the router later.
+    assert!(
+        still_limited < 24 * 31 / 4,
+        "{still_limited} of {}",
+        24 * 31
+    );
+}
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -11,11 +11,13 @@
 };
 
 use ebonyfall_core::{
-    dissemination::{Item, ItemKey, RequestCounts, Value},
+    dissemination::{HeardLimit, Item, ItemKey, RequestCounts, Value},
     id::Incarnation,
+    limit::{LimitReport, per_1000_s, per_s},
     moves::VersionCounts,
     name::{ProcessName, ZoneName},
     peer::Role,
+    time::Time,
 };
 use ebonyfall_platform::store::Topic;
 use ebonyfall_wire::auth::{Key, Keys};
@@ -27,7 +29,7 @@
 };
 
 use crate::{
-    clock,
+    clock::{self, BootClock},
     gossip::{Gossip, LocalProcess},
     link::Identity,
     metrics::Metrics,
@@ -157,6 +159,9 @@
         for item in parts(&report.parts) {
             gossip.put(item).await;
         }
+        for item in limits(&report) {
+            gossip.put(item).await;
+        }
         for item in crashes(report) {
             gossip.put(item).await;
         }
@@ -178,8 +183,10 @@
             self.metrics.entry.routers.set(gauge);
         }
         let saturating_u32 = |count| u32::try_from(count).unwrap_or(u32::MAX);
-        let update = Update::Routers(saturating_u32(count), saturating_u32(rank));
-        self.selector.update(vec![update]).await;
+        let routers = Update::Routers(saturating_u32(count), saturating_u32(rank));
+        let since_epoch = BootClock.now().since(Time::ZERO);
+        let offset = Update::UnixOffset(clock::unix_time().saturating_sub(since_epoch));
+        self.selector.update(vec![routers, offset]).await;
         count
     }
 
@@ -298,6 +305,25 @@
     })
 }
 
+/// Converts the limits of a report to gossip items.
+fn limits(report: &RouterReport) -> impl Iterator<Item = Item> + use<'_> {
+    let unix = clock::unix_time();
+    report
+        .limits
+        .iter()
+        .map(move |(target, incarnation, limit)| {
+            let stamp = unix.saturating_sub(limit.age);
+            Item {
+                key: ItemKey::Limit(target.clone()),
+                value: Value::Limit(HeardLimit {
+                    incarnation: *incarnation,
+                    stamp_ms: u64::try_from(stamp.as_millis()).unwrap_or(u64::MAX),
+                    per_1000_s: limit.rate.map(per_1000_s),
+                }),
+            }
+        })
+}
+
 /// Converts the crashes of a report to gossip items.
 fn crashes(report: RouterReport) -> impl Iterator<Item = Item> {
     let unix = clock::unix_time();
@@ -336,6 +362,13 @@
                 age,
             }))
         }
+        (ItemKey::Limit(target), Value::Limit(heard)) => {
+            let report = LimitReport {
+                rate: heard.per_1000_s.map(per_s),
+                age: unix.saturating_sub(Duration::from_millis(heard.stamp_ms)),
+            };
+            Some(Update::Limit(target.clone(), heard.incarnation, report))
+        }
         (
             ItemKey::Evidence {
                 agent,
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -473,6 +473,7 @@
             open,
             crashes,
             parts,
+            limits: self.selector.limit_reports(now),
             evidence: self.selector.version_counts(),
             verdicts,
         }
@@ -538,6 +539,11 @@
                 let at = Time::ZERO + now.since(Time::ZERO + age);
                 self.selector.record_crash(content, &target, &team, at);
             }
+            Update::Limit(target, incarnation, report) => {
+                self.selector
+                    .record_limit_report(&target, incarnation, report, now);
+            }
+            Update::UnixOffset(offset) => self.selector.set_unix_offset(offset),
             Update::Part(PartReport { part, mark, age }) => {
                 self.selector.record_part(part, &mark, age, now);
             }
--- a/src/selection/update.rs
+++ b/src/selection/update.rs
@@ -9,7 +9,8 @@
 use ebonyfall_core::{
     changeover::{MoveOrder, MoveProgress},
     dissemination::MoveDecision,
-    id::{Fingerprint, PartId},
+    id::{Fingerprint, Incarnation, PartId},
+    limit::LimitReport,
     moves::{MoveVerdict, VersionCounts},
     name::{MoveName, ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     parts::PartMark,
@@ -49,6 +50,10 @@
     Crash(CrashAttribution, Duration),
     /// Crashes that another router counts against a prompt part.
     Part(PartReport),
+    /// What another router has heard a target state about the requests that it takes.
+    Limit(TargetName, Incarnation, LimitReport),
+    /// Time of day at the epoch of this process's times.
+    UnixOffset(Duration),
 }
 
 /// Crash of a target that is attributed to a request.
@@ -82,6 +87,8 @@
     pub crashes: Vec<(CrashAttribution, Duration)>,
     /// Crashes counted against prompt parts.
     pub parts: Vec<PartReport>,
+    /// Limits that targets state.
+    pub limits: Vec<(TargetName, Incarnation, LimitReport)>,
     /// Request counts for version moves in progress.
     pub evidence: Vec<VersionCounts>,
     /// Verdicts on version moves, to be sent to other routers.
--- a/wire/tests/unit/gossip.rs
+++ b/wire/tests/unit/gossip.rs
@@ -1,7 +1,9 @@
 //! Tests of the internals of `src/gossip.rs`.
 
 use ebonyfall_core::{
-    dissemination::{Arm, Item, ItemKey, MoveDecision, PacketKind, RequestCounts, Value},
+    dissemination::{
+        Arm, HeardLimit, Item, ItemKey, MoveDecision, PacketKind, RequestCounts, Value,
+    },
     doc::ZoneState,
     id::{Fingerprint, Offset, PartId},
     name::{ModelName, MoveName, RouteName, TargetName, TeamName, ZoneName},
@@ -55,7 +57,7 @@
         capacity: u32::arbitrary(g),
     };
     let state = *g.choose(&[ZoneState::In, ZoneState::Out]).unwrap();
-    let (key, value) = match u8::arbitrary(g) % 10 {
+    let (key, value) = match u8::arbitrary(g) % 11 {
         0 => (
             ItemKey::Verdict(move_name, n.into()),
             Value::Verdict(MoveDecision::Faulty),
@@ -121,6 +123,14 @@
                 },
             },
         ),
+        9 => (
+            ItemKey::Limit(TargetName::new(any_name(g)).unwrap()),
+            Value::Limit(HeardLimit {
+                incarnation: n.into(),
+                stamp_ms: n,
+                per_1000_s: Some(u64::MAX),
+            }),
+        ),
         _ => (ItemKey::AgentLoad(model, agent), load),
     };
     Item { key, value }
