Obey targets that say they leave or ask for a pause

New rules: a target that leaves says so in its answers, too, and one that turns a request away may name a time for which it wants nothing from that router.

Fix: core/src/notice.rs keeps both for one run of the target; it is no candidate meanwhile, and running requests go on. Refusals name the time until a place is free. The limit joins the other statements.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -7,8 +7,8 @@
     code::{Code, Execution},
     desired::{DesiredRoute, ResponseKind},
     doc::Idempotency,
-    limit::StatedLimit,
     name::TargetName,
+    notice::Notices,
     target::ReportedLoad,
     time::Time,
 };
@@ -33,8 +33,8 @@
     pub encoded: bool,
     /// The load that the target reports; `None` if the answer has no load header.
     pub load: Option<ReportedLoad>,
-    /// What the target states about the requests that it takes.
-    pub limit: StatedLimit,
+    /// What the target states about itself.
+    pub notices: Notices,
 }
 
 /// Classification of an answer by its status and headers.
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -12,6 +12,7 @@
     id::{Fingerprint, PartId},
     limit::TargetLimit,
     name::{TeamName, ZoneName},
+    notice::TargetNotices,
     target::{ReportedLoad, Stage, TargetRecord},
     time::Time,
 };
@@ -68,8 +69,10 @@
     pub(crate) probing: bool,
     /// When the target last refused a connection after requests to it had broken.
     pub(crate) crashed_at: Option<Time>,
-    /// What the target states about the requests that it takes.
+    /// Limit that the target states on the requests of all routers.
     pub(crate) limit: TargetLimit,
+    /// What else the target states about itself.
+    pub(crate) notices: TargetNotices,
     last_loss: Option<Time>,
 }
 
@@ -107,6 +110,7 @@
             probing: false,
             crashed_at: None,
             limit: TargetLimit::default(),
+            notices: TargetNotices::default(),
             last_loss: None,
         }
     }
@@ -165,6 +169,7 @@
     pub(crate) fn is_usable(&self, evacuated: &HashSet<ZoneName>, now: Time) -> bool {
         self.record.stage == Stage::Ready
             && self.expires_at.is_none_or(|expires_at| now < expires_at)
+            && self.notices.accepts_requests(now)
             && !evacuated.contains(&self.record.zone)
     }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod membership;
 pub mod moves;
 pub mod name;
+pub mod notice;
 pub mod order;
 pub mod outcome;
 pub mod owner;
--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -19,9 +19,10 @@
 const LOGGED_CHANGE: f64 = 1.1;
 
 /// What an answer states about the requests that its target takes.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum StatedLimit {
     /// No limit.
+    #[default]
     None,
     /// A limit in requests per second, within the range that is obeyed.
     Rate(f64),
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -33,7 +33,7 @@
 };
 
 mod crashes;
-mod limits;
+mod notices;
 
 /// Time for which a target counts as full after it declined a request.
 const DECLINE_COOLDOWN: Duration = Duration::from_millis(150);
@@ -340,7 +340,7 @@
         let (name, mean) = self
             .select(criteria, random, now)
             .ok_or_else(|| SelectionRefusal {
-                after: self.time_to_next_turn(criteria.service, now),
+                after: self.time_to_next_place(criteria.service, now),
                 ..refusal(Code::NoTarget)
             })?;
         let bound = self.retry;
--- a/core/src/selector/limits.rs
+++ b/core/src/selector/notices.rs
@@ -1,4 +1,4 @@
-//! Limits that targets state: what the router hears, tells other routers, and obeys.
+//! What targets state about themselves: what the router hears, tells other routers, and obeys.
 
 use std::time::Duration;
 
@@ -7,17 +7,19 @@
     id::Incarnation,
     limit::{LimitReport, StatedLimit},
     name::{ServiceName, TargetName},
-    target::TargetRecord,
+    notice::{Notices, StatedPause},
+    target::{Stage, TargetRecord},
     time::Time,
-    trace::TraceEvent,
+    trace::{Notice, TraceEvent},
 };
 
 impl TargetSelector {
-    /// Records what a target stated in an answer to a request that was sent at `sent_at`.
-    pub fn record_limit(
+    /// Records what a target stated in an answer to a request that was sent at `sent_at`. An answer
+    /// of an earlier run of the target states nothing.
+    pub fn record_notices(
         &mut self,
         target: &TargetRecord,
-        limit: StatedLimit,
+        notices: &Notices,
         sent_at: Time,
         now: Time,
     ) {
@@ -27,14 +29,34 @@
         if entry.record.incarnation != target.incarnation {
             return;
         }
-        let rate = match limit {
+        if notices.is_leaving && entry.notices.record_leaving(now) {
+            self.trace.push(TraceEvent::Leaving {
+                target: target.name.clone(),
+            });
+        }
+        let malformed = |notice| TraceEvent::MalformedNotice {
+            target: target.name.clone(),
+            notice,
+        };
+        match notices.pause {
+            StatedPause::For(pause) => {
+                entry.notices.record_pause(pause, now);
+                self.trace.push(TraceEvent::Pause {
+                    target: target.name.clone(),
+                    pause: entry.notices.pause(now),
+                });
+            }
+            StatedPause::Malformed if entry.notices.record_malformed() => {
+                self.trace.push(malformed(Notice::Pause));
+            }
+            StatedPause::None | StatedPause::Malformed => {}
+        }
+        let rate = match notices.limit {
             StatedLimit::None => None,
             StatedLimit::Rate(rate) => Some(rate),
             StatedLimit::Malformed => {
                 if entry.limit.record_malformed() {
-                    self.trace.push(TraceEvent::MalformedLimit {
-                        target: target.name.clone(),
-                    });
+                    self.trace.push(malformed(Notice::Limit));
                 }
                 return;
             }
@@ -72,14 +94,16 @@
         reports
     }
 
-    /// Time after which a caller may retry when no target of the service can be chosen: until this
-    /// router's next turn at one that limits itself.
-    pub(super) fn time_to_next_turn(&self, service: &ServiceName, now: Time) -> Duration {
-        let usable = self
-            .targets
-            .service_targets(service)
-            .filter(|entry| entry.is_usable(&self.evacuated, now));
-        let waits = usable.map(|entry| entry.limit.wait(&self.turns, now));
+    /// Time after which a caller may retry when no target of the service can be chosen: until the
+    /// first pause ends, or this router's next turn at a target that limits itself.
+    pub(super) fn time_to_next_place(&self, service: &ServiceName, now: Time) -> Duration {
+        let ready = self.targets.service_targets(service).filter(|entry| {
+            entry.record.stage == Stage::Ready && !self.evacuated.contains(&entry.record.zone)
+        });
+        let waits = ready.map(|entry| {
+            let turn = entry.limit.wait(&self.turns, now);
+            turn.max(entry.notices.pause(now))
+        });
         let next = waits.filter(|wait| !wait.is_zero()).min();
         next.unwrap_or_default().max(RETRY_AFTER)
     }
--- a/core/src/trace.rs
+++ b/core/src/trace.rs
@@ -10,6 +10,16 @@
     outcome::Probe,
 };
 
+/// A statement that contains a number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "lowercase")]
+pub enum Notice {
+    /// Limit on the requests of all routers.
+    Limit,
+    /// Pause that the target wants from this router.
+    Pause,
+}
+
 /// Why the mark of a prompt part changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display(rename_all = "lowercase")]
@@ -45,10 +55,24 @@
         /// Time since the statement was heard, by this or another router.
         age: Duration,
     },
-    /// A target's statement of its limit cannot be used.
-    MalformedLimit {
+    /// A target stated that it is leaving.
+    Leaving {
+        /// The target.
+        target: TargetName,
+    },
+    /// A target refused a request and wants none from this router for some time.
+    Pause {
+        /// The target.
+        target: TargetName,
+        /// Time until the end of the pause.
+        pause: Duration,
+    },
+    /// A target's statement cannot be used.
+    MalformedNotice {
         /// The target.
         target: TargetName,
+        /// What it states.
+        notice: Notice,
     },
     /// A connection to a target was opened because a request to it had broken.
     Probe {
--- a/core/tests/direct.rs
+++ b/core/tests/direct.rs
@@ -8,8 +8,8 @@
     desired::{DesiredRoute, ResponseKind},
     direct::{AnswerHead, AnswerKind, DirectRequest, Failure, NextStep},
     doc::Idempotency,
-    limit::StatedLimit,
     name::{RouteName, TargetName},
+    notice::Notices,
     time::Time,
 };
 use quickcheck::quickcheck;
@@ -49,7 +49,7 @@
         not_run: false,
         encoded: false,
         load: None,
-        limit: StatedLimit::None,
+        notices: Notices::default(),
     }
 }
 
--- a/core/tests/limits.rs
+++ b/core/tests/limits.rs
@@ -10,6 +10,7 @@
     id::{Fingerprint, Incarnation},
     limit::{LimitReport, StatedLimit},
     name::{RouteName, ServiceName, TargetName, TeamName},
+    notice::Notices,
     outcome::{End, Finished},
     selector::{Criteria, TargetSelector},
     target::{Stage, TargetRecord},
@@ -239,7 +240,11 @@
                     target.heard[request.router].get_or_insert(now);
                 }
                 let router = &mut self.routers[request.router];
-                router.record_limit(&request.target, limit, request.sent_at, now);
+                let notices = Notices {
+                    limit,
+                    ..Notices::default()
+                };
+                router.record_notices(&request.target, &notices, request.sent_at, now);
             }
         }
         let ended = self
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -431,7 +431,7 @@
             reservation.record_load(load);
         }
         if decoded.matches == Some(true) {
-            reservation.record_limit(decoded.limit);
+            reservation.record_notices(decoded.notices);
         }
         let open = OpenAnswer {
             reservation,
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -7,9 +7,9 @@
     doc::Idempotency,
     id::{Fingerprint, Incarnation, PartId},
     inspect::RoutingState,
-    limit::StatedLimit,
     moves::MoveState,
     name::{RouteName, ServiceName, TargetName, TeamName},
+    notice::Notices,
     outcome::{End, Finished, Probe},
     selector::{Choice, Criteria, SelectionRefusal, TargetSelector},
     target::{ReportedLoad, TargetRecord},
@@ -80,7 +80,7 @@
     Ended(Box<EndedRequest>),
     Probed(Box<TargetRecord>, Probe, Option<TargetConnection>),
     Load(TargetName, ReportedLoad),
-    Limit(Box<TargetRecord>, StatedLimit, Time),
+    Notices(Box<TargetRecord>, Notices, Time),
     Update(Vec<Update>),
     Report(oneshot::Sender<RouterReport>),
     PartMarks(oneshot::Sender<Vec<PartReport>>),
@@ -136,11 +136,11 @@
         let _full = self.selector.tx.try_send(Command::Load(target, load));
     }
 
-    /// Records what the target states about the requests that it takes. The statement is dropped if
-    /// the task's queue is full, since a later answer repeats it.
-    pub fn record_limit(&self, limit: StatedLimit) {
+    /// Records what the target states about itself. The statement is dropped if the task's queue is
+    /// full, since a later answer repeats it.
+    pub fn record_notices(&self, notices: Notices) {
         let target = self.choice.target.clone();
-        let command = Command::Limit(Box::new(target), limit, self.sent_at);
+        let command = Command::Notices(Box::new(target), notices, self.sent_at);
         let _full = self.selector.tx.try_send(command);
     }
 
@@ -339,9 +339,10 @@
                 Command::Load(target, load) => {
                     self.selector.record_load(&target, load, self.clock.now());
                 }
-                Command::Limit(target, limit, sent_at) => {
+                Command::Notices(target, notices, sent_at) => {
                     let now = self.clock.now();
-                    self.selector.record_limit(&target, limit, sent_at, now);
+                    self.selector
+                        .record_notices(&target, &notices, sent_at, now);
                 }
                 Command::Update(batch) => batch.into_iter().for_each(|update| self.apply(update)),
                 Command::Report(reply) => {
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -22,9 +22,17 @@
             info!(log, "a target states another limit on its requests"; "event" => "limit",
                 "target" => %target, "per_s" => rate, "age_ms" => clock::millis(*age));
         }
-        TraceEvent::MalformedLimit { target } => {
-            warn!(log, "a target states a limit that is not a usable number; ignored";
-                "event" => "limit_bad", "target" => %target);
+        TraceEvent::Leaving { target } => {
+            info!(log, "a target states that it is leaving; it gets no new requests";
+                "event" => "leaving", "target" => %target);
+        }
+        TraceEvent::Pause { target, pause } => {
+            info!(log, "a target wants no requests from this router for some time";
+                "event" => "pause", "target" => %target, "pause_ms" => clock::millis(*pause));
+        }
+        TraceEvent::MalformedNotice { target, notice } => {
+            warn!(log, "a target states something that is not a usable number; ignored";
+                "event" => "notice_bad", "target" => %target, "notice" => %notice);
         }
         TraceEvent::Probe { target, result } => {
             info!(log, "opened a connection to a target because a request to it broke";
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -43,6 +43,10 @@
     Fail,
     /// Answers with status 503 and `ebonyfall-not-executed`, as a server without free capacity.
     Decline,
+    /// Like [`Self::Decline`], with `retry-after`: it wants nothing from this router for so long.
+    Pause(Duration),
+    /// Executes requests and answers with status 200 and `server-leaving`.
+    Leave,
     /// Answers with status 421 and `ebonyfall-not-executed`, as a server other than the one that the
     /// router expects.
     WrongTarget,
@@ -126,6 +130,7 @@
     model_server: watch::Sender<Option<ModelServer>>,
     deadly_part: watch::Sender<Option<String>>,
     received: watch::Receiver<Vec<ReceivedRequest>>,
+    arrived: watch::Receiver<usize>,
     open: watch::Receiver<usize>,
 }
 
@@ -136,6 +141,7 @@
     model_server: watch::Receiver<Option<ModelServer>>,
     deadly_part: watch::Receiver<Option<String>>,
     received: watch::Sender<Vec<ReceivedRequest>>,
+    arrived: watch::Sender<usize>,
     crash: mpsc::Sender<()>,
 }
 
@@ -152,6 +158,7 @@
         let (model_server, model_server_rx) = watch::channel(None);
         let (deadly_part, deadly_part_rx) = watch::channel(None);
         let (received_tx, received) = watch::channel(Vec::new());
+        let (arrived_tx, arrived) = watch::channel(0);
         let (open_tx, open) = watch::channel(0);
         let (crash, crashes) = mpsc::channel(1);
         let behaviour = Behaviour {
@@ -159,6 +166,7 @@
             model_server: model_server_rx,
             deadly_part: deadly_part_rx,
             received: received_tx,
+            arrived: arrived_tx,
             crash,
         };
         tokio::spawn(run(listener, behaviour, crashes, open_tx));
@@ -167,6 +175,7 @@
             model_server,
             deadly_part,
             received,
+            arrived,
             open,
         };
         (registered, address)
@@ -194,6 +203,11 @@
         *self.open.borrow()
     }
 
+    /// Returns the number of requests that reached the target, executed or not.
+    pub fn arrived_requests(&self) -> usize {
+        *self.arrived.borrow()
+    }
+
     /// Returns all requests that the target executed, in order of execution.
     pub fn executed_requests(&self) -> Vec<ReceivedRequest> {
         self.received.borrow().clone()
@@ -248,7 +262,12 @@
         let id = id.unwrap_or_default();
         let last_event_id = req.headers.get("last-event-id").cloned();
         let is_stream = STREAM_PATHS.iter().any(|path| req.line.contains(path));
-        if !matches!(mode, AnswerMode::Decline | AnswerMode::WrongTarget) {
+        behaviour.arrived.send_modify(|arrived| *arrived += 1);
+        let is_refusal = matches!(
+            mode,
+            AnswerMode::Decline | AnswerMode::Pause(_) | AnswerMode::WrongTarget
+        );
+        if !is_refusal {
             let model_server = behaviour.model_server.borrow().clone();
             if let Some(model_server) = model_server {
                 model_server.prefill(&req).await;
@@ -341,6 +360,15 @@
             "Ebonyfall-Not-Executed: 1\r\n",
             "",
         ),
+        AnswerMode::Pause(pause) => {
+            let pause = pause.as_secs_f64();
+            let headers = format!("Ebonyfall-Not-Executed: 1\r\nRetry-After: {pause}\r\n");
+            response("503 Service Unavailable", id, &headers, "")
+        }
+        AnswerMode::Leave => {
+            let headers = format!("{seal}Server-Leaving: 1\r\n");
+            response("200 OK", id, &headers, "done")
+        }
         AnswerMode::WrongTarget => response(
             "421 Misdirected Request",
             id,
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod env;
 mod metrics;
 mod moves;
+mod notices;
 mod parts;
 mod readers;
 mod reports;
