--- a/standin/src/hostile.rs
+++ b/standin/src/hostile.rs
@@ -1,18 +1,12 @@
 //! Target that follows a script of bytes instead of a protocol, to test what a faulty or hostile
 //! server can do to a router.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::sleep,
 };
 
@@ -39,9 +33,9 @@
 /// Handle of a running target.
 #[derive(Debug)]
 pub struct HostileTarget {
-    script: Arc<Mutex<Arc<[Step]>>>,
-    executed: Arc<Mutex<Vec<String>>>,
-    sent_bytes: Arc<AtomicU64>,
+    script: watch::Sender<Arc<[Step]>>,
+    executed: watch::Receiver<Vec<String>>,
+    sent_bytes: watch::Receiver<u64>,
 }
 
 impl HostileTarget {
@@ -54,48 +48,46 @@
     pub async fn start() -> (Self, SocketAddr) {
         let listener = TcpListener::bind(LOOPBACK).await.expect("a port is free");
         let address = listener.local_addr().expect("the socket has an address");
-        let target = Self {
-            script: Arc::new(Mutex::new(Arc::default())),
-            executed: Arc::default(),
-            sent_bytes: Arc::default(),
-        };
-        let (script, executed) = (Arc::clone(&target.script), Arc::clone(&target.executed));
-        let sent_bytes = Arc::clone(&target.sent_bytes);
+        let (script, script_rx) = watch::channel(Arc::<[Step]>::default());
+        let (executed_tx, executed) = watch::channel(Vec::new());
+        let (sent_tx, sent_bytes) = watch::channel(0);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let connection = Connection {
                     stream,
                     buf: Vec::new(),
                     ids: Vec::new(),
-                    executed: Arc::clone(&executed),
-                    sent_bytes: Arc::clone(&sent_bytes),
+                    executed: executed_tx.clone(),
+                    sent_bytes: sent_tx.clone(),
                 };
-                let script = script
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .clone();
+                let script = script_rx.borrow().clone();
                 tokio::spawn(connection.play(script));
             }
         });
+        let target = Self {
+            script,
+            executed,
+            sent_bytes,
+        };
         (target, address)
     }
 
     /// Sets the script of connections that are accepted from now on. A connection is closed at the
     /// end of its script.
     pub fn set_script(&self, script: impl Into<Arc<[Step]>>) {
-        *self.script.lock().unwrap_or_else(PoisonError::into_inner) = script.into();
+        self.script.send_replace(script.into());
     }
 
     /// Returns how often the target executed the attempt with this id.
     pub fn executions(&self, id: &str) -> usize {
-        let executed = self.executed.lock().unwrap_or_else(PoisonError::into_inner);
+        let executed = self.executed.borrow();
         executed.iter().filter(|executed| *executed == id).count()
     }
 
     /// Returns the number of bytes that the target has sent, including those that the system's
     /// buffers hold.
     pub fn sent_bytes(&self) -> u64 {
-        self.sent_bytes.load(Ordering::Relaxed)
+        *self.sent_bytes.borrow()
     }
 }
 
@@ -103,8 +95,8 @@
     stream: TcpStream,
     buf: Vec<u8>,
     ids: Vec<String>,
-    executed: Arc<Mutex<Vec<String>>>,
-    sent_bytes: Arc<AtomicU64>,
+    executed: watch::Sender<Vec<String>>,
+    sent_bytes: watch::Sender<u64>,
 }
 
 impl Connection {
@@ -124,9 +116,7 @@
                 let id = req.headers.get("ebonyfall-attempt-id");
                 let id = id.cloned().unwrap_or_default();
                 if *step == Step::Execute {
-                    let executed = self.executed.lock();
-                    let mut executed = executed.unwrap_or_else(PoisonError::into_inner);
-                    executed.push(id.clone());
+                    self.executed.send_modify(|all| all.push(id.clone()));
                 }
                 self.ids.push(id);
             }
@@ -158,7 +148,7 @@
     async fn send(&mut self, bytes: &[u8]) -> Option<()> {
         self.stream.write_all(bytes).await.ok()?;
         self.sent_bytes
-            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
+            .send_modify(|sent| *sent += bytes.len() as u64);
         Some(())
     }
 }
