--- a/src/carry.rs
+++ b/src/carry.rs
@@ -153,8 +153,7 @@
 impl OpenAnswer {
     /// Whether the answer is a stream of the same kind as the one with this head.
     pub(crate) fn continues(&self, head: &StreamHead) -> bool {
-        let same_type = self.headers.get(CONTENT_TYPE) == head.headers.get(CONTENT_TYPE);
-        self.status == head.status && same_type
+        self.status == head.status && media_type(&self.headers) == media_type(&head.headers)
     }
 
     pub(crate) fn head(&self) -> StreamHead {
@@ -575,6 +574,13 @@
     }
 }
 
+/// The content type without its parameters, in lower case.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let essence = value.split(';').next().unwrap_or_default();
+    Some(essence.trim().to_ascii_lowercase())
+}
+
 pub(crate) fn mark_idle(mut connection: TargetConnection, headers: &HeaderMap) -> TargetConnection {
     connection.mark_idle(answer::keep_alive_timeout(headers), BootClock.now());
     connection
