--- a/core/tests/limits.rs
+++ b/core/tests/limits.rs
@@ -65,6 +65,8 @@
     /// Reports in transit with their time of arrival and receiver.
     reports: Vec<(Time, usize, TargetRecord, LimitReport)>,
     refused: u32,
+    /// Number of contexts that requests have; with few, most demand is for few targets.
+    contexts: u64,
     /// Largest relative difference of a statement from the mean.
     wobble: f64,
     service: ServiceName,
@@ -122,6 +124,7 @@
             running: Vec::new(),
             reports: Vec::new(),
             refused: 0,
+            contexts: 1_000,
             wobble: 0.0,
             service,
             team: "desk".parse().expect("the literal is a name"),
@@ -154,7 +157,7 @@
     fn arrive(&mut self, bound_from: Time) -> Result<(), String> {
         let now = self.now;
         let router = self.rng.random_range(0..self.routers.len());
-        let context = self.rng.random_range(0..1_000);
+        let context = self.rng.random_range(0..self.contexts);
         let criteria = Criteria {
             service: &self.service,
             contexts: &[context],
@@ -348,3 +351,18 @@
         assert_eq!(result, Ok(()), "{routers} routers");
     }
 }
+
+/// Guards against a target that all routers prefer at once, each within a share of its own: one
+/// context has all requests.
+#[test]
+fn a_limit_holds_at_the_home_of_a_hot_context() {
+    for (routers, demand) in [(6, 95.0), (24, 250.0), (103, 980.0)] {
+        let mut fleet = Fleet::new(routers, 18, demand, variable("LIMITS_SEED", 1));
+        fleet.contexts = 1;
+        for target in &mut fleet.targets {
+            target.rate = target.rate.map(|_| 2.5);
+        }
+        let result = fleet.run(Duration::from_secs(15), demand);
+        assert_eq!(result, Ok(()), "{routers} routers");
+    }
+}
