--- /dev/null
+++ b/review/standin.rs
@@ -0,0 +1,915 @@
+//! Stand-ins of the review: the platform's store, servers and clients, as threads of one process.
+//! The router runs as a process of its own, with the command of the deploy file and the settings
+//! that the deploy template gives.
+//!
+//! Usage: `standin CASE FOLDER`, in the root of the repository. The exit status is 1 if the rule
+//! was broken, 0 if it held and 2 if the case could not run. With `TROUBLE=0` in the environment
+//! the disruption is left out.
+
+use std::{
+    collections::BTreeMap,
+    env,
+    fmt::Write as _,
+    fs,
+    io::{self, BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{self, Child, Command, Stdio},
+    sync::{Arc, Condvar, Mutex, atomic::{AtomicBool, AtomicU64, Ordering}},
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+const HOST: &str = "desk.example";
+const KEY: &str = "key-of-the-review";
+const TENANT: &str = "desk";
+
+fn main() {
+    let args: Vec<String> = env::args().collect();
+    let [_, case, folder] = &args[..] else {
+        eprintln!("usage: standin CASE FOLDER");
+        process::exit(2);
+    };
+    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::new();
+    let outcome = match case.as_str() {
+        "endless-stream" => endless_stream(&record, trouble),
+        "large-bodies" => large_bodies(&record, trouble),
+        "silent-streams" => silent_streams(&record, trouble),
+        other => Err(format!("no case {other}")),
+    };
+    let (line, code) = match outcome {
+        Ok(true) => ("result: the rule was broken".to_owned(), 1),
+        Ok(false) => ("result: the rule held".to_owned(), 0),
+        Err(error) => (format!("result: the case could not run: {error}"), 2),
+    };
+    record.note(&line);
+    println!("{line}");
+    if let Err(error) = record.save(folder) {
+        eprintln!("cannot write the record: {error}");
+        process::exit(2);
+    }
+    process::exit(code);
+}
+
+// What was sent, answered and run.
+
+#[derive(Clone)]
+struct Record(Arc<(Instant, Mutex<Vec<(Duration, String)>>)>);
+
+impl Record {
+    fn new() -> Self {
+        Self(Arc::new((Instant::now(), Mutex::new(Vec::new()))))
+    }
+
+    fn now(&self) -> Duration {
+        self.0.0.elapsed()
+    }
+
+    fn note(&self, line: &str) {
+        let now = self.now();
+        self.0.1.lock().unwrap().push((now, line.to_owned()));
+    }
+
+    fn save(&self, folder: &str) -> io::Result<()> {
+        let mut text = String::from("# seconds since the start, and what happened\n");
+        let mut lines = self.0.1.lock().unwrap().clone();
+        lines.sort();
+        for (at, line) in &lines {
+            let _ = writeln!(text, "{:9.3} {line}", at.as_secs_f64());
+        }
+        fs::write(PathBuf::from(folder).join("record.txt"), text)
+    }
+}
+
+// Requests and answers.
+
+struct Request {
+    method: String,
+    target: String,
+    headers: BTreeMap<String, String>,
+    body: Vec<u8>,
+}
+
+impl Request {
+    fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+fn read_headers(reader: &mut impl BufRead) -> io::Result<Option<(String, BTreeMap<String, String>)>> {
+    let mut first = String::new();
+    if reader.read_line(&mut first)? == 0 {
+        return Ok(None);
+    }
+    let mut headers = BTreeMap::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            return Ok(Some((first.trim_end().to_owned(), headers)));
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        }
+    }
+}
+
+fn read_chunk(reader: &mut impl BufRead) -> io::Result<Vec<u8>> {
+    let mut size = String::new();
+    if reader.read_line(&mut size)? == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    let size = usize::from_str_radix(size.trim(), 16).map_err(io::Error::other)?;
+    let mut chunk = vec![0; size + 2];
+    reader.read_exact(&mut chunk)?;
+    chunk.truncate(size);
+    Ok(chunk)
+}
+
+fn read_request(reader: &mut impl BufRead) -> io::Result<Option<Request>> {
+    let Some((first, headers)) = read_headers(reader)? else {
+        return Ok(None);
+    };
+    let mut words = first.split(' ');
+    let method = words.next().unwrap_or_default().to_owned();
+    let target = words.next().unwrap_or_default().to_owned();
+    let mut body = Vec::new();
+    if headers.get("transfer-encoding").is_some_and(|value| value == "chunked") {
+        loop {
+            let chunk = read_chunk(reader)?;
+            if chunk.is_empty() {
+                break;
+            }
+            body.extend(chunk);
+        }
+    } else if let Some(len) = headers.get("content-length").and_then(|value| value.parse().ok()) {
+        body = vec![0; len];
+        reader.read_exact(&mut body)?;
+    }
+    Ok(Some(Request { method, target, headers, body }))
+}
+
+/// An answer that a client reads while it arrives.
+struct Answer {
+    status: u16,
+    headers: BTreeMap<String, String>,
+}
+
+fn read_answer_head(reader: &mut impl BufRead) -> io::Result<Answer> {
+    let Some((first, headers)) = read_headers(reader)? else {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    };
+    let status = first.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let status = status.ok_or_else(|| io::Error::other("no status"))?;
+    Ok(Answer { status, headers })
+}
+
+fn read_whole_body(reader: &mut impl BufRead, answer: &Answer) -> io::Result<usize> {
+    if let Some(len) = answer.headers.get("content-length").and_then(|len| len.parse().ok()) {
+        let mut body = vec![0; len];
+        reader.read_exact(&mut body)?;
+        return Ok(len);
+    }
+    let mut total = 0;
+    loop {
+        let chunk = read_chunk(reader)?;
+        if chunk.is_empty() {
+            return Ok(total);
+        }
+        total += chunk.len();
+    }
+}
+
+fn serve(listener: TcpListener, handle: impl Fn(TcpStream) + Clone + Send + 'static) {
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handle = handle.clone();
+            let _ = stream.set_nodelay(true);
+            thread::spawn(move || handle(stream));
+        }
+    });
+}
+
+fn listen() -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+fn unix_millis() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
+}
+
+// The platform's store: topics of keyed records with one partition each.
+
+type Topics = BTreeMap<String, Vec<(String, Vec<u8>)>>;
+
+#[derive(Clone, Default)]
+struct Store(Arc<(Mutex<Topics>, Condvar)>);
+
+impl Store {
+    fn start() -> io::Result<(Self, SocketAddr)> {
+        let store = Self::default();
+        let (listener, address) = listen()?;
+        let served = store.clone();
+        serve(listener, move |stream| {
+            let _closed = served.clone().converse(stream);
+        });
+        Ok((store, address))
+    }
+
+    /// Appends a record; an empty value deletes the key.
+    fn put(&self, topic: &str, key: &str, value: &str) {
+        let mut topics = self.0.0.lock().unwrap();
+        topics.entry(topic.to_owned()).or_default().push((key.to_owned(), value.as_bytes().to_vec()));
+        self.0.1.notify_all();
+    }
+
+    fn converse(self, stream: TcpStream) -> io::Result<()> {
+        let mut out = stream.try_clone()?;
+        let mut reader = BufReader::new(stream);
+        while let Some(req) = read_request(&mut reader)? {
+            let (status, body) = self.answer(&req);
+            let head = format!(
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            out.write_all(&[head.as_bytes(), &body].concat())?;
+        }
+        Ok(())
+    }
+
+    fn answer(&self, req: &Request) -> (u16, Vec<u8>) {
+        let (path, query) = req.target.split_once('?').unwrap_or((&req.target, ""));
+        let query: BTreeMap<_, _> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let topic = query.get("topic").copied().unwrap_or_default().to_owned();
+        let number = |name: &str| query.get(name).and_then(|text| text.parse::<usize>().ok());
+        match (req.method.as_str(), path) {
+            ("GET", "/api/log-newest") => (200, self.newest(&topic).into_bytes()),
+            ("GET", "/api/log-read") => {
+                let wait = Duration::from_millis(number("wait_ms").unwrap_or(0) as u64);
+                (200, self.read(&topic, number("from").unwrap_or(0), wait))
+            }
+            ("POST", "/api/log-append") => self.append(&topic, number("at"), &req.body),
+            _ => (404, b"{}".to_vec()),
+        }
+    }
+
+    fn newest(&self, topic: &str) -> String {
+        let topics = self.0.0.lock().unwrap();
+        let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+        let newest: BTreeMap<_, _> = records
+            .iter()
+            .enumerate()
+            .map(|(offset, (key, value))| (key, (offset, value)))
+            .collect();
+        let entries: Vec<_> = newest
+            .into_iter()
+            .filter(|(_, (_, value))| !value.is_empty())
+            .map(|(key, (offset, value))| {
+                format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+            })
+            .collect();
+        format!("{{\"entries\":[{}],\"has_more\":false,\"end\":{}}}", entries.join(","), records.len())
+    }
+
+    fn read(&self, topic: &str, from: usize, wait: Duration) -> Vec<u8> {
+        let until = Instant::now() + wait;
+        let mut topics = self.0.0.lock().unwrap();
+        loop {
+            let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+            let left = until.saturating_duration_since(Instant::now());
+            if records.len() > from || left.is_zero() {
+                let mut body = (records.len() as u64).to_be_bytes().to_vec();
+                body.extend(0_u64.to_be_bytes());
+                for (key, value) in records.iter().skip(from) {
+                    body.extend(((1 + key.len() + value.len()) as u32).to_be_bytes());
+                    body.push(key.len() as u8);
+                    body.extend(key.as_bytes());
+                    body.extend(value);
+                }
+                return body;
+            }
+            topics = self.0.1.wait_timeout(topics, left).unwrap().0;
+        }
+    }
+
+    fn append(&self, topic: &str, at: Option<usize>, body: &[u8]) -> (u16, Vec<u8>) {
+        let mut topics = self.0.0.lock().unwrap();
+        let records = topics.entry(topic.to_owned()).or_default();
+        let end = records.len();
+        if at.is_some_and(|at| at != end) {
+            return (412, format!("{{\"end\":{end}}}").into_bytes());
+        }
+        let Some((len, rest)) = body.get(4..).and_then(|body| body.split_first()) else {
+            return (400, b"{}".to_vec());
+        };
+        let Some((key, value)) = rest.split_at_checked(usize::from(*len)) else {
+            return (400, b"{}".to_vec());
+        };
+        records.push((String::from_utf8_lossy(key).into_owned(), value.to_vec()));
+        self.0.1.notify_all();
+        (200, format!("{{\"offset\":{end},\"end\":{}}}", end + 1).into_bytes())
+    }
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let group = u32::from_be_bytes([
+            0,
+            chunk[0],
+            chunk.get(1).copied().unwrap_or(0),
+            chunk.get(2).copied().unwrap_or(0),
+        ]);
+        for digit in 0..4 {
+            let index = (group >> (18 - 6 * digit)) & 63;
+            let is_padding = digit > chunk.len();
+            text.push(if is_padding { '=' } else { char::from(DIGITS[index as usize]) });
+        }
+    }
+    text
+}
+
+// Servers.
+
+/// Registers a server in the store and renews its entry as the pages say.
+fn register(store: &Store, service: &'static str, id: String, address: SocketAddr) {
+    let born = unix_millis();
+    let store = store.clone();
+    thread::spawn(move || {
+        for seq in 1_u64.. {
+            store.put(
+                "keyed.servers",
+                &id,
+                &format!(
+                    "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"z-a\",\"version\":\"v1\",\
+                     \"slots\":64,\"state\":\"ready\",\"warmup_left_ms\":0,\"seq\":{seq},\"born\":{born}}}"
+                ),
+            );
+            thread::sleep(Duration::from_millis(1_200));
+        }
+    });
+}
+
+/// Starts a server that answers each request by `work`, after the checks of a sound server.
+fn start_server(
+    store: &Store,
+    service: &'static str,
+    id: &str,
+    work: impl Fn(&Request, &mut TcpStream, &str) -> io::Result<()> + Clone + Send + 'static,
+) -> io::Result<()> {
+    let (listener, address) = listen()?;
+    let own = id.to_owned();
+    serve(listener, move |stream| {
+        let converse = || -> io::Result<()> {
+            let mut out = stream.try_clone()?;
+            let mut reader = BufReader::new(stream.try_clone()?);
+            while let Some(req) = read_request(&mut reader)? {
+                let attempt = req.header("ebonyfall-attempt-id").to_owned();
+                let expected = req.header("ebonyfall-expect-instance");
+                if !expected.is_empty() && expected != own {
+                    let answer = format!(
+                        "HTTP/1.1 421 Misdirected Request\r\nEbonyfall-Attempt-Id: {attempt}\r\n\
+                         Ebonyfall-Not-Executed: 1\r\nEbonyfall-Instance-Id: {own}\r\n\
+                         Content-Length: 0\r\n\r\n"
+                    );
+                    out.write_all(answer.as_bytes())?;
+                    continue;
+                }
+                let own_headers =
+                    format!("Ebonyfall-Attempt-Id: {attempt}\r\nEbonyfall-Server-Seal: seal-{attempt}\r\n");
+                work(&req, &mut out, &own_headers)?;
+            }
+            Ok(())
+        };
+        let _closed = converse();
+    });
+    register(store, service, id.to_owned(), address);
+    Ok(())
+}
+
+// The router.
+
+/// Addresses of the running router.
+struct Router {
+    listen: SocketAddr,
+    ready: SocketAddr,
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Router {
+    /// Starts the program of the deploy file with settings from the deploy template.
+    fn start(store: SocketAddr) -> Result<Self, String> {
+        let text = |error: io::Error| error.to_string();
+        let deploy = fs::read_to_string("deploy/system.toml").map_err(text)?;
+        let run = deploy.lines().find_map(|line| line.strip_prefix("run = "));
+        let run = run.ok_or("no command in the deploy file")?.trim_matches('"').to_owned();
+        let free = || listen().map(|(_, address)| address).map_err(text);
+        let (front, ready, metrics, peers) = (free()?, free()?, free()?, free()?);
+        let values = [
+            ("{{ip}}:9464", metrics.to_string()),
+            ("{{ip}}:{{port_range.0}}", peers.to_string()),
+            ("{{node}}", "edge-z-a-1".to_owned()),
+            ("{{zone}}", "z-a".to_owned()),
+            ("{{listen.front}}", front.to_string()),
+            ("{{listen.ready}}", ready.to_string()),
+            ("{{platform.addr}}", store.to_string()),
+            ("{{seeds}}", peers.to_string()),
+            ("{{bounds.drain_ms}}", "2000".to_owned()),
+            ("{{bounds.grace_s}}", "8".to_owned()),
+            ("{{bounds.revoke_ms}}", "5000".to_owned()),
+            ("{{bounds.retry_ratio}}", "0.2".to_owned()),
+            ("{{bounds.retry_slack}}", "58".to_owned()),
+            ("{{bounds.retry_window_s}}", "10".to_owned()),
+        ];
+        let mut settings = fs::read_to_string("deploy/entry.ini").map_err(text)?;
+        for (placeholder, value) in values {
+            settings = settings.replace(placeholder, &value);
+        }
+        let path = env::temp_dir().join(format!("review-{}-{}.ini", process::id(), front.port()));
+        fs::write(&path, settings).map_err(text)?;
+        let mut words = run.split(' ');
+        let child = Command::new(words.next().unwrap_or_default())
+            .args(words)
+            .env_clear()
+            .env("EBONYFALL_CONFIG", &path)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(|error| format!("cannot start {run}: {error}"))?;
+        let router = Self { listen: front, ready, child, settings: path };
+        let started = Instant::now();
+        while !router.is_ready() {
+            if started.elapsed() > Duration::from_secs(20) {
+                return Err("the router did not become ready".to_owned());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(router)
+    }
+
+    fn is_ready(&self) -> bool {
+        let ask = || -> io::Result<u16> {
+            let mut stream = TcpStream::connect(self.ready)?;
+            stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+            stream.write_all(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+            Ok(read_answer_head(&mut BufReader::new(stream))?.status)
+        };
+        ask().is_ok_and(|status| status == 200)
+    }
+
+    /// Sends a signal to the process.
+    fn signal(&self, name: &str) -> Result<(), String> {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        let sent = sent.map_err(|error| error.to_string())?;
+        if sent.success() { Ok(()) } else { Err(format!("cannot send SIG{name}")) }
+    }
+
+    /// Memory that the process holds now, in bytes.
+    fn memory(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kib: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kib << 10)
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+        let _removed = fs::remove_file(&self.settings);
+    }
+}
+
+struct Route {
+    path: &'static str,
+    kind: &'static str,
+    service: &'static str,
+    timeout_ms: u64,
+    slo_ms: u64,
+    max_attempts: u32,
+    resumable: bool,
+}
+
+fn publish(store: &Store, routes: &[Route]) {
+    let list: Vec<_> = routes
+        .iter()
+        .enumerate()
+        .map(|(number, route)| {
+            let is_stream = route.kind == "stream";
+            format!(
+                "{{\"name\":\"r-{number}\",\"host\":\"{HOST}\",\"path_prefix\":\"{}\",\"type\":\"{}\",\
+                 \"timeout_ms\":{},\"slo_ms\":{},\"priority\":1,\"service\":\"{}\",\"max_attempts\":{},\
+                 \"public\":false,\"sticky\":{is_stream},\"resumable\":{},\"gap_aim_ms\":400}}",
+                route.path, route.kind, route.timeout_ms, route.slo_ms, route.service, route.max_attempts,
+                route.resumable
+            )
+        })
+        .collect();
+    let services: Vec<_> = ["pool", "app"]
+        .iter()
+        .map(|name| {
+            format!(
+                "{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_conns\":370,\"protocol\":\"h1\",\
+                 \"tls\":false,\"warmup_s\":3.0,\"warmup_per_s\":0.0}}"
+            )
+        })
+        .collect();
+    let state = format!(
+        "{{\"version\":7,\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\
+         \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
+         \"tenants\":[{{\"name\":\"{TENANT}\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}",
+        list.join(","),
+        services.join(",")
+    );
+    store.put("keyed.op", "config", &state);
+}
+
+static ATTEMPTS: AtomicU64 = AtomicU64::new(1);
+
+/// Head of a client's request; returns its attempt id, too.
+fn request_head(method: &str, path: &str, deadline_ms: u64, body_len: usize, extra: &str) -> (String, String) {
+    let id = format!("{:016x}", 0xabcd_0000_u64 + ATTEMPTS.fetch_add(1, Ordering::Relaxed));
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nEbonyfall-Attempt-Id: {id}\r\n\
+         Ebonyfall-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n{extra}\
+         Content-Length: {body_len}\r\n\r\n"
+    );
+    (id, head)
+}
+
+// Case: a server in trouble sends bytes that are no answer, without end.
+
+/// Time between two bytes of an answer without end.
+const DRIP: Duration = Duration::from_millis(40);
+/// Every so many requests, a server in trouble answers without end.
+const ENDLESS_EVERY: u64 = 5;
+const STREAM_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// A client leaves a stream after this time without an event: the longest of two seconds, four
+/// times the objective (500 ms) and eight times the pause (400 ms).
+const STREAM_PATIENCE: Duration = Duration::from_millis(3_200);
+/// Time after the route's timeout at which the answer must have ended.
+const END_SLACK: Duration = Duration::from_millis(500);
+
+/// How one stream ended for its client.
+struct StreamEnd {
+    end: &'static str,
+    after: Duration,
+}
+
+fn endless_stream(record: &Record, trouble: bool) -> Result<bool, String> {
+    let text = |error: io::Error| error.to_string();
+    let (store, store_address) = Store::start().map_err(text)?;
+    for id in ["s-1", "s-2"] {
+        let served = record.clone();
+        let count = Arc::new(AtomicU64::new(0));
+        let work = move |req: &Request, out: &mut TcpStream, own_headers: &str| {
+            let attempt = req.header("ebonyfall-attempt-id");
+            let number = count.fetch_add(1, Ordering::Relaxed) + 1;
+            let is_endless = trouble && number % ENDLESS_EVERY == 0;
+            served.note(&format!("server {id} runs {attempt}, endless: {is_endless}"));
+            let head = format!(
+                "HTTP/1.1 200 OK\r\n{own_headers}Content-Type: text/event-stream\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n"
+            );
+            out.write_all(head.as_bytes())?;
+            let mut send = |text: &str| out.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+            if is_endless {
+                // Half of the endless answers begin with an event.
+                if number / ENDLESS_EVERY % 2 == 0 {
+                    send("id: 1\ndata: token\n\n")?;
+                }
+                loop {
+                    thread::sleep(DRIP);
+                    if let Err(error) = send(":") {
+                        served.note(&format!("server {id} finds the channel of {attempt} closed"));
+                        return Err(error);
+                    }
+                }
+            }
+            for event in 1..=10 {
+                send(&format!("id: {event}\ndata: token\n\n"))?;
+                thread::sleep(Duration::from_millis(20));
+            }
+            out.write_all(b"0\r\n\r\n")
+        };
+        start_server(&store, "pool", id, work).map_err(text)?;
+    }
+    publish(&store, &[Route {
+        path: "/suggest/",
+        kind: "stream",
+        service: "pool",
+        timeout_ms: STREAM_TIMEOUT.as_millis() as u64,
+        slo_ms: 500,
+        max_attempts: 1,
+        resumable: false,
+    }]);
+    let router = Router::start(store_address)?;
+    let clients: Vec<_> = (0..150)
+        .map(|_| {
+            thread::sleep(Duration::from_millis(100));
+            let (record, listen) = (record.clone(), router.listen);
+            thread::spawn(move || stream_client(&record, listen, 10_000))
+        })
+        .collect();
+    let ends: Vec<StreamEnd> = clients.into_iter().filter_map(|client| client.join().ok()?.ok()).collect();
+    let long = ends.iter().filter(|end| end.after >= STREAM_TIMEOUT).count();
+    let late = ends.iter().filter(|end| end.after >= STREAM_TIMEOUT + END_SLACK).count();
+    let whole = ends.iter().filter(|end| end.end == "whole").count();
+    record.note(&format!(
+        "{} requests, {whole} whole answers, {long} lasted longer than the timeout, {late} of these had \
+         no end half a second later", ends.len()
+    ));
+    if ends.len() < 140 || whole < 100 {
+        return Err("too few requests were answered to judge".to_owned());
+    }
+    Ok(late >= 8 && 4 * late > long)
+}
+
+fn stream_client(record: &Record, listen: SocketAddr, deadline_ms: u64) -> io::Result<StreamEnd> {
+    let extra = "Ebonyfall-Model: m\r\nEbonyfall-Token-Counts: 829,36\r\n\
+                 Ebonyfall-Prefix-Hash: 5c1e07a2:119,91bd3f06:580,e4402b7d:130\r\n";
+    let (id, head) = request_head("POST", "/suggest/7", deadline_ms, 2, extra);
+    let mut stream = TcpStream::connect(listen)?;
+    stream.set_read_timeout(Some(Duration::from_millis(20)))?;
+    let sent = Instant::now();
+    stream.write_all(format!("{head}hi").as_bytes())?;
+    record.note(&format!("client sends {id}"));
+    let (mut received, mut events, mut last_event) = (Vec::new(), 0, sent);
+    let mut buf = [0; 4096];
+    let end = loop {
+        match stream.read(&mut buf) {
+            Ok(0) => break "closed",
+            Ok(len) => {
+                received.extend(&buf[..len]);
+                let text = String::from_utf8_lossy(&received);
+                let found = text.matches("data: token\n\n").count();
+                if found > events {
+                    (events, last_event) = (found, Instant::now());
+                }
+                if text.ends_with("\r\n0\r\n\r\n") {
+                    break "whole";
+                }
+                let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+                let len = head.to_ascii_lowercase();
+                let len = len.split("content-length: ").nth(1).and_then(|rest| rest.lines().next()?.parse().ok());
+                if len.is_some_and(|len: usize| body.len() >= len) {
+                    break "refused";
+                }
+            }
+            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+            Err(_reset) => break "closed",
+        }
+        if last_event.elapsed() > STREAM_PATIENCE {
+            break "left by the client";
+        }
+    };
+    let after = sent.elapsed();
+    let first = String::from_utf8_lossy(&received);
+    let first = first.lines().next().unwrap_or("no answer").to_owned();
+    record.note(&format!("client has {id}: {first}, {events} events, {end} after {} ms", after.as_millis()));
+    Ok(StreamEnd { end, after })
+}
+
+// Case: model servers pause sound streams, as when they read long prompts, and the router is stopped
+// by SIGTERM meanwhile.
+
+const STREAMS: u64 = 90;
+const EVENTS: u32 = 40;
+const EVENT_GAP: Duration = Duration::from_millis(100);
+/// Time at which the servers begin to read long prompts, from the first request.
+const PAUSE_START: Duration = Duration::from_millis(1_800);
+/// Time for which no event is made then. 90,000 prompt tokens take it, at 55 tokens a millisecond.
+const PAUSE: Duration = Duration::from_millis(1_650);
+/// Time of the SIGTERM, from the first request.
+const STOP_AT: Duration = Duration::from_millis(1_000);
+/// The grace period, without its last sixth.
+const JUDGED_GRACE: Duration = Duration::from_millis(8_000 * 5 / 6);
+
+fn silent_streams(record: &Record, trouble: bool) -> Result<bool, String> {
+    let text = |error: io::Error| error.to_string();
+    let (store, store_address) = Store::start().map_err(text)?;
+    let first: Arc<Mutex<Option<Instant>>> = Arc::default();
+    for id in ["s-1", "s-2", "s-3"] {
+        let (served, first) = (record.clone(), Arc::clone(&first));
+        let work = move |req: &Request, out: &mut TcpStream, own_headers: &str| {
+            let attempt = req.header("ebonyfall-attempt-id");
+            let first = *first.lock().unwrap().get_or_insert_with(Instant::now);
+            let last: u32 = req.header("last-event-id").parse().unwrap_or(0);
+            served.note(&format!("server {id} runs {attempt} after event {last}"));
+            let head = format!(
+                "HTTP/1.1 200 OK\r\n{own_headers}Content-Type: text/event-stream\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n"
+            );
+            out.write_all(head.as_bytes())?;
+            for event in last + 1..=EVENTS {
+                let since = first.elapsed();
+                if trouble && since >= PAUSE_START && since < PAUSE_START + PAUSE {
+                    thread::sleep(PAUSE_START + PAUSE - since);
+                }
+                let event = format!("id: {event}\ndata: token\n\n");
+                let sent = out.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+                if let Err(error) = sent {
+                    served.note(&format!("server {id} finds the channel of {attempt} closed"));
+                    return Err(error);
+                }
+                thread::sleep(EVENT_GAP);
+            }
+            served.note(&format!("server {id} has answered {attempt}"));
+            out.write_all(b"0\r\n\r\n")
+        };
+        start_server(&store, "pool", id, work).map_err(text)?;
+    }
+    publish(&store, &[Route {
+        path: "/suggest/",
+        kind: "stream",
+        service: "pool",
+        timeout_ms: 10_000,
+        slo_ms: 400,
+        max_attempts: 2,
+        resumable: true,
+    }]);
+    let router = Router::start(store_address)?;
+    let start = Instant::now();
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|_| {
+            thread::sleep(Duration::from_millis(5));
+            let (record, listen) = (record.clone(), router.listen);
+            thread::spawn(move || stream_client(&record, listen, 10_000))
+        })
+        .collect();
+    if trouble {
+        thread::sleep(STOP_AT.saturating_sub(start.elapsed()));
+        record.note("the platform sends SIGTERM to the router");
+        router.signal("TERM")?;
+    }
+    let stopped = Instant::now();
+    let mut ends = Vec::new();
+    for client in clients {
+        ends.push(client.join().map_err(|_panic| "a client failed".to_owned())?.map_err(text)?);
+    }
+    let in_grace = stopped.elapsed() < JUDGED_GRACE;
+    let whole = ends.iter().filter(|end| end.end == "whole").count();
+    let cut = ends.iter().filter(|end| end.end == "closed").count();
+    let left = ends.iter().filter(|end| end.end == "left by the client").count();
+    record.note(&format!(
+        "{} streams, {whole} whole, {cut} ended without a complete answer, {left} left by their clients; \
+         all ended before the last sixth of the grace period: {in_grace}", ends.len()
+    ));
+    if !in_grace || left > 0 {
+        return Err("the servers were too slow to judge".to_owned());
+    }
+    Ok(cut > 0)
+}
+
+// Case: many clients at once send bodies of the largest size that the limits allow.
+
+/// Memory that the platform lets a process have, as in the settings of the small sites.
+const MEMORY_LIMIT: u64 = 260 << 20;
+const LARGE_CLIENTS: u64 = 80;
+const LARGE_BODY: usize = 4_194_304;
+/// Time in which the large bodies are sent: 336 MB in 3 s stay below a link of 1,000 Mbit/s.
+const UPLOAD_TIME: Duration = Duration::from_secs(3);
+const KEPT_CLIENTS: u64 = 12;
+
+fn large_bodies(record: &Record, trouble: bool) -> Result<bool, String> {
+    let text = |error: io::Error| error.to_string();
+    let (store, store_address) = Store::start().map_err(text)?;
+    let running: Arc<Mutex<BTreeMap<String, bool>>> = Arc::default();
+    for id in ["a-1", "a-2", "a-3"] {
+        let (served, running) = (record.clone(), Arc::clone(&running));
+        let work = move |req: &Request, out: &mut TcpStream, own_headers: &str| {
+            let attempt = req.header("ebonyfall-attempt-id").to_owned();
+            served.note(&format!("server {id} runs {attempt}, body of {} bytes", req.body.len()));
+            running.lock().unwrap().insert(attempt.clone(), false);
+            thread::sleep(Duration::from_millis(400));
+            let answer = format!("HTTP/1.1 200 OK\r\n{own_headers}Content-Length: 4\r\n\r\ndone");
+            out.write_all(answer.as_bytes())?;
+            served.note(&format!("server {id} has answered {attempt}"));
+            running.lock().unwrap().insert(attempt, true);
+            Ok(())
+        };
+        start_server(&store, "app", id, work).map_err(text)?;
+    }
+    publish(&store, &[Route {
+        path: "/order/",
+        kind: "unsafe",
+        service: "app",
+        timeout_ms: 10_000,
+        slo_ms: 150,
+        max_attempts: 1,
+        resumable: false,
+    }]);
+    let mut router = Router::start(store_address)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let kept: Vec<_> = (0..KEPT_CLIENTS)
+        .map(|_| {
+            let (record, listen, stop) = (record.clone(), router.listen, Arc::clone(&stop));
+            thread::spawn(move || kept_client(&record, listen, &stop))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(3));
+    let large: Vec<_> = (0..if trouble { LARGE_CLIENTS } else { 0 })
+        .map(|_| {
+            let (record, listen) = (record.clone(), router.listen);
+            thread::spawn(move || {
+                if let Err(error) = large_client(&record, listen) {
+                    record.note(&format!("client with a large body: {error}"));
+                }
+            })
+        })
+        .collect();
+    // The platform kills a process that holds more memory than its limit.
+    let watched = Instant::now();
+    let (mut most, mut killed) = (0, false);
+    while watched.elapsed() < Duration::from_secs(8) && !killed {
+        let memory = router.memory().unwrap_or(0);
+        most = most.max(memory);
+        if memory > MEMORY_LIMIT {
+            record.note(&format!("the platform kills the router, which holds {} MiB", memory >> 20));
+            let _ended = router.child.kill();
+            killed = true;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    record.note(&format!("most memory of the router: {} MiB", most >> 20));
+    stop.store(true, Ordering::Relaxed);
+    let mut lost = 0;
+    for client in kept {
+        let unanswered = client.join().map_err(|_panic| "a client failed".to_owned())?;
+        for id in unanswered {
+            let has_run = running.lock().unwrap().contains_key(&id);
+            record.note(&format!("{id} has no answer on its kept channel; passed on to a server: {has_run}"));
+            lost += u32::from(has_run);
+        }
+    }
+    for client in large {
+        let _done = client.join();
+    }
+    record.note(&format!("{lost} requests from kept channels were passed on and got no answer"));
+    Ok(lost > 3)
+}
+
+/// Sends one request after another on a kept channel; returns those without an answer, except a
+/// first one on the channel.
+fn kept_client(record: &Record, listen: SocketAddr, stop: &AtomicBool) -> Vec<String> {
+    let Ok(mut stream) = TcpStream::connect(listen) else {
+        return Vec::new();
+    };
+    let _unset = stream.set_read_timeout(Some(Duration::from_secs(12)));
+    let Ok(clone) = stream.try_clone() else {
+        return Vec::new();
+    };
+    let mut reader = BufReader::new(clone);
+    let mut answered = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let (id, head) = request_head("POST", "/order/7", 10_000, 5, "");
+        record.note(&format!("client sends {id} on a kept channel"));
+        let sent = stream.write_all(format!("{head}spine").as_bytes());
+        let answer = sent.and_then(|()| {
+            let answer = read_answer_head(&mut reader)?;
+            read_whole_body(&mut reader, &answer)?;
+            Ok(answer)
+        });
+        match answer {
+            Ok(answer) => {
+                record.note(&format!("client has {id}: {}", answer.status));
+                answered += 1;
+            }
+            Err(error) => {
+                record.note(&format!("client has {id}: no answer, {error}"));
+                return if answered > 0 { vec![id] } else { Vec::new() };
+            }
+        }
+    }
+    Vec::new()
+}
+
+fn large_client(record: &Record, listen: SocketAddr) -> io::Result<()> {
+    let (id, head) = request_head("POST", "/order/8", 10_000, LARGE_BODY, "");
+    let mut stream = TcpStream::connect(listen)?;
+    stream.set_read_timeout(Some(Duration::from_secs(12)))?;
+    record.note(&format!("client sends {id} with a body of {LARGE_BODY} bytes"));
+    stream.write_all(head.as_bytes())?;
+    let (start, slice) = (Instant::now(), vec![b'x'; 65_536]);
+    let slices = LARGE_BODY / slice.len();
+    for number in 0..slices {
+        stream.write_all(&slice)?;
+        let due = UPLOAD_TIME * (number as u32 + 1) / slices as u32;
+        thread::sleep(due.saturating_sub(start.elapsed()));
+    }
+    let mut reader = BufReader::new(stream);
+    let answer = read_answer_head(&mut reader)?;
+    read_whole_body(&mut reader, &answer)?;
+    record.note(&format!("client has {id}: {}", answer.status));
+    Ok(())
+}
