--- a/review/standin.rs
+++ b/review/standin.rs
@@ -12,7 +12,7 @@
     fmt::Write as _,
     fs,
     io::{self, BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{self, Child, Command, Stdio},
     sync::{Arc, Condvar, Mutex, atomic::{AtomicBool, AtomicU64, Ordering}},
@@ -35,6 +35,7 @@
     let outcome = match case.as_str() {
         "endless-stream" => endless_stream(&record, trouble),
         "large-bodies" => large_bodies(&record, trouble),
+        "stale-move" => stale_move(&record, trouble),
         "silent-streams" => silent_streams(&record, trouble),
         other => Err(format!("no case {other}")),
     };
@@ -184,16 +185,66 @@
     }
 }
 
-fn serve(listener: TcpListener, handle: impl Fn(TcpStream) + Clone + Send + 'static) {
+fn serve(
+    listener: TcpListener,
+    life: Life,
+    handle: impl Fn(TcpStream) + Clone + Send + 'static,
+) {
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let handle = handle.clone();
-            let _ = stream.set_nodelay(true);
-            thread::spawn(move || handle(stream));
+        for (number, stream) in (0..).zip(listener.incoming().flatten()) {
+            if !life.keep(number, &stream) {
+                return;
+            }
+            let (handle, life) = (handle.clone(), life.clone());
+            let _unset = stream.set_nodelay(true);
+            thread::spawn(move || {
+                handle(stream);
+                life.close(number);
+            });
         }
     });
 }
 
+/// Whether a stand-in still runs, and its open channels by number.
+#[derive(Clone, Default)]
+struct Life(Arc<Mutex<(bool, BTreeMap<u64, TcpStream>)>>);
+
+impl Life {
+    fn has_ended(&self) -> bool {
+        self.0.lock().unwrap().0
+    }
+
+    /// Remembers a channel; false if the stand-in has ended.
+    fn keep(&self, number: u64, stream: &TcpStream) -> bool {
+        let mut life = self.0.lock().unwrap();
+        if let Ok(stream) = stream.try_clone() {
+            life.1.insert(number, stream);
+        }
+        !life.0
+    }
+
+    /// Closes a channel that is done.
+    fn close(&self, number: u64) {
+        if let Some(channel) = self.0.lock().unwrap().1.remove(&number) {
+            let _closed = channel.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Ends the stand-in at `address` and closes its channels.
+    fn end(&self, address: SocketAddr) {
+        let channels = {
+            let mut life = self.0.lock().unwrap();
+            life.0 = true;
+            std::mem::take(&mut life.1)
+        };
+        for channel in channels.values() {
+            let _closed = channel.shutdown(Shutdown::Both);
+        }
+        // Wakes the listener, which ends then.
+        let _woken = TcpStream::connect(address);
+    }
+}
+
 fn listen() -> io::Result<(TcpListener, SocketAddr)> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
@@ -216,7 +267,7 @@
         let store = Self::default();
         let (listener, address) = listen()?;
         let served = store.clone();
-        serve(listener, move |stream| {
+        serve(listener, Life::default(), move |stream| {
             let _closed = served.clone().converse(stream);
         });
         Ok((store, address))
@@ -229,6 +280,17 @@
         self.0.1.notify_all();
     }
 
+    /// Number of records of a topic.
+    fn len(&self, topic: &str) -> usize {
+        self.0.0.lock().unwrap().get(topic).map_or(0, Vec::len)
+    }
+
+    /// The records of a topic from the offset `from` on.
+    fn since(&self, topic: &str, from: usize) -> Vec<(String, Vec<u8>)> {
+        let topics = self.0.0.lock().unwrap();
+        topics.get(topic).map(|records| records[from.min(records.len())..].to_vec()).unwrap_or_default()
+    }
+
     fn converse(self, stream: TcpStream) -> io::Result<()> {
         let mut out = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
@@ -339,34 +401,50 @@
 // Servers.
 
 /// Registers a server in the store and renews its entry as the pages say.
-fn register(store: &Store, service: &'static str, id: String, address: SocketAddr) {
+fn register(store: &Store, service: &'static str, version: &'static str, server: Server) {
     let born = unix_millis();
     let store = store.clone();
     thread::spawn(move || {
+        let Server { id, address, life } = server;
         for seq in 1_u64.. {
+            if life.has_ended() {
+                store.put("keyed.servers", &id, "");
+                return;
+            }
             store.put(
                 "keyed.servers",
                 &id,
                 &format!(
-                    "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"z-a\",\"version\":\"v1\",\
+                    "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"z-a\",\"version\":\"{version}\",\
                      \"slots\":64,\"state\":\"ready\",\"warmup_left_ms\":0,\"seq\":{seq},\"born\":{born}}}"
                 ),
             );
-            thread::sleep(Duration::from_millis(1_200));
+            let renewed = Instant::now();
+            while renewed.elapsed() < Duration::from_millis(1_200) && !life.has_ended() {
+                thread::sleep(Duration::from_millis(50));
+            }
         }
     });
 }
 
+#[derive(Clone)]
+struct Server {
+    id: String,
+    address: SocketAddr,
+    life: Life,
+}
+
 /// Starts a server that answers each request by `work`, after the checks of a sound server.
 fn start_server(
     store: &Store,
-    service: &'static str,
+    (service, version): (&'static str, &'static str),
     id: &str,
     work: impl Fn(&Request, &mut TcpStream, &str) -> io::Result<()> + Clone + Send + 'static,
-) -> io::Result<()> {
+) -> io::Result<Server> {
     let (listener, address) = listen()?;
     let own = id.to_owned();
-    serve(listener, move |stream| {
+    let server = Server { id: own.clone(), address, life: Life::default() };
+    serve(listener, server.life.clone(), move |stream| {
         let converse = || -> io::Result<()> {
             let mut out = stream.try_clone()?;
             let mut reader = BufReader::new(stream.try_clone()?);
@@ -390,8 +468,8 @@
         };
         let _closed = converse();
     });
-    register(store, service, id.to_owned(), address);
-    Ok(())
+    register(store, service, version, server.clone());
+    Ok(server)
 }
 
 // The router.
@@ -407,21 +485,44 @@
 impl Router {
     /// Starts the program of the deploy file with settings from the deploy template.
     fn start(store: SocketAddr) -> Result<Self, String> {
+        let (_, peers) = listen().map_err(|error| error.to_string())?;
+        let router = Self::spawn(store, "edge-z-a-1", peers, &peers.to_string())?;
+        router.wait_until_ready()?;
+        Ok(router)
+    }
+
+    /// Starts a fleet of `count` routers, which reach each other at one port of several loopback
+    /// addresses.
+    fn start_fleet(store: SocketAddr, count: u8) -> Result<Vec<Self>, String> {
+        let (_, free) = listen().map_err(|error| error.to_string())?;
+        let peers = |number: u8| SocketAddr::from(([127, 0, 1, number], free.port()));
+        let seeds = (1..=count.min(3)).map(|number| peers(number).to_string());
+        let seeds = seeds.collect::<Vec<_>>().join(",");
+        let routers = (1..=count)
+            .map(|number| Self::spawn(store, &format!("edge-z-a-{number}"), peers(number), &seeds));
+        let routers = routers.collect::<Result<Vec<_>, _>>()?;
+        for router in &routers {
+            router.wait_until_ready()?;
+        }
+        Ok(routers)
+    }
+
+    fn spawn(store: SocketAddr, name: &str, peers: SocketAddr, seeds: &str) -> Result<Self, String> {
         let text = |error: io::Error| error.to_string();
         let deploy = fs::read_to_string("deploy/system.toml").map_err(text)?;
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = "));
         let run = run.ok_or("no command in the deploy file")?.trim_matches('"').to_owned();
         let free = || listen().map(|(_, address)| address).map_err(text);
-        let (front, ready, metrics, peers) = (free()?, free()?, free()?, free()?);
+        let (front, ready, metrics) = (free()?, free()?, free()?);
         let values = [
             ("{{ip}}:9464", metrics.to_string()),
             ("{{ip}}:{{port_range.0}}", peers.to_string()),
-            ("{{node}}", "edge-z-a-1".to_owned()),
+            ("{{node}}", name.to_owned()),
             ("{{zone}}", "z-a".to_owned()),
             ("{{listen.front}}", front.to_string()),
             ("{{listen.ready}}", ready.to_string()),
             ("{{platform.addr}}", store.to_string()),
-            ("{{seeds}}", peers.to_string()),
+            ("{{seeds}}", seeds.to_owned()),
             ("{{bounds.drain_ms}}", "2000".to_owned()),
             ("{{bounds.grace_s}}", "8".to_owned()),
             ("{{bounds.revoke_ms}}", "5000".to_owned()),
@@ -444,15 +545,18 @@
             .stderr(Stdio::null())
             .spawn()
             .map_err(|error| format!("cannot start {run}: {error}"))?;
-        let router = Self { listen: front, ready, child, settings: path };
+        Ok(Self { listen: front, ready, child, settings: path })
+    }
+
+    fn wait_until_ready(&self) -> Result<(), String> {
         let started = Instant::now();
-        while !router.is_ready() {
+        while !self.is_ready() {
             if started.elapsed() > Duration::from_secs(20) {
                 return Err("the router did not become ready".to_owned());
             }
             thread::sleep(Duration::from_millis(50));
         }
-        Ok(router)
+        Ok(())
     }
 
     fn is_ready(&self) -> bool {
@@ -602,7 +706,7 @@
             }
             out.write_all(b"0\r\n\r\n")
         };
-        start_server(&store, "pool", id, work).map_err(text)?;
+        start_server(&store, ("pool", "v1"), id, work).map_err(text)?;
     }
     publish(&store, &[Route {
         path: "/suggest/",
@@ -727,7 +831,7 @@
             served.note(&format!("server {id} has answered {attempt}"));
             out.write_all(b"0\r\n\r\n")
         };
-        start_server(&store, "pool", id, work).map_err(text)?;
+        start_server(&store, ("pool", "v1"), id, work).map_err(text)?;
     }
     publish(&store, &[Route {
         path: "/suggest/",
@@ -798,7 +902,7 @@
             running.lock().unwrap().insert(attempt, true);
             Ok(())
         };
-        start_server(&store, "app", id, work).map_err(text)?;
+        start_server(&store, ("app", "v1"), id, work).map_err(text)?;
     }
     publish(&store, &[Route {
         path: "/order/",
@@ -913,3 +1017,170 @@
     record.note(&format!("client has {id}: {}", answer.status));
     Ok(())
 }
+
+// Case: a router that was frozen records the end of a version move whose order has been replaced.
+
+/// Share and slack of requests that a bad version may get.
+const EXPOSURE_SHARE: f64 = 0.1;
+const EXPOSURE_SLACK: f64 = 50.0;
+const FIRST_ORDER: Duration = Duration::from_secs(12);
+/// The operator gives the move more time, from this time after the first order.
+const SECOND_ORDER_AT: Duration = Duration::from_millis(9_300);
+const SECOND_ORDER: Duration = Duration::from_secs(30);
+/// A router stands still from this time after the first order.
+const FREEZE_AT: Duration = Duration::from_millis(9_000);
+const FREEZE: Duration = Duration::from_millis(3_500);
+/// The new version begins to fail at this time after the first order.
+const BAD_FROM: Duration = Duration::from_secs(18);
+/// One in so many answers of the bad version is a failure.
+const BAD_EVERY: u64 = 3;
+const FLEET: u8 = 6;
+const REQUEST_INTERVAL: Duration = Duration::from_millis(125);
+
+/// Requests that reached the servers: time, attempt id and version.
+type Arrivals = Arc<Mutex<Vec<(Duration, String, &'static str)>>>;
+
+fn stale_move(record: &Record, trouble: bool) -> Result<bool, String> {
+    let text = |error: io::Error| error.to_string();
+    let (store, store_address) = Store::start().map_err(text)?;
+    let arrivals = Arrivals::default();
+    let is_bad = Arc::new(AtomicBool::new(false));
+    let start = |id: &str, version: &'static str| {
+        let (served, arrivals, is_bad) = (record.clone(), Arc::clone(&arrivals), Arc::clone(&is_bad));
+        let (own, count) = (id.to_owned(), Arc::new(AtomicU64::new(0)));
+        let work = move |req: &Request, out: &mut TcpStream, own_headers: &str| {
+            let attempt = req.header("ebonyfall-attempt-id").to_owned();
+            arrivals.lock().unwrap().push((served.now(), attempt.clone(), version));
+            let number = count.fetch_add(1, Ordering::Relaxed);
+            let fails = version == "v2" && is_bad.load(Ordering::Relaxed) && number % BAD_EVERY == 0;
+            let status = if fails { 500 } else { 200 };
+            thread::sleep(Duration::from_millis(20));
+            served.note(&format!("server {own} ({version}) runs {attempt}: {status}"));
+            let answer = format!("HTTP/1.1 {status} X\r\n{own_headers}Content-Length: 4\r\n\r\ndone");
+            out.write_all(answer.as_bytes())
+        };
+        start_server(&store, ("app", version), id, work).map_err(text)
+    };
+    let old = ["o-1", "o-2", "o-3"].map(|id| start(id, "v1"));
+    let old: Vec<Server> = old.into_iter().collect::<Result<_, _>>()?;
+    publish(&store, &[Route {
+        path: "/status/",
+        kind: "safe",
+        service: "app",
+        timeout_ms: 2_000,
+        slo_ms: 300,
+        max_attempts: 2,
+        resumable: false,
+    }]);
+    let routers = Router::start_fleet(store_address, FLEET)?;
+    let (stop, sent) = (Arc::new(AtomicBool::new(false)), Arc::<Mutex<BTreeMap<String, usize>>>::default());
+    let clients: Vec<_> = (0..routers.len())
+        .map(|index| {
+            let (record, listen) = (record.clone(), routers[index].listen);
+            let (stop, sent) = (Arc::clone(&stop), Arc::clone(&sent));
+            thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let begun = Instant::now();
+                    status_client(&record, listen, index, &sent);
+                    thread::sleep(REQUEST_INTERVAL.saturating_sub(begun.elapsed()));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(4));
+    for id in ["n-1", "n-2", "n-3"] {
+        start(id, "v2")?;
+    }
+    let order = |length: Duration| {
+        let value = format!(
+            "{{\"service\":\"app\",\"target\":\"v2\",\"duration_s\":{}}}", length.as_secs()
+        );
+        store.put("keyed.op", "rollout/app", &value);
+        record.note(&format!("the operator orders the move to v2 within {} s", length.as_secs()));
+    };
+    order(FIRST_ORDER);
+    let ordered = Instant::now();
+    let sleep_until = |at: Duration| thread::sleep(at.saturating_sub(ordered.elapsed()));
+    sleep_until(FREEZE_AT);
+    if trouble {
+        record.note("router 1 stands still");
+        routers[0].signal("STOP")?;
+    }
+    sleep_until(SECOND_ORDER_AT);
+    let judged_from = record.now();
+    let seen = store.len("keyed.status");
+    order(SECOND_ORDER);
+    let operator = {
+        let (record, store, stop, old) = (record.clone(), store.clone(), Arc::clone(&stop), old.clone());
+        thread::spawn(move || follow_move(&record, &store, seen, &stop, &old))
+    };
+    sleep_until(FREEZE_AT + FREEZE);
+    if trouble {
+        record.note("router 1 goes on");
+        routers[0].signal("CONT")?;
+    }
+    sleep_until(BAD_FROM);
+    record.note("v2 begins to fail");
+    is_bad.store(true, Ordering::Relaxed);
+    sleep_until(SECOND_ORDER_AT + SECOND_ORDER);
+    let judged_until = record.now();
+    stop.store(true, Ordering::Relaxed);
+    for client in clients {
+        client.join().map_err(|_panic| "a client failed".to_owned())?;
+    }
+    operator.join().map_err(|_panic| "the operator failed".to_owned())?;
+    let sent = sent.lock().unwrap();
+    let mut reached = BTreeMap::new();
+    for (at, id, version) in arrivals.lock().unwrap().iter() {
+        // Requests of the router that stood still don't count: it wasn't in touch.
+        if *at >= judged_from && *at < judged_until && sent.get(id).is_some_and(|router| *router != 0) {
+            let exposed = reached.entry(id.clone()).or_insert(false);
+            *exposed |= *version == "v2";
+        }
+    }
+    let exposed = reached.values().filter(|exposed| **exposed).count() as f64;
+    let bound = EXPOSURE_SHARE * reached.len() as f64 + EXPOSURE_SLACK;
+    record.note(&format!(
+        "of {} requests that reached the service by routers in touch, {exposed} reached v2; the bound is {bound:.1}",
+        reached.len()
+    ));
+    if reached.len() < 100 {
+        return Err("too few requests reached the service to judge".to_owned());
+    }
+    Ok(exposed > bound)
+}
+
+/// Reads what the system records of the move, as the operator does, and stops the old servers when
+/// the move is complete.
+fn follow_move(record: &Record, store: &Store, mut seen: usize, stop: &AtomicBool, old: &[Server]) {
+    while !stop.load(Ordering::Relaxed) {
+        for (key, value) in store.since("keyed.status", seen) {
+            seen += 1;
+            let value = String::from_utf8_lossy(&value).into_owned();
+            record.note(&format!("the operator reads status/{key}: {value}"));
+            if value.contains("\"complete\"") && value.contains("\"v2\"") {
+                record.note("the operator stops the servers of v1");
+                for server in old {
+                    server.life.end(server.address);
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn status_client(record: &Record, listen: SocketAddr, router: usize, sent: &Mutex<BTreeMap<String, usize>>) {
+    let (id, head) = request_head("GET", "/status/7", 2_000, 0, "");
+    sent.lock().unwrap().insert(id.clone(), router);
+    let call = || -> io::Result<u16> {
+        let mut stream = TcpStream::connect(listen)?;
+        stream.set_read_timeout(Some(Duration::from_millis(2_100)))?;
+        stream.write_all(head.as_bytes())?;
+        let mut reader = BufReader::new(stream);
+        let answer = read_answer_head(&mut reader)?;
+        read_whole_body(&mut reader, &answer)?;
+        Ok(answer.status)
+    };
+    let result = call().map_or_else(|error| format!("no answer, {error}"), |status| status.to_string());
+    record.note(&format!("client of router {} sends {id} and has: {result}", router + 1));
+}
