End streams at their deadline whatever their target sends

Cause: StreamRelay computed the wait for each frame anew, from the time left to the deadline but never less than the grace of 60 ms, so that a frame within the grace renewed it for ever.

The new test failed on the unchanged code ("/draft/7, bytes: no end") and passes now; its counterpart behind an agent and all plain answers passed before, too, since their waits end at a point in time.

Why this fix works: the time spent waiting for targets is added up. After the deadline it is 60 ms in all, and 256 KiB are read at most, so that neither a drip nor a flood moves the end. Time that the caller takes does not count, so a slow caller still gets what was sent in time. A property test plays arbitrary arrivals. The log line `stalled` tells what came after the deadline.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -64,4 +64,5 @@
 pub mod timing;
 pub mod trace;
 mod visit;
+pub mod wait;
 pub mod zone;
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -15,6 +15,7 @@
     selector::{Choice, SelectionRefusal},
     time::Time,
     timing::Timing,
+    wait::{ANSWER_GRACE, MAX_EVENT_GAP},
 };
 use ebonyfall_platform::{
     answer,
@@ -41,15 +42,9 @@
 /// Percentage of the latency objective after which an idempotent request is retried at another
 /// target if the first one has not answered.
 const RETRY_PERCENT: u32 = 60;
-/// Maximum time until the headers of a stream, and between two parts of it, while another attempt
-/// is left. After a longer gap the stream is resumed at another target.
-pub(crate) const MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
 /// Longest wait for the body of an error answer that is not passed on; it is read only so that the
 /// connection can be used again.
 const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time added to the deadline given to a target while waiting for its answer, so that an error
-/// answer that the target sends at the deadline still arrives.
-pub(crate) const ANSWER_GRACE: Duration = Duration::from_millis(60);
 /// Delay after which a caller may retry a refused request.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -10,21 +10,19 @@
     outcome::End,
     selector::SelectionRefusal,
     timing::{Arrivals, Timing},
+    wait::StreamWait,
 };
 use futures_util::stream::{self, StreamExt};
 use gotham::helpers::http::Body;
 use http::header::CONTENT_LENGTH;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
-use slog::warn;
-use tokio::time::timeout;
+use hyper::body::{Frame, Incoming};
+use slog::{info, warn};
+use tokio::time::{error::Elapsed, timeout};
 
 use crate::{
-    carry::{
-        ANSWER_GRACE, CallerAnswer, Forwarder, MAX_EVENT_GAP, OpenAnswer, StreamHead, TargetReply,
-        mark_idle,
-    },
-    clock::BootClock,
+    carry::{CallerAnswer, Forwarder, OpenAnswer, StreamHead, TargetReply, mark_idle},
+    clock::{self, BootClock},
 };
 
 /// Stream that is being relayed to the caller.
@@ -38,9 +36,7 @@
     arrivals: Arrivals,
     /// Whether an event has arrived, from any target.
     has_events: bool,
-    /// Time spent waiting for the target since its last event. The time that the caller takes to
-    /// read does not count, and bytes without an event do not end the wait.
-    waited: Duration,
+    wait: StreamWait,
 }
 
 /// Stream that broke off before its first part, so that the caller has got nothing.
@@ -62,13 +58,13 @@
         open: OpenAnswer,
     ) -> Result<CallerAnswer, Box<Unstarted>> {
         let mut relay = Self {
+            wait: StreamWait::new(forwarder.attempts.deadline()),
             forwarder,
             head: open.head(),
             open: Some(open),
             events: EventSplitter::default(),
             arrivals: Arrivals::default(),
             has_events: false,
-            waited: Duration::ZERO,
         };
         let first = match relay.part().await {
             Ok(first) => first,
@@ -117,13 +113,13 @@
     /// target is closed then, which ends the work there before another target resumes the stream.
     async fn part(&mut self) -> Result<Option<Bytes>, (TargetName, Failure)> {
         loop {
-            let limit = self.wait_limit();
+            let may_resume = self.forwarder.attempts.has_attempts_left();
             let Some(open) = &mut self.open else {
                 return Ok(None);
             };
-            let wait_start = BootClock.now();
-            let frame = timeout(limit, open.body.frame()).await;
-            self.waited += BootClock.now().since(wait_start);
+            let start = BootClock.now();
+            let frame = receive(&mut open.body, self.wait.limit(may_resume, start)).await;
+            self.wait.record(frame_len(&frame), start, BootClock.now());
             let failure = match frame {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
@@ -150,6 +146,9 @@
                 return Ok(None);
             };
             let target = open.reservation.choice.target.name.clone();
+            if failure == Failure::TimedOut {
+                self.log_stall(&target);
+            }
             open.reservation.finish(End::Failed(failure), None);
             drop(open.connection);
             self.events.drop_partial();
@@ -165,17 +164,6 @@
         has_length || (self.has_events && !self.events.is_inside_event())
     }
 
-    /// Time to wait for more bytes.
-    fn wait_limit(&self) -> Duration {
-        let attempts = &self.forwarder.attempts;
-        let time_left = attempts.deadline().since(BootClock.now()) + ANSWER_GRACE;
-        if attempts.has_attempts_left() {
-            time_left.min(MAX_EVENT_GAP.saturating_sub(self.waited))
-        } else {
-            time_left
-        }
-    }
-
     /// Ends a complete stream, and returns the bytes after its last event boundary if there are
     /// any.
     fn finish(&mut self) -> Option<Bytes> {
@@ -191,13 +179,21 @@
 
     fn record_event(&mut self) {
         self.has_events = true;
-        self.waited = Duration::ZERO;
+        self.wait.restart_gap();
         if let Some(gap) = self.arrivals.record(BootClock.now()) {
             let metrics = &self.forwarder.shared.metrics;
             metrics.entry.observe_stream_gap(gap);
         }
     }
 
+    fn log_stall(&self, target: &TargetName) {
+        let (late, late_bytes) = self.wait.late();
+        info!(self.forwarder.shared.log, "no event in time; closing the stream from the target";
+            "event" => "stalled", "request" => self.forwarder.attempt_id(), "target" => %target,
+            "gap_ms" => clock::millis(self.wait.gap()), "late_ms" => clock::millis(late),
+            "late_bytes" => late_bytes);
+    }
+
     /// Counts a stream that exceeds a limit; returns how the attempt failed.
     fn count_fault(&self, fault: StreamFault) -> Failure {
         let limit = match fault {
@@ -224,7 +220,7 @@
         loop {
             self.forwarder.prepare_retry(&target, failure)?;
             self.arrivals = Arrivals::default();
-            self.waited = Duration::ZERO;
+            self.wait.restart_gap();
             let last = self.events.last_id().map(str::to_owned);
             let TargetReply::Answer(open) = self.forwarder.send_to_targets(last.as_deref()).await?
             else {
@@ -238,3 +234,20 @@
         }
     }
 }
+
+type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+/// Reads the next frame of a body. Without any time left, not even one that is ready is read.
+async fn receive(body: &mut Incoming, limit: Duration) -> Result<BodyFrame, Elapsed> {
+    if limit.is_zero() {
+        return timeout(limit, std::future::pending()).await;
+    }
+    timeout(limit, body.frame()).await
+}
+
+fn frame_len(frame: &Result<BodyFrame, Elapsed>) -> usize {
+    let Ok(Some(Ok(frame))) = frame else {
+        return 0;
+    };
+    frame.data_ref().map_or(0, Bytes::len)
+}
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -168,6 +168,8 @@
     pub engines: Vec<(SocketAddr, Host)>,
     /// Handles to the services and their servers.
     pub services: Vec<(Service, Host)>,
+    /// Addresses of the engines followed by those of the services, in the order of `agents`.
+    pub backends: Vec<SocketAddr>,
     /// Agents, in the order of `engines` followed by `services`.
     pub agents: Vec<Daemon>,
     /// Routers, in the order of their names.
@@ -291,6 +293,7 @@
                 64,
             ));
         }
+        let backends = agents.iter().map(|agent| agent.1).collect();
         let mut daemons = Vec::new();
         for (name, backend, zone, software, slots, cold_slots) in agents {
             let addresses = [free_address(), free_address()];
@@ -325,6 +328,7 @@
             platform_url,
             engines,
             services,
+            backends,
             agents: daemons,
             routers,
             document,
--- a/standin/src/hostile.rs
+++ b/standin/src/hostile.rs
@@ -46,7 +46,18 @@
     ///
     /// Panics when no port is free.
     pub async fn start() -> (Self, SocketAddr) {
-        let listener = TcpListener::bind(LOOPBACK).await.expect("a port is free");
+        Self::start_at(LOOPBACK).await
+    }
+
+    /// Like [`Self::start`], on a given address; port 0 stands for a free port.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the address cannot be bound.
+    pub async fn start_at(address: SocketAddr) -> (Self, SocketAddr) {
+        let listener = TcpListener::bind(address)
+            .await
+            .expect("the address is free");
         let address = listener.local_addr().expect("the socket has an address");
         let (script, script_rx) = watch::channel(Arc::<[Step]>::default());
         let (executed_tx, executed) = watch::channel(Vec::new());
@@ -113,7 +124,9 @@
         match step {
             Step::Execute | Step::Ignore => {
                 let req = read_request(&mut self.stream, &mut self.buf).await?;
-                let id = req.headers.get("ebonyfall-attempt-id");
+                let headers = &req.headers;
+                let id = headers.get("ebonyfall-attempt-id");
+                let id = id.or_else(|| headers.get("x-attempt-id"));
                 let id = id.cloned().unwrap_or_default();
                 if *step == Step::Execute {
                     self.executed.send_modify(|all| all.push(id.clone()));
--- a/tests/hostile/main.rs
+++ b/tests/hostile/main.rs
@@ -1,4 +1,8 @@
-//! Tests of an entry router against targets that send bytes which are no answer, or the wrong ones.
+//! Tests of routers and agents against targets that send bytes which are no answer, or the wrong ones.
 
+mod deadlines;
+mod env;
 mod named;
 mod seeded;
+#[path = "../testenv/mod.rs"]
+mod testenv;
--- a/tests/hostile/named.rs
+++ b/tests/hostile/named.rs
@@ -1,74 +1,15 @@
 //! Named faults of targets, each with what the caller must get.
 
-use std::{path::Path, time::Duration};
+use std::time::Duration;
 
-use ebonyfall_standin::{
-    entrance::{EntryDeployment, Reply},
-    hostile::{HostileTarget, Step},
-    registered::AnswerMode,
-};
+use ebonyfall_standin::{hostile::Step, registered::AnswerMode};
 use http::StatusCode;
-use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 
-/// Path of an idempotent route.
-const SAFE: &str = "/status/7";
-/// Path of a route whose requests must not run twice.
-const UNSAFE: &str = "/order/7";
-/// Path of a route with a stream that may be resumed at another target.
-const RESUMABLE: &str = "/suggest/7";
-/// Path of a route with a stream that must not be resumed.
-const STREAM: &str = "/draft/7";
-/// Time limit of every request of the deployment.
-const DEADLINE: Duration = Duration::from_secs(2);
-/// Time after the deadline within which the caller must have an answer.
-const SLACK: Duration = Duration::from_millis(500);
-/// Memory of the smallest entry VM, in bytes.
-const VM_MEMORY: u64 = 160 << 20;
-/// Requests at once in the tests of memory.
-const CONCURRENT: usize = 64;
-
-/// A router in front of one hostile target, and of a sound one if there are two.
-struct Env {
-    deployment: EntryDeployment,
-    hostile: HostileTarget,
-    _folder: TempDir,
-}
-
-impl Env {
-    async fn start(sound_targets: usize) -> Self {
-        let folder = tempfile::tempdir().expect("the system has a folder for temporary files");
-        let program = Path::new(env!("CARGO_BIN_EXE_ebonyfall-entry"));
-        let deployment = EntryDeployment::start(program, folder.path(), 1, sound_targets).await;
-        let (hostile, address) = HostileTarget::start().await;
-        deployment.register_address("hostile", address).await;
-        // The router reads the entries of targets about once a second.
-        sleep(Duration::from_millis(1_500)).await;
-        Self {
-            deployment,
-            hostile,
-            _folder: folder,
-        }
-    }
-
-    async fn call(&self, id: &str, method: &str, path: &str) -> Reply {
-        let listen = self.deployment.routers[0].listen;
-        let reply = EntryDeployment::call(listen, id, (method, path, "body"), &[]).await;
-        reply.expect("the router answers")
-    }
-}
-
-fn send(text: &str) -> Step {
-    Step::Send(text.to_owned())
-}
-
-fn sealed(status: &str, headers: &str, body: &str) -> String {
-    format!(
-        "HTTP/1.1 {status}\r\nEbonyfall-Attempt-Id: {{id}}\r\nEbonyfall-Server-Seal: s\r\n\
-         {headers}Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
+use crate::env::{
+    CONCURRENT, DEADLINE, Env, RESUMABLE, SAFE, SLACK, STREAM, UNSAFE, VM_MEMORY, sealed, send,
+    stream_head,
+};
 
 /// A refusal of the attempt that `id` stands for; without the header if it is empty.
 fn refusal(id: &str, status: &str) -> String {
@@ -80,12 +21,6 @@
     format!("HTTP/1.1 {status}\r\n{id}Ebonyfall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
-fn stream_head() -> String {
-    "HTTP/1.1 200 OK\r\nEbonyfall-Attempt-Id: {id}\r\nEbonyfall-Server-Seal: s\r\n\
-     Content-Type: text/event-stream\r\n\r\n"
-        .to_owned()
-}
-
 /// Guards against a request that runs being reported as not run, because the target writes the
 /// refusal of an earlier request once more on the kept connection, or one that names no request.
 #[tokio::test(flavor = "multi_thread")]
