Cut off interim answers without end at agents

Cause: entry routers limit the bytes until the head of an answer (upstream.rs); agents used another client of the library, which has no such limit.

Why this fix works: the agent uses the same connection type as entry routers, for callers' requests and for its own status, model and load calls. Each call has a connection of its own, as callers' requests had before; control calls kept theirs.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -183,7 +183,7 @@
     let admission =
         AdmissionHandle::start(cfg.target.clone(), capacity, load_bound, quarantine, clock);
     admission_tx.send_replace(Some(admission.clone()));
-    let backend = Backend::new(cfg.backend);
+    let backend = Backend::new(&cfg.backend);
     let loaded = ModelLoader {
         target: cfg.target.clone(),
         agent: incarnation,
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -36,7 +36,7 @@
     receive::{AnswerBuffers, BufferedBody, MAX_ANSWER_BYTES, MAX_ERROR_BYTES, ReceiveFault},
     selection::{Reservation, SelectionRequest, SelectorHandle},
     streaming::StreamRelay,
-    upstream::TargetConnection,
+    upstream::{ReadBuffer, TargetConnection},
 };
 
 /// Percentage of the latency objective after which an idempotent request is retried at another
@@ -388,9 +388,13 @@
     ) -> Result<TargetConnection, Failure> {
         match connection {
             Some(connection) => Ok(connection),
-            None => TargetConnection::connect(reservation.choice.target.address, BootClock.now())
-                .await
-                .map_err(|_unreachable| Failure::NotSent),
+            None => TargetConnection::connect(
+                reservation.choice.target.address,
+                ReadBuffer::Adaptive,
+                BootClock.now(),
+            )
+            .await
+            .map_err(|_unreachable| Failure::NotSent),
         }
     }
 
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -5,28 +5,37 @@
 use bytes::Bytes;
 use ebonyfall_core::{
     code::Code,
+    direct::Failure,
     doc::Priority,
     id::{AttemptId, Incarnation, Offset},
     order::{Event, ModelStatus, ModelVersion},
 };
 use ebonyfall_wire::frame::{Call, Head};
-use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http::{
+    Method, Request, Response, StatusCode, Uri,
+    header::{CONTENT_TYPE, HOST},
+    request,
+    uri::Authority,
+};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
-};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
+use crate::{
+    clock::BootClock,
+    upstream::{ReadBuffer, TargetConnection},
+};
+
 /// Timeout of a status request to the engine.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a model status request or load order; the engine answers before it has loaded.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause before the next order if the weight store limits the engine's rate.
 const RATE_LIMIT_PAUSE: Duration = Duration::from_secs(1);
-/// Read buffer of a connection; with the library's default, buffers grow with each open stream.
+/// Port of a back end whose URL names none.
+const HTTP_PORT: u16 = 80;
+/// Read buffer of a connection, and so the largest head of an answer.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 /// Largest accepted body of a control answer.
 const MAX_CONTROL_ANSWER_BYTES: usize = 64 << 10;
@@ -73,36 +82,62 @@
 }
 
 /// Client of the back end on the agent's VM, which is an engine or a plain service.
+///
+/// Each call has a connection of its own. Answers of a back end need not name their request: on a
+/// connection that is used again, a second copy of an earlier answer would be taken for the answer to
+/// the next request, and after one that the back end has just closed it would be unknown whether the
+/// call was run.
 #[derive(Debug, Clone)]
 pub struct Backend {
-    base: String,
-    /// Client of control calls, which keeps connections.
-    control: Client<HttpConnector, Full<Bytes>>,
-    /// Client of callers' requests, with a connection for each.
-    requests: Client<HttpConnector, Full<Bytes>>,
+    /// Host and port, as the `host` header states them.
+    authority: String,
+    /// Host and port to connect to.
+    address: String,
+    /// Path of the base URL, without a trailing slash.
+    base_path: String,
+}
+
+/// An answer whose body has not been read. Dropping it closes the connection, which cancels the call.
+#[derive(Debug)]
+pub struct BackendAnswer {
+    /// Status and content type, which are passed to the caller.
+    pub head: Head,
+    /// The body.
+    pub body: Incoming,
+    _connection: TargetConnection,
 }
 
 impl Backend {
     /// Creates a client of the back end with the base URL `base`.
-    pub fn new(base: impl Into<String>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        let mut builder = Client::builder(TokioExecutor::new());
-        // The library must not resend requests, since some may run at most once.
-        builder.retry_canceled_requests(false);
-        builder.http1_read_buf_exact_size(READ_BUFFER_BYTES);
-        let control = builder.build(connector.clone());
-        // Answers of a back end need not name their request. On a connection that is used again, a
-        // second copy of an earlier answer would be taken for the answer to the next request; and
-        // after one that the back end has just closed, it would be unknown whether the call was run.
-        builder.pool_max_idle_per_host(0);
+    pub fn new(base: &Uri) -> Self {
+        let host = base.host().unwrap_or_default();
         Self {
-            base: base.into(),
-            control,
-            requests: builder.build(connector),
+            authority: base.authority().map_or("", Authority::as_str).to_owned(),
+            address: format!("{host}:{}", base.port_u16().unwrap_or(HTTP_PORT)),
+            base_path: base.path().trim_end_matches('/').to_owned(),
         }
     }
 
+    fn request(&self, method: &str, path: &str) -> request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base_path))
+            .header(HOST, &self.authority)
+    }
+
+    /// Sends a request on a new connection, and returns when the head of the answer has arrived.
+    async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, TargetConnection), Failure> {
+        let now = BootClock.now();
+        let buffer = ReadBuffer::Exact(READ_BUFFER_BYTES);
+        let connecting = TargetConnection::connect(&*self.address, buffer, now);
+        let mut connection = connecting.await.map_err(|_unreachable| Failure::NotSent)?;
+        let res = connection.send(req).await?;
+        Ok((res, connection))
+    }
+
     /// Requests the engine's status.
     pub async fn status(&self) -> EngineStatus {
         let answer = self.control_call(Method::GET, "/status", Bytes::new(), STATUS_TIMEOUT);
@@ -157,14 +192,14 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), EngineStatus> {
-        let req = Request::builder()
-            .method(method)
-            .uri(format!("{}{path}", self.base))
+        let req = self
+            .request(method.as_str(), path)
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|_error| EngineStatus::Unknown)?;
         let answer = async {
-            let res = self.control.request(req).await?;
+            let sent = self.send(req).await;
+            let (res, _connection) = sent.map_err(Failure::name)?;
             let status = res.status();
             let body = Limited::new(res.into_body(), MAX_CONTROL_ANSWER_BYTES)
                 .collect()
@@ -188,33 +223,33 @@
         priority: Priority,
         is_engine: bool,
         call: Call,
-    ) -> Result<Response<Incoming>, Code> {
-        let req = Request::builder()
-            .method(call.method.as_str())
-            .uri(format!("{}{}", self.base, call.path))
+    ) -> Result<BackendAnswer, Code> {
+        let req = self
+            .request(&call.method, &call.path)
             .header("x-attempt-id", attempt.to_string())
             .header("x-priority", priority.to_string())
             .header(CONTENT_TYPE, call.content_type)
             .body(Full::new(call.body))
             .map_err(|_error| Code::BadRequest)?;
-        let res = self.requests.request(req).await.map_err(|error| {
-            if error.is_connect() {
-                Code::EngineUnreachable
-            } else {
-                Code::EngineFailed
-            }
+        let (res, connection) = self.send(req).await.map_err(|failure| match failure {
+            Failure::NotSent => Code::EngineUnreachable,
+            _ => Code::EngineFailed,
         })?;
         // An engine answers 503 only before it adds a request to a batch, so the request has not
         // run. A plain service may answer 503 at any time; its answer is passed to the caller.
         if is_engine && res.status() == StatusCode::SERVICE_UNAVAILABLE {
             return Err(Code::EngineRefused);
         }
-        Ok(res)
+        let head = answer_head(&res);
+        Ok(BackendAnswer {
+            head,
+            body: res.into_body(),
+            _connection: connection,
+        })
     }
 }
 
-/// Returns the status and content type of an answer, which are passed to the caller.
-pub fn answer_head(res: &Response<Incoming>) -> Head {
+fn answer_head(res: &Response<Incoming>) -> Head {
     let kind = res
         .headers()
         .get(CONTENT_TYPE)
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -22,7 +22,11 @@
     oneshot, watch,
 };
 
-use crate::{clock::BootClock, trace, upstream::TargetConnection};
+use crate::{
+    clock::BootClock,
+    trace,
+    upstream::{ReadBuffer, TargetConnection},
+};
 
 mod update;
 
@@ -442,13 +446,14 @@
         };
         let now = self.clock.now();
         tokio::spawn(async move {
-            let (probe, connection) = match TargetConnection::connect(target.address, now).await {
-                Ok(connection) => (Probe::Accepted, Some(connection)),
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                    (Probe::Refused, None)
-                }
-                Err(_timeout_or_cut) => (Probe::Unknown, None),
-            };
+            let (probe, connection) =
+                match TargetConnection::connect(target.address, ReadBuffer::Adaptive, now).await {
+                    Ok(connection) => (Probe::Accepted, Some(connection)),
+                    Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                        (Probe::Refused, None)
+                    }
+                    Err(_timeout_or_cut) => (Probe::Unknown, None),
+                };
             let command = Command::Probed(Box::new(target), probe, connection);
             let _ended = queue.send(command).await;
         });
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -5,14 +5,12 @@
 
 use ebonyfall_core::code::Code;
 use ebonyfall_wire::frame::{MAX_PART_BYTES, Submit};
-use http::{Response, header::CONTENT_TYPE};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::{self, Instant, timeout_at};
 
 use crate::{
     agent::Agent,
-    engine::{self, EngineStatus},
+    engine::{BackendAnswer, EngineStatus},
     session::Session,
 };
 
@@ -50,38 +48,32 @@
             }
         };
         drop(call);
-        let res = match res {
-            Ok(Ok(res)) => res,
+        let answer = match res {
+            Ok(Ok(answer)) => answer,
             Ok(Err(Code::EngineFailed)) => return Some(Err(self.failure_code(engine).await)),
             Ok(Err(code)) => return Some(Err(code)),
             Err(_) => return Some(Err(Code::EngineTimeout)),
         };
-        session.queue_head(engine::answer_head(&res)).await;
-        self.relay_body(session, res, engine, claimed, deadline)
+        session.queue_head(answer.head.clone()).await;
+        self.relay_body(session, answer, engine, claimed, deadline)
             .await
     }
 
     async fn relay_body(
         &self,
         session: &mut Session,
-        res: Response<Incoming>,
+        mut answer: BackendAnswer,
         engine: bool,
         claimed: bool,
         deadline: Instant,
     ) -> Option<Result<u64, Code>> {
-        let content_type = res
-            .headers()
-            .get(CONTENT_TYPE)
-            .map(|value| value.as_bytes().to_vec());
-        let event_stream =
-            content_type.is_some_and(|value| value.starts_with(b"text/event-stream"));
-        let mut body = res.into_body();
+        let event_stream = answer.head.content_type.starts_with("text/event-stream");
         let mut tail = Vec::new();
         loop {
             // While the router is disconnected the body is not read, so backpressure slows the back
             // end and the replay buffer stays within its limit.
             let frame = tokio::select! {
-                frame = timeout_at(deadline, body.frame()),
+                frame = timeout_at(deadline, answer.body.frame()),
                     if claimed || session.is_connected() => frame,
                 signal = session.next_signal(), if !claimed => {
                     if session.on_signal(signal).await {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,7 @@
     name::{OperatorName, ProcessName, TargetName, ZoneName},
 };
 use ebonyfall_wire::auth::{Key, Keys};
+use http::Uri;
 use snafu::{ResultExt, Snafu};
 
 use crate::logs::{Format, Levels};
@@ -89,7 +90,7 @@
     /// Target whose admission the agent controls.
     pub target: TargetName,
     /// Base URL of the engine or service that handles the requests.
-    pub backend: String,
+    pub backend: Uri,
 }
 
 /// Settings of a router on an entry VM whose targets register themselves.
@@ -225,7 +226,7 @@
         let common = parse_common(f);
         let listen = f.required("listen", ADDRESS, parse);
         let target = f.required("target", "a target's name", parse);
-        let backend = f.required("backend", URL, parse_url);
+        let backend = f.required("backend", URL, parse_uri);
         Some(AgentConfig {
             common: common?,
             listen: listen?,
@@ -352,10 +353,13 @@
     text.parse().ok()
 }
 
+fn parse_uri(text: &str) -> Option<Uri> {
+    let uri: Uri = text.parse().ok()?;
+    (uri.scheme_str() == Some("http") && uri.authority().is_some()).then_some(uri)
+}
+
 fn parse_url(text: &str) -> Option<String> {
-    let uri: http::Uri = text.parse().ok()?;
-    (uri.scheme_str() == Some("http") && uri.authority().is_some())
-        .then(|| text.trim_end_matches('/').to_owned())
+    parse_uri(text).map(|_valid| text.trim_end_matches('/').to_owned())
 }
 
 fn parse_key(text: &str) -> Option<Key> {
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -1,8 +1,7 @@
-//! HTTP connections from an entry router to targets.
+//! HTTP connections to targets, from an entry router or from the agent beside the target.
 
 use std::{
     io,
-    net::SocketAddr,
     pin::Pin,
     sync::{
         Arc,
@@ -24,7 +23,7 @@
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    net::{TcpStream, ToSocketAddrs},
     task::AbortHandle,
     time::timeout,
 };
@@ -48,6 +47,16 @@
 /// Most header fields of an answer.
 const MAX_HEADERS: usize = 100;
 
+/// Read buffer of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadBuffer {
+    /// Grows with the answer, up to the limit on its head.
+    Adaptive,
+    /// Has this many bytes, which are also the limit on the head. Buffers that grow take a large part
+    /// of the memory of many open streams.
+    Exact(usize),
+}
+
 /// Bytes that a connection may still receive; `usize::MAX` means no limit. The connection's task
 /// counts them, the request that uses the connection sets them.
 #[derive(Debug, Clone)]
@@ -150,7 +159,11 @@
     /// # Errors
     ///
     /// Fails when the connection is refused or takes longer than `CONNECT_TIMEOUT`.
-    pub async fn connect(address: SocketAddr, now: Time) -> io::Result<Self> {
+    pub async fn connect(
+        address: impl ToSocketAddrs,
+        buffer: ReadBuffer,
+        now: Time,
+    ) -> io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_late| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -161,8 +174,12 @@
             stream,
             budget: budget.clone(),
         };
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
+        let mut builder = http1::Builder::new();
+        match buffer {
+            ReadBuffer::Adaptive => builder.max_buf_size(MAX_HEAD_BYTES),
+            ReadBuffer::Exact(bytes) => builder.read_buf_exact_size(Some(bytes)),
+        };
+        let (sender, connection) = builder
             .max_headers(MAX_HEADERS)
             .handshake(TokioIo::new(limited))
             .await
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -100,6 +100,12 @@
         self.child.id()
     }
 
+    /// Returns the largest amount of memory that the process has held, in bytes. `None` if it has
+    /// ended.
+    pub fn peak_memory(&self) -> Option<u64> {
+        process_memory(self.id())
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _dead = self.child.kill();
@@ -137,6 +143,16 @@
     }
 }
 
+/// Returns the largest amount of memory that a process has held, in bytes. `None` if it has ended.
+pub(crate) fn process_memory(id: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let peak = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let kib: u64 = peak.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kib << 10)
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.kill();
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     deploy::free_address,
+    deploy::process_memory,
     keyed::KeyedStore,
     memory::PromptCaches,
     proxy::Proxy,
@@ -278,12 +279,7 @@
     /// it has ended.
     pub fn peak_memory(&self, router: usize) -> Option<u64> {
         let process = self.routers[router].process.as_ref()?;
-        let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).ok()?;
-        let peak = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))?;
-        let kib: u64 = peak.trim().strip_suffix("kB")?.trim().parse().ok()?;
-        Some(kib << 10)
+        process_memory(process.id())
     }
 
     /// Sends a request on a new connection to `address`. Returns `None` when the connection fails
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -55,7 +55,11 @@
 /// is passed to the next caller.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_copy_of_an_answer_reaches_no_other_request() {
-    let backend = Backend::new(format!("http://{}", start().await));
+    let backend = Backend::new(
+        &format!("http://{}", start().await)
+            .parse()
+            .expect("it is a URL"),
+    );
     for number in 0..REQUESTS {
         let path = format!("/chat/{number:04}");
         let call = Call {
@@ -68,8 +72,9 @@
             request: RequestId::from(u128::from(number)),
             number: 0,
         };
-        let res = backend.call(attempt, Priority::Desk, true, call).await;
-        let body = res.expect("the engine answers").into_body().collect().await;
+        let answer = backend.call(attempt, Priority::Desk, true, call).await;
+        let answer = answer.expect("the engine answers");
+        let body = answer.body.collect().await;
         let body = body.expect("the answer is complete").to_bytes();
         assert_eq!(body, path.as_bytes());
     }
--- a/tests/hostile/env.rs
+++ b/tests/hostile/env.rs
@@ -82,9 +82,22 @@
     }
 
     pub(crate) async fn call(&self, id: &str, method: &str, path: &str) -> Option<Reply> {
+        self.call_with(id, method, path, &[]).await
+    }
+
+    pub(crate) async fn call_with(
+        &self,
+        id: &str,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<Reply> {
         let listen = self.env.deployment.routers[0].listen;
         let key = format!("Bearer {TEAM_KEY}");
-        let headers = [("authorization", key.as_str()), ("x-deadline-ms", "2000")];
+        let own = [("authorization", key.as_str()), ("x-deadline-ms", "2000")];
+        let is_own = |name| !headers.iter().any(|(given, _)| *given == name);
+        let own = own.iter().filter(|(name, _)| is_own(*name));
+        let headers: Vec<_> = own.chain(headers).copied().collect();
         EntryDeployment::call(listen, id, (method, path, "body"), &headers).await
     }
 }
--- a/tests/hostile/main.rs
+++ b/tests/hostile/main.rs
@@ -2,6 +2,7 @@
 
 mod deadlines;
 mod env;
+mod memory;
 mod named;
 mod seeded;
 #[path = "../testenv/mod.rs"]
