Limit all answers to keyed requests that a router holds

What callers saw: a router whose back end answered keyed requests with bytes without end grew until the system ended it, and with it the requests of all other callers.

Cause: a router receives the answer to a request with an idempotency key completely, up to 8 MiB each. Nothing limited the sum.

Why this fix works: both paths take the memory for answers from the same type, which refuses a part that does not fit. The share is returned when the last copy of the answer's bytes is dropped, which also replaces the body type that held it until the frame was taken. Answers in the cache are copies, since the cache has a limit of its own.

--- a/src/carry.rs
+++ b/src/carry.rs
@@ -33,10 +33,11 @@
     follow::StoreState,
     logs,
     metrics::Metrics,
-    receive::{AnswerBuffers, BufferedBody, MAX_ANSWER_BYTES, MAX_ERROR_BYTES, ReceiveFault},
+    receive::{AnswerBuffers, MAX_ANSWER_BYTES, MAX_ERROR_BYTES, ReceiveFault},
     selection::{Reservation, SelectionRequest, SelectorHandle},
     streaming::StreamRelay,
     upstream::{ReadBuffer, TargetConnection},
+    web,
 };
 
 /// Percentage of the latency objective after which an idempotent request is retried at another
@@ -166,7 +167,7 @@
     choice: Choice,
     status: StatusCode,
     headers: HeaderMap,
-    body: BufferedBody,
+    body: Bytes,
 }
 
 /// Result of sending the request to targets until one of them replies.
@@ -179,10 +180,8 @@
 impl Forwarding {
     /// Counts an answer that was not read to its end; returns how the attempt failed.
     fn count_receive_fault(&self, fault: ReceiveFault) -> Failure {
-        let limit = match fault {
-            ReceiveFault::Broken => return Failure::Broken,
-            ReceiveFault::TooLong => "body",
-            ReceiveFault::BuffersFull => "buffers",
+        let Some(limit) = fault.limit() else {
+            return Failure::Broken;
         };
         self.metrics.entry.count_limit_exceeded(limit);
         Failure::Oversized
@@ -234,7 +233,7 @@
             choice: complete.choice,
             status: complete.status,
             headers: complete.headers,
-            body: complete.body.into(),
+            body: web::full_body(complete.body),
         }
     }
 
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::VecDeque, mem, net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use ebonyfall_core::{
     claim::{self, AppendLimiter, ClaimEntry, ClaimId, Writer},
     code::Code,
@@ -140,8 +141,11 @@
 
     /// Stores a complete answer for later copies of the request. Answers with a body above
     /// [`MAX_STORED_ANSWER_BYTES`] are not stored.
-    pub async fn store_answer(&self, claim: ClaimId, answer: StoredAnswer) {
+    pub async fn store_answer(&self, claim: ClaimId, mut answer: StoredAnswer) {
         if answer.body.len() <= MAX_STORED_ANSWER_BYTES {
+            // The cache has a limit of its own, so that the copy takes no share of the memory for
+            // answers in progress.
+            answer.body = Bytes::copy_from_slice(&answer.body);
             let _ended = self.tx.send(Command::StoreAnswer { claim, answer }).await;
         }
     }
--- a/src/once.rs
+++ b/src/once.rs
@@ -3,7 +3,7 @@
 
 use std::{io, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use ebonyfall_core::{
     answer::AnswerAssembly,
     claim::ClaimRef,
@@ -13,7 +13,7 @@
     owner::{Action, Event, KeyedRequest, Owner, Reply},
 };
 use ebonyfall_wire::frame::{Head, Submit, ToAgent, ToRouter};
-use slog::debug;
+use slog::{debug, warn};
 use tokio::{
     sync::mpsc,
     time::{Instant, timeout, timeout_at},
@@ -24,6 +24,7 @@
     cache::{KeyedCall, StoredAnswer},
     link::Link,
     picker::Choice,
+    receive::ReceiveFault,
     relay::{Answer, Relay, RelayFailure, RelayJob},
 };
 
@@ -223,7 +224,7 @@
     ) -> Result<StoredAnswer, Event> {
         let mut assembly = AnswerAssembly::new(expected);
         let mut head = None;
-        let mut body = BytesMut::new();
+        let mut body = self.relay.buffers.start(MAX_ANSWER_BYTES);
         loop {
             let message = link.receive().await.map_err(|_lost| Event::LinkLost)?;
             match message {
@@ -240,10 +241,8 @@
                     let skip = assembly.accept_part(attempt, offset, len);
                     let skip = skip.map_err(|_mismatch| self.record_mismatch())?;
                     let skip = usize::try_from(skip).unwrap_or(data.len());
-                    body.extend_from_slice(&data[skip..]);
-                    if body.len() > MAX_ANSWER_BYTES {
-                        return Err(Event::Refused(Code::StreamCut));
-                    }
+                    body.push(&data[skip..])
+                        .map_err(|fault| self.record_fault(fault))?;
                 }
                 ToRouter::Done {
                     attempt,
@@ -256,7 +255,7 @@
                         .picker
                         .record_load(choice.target.clone(), load)
                         .await;
-                    return stored_answer(head, body.freeze()).ok_or(Event::LinkLost);
+                    return stored_answer(head, body.complete()).ok_or(Event::LinkLost);
                 }
                 ToRouter::Refused {
                     attempt,
@@ -275,6 +274,16 @@
         }
     }
 
+    /// Records an answer that is too long to be kept, or does not fit beside others.
+    fn record_fault(&self, fault: ReceiveFault) -> Event {
+        warn!(self.relay.log, "the answer to a keyed request is not kept";
+            "request" => %self.job.request, "error" => %fault);
+        if let Some(limit) = fault.limit() {
+            self.relay.metrics.entry.count_limit_exceeded(limit);
+        }
+        Event::Refused(Code::StreamCut)
+    }
+
     fn record_mismatch(&self) -> Event {
         self.relay.metrics.mismatches.inc();
         Event::LinkLost
--- a/src/receive.rs
+++ b/src/receive.rs
@@ -1,11 +1,10 @@
 //! Reads the bodies of targets' answers into memory, within limits for each answer and for the
 //! process.
 
-use std::{convert::Infallible, sync::Arc};
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use gotham::helpers::http::Body;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use snafu::Snafu;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -31,6 +30,17 @@
     BuffersFull,
 }
 
+impl ReceiveFault {
+    /// Name of the limit that was exceeded, in metrics; `None` if the connection failed.
+    pub fn limit(self) -> Option<&'static str> {
+        match self {
+            Self::Broken => None,
+            Self::TooLong => Some("body"),
+            Self::BuffersFull => Some("buffers"),
+        }
+    }
+}
+
 /// Share of memory for answers that are being read or sent to callers. Clones share it.
 #[derive(Debug, Clone)]
 pub struct AnswerBuffers(Arc<Semaphore>);
@@ -41,61 +51,91 @@
     }
 }
 
-/// A complete body. Its share of the process's memory is returned when it is dropped.
+/// Body that is being received, with its share of the process's memory.
 #[derive(Debug)]
-pub struct BufferedBody {
-    bytes: Bytes,
+pub struct ReceivedBody {
+    buffers: AnswerBuffers,
+    limit: usize,
+    bytes: BytesMut,
     share: Option<OwnedSemaphorePermit>,
 }
 
-impl From<BufferedBody> for Body {
-    fn from(BufferedBody { bytes, share }: BufferedBody) -> Self {
-        let body = Full::new(bytes).map_err(|never: Infallible| match never {});
-        Self::new(body.map_frame(move |frame| {
-            // The frame's bytes stay in memory until the body has been sent.
-            let _held = &share;
-            frame
-        }))
+impl ReceivedBody {
+    /// Appends received bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is longer than its limit, or the process holds too many bytes.
+    pub fn push(&mut self, data: &[u8]) -> Result<(), ReceiveFault> {
+        if self.bytes.len() + data.len() > self.limit {
+            return Err(ReceiveFault::TooLong);
+        }
+        let more = self.buffers.reserve(data.len())?;
+        match &mut self.share {
+            Some(share) => share.merge(more),
+            None => self.share = Some(more),
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Returns the complete body. Its share of the process's memory is returned when the last copy
+    /// of the bytes is dropped.
+    pub fn complete(self) -> Bytes {
+        Bytes::from_owner(SharedBytes {
+            bytes: self.bytes.freeze(),
+            _share: self.share,
+        })
+    }
+}
+
+/// Owner of a complete body's bytes.
+struct SharedBytes {
+    bytes: Bytes,
+    _share: Option<OwnedSemaphorePermit>,
+}
+
+impl AsRef<[u8]> for SharedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
 impl AnswerBuffers {
+    /// Starts an empty body of at most `limit` bytes.
+    pub fn start(&self, limit: usize) -> ReceivedBody {
+        ReceivedBody {
+            buffers: self.clone(),
+            limit,
+            bytes: BytesMut::new(),
+            share: None,
+        }
+    }
+
     /// Reads `body` to its end.
     ///
     /// # Errors
     ///
     /// Fails when the connection breaks or the body is longer than `limit` bytes, and when the
     /// process holds too many bytes of other answers.
-    pub async fn read(
-        &self,
-        mut body: Incoming,
-        limit: usize,
-    ) -> Result<BufferedBody, ReceiveFault> {
+    pub async fn read(&self, mut body: Incoming, limit: usize) -> Result<Bytes, ReceiveFault> {
         if body.size_hint().lower() > limit as u64 {
             return Err(ReceiveFault::TooLong);
         }
-        let mut buf = BytesMut::new();
-        let mut share: Option<OwnedSemaphorePermit> = None;
+        let mut received = self.start(limit);
         while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_broken| ReceiveFault::Broken)?.into_data() else {
-                continue;
-            };
-            if buf.len() + data.len() > limit {
-                return Err(ReceiveFault::TooLong);
+            if let Ok(data) = frame.map_err(|_broken| ReceiveFault::Broken)?.into_data() {
+                received.push(&data)?;
             }
-            let more = self.reserve(data.len())?;
-            match &mut share {
-                Some(share) => share.merge(more),
-                None => share = Some(more),
-            }
-            buf.extend_from_slice(&data);
         }
-        Ok(BufferedBody {
-            bytes: buf.freeze(),
-            share,
-        })
+        Ok(received.complete())
     }
 
+    /// Takes a share of the process's memory for `bytes` bytes, until it is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process already holds too many bytes.
     fn reserve(&self, bytes: usize) -> Result<OwnedSemaphorePermit, ReceiveFault> {
         let bytes = u32::try_from(bytes).map_err(|_too_many| ReceiveFault::TooLong)?;
         let share = Arc::clone(&self.0).try_acquire_many_owned(bytes);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -30,6 +30,7 @@
     picker::{Choice, Picker},
     pool::LinkPool,
     progress::AnswerTimes,
+    receive::AnswerBuffers,
     retrier::{self, Advice, Retrier},
     rollouts::{FinishedRequest, Rollouts},
     view::{Pool, Views},
@@ -105,6 +106,8 @@
     pub picker: Picker,
     /// Pool of idle connections to agents.
     pub links: LinkPool,
+    /// Memory for answers to requests with an idempotency key, which are received completely.
+    pub buffers: AnswerBuffers,
     /// Task that owns the retry budget, the suspect requests and the targets to avoid.
     pub retrier: Retrier,
     /// Task that follows the rollouts of model versions.
--- a/src/router.rs
+++ b/src/router.rs
@@ -12,12 +12,14 @@
     claims::Claims,
     clock::{self, Clock},
     front,
+    gossip::Gossip,
     metrics::Metrics,
     peers::{self, JoinError, JoinParams, Joined},
     picker::Picker,
     platform::Platform,
     pool::LinkPool,
     quarantine,
+    receive::AnswerBuffers,
     relay::Relay,
     retrier::Retrier,
     rollouts::Rollouts,
@@ -89,19 +91,10 @@
     .await
     .context(JoinSnafu)?;
     let rollouts = Rollouts::start(views.clone(), gossip.clone(), platform.clone(), log.clone());
+    let admin = Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
+        .with_config_api(platform.clone(), cfg.processes);
     let address = cfg.common.admin;
-    let moves = rollouts.clone();
-    let members = gossip.clone();
-    Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
-        .with_task_dump("gossip", move || {
-            let gossip = members.clone();
-            async move { gossip.dump().await }
-        })
-        .with_task_dump("moves", move || {
-            let rollouts = moves.clone();
-            async move { rollouts.dump().await }
-        })
-        .with_config_api(platform.clone(), cfg.processes)
+    with_dumps(admin, &gossip, &rollouts)
         .start(address, stop.clone(), log.clone())
         .await
         .context(ListenSnafu { address })?;
@@ -133,6 +126,7 @@
         views: views.clone(),
         picker,
         links: LinkPool::start(),
+        buffers: AnswerBuffers::default(),
         retrier,
         rollouts,
         metrics,
@@ -167,3 +161,17 @@
     warn!(stop_log, "shutdown timed out with requests still open; closing them"; "left" => left);
     UnfinishedSnafu { left }.fail()
 }
+
+/// Adds the state of the router's tasks to the dump of the admin interface.
+fn with_dumps(admin: Admin, gossip: &Gossip, rollouts: &Rollouts) -> Admin {
+    let (gossip, rollouts) = (gossip.clone(), rollouts.clone());
+    admin
+        .with_task_dump("gossip", move || {
+            let gossip = gossip.clone();
+            async move { gossip.dump().await }
+        })
+        .with_task_dump("moves", move || {
+            let rollouts = rollouts.clone();
+            async move { rollouts.dump().await }
+        })
+}
--- a/tests/hostile/memory.rs
+++ b/tests/hostile/memory.rs
@@ -6,6 +6,7 @@
 use futures_util::future::join_all;
 use http::StatusCode;
 use tokio::time::Instant;
+use uuid::Uuid;
 
 use crate::env::{
     AGENT_SAFE, AGENT_UNSAFE, AgentEnv, CONCURRENT, DEADLINE, SLACK, VM_MEMORY, send, stream_head,
@@ -78,3 +79,31 @@
         }
     }
 }
+
+/// Guards against a router that runs out of memory because many answers to keyed requests, which it
+/// receives completely, have no end: each of them had a limit, their sum had none.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_answers_to_keyed_requests_leave_the_router_its_memory() {
+    let env = AgentEnv::start().await;
+    env.hostile.set_script([
+        Step::Execute,
+        send("HTTP/1.1 200 OK\r\n\r\n"),
+        endless(&"x".repeat(16 << 10)),
+    ]);
+    let calls = (0..CONCURRENT).map(|call| {
+        let env = &env;
+        async move {
+            let key = Uuid::now_v7().to_string();
+            let headers = [("idempotency-key", &*key), ("x-deadline-ms", "8000")];
+            let id = format!("keyed-{call}");
+            env.call_with(&id, "POST", AGENT_UNSAFE, &headers).await
+        }
+    });
+    for reply in join_all(calls).await.into_iter().flatten() {
+        assert_ne!(reply.status, StatusCode::OK);
+    }
+    for router in &env.env.deployment.routers {
+        let peak = router.peak_memory().expect("the router runs");
+        assert!(peak < VM_MEMORY, "{peak} bytes of memory");
+    }
+}
