Count incomplete events against the limit on all answers

What callers could see: a router in front of a target whose events do not end holds up to 256 KiB for each of its streams, so that some thousand streams end it, and with it the requests of other callers.

Cause: an incomplete event had a limit, but took no part of the limit on all answers. One of the faults that operators of similar systems reported.

Why this fix works: beyond its first 4 KiB an incomplete event takes its share from the same 24 MiB, and the stream that does not get it ends as oversized, or is resumed elsewhere.

--- a/core/src/events.rs
+++ b/core/src/events.rs
@@ -80,6 +80,11 @@
         }))
     }
 
+    /// Number of buffered bytes, which belong to an event that is not complete.
+    pub fn pending_len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// End of the last event boundary in the pending bytes: an empty line, where lines end with LF,
     /// CR or both.
     fn boundary(&self) -> Option<usize> {
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -179,7 +179,7 @@
 
 impl Forwarding {
     /// Counts an answer that was not read to its end; returns how the attempt failed.
-    fn count_receive_fault(&self, fault: ReceiveFault) -> Failure {
+    pub(crate) fn count_receive_fault(&self, fault: ReceiveFault) -> Failure {
         let Some(limit) = fault.limit() else {
             return Failure::Broken;
         };
--- a/src/receive.rs
+++ b/src/receive.rs
@@ -16,6 +16,10 @@
 /// Most bytes of answers that a process holds at once.
 pub const MAX_BUFFERED_BYTES: usize = 24 << 20;
 
+/// Bytes of an incomplete event that take no share of the limit above, so that streams with ordinary
+/// events go on while other answers fill it.
+pub const FREE_EVENT_BYTES: usize = 4 << 10;
+
 /// Why the body of an answer was not read to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum ReceiveFault {
@@ -89,6 +93,46 @@
     }
 }
 
+/// Share of the process's memory that the incomplete event of a stream takes.
+#[derive(Debug)]
+pub struct EventShare {
+    buffers: AnswerBuffers,
+    share: Option<OwnedSemaphorePermit>,
+}
+
+impl EventShare {
+    /// Returns the share, as the stream holds no incomplete event any more.
+    pub fn release(&mut self) {
+        self.share = None;
+    }
+
+    /// Adapts the share to an incomplete event of `bytes` bytes. The first [`FREE_EVENT_BYTES`] take
+    /// none.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process already holds too many bytes.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), ReceiveFault> {
+        let wanted = bytes.saturating_sub(FREE_EVENT_BYTES);
+        if wanted == 0 {
+            self.release();
+            return Ok(());
+        }
+        let held = self
+            .share
+            .as_ref()
+            .map_or(0, OwnedSemaphorePermit::num_permits);
+        if wanted > held {
+            let more = self.buffers.reserve(wanted - held)?;
+            match &mut self.share {
+                Some(share) => share.merge(more),
+                None => self.share = Some(more),
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Owner of a complete body's bytes.
 struct SharedBytes {
     bytes: Bytes,
@@ -112,6 +156,14 @@
         }
     }
 
+    /// Starts the share of a stream, which takes no memory yet.
+    pub fn event_share(&self) -> EventShare {
+        EventShare {
+            buffers: self.clone(),
+            share: None,
+        }
+    }
+
     /// Reads `body` to its end.
     ///
     /// # Errors
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -23,6 +23,7 @@
 use crate::{
     carry::{CallerAnswer, Forwarder, OpenAnswer, StreamHead, TargetReply, mark_idle},
     clock::{self, BootClock},
+    receive::EventShare,
 };
 
 /// Stream that is being relayed to the caller.
@@ -37,6 +38,8 @@
     /// Whether an event has arrived, from any target.
     has_events: bool,
     wait: StreamWait,
+    /// Memory that the incomplete event takes.
+    share: EventShare,
 }
 
 /// Stream that broke off before its first part, so that the caller has got nothing.
@@ -59,6 +62,7 @@
     ) -> Result<CallerAnswer, Box<Unstarted>> {
         let mut relay = Self {
             wait: StreamWait::new(forwarder.attempts.deadline()),
+            share: forwarder.shared.buffers.event_share(),
             forwarder,
             head: open.head(),
             open: Some(open),
@@ -125,16 +129,19 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    match self.events.push(&data) {
-                        Ok(Some(complete)) => {
+                    let pushed = self.events.push(&data);
+                    let fits = self.share.resize(self.events.pending_len());
+                    match (pushed, fits) {
+                        (Ok(Some(complete)), _) => {
                             if complete.has_event {
                                 open.reservation.record_answer_begun();
                                 self.record_event();
                             }
                             return Ok(Some(complete.bytes));
                         }
-                        Ok(None) => continue,
-                        Err(fault) => self.count_fault(fault),
+                        (Ok(None), Ok(())) => continue,
+                        (Ok(None), Err(fault)) => self.forwarder.shared.count_receive_fault(fault),
+                        (Err(fault), _) => self.count_fault(fault),
                     }
                 }
                 Ok(None) if self.is_complete() => return Ok(self.finish()),
@@ -152,6 +159,7 @@
             open.reservation.finish(End::Failed(failure), None);
             drop(open.connection);
             self.events.drop_partial();
+            self.share.release();
             return Err((target, failure));
         }
     }
--- a/tests/hostile/memory.rs
+++ b/tests/hostile/memory.rs
@@ -2,19 +2,30 @@
 
 use std::time::Duration;
 
-use ebonyfall_standin::hostile::Step;
+use ebonyfall_standin::{entrance::EntryDeployment, hostile::Step};
 use futures_util::future::join_all;
 use http::StatusCode;
-use tokio::time::Instant;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 use uuid::Uuid;
 
 use crate::env::{
-    AGENT_SAFE, AGENT_UNSAFE, AgentEnv, CONCURRENT, DEADLINE, SLACK, VM_MEMORY, send, stream_head,
+    AGENT_SAFE, AGENT_UNSAFE, AgentEnv, CONCURRENT, DEADLINE, Env, SLACK, STREAM, VM_MEMORY, send,
+    stream_head,
 };
 
 /// Cases of bytes without end in the head of an answer.
 const HEADS: [&str; 4] = ["status line", "field", "fields", "interim"];
 
+/// Streams at once, each with an event that does not end. One router may serve as many callers.
+const STREAMS: usize = 400;
+/// Length of such an event, below the limit on one event.
+const OPEN_EVENT_BYTES: usize = 250 << 10;
+/// Pause between the starts of two streams, so that the system accepts all connections.
+const START_INTERVAL: Duration = Duration::from_micros(500);
+
 fn endless(text: &str) -> Step {
     Step::Repeat(text.to_owned(), Duration::ZERO)
 }
@@ -80,6 +91,34 @@
     }
 }
 
+/// Guards against a router that runs out of memory because the events of many streams do not end:
+/// each of them had a limit, but they did not count against the limit on all answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_events_of_many_streams_leave_the_router_its_memory() {
+    let env = Env::start(0).await;
+    env.hostile.set_script([
+        Step::Execute,
+        send(&stream_head()),
+        send("id: 1\ndata: token\n\ndata: "),
+        send(&"x".repeat(OPEN_EVENT_BYTES)),
+        Step::Wait(2 * DEADLINE),
+    ]);
+    let listen = env.deployment.routers[0].listen;
+    let mut calls = JoinSet::new();
+    for call in 0..STREAMS {
+        calls.spawn(async move {
+            let id = format!("memory-{call}");
+            EntryDeployment::call(listen, &id, ("POST", STREAM, "body"), &[]).await
+        });
+        sleep(START_INTERVAL).await;
+    }
+    for reply in calls.join_all().await.into_iter().flatten() {
+        assert!(reply.status != StatusCode::OK || reply.body.is_err());
+    }
+    let peak = env.deployment.peak_memory(0).expect("the router runs");
+    assert!(peak < VM_MEMORY, "{peak} bytes of memory");
+}
+
 /// Guards against a router that runs out of memory because many answers to keyed requests, which it
 /// receives completely, have no end: each of them had a limit, their sum had none.
 #[tokio::test(flavor = "multi_thread")]
