Answer requests before a planned stop ends the process

What callers saw: a request that a router had taken and passed on before or during a planned stop, and that its target had not answered by the end of the grace period, was cut without an answer, also where it may run once only. A router with agents took and passed on requests until the very end, if their bodies came late.

Cause: the end of the process was a time-out around the whole server, which requests did not know of.

Why this fix works: src/stop.rs leads both kinds of routers through the phases of a stop. Targets are not blamed for such attempts.

--- a/bench/src/claims.rs
+++ b/bench/src/claims.rs
@@ -147,6 +147,7 @@
             engine: EngineConfig::default(),
             log: limits,
             document: String::new(),
+            router_settings: String::new(),
         })
         .await?;
         for mode in [Mode::NoClaim, Mode::OneAppendEach, Mode::Grouped] {
--- a/bench/src/config.rs
+++ b/bench/src/config.rs
@@ -351,6 +351,7 @@
         engine: EngineConfig::default(),
         log: LogLimits::default(),
         document: String::new(),
+        router_settings: String::new(),
     })
     .await?;
     let platform = Platform::new(&deployment.platform_url);
--- a/bench/src/demo.rs
+++ b/bench/src/demo.rs
@@ -72,6 +72,7 @@
         engine,
         log: LogLimits::default(),
         document: String::new(),
+        router_settings: String::new(),
     }
 }
 
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -152,6 +152,7 @@
         },
         log: LogLimits::default(),
         document: String::new(),
+        router_settings: String::new(),
     };
     Ok(Deployment::start(&plan).await?)
 }
--- a/bench/src/processes.rs
+++ b/bench/src/processes.rs
@@ -60,6 +60,7 @@
         engine: EngineConfig::default(),
         log: LogLimits::default(),
         document: String::new(),
+        router_settings: String::new(),
     })
     .await?;
     sleep(SETTLE_TIME).await;
--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -9,6 +9,7 @@
     doc::Idempotency,
     name::TargetName,
     notice::Notices,
+    outcome::End,
     target::ReportedLoad,
     time::Time,
 };
@@ -110,6 +111,8 @@
     TimedOut,
     /// The target answered with a server error.
     Failed,
+    /// The router ends before the target has answered.
+    Stopping,
 }
 
 impl Failure {
@@ -123,6 +126,7 @@
             Self::Oversized => "oversized",
             Self::TimedOut => "silent",
             Self::Failed => "failed",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -132,11 +136,20 @@
             Self::NotSent => Code::EngineUnreachable,
             Self::Declined => Code::EngineRefused,
             Self::WrongTarget => Code::WrongTarget,
-            Self::Broken | Self::Oversized => Code::LinkLost,
+            Self::Broken | Self::Oversized | Self::Stopping => Code::LinkLost,
             Self::TimedOut => Code::EngineTimeout,
             Self::Failed => Code::EngineFailed,
         }
     }
+
+    /// Result of the attempt for the judgement of its target. The end of the router says nothing
+    /// about the target.
+    pub const fn end(self) -> End {
+        match self {
+            Self::Stopping => End::Cancelled,
+            failure => End::Failed(failure),
+        }
+    }
 }
 
 /// What to do after a failed attempt.
@@ -208,6 +221,11 @@
             && self.received_attempts + 1 < self.max_attempts
     }
 
+    /// Whether a part of an answer was sent to the caller.
+    pub fn has_begun(&self) -> bool {
+        self.answer_begun
+    }
+
     /// Records that a part of an answer was sent to the caller.
     pub fn record_answer_begun(&mut self) {
         self.answer_begun = true;
@@ -233,6 +251,7 @@
         let attempts_left = self.received_attempts < self.max_attempts
             && self.unsent_attempts < MAX_UNSENT_ATTEMPTS;
         if now < self.deadline
+            && failure != Failure::Stopping
             && may_repeat
             && attempts_left
             && (!self.answer_begun || self.resumable)
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -67,6 +67,8 @@
     },
     /// The caller's deadline has passed.
     Expired,
+    /// The router ends soon, and no part of the answer has been sent.
+    Stopping,
     /// The caller disconnected.
     CallerGone,
 }
@@ -203,6 +205,8 @@
                 };
                 self.fail(code)
             }
+            (State::Submitted, Event::Stopping) => self.fail(Code::LinkLost),
+            (_, Event::Stopping) => self.fail(Code::ShuttingDown),
             (State::Choosing, Event::TargetChosen { target, zone }) => {
                 if self.deadline <= now {
                     return self.fail(Code::DeadlinePassed);
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -490,7 +490,7 @@
         entry.change_since_report -= 1;
         self.moves.record_answer(entry, finished, now);
         match finished.end {
-            End::Cancelled => {}
+            End::Cancelled | End::Failed(Failure::Stopping) => {}
             End::Served => {
                 entry.count_result(false, now);
                 entry.consecutive_backoffs = 0;
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -35,6 +35,7 @@
     metrics::Metrics,
     receive::{AnswerBuffers, MAX_ANSWER_BYTES, MAX_ERROR_BYTES, ReceiveFault},
     selection::{Reservation, SelectionRequest, SelectorHandle},
+    stop::StopPhases,
     streaming::StreamRelay,
     upstream::{ReadBuffer, TargetConnection},
     web,
@@ -107,6 +108,8 @@
     pub store_state: StoreState,
     /// Task that chooses targets.
     pub selector: SelectorHandle,
+    /// How far a planned stop of the process has come.
+    pub phases: StopPhases,
     /// Memory for answers.
     pub buffers: AnswerBuffers,
     /// Metrics of this process.
@@ -267,20 +270,19 @@
                 return Err(self.refusal(Code::DeadlinePassed));
             }
             let requested_at = BootClock.now();
-            let (reservation, connection) =
-                match self.shared.selector.choose(self.selection_request()).await {
-                    Ok(selected) => {
-                        let context = match selected.0.choice.context_source {
-                            Some(_) => "fetch",
-                            None if self.job.contexts.is_empty() => "none",
-                            None => "held",
-                        };
-                        let waited = BootClock.now().since(requested_at);
-                        self.shared.metrics.entry.observe_choice(context, waited);
-                        selected
-                    }
-                    Err(refusal) => return self.final_failure(refusal),
-                };
+            let (reservation, connection) = match self.choose().await {
+                Ok(selected) => {
+                    let context = match selected.0.choice.context_source {
+                        Some(_) => "fetch",
+                        None if self.job.contexts.is_empty() => "none",
+                        None => "held",
+                    };
+                    let waited = BootClock.now().since(requested_at);
+                    self.shared.metrics.entry.observe_choice(context, waited);
+                    selected
+                }
+                Err(refusal) => return self.final_failure(refusal),
+            };
             let target = reservation.choice.target.name.clone();
             let result = match self.connect(&reservation, connection).await {
                 Ok(connection) => {
@@ -320,6 +322,29 @@
         }
     }
 
+    /// Chooses a target; refuses when the process ends before one is found.
+    async fn choose(&self) -> Result<(Reservation, Option<TargetConnection>), SelectionRefusal> {
+        tokio::select! {
+            biased;
+            selected = self.shared.selector.choose(self.selection_request()) => selected,
+            () = self.shared.phases.ending() => Err(SelectionRefusal {
+                code: Code::ShuttingDown,
+                after: RETRY_AFTER,
+                part: None,
+            }),
+        }
+    }
+
+    /// Waits for a target, at most `limit` and only as long as the process may hold a request that
+    /// has no answer.
+    async fn wait<T>(&self, limit: Duration, work: impl Future<Output = T>) -> Result<T, Failure> {
+        tokio::select! {
+            biased;
+            done = timeout(limit, work) => done.map_err(|_late| Failure::TimedOut),
+            () = self.shared.phases.ending() => Err(Failure::Stopping),
+        }
+    }
+
     fn selection_request(&self) -> SelectionRequest {
         SelectionRequest {
             service: self.job.service.clone(),
@@ -404,15 +429,15 @@
         mut connection: TargetConnection,
         last_event: Option<&str>,
     ) -> Result<OpenAnswer, (Failure, Option<CompleteAnswer>)> {
-        let fail = |reservation: Reservation, failure| {
-            reservation.finish(End::Failed(failure), None);
+        let fail = |reservation: Reservation, failure: Failure| {
+            reservation.finish(failure.end(), None);
             (failure, None)
         };
         let now = BootClock.now();
         let time_left = self.attempts.deadline().since(now);
         let limit = self.answer_timeout(time_left);
         let req = self.target_request(&reservation, time_left, last_event);
-        let res = match timeout(limit, connection.send(req)).await {
+        let res = match self.wait(limit, connection.send(req)).await {
             Ok(Ok(res)) => res,
             Ok(Err(failure)) => {
                 if failure == Failure::Oversized {
@@ -420,7 +445,7 @@
                 }
                 return Err(fail(reservation, failure));
             }
-            Err(_late) => return Err(fail(reservation, Failure::TimedOut)),
+            Err(failure) => return Err(fail(reservation, failure)),
         };
         let (head, body) = res.into_parts();
         let decoded = answer::decode(head.status, &head.headers, &self.job.attempt_id);
@@ -464,7 +489,7 @@
         };
         let choice = open.reservation.choice.clone();
         let body = self.shared.buffers.read(open.body, MAX_ERROR_BYTES);
-        let body = match timeout(limit, body).await {
+        let body = match self.wait(limit, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(fault)) => {
                 self.shared.count_receive_fault(fault);
@@ -529,7 +554,7 @@
         let time_left = self.attempts.deadline().since(BootClock.now());
         let target = open.reservation.choice.target.name.clone();
         let body = self.shared.buffers.read(open.body, MAX_ANSWER_BYTES);
-        let failure = match timeout(self.answer_timeout(time_left), body).await {
+        let failure = match self.wait(self.answer_timeout(time_left), body).await {
             Ok(Ok(body)) => {
                 let connection = mark_idle(open.connection, &open.headers);
                 let choice = open.reservation.choice.clone();
@@ -544,9 +569,9 @@
                 })));
             }
             Ok(Err(fault)) => self.shared.count_receive_fault(fault),
-            Err(_late) => Failure::TimedOut,
+            Err(failure) => failure,
         };
-        open.reservation.finish(End::Failed(failure), None);
+        open.reservation.finish(failure.end(), None);
         self.prepare_retry(&target, failure)?;
         Ok(None)
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -25,6 +25,7 @@
     report,
     selection::SelectorHandle,
     settings::{self, EntryConfig},
+    stop::{StopPhases, StopTimes},
     store::StoreClient,
     web::{self, ConnectionLimits, Shared},
 };
@@ -127,17 +128,22 @@
     );
     tokio::spawn(watch_settings(cfg.clone(), path, log.clone()));
     let limits = limits(&store_state);
-    let closing = closing(stop.clone());
+    let grace = cfg.grace.saturating_sub(EXIT_MARGIN);
+    let times = StopTimes {
+        refuse_after: ACCEPT_AFTER_STOP,
+        end_after: grace,
+    };
+    let phases = StopPhases::start(stop.clone(), times, log.clone());
     let forwarding = Forwarding {
         store_state,
         selector,
+        phases,
         buffers: AnswerBuffers::default(),
         metrics,
         log: log.clone(),
     };
     let intake = Shared::new(Intake {
         shared: Arc::new(forwarding),
-        closing,
     });
     let handler = move || {
         let intake = intake.clone().into_inner();
@@ -150,7 +156,6 @@
         _ = stop.wait_for(|stop| *stop) => {}
     }
     info!(log, "stopping"; "event" => "stop");
-    let grace = cfg.grace.saturating_sub(EXIT_MARGIN);
     let cut = timeout(grace, serving).await.is_err();
     if cut {
         warn!(log, "shutdown timed out with requests still open; closing them";
@@ -178,21 +183,6 @@
     }
 }
 
-/// Returns a channel that becomes true when new requests must be refused: [`ACCEPT_AFTER_STOP`]
-/// after the stop signal.
-fn closing(mut stop: watch::Receiver<bool>) -> watch::Receiver<bool> {
-    let (tx, closing) = watch::channel(false);
-    tokio::spawn(async move {
-        if stop.wait_for(|stop| *stop).await.is_ok() {
-            time::sleep(ACCEPT_AFTER_STOP).await;
-            tx.send_replace(true);
-        }
-        // Keeps the sender alive, so that receivers do not see the channel close.
-        std::future::pending::<()>().await;
-    });
-    closing
-}
-
 async fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, EntryError> {
     web::bind(address).await.context(ListenSnafu { address })
 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -146,6 +146,9 @@
         let uri = Uri::borrow_from(state).clone();
         let limit = view.document.limits.body_bytes as usize;
         let body = web::read_body(state, limit).await?;
+        if self.relay.phases.refuses_new() {
+            return Err(Code::ShuttingDown.into());
+        }
         let call = Call {
             method: method.to_string(),
             path: uri
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -12,7 +12,6 @@
 use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
 use http::{HeaderMap, Method, Response, StatusCode, Uri, header::HOST};
 use slog::{info, warn};
-use tokio::sync::watch;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
@@ -36,8 +35,6 @@
 pub struct Intake {
     /// Handles that forwarding a request needs, too.
     pub shared: Arc<Forwarding>,
-    /// Whether new requests are refused because the process is shutting down.
-    pub closing: watch::Receiver<bool>,
 }
 
 impl Intake {
@@ -85,7 +82,7 @@
         body: Bytes,
         arrived: Time,
     ) -> Result<(ForwardJob, DirectRequest), Code> {
-        if *self.closing.borrow() {
+        if self.shared.phases.refuses_new() {
             return Err(Code::ShuttingDown);
         }
         let desired = self.shared.store_state.desired.borrow().clone();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 mod session;
 pub mod settings;
 pub mod status;
+pub mod stop;
 pub mod store;
 pub mod streaming;
 mod trace;
--- a/src/once.rs
+++ b/src/once.rs
@@ -74,6 +74,7 @@
             link: None,
             answer: None,
         };
+        let request = task.job.request;
         let open = self.metrics.open.clone();
         let running = tokio::spawn(async move {
             open.inc();
@@ -81,7 +82,16 @@
             open.dec();
             result
         });
-        let result = running.await.unwrap_or(Err(Code::Internal));
+        let result = tokio::select! {
+            biased;
+            result = running => result.unwrap_or(Err(Code::Internal)),
+            // The claim tells the next router that gets the key whether the request ran.
+            () = self.phases.ending() => {
+                warn!(self.log, "keyed request not answered before the end of the process";
+                    "request" => %request);
+                Err(Code::InProgress)
+            }
+        };
         let stored_answer = result.map_err(|code| RelayFailure {
             code,
             retry_after: Duration::ZERO,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -33,6 +33,7 @@
     receive::AnswerBuffers,
     retrier::{self, Advice, Retrier},
     rollouts::{FinishedRequest, Rollouts},
+    stop::StopPhases,
     view::{Pool, Views},
 };
 
@@ -102,6 +103,8 @@
     pub claims: Claims,
     /// Configuration in force; `None` until the first one is known.
     pub views: Views,
+    /// How far a planned stop of the process has come.
+    pub phases: StopPhases,
     /// Task that chooses targets.
     pub picker: Picker,
     /// Pool of idle connections to agents.
@@ -273,10 +276,12 @@
                 }
                 action => {
                     let deadline = self.deadline;
+                    let phases = self.relay.phases.clone();
                     tokio::select! {
                         event = self.perform(action, &relayed) => event,
                         () = sink.closed() => Event::CallerGone,
                         () = time::sleep_until(deadline) => Event::Expired,
+                        () = phases.ending(), if !relayed.has_begun() => Event::Stopping,
                     }
                 }
             };
--- a/src/router.rs
+++ b/src/router.rs
@@ -24,6 +24,7 @@
     retrier::Retrier,
     rollouts::Rollouts,
     settings::RouterConfig,
+    stop::{StopPhases, StopTimes},
     view, web,
 };
 
@@ -120,7 +121,12 @@
     );
     let retrier = Retrier::start(views.clone());
     quarantine::start(gossip.clone(), retrier.clone(), views.clone());
+    let times = StopTimes {
+        refuse_after: web::ConnectionLimits::default().idle_grace,
+        end_after: cfg.common.drain,
+    };
     let relay = Relay {
+        phases: StopPhases::start(stop.clone(), times, log.clone()),
         identity,
         claims,
         views: views.clone(),
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -18,7 +18,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use slog::{info, warn};
-use tokio::time::{error::Elapsed, timeout};
+use tokio::time::timeout;
 
 use crate::{
     carry::{CallerAnswer, Forwarder, OpenAnswer, StreamHead, TargetReply, mark_idle},
@@ -122,7 +122,14 @@
                 return Ok(None);
             };
             let start = BootClock.now();
-            let frame = receive(&mut open.body, self.wait.limit(may_resume, start)).await;
+            let phases = &self.forwarder.shared.phases;
+            let frame = tokio::select! {
+                biased;
+                frame = receive(&mut open.body, self.wait.limit(may_resume, start)) => frame,
+                () = phases.ending(), if !self.forwarder.attempts.has_begun() => {
+                    Err(Failure::Stopping)
+                }
+            };
             self.wait.record(frame_len(&frame), start, BootClock.now());
             let failure = match frame {
                 Ok(Some(Ok(frame))) => {
@@ -147,7 +154,7 @@
                 Ok(None) if self.is_complete() => return Ok(self.finish()),
                 Ok(None) => Failure::Broken,
                 Ok(Some(Err(_broken))) => Failure::Broken,
-                Err(_late) => Failure::TimedOut,
+                Err(failure) => failure,
             };
             let Some(open) = self.open.take() else {
                 return Ok(None);
@@ -156,7 +163,7 @@
             if failure == Failure::TimedOut {
                 self.log_stall(&target);
             }
-            open.reservation.finish(End::Failed(failure), None);
+            open.reservation.finish(failure.end(), None);
             drop(open.connection);
             self.events.drop_partial();
             self.share.release();
@@ -246,14 +253,15 @@
 type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
 
 /// Reads the next frame of a body. Without any time left, not even one that is ready is read.
-async fn receive(body: &mut Incoming, limit: Duration) -> Result<BodyFrame, Elapsed> {
+async fn receive(body: &mut Incoming, limit: Duration) -> Result<BodyFrame, Failure> {
     if limit.is_zero() {
-        return timeout(limit, std::future::pending()).await;
+        return Err(Failure::TimedOut);
     }
-    timeout(limit, body.frame()).await
+    let frame = timeout(limit, body.frame()).await;
+    frame.map_err(|_late| Failure::TimedOut)
 }
 
-fn frame_len(frame: &Result<BodyFrame, Elapsed>) -> usize {
+fn frame_len(frame: &Result<BodyFrame, Failure>) -> usize {
     let Ok(Some(Ok(frame))) = frame else {
         return 0;
     };
--- a/standin/src/deploy.rs
+++ b/standin/src/deploy.rs
@@ -59,6 +59,8 @@
     pub new_engines: (u32, EngineConfig),
     /// Sections added to the generated configuration document, such as routes.
     pub document: String,
+    /// Lines added to the settings of each router.
+    pub router_settings: String,
 }
 
 /// A router's or agent's process, which is killed on drop.
@@ -395,7 +397,11 @@
                 &self.zone(index),
                 addresses,
                 platform_url,
-                &format!("{own_settings}gossip = {}\n", free_address()),
+                &format!(
+                    "{own_settings}gossip = {}\n{}",
+                    free_address(),
+                    self.router_settings
+                ),
             )?;
             let program = self.programs.join("ebonyfall-router");
             routers.push(Daemon::start(&program, &name, addresses, settings)?);
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -36,6 +36,8 @@
 const MAX_SEEDS: usize = 3;
 /// Time limit for connecting to a router.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of all routes, unless a test sets another one.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit for a router to become ready after its start.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -224,10 +226,22 @@
 
     /// Writes a desired state in which the team `desk` has these API keys.
     pub async fn put_desired_state(&self, version: u64, keys: &[&str]) {
+        self.put_desired_state_with_timeout(version, keys, ROUTE_TIMEOUT)
+            .await;
+    }
+
+    /// Like [`Self::put_desired_state`], with this timeout of all routes.
+    pub async fn put_desired_state_with_timeout(
+        &self,
+        version: u64,
+        keys: &[&str],
+        timeout: Duration,
+    ) {
+        let timeout_ms = timeout.as_millis();
         let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
             json!({
                 "name": name, "host": "spine.example", "path_prefix": format!("/{name}/"),
-                "type": kind, "timeout_ms": 2_000, "slo_ms": 500, "priority": 0,
+                "type": kind, "timeout_ms": timeout_ms, "slo_ms": 500, "priority": 0,
                 "service": "plain", "max_attempts": attempts, "public": false, "sticky": kind == "stream",
                 "resumable": resumable,
             })
--- a/standin/src/hostile.rs
+++ b/standin/src/hostile.rs
@@ -95,6 +95,11 @@
         executed.iter().filter(|executed| *executed == id).count()
     }
 
+    /// Returns how many attempts the target has executed.
+    pub fn total_executions(&self) -> usize {
+        self.executed.borrow().len()
+    }
+
     /// Returns the number of bytes that the target has sent, including those that the system's
     /// buffers hold.
     pub fn sent_bytes(&self) -> u64 {
--- a/tests/hostile/env.rs
+++ b/tests/hostile/env.rs
@@ -70,7 +70,14 @@
 
 impl AgentEnv {
     pub(crate) async fn start() -> Self {
-        let env = TestEnv::start(testenv::plan(0, 1)).await;
+        Self::start_with("").await
+    }
+
+    /// Starts it with these lines added to the settings of the routers.
+    pub(crate) async fn start_with(router_settings: &str) -> Self {
+        let mut plan = testenv::plan(0, 1);
+        router_settings.clone_into(&mut plan.router_settings);
+        let env = TestEnv::start(plan).await;
         let (_service, host) = &env.deployment.services[0];
         host.stop();
         let address = env.deployment.backends[0];
--- a/tests/hostile/main.rs
+++ b/tests/hostile/main.rs
@@ -5,5 +5,6 @@
 mod memory;
 mod named;
 mod seeded;
+mod stops;
 #[path = "../testenv/mod.rs"]
 mod testenv;
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -37,6 +37,7 @@
         engine: EngineConfig::default(),
         log: LogLimits::default(),
         document: String::new(),
+        router_settings: String::new(),
     }
 }
 
