Test answers that are cut within their head on both paths

Operators of similar systems reported that a server stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body, framed as whole. The new tests cut answers at each byte at which a cut can be told: with a length, in chunks, after an interim answer, without a length, on routes that may and may not be repeated, through an entry router and through a router with an agent. None looked complete, so nothing had to be fixed: the HTTP library reports an incomplete head, and an answer needs its seal at entry routers. A cut in the body of an answer that ends with its connection cannot be told from its end.

--- a/standin/src/hostile.rs
+++ b/standin/src/hostile.rs
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub struct HostileTarget {
     script: watch::Sender<Arc<[Step]>>,
-    executed: watch::Receiver<Vec<String>>,
+    executions: watch::Sender<Vec<String>>,
     sent_bytes: watch::Receiver<u64>,
 }
 
@@ -60,7 +60,8 @@
             .expect("the address is free");
         let address = listener.local_addr().expect("the socket has an address");
         let (script, script_rx) = watch::channel(Arc::<[Step]>::default());
-        let (executed_tx, executed) = watch::channel(Vec::new());
+        let (executions, _) = watch::channel(Vec::new());
+        let executed = executions.clone();
         let (sent_tx, sent_bytes) = watch::channel(0);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -68,7 +69,7 @@
                     stream,
                     buf: Vec::new(),
                     ids: Vec::new(),
-                    executed: executed_tx.clone(),
+                    executed: executed.clone(),
                     sent_bytes: sent_tx.clone(),
                 };
                 let script = script_rx.borrow().clone();
@@ -77,7 +78,7 @@
         });
         let target = Self {
             script,
-            executed,
+            executions,
             sent_bytes,
         };
         (target, address)
@@ -91,13 +92,18 @@
 
     /// Returns how often the target executed the attempt with this id.
     pub fn executions(&self, id: &str) -> usize {
-        let executed = self.executed.borrow();
+        let executed = self.executions.borrow();
         executed.iter().filter(|executed| *executed == id).count()
     }
 
+    /// Forgets the executed attempts.
+    pub fn forget_executions(&self) {
+        self.executions.send_modify(Vec::clear);
+    }
+
     /// Returns how many attempts the target has executed.
     pub fn total_executions(&self) -> usize {
-        self.executed.borrow().len()
+        self.executions.borrow().len()
     }
 
     /// Returns the number of bytes that the target has sent, including those that the system's
--- a/tests/hostile/main.rs
+++ b/tests/hostile/main.rs
@@ -2,6 +2,7 @@
 
 mod deadlines;
 mod env;
+mod heads;
 mod memory;
 mod named;
 mod seeded;
