Record no end of a move whose order was replaced

What callers saw: a router that had stood still for 3.5 s recorded `complete` for a version move whose order had been replaced meanwhile.

Cause: a status of a later order was read as "nothing recorded", the append was conditional on the end of the status stream only, and time that the router slept through counted as watched.

Evidence: a_router_that_stood_still_ends_no_replaced_order failed on the code before (states in_progress, in_progress, complete, in_progress) and passes now; so do the tests of the core, whose functions are new.

Why this fix works: a status of a later order is told from a missing one, and nothing is written after it. Before the end of a move is recorded, the order is looked up again. A router that has not looked at a move for two seconds ends it only after another second, in which answers and verdicts of others arrive.

Not done: the other conditional writes of the project, and the exhaustive exploration of these protocols.

--- a/core/src/changeover.rs
+++ b/core/src/changeover.rs
@@ -42,6 +42,12 @@
 /// With at most this many old answers per new answer, the ramp may start before the new version
 /// has given [`MIN_NEW_ANSWERS`].
 const MAX_OLD_PER_NEW_ANSWER: u64 = 25;
+/// Longest time between two looks at a move for which the router counts as watching it. Routers look
+/// more often, so that a longer gap means that the process stood still.
+const MAX_WATCH_GAP: Duration = Duration::from_secs(2);
+/// Time for which a router that stood still gathers answers and verdicts of others before it ends a
+/// move: some rounds of the exchange between routers.
+const REWATCH_TIME: Duration = Duration::from_secs(1);
 /// Delay per rank before a router reports; a router reports only if those of lower rank have not.
 const REPORT_STAGGER: Duration = Duration::from_millis(400);
 /// Time for which the version of a withdrawn order gets no traffic. Its targets leave meanwhile.
@@ -117,6 +123,10 @@
     /// Cached name of the order, which is needed for each report of counts.
     name: Option<MoveName>,
     started_at: Time,
+    /// When the router last looked at the move.
+    watched_at: Time,
+    /// Since when the router has watched the move without a gap.
+    watching_since: Time,
     progress: Option<MoveProgress>,
     withdrawn_at: Option<Time>,
     local: BTreeMap<(RouteName, Arm), RequestCounts>,
@@ -136,6 +146,8 @@
             name: order.name(),
             order,
             started_at: now,
+            watched_at: now,
+            watching_since: now,
             progress: None,
             withdrawn_at: None,
             local: BTreeMap::new(),
@@ -215,6 +227,19 @@
         }
     }
 
+    /// Records that the router is running at `now`.
+    pub fn watch(&mut self, now: Time) {
+        if now.since(self.watched_at) > MAX_WATCH_GAP {
+            self.watching_since = now;
+        }
+        self.watched_at = now;
+    }
+
+    /// Whether what this router knows of the new version's answers is up to date.
+    fn is_watching(&self, now: Time) -> bool {
+        self.watching_since == self.started_at || now.since(self.watching_since) >= REWATCH_TIME
+    }
+
     /// Fraction of the order's time that has passed.
     fn elapsed(&self, now: Time) -> f64 {
         now.since(self.started_at).as_secs_f64() / self.order.within.as_secs_f64().max(f64::EPSILON)
@@ -345,9 +370,11 @@
         if self.withdrawn_at.is_some() {
             return None;
         }
+        self.watch(now);
         self.evaluate();
         let drained = old_outstanding == 0 || self.elapsed(now) >= LATEST_COMPLETION;
-        if !self.is_over() && self.share(now) >= 1.0 && drained && has_new_targets {
+        let may_end = drained && has_new_targets && self.is_watching(now);
+        if !self.is_over() && self.share(now) >= 1.0 && may_end {
             let due = self.stagger(MoveProgress::Complete, rank, now);
             return due.filter(|due| Some(*due) != reported);
         }
@@ -372,3 +399,7 @@
         (now.since(since) >= REPORT_STAGGER * rank).then_some(due)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/changeover.rs"]
+mod tests;
--- a/core/src/moves.rs
+++ b/core/src/moves.rs
@@ -225,6 +225,7 @@
         };
         let active = self.active.get_mut(&entry.record.service);
         let arm = active.map(|active| {
+            active.watch(now);
             let arm = active.arm(&entry.record.version);
             active.record_answer(route, arm, quality);
             arm
--- a/src/report.rs
+++ b/src/report.rs
@@ -12,7 +12,10 @@
     name::ServiceName,
     time::Time,
 };
-use ebonyfall_platform::{moves, store::Topic};
+use ebonyfall_platform::{
+    moves::{self, RecordedStatus},
+    store::{self, KeyedRecord, OrderKey, Topic},
+};
 use http::StatusCode;
 use slog::{Logger, info, warn};
 use tokio::time::{MissedTickBehavior, interval};
@@ -87,7 +90,10 @@
         known.read_at = now;
         let answer = match state.due {
             Some(progress) => self.report(&order, progress).await,
-            None => self.read(&order).await.map(|(known, _)| known),
+            None => self.read(&order).await.map(|(status, _)| match status {
+                RecordedStatus::Own(progress) => Some(progress),
+                RecordedStatus::Missing | RecordedStatus::Later => None,
+            }),
         };
         match answer {
             Ok(Some(reported)) => {
@@ -128,27 +134,44 @@
             "new_bad" => state.new.failed_or_slow());
     }
 
-    /// Reads the recorded progress of the order, and the offset of the stream's end.
-    async fn read(&self, order: &MoveOrder) -> Result<(Option<MoveProgress>, Offset), StoreError> {
+    /// Reads the recorded status of the order's service, and the offset of the stream's end.
+    async fn read(&self, order: &MoveOrder) -> Result<(RecordedStatus, Offset), StoreError> {
         let key = moves::status_key(&order.service);
         let (records, end) = self.store.newest(Topic::Status, 0).await?;
         let known = records.into_iter().find(|record| record.key == key);
-        let known = known.and_then(|record| moves::decode_progress(order, &record.value?));
-        Ok((known, end))
+        let value = known.and_then(|record| record.value);
+        let status = value.map_or(RecordedStatus::Missing, |value| {
+            moves::decode_status(order, &value)
+        });
+        Ok((status, end))
     }
 
-    /// Records the progress unless the move's end is recorded already. Returns the recorded
-    /// progress; `None` if it is not known.
+    /// Records the progress unless the move's end is recorded already, or a later order has replaced
+    /// this one. Returns the recorded progress; `None` if it is not known.
+    ///
+    /// The state on which the progress was decided may be old, as the process may have stood still
+    /// since then. So the end of a move is recorded only after the order has been looked up again.
     async fn report(
         &self,
         order: &MoveOrder,
         progress: MoveProgress,
     ) -> Result<Option<MoveProgress>, StoreError> {
-        let (known, end) = self.read(order).await?;
-        if let Some(known) = known
-            && (known != MoveProgress::InProgress || progress == MoveProgress::InProgress)
-        {
-            return Ok(Some(known));
+        let (status, end) = self.read(order).await?;
+        match status {
+            RecordedStatus::Own(known)
+                if known.is_over() || progress == MoveProgress::InProgress =>
+            {
+                return Ok(Some(known));
+            }
+            RecordedStatus::Own(_) | RecordedStatus::Missing => {}
+            RecordedStatus::Later => {
+                self.log_replaced(order, progress);
+                return Ok(None);
+            }
+        }
+        if progress.is_over() && self.is_replaced(order).await? {
+            self.log_replaced(order, progress);
+            return Ok(None);
         }
         let value = match moves::encode_status(order, progress) {
             Ok(value) => value,
@@ -167,6 +190,38 @@
             Err(error) => Err(error),
         }
     }
+
+    /// Whether the operators' stream has a later record of the order's key: another order, or a
+    /// withdrawal.
+    async fn is_replaced(&self, order: &MoveOrder) -> Result<bool, StoreError> {
+        let own_key = Some(OrderKey::Move(order.service.clone()));
+        let is_own = |record: &&KeyedRecord| store::decode_order_key(&record.key) == own_key;
+        let mut from = order.offset.next();
+        loop {
+            let batch = match self.store.read(Topic::Orders, from, Duration::ZERO).await {
+                Ok(batch) => batch,
+                Err(StoreError::Expired) => {
+                    let (records, _) = self.store.newest(Topic::Orders, 0).await?;
+                    let newest = records.iter().find(is_own).map(|record| record.offset);
+                    return Ok(newest != Some(order.offset));
+                }
+                Err(error) => return Err(error),
+            };
+            if batch.records.iter().any(|record| is_own(&record)) {
+                return Ok(true);
+            }
+            if batch.next >= batch.end || batch.next <= from {
+                return Ok(false);
+            }
+            from = batch.next;
+        }
+    }
+
+    fn log_replaced(&self, order: &MoveOrder, progress: MoveProgress) {
+        warn!(self.log, "the order was replaced; progress of its version move is not recorded";
+            "event" => "move_replaced", "service" => %order.service, "order" => %order.offset,
+            "due" => %progress);
+    }
 }
 
 /// Value of the metric's label for `progress`.
--- a/tests/entry/moves.rs
+++ b/tests/entry/moves.rs
@@ -102,3 +102,37 @@
     }
     assert_eq!(request_count(&env, 2..4), before);
 }
+
+/// Guards against a router that stood still while the operator replaced an order: on waking it took the
+/// time for watched and recorded the end of the replaced order, upon which the operator stops the old
+/// targets.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_stood_still_ends_no_replaced_order() {
+    let mut env = start_move().await;
+    let send = async |env: &EntryEnv, routers: &[usize], time: Duration| {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            for router in routers {
+                env.call_router(*router, "POST", "/order/7", "spine", &[])
+                    .await;
+            }
+            sleep(REQUEST_INTERVAL).await;
+        }
+    };
+    // The order was written 1.5 s ago; the share begins to rise after 72 % of its time.
+    send(&env, &[0, 1], Duration::from_secs(4)).await;
+    env.signal(0, "STOP");
+    send(&env, &[1], Duration::from_millis(700)).await;
+    let order = json!({ "service": "plain", "target": "v2", "duration_s": 60 });
+    env.store
+        .put("keyed.op", "rollout/plain", Some(&order))
+        .await;
+    send(&env, &[1], Duration::from_secs(3)).await;
+    env.signal(0, "CONT");
+    send(&env, &[0, 1], Duration::from_secs(2)).await;
+    assert_eq!(
+        recorded_states(&env).await,
+        ["in_progress", "in_progress"],
+        "one state of each order"
+    );
+}
