Encode the keys of the store's lists in queries

Cause: the last key of a page was put into the query of the next one as it was, so that the store answered with the same page again, and nothing bounded the pages of a list.

Evidence: keys_of_another_writer_do_not_keep_a_router_from_starting failed on the code before ("r&d": not ready) and passes now, for seven kinds of keys.

Why this fix works: the key is percent-encoded by a library (percent-encoding, so far an indirect dependency). A list that does not advance, or has more than 32 MiB, is refused with an error of its own; both have a test. The stand-in of the store decodes queries now, as the platform does.

Not done: lists that are refused as a whole still leave out the targets that could be read, and the decoders are not fuzzed.

--- a/src/store.rs
+++ b/src/store.rs
@@ -22,6 +22,9 @@
 /// Maximum size of an answer, in bytes. The store returns at most 1 MiB of records in a call, a third
 /// more in a list, where values are in base64.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Largest list of newest records, in bytes of keys and values; several times the entries and the
+/// desired state of the target size.
+pub const MAX_LIST_BYTES: usize = 32 << 20;
 /// Largest number of times that the timeout doubles after consecutive failures.
 const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
 /// Mean pause before the first retry of a page of a list, doubled with each further retry.
@@ -47,6 +50,15 @@
     /// The requested records have expired.
     #[snafu(display("the requested records have expired from the store"))]
     Expired,
+    /// A list goes on after a key at which a page has ended before.
+    #[snafu(display("a list of the store does not advance after the key {key:?}"))]
+    NoProgress {
+        /// Last key of the page.
+        key: String,
+    },
+    /// A list is longer than a router reads.
+    #[snafu(display("a list of the store has more than {MAX_LIST_BYTES} bytes"))]
+    TooLong,
     /// The answer cannot be decoded.
     #[snafu(display("{source}"))]
     Decode {
@@ -83,8 +95,9 @@
     ) -> Result<(Vec<KeyedRecord>, Offset), StoreError> {
         let wait = CALL_TIMEOUT * ((1 << failures.min(MAX_TIMEOUT_DOUBLINGS)) - 1);
         let mut records = Vec::new();
-        let mut after = None;
+        let mut after: Option<String> = None;
         let mut end = None;
+        let mut bytes = 0;
         loop {
             let path = store::newest_path(topic, after.as_deref());
             let body = match after {
@@ -92,13 +105,20 @@
                 Some(_) => self.later_page(&path, wait).await?,
             };
             let page = store::decode_newest(&body).context(DecodeSnafu)?;
+            bytes += page.records.iter().map(record_len).sum::<usize>();
+            if bytes > MAX_LIST_BYTES {
+                return TooLongSnafu.fail();
+            }
             records.extend(page.records);
             // Pages are not one snapshot, so changes after the first page must be read again.
             let end = *end.get_or_insert(page.end);
-            after = page.next_page_after;
-            if after.is_none() {
+            let Some(next) = page.next_page_after else {
                 return Ok((records, end));
+            };
+            if after.as_ref() == Some(&next) {
+                return NoProgressSnafu { key: next }.fail();
             }
+            after = Some(next);
         }
     }
 
@@ -172,3 +192,7 @@
         }
     }
 }
+
+fn record_len(record: &KeyedRecord) -> usize {
+    record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
+}
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -15,6 +15,7 @@
 use ebonyfall::web::{self, Shared};
 use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
 use http::{Method, Response, StatusCode, Uri};
+use percent_encoding::percent_decode_str;
 use serde_json::json;
 use slog::{Discard, Logger, o};
 use tokio::{
@@ -210,7 +211,9 @@
     match (method.as_str(), uri.path()) {
         ("GET", "/api/log-newest") => {
             let records = store.call(|reply| Command::ReadTopic(topic, reply)).await;
-            newest_page(&records, query.get("after").copied())
+            let after = query.get("after");
+            let after = after.map(|key| percent_decode_str(key).decode_utf8_lossy());
+            newest_page(&records, after.as_deref())
         }
         ("GET", "/api/log-read") => {
             let from = number("from").unwrap_or_default();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod contexts;
 mod env;
+mod keys;
 mod metrics;
 mod moves;
 mod notices;
