Take an engine that does not react for silent, not for down

An engine that is only silent would have been reported as gone, and its requests given up. A connection that times out is told from one that is refused.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -1,6 +1,6 @@
 //! HTTP client of the agent for the engine or service on its VM.
 
-use std::{error::Error, time::Duration};
+use std::{io, time::Duration};
 
 use bytes::Bytes;
 use ebonyfall_core::{
@@ -126,6 +126,11 @@
     }
 
     /// Sends a request on a new connection, and returns when the head of the answer has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `NotSent` when the back end refuses the connection, and with `TimedOut` when it does
+    /// not react to it; nothing was sent then either.
     async fn send(
         &self,
         req: Request<Full<Bytes>>,
@@ -133,7 +138,10 @@
         let now = BootClock.now();
         let buffer = ReadBuffer::Exact(READ_BUFFER_BYTES);
         let connecting = TargetConnection::connect(&*self.address, buffer, now);
-        let mut connection = connecting.await.map_err(|_unreachable| Failure::NotSent)?;
+        let mut connection = connecting.await.map_err(|error| match error.kind() {
+            io::ErrorKind::TimedOut => Failure::TimedOut,
+            _ => Failure::NotSent,
+        })?;
         let res = connection.send(req).await?;
         Ok((res, connection))
     }
@@ -199,17 +207,17 @@
             .map_err(|_error| EngineStatus::Unknown)?;
         let answer = async {
             let sent = self.send(req).await;
-            let (res, _connection) = sent.map_err(Failure::name)?;
+            let (res, _connection) = sent.map_err(|failure| match failure {
+                Failure::TimedOut => EngineStatus::Unknown,
+                _ => EngineStatus::Down,
+            })?;
             let status = res.status();
-            let body = Limited::new(res.into_body(), MAX_CONTROL_ANSWER_BYTES)
-                .collect()
-                .await?;
-            Ok::<_, Box<dyn Error + Send + Sync>>((status, body.to_bytes()))
+            let body = Limited::new(res.into_body(), MAX_CONTROL_ANSWER_BYTES).collect();
+            let body = body.await.map_err(|_broken| EngineStatus::Down)?;
+            Ok((status, body.to_bytes()))
         };
-        match timeout(limit, answer).await {
-            Ok(answer) => answer.map_err(|_broken| EngineStatus::Down),
-            Err(_) => Err(EngineStatus::Unknown),
-        }
+        let answer = timeout(limit, answer).await;
+        answer.unwrap_or(Err(EngineStatus::Unknown))
     }
 
     /// Sends a call once, on a new connection, and returns when the head of the answer has arrived.
@@ -232,7 +240,7 @@
             .body(Full::new(call.body))
             .map_err(|_error| Code::BadRequest)?;
         let (res, connection) = self.send(req).await.map_err(|failure| match failure {
-            Failure::NotSent => Code::EngineUnreachable,
+            Failure::NotSent | Failure::TimedOut => Code::EngineUnreachable,
             _ => Code::EngineFailed,
         })?;
         // An engine answers 503 only before it adds a request to a batch, so the request has not
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -1,18 +1,20 @@
 //! Tests of the agent's client against a faulty engine.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use ebonyfall::engine::Backend;
+use ebonyfall::engine::{Backend, EngineStatus};
 use ebonyfall_core::{
     doc::Priority,
     id::{AttemptId, RequestId},
 };
 use ebonyfall_wire::frame::Call;
 use http_body_util::BodyExt;
+use socket2::{Domain, Socket, Type};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    time::timeout,
 };
 
 /// Requests that are sent one after another.
@@ -79,3 +81,27 @@
         assert_eq!(body, path.as_bytes());
     }
 }
+
+/// Guards against an engine that is only silent being taken for one that is down: its running requests
+/// would be given up. Connections to it are neither accepted nor refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_engine_is_not_taken_for_down() {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("sockets are left");
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    listener.bind(&loopback.into()).expect("a port is free");
+    listener.listen(0).expect("the port is bound");
+    let address = listener.local_addr().expect("the port is bound");
+    let address = address.as_socket().expect("it is an IP address");
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) =
+        timeout(Duration::from_millis(200), TcpStream::connect(address)).await
+    {
+        queued.push(stream);
+    }
+    let backend = Backend::new(&format!("http://{address}").parse().expect("it is a URL"));
+    for _ in 0..10 {
+        assert_eq!(backend.status().await, EngineStatus::Unknown);
+    }
+    drop((listener, queued));
+    assert_eq!(backend.status().await, EngineStatus::Down);
+}
