Move the answers of targets to a module of their own

The types of targets' answers are in src/reply.rs now; what they do is unchanged. The tests of deadlines and of cut heads share their checks.

--- a/src/carry.rs
+++ b/src/carry.rs
@@ -22,9 +22,8 @@
     request::{self, TargetHeaders},
 };
 use gotham::helpers::http::Body;
-use http::{HeaderMap, Method, Request, StatusCode, Uri, header::CONTENT_TYPE};
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use slog::{Logger, info};
 use tokio::time::timeout;
 
@@ -34,6 +33,7 @@
     logs,
     metrics::Metrics,
     receive::{AnswerBuffers, MAX_ANSWER_BYTES, MAX_ERROR_BYTES, ReceiveFault},
+    reply::{CompleteAnswer, OpenAnswer, StreamHead, TargetReply},
     selection::{Reservation, SelectionRequest, SelectorHandle},
     stop::StopPhases,
     streaming::StreamRelay,
@@ -130,56 +130,6 @@
     failure: Option<CompleteAnswer>,
 }
 
-/// Answer of a target whose headers have been read, but not the body.
-#[derive(Debug)]
-pub(crate) struct OpenAnswer {
-    pub(crate) reservation: Reservation,
-    pub(crate) connection: TargetConnection,
-    status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Incoming,
-    sent_at: Time,
-}
-
-/// Status and headers of a target's answer, for the caller.
-#[derive(Debug, Clone)]
-pub(crate) struct StreamHead {
-    choice: Choice,
-    status: StatusCode,
-    headers: HeaderMap,
-}
-
-impl OpenAnswer {
-    /// Whether the answer is a stream of the same kind as the one with this head.
-    pub(crate) fn continues(&self, head: &StreamHead) -> bool {
-        self.status == head.status && media_type(&self.headers) == media_type(&head.headers)
-    }
-
-    pub(crate) fn head(&self) -> StreamHead {
-        StreamHead {
-            choice: self.reservation.choice.clone(),
-            status: self.status,
-            headers: self.headers.clone(),
-        }
-    }
-}
-
-/// Answer of a target that has been read to the end.
-#[derive(Debug)]
-pub(crate) struct CompleteAnswer {
-    choice: Choice,
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-/// Result of sending the request to targets until one of them replies.
-pub(crate) enum TargetReply {
-    Answer(OpenAnswer),
-    /// Error answer of a target, sealed by that target.
-    Failure(CompleteAnswer),
-}
-
 impl Forwarding {
     /// Counts an answer that was not read to its end; returns how the attempt failed.
     pub(crate) fn count_receive_fault(&self, fault: ReceiveFault) -> Failure {
@@ -597,13 +547,6 @@
     }
 }
 
-/// The content type without its parameters, in lower case.
-fn media_type(headers: &HeaderMap) -> Option<String> {
-    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
-    let essence = value.split(';').next().unwrap_or_default();
-    Some(essence.trim().to_ascii_lowercase())
-}
-
 pub(crate) fn mark_idle(mut connection: TargetConnection, headers: &HeaderMap) -> TargetConnection {
     connection.mark_idle(answer::keep_alive_timeout(headers), BootClock.now());
     connection
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod receive;
 pub mod relay;
 pub mod remote;
+mod reply;
 pub mod report;
 pub mod rest;
 pub mod retrier;
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -21,9 +21,10 @@
 use tokio::time::timeout;
 
 use crate::{
-    carry::{CallerAnswer, Forwarder, OpenAnswer, StreamHead, TargetReply, mark_idle},
+    carry::{CallerAnswer, Forwarder, mark_idle},
     clock::{self, BootClock},
     receive::EventShare,
+    reply::{OpenAnswer, StreamHead, TargetReply},
 };
 
 /// Stream that is being relayed to the caller.
--- a/tests/hostile/deadlines.rs
+++ b/tests/hostile/deadlines.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use ebonyfall_standin::{entrance::EntryDeployment, hostile::Step};
+use ebonyfall_standin::{
+    entrance::{EntryDeployment, Reply},
+    hostile::Step,
+};
 use futures_util::future::join_all;
 use http::StatusCode;
 use tokio::time::{Instant, timeout};
@@ -15,7 +18,7 @@
 /// Pause between two pieces of an answer. It is shorter than any wait of a router for one piece.
 const DRIP: Duration = Duration::from_millis(40);
 /// Longest wait of a caller, so that a test ends where an answer does not.
-const PATIENCE: Duration = Duration::from_secs(6);
+const CALLER_TIMEOUT: Duration = Duration::from_secs(6);
 
 fn drip(text: &str) -> Step {
     Step::Repeat(text.to_owned(), DRIP)
@@ -69,6 +72,24 @@
     answers
 }
 
+/// Waits for the answers to requests that were sent at `start`, and checks that they end in time and
+/// that none looks complete.
+async fn check(what: &str, start: Instant, calls: impl Future<Output = Vec<Option<Reply>>>) {
+    let replies = timeout(CALLER_TIMEOUT, calls).await;
+    let replies = replies.unwrap_or_else(|_| panic!("{what}: no end"));
+    let took = start.elapsed();
+    assert!(took < DEADLINE + SLACK, "{what}: {took:?}");
+    for reply in replies.into_iter().flatten() {
+        let is_whole = reply.status == StatusCode::OK && reply.body.is_ok();
+        assert!(!is_whole, "{what}: looks complete");
+    }
+}
+
+/// Script of a connection whose target executes a request and answers with these bytes.
+fn script(bytes: Vec<Step>) -> Vec<Step> {
+    std::iter::once(Step::Execute).chain(bytes).collect()
+}
+
 /// Guards against a request without an end after its route's timeout, because the target goes on to
 /// send bytes, comments or events: each of them renewed the wait for the next one. The caller itself
 /// would wait for longer.
@@ -77,8 +98,7 @@
     let env = Env::start(0).await;
     let listen = env.deployment.routers[0].listen;
     for (case, path, bytes) in endless_answers() {
-        let script: Vec<_> = std::iter::once(Step::Execute).chain(bytes).collect();
-        env.hostile.set_script(script);
+        env.hostile.set_script(script(bytes));
         let method = if path == SAFE { "GET" } else { "POST" };
         let start = Instant::now();
         let calls = (0..8).map(|call| {
@@ -88,17 +108,7 @@
                 EntryDeployment::call(listen, &id, (method, path, "body"), &headers).await
             }
         });
-        let replies = timeout(PATIENCE, join_all(calls)).await;
-        let replies = replies.unwrap_or_else(|_| panic!("{path}, {case}: no end"));
-        assert!(
-            start.elapsed() < DEADLINE + SLACK,
-            "{path}, {case}: {:?}",
-            start.elapsed()
-        );
-        for reply in replies.into_iter().flatten() {
-            let is_whole = reply.status == StatusCode::OK && reply.body.is_ok();
-            assert!(!is_whole, "{path}, {case}: looks complete");
-        }
+        check(&format!("{path}, {case}"), start, join_all(calls)).await;
     }
 }
 
@@ -107,29 +117,17 @@
 async fn an_answer_without_an_end_is_cut_off_at_the_deadline_behind_an_agent() {
     let env = AgentEnv::start().await;
     for (case, path, bytes) in endless_answers() {
-        let path = if path == UNSAFE {
-            AGENT_UNSAFE
+        env.hostile.set_script(script(bytes));
+        let (method, path) = if path == UNSAFE {
+            ("POST", AGENT_UNSAFE)
         } else {
-            AGENT_SAFE
+            ("GET", AGENT_SAFE)
         };
-        let script: Vec<_> = std::iter::once(Step::Execute).chain(bytes).collect();
-        env.hostile.set_script(script);
-        let method = if path == AGENT_SAFE { "GET" } else { "POST" };
         let start = Instant::now();
         let calls = (0..8).map(|call| {
             let (env, id) = (&env, format!("agent-{call}"));
             async move { env.call(&id, method, path).await }
         });
-        let replies = timeout(PATIENCE, join_all(calls)).await;
-        let replies = replies.unwrap_or_else(|_| panic!("{path}, {case}: no end"));
-        assert!(
-            start.elapsed() < DEADLINE + SLACK,
-            "{path}, {case}: {:?}",
-            start.elapsed()
-        );
-        for reply in replies.into_iter().flatten() {
-            let is_whole = reply.status == StatusCode::OK && reply.body.is_ok();
-            assert!(!is_whole, "{path}, {case}: looks complete");
-        }
+        check(&format!("{path}, {case}"), start, join_all(calls)).await;
     }
 }
--- a/tests/hostile/heads.rs
+++ b/tests/hostile/heads.rs
@@ -3,7 +3,7 @@
 
 use ebonyfall_standin::{
     entrance::{EntryDeployment, Reply},
-    hostile::Step,
+    hostile::{HostileTarget, Step},
 };
 
 use crate::env::{
@@ -55,6 +55,13 @@
     [Step::Execute, send(text), Step::Close]
 }
 
+/// Checks that most of `cuts` requests have reached the target, so that the test shows something.
+fn check_executions(target: &HostileTarget, path: &str, cuts: usize) {
+    let executed = target.total_executions();
+    assert!(executed > cuts / 2, "{path}: {executed} of {cuts} were cut");
+    target.forget_executions();
+}
+
 fn assert_not_whole(reply: Option<&Reply>, what: &str) {
     let Some(reply) = reply else { return };
     let is_whole = reply.status.is_success() && reply.body.is_ok();
@@ -75,12 +82,7 @@
             let reply = EntryDeployment::call(listen, &id, (method, path, "body"), &[]).await;
             assert_not_whole(reply.as_ref(), &format!("{path}, {:?}", &text[..cut]));
         }
-        let executed = env.hostile.total_executions();
-        assert!(
-            executed > cuts / 2,
-            "{path}: {executed} of {cuts} answers were cut"
-        );
-        env.hostile.forget_executions();
+        check_executions(&env.hostile, path, cuts);
     }
 }
 
@@ -96,11 +98,6 @@
             let reply = env.call("cut", method, path).await;
             assert_not_whole(reply.as_ref(), &format!("{path}, {:?}", &text[..cut]));
         }
-        let executed = env.hostile.total_executions();
-        assert!(
-            executed > cuts / 2,
-            "{path}: {executed} of {cuts} answers were cut"
-        );
-        env.hostile.forget_executions();
+        check_executions(&env.hostile, path, cuts);
     }
 }
