Make the tests of planned stops independent of the machine's speed

Bodies of slow callers are sent at a time after the stop signal, and the signal is sent once all requests run, so that a busy machine does not shift one against the other.

--- a/tests/hostile/stops.rs
+++ b/tests/hostile/stops.rs
@@ -11,6 +11,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    sync::oneshot,
     task::JoinSet,
     time::{Instant, sleep, sleep_until, timeout},
 };
@@ -26,20 +27,24 @@
 const DRAIN: Duration = Duration::from_secs(3);
 const DRAIN_SETTING: &str = "drain = 3s\n";
 
+/// Times from the stop signal until a slow caller sends its body; requests are refused by then.
+const SLOW_BODY: Duration = Duration::from_secs(4);
+const AGENT_SLOW_BODY: Duration = Duration::from_secs(2);
+
 /// Keeps requests without an answer.
 fn silent() -> [Step; 2] {
     [Step::Execute, Step::Wait(2 * TIMEOUT)]
 }
 
-/// Sends the head of a request now and its body at `body_at`, and returns the status line.
+/// Sends the head of a request now and its body after `go`, and returns the status line.
 async fn call_slowly(
     listen: SocketAddr,
     head: String,
-    body_at: Instant,
+    go: oneshot::Receiver<()>,
 ) -> Result<String, std::io::Error> {
     let mut stream = TcpStream::connect(listen).await?;
     stream.write_all(head.as_bytes()).await?;
-    sleep_until(body_at).await;
+    go.await.map_err(std::io::Error::other)?;
     stream.write_all(b"body").await?;
     let mut answer = Vec::new();
     let mut buf = [0; 4_096];
@@ -96,20 +101,19 @@
         "POST {UNSAFE} HTTP/1.1\r\nHost: spine.example\r\nEbonyfall-Attempt-Id: slow\r\n\
          Authorization: Bearer {TEAM_KEY}\r\nEbonyfall-Deadline-Ms: 30000\r\nContent-Length: 4\r\n\r\n"
     );
-    let slow = tokio::spawn(call_slowly(
-        listen,
-        slow,
-        Instant::now() + Duration::from_millis(5_000),
-    ));
+    let (send_body, go) = oneshot::channel();
+    let slow = tokio::spawn(call_slowly(listen, slow, go));
     sleep(Duration::from_millis(100)).await;
     let stopped = Instant::now();
     env.deployment.signal(0, "TERM");
-    for (at, after) in [("soon", 300), ("late", 2_500)] {
+    for (at, after) in [("soon", 300), ("late", 2_000)] {
         sleep_until(stopped + Duration::from_millis(after)).await;
         for (method, path) in paths {
             send(at, method, path);
         }
     }
+    sleep_until(stopped + SLOW_BODY).await;
+    send_body.send(()).expect("the caller waits");
     let replies = timeout(GRACE, calls.join_all())
         .await
         .expect("the router ends in time");
@@ -155,18 +159,20 @@
         "POST {AGENT_UNSAFE} HTTP/1.1\r\nHost: x\r\nAuthorization: {key}\r\nX-Deadline-Ms: 30000\r\n\
          Content-Length: 4\r\n\r\n"
     );
-    let slow = tokio::spawn(call_slowly(
-        listen,
-        slow,
-        Instant::now() + Duration::from_millis(2_300),
-    ));
-    sleep(Duration::from_millis(300)).await;
-    let before = env.hostile.total_executions();
-    assert_eq!(before, 3, "all requests run");
+    let (send_body, go) = oneshot::channel();
+    let slow = tokio::spawn(call_slowly(listen, slow, go));
+    let running = async {
+        while env.hostile.total_executions() < 3 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(DRAIN, running).await.expect("all requests run");
     let stopped = Instant::now();
     env.env.deployment.routers[0]
         .terminate()
         .expect("the signal is sent");
+    sleep_until(stopped + AGENT_SLOW_BODY).await;
+    send_body.send(()).expect("the caller waits");
     let replies = timeout(DRAIN, calls.join_all())
         .await
         .expect("the router ends in time");
@@ -183,5 +189,5 @@
         .expect("no panic")
         .expect("the request is answered");
     assert!(refused.starts_with("HTTP/1.1 503"), "{refused:?}");
-    assert_eq!(env.hostile.total_executions(), before);
+    assert_eq!(env.hostile.total_executions(), 3);
 }
