Limit interim answers at agents to twice the agent's limit on heads

Traced with a line for each request, beside four busy processes: all requests ended with EngineFailed, one after the other, 11 to 25 ms apart, so that none waited for its deadline; each attempt cost the agent that much for the interim answers in 32 KiB, and 32 requests were tried again up to three times. An agent's limit on a head is 4 KiB, so that 8 KiB in all are enough there; entry routers keep 32 KiB.

--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -41,9 +41,6 @@
 
 /// Largest head of an answer, and largest part of a body that is read at once, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
-/// Most bytes that a target may send before the head of its answer has been read: interim answers,
-/// the head, and the part of the body that arrives with it.
-const MAX_BYTES_TO_HEAD: usize = 2 * MAX_HEAD_BYTES;
 /// Most header fields of an answer.
 const MAX_HEADERS: usize = 100;
 
@@ -57,6 +54,17 @@
     Exact(usize),
 }
 
+impl ReadBuffer {
+    /// Most bytes that a target may send before the head of its answer has been read: interim
+    /// answers, the head, and the part of the body that arrives with it.
+    const fn bytes_to_head(self) -> usize {
+        match self {
+            Self::Adaptive => 2 * MAX_HEAD_BYTES,
+            Self::Exact(bytes) => 2 * bytes,
+        }
+    }
+}
+
 /// Bytes that a connection may still receive; `usize::MAX` means no limit. The connection's task
 /// counts them, the request that uses the connection sets them.
 #[derive(Debug, Clone)]
@@ -93,7 +101,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.budget.is_used_up() {
-            let reason = format!("no complete head within {MAX_BYTES_TO_HEAD} bytes");
+            let reason = "no complete head within the limit on its bytes";
             return Poll::Ready(Err(io::Error::other(reason)));
         }
         let before = buf.filled().len();
@@ -148,6 +156,8 @@
 pub struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
     _task: ConnectionTask,
+    /// Limit of `budget` until the head of an answer has been read.
+    bytes_to_head: usize,
     budget: ReceiveBudget,
     idle_since: Time,
     idle_limit: Duration,
@@ -169,7 +179,7 @@
             .map_err(|_late| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        let budget = ReceiveBudget(Arc::new(AtomicUsize::new(MAX_BYTES_TO_HEAD)));
+        let budget = ReceiveBudget(Arc::new(AtomicUsize::new(buffer.bytes_to_head())));
         let limited = LimitedStream {
             stream,
             budget: budget.clone(),
@@ -191,6 +201,7 @@
         Ok(Self {
             sender,
             _task: ConnectionTask(task.abort_handle()),
+            bytes_to_head: buffer.bytes_to_head(),
             budget,
             idle_since: now,
             idle_limit: DEFAULT_IDLE_LIMIT,
@@ -204,7 +215,7 @@
     /// Fails with `NotSent` when the target cannot have received any byte of the request, with
     /// `Oversized` when no head ends within the limit, and with `Broken` otherwise.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
-        self.budget.set(MAX_BYTES_TO_HEAD);
+        self.budget.set(self.bytes_to_head);
         match self.sender.try_send_request(req).await {
             Ok(res) => {
                 // From here on the reader of the body sets the pace and the limit.
