--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod time;
 pub mod timing;
 pub mod trace;
+pub mod usage;
 mod visit;
 pub mod wait;
 pub mod zone;
--- /dev/null
+++ b/core/src/usage/mod.rs
@@ -0,0 +1,4 @@
+//! Usage reports: which requests of each team began in each window of time, and which router reports
+//! them to the platform.
+
+pub mod window;
