Reset connections whose request was given up before its answer

Cause: dropping a connection closed it in order, and the kernel goes on sending what has not arrived. Now a connection whose request has no answer yet is reset (SO_LINGER of zero), which drops these bytes. Connections whose answer has begun are closed in order as before.

Ruled out: TCP_USER_TIMEOUT alone, which ends at the next retransmission, after the cut; a shorter time-out would also cut requests that are sound.

--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -5,7 +5,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
@@ -65,24 +65,42 @@
     }
 }
 
-/// Bytes that a connection may still receive; `usize::MAX` means no limit. The connection's task
-/// counts them, the request that uses the connection sets them.
-#[derive(Debug, Clone)]
-struct ReceiveBudget(Arc<AtomicUsize>);
+/// State of the request on a connection, which the request sets and the connection's task reads.
+#[derive(Debug)]
+struct RequestState {
+    /// Bytes that the connection may still receive; `usize::MAX` means no limit.
+    budget: AtomicUsize,
+    /// Whether the target has not begun to answer, so that parts of the request may not have arrived.
+    is_unanswered: AtomicBool,
+}
+
+impl RequestState {
+    /// Starts a request whose answer may have `bytes` bytes until the end of its head.
+    fn start(&self, bytes: usize) {
+        self.budget.store(bytes, Ordering::Relaxed);
+        self.is_unanswered.store(true, Ordering::Relaxed);
+    }
 
-impl ReceiveBudget {
-    fn set(&self, bytes: usize) {
-        self.0.store(bytes, Ordering::Relaxed);
+    /// Records that the head of the answer has been read. From here on the reader of the body sets
+    /// the pace and the limit.
+    fn record_head(&self) {
+        self.budget.store(usize::MAX, Ordering::Relaxed);
+        self.is_unanswered.store(false, Ordering::Relaxed);
     }
 
     fn is_used_up(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == 0
+        self.budget.load(Ordering::Relaxed) == 0
+    }
+
+    fn is_unanswered(&self) -> bool {
+        self.is_unanswered.load(Ordering::Relaxed)
     }
 
     fn count(&self, bytes: usize) {
-        let left = self.0.load(Ordering::Relaxed);
+        let left = self.budget.load(Ordering::Relaxed);
         if left != usize::MAX {
-            self.set(left.saturating_sub(bytes));
+            let left = left.saturating_sub(bytes);
+            self.budget.store(left, Ordering::Relaxed);
         }
     }
 }
@@ -91,7 +109,18 @@
 /// answers without a limit on their number.
 struct LimitedStream {
     stream: TcpStream,
-    budget: ReceiveBudget,
+    state: Arc<RequestState>,
+}
+
+impl Drop for LimitedStream {
+    /// Resets the connection if its request was given up before it was answered. After an orderly
+    /// close the kernel goes on sending what has not arrived, for seconds if the link is cut, when
+    /// another target may have run the request or this one has left.
+    fn drop(&mut self) {
+        if self.state.is_unanswered() {
+            let _closed = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
 impl AsyncRead for LimitedStream {
@@ -100,13 +129,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.budget.is_used_up() {
+        if self.state.is_used_up() {
             let reason = "no complete head within the limit on its bytes";
             return Poll::Ready(Err(io::Error::other(reason)));
         }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.budget.count(buf.filled().len() - before);
+        self.state.count(buf.filled().len() - before);
         polled
     }
 }
@@ -151,14 +180,15 @@
     }
 }
 
-/// A connection to a target. Dropping it closes the connection, which cancels the target's work.
+/// A connection to a target. Dropping it closes the connection, which cancels the target's work. What
+/// has not arrived of a request without an answer is dropped.
 #[derive(Debug)]
 pub struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
     _task: ConnectionTask,
-    /// Limit of `budget` until the head of an answer has been read.
+    /// Limit on received bytes until the head of an answer has been read.
     bytes_to_head: usize,
-    budget: ReceiveBudget,
+    state: Arc<RequestState>,
     idle_since: Time,
     idle_limit: Duration,
 }
@@ -179,10 +209,13 @@
             .map_err(|_late| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        let budget = ReceiveBudget(Arc::new(AtomicUsize::new(buffer.bytes_to_head())));
+        let state = Arc::new(RequestState {
+            budget: AtomicUsize::new(buffer.bytes_to_head()),
+            is_unanswered: AtomicBool::new(false),
+        });
         let limited = LimitedStream {
             stream,
-            budget: budget.clone(),
+            state: Arc::clone(&state),
         };
         let mut builder = http1::Builder::new();
         match buffer {
@@ -202,7 +235,7 @@
             sender,
             _task: ConnectionTask(task.abort_handle()),
             bytes_to_head: buffer.bytes_to_head(),
-            budget,
+            state,
             idle_since: now,
             idle_limit: DEFAULT_IDLE_LIMIT,
         })
@@ -215,16 +248,15 @@
     /// Fails with `NotSent` when the target cannot have received any byte of the request, with
     /// `Oversized` when no head ends within the limit, and with `Broken` otherwise.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
-        self.budget.set(self.bytes_to_head);
+        self.state.start(self.bytes_to_head);
         match self.sender.try_send_request(req).await {
             Ok(res) => {
-                // From here on the reader of the body sets the pace and the limit.
-                self.budget.set(usize::MAX);
+                self.state.record_head();
                 Ok(res)
             }
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => Err(Failure::NotSent),
-                None if self.budget.is_used_up() => Err(Failure::Oversized),
+                None if self.state.is_used_up() => Err(Failure::Oversized),
                 None => Err(Failure::Broken),
             },
         }
