Keep what a target stated while its entry lapses and returns

Cause: removing a target dropped its statements with the rest of its estimate. They are kept now, up to 4,096 targets, and apply again when the same run of the target returns; a new run starts without. Limits that targets state were lost the same way.

Ruled out: keeping the whole estimate, whose loads and failures are outdated when the entry returns.

--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -31,6 +31,7 @@
     time::Time,
     trace::{PartCause, TraceEvent},
 };
+use notices::LapsedStatements;
 
 mod crashes;
 mod notices;
@@ -122,6 +123,7 @@
     parts: PartMarks,
     store_failed_at: Option<Time>,
     holders: Holders,
+    statements: LapsedStatements,
     reports: RouterReports,
     /// Number of reports made for other routers, used to number them.
     reports_sent: u64,
@@ -145,6 +147,7 @@
             parts: PartMarks::default(),
             store_failed_at: None,
             holders: Holders::default(),
+            statements: LapsedStatements::default(),
             reports: RouterReports::default(),
             reports_sent: 0,
             trace: Vec::new(),
@@ -256,6 +259,7 @@
                 entry.known_since = Time::ZERO;
             }
             entry.outstanding_elsewhere = self.reports.open_at(&entry.record.name);
+            self.trace.extend(self.statements.restore(&mut entry, now));
             self.targets.insert(entry);
             return;
         };
@@ -289,7 +293,10 @@
                 // The target may be running but unable to renew its entry during the outage.
                 entry.expires_at.get_or_insert(now + EXPIRY_GRACE);
             }
-            Some(_) => self.targets.remove(name),
+            Some(entry) => {
+                self.statements.keep(entry, now);
+                self.targets.remove(name);
+            }
             None => {}
         }
     }
--- a/core/src/selector/notices.rs
+++ b/core/src/selector/notices.rs
@@ -1,18 +1,77 @@
 //! What targets state about themselves: what the router hears, tells other routers, and obeys.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use super::{RETRY_AFTER, TargetSelector};
 use crate::{
+    estimate::Estimate,
     id::Incarnation,
-    limit::{LimitReport, StatedLimit},
+    limit::{LimitReport, StatedLimit, TargetLimit},
     name::{ServiceName, TargetName},
-    notice::{Notices, StatedPause},
+    notice::{Notices, StatedPause, TargetNotices},
     target::{Stage, TargetRecord},
     time::Time,
     trace::{Notice, TraceEvent},
 };
 
+/// Maximum number of targets whose statements are kept after their entries are gone.
+const MAX_LAPSED: usize = 4_096;
+
+/// What a target stated before its entry went missing.
+#[derive(Debug)]
+struct Lapsed {
+    incarnation: Incarnation,
+    notices: TargetNotices,
+    limit: TargetLimit,
+}
+
+impl Lapsed {
+    fn is_in_force(&self, now: Time) -> bool {
+        !self.notices.accepts_requests(now) || self.limit.rate(now).is_some()
+    }
+}
+
+/// Statements of targets whose entries are gone. An entry may lapse while its target runs on, and
+/// what the target has stated holds until its time ends or the target starts again.
+#[derive(Debug, Default)]
+pub(super) struct LapsedStatements(HashMap<TargetName, Lapsed>);
+
+impl LapsedStatements {
+    /// Keeps the statements of a target whose entry is removed.
+    pub(super) fn keep(&mut self, entry: &Estimate, now: Time) {
+        let lapsed = Lapsed {
+            incarnation: entry.record.incarnation,
+            notices: entry.notices.clone(),
+            limit: entry.limit.clone(),
+        };
+        if !lapsed.is_in_force(now) {
+            return;
+        }
+        if self.0.len() >= MAX_LAPSED {
+            self.0.retain(|_, lapsed| lapsed.is_in_force(now));
+        }
+        if self.0.len() < MAX_LAPSED {
+            self.0.insert(entry.record.name.clone(), lapsed);
+        }
+    }
+
+    /// Applies the statements of an earlier entry of the same run of the target. Returns the event
+    /// if there are any.
+    pub(super) fn restore(&mut self, entry: &mut Estimate, now: Time) -> Option<TraceEvent> {
+        let lapsed = self.0.remove(&entry.record.name)?;
+        if lapsed.incarnation != entry.record.incarnation || !lapsed.is_in_force(now) {
+            return None;
+        }
+        entry.notices = lapsed.notices;
+        entry.limit = lapsed.limit;
+        Some(TraceEvent::Restored {
+            target: entry.record.name.clone(),
+            pause: entry.notices.pause(now),
+            rate: entry.limit.rate(now),
+        })
+    }
+}
+
 impl TargetSelector {
     /// Records what a target stated in an answer to a request that was sent at `sent_at`. An answer
     /// of an earlier run of the target states nothing.
--- a/core/src/trace.rs
+++ b/core/src/trace.rs
@@ -67,6 +67,15 @@
         /// Time until the end of the pause.
         pause: Duration,
     },
+    /// The entry of a target returned, and what the target stated before still holds.
+    Restored {
+        /// The target.
+        target: TargetName,
+        /// Time until the end of the pause that it wants; zero without one.
+        pause: Duration,
+        /// Requests per second that it takes from all routers together; `None` for no limit.
+        rate: Option<f64>,
+    },
     /// A target's statement cannot be used.
     MalformedNotice {
         /// The target.
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -30,6 +30,15 @@
             info!(log, "a target wants no requests from this router for some time";
                 "event" => "pause", "target" => %target, "pause_ms" => clock::millis(*pause));
         }
+        TraceEvent::Restored {
+            target,
+            pause,
+            rate,
+        } => {
+            info!(log, "a target's entry returned; what the target stated before still holds";
+                "event" => "restored", "target" => %target,
+                "pause_ms" => clock::millis(*pause), "per_s" => rate);
+        }
         TraceEvent::MalformedNotice { target, notice } => {
             warn!(log, "a target states something that is not a usable number; ignored";
                 "event" => "notice_bad", "target" => %target, "notice" => %notice);
