--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -19,6 +19,9 @@
     /// Routers of this process's zone that are alive, including this process if it is one, in the
     /// order that decides which of them read the store.
     pub zone_routers: Vec<ZoneRouter>,
+    /// Routers of all zones that are alive, including this process if it is one, in the same kind of
+    /// order. The first ones collect the counts of usage.
+    pub ordered_routers: Vec<ZoneRouter>,
     /// False from the start or a pause until another process has answered, if any is known. The
     /// process must not act on leases until then.
     pub fresh: bool,
@@ -42,16 +45,18 @@
                 }
                 None if state == MemberState::Alive => {
                     view.routers.push(record.name.clone());
+                    let router = ZoneRouter::new(record.name.clone(), record.address);
                     if record.zone == self.own().zone {
-                        let router = ZoneRouter::new(record.name.clone(), record.address);
-                        view.zone_routers.push(router);
+                        view.zone_routers.push(router.clone());
                     }
+                    view.ordered_routers.push(router);
                 }
                 _ => {}
             }
         }
         view.routers.sort();
         view.zone_routers.sort();
+        view.ordered_routers.sort();
         view
     }
 }
--- a/core/src/readers.rs
+++ b/core/src/readers.rs
@@ -19,7 +19,7 @@
 /// Random part of that time, so that routers do not return to a reader together.
 const FALLBACK_SPREAD: Duration = Duration::from_secs(2);
 
-/// A router of this process's zone. The order of routers is the same in every process and does not
+/// A router among those of its zone or of the fleet. The order of routers is the same in every process and does not
 /// follow their names, so that routers that are started in turn are not readers in turn.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneRouter {
--- a/core/src/usage/window.rs
+++ b/core/src/usage/window.rs
@@ -38,6 +38,11 @@
         (length >= Duration::from_millis(1)).then_some(Self(length))
     }
 
+    /// The length.
+    pub fn duration(self) -> Duration {
+        self.0
+    }
+
     /// The window that contains the time `unix` since the Unix epoch.
     pub fn window_at(self, unix: Duration) -> WindowId {
         let number = unix.as_millis() / self.0.as_millis();
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod mirror;
 pub mod order;
 pub mod record;
+pub mod usage;
