Count requests when they begin to run and send the counts to collectors

A task keeps the counts, and one task for each collector owns the connection to it, so that a collector that does not answer holds up nothing else. A request counts at its first event or answer; one that may have run counts when its connection breaks or its caller leaves.

--- a/core/src/usage/counts.rs
+++ b/core/src/usage/counts.rs
@@ -221,8 +221,7 @@
             *until = state.complete.max(*until);
         }
         let live = live.into_iter();
-        let missing =
-            live.filter(|router| complete.get(router).is_none_or(|until| *until < end));
+        let missing = live.filter(|router| complete.get(router).is_none_or(|until| *until < end));
         WindowCounts {
             counts: counts
                 .map(|(team, counts)| (team.clone(), total(counts)))
@@ -305,14 +304,7 @@
         counts.map_or(0, |counts| counts.of(source))
     }
 
-    fn set(
-        &mut self,
-        window: WindowId,
-        team: &TeamName,
-        source: usize,
-        count: u64,
-        now: Duration,
-    ) {
+    fn set(&mut self, window: WindowId, team: &TeamName, source: usize, count: u64, now: Duration) {
         let present = u64::from(self.length.window_at(now));
         let number = u64::from(window);
         if number > present.saturating_add(MAX_AHEAD)
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -38,6 +38,7 @@
     stop::StopPhases,
     streaming::StreamRelay,
     upstream::{ReadBuffer, TargetConnection},
+    usage::{counting::UsageCounter, starts::RequestStart},
     web,
 };
 
@@ -110,6 +111,8 @@
     pub selector: SelectorHandle,
     /// How far a planned stop of the process has come.
     pub phases: StopPhases,
+    /// Counts the requests that begin to run; `None` if usage is not reported.
+    pub usage: Option<UsageCounter>,
     /// Memory for answers.
     pub buffers: AnswerBuffers,
     /// Metrics of this process.
@@ -125,6 +128,7 @@
     job: ForwardJob,
     pub(crate) attempts: DirectRequest,
     pub(crate) shared: Arc<Forwarding>,
+    pub(crate) start: RequestStart,
     pub(crate) charge_retry: bool,
     /// Error answer of a target, returned to the caller if no other target can be tried.
     failure: Option<CompleteAnswer>,
@@ -144,7 +148,9 @@
 impl Forwarder {
     /// Creates a forwarder for a request that has not been sent to any target.
     pub fn new(job: ForwardJob, attempts: DirectRequest, shared: Arc<Forwarding>) -> Self {
+        let usage = shared.usage.as_ref();
         Self {
+            start: RequestStart::new(usage, job.team.as_ref(), &job.route),
             job,
             attempts,
             shared,
@@ -312,6 +318,7 @@
     pub(crate) fn record_failure(&mut self, target: &TargetName, failure: Failure) -> NextStep {
         let now = BootClock.now();
         let next = self.attempts.on_failure(target, failure, now);
+        self.start.record_failure(failure);
         self.shared
             .metrics
             .entry
@@ -387,6 +394,7 @@
         let time_left = self.attempts.deadline().since(now);
         let limit = self.answer_timeout(time_left);
         let req = self.target_request(&reservation, time_left, last_event);
+        self.start.record_sent(now);
         let res = match self.wait(limit, connection.send(req)).await {
             Ok(Ok(res)) => res,
             Ok(Err(failure)) => {
@@ -414,7 +422,10 @@
             sent_at: now,
         };
         let failure = match decoded.kind() {
-            AnswerKind::Answer => return Ok(open),
+            AnswerKind::Answer => {
+                self.start.record_answer(BootClock.now());
+                return Ok(open);
+            }
             AnswerKind::Failed => Failure::Failed,
             AnswerKind::Declined => Failure::Declined,
             AnswerKind::WrongTarget => Failure::WrongTarget,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,6 +27,7 @@
     settings::{self, EntryConfig},
     stop::{StopPhases, StopTimes},
     store::StoreClient,
+    usage::counting::UsageCounter,
     web::{self, ConnectionLimits, Shared},
 };
 
@@ -85,6 +86,16 @@
     let selector = SelectorHandle::start(selector, BootClock, log.clone());
     let store = StoreClient::new(cfg.store, metrics.entry.clone());
     let (access_tx, access) = watch::channel(None);
+    let usage = cfg.usage_window.map(|length| {
+        let counting = metrics.entry.counting.clone();
+        UsageCounter::start(
+            cfg.name.clone(),
+            length,
+            access.clone(),
+            counting,
+            log.clone(),
+        )
+    });
     let store_state = follow::start(
         store.clone(),
         selector.clone(),
@@ -102,6 +113,7 @@
         zone: cfg.zone.clone(),
         store_state: store_state.clone(),
         selector: selector.clone(),
+        usage: usage.clone(),
         metrics: metrics.clone(),
     };
     monitoring::serve_monitoring(monitoring, pages, log.clone());
@@ -120,6 +132,7 @@
             store,
             selector: selector.clone(),
             mirrors: store_state.mirrors.clone(),
+            usage: usage.clone(),
             access: access_tx,
             metrics: metrics.clone(),
             log: log.clone(),
@@ -138,6 +151,7 @@
         store_state,
         selector,
         phases,
+        usage,
         buffers: AnswerBuffers::default(),
         metrics,
         log: log.clone(),
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -17,6 +17,7 @@
     follow::StoreState,
     metrics::Metrics,
     selection::SelectorHandle,
+    usage::counting::{CountingState, UsageCounter},
     web::{self, ConnectionLimits, Shared},
 };
 
@@ -57,6 +58,8 @@
     pub store_state: StoreState,
     /// Target selector, whose state is part of the dump.
     pub selector: SelectorHandle,
+    /// Task that counts requests; `None` if usage is not reported.
+    pub usage: Option<UsageCounter>,
     /// Metrics of this process.
     pub metrics: Metrics,
 }
@@ -72,6 +75,9 @@
     /// Time since the desired state was last confirmed to be current.
     state_age_ms: Option<u64>,
     steering: RoutingState,
+    /// Counts of requests; absent if usage is not reported.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<CountingState>,
 }
 
 impl Monitoring {
@@ -90,6 +96,10 @@
 
     async fn dump_page(&self) -> Response<Body> {
         let steering = self.selector.inspect().await;
+        let usage = match &self.usage {
+            Some(usage) => Some(usage.inspect().await),
+            None => None,
+        };
         let desired = self.store_state.desired.borrow().clone();
         let dump = Dump {
             build: env!("CARGO_PKG_VERSION"),
@@ -99,6 +109,7 @@
             routes: desired.as_ref().map(|desired| desired.route_count()),
             state_age_ms: self.state_age().map(clock::millis),
             steering,
+            usage,
         };
         web::json_response(StatusCode::OK, &dump)
     }
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -9,7 +9,10 @@
 
 use ebonyfall_core::{id::Offset, name::ProcessName, readers::ZoneRouter, time::Time};
 use ebonyfall_platform::store::KeyedRecord;
-use ebonyfall_wire::mirror::{Changes, ChangesRequest, Stream};
+use ebonyfall_wire::{
+    mirror::{Changes, ChangesRequest, Stream},
+    usage::{ReadRange, RouterRequest},
+};
 use rand::seq::SliceRandom;
 use slog::{Logger, debug, info, o, warn};
 use tokio::{
@@ -24,6 +27,7 @@
     link::{Identity, Link, LinkError},
     meters::EntryMetrics,
     mirror::Mirror,
+    usage::counting::UsageCounter,
     web,
 };
 
@@ -34,8 +38,9 @@
 /// Time in addition to the wait within which a reader answers. A follower asks the store then, while
 /// its own state is still recent enough.
 const READER_TIMEOUT: Duration = Duration::from_millis(250);
-/// Maximum number of connections from other routers: two for each follower in a zone.
-const MAX_CONNECTIONS: usize = 128;
+/// Maximum number of connections from other routers: two for each follower in a zone, and one for
+/// each router of the fleet that sends its counts.
+const MAX_CONNECTIONS: usize = 128 + 1_024;
 /// Longest time for which an answer waits for a record.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Maximum size of the records in one answer, in bytes; less than the largest frame.
@@ -45,6 +50,8 @@
 const MAX_FOLLOW_BYTES: usize = 32 << 10;
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The same after an exchange of counts, which a quiet router makes only once in each window.
+const COUNTS_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Access to the other routers; available once the exchange key has been read from the store.
 #[derive(Debug, Clone)]
@@ -234,8 +241,9 @@
     }
 }
 
-/// Serves reads of other routers until the process ends.
-pub async fn serve(access: PeerAccess, mirrors: Mirrors, log: Logger) {
+/// Serves reads and counts of other routers until the process ends. `usage` is `None` if usage is not
+/// reported.
+pub async fn serve(access: PeerAccess, mirrors: Mirrors, usage: Option<UsageCounter>, log: Logger) {
     let listener = match web::bind(access.own_address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -253,8 +261,9 @@
             continue;
         };
         let (identity, mirrors, log) = (access.identity.clone(), mirrors.clone(), log.clone());
+        let usage = usage.clone();
         tokio::spawn(async move {
-            if let Err(error) = answer(&identity, stream, &mirrors).await {
+            if let Err(error) = answer(&identity, stream, &mirrors, usage.as_ref()).await {
                 debug!(log, "connection from another router failed; closed"; "error" => %error);
             }
             drop(permit);
@@ -266,15 +275,28 @@
     identity: &Identity,
     stream: TcpStream,
     mirrors: &Mirrors,
+    usage: Option<&UsageCounter>,
 ) -> Result<(), LinkError> {
     let mut link = Link::accept(identity, stream).await?;
-    while let Ok(request) = timeout(IDLE_TIMEOUT, link.receive::<ChangesRequest>()).await {
-        let ChangesRequest { stream, from, wait } = request?;
-        let requested_at = BootClock.now();
-        let mut mirror = match stream {
-            Stream::Orders => mirrors.orders.clone(),
-            Stream::Targets => mirrors.targets.clone(),
+    let mut idle_timeout = IDLE_TIMEOUT;
+    while let Ok(request) = timeout(idle_timeout, link.receive::<RouterRequest>()).await {
+        let (ReadRange { from, wait }, mut mirror) = match request? {
+            RouterRequest::Orders(range) => (range, mirrors.orders.clone()),
+            RouterRequest::Targets(range) => (range, mirrors.targets.clone()),
+            RouterRequest::Counts(message) => {
+                // A router that does not report usage closes the connection.
+                let Some(usage) = usage else {
+                    return Ok(());
+                };
+                let Some(counts) = usage.exchange(message).await else {
+                    return Ok(());
+                };
+                link.send(&counts).await?;
+                idle_timeout = COUNTS_IDLE_TIMEOUT;
+                continue;
+            }
         };
+        let requested_at = BootClock.now();
         let record = mirror.wait_for(|mirror| mirror.has_changes(from));
         // Without a record in time, the answer confirms that there is none.
         let _none = timeout(wait.min(MAX_WAIT), record).await.is_err();
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -36,6 +36,7 @@
     neighbours::{self, Mirrors, PeerAccess},
     selection::{CrashAttribution, PartReport, RouterReport, SelectorHandle, Update},
     store::{StoreClient, StoreError},
+    usage::counting::UsageCounter,
     view,
 };
 
@@ -68,6 +69,8 @@
     pub selector: SelectorHandle,
     /// Copies of the store's streams that are served to other routers.
     pub mirrors: Mirrors,
+    /// Task that counts requests; `None` if usage is not reported.
+    pub usage: Option<UsageCounter>,
     /// Access to the other routers, set once the exchange key is known and the socket is bound.
     pub access: watch::Sender<Option<PeerAccess>>,
     /// Metrics of this process.
@@ -100,6 +103,7 @@
         tokio::spawn(neighbours::serve(
             access.clone(),
             self.mirrors.clone(),
+            self.usage.clone(),
             self.log.clone(),
         ));
         self.access.send_replace(Some(access));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,7 @@
     doc::KeyHash,
     ini::{self, Diagnostic, SectionReader, join_lines},
     name::{OperatorName, ProcessName, TargetName, ZoneName},
+    usage::window::WindowLength,
 };
 use ebonyfall_wire::auth::{Key, Keys};
 use http::Uri;
@@ -120,6 +121,8 @@
     pub revocation: Duration,
     /// Limit on the retries that the whole fleet sends to one service.
     pub retry: RetryBound,
+    /// Length of the windows of usage reports; `None` if usage is not reported.
+    pub usage_window: Option<WindowLength>,
     /// Lowest level that is logged, for each module; `info` by default.
     pub log_levels: Levels,
 }
@@ -193,6 +196,7 @@
         let ratio = f.required("retry-ratio", "a number such as 0.2", parse);
         let slack = f.required("retry-slack", "a number such as 50", parse);
         let window = f.required("retry-window-s", SECONDS, parse_seconds);
+        let usage_window = f.optional("usage-window-s", SECONDS, parse_window);
         let levels = f.optional("log-levels", "levels such as info, carry=debug", parse);
         Some(EntryConfig {
             name: name?,
@@ -211,6 +215,7 @@
                 slack: slack?,
                 window: window?,
             },
+            usage_window,
             log_levels: levels.unwrap_or_else(default_levels),
         })
     })
@@ -260,6 +265,10 @@
     Duration::try_from_secs_f64(text.parse().ok()?).ok()
 }
 
+fn parse_window(text: &str) -> Option<WindowLength> {
+    WindowLength::new(parse_seconds(text)?)
+}
+
 fn parse_millis(text: &str) -> Option<Duration> {
     Duration::try_from_secs_f64(text.parse::<f64>().ok()? / 1_000.0).ok()
 }
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -195,6 +195,7 @@
 
     fn record_event(&mut self) {
         self.has_events = true;
+        self.forwarder.start.record_event(BootClock.now());
         self.wait.restart_gap();
         if let Some(gap) = self.arrivals.record(BootClock.now()) {
             let metrics = &self.forwarder.shared.metrics;
