Test the counts under message faults, restarts and wrong clocks

A table forgets counts and statements that a wrong clock has put into the future, so that a corrected router counts at once and none of its early counts appears in a later window.

--- a/core/src/usage/counts.rs
+++ b/core/src/usage/counts.rs
@@ -168,9 +168,15 @@
     }
 
     /// Declares this router's counts complete up to [`COMPLETE_LAG`] ago, and removes windows and
-    /// sources that are too old. The declared time never goes back.
+    /// sources that are too old. The declared time goes back only if it lies in the future, which
+    /// shows that the clock was wrong and has been corrected.
     pub fn advance(&mut self, now: Duration) {
         let complete = now.saturating_sub(COMPLETE_LAG);
+        if self.own_complete() > now
+            && let Some(Some(own)) = self.sources.get_mut(self.own)
+        {
+            own.complete = complete;
+        }
         if self.length.window_at(complete) != self.length.window_at(self.own_complete()) {
             self.set_complete(self.own, complete);
         } else if let Some(Some(own)) = self.sources.get_mut(self.own) {
@@ -243,15 +249,16 @@
 
     /// At most `limit` changes after `revision` of all routers, the earliest first.
     pub fn page_since(&self, revision: u64, limit: usize) -> CountPage {
-        self.page(revision, limit, |_any| true)
+        self.page(revision, limit, None)
     }
 
     /// The changes after `revision` of this router's own counts.
     pub fn own_since(&self, revision: u64) -> CountPage {
-        self.page(revision, usize::MAX, |source| source == self.own)
+        self.page(revision, usize::MAX, Some(self.own))
     }
 
-    fn page(&self, revision: u64, limit: usize, wanted: impl Fn(usize) -> bool) -> CountPage {
+    /// The changes of the source `only`, or of all sources.
+    fn page(&self, revision: u64, limit: usize, only: Option<usize>) -> CountPage {
         let mut found = Vec::new();
         for (window, table) in &self.windows {
             if table.revision <= revision {
@@ -259,9 +266,11 @@
             }
             let teams = table.teams.iter();
             for (team, counts) in teams.filter(|(_, counts)| counts.revision > revision) {
-                let changed = counts.counts.iter();
-                let changed =
-                    changed.filter(|count| count.revision > revision && wanted(count.source));
+                let counts = match only {
+                    None => &counts.counts[..],
+                    Some(source) => counts.of(source),
+                };
+                let changed = counts.iter().filter(|count| count.revision > revision);
                 found.extend(changed.map(|count| (count.revision, *window, team, count)));
             }
         }
@@ -286,7 +295,7 @@
         let complete = states.filter_map(|(index, state)| {
             let state = state.as_ref()?;
             let is_new = state.revision > revision && state.revision <= until;
-            (is_new && wanted(index)).then(|| Completeness {
+            (is_new && only.is_none_or(|only| only == index)).then(|| Completeness {
                 source: state.source.clone(),
                 until: state.complete,
             })
@@ -301,7 +310,8 @@
 
     fn count_of(&self, window: WindowId, team: &TeamName, source: usize) -> u64 {
         let counts = self.windows.get(&window).and_then(|w| w.teams.get(team));
-        counts.map_or(0, |counts| counts.of(source))
+        let own = counts.and_then(|counts| counts.of(source).first());
+        own.map_or(0, |count| count.count)
     }
 
     fn set(&mut self, window: WindowId, team: &TeamName, source: usize, count: u64, now: Duration) {
@@ -390,12 +400,17 @@
             return;
         }
         let oldest = WindowId::from(u64::from(present).saturating_sub(KEPT_WINDOWS));
-        while let Some(first) = self.windows.keys().next().copied()
-            && first < oldest
-        {
-            self.remove_window(first);
+        let newest = WindowId::from(u64::from(present).saturating_add(MAX_AHEAD));
+        let is_kept = |window: &WindowId| (oldest..=newest).contains(window);
+        let removed = self.windows.keys().filter(|window| !is_kept(window));
+        for window in removed.copied().collect::<Vec<_>>() {
+            self.remove_window(window);
         }
+        let latest = now.saturating_add(self.length.duration());
         for (index, place) in self.sources.iter_mut().enumerate() {
+            if let Some(state) = place {
+                state.complete = state.complete.min(latest);
+            }
             let is_old = place.as_ref().is_some_and(|state| {
                 state.counts == 0 && self.length.window_at(state.complete) < oldest
             });
@@ -424,8 +439,9 @@
 }
 
 impl TeamCounts {
-    fn of(&self, source: usize) -> u64 {
+    /// The count of `source`, if there is one.
+    fn of(&self, source: usize) -> &[SourceCount] {
         let place = self.counts.binary_search_by_key(&source, |c| c.source);
-        place.map_or(0, |at| self.counts[at].count)
+        place.map_or(&[], |at| std::slice::from_ref(&self.counts[at]))
     }
 }
--- a/core/src/usage/time.rs
+++ b/core/src/usage/time.rs
@@ -7,6 +7,8 @@
 /// Difference from the median up to which a router keeps its own time. Half a round trip is known no
 /// better than this when links are loaded.
 const MAX_DIFFERENCE_MICROS: i128 = 200_000;
+/// Smallest number of clocks, with the own one, of which a wrong one can be told.
+const MIN_CLOCKS: usize = 3;
 /// Longest round trip of a usable reading. Of a longer one it is not known which half was slow.
 const MAX_ROUND_TRIP: Duration = Duration::from_millis(500);
 
@@ -46,11 +48,15 @@
     }
 
     /// Corrects the offset to the median of the own one and those of the other routers when it
-    /// differs from that median by more than 200 ms. Returns the size of the correction in
+    /// differs from that median by more than 200 ms. At least two others are needed, since of two
+    /// clocks it is not known which one is wrong. Returns the size of the correction in
     /// microseconds, positive if the time was behind.
     pub fn correct(&mut self, readings: &[ClockReading]) -> Option<i128> {
         let others = readings.iter().filter_map(ClockReading::offset);
         let mut offsets: Vec<_> = others.chain([self.offset]).collect();
+        if offsets.len() < MIN_CLOCKS {
+            return None;
+        }
         offsets.sort_unstable();
         let middle = offsets.len() / 2;
         let median = if offsets.len().is_multiple_of(2) {
--- a/src/usage/counting.rs
+++ b/src/usage/counting.rs
@@ -535,9 +535,12 @@
         if answer.table == self.table {
             self.acknowledged = self.acknowledged.max(revision);
         } else {
-            // The collector was restarted, so it has only what this message brought.
+            // A collector that is new or was restarted has only what this message brought.
             self.table = answer.table;
-            self.acknowledged = 0;
+            self.acknowledged = match self.acknowledged {
+                0 => revision,
+                _ => 0,
+            };
             self.read = 0;
         }
         self.has_more = false;
--- a/tests/entry/env.rs
+++ b/tests/entry/env.rs
@@ -37,10 +37,21 @@
 
     /// Starts `routers` routers, `count` targets and a store.
     pub async fn start_fleet(routers: usize, count: usize) -> Self {
+        Self::start_fleet_with(routers, count, "").await
+    }
+
+    /// Starts `routers` routers with additional settings, `count` targets and a store.
+    pub async fn start_fleet_with(routers: usize, count: usize, settings: &str) -> Self {
         let folder = tempfile::tempdir().expect("the system has a folder for temporary files");
         let program = Path::new(env!("CARGO_BIN_EXE_ebonyfall-entry"));
         Self {
-            entrance: EntryDeployment::start(program, folder.path(), routers, count).await,
+            entrance: EntryDeployment::start_with(
+                program,
+                folder.path(),
+                (routers, count),
+                settings,
+            )
+            .await,
             _folder: folder,
         }
     }
