--- a/src/usage/counting.rs
+++ b/src/usage/counting.rs
@@ -3,11 +3,12 @@
 //! Each router sends its counts to the collectors, which are the first routers in an order that all
 //! routers know. The router that reports the usage reads the counts of all routers from these.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use ebonyfall_core::{
     id::Incarnation,
     name::{ProcessName, RouteName, TeamName},
+    readers::ZoneRouter,
     time::Time,
     usage::{
         counts::{UsageTable, WindowCounts},
@@ -47,6 +48,9 @@
 const READING_TTL: Duration = Duration::from_secs(15);
 /// Number of windows whose counts are part of the dump.
 const DUMPED_WINDOWS: usize = 4;
+/// Maximum number of intervals between attempts to reach a collector that does not answer. Routers of
+/// an earlier version close the connection, and each attempt costs both sides a handshake.
+const MAX_PAUSE: u32 = 8;
 
 /// Handle of the task that counts requests.
 #[derive(Debug, Clone)]
@@ -265,10 +269,14 @@
 
 /// A collector, and how far the exchange with it has come.
 struct Peer {
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     tx: mpsc::Sender<Outgoing>,
     /// Whether an exchange is in progress.
     is_busy: bool,
+    /// Failed exchanges since the last answer.
+    failures: u32,
+    /// Intervals that are left until the next attempt.
+    pause: u32,
     /// Table of the collector that the revisions refer to.
     table: Incarnation,
     /// Revision of the own table up to which the collector has all changes.
@@ -373,11 +381,14 @@
         self.table.advance(self.now());
         self.log_dropped();
         self.update_peers();
-        let idle = self.peers.values().filter(|peer| !peer.is_busy).count();
+        for peer in self.peers.values_mut() {
+            peer.pause = peer.pause.saturating_sub(1);
+        }
+        let idle = self.peers.values().filter(|peer| peer.is_idle()).count();
         let turn = self.next_read.checked_rem(idle).unwrap_or(0);
         self.next_read = self.next_read.wrapping_add(1);
         let holds = *self.holds.borrow();
-        let idle = self.peers.values_mut().filter(|peer| !peer.is_busy);
+        let idle = self.peers.values_mut().filter(|peer| peer.is_idle());
         for (index, peer) in idle.enumerate() {
             // Collectors are read in turn, since most of what they know is the same.
             let reads = holds && (index == turn || peer.has_more);
@@ -438,6 +449,7 @@
         };
         peer.is_busy = false;
         let Some((answer, reading)) = answer else {
+            peer.record_failure();
             return;
         };
         peer.reading = Some(reading);
@@ -498,11 +510,13 @@
 }
 
 impl Peer {
-    fn new(address: std::net::SocketAddr, tx: mpsc::Sender<Outgoing>) -> Self {
+    fn new(address: SocketAddr, tx: mpsc::Sender<Outgoing>) -> Self {
         Self {
             address,
             tx,
             is_busy: false,
+            failures: 0,
+            pause: 0,
             table: Incarnation::default(),
             acknowledged: 0,
             read: 0,
@@ -511,7 +525,7 @@
         }
     }
 
-    fn is_at(&self, name: &ProcessName, router: &ebonyfall_core::readers::ZoneRouter) -> bool {
+    fn is_at(&self, name: &ProcessName, router: &ZoneRouter) -> bool {
         router.name == *name && router.address == self.address
     }
 
@@ -531,6 +545,16 @@
         self.is_busy = self.tx.try_send((message, own.revision)).is_ok();
     }
 
+    fn is_idle(&self) -> bool {
+        !self.is_busy && self.pause == 0
+    }
+
+    /// Tries again in the next interval, then after twice as many intervals each time.
+    fn record_failure(&mut self) {
+        self.pause = (1 << self.failures.min(16)).min(MAX_PAUSE);
+        self.failures = self.failures.saturating_add(1);
+    }
+
     fn record_answer(&mut self, answer: &CountsAnswer, revision: u64) {
         if answer.table == self.table {
             self.acknowledged = self.acknowledged.max(revision);
@@ -543,6 +567,7 @@
             };
             self.read = 0;
         }
+        self.failures = 0;
         self.has_more = false;
         if let Some(page) = &answer.page {
             self.read = page.revision;
