--- a/core/src/usage/counts.rs
+++ b/core/src/usage/counts.rs
@@ -267,7 +267,7 @@
             let teams = table.teams.iter();
             for (team, counts) in teams.filter(|(_, counts)| counts.revision > revision) {
                 let counts = match only {
-                    None => &counts.counts[..],
+                    None => &*counts.counts,
                     Some(source) => counts.of(source),
                 };
                 let changed = counts.iter().filter(|count| count.revision > revision);
--- a/core/src/usage/durations.rs
+++ b/core/src/usage/durations.rs
@@ -41,11 +41,12 @@
             return duration;
         };
         if duration < estimate.duration {
-            estimate.duration -= (estimate.duration - duration).mul_f64(WEIGHT);
+            let excess = estimate.duration.saturating_sub(duration);
+            estimate.duration = estimate.duration.saturating_sub(excess.mul_f64(WEIGHT));
         } else {
             let elapsed = now.since(estimate.updated_at).as_secs_f64().min(1.0);
             let most = estimate.duration.mul_f64(MAX_GROWTH_PER_S * elapsed);
-            let growth = (duration - estimate.duration).mul_f64(WEIGHT);
+            let growth = duration.saturating_sub(estimate.duration).mul_f64(WEIGHT);
             estimate.duration += growth.min(most);
         }
         estimate.updated_at = now;
--- a/core/tests/usage_counts.rs
+++ b/core/tests/usage_counts.rs
@@ -376,6 +376,13 @@
         received_at: now + Duration::from_millis(501),
     };
     assert_eq!(time.correct(&[slow; 3]), None);
+    // The time of an answer is half a round trip old when it arrives.
+    let reading = ClockReading {
+        unix: START + Duration::from_secs(9),
+        sent_at: now,
+        received_at: now + Duration::from_millis(400),
+    };
+    assert_eq!(time.correct(&[reading; 3]), Some(8_800_000));
 }
 
 /// Guards against a queue at a target that shifts starts into an earlier window, and against a start
