Subtract half the round trip to the target from the start of a request

The round trip is the time that the TCP connection took. The replies of targets are boxed, since the connection made one variant much larger than the other.

--- a/src/carry.rs
+++ b/src/carry.rs
@@ -168,8 +168,8 @@
     pub async fn run(mut self) -> Result<CallerAnswer, SelectionRefusal> {
         loop {
             let open = match self.send_to_targets(None).await? {
-                TargetReply::Failure(complete) => return Ok(self.caller_answer(complete)),
-                TargetReply::Answer(open) => open,
+                TargetReply::Failure(complete) => return Ok(self.caller_answer(*complete)),
+                TargetReply::Answer(open) => *open,
             };
             let is_stream = matches!(self.job.route.response, ResponseKind::EventStream { .. });
             if is_stream && open.status.is_success() {
@@ -259,7 +259,7 @@
                 }
             };
             match result {
-                Ok(open) => return Ok(TargetReply::Answer(open)),
+                Ok(open) => return Ok(TargetReply::Answer(Box::new(open))),
                 Err((failure, target_answer)) => {
                     let code = match self.record_failure(&target, failure) {
                         NextStep::Again { repeat } => {
@@ -271,7 +271,7 @@
                         NextStep::GiveUp(code) => code,
                     };
                     // The target's error answer is more specific than a result code of the router.
-                    let target_answer = target_answer.map(TargetReply::Failure);
+                    let target_answer = target_answer.map(TargetReply::failure);
                     return target_answer.ok_or_else(|| self.refusal(code));
                 }
             }
@@ -346,7 +346,7 @@
         mut refusal: SelectionRefusal,
     ) -> Result<TargetReply, SelectionRefusal> {
         refusal.code = self.attempts.final_code(refusal.code);
-        let target_answer = self.failure.take().map(TargetReply::Failure);
+        let target_answer = self.failure.take().map(TargetReply::failure);
         target_answer.ok_or(refusal)
     }
 
@@ -423,7 +423,8 @@
         };
         let failure = match decoded.kind() {
             AnswerKind::Answer => {
-                self.start.record_answer(BootClock.now());
+                let round_trip = open.connection.round_trip();
+                self.start.record_answer(round_trip, BootClock.now());
                 return Ok(open);
             }
             AnswerKind::Failed => Failure::Failed,
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -52,9 +52,15 @@
 
 /// Result of sending the request to targets until one of them replies.
 pub(crate) enum TargetReply {
-    Answer(OpenAnswer),
+    Answer(Box<OpenAnswer>),
     /// Error answer of a target, sealed by that target.
-    Failure(CompleteAnswer),
+    Failure(Box<CompleteAnswer>),
+}
+
+impl TargetReply {
+    pub(crate) fn failure(complete: CompleteAnswer) -> Self {
+        Self::Failure(Box::new(complete))
+    }
 }
 
 /// The content type without its parameters, in lower case.
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -143,7 +143,8 @@
                         (Ok(Some(complete)), _) => {
                             if complete.has_event {
                                 open.reservation.record_answer_begun();
-                                self.record_event();
+                                let round_trip = open.connection.round_trip();
+                                self.record_event(round_trip);
                             }
                             return Ok(Some(complete.bytes));
                         }
@@ -193,9 +194,10 @@
         (!partial.is_empty()).then_some(partial)
     }
 
-    fn record_event(&mut self) {
+    fn record_event(&mut self, round_trip: Duration) {
         self.has_events = true;
-        self.forwarder.start.record_event(BootClock.now());
+        let start = &mut self.forwarder.start;
+        start.record_event(round_trip, BootClock.now());
         self.wait.restart_gap();
         if let Some(gap) = self.arrivals.record(BootClock.now()) {
             let metrics = &self.forwarder.shared.metrics;
@@ -244,7 +246,7 @@
                 return Err(self.forwarder.refusal(Failure::Failed.code()));
             };
             if open.continues(&self.head) {
-                return Ok(open);
+                return Ok(*open);
             }
             (target, failure) = (open.reservation.choice.target.name.clone(), Failure::Failed);
             open.reservation.finish(End::Failed(failure), None);
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -25,7 +25,7 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpStream, ToSocketAddrs},
     task::AbortHandle,
-    time::timeout,
+    time::{Instant, timeout},
 };
 
 /// Longest wait for a new connection. When a SYN packet is lost, trying another target is faster
@@ -161,6 +161,8 @@
     budget: ReceiveBudget,
     idle_since: Time,
     idle_limit: Duration,
+    /// Time that the TCP connection took, which is one round trip.
+    round_trip: Duration,
 }
 
 impl TargetConnection {
@@ -174,9 +176,11 @@
         buffer: ReadBuffer,
         now: Time,
     ) -> io::Result<Self> {
+        let begun = Instant::now();
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_late| io::Error::from(io::ErrorKind::TimedOut))??;
+        let round_trip = begun.elapsed();
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         let budget = ReceiveBudget(Arc::new(AtomicUsize::new(buffer.bytes_to_head())));
@@ -205,6 +209,7 @@
             budget,
             idle_since: now,
             idle_limit: DEFAULT_IDLE_LIMIT,
+            round_trip,
         })
     }
 
@@ -230,6 +235,11 @@
         }
     }
 
+    /// Round trip to the target when the connection was made.
+    pub fn round_trip(&self) -> Duration {
+        self.round_trip
+    }
+
     /// Marks the connection as idle from `now` on. `limit` is the idle time-out that the target has
     /// announced; `None` keeps the last one.
     pub fn mark_idle(&mut self, limit: Option<Duration>, now: Time) {
--- a/src/usage/starts.rs
+++ b/src/usage/starts.rs
@@ -1,5 +1,7 @@
 //! Counts a request once, when it begins to run at a target.
 
+use std::time::Duration;
+
 use ebonyfall_core::{
     desired::{DesiredRoute, ResponseKind},
     direct::Failure,
@@ -51,20 +53,24 @@
         }
     }
 
-    /// Counts a request other than a stream whose answer shows that it ran.
-    pub(crate) fn record_answer(&mut self, now: Time) {
+    /// Counts a request other than a stream whose answer, which has arrived now, shows that it ran.
+    /// `round_trip` is that to the target.
+    pub(crate) fn record_answer(&mut self, round_trip: Duration, now: Time) {
         if let Some(pending) = self.pending.take_if(|pending| !pending.is_stream) {
             let sent_at = pending.sent_at.unwrap_or(now);
+            let answered_at = now.before(round_trip / 2).max(sent_at);
             pending
                 .counter
-                .count_answer(&pending.team, &pending.route, sent_at, now);
+                .count_answer(&pending.team, &pending.route, sent_at, answered_at);
         }
     }
 
-    /// Counts a stream, one of whose events has arrived.
-    pub(crate) fn record_event(&mut self, now: Time) {
+    /// Counts a stream, one of whose events has arrived now. `round_trip` is that to the target.
+    pub(crate) fn record_event(&mut self, round_trip: Duration, now: Time) {
         if let Some(pending) = self.pending.take() {
-            pending.counter.count(&pending.team, now);
+            let sent_at = pending.sent_at.unwrap_or(now);
+            let began_at = now.before(round_trip / 2).max(sent_at);
+            pending.counter.count(&pending.team, began_at);
         }
     }
 
@@ -101,3 +107,7 @@
         self.count_sent();
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/starts.rs"]
+mod tests;
