--- /dev/null
+++ b/core/tests/usage/main.rs
@@ -0,0 +1,47 @@
+//! Seeded schedules of many routers that share the duty to report usage, with a store and a platform
+//! that lose, delay and refuse calls, and with routers that are killed, frozen and stopped.
+
+mod guards;
+mod world;
+
+use world::{Plan, Variant, World};
+
+/// Fleets of the sizes that deployments have.
+const FLEETS: [usize; 3] = [6, 28, 103];
+const SEEDS: u64 = 12;
+
+/// Guards against any schedule in which two holders act at once, a report changes, or windows are
+/// not caught up after the faults have ended.
+#[test]
+fn reports_are_safe_and_complete_in_any_schedule() {
+    for routers in FLEETS {
+        for seed in 0..SEEDS {
+            let mut world = World::new(routers, seed, Variant::Correct);
+            world.run(Plan::Faults);
+            assert_eq!(
+                world.violations(),
+                [""; 0],
+                "{routers} routers, seed {seed}"
+            );
+            assert_eq!(world.unreported(), [0; 0], "{routers} routers, seed {seed}");
+        }
+    }
+}
+
+/// Guards against reports that are late although nothing fails, and against more calls of the store
+/// than the holder and the candidate need.
+#[test]
+fn calm_fleet_reports_in_time_with_few_calls() {
+    for routers in FLEETS {
+        let mut world = World::new(routers, 1, Variant::Correct);
+        world.run(Plan::Calm);
+        assert_eq!(world.violations(), [""; 0], "{routers} routers");
+        assert_eq!(world.unreported(), [0; 0], "{routers} routers");
+        assert_eq!(world.late(), [0; 0], "{routers} routers");
+        let per_second = world.store_calls_per_second();
+        assert!(
+            per_second < 8.0,
+            "{routers} routers: {per_second} calls a second"
+        );
+    }
+}
