--- a/core/src/usage/duty.rs
+++ b/core/src/usage/duty.rs
@@ -113,6 +113,7 @@
             rank: input.rank,
             stopping: input.stopping,
             calling: self.calling,
+            first: self.reporter.first(),
             acknowledged: self.reporter.acknowledged(),
         };
         let step = self.holder.next(now, standing);
@@ -143,7 +144,7 @@
         match (answer, call) {
             (StoreAnswer::Records { records, .. }, _) => self.on_records(records),
             (StoreAnswer::Appended(_), StoreCall::Append(_, record)) => {
-                self.reporter.on_record(&record);
+                self.reporter.on_appended(&record);
                 if let UsageRecord::Counts(changes) = record {
                     self.forget_changes(changes);
                 }
--- a/core/src/usage/holder.rs
+++ b/core/src/usage/holder.rs
@@ -48,6 +48,25 @@
     Free(Offset, FenceToken),
 }
 
+/// Permission to call the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Permit {
+    /// Token of the holder.
+    pub token: FenceToken,
+    /// When calls may begin no more.
+    until: Time,
+    /// Last step of the holder. A process that was paused since then has to read the stream and
+    /// write again first.
+    granted_at: Time,
+}
+
+impl Permit {
+    /// Whether a call may begin at `now`.
+    pub fn is_valid(&self, now: Time) -> bool {
+        now < self.until && now.since(self.granted_at) <= PAUSE_LIMIT
+    }
+}
+
 /// Change that is logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HolderEvent {
@@ -86,6 +105,8 @@
     /// Whether a call to the platform is under way. The lease is not released before it ends, since
     /// the next holder may act at once.
     pub calling: bool,
+    /// First window that is reported, if none has been recorded yet.
+    pub first: WindowId,
     /// Newest window up to which all recorded decisions were acknowledged.
     pub acknowledged: Option<WindowId>,
 }
@@ -169,20 +190,24 @@
         }
     }
 
-    /// The token under which the router may act at `now`. It has to be checked directly before
-    /// each call to the platform.
-    pub fn may_act(&self, now: Time) -> Option<FenceToken> {
-        let paused = self
-            .stepped_at
-            .is_none_or(|last| now.since(last) > PAUSE_LIMIT);
+    /// The permission to act. It has to be checked directly before each call to the platform.
+    pub fn permit(&self) -> Option<Permit> {
         match self.role {
-            Role::Holding { token, until } if now < until && !paused && !self.closing => {
-                Some(token)
-            }
+            Role::Holding { token, until } if !self.closing => Some(Permit {
+                token,
+                until,
+                granted_at: self.stepped_at?,
+            }),
             Role::Holding { .. } | Role::Suspended(_) | Role::Follower => None,
         }
     }
 
+    /// The token under which the router may act at `now`.
+    pub fn may_act(&self, now: Time) -> Option<FenceToken> {
+        let permit = self.permit().filter(|permit| permit.is_valid(now));
+        permit.map(|permit| permit.token)
+    }
+
     /// When the lease ends, unless it is renewed; `None` if this router does not hold it.
     pub fn held_until(&self) -> Option<Time> {
         match self.role {
@@ -331,6 +356,7 @@
             released: false,
             rank: standing.rank,
             previous,
+            first: standing.first,
             acknowledged: standing.acknowledged,
         };
         self.append(at, record)
@@ -413,6 +439,7 @@
             released,
             rank: standing.rank,
             previous: previous.map_or_else(Vec::new, |last| last.previous.clone()),
+            first: standing.first,
             acknowledged: standing.acknowledged,
         }
     }
--- a/core/src/usage/records.rs
+++ b/core/src/usage/records.rs
@@ -61,6 +61,8 @@
     pub rank: Option<usize>,
     /// Machines that held the lease before and may have acted within one lease time.
     pub previous: Vec<IpAddr>,
+    /// First window that is reported, if none has been recorded yet.
+    pub first: WindowId,
     /// Newest window up to which the platform has acknowledged all recorded decisions.
     pub acknowledged: Option<WindowId>,
 }
--- a/core/src/usage/reporter.rs
+++ b/core/src/usage/reporter.rs
@@ -120,6 +120,9 @@
 pub struct Reporter {
     times: ReportTimes,
     /// Window in which this process started.
+    started: WindowId,
+    /// First window that is reported, if none has been recorded: that in which the first holder
+    /// started, even if it has ended before it recorded a decision.
     first: WindowId,
     recorded: BTreeMap<WindowId, Decision>,
     /// Newest window that needs no decision any more.
@@ -141,6 +144,7 @@
     pub fn new(times: ReportTimes, unix: Duration) -> Self {
         Self {
             times,
+            started: times.window.window_at(unix),
             first: times.window.window_at(unix),
             recorded: BTreeMap::new(),
             settled: None,
@@ -154,6 +158,11 @@
         }
     }
 
+    /// First window that is reported, if none has been recorded yet.
+    pub fn first(&self) -> WindowId {
+        self.first
+    }
+
     /// Newest window up to which all recorded decisions were acknowledged.
     pub fn acknowledged(&self) -> Option<WindowId> {
         self.acknowledged
@@ -169,12 +178,23 @@
         self.totals
     }
 
-    /// Recorded decisions that were not yet acknowledged.
-    pub fn unsent(&self) -> usize {
-        self.recorded
-            .keys()
-            .filter(|window| !self.is_done(**window))
-            .count()
+    /// Recorded windows that the platform has not yet acknowledged.
+    pub fn unsent_windows(&self) -> Vec<WindowId> {
+        let windows = self.recorded.keys().copied();
+        windows.filter(|window| !self.is_done(*window)).collect()
+    }
+
+    /// Recorded decisions of the last windows, in order.
+    pub fn recorded(&self) -> impl Iterator<Item = &Decision> {
+        self.recorded.values()
+    }
+
+    /// Number of windows that have ended at the true time `unix` and are neither recorded nor given
+    /// up.
+    pub fn open_windows(&self, unix: Duration) -> u64 {
+        let next = self.settled.map_or(self.first, WindowId::next);
+        let present = self.times.window.window_at(unix);
+        u64::from(present).saturating_sub(next.into())
     }
 
     /// Takes the changes since the last call, for the log.
@@ -182,10 +202,25 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Takes a record that was read, or that this router has appended.
+    /// Takes a record that this router has appended. Decisions that it pushes out of the kept ones
+    /// before the platform has acknowledged them are given up.
+    pub fn on_appended(&mut self, record: &UsageRecord) {
+        let before = self.unsent_windows();
+        self.on_record(record);
+        for window in before {
+            if !self.recorded.contains_key(&window) {
+                self.give_up(window, window, GiveUpCause::TooOld);
+            }
+        }
+    }
+
+    /// Takes a record that was read.
     pub fn on_record(&mut self, record: &UsageRecord) {
         match record {
-            UsageRecord::Holder(holder) => self.on_acknowledged(holder.acknowledged),
+            UsageRecord::Holder(holder) => {
+                self.first = self.first.min(holder.first);
+                self.on_acknowledged(holder.acknowledged);
+            }
             UsageRecord::Decision(decision) => {
                 self.on_acknowledged(decision.acknowledged);
                 self.on_decision(decision);
@@ -269,7 +304,7 @@
         if !missing.is_empty() && waits {
             return None;
         }
-        if counts.is_empty() && window < self.first {
+        if counts.is_empty() && window < self.started {
             self.give_up(window, window, GiveUpCause::CountsUnknown);
             return None;
         }
--- a/core/tests/usage/guards.rs
+++ b/core/tests/usage/guards.rs
@@ -1,6 +1,9 @@
 //! Shows for each guard that the checks find its absence.
 
-use super::world::{Plan, Variant, World};
+use super::{
+    plan::{Plan, Variant},
+    world::World,
+};
 
 /// Seeds in which the violation has to occur at least once.
 const SEEDS: u64 = 40;
@@ -9,11 +12,11 @@
 fn finds(variant: Variant, plan: Plan, rule: &str) {
     let mut seen = Vec::new();
     for seed in 0..SEEDS {
-        let mut correct = World::new(6, seed, Variant::Correct);
-        correct.run(plan);
+        let mut correct = World::new(6, seed, plan, Variant::Correct);
+        correct.run();
         assert_eq!(correct.violations(), [""; 0], "seed {seed}");
-        let mut world = World::new(6, seed, variant);
-        world.run(plan);
+        let mut world = World::new(6, seed, plan, variant);
+        world.run();
         seen.extend(world.violations().into_iter().map(String::from));
     }
     assert!(
@@ -40,10 +43,10 @@
     finds(Variant::SendUnrecorded, Plan::Faults, "U1");
 }
 
-/// Guards against a candidate that does not wait for the end of the lease.
+/// Guards against a holder that acts for longer than candidates wait.
 #[test]
-fn candidate_waits_for_expiry() {
-    finds(Variant::ImpatientCandidates, Plan::Faults, "U3");
+fn holder_stops_before_candidates_claim() {
+    finds(Variant::LongLeases, Plan::Cuts, "U3");
 }
 
 /// Guards against writes without the condition on the stream's end.
--- a/core/tests/usage/main.rs
+++ b/core/tests/usage/main.rs
@@ -2,9 +2,12 @@
 //! that lose, delay and refuse calls, and with routers that are killed, frozen and stopped.
 
 mod guards;
+mod plan;
+mod steps;
 mod world;
 
-use world::{Plan, Variant, World};
+use plan::{Plan, Variant};
+use world::World;
 
 /// Fleets of the sizes that deployments have.
 const FLEETS: [usize; 3] = [6, 28, 103];
@@ -16,8 +19,8 @@
 fn reports_are_safe_and_complete_in_any_schedule() {
     for routers in FLEETS {
         for seed in 0..SEEDS {
-            let mut world = World::new(routers, seed, Variant::Correct);
-            world.run(Plan::Faults);
+            let mut world = World::new(routers, seed, Plan::Faults, Variant::Correct);
+            world.run();
             assert_eq!(
                 world.violations(),
                 [""; 0],
@@ -33,8 +36,8 @@
 #[test]
 fn calm_fleet_reports_in_time_with_few_calls() {
     for routers in FLEETS {
-        let mut world = World::new(routers, 1, Variant::Correct);
-        world.run(Plan::Calm);
+        let mut world = World::new(routers, 1, Plan::Calm, Variant::Correct);
+        world.run();
         assert_eq!(world.violations(), [""; 0], "{routers} routers");
         assert_eq!(world.unreported(), [0; 0], "{routers} routers");
         assert_eq!(world.late(), [0; 0], "{routers} routers");
--- a/core/tests/usage/world.rs
+++ b/core/tests/usage/world.rs
@@ -13,51 +13,29 @@
     usage::{
         duty::{Duty, DutyInput, UsageReport},
         records::{FenceToken, HolderId, StoreAnswer, StoreCall, UsageRecord},
-        reporter::{ReportTimes, SendOutcome, WindowState},
-        window::{CountChange, CountSource, WindowId, WindowLength},
+        reporter::{SendOutcome, WindowState},
+        window::{CountChange, CountSource, WindowId},
     },
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+use crate::plan::{Plan, Variant, ms};
+
 const STEP_MS: u64 = 10;
 const TICK_MS: u64 = 50;
-const WINDOW_MS: u64 = 5_000;
-const LATENESS_MS: u64 = 10_000;
 const LEASE_MS: u64 = 3_000;
 const STORE_TIMEOUT_MS: u64 = 700;
 const CALL_TIMEOUT_MS: u64 = 500;
+/// Largest error of a router's true time.
+const MAX_SKEW_MS: u64 = 200;
 /// Time from the death of a router until others count it out.
 const DETECTION_MS: u64 = 2_000;
-/// Time from a start until the membership is fresh.
-const JOIN_MS: u64 = 1_000;
 /// End of the faults, and of the schedule.
 const FAULTS_END_MS: u64 = 90_000;
 const END_MS: u64 = 140_000;
 /// True time at the start.
 const EPOCH_MS: u64 = 1_767_225_600_000;
 
-/// The routers as they are, or without one of their guards.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Variant {
-    Correct,
-    NoCheckBeforeCall,
-    ClockStops,
-    SendUnrecorded,
-    ImpatientCandidates,
-    UnconditionalAppends,
-    ForgetPrevious,
-    ReleaseWhileCalling,
-}
-
-/// What happens in a schedule.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Plan {
-    Calm,
-    Faults,
-    Freezes,
-    Stops,
-}
-
 struct Router {
     name: ProcessName,
     address: IpAddr,
@@ -69,6 +47,12 @@
     frozen_until: u64,
     frozen_total: u64,
     stop_at: Option<u64>,
+    /// Until when calls of the store are lost.
+    cut_until: u64,
+    /// Until when its view of the membership is not fresh.
+    blind_until: u64,
+    /// Error of its true time, plus the largest one.
+    skew: u64,
     /// Report that waits for its connection.
     prepared: Option<UsageReport>,
 }
@@ -99,35 +83,24 @@
     violations: BTreeSet<String>,
 }
 
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
-fn times() -> ReportTimes {
-    ReportTimes {
-        window: WindowLength::new(ms(WINDOW_MS)).expect("windows are long"),
-        lateness: ms(LATENESS_MS),
-        call_interval: ms(20),
-    }
-}
-
-fn duty(name: &ProcessName, address: IpAddr, incarnation: u64, lease: u64, now: u64) -> Duty {
+fn duty(plan: Plan, id: (&ProcessName, IpAddr, u64), lease: u64, now: u64) -> Duty {
+    let (name, address, incarnation) = id;
     let id = HolderId {
         name: name.clone(),
         address,
         incarnation: Incarnation::from(incarnation),
     };
-    Duty::new(id, ms(lease), times(), ms(EPOCH_MS + now))
+    Duty::new(id, ms(lease), plan.times(), ms(EPOCH_MS + now))
 }
 
 impl World {
-    pub fn new(count: usize, seed: u64, variant: Variant) -> Self {
+    pub fn new(count: usize, seed: u64, plan: Plan, variant: Variant) -> Self {
         let routers = (0..count).map(|index| {
             let name = ProcessName::new(format!("edge-{index}")).expect("the name is valid");
             let address = IpAddr::from([10, 0, 0, u8::try_from(index).expect("few routers")]);
             let lease = Self::lease(variant, index);
             Router {
-                duty: duty(&name, address, 0, lease, 0),
+                duty: duty(plan, (&name, address, 0), lease, 0),
                 name,
                 address,
                 incarnation: 0,
@@ -137,12 +110,15 @@
                 frozen_until: 0,
                 frozen_total: 0,
                 stop_at: None,
+                cut_until: 0,
+                blind_until: 0,
+                skew: MAX_SKEW_MS,
                 prepared: None,
             }
         });
         Self {
             variant,
-            plan: Plan::Calm,
+            plan,
             rng: SmallRng::seed_from_u64(seed),
             now: 0,
             routers: routers.collect(),
@@ -159,14 +135,13 @@
     }
 
     fn lease(variant: Variant, index: usize) -> u64 {
-        if variant == Variant::ImpatientCandidates && index % 2 == 1 {
-            return LEASE_MS / 4;
+        if variant == Variant::LongLeases && index.is_multiple_of(2) {
+            return 4 * LEASE_MS;
         }
         LEASE_MS
     }
 
-    pub fn run(&mut self, plan: Plan) {
-        self.plan = plan;
+    pub fn run(&mut self) {
         while self.now < END_MS {
             self.now += STEP_MS;
             while let Some(entry) = self.events.first_entry()
@@ -194,17 +169,17 @@
 
     /// Windows that ended early enough but were never reported, counted from the first one.
     pub fn unreported(&self) -> Vec<u64> {
-        let first = EPOCH_MS / WINDOW_MS;
-        let last = (EPOCH_MS + END_MS - 2 * LATENESS_MS) / WINDOW_MS;
+        let first = EPOCH_MS / self.plan.window_ms();
+        let last = (EPOCH_MS + END_MS - 2 * self.plan.lateness_ms()) / self.plan.window_ms();
         let windows = (first..last).filter(|window| !self.reports.contains_key(&(*window).into()));
         windows.map(|window| window - first).collect()
     }
 
     /// Windows that were reported after they were due.
     pub fn late(&self) -> Vec<u64> {
-        let first = EPOCH_MS / WINDOW_MS;
+        let first = EPOCH_MS / self.plan.window_ms();
         let late = self.reports.iter().filter(|(window, (at, _))| {
-            let due = times().window.end(**window) + ms(LATENESS_MS);
+            let due = self.plan.times().window.end(**window) + ms(self.plan.lateness_ms());
             ms(EPOCH_MS + at) > due
         });
         late.map(|(window, _)| u64::from(*window) - first).collect()
@@ -243,8 +218,13 @@
                     self.freeze(index, length);
                 }
             }
+            Plan::Cuts => {
+                if self.chance(3) {
+                    self.routers[index].cut_until = now + length;
+                }
+            }
             Plan::Stops => {
-                if self.chance(8) && self.routers[index].stop_at.is_none() {
+                if self.chance(15) && self.routers[index].stop_at.is_none() {
                     self.routers[index].stop_at = Some(now);
                 }
             }
@@ -255,7 +235,18 @@
                     self.routers[index].stop_at = Some(now);
                 }
                 7 => self.store_away_until = now + length,
-                8 => self.platform_away_until = now + length,
+                8 => self.routers[index].cut_until = now + length,
+                9 => self.routers[index].blind_until = now + length,
+                10 if self.chance(200) => {
+                    for index in 0..self.routers.len() {
+                        self.kill(index, length);
+                    }
+                }
+                11 => {
+                    let skew = self.rng.random_range(0..=2 * MAX_SKEW_MS);
+                    self.routers[index].skew = skew;
+                }
+                12 => self.platform_away_until = now + length,
                 _ => {}
             },
         }
@@ -279,16 +270,21 @@
 
     fn restart(&mut self, index: usize) {
         let now = self.now;
-        let lease = Self::lease(self.variant, index);
+        let (plan, lease) = (self.plan, Self::lease(self.variant, index));
         let router = &mut self.routers[index];
         // A planned stop ends the process after the release had time.
-        if router.stop_at.is_some_and(|at| now >= at + 1_000) && router.dead_until.is_none() {
+        if router.stop_at.is_some_and(|at| now >= at + 600) && router.dead_until.is_none() {
             router.died = now;
             router.dead_until = Some(now + 300);
         }
         if router.dead_until.is_some_and(|until| now >= until) {
             router.incarnation += 1;
-            router.duty = duty(&router.name, router.address, router.incarnation, lease, now);
+            router.duty = duty(
+                plan,
+                (&router.name, router.address, router.incarnation),
+                lease,
+                now,
+            );
             router.dead_until = None;
             router.stop_at = None;
             router.started = now;
@@ -305,7 +301,9 @@
 
     fn rank(&self, index: usize) -> Option<usize> {
         let own = &self.routers[index];
-        let fresh = self.now >= own.started + JOIN_MS && self.now >= own.frozen_until + 500;
+        let fresh =
+            self.now >= own.started + self.plan.join_ms() && self.now >= own.frozen_until + 500;
+        let fresh = fresh && self.now >= own.blind_until;
         let seen = |router: &&Router| {
             let dead = router.dead_until.is_some() && self.now > router.died + DETECTION_MS;
             !dead && self.now >= router.started
@@ -321,6 +319,10 @@
         }
     }
 
+    fn unix(&self, index: usize) -> Duration {
+        ms(EPOCH_MS + self.now + self.routers[index].skew - MAX_SKEW_MS)
+    }
+
     /// Counts as this router knows them: they differ from router to router and grow.
     fn window(&mut self, index: usize, window: WindowId) -> WindowState {
         let team = TeamName::new("team").expect("the name is valid");
@@ -334,7 +336,7 @@
     }
 
     fn tick(&mut self, index: usize) {
-        let (now, unix) = (self.clock(index), ms(EPOCH_MS + self.now));
+        let (now, unix) = (self.clock(index), self.unix(index));
         if let Some(report) = self.routers[index].prepared.take() {
             let allowed = self.routers[index].duty.holder().may_act(now) == Some(report.token);
             if allowed || self.variant == Variant::NoCheckBeforeCall {
@@ -354,7 +356,7 @@
                     router: router.name.clone(),
                     incarnation: router.incarnation.into(),
                 },
-                window: times().window.window_at(unix),
+                window: self.plan.times().window.window_at(unix),
                 team: TeamName::new("team").expect("the name is valid"),
                 count: self.now,
             }];
@@ -396,9 +398,10 @@
         }
         let incarnation = self.routers[index].incarnation;
         let faulty = self.plan == Plan::Faults && self.now < FAULTS_END_MS;
+        let away = self.now < self.store_away_until.max(self.routers[index].cut_until);
         let lost = Event::StoreAnswer(index, incarnation, StoreAnswer::Lost);
         let after = self.now + self.rng.random_range(5..60);
-        if faulty && (self.now < self.store_away_until || self.chance(30)) {
+        if away || (faulty && self.chance(30)) {
             // The call may be lost on its way, lose its answer, or take effect late.
             match self.rng.random_range(0..3) {
                 0 => {}
@@ -422,7 +425,11 @@
         let window = report.window;
         let delay = self.rng.random_range(1..CALL_TIMEOUT_MS);
         let disturbed = self.plan == Plan::Faults && self.now < FAULTS_END_MS;
-        let lost = disturbed && (self.now < self.platform_away_until || self.chance(100));
+        let lost = match self.plan {
+            // Reports that are sent again let a holder without the store go on calling.
+            Plan::Cuts => self.chance(800),
+            _ => disturbed && (self.now < self.platform_away_until || self.chance(100)),
+        };
         let at = self.now + delay;
         if !lost || self.chance(500) {
             let event = Event::Platform(index, address, incarnation, report, !lost);
--- a/src/store.rs
+++ b/src/store.rs
@@ -165,10 +165,36 @@
         key: &str,
         value: &[u8],
     ) -> Result<(), StoreError> {
+        self.post_append(topic, at, key, value).await?;
+        Ok(())
+    }
+
+    /// Like [`Self::append_at`], and returns the offset that the record got.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::append_at`], and if the answer does not state the offset.
+    pub async fn append_confirmed(
+        &self,
+        topic: Topic,
+        at: Offset,
+        key: &str,
+        value: &[u8],
+    ) -> Result<Offset, StoreError> {
+        let body = self.post_append(topic, at, key, value).await?;
+        store::decode_appended(&body).context(DecodeSnafu)
+    }
+
+    async fn post_append(
+        &self,
+        topic: Topic,
+        at: Offset,
+        key: &str,
+        value: &[u8],
+    ) -> Result<Bytes, StoreError> {
         let path = store::append_path(topic, at);
         let body = store::append_body(key, value);
-        self.call(Method::POST, &path, body, Duration::ZERO).await?;
-        Ok(())
+        self.call(Method::POST, &path, body, Duration::ZERO).await
     }
 
     async fn call(
