Report usage from the entry router that holds the lease

A task owns the lease and the reports; calls of the store and of the platform run beside it and answer by messages.

--- a/core/src/ini.rs
+++ b/core/src/ini.rs
@@ -208,6 +208,12 @@
         property.map_or(self.section.line, |property| property.line)
     }
 
+    /// Whether the section has this key.
+    pub fn has(&self, key: &str) -> bool {
+        let mut properties = self.section.properties.iter();
+        properties.any(|property| property.key == key)
+    }
+
     /// Parses the value of an optional key. A value that `parse` rejects is reported; `allowed`
     /// describes the values that `parse` accepts.
     pub fn optional<T>(
@@ -231,12 +237,7 @@
         allowed: &str,
         parse: impl FnOnce(&str) -> Option<T>,
     ) -> Option<T> {
-        if !self
-            .section
-            .properties
-            .iter()
-            .any(|property| property.key == key)
-        {
+        if !self.has(key) {
             self.known_keys.push(key);
             self.report(self.section.line, key, "nothing", allowed);
             return None;
--- a/src/bin/ebonyfall.rs
+++ b/src/bin/ebonyfall.rs
@@ -101,6 +101,10 @@
             }
         }
         Command::Explain(args) => return explain(&args),
+        Command::Usage(args) => match remote::usage(args.address).await? {
+            Some(usage) => print!("{usage}"),
+            None => println!("this deployment has no usage reports"),
+        },
         Command::Dump(args) => {
             let token = read_token(args.token_file, &cfg)?;
             let dump = remote::dump(args.admin, &token).await?;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -68,6 +68,17 @@
     Dump(DumpArgs),
     /// Prints the log lines of one request.
     Explain(ExplainArgs),
+    /// Prints the state of usage reports at one entry router.
+    Usage(UsageArgs),
+}
+
+/// Prints who reports usage, what is open, and the last reports, as one entry router knows them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "usage")]
+pub struct UsageArgs {
+    /// metrics address of the entry router
+    #[argh(positional)]
+    pub address: SocketAddr,
 }
 
 /// Prints the log lines of all processes that name one request, ordered by time.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,6 +27,10 @@
     settings::{self, EntryConfig},
     stop::{StopPhases, StopTimes},
     store::StoreClient,
+    usage::{
+        counting::UsageCounter,
+        duty::{self, DutyTask},
+    },
     web::{self, ConnectionLimits, Shared},
 };
 
@@ -97,11 +101,24 @@
     let ready = listen(cfg.ready).await?;
     let monitoring = listen(cfg.metrics).await?;
     monitoring::serve_readiness(ready, store_state.clone(), stop.clone(), log.clone());
+    let usage = cfg.usage.clone().map(|config| {
+        let task = DutyTask {
+            name: cfg.name.clone(),
+            address: cfg.peers.ip(),
+            config,
+            store: store.clone(),
+            counter: UsageCounter,
+            meters: metrics.entry.clone(),
+            log: log.clone(),
+        };
+        duty::start(task, stop.clone())
+    });
     let pages = Monitoring {
         name: cfg.name.clone(),
         zone: cfg.zone.clone(),
         store_state: store_state.clone(),
         selector: selector.clone(),
+        usage,
         metrics: metrics.clone(),
     };
     monitoring::serve_monitoring(monitoring, pages, log.clone());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod streaming;
 mod trace;
 pub mod upstream;
+pub mod usage;
 pub mod view;
 pub mod vms;
 pub mod web;
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -17,6 +17,7 @@
     follow::StoreState,
     metrics::Metrics,
     selection::SelectorHandle,
+    usage::{duty::DutyHandle, inspect::UsageDump},
     web::{self, ConnectionLimits, Shared},
 };
 
@@ -57,6 +58,8 @@
     pub store_state: StoreState,
     /// Target selector, whose state is part of the dump.
     pub selector: SelectorHandle,
+    /// Usage reports; `None` if the deployment has none.
+    pub usage: Option<DutyHandle>,
     /// Metrics of this process.
     pub metrics: Metrics,
 }
@@ -72,6 +75,9 @@
     /// Time since the desired state was last confirmed to be current.
     state_age_ms: Option<u64>,
     steering: RoutingState,
+    /// Absent if the deployment has no usage reports.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<UsageDump>,
 }
 
 impl Monitoring {
@@ -91,6 +97,10 @@
     async fn dump_page(&self) -> Response<Body> {
         let steering = self.selector.inspect().await;
         let desired = self.store_state.desired.borrow().clone();
+        let usage = match &self.usage {
+            Some(duty) => duty.dump().await,
+            None => None,
+        };
         let dump = Dump {
             build: env!("CARGO_PKG_VERSION"),
             name: &self.name,
@@ -99,6 +109,7 @@
             routes: desired.as_ref().map(|desired| desired.route_count()),
             state_age_ms: self.state_age().map(clock::millis),
             steering,
+            usage,
         };
         web::json_response(StatusCode::OK, &dump)
     }
--- a/src/remote.rs
+++ b/src/remote.rs
@@ -6,9 +6,12 @@
 use http::{Method, Request, StatusCode, header::AUTHORIZATION};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time;
 
+use crate::usage::inspect::UsageDump;
+
 /// Time limit of a request with its whole answer.
 const TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -90,3 +93,21 @@
     ensure!(status.is_success(), RefusedSnafu { address, status });
     serde_json::from_slice(&body).context(DecodeSnafu { address })
 }
+
+#[derive(Deserialize)]
+struct EntryDump {
+    usage: Option<UsageDump>,
+}
+
+/// Gets the state of usage reports from the metrics address of an entry router; `None` if its
+/// deployment has none.
+///
+/// # Errors
+///
+/// Fails without a complete answer, or when the answer has an error status or is not a dump.
+pub async fn usage(address: SocketAddr) -> Result<Option<UsageDump>, RemoteError> {
+    let (status, body) = send(Method::GET, address, "/dump", "", Bytes::new()).await?;
+    ensure!(status.is_success(), RefusedSnafu { address, status });
+    let dump: EntryDump = serde_json::from_slice(&body).context(DecodeSnafu { address })?;
+    Ok(dump.usage)
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,12 +13,16 @@
     doc::KeyHash,
     ini::{self, Diagnostic, SectionReader, join_lines},
     name::{OperatorName, ProcessName, TargetName, ZoneName},
+    usage::{reporter::KEPT_WINDOWS, window::WindowLength},
 };
 use ebonyfall_wire::auth::{Key, Keys};
 use http::Uri;
 use snafu::{ResultExt, Snafu};
 
-use crate::logs::{Format, Levels};
+use crate::{
+    logs::{Format, Levels},
+    usage::duty::UsageConfig,
+};
 
 /// Failure to load a settings file.
 #[derive(Debug, Snafu)]
@@ -120,6 +124,8 @@
     pub revocation: Duration,
     /// Limit on the retries that the whole fleet sends to one service.
     pub retry: RetryBound,
+    /// Usage reports; `None` if the deployment has none.
+    pub usage: Option<UsageConfig>,
     /// Lowest level that is logged, for each module; `info` by default.
     pub log_levels: Levels,
 }
@@ -193,6 +199,7 @@
         let ratio = f.required("retry-ratio", "a number such as 0.2", parse);
         let slack = f.required("retry-slack", "a number such as 50", parse);
         let window = f.required("retry-window-s", SECONDS, parse_seconds);
+        let usage = parse_usage(f);
         let levels = f.optional("log-levels", "levels such as info, carry=debug", parse);
         Some(EntryConfig {
             name: name?,
@@ -211,6 +218,7 @@
                 slack: slack?,
                 window: window?,
             },
+            usage,
             log_levels: levels.unwrap_or_else(default_levels),
         })
     })
@@ -236,6 +244,20 @@
     })
 }
 
+/// Keys of the settings of usage reports.
+const USAGE_KEYS: [&str; 5] = [
+    "usage-address",
+    "usage-window-s",
+    "usage-lease-ms",
+    "usage-late-s",
+    "usage-calls-per-s",
+];
+/// Shortest window that is accepted.
+const MIN_USAGE_WINDOW: Duration = Duration::from_millis(100);
+/// Shortest lease that is accepted. 750 ms of it are kept for the last call and as a margin, and
+/// renewals need a third of it.
+const MIN_USAGE_LEASE: Duration = Duration::from_millis(1_500);
+
 // Descriptions of allowed values, shown in diagnostics.
 const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:8080";
 const ADDRESSES: &str = "IP addresses and ports, comma-separated";
@@ -310,6 +332,39 @@
     }
 }
 
+/// Parses the settings of usage reports, which are all there or all absent. `None` if they are
+/// absent, or have faults, which are reported.
+fn parse_usage(f: &mut SectionReader<'_>) -> Option<UsageConfig> {
+    if !USAGE_KEYS.iter().any(|key| f.has(key)) {
+        return None;
+    }
+    let platform = f.required("usage-address", ADDRESS, parse);
+    let window = f.required("usage-window-s", "seconds, 0.1 or more", |text| {
+        let window = parse_seconds(text)?;
+        WindowLength::new(window).filter(|_| window >= MIN_USAGE_WINDOW)
+    });
+    let lease = f.required("usage-lease-ms", "milliseconds, 1500 or more", |text| {
+        parse_millis(text).filter(|lease| *lease >= MIN_USAGE_LEASE)
+    });
+    let latest = window.map(|window| window.end((KEPT_WINDOWS / 2 - 1).into()));
+    let allowed = "seconds, above 0 and at most 16 windows";
+    let lateness = f.required("usage-late-s", allowed, |text| {
+        let lateness = parse_seconds(text)?;
+        let fits = latest.is_none_or(|latest| lateness <= latest);
+        (fits && !lateness.is_zero()).then_some(lateness)
+    });
+    let calls_per_s = f.required("usage-calls-per-s", "a number, 1 or more", |text| {
+        parse::<u32>(text).filter(|calls| *calls >= 1)
+    });
+    Some(UsageConfig {
+        platform: platform?,
+        window: window?,
+        lease: lease?,
+        lateness: lateness?,
+        calls_per_s: calls_per_s?,
+    })
+}
+
 fn parse_common(f: &mut SectionReader<'_>) -> Option<CommonConfig> {
     let name = f.required("name", "a process name", parse);
     let zone = f.required("zone", "a zone's name", parse);
--- /dev/null
+++ b/src/usage/duty.rs
@@ -0,0 +1,487 @@
+//! Task that takes part in the reporting lease and, while this router holds it, reports usage.
+//!
+//! The task owns the state of the lease and of the reports. Calls of the store and of the platform
+//! run beside it, at most one each, and give their outcome back by messages.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use ebonyfall_core::{
+    id::Offset,
+    name::ProcessName,
+    usage::{
+        duty::{Duty, DutyInput, UsageReport},
+        holder::{HolderEvent, Permit, SuspendCause},
+        records::{HolderId, StoreAnswer, StoreCall, UsageRecord},
+        reporter::{GiveUpCause, ReportEvent, ReportTimes, SendOutcome, WindowState},
+        window::WindowLength,
+    },
+};
+use ebonyfall_platform::{
+    store::{KeyedRecord, Topic},
+    usage,
+};
+use http::StatusCode;
+use slog::{Logger, info, warn};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{MissedTickBehavior, interval},
+};
+
+use super::{
+    counting::UsageCounter,
+    inspect::{HolderDump, UsageDump, WindowDump},
+    sender::{Sender, Sent, outcome_label},
+};
+use crate::{
+    clock::{self, BootClock},
+    meters::EntryMetrics,
+    store::{StoreClient, StoreError},
+    view,
+};
+
+/// Interval between steps. It bounds the delay of a decision, and the pause of the process that goes
+/// unnoticed.
+const STEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Dump requests that may wait.
+const DUMP_QUEUE: usize = 4;
+/// Part of the platform's limit on calls that the holder uses, so that the calls of two successive
+/// holders stay below it.
+const CALL_SHARE: u32 = 2;
+
+/// Settings of usage reports.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsageConfig {
+    /// Address of the platform's usage call.
+    pub platform: SocketAddr,
+    /// Length of a window.
+    pub window: WindowLength,
+    /// Time for which a write of the holder gives it the lease.
+    pub lease: Duration,
+    /// Time after the end of a window at which its report is due.
+    pub lateness: Duration,
+    /// Most calls in a second that the platform takes from all routers.
+    pub calls_per_s: u32,
+}
+
+/// Configuration and dependencies of the task.
+#[derive(Debug)]
+pub struct DutyTask {
+    /// Name of this process.
+    pub name: ProcessName,
+    /// Address of this machine, by which holders are told apart.
+    pub address: IpAddr,
+    /// Settings of usage reports.
+    pub config: UsageConfig,
+    /// Store that decides who holds the lease.
+    pub store: StoreClient,
+    /// Counts of requests.
+    pub counter: UsageCounter,
+    /// Metrics of this process.
+    pub meters: EntryMetrics,
+    /// Logger of this process.
+    pub log: Logger,
+}
+
+/// Handle to the task.
+#[derive(Debug, Clone)]
+pub struct DutyHandle(mpsc::Sender<oneshot::Sender<UsageDump>>);
+
+impl DutyHandle {
+    /// Returns the state of the task; `None` if it has ended.
+    pub async fn dump(&self) -> Option<UsageDump> {
+        let (reply, dump) = oneshot::channel();
+        self.0.send(reply).await.ok()?;
+        dump.await.ok()
+    }
+}
+
+/// Starts the task, which runs until the process ends. When `stop` becomes true, it releases the
+/// lease.
+pub fn start(task: DutyTask, stop: watch::Receiver<bool>) -> DutyHandle {
+    let (tx, dumps) = mpsc::channel(DUMP_QUEUE);
+    tokio::spawn(Task::new(task).run(stop, dumps));
+    DutyHandle(tx)
+}
+
+struct Task {
+    name: ProcessName,
+    window: WindowLength,
+    store: StoreClient,
+    counter: UsageCounter,
+    meters: EntryMetrics,
+    log: Logger,
+    duty: Duty,
+    /// Revision of the counts up to which changes were taken for records.
+    revision: u64,
+    holding: bool,
+    late: u64,
+    permit: watch::Sender<Option<Permit>>,
+    reports: mpsc::Sender<UsageReport>,
+    sent: mpsc::Receiver<Sent>,
+    answer_tx: mpsc::Sender<StoreAnswer>,
+    answers: mpsc::Receiver<StoreAnswer>,
+}
+
+impl Task {
+    fn new(task: DutyTask) -> Self {
+        let DutyTask {
+            name,
+            address,
+            config,
+            store,
+            counter,
+            meters,
+            log,
+        } = task;
+        let incarnation = view::incarnation(clock::unix_time());
+        let id = HolderId {
+            name: name.clone(),
+            address,
+            incarnation,
+        };
+        let times = ReportTimes {
+            window: config.window,
+            lateness: config.lateness,
+            call_interval: Duration::from_secs(1) * CALL_SHARE / config.calls_per_s.max(1),
+        };
+        let duty = Duty::new(id, config.lease, times, counter.unix_time());
+        let (permit, permits) = watch::channel(None);
+        let (reports, report_rx) = mpsc::channel(1);
+        let (sent_tx, sent) = mpsc::channel(1);
+        let (answer_tx, answers) = mpsc::channel(1);
+        let sender = Sender {
+            name: name.clone(),
+            platform: config.platform,
+            permit: permits,
+            log: log.clone(),
+        };
+        tokio::spawn(sender.run(report_rx, sent_tx));
+        Self {
+            name,
+            window: config.window,
+            store,
+            counter,
+            meters,
+            log,
+            duty,
+            revision: 0,
+            holding: false,
+            late: 0,
+            permit,
+            reports,
+            sent,
+            answer_tx,
+            answers,
+        }
+    }
+
+    async fn run(
+        mut self,
+        mut stop: watch::Receiver<bool>,
+        mut dumps: mpsc::Receiver<oneshot::Sender<UsageDump>>,
+    ) {
+        let mut ticks = interval(STEP_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut stopping = false;
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                Some(answer) = self.answers.recv() => self.on_answer(answer),
+                Some(sent) = self.sent.recv() => self.on_sent(&sent),
+                _ = stop.wait_for(|stop| *stop), if !stopping => stopping = true,
+                Some(reply) = dumps.recv() => {
+                    let _caller_gone = reply.send(self.dump());
+                    continue;
+                }
+            }
+            self.step(stopping);
+        }
+    }
+
+    fn step(&mut self, stopping: bool) {
+        let (now, unix) = (BootClock.now(), self.counter.unix_time());
+        if self.duty.wants_changes(now) {
+            let (changes, revision) = self.counter.changes_since(self.revision);
+            self.revision = revision;
+            self.duty.add_changes(changes);
+        }
+        let window = self.duty.due_window(now, unix).map(|window| {
+            let known = self.counter.window(window);
+            WindowState {
+                window,
+                counts: known.counts,
+                missing: known.missing,
+            }
+        });
+        let call = self.duty.next_call(DutyInput {
+            now,
+            unix,
+            rank: self.counter.rank(),
+            stopping,
+            window,
+        });
+        if let Some(call) = call {
+            let (store, tx, log) = (self.store.clone(), self.answer_tx.clone(), self.log.clone());
+            tokio::spawn(async move {
+                let answer = call_store(&store, call, &log).await;
+                let _ended = tx.send(answer).await;
+            });
+        }
+        self.publish();
+        if let Some(report) = self.duty.next_report(now) {
+            let window = report.window;
+            if self.reports.try_send(report).is_err() {
+                self.duty.on_outcome(window, SendOutcome::Failed, now, unix);
+            }
+        }
+        self.log_events();
+    }
+
+    /// Publishes the permission to call the platform, and whether this router holds the lease.
+    fn publish(&mut self) {
+        self.permit.send_replace(self.duty.holder().permit());
+        let holding = self.duty.holder().held_until().is_some();
+        if holding != self.holding {
+            self.holding = holding;
+            self.meters.usage.set_holding(holding);
+            self.counter.set_holding(holding);
+        }
+    }
+
+    fn on_answer(&mut self, answer: StoreAnswer) {
+        let counts = self.duty.on_answer(BootClock.now(), answer);
+        if !counts.is_empty() {
+            self.counter.merge(counts);
+        }
+    }
+
+    fn on_sent(&mut self, sent: &Sent) {
+        let (now, unix) = (BootClock.now(), self.counter.unix_time());
+        self.duty.on_outcome(sent.window, sent.outcome, now, unix);
+        self.meters.usage.count_report(outcome_label(sent.outcome));
+    }
+
+    fn log_events(&mut self) {
+        for event in self.duty.holder().take_events() {
+            self.log_holder(event);
+        }
+        for event in self.duty.reporter().take_events() {
+            self.log_report(event);
+        }
+        let late = self.duty.reporter().totals().late;
+        self.meters.usage.add_late(late - self.late);
+        self.late = late;
+    }
+
+    fn log_holder(&self, event: HolderEvent) {
+        let log = &self.log;
+        let claim = |outcome: &'static str| self.meters.usage.count_claim(outcome);
+        match event {
+            HolderEvent::Claimed(token) => {
+                claim("claimed");
+                info!(log, "reporting lease claimed"; "event" => "usage_claim",
+                    "outcome" => "claimed", "token" => %token, "holder" => %self.name);
+            }
+            HolderEvent::ClaimConflict => {
+                claim("conflict");
+                info!(log, "reporting lease not claimed, since another router has written";
+                    "event" => "usage_claim", "outcome" => "conflict");
+            }
+            HolderEvent::ClaimUnknown => {
+                claim("unknown");
+                warn!(log, "no answer to the claim of the reporting lease; reading the stream";
+                    "event" => "usage_claim", "outcome" => "unknown");
+            }
+            HolderEvent::Resumed(token) => {
+                claim("resumed");
+                info!(log, "reporting lease confirmed again"; "event" => "usage_claim",
+                    "outcome" => "resumed", "token" => %token);
+            }
+            HolderEvent::Suspended(cause) => {
+                let cause = match cause {
+                    SuspendCause::Expired => "expired",
+                    SuspendCause::Paused => "paused",
+                };
+                warn!(log, "reporting lease not usable until it is read and written again";
+                    "event" => "usage_lost", "cause" => cause);
+            }
+            HolderEvent::Lost(token) => {
+                warn!(log, "another router holds the reporting lease";
+                    "event" => "usage_lost", "cause" => "claimed", "token" => %token);
+            }
+            HolderEvent::Released(token) => {
+                info!(log, "reporting lease released"; "event" => "usage_release",
+                    "token" => %token);
+            }
+        }
+    }
+
+    fn log_report(&self, event: ReportEvent) {
+        let log = &self.log;
+        match event {
+            ReportEvent::Decided {
+                window,
+                requests,
+                missing,
+            } => {
+                let missing: Vec<_> = missing.iter().map(ProcessName::as_str).collect();
+                info!(log, "usage window decided"; "event" => "usage_decided",
+                    "window" => %window, "requests" => requests, "missing" => missing.join(","));
+            }
+            ReportEvent::GivenUp { first, last, cause } => {
+                let cause = match cause {
+                    GiveUpCause::TooOld => "too_old",
+                    GiveUpCause::CountsUnknown => "counts_unknown",
+                    GiveUpCause::Rejected => "rejected",
+                };
+                warn!(log, "usage windows given up; see docs/OPERATIONS.md";
+                    "event" => "usage_given_up", "window" => %first, "last" => %last,
+                    "cause" => cause);
+            }
+            ReportEvent::Sent { window, late } => {
+                if late {
+                    warn!(log, "usage report acknowledged after it was due";
+                        "event" => "usage_late", "window" => %window);
+                }
+            }
+        }
+    }
+
+    fn dump(&mut self) -> UsageDump {
+        let (now, unix) = (BootClock.now(), self.counter.unix_time());
+        let held_until = self.duty.holder().held_until();
+        let holder = self.duty.holder().last_record().map(|last| HolderDump {
+            name: last.holder.name.clone(),
+            address: last.holder.address,
+            token: last.token.into(),
+            released: last.released,
+        });
+        let window_length = self.window;
+        let reporter = self.duty.reporter();
+        let (totals, unsent) = (reporter.totals(), reporter.unsent_windows());
+        let windows = reporter.recorded().map(|decision| WindowDump {
+            window: decision.window.into(),
+            end_unix_ms: clock::millis(window_length.end(decision.window)),
+            token: decision.token.into(),
+            acknowledged: !unsent.contains(&decision.window),
+            counts: decision.counts.clone(),
+        });
+        UsageDump {
+            holder,
+            holding: held_until.is_some(),
+            held_for_ms: held_until.map(|until| clock::millis(until.since(now))),
+            rank: self.counter.rank(),
+            open: reporter.open_windows(unix),
+            unsent: unsent.len(),
+            decided: totals.decided,
+            sent: totals.sent,
+            late: totals.late,
+            given_up: totals.given_up,
+            windows: windows.collect(),
+        }
+    }
+}
+
+async fn call_store(store: &StoreClient, call: StoreCall, log: &Logger) -> StoreAnswer {
+    let answer = match call {
+        StoreCall::Newest => read_newest(store, log).await,
+        StoreCall::Read(from) => read_from(store, from, log).await,
+        StoreCall::Append(at, record) => append(store, at, &record).await,
+    };
+    answer.unwrap_or_else(|error| {
+        warn!(log, "call of the store for the usage stream failed";
+            "event" => "usage_store", "error" => %error);
+        StoreAnswer::Lost
+    })
+}
+
+/// Whether the error says that the stream has no record yet.
+fn is_missing(error: &StoreError) -> bool {
+    let StoreError::Refused { status } = error else {
+        return false;
+    };
+    let passing = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::PRECONDITION_FAILED,
+    ];
+    status.is_client_error() && !passing.contains(status)
+}
+
+fn empty() -> StoreAnswer {
+    StoreAnswer::Records {
+        records: Vec::new(),
+        next: Offset::default(),
+        end: Offset::default(),
+    }
+}
+
+async fn read_newest(store: &StoreClient, log: &Logger) -> Result<StoreAnswer, StoreError> {
+    let (mut records, end) = match store.newest(Topic::Usage, 0).await {
+        Err(error) if is_missing(&error) => return Ok(empty()),
+        answer => answer?,
+    };
+    records.sort_by_key(|record| record.offset);
+    // Records after the end of the first page are read again.
+    records.retain(|record| record.offset < end);
+    let (records, _) = decode(records, log);
+    let next = end;
+    Ok(StoreAnswer::Records { records, next, end })
+}
+
+async fn read_from(
+    store: &StoreClient,
+    from: Offset,
+    log: &Logger,
+) -> Result<StoreAnswer, StoreError> {
+    let batch = match store.read(Topic::Usage, from, Duration::ZERO).await {
+        Err(error) if is_missing(&error) && from == Offset::default() => return Ok(empty()),
+        Err(StoreError::Expired) => return Ok(StoreAnswer::Expired),
+        answer => answer?,
+    };
+    let (next, end) = (batch.next, batch.end);
+    let (records, complete) = decode(batch.records, log);
+    // A record that cannot be read may be a claim of another version of the software.
+    if !complete {
+        return Ok(StoreAnswer::Expired);
+    }
+    Ok(StoreAnswer::Records { records, next, end })
+}
+
+/// Decodes records; false if one could not be decoded.
+fn decode(records: Vec<KeyedRecord>, log: &Logger) -> (Vec<UsageRecord>, bool) {
+    let count = records.len();
+    let decoded = records.into_iter().filter_map(|record| {
+        let decoded = usage::decode_record(&record.key, record.value.as_deref());
+        decoded
+            .inspect_err(|error| {
+                warn!(log, "undecodable record of the usage stream skipped";
+                    "event" => "usage_store", "offset" => %record.offset, "error" => %error);
+            })
+            .ok()
+    });
+    let decoded: Vec<_> = decoded.collect();
+    let complete = decoded.len() == count;
+    (decoded, complete)
+}
+
+async fn append(
+    store: &StoreClient,
+    at: Offset,
+    record: &UsageRecord,
+) -> Result<StoreAnswer, StoreError> {
+    let key = usage::record_key(record, at);
+    let Ok(value) = usage::encode_record(record) else {
+        return Ok(StoreAnswer::Lost);
+    };
+    match store.append_confirmed(Topic::Usage, at, &key, &value).await {
+        Ok(offset) => Ok(StoreAnswer::Appended(offset)),
+        Err(StoreError::Refused { status }) if status == StatusCode::PRECONDITION_FAILED => {
+            Ok(StoreAnswer::Conflict)
+        }
+        Err(error) => Err(error),
+    }
+}
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -102,6 +102,21 @@
     ///
     /// Panics when a process does not start or become ready.
     pub async fn start(program: &Path, folder: &Path, routers: usize, targets: usize) -> Self {
+        Self::start_with(program, folder, (routers, targets), "").await
+    }
+
+    /// Like [`Self::start`], with these numbers of routers and targets, and with lines that are
+    /// added to the settings of each router.
+    ///
+    /// # Panics
+    ///
+    /// Panics like [`Self::start`].
+    pub async fn start_with(
+        program: &Path,
+        folder: &Path,
+        (routers, targets): (usize, usize),
+        router_settings: &str,
+    ) -> Self {
         let (store, store_address) = KeyedStore::start().await;
         let mut env = Self {
             store,
@@ -135,7 +150,7 @@
                 "[entry]\nname = e-{router}\nzone = z0\nlisten = {listen}\nready = {ready}\n\
                  metrics = {metrics}\nstore = {store}\npeers = {peers}\nseeds = {seeds}\n\
                  drain-ms = 2000\ngrace-s = 8\nrevocation-ms = 5000\nretry-ratio = 0.2\n\
-                 retry-slack = 58\nretry-window-s = 10\n"
+                 retry-slack = 58\nretry-window-s = 10\n{router_settings}"
             );
             let path = folder.join(format!("e-{router}.ini"));
             std::fs::write(&path, settings).expect("the folder is writable");
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod proxy;
 pub mod registered;
 pub mod service;
+pub mod usage;
--- a/tests/entry/env.rs
+++ b/tests/entry/env.rs
@@ -45,6 +45,19 @@
         }
     }
 
+    /// Starts `routers` routers, a target and a store, with these lines added to the settings of
+    /// each router.
+    pub async fn start_with_settings(routers: usize, settings: &str) -> Self {
+        let folder = tempfile::tempdir().expect("the system has a folder for temporary files");
+        let program = Path::new(env!("CARGO_BIN_EXE_ebonyfall-entry"));
+        let entrance =
+            EntryDeployment::start_with(program, folder.path(), (routers, 1), settings).await;
+        Self {
+            entrance,
+            _folder: folder,
+        }
+    }
+
     /// Sends a request to the first router on a new connection.
     pub async fn call(
         &self,
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod parts;
 mod readers;
 mod reports;
+mod usage;
 
 use std::time::Duration;
 
