--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -367,6 +367,11 @@
         self.get_page(router, "/dump").await
     }
 
+    /// Address at which a router serves its metrics and its dump.
+    pub fn metrics_address(&self, router: usize) -> SocketAddr {
+        self.routers[router].metrics
+    }
+
     async fn get_page(&self, router: usize, path: &str) -> String {
         let reply = get(self.routers[router].metrics, path).await;
         let reply = reply.expect("the page is served");
--- a/tests/entry/usage.rs
+++ b/tests/entry/usage.rs
@@ -1,13 +1,19 @@
 //! Tests of usage reports by router processes whose holder of the lease fails.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::BTreeSet, io::ErrorKind, net::SocketAddr, process::Command, time::Duration,
+};
 
 use ebonyfall_standin::{
     proxy::ConnectionFault,
     usage::{ReceivedReport, UsagePlatform, violations},
 };
 use http::StatusCode;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpListener,
+    time::{Instant, sleep, timeout},
+};
 
 use crate::env::EntryEnv;
 
@@ -18,6 +24,15 @@
 /// Time limit for a number of further windows to be reported.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(25);
 
+/// Settings of reports to `address`.
+fn settings(address: SocketAddr) -> String {
+    format!(
+        "usage-address = {address}\nusage-window-s = 1\nusage-lease-ms = {}\nusage-late-s = 4\n\
+         usage-calls-per-s = 50\n",
+        LEASE.as_millis()
+    )
+}
+
 struct Reporting {
     env: EntryEnv,
     platform: UsagePlatform,
@@ -26,12 +41,7 @@
 impl Reporting {
     async fn start() -> Self {
         let (platform, address) = UsagePlatform::start().await;
-        let settings = format!(
-            "usage-address = {address}\nusage-window-s = 1\nusage-lease-ms = {}\n\
-             usage-late-s = 4\nusage-calls-per-s = 50\n",
-            LEASE.as_millis()
-        );
-        let env = EntryEnv::start_with_settings(ROUTERS, &settings).await;
+        let env = EntryEnv::start_with_settings(ROUTERS, &settings(address)).await;
         let reporting = Self { env, platform };
         reporting.wait(3, |_| true).await;
         reporting
@@ -152,6 +162,37 @@
     reporting.platform.refuse(None).await;
     reporting.wait(5, |_| true).await;
     reporting.check().await;
+    let printed = Command::new(env!("CARGO_BIN_EXE_ebonyfall"))
+        .args(["usage", &reporting.env.metrics_address(holder).to_string()])
+        .output()
+        .expect("the program starts");
+    let printed = String::from_utf8_lossy(&printed.stdout).into_owned();
+    assert!(
+        printed.contains(&format!("holder: e-{holder}")),
+        "{printed}"
+    );
     let metrics = reporting.env.metrics(holder).await;
     assert!(metrics.contains("ebonyfall_usage_reports_total{outcome=\"failed\"}"));
 }
+
+/// Guards against a report that stays in the socket buffer of a silent link and arrives when the
+/// link is back: the connection of a call without an answer is reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_without_an_answer_is_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    let _env = EntryEnv::start_with_settings(1, &settings(address)).await;
+    let accepted = timeout(REPORT_TIMEOUT, listener.accept()).await;
+    let (mut stream, _) = accepted
+        .expect("a report is due")
+        .expect("the socket listens");
+    let mut received = Vec::new();
+    let ended = timeout(REPORT_TIMEOUT, stream.read_to_end(&mut received)).await;
+    let error = ended
+        .expect("the call has a time limit")
+        .expect_err("the connection is reset");
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    assert!(received.starts_with(b"POST /usage HTTP/1.1\r\n"));
+}
