--- a/core/tests/usage/main.rs
+++ b/core/tests/usage/main.rs
@@ -6,19 +6,29 @@
 mod steps;
 mod world;
 
+use std::{env, ops::Range};
+
 use plan::{Plan, Variant};
 use world::World;
 
 /// Fleets of the sizes that deployments have.
 const FLEETS: [usize; 3] = [6, 28, 103];
+/// Number of seeds of each fleet, unless `USAGE_SEEDS` gives another one.
 const SEEDS: u64 = 12;
 
+/// The seeds: `USAGE_SEEDS` of them, from `USAGE_SEED` on.
+fn seeds() -> Range<u64> {
+    let number = |name| env::var(name).ok().and_then(|text| text.parse().ok());
+    let first = number("USAGE_SEED").unwrap_or(0);
+    first..first + number("USAGE_SEEDS").unwrap_or(SEEDS)
+}
+
 /// Guards against any schedule in which two holders act at once, a report changes, or windows are
 /// not caught up after the faults have ended.
 #[test]
 fn reports_are_safe_and_complete_in_any_schedule() {
     for routers in FLEETS {
-        for seed in 0..SEEDS {
+        for seed in seeds() {
             let mut world = World::new(routers, seed, Plan::Faults, Variant::Correct);
             world.run();
             assert_eq!(
