Merge the counting and the reports of usage

The task of the reporting lease uses the counts of all routers in place of its stand-in. The dump has the counts of this router's table as usage_counts.

--- a/core/src/usage/mod.rs
+++ b/core/src/usage/mod.rs
@@ -3,5 +3,9 @@
 
 pub mod counts;
 pub mod durations;
+pub mod duty;
+pub mod holder;
+pub mod records;
+pub mod reporter;
 pub mod time;
 pub mod window;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,7 +27,10 @@
     settings::{self, EntryConfig},
     stop::{StopPhases, StopTimes},
     store::StoreClient,
-    usage::counting::UsageCounter,
+    usage::{
+        counting::UsageCounter,
+        duty::{self, DutyTask},
+    },
     web::{self, ConnectionLimits, Shared},
 };
 
@@ -86,11 +89,11 @@
     let selector = SelectorHandle::start(selector, BootClock, log.clone());
     let store = StoreClient::new(cfg.store, metrics.entry.clone());
     let (access_tx, access) = watch::channel(None);
-    let usage = cfg.usage_window.map(|length| {
+    let counter = cfg.usage.as_ref().map(|usage| {
         let counting = metrics.entry.counting.clone();
         UsageCounter::start(
             cfg.name.clone(),
-            length,
+            usage.window,
             access.clone(),
             counting,
             log.clone(),
@@ -108,12 +111,29 @@
     let ready = listen(cfg.ready).await?;
     let monitoring = listen(cfg.metrics).await?;
     monitoring::serve_readiness(ready, store_state.clone(), stop.clone(), log.clone());
+    let usage = cfg
+        .usage
+        .clone()
+        .zip(counter.clone())
+        .map(|(config, counter)| {
+            let task = DutyTask {
+                name: cfg.name.clone(),
+                address: cfg.peers.ip(),
+                config,
+                store: store.clone(),
+                counter,
+                meters: metrics.entry.clone(),
+                log: log.clone(),
+            };
+            duty::start(task, stop.clone())
+        });
     let pages = Monitoring {
         name: cfg.name.clone(),
         zone: cfg.zone.clone(),
         store_state: store_state.clone(),
         selector: selector.clone(),
-        usage: usage.clone(),
+        usage,
+        counter: counter.clone(),
         metrics: metrics.clone(),
     };
     monitoring::serve_monitoring(monitoring, pages, log.clone());
@@ -132,7 +152,7 @@
             store,
             selector: selector.clone(),
             mirrors: store_state.mirrors.clone(),
-            usage: usage.clone(),
+            usage: counter.clone(),
             access: access_tx,
             metrics: metrics.clone(),
             log: log.clone(),
@@ -151,7 +171,7 @@
         store_state,
         selector,
         phases,
-        usage,
+        usage: counter,
         buffers: AnswerBuffers::default(),
         metrics,
         log: log.clone(),
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -9,7 +9,7 @@
     registry::{Registry, Unit},
 };
 
-use crate::usage::meters::CountingMeters;
+use crate::usage::meters::{CountingMeters, UsageMetrics};
 
 /// Histogram buckets of the time to an answer's head, in seconds, dense round the callers' latency
 /// objectives.
@@ -79,6 +79,8 @@
     pub store_failures: Counter,
     /// Metrics of the counting for usage reports.
     pub counting: CountingMeters,
+    /// Metrics of usage reports.
+    pub usage: UsageMetrics,
     state_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     failures: Family<FailureLabels, Counter>,
     exceeded: Family<LimitLabels, Counter>,
@@ -100,6 +102,7 @@
             desired_version: Gauge::default(),
             store_failures: Counter::default(),
             counting: CountingMeters::register(registry),
+            usage: UsageMetrics::register(registry),
             state_age: Gauge::default(),
             failures: Family::default(),
             exceeded: Family::default(),
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -17,7 +17,11 @@
     follow::StoreState,
     metrics::Metrics,
     selection::SelectorHandle,
-    usage::counting::{CountingState, UsageCounter},
+    usage::{
+        counting::{CountingState, UsageCounter},
+        duty::DutyHandle,
+        inspect::UsageDump,
+    },
     web::{self, ConnectionLimits, Shared},
 };
 
@@ -58,8 +62,10 @@
     pub store_state: StoreState,
     /// Target selector, whose state is part of the dump.
     pub selector: SelectorHandle,
-    /// Task that counts requests; `None` if usage is not reported.
-    pub usage: Option<UsageCounter>,
+    /// Usage reports; `None` if the deployment has none.
+    pub usage: Option<DutyHandle>,
+    /// Counts of requests; `None` if the deployment has no usage reports.
+    pub counter: Option<UsageCounter>,
     /// Metrics of this process.
     pub metrics: Metrics,
 }
@@ -75,9 +81,12 @@
     /// Time since the desired state was last confirmed to be current.
     state_age_ms: Option<u64>,
     steering: RoutingState,
-    /// Counts of requests; absent if usage is not reported.
+    /// Absent if the deployment has no usage reports.
     #[serde(skip_serializing_if = "Option::is_none")]
-    usage: Option<CountingState>,
+    usage: Option<UsageDump>,
+    /// Absent if the deployment has no usage reports.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage_counts: Option<CountingState>,
 }
 
 impl Monitoring {
@@ -96,11 +105,15 @@
 
     async fn dump_page(&self) -> Response<Body> {
         let steering = self.selector.inspect().await;
-        let usage = match &self.usage {
-            Some(usage) => Some(usage.inspect().await),
+        let usage_counts = match &self.counter {
+            Some(counter) => Some(counter.inspect().await),
             None => None,
         };
         let desired = self.store_state.desired.borrow().clone();
+        let usage = match &self.usage {
+            Some(duty) => duty.dump().await,
+            None => None,
+        };
         let dump = Dump {
             build: env!("CARGO_PKG_VERSION"),
             name: &self.name,
@@ -110,6 +123,7 @@
             state_age_ms: self.state_age().map(clock::millis),
             steering,
             usage,
+            usage_counts,
         };
         web::json_response(StatusCode::OK, &dump)
     }
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -105,16 +105,17 @@
         Self::start_with(program, folder, (routers, targets), "").await
     }
 
-    /// Like [`Self::start`], with these additional lines in the settings of the routers.
+    /// Like [`Self::start`], with these numbers of routers and targets, and with lines that are
+    /// added to the settings of each router.
     ///
     /// # Panics
     ///
-    /// Panics when a process does not start or become ready.
+    /// Panics like [`Self::start`].
     pub async fn start_with(
         program: &Path,
         folder: &Path,
         (routers, targets): (usize, usize),
-        additional: &str,
+        router_settings: &str,
     ) -> Self {
         let (store, store_address) = KeyedStore::start().await;
         let mut env = Self {
@@ -149,7 +150,7 @@
                 "[entry]\nname = e-{router}\nzone = z0\nlisten = {listen}\nready = {ready}\n\
                  metrics = {metrics}\nstore = {store}\npeers = {peers}\nseeds = {seeds}\n\
                  drain-ms = 2000\ngrace-s = 8\nrevocation-ms = 5000\nretry-ratio = 0.2\n\
-                 retry-slack = 58\nretry-window-s = 10\n{additional}"
+                 retry-slack = 58\nretry-window-s = 10\n{router_settings}"
             );
             let path = folder.join(format!("e-{router}.ini"));
             std::fs::write(&path, settings).expect("the folder is writable");
@@ -366,6 +367,11 @@
         self.get_page(router, "/dump").await
     }
 
+    /// Address at which a router serves its metrics and its dump.
+    pub fn metrics_address(&self, router: usize) -> SocketAddr {
+        self.routers[router].metrics
+    }
+
     async fn get_page(&self, router: usize, path: &str) -> String {
         let reply = get(self.routers[router].metrics, path).await;
         let reply = reply.expect("the page is served");
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod readers;
 mod reports;
 mod usage;
+mod usage_counts;
 
 use std::time::Duration;
 
--- a/tests/entry/usage.rs
+++ b/tests/entry/usage.rs
@@ -1,127 +1,198 @@
-//! Tests of the counts of requests that routers exchange for usage reports.
+//! Tests of usage reports by router processes whose holder of the lease fails.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet, io::ErrorKind, net::SocketAddr, process::Command, time::Duration,
+};
 
-use ebonyfall_standin::registered::AnswerMode;
+use ebonyfall_standin::{
+    proxy::ConnectionFault,
+    usage::{ReceivedReport, UsagePlatform, violations},
+};
 use http::StatusCode;
-use serde_json::Value;
-use tokio::time::{Instant, sleep};
-
-use crate::{RESUMABLE, SAFE, STREAM, UNSAFE, env::EntryEnv, set_behaviour};
-
-/// Settings of routers that count usage.
-const SETTINGS: &str = "usage-window-s = 5\n";
-/// Time within which gossip must make all routers known to each other.
-const MEMBERSHIP: Duration = Duration::from_secs(15);
-/// Time within which a collector must have what another router has counted.
-const EXCHANGE: Duration = Duration::from_secs(2);
-
-/// The section on usage of a router's dump.
-async fn usage(env: &EntryEnv, router: usize) -> Value {
-    let dump: Value = serde_json::from_str(&env.dump(router).await).expect("the dump is JSON");
-    dump.get("usage").cloned().unwrap_or_default()
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpListener,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::env::EntryEnv;
+
+/// Routers of a test.
+const ROUTERS: usize = 3;
+/// Lease of a holder.
+const LEASE: Duration = Duration::from_secs(3);
+/// Time limit for a number of further windows to be reported.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(25);
+
+/// Settings of reports to `address`.
+fn settings(address: SocketAddr) -> String {
+    format!(
+        "usage-address = {address}\nusage-window-s = 1\nusage-lease-ms = {}\nusage-late-s = 4\n\
+         usage-calls-per-s = 50\n",
+        LEASE.as_millis()
+    )
 }
 
-/// Requests that the router knows of, in the windows of its dump.
-async fn counted(env: &EntryEnv, router: usize) -> u64 {
-    let usage = usage(env, router).await;
-    let windows = usage["windows"].as_array().cloned().unwrap_or_default();
-    let counts = windows.iter().filter_map(|w| w["counts"]["desk"].as_u64());
-    counts.sum()
+struct Reporting {
+    env: EntryEnv,
+    platform: UsagePlatform,
 }
 
-async fn wait_for_count(env: &EntryEnv, router: usize, expected: u64) {
-    let start = Instant::now();
-    loop {
-        let found = counted(env, router).await;
-        if found == expected {
-            return;
+impl Reporting {
+    async fn start() -> Self {
+        let (platform, address) = UsagePlatform::start().await;
+        let env = EntryEnv::start_fleet_with(ROUTERS, 1, &settings(address)).await;
+        let reporting = Self { env, platform };
+        reporting.wait(3, |_| true).await;
+        reporting
+    }
+
+    /// Waits until `count` further windows were reported by calls that fit `wanted`.
+    async fn wait(&self, count: usize, wanted: impl Fn(&ReceivedReport) -> bool) {
+        let before = self.platform.reports().await.len();
+        let start = Instant::now();
+        loop {
+            let reports = self.platform.reports().await;
+            let new: BTreeSet<_> = reports[before..]
+                .iter()
+                .filter(|report| wanted(report))
+                .map(|report| report.window)
+                .collect();
+            if new.len() >= count {
+                return;
+            }
+            assert!(start.elapsed() < REPORT_TIMEOUT, "{reports:?}");
+            sleep(Duration::from_millis(50)).await;
         }
-        assert!(
-            start.elapsed() < EXCHANGE,
-            "{found} of {expected} at {router}"
-        );
-        sleep(Duration::from_millis(50)).await;
+    }
+
+    /// The router that has sent the last report.
+    async fn holder(&self) -> usize {
+        let reports = self.platform.reports().await;
+        let name = &reports.last().expect("windows were reported").holder;
+        let index = name.strip_prefix("e-").and_then(|index| index.parse().ok());
+        index.expect("routers are numbered")
+    }
+
+    /// Checks that no rule was broken and that no window is missing between the first and the last.
+    async fn check(&self) {
+        let reports = self.platform.reports().await;
+        assert_eq!(violations(&reports, LEASE), [""; 0]);
+        let windows: BTreeSet<_> = reports.iter().map(|report| report.window).collect();
+        let (first, last) = (windows.first(), windows.last());
+        let (first, last) = (first.copied().unwrap_or(0), last.copied().unwrap_or(0));
+        let missing: Vec<_> = (first..=last)
+            .filter(|window| !windows.contains(window))
+            .collect();
+        assert_eq!(missing, [0; 0]);
     }
 }
 
-/// Guards against requests that are counted twice or not at all: those that were retried, refused,
-/// broken or streamed.
+/// Guards against windows that are lost, or reported twice with other counts, when the holder is
+/// killed.
 #[tokio::test(flavor = "multi_thread")]
-async fn each_request_that_began_counts_once() {
-    let env = EntryEnv::start_fleet_with(1, 2, SETTINGS).await;
-    let call = async |method, path| env.call(method, path, "spine", &[]).await.status;
-    assert_eq!(call("GET", SAFE).await, StatusCode::OK);
-    wait_for_count(&env, 0, 1).await;
-    env.targets[0].set_mode(AnswerMode::Fail);
-    env.targets[1].set_mode(AnswerMode::CloseUnanswered);
-    call("GET", SAFE).await;
-    call("POST", UNSAFE).await;
-    wait_for_count(&env, 0, 3).await;
-    set_behaviour(&env, AnswerMode::Decline);
-    call("GET", SAFE).await;
-    call("POST", UNSAFE).await;
-    assert_eq!(call("POST", STREAM).await, StatusCode::SERVICE_UNAVAILABLE);
-    let cut_after = |count| AnswerMode::Stream {
-        count: 9,
-        cut_after: count,
-    };
-    set_behaviour(&env, cut_after(Some(0)));
-    call("POST", STREAM).await;
-    sleep(Duration::from_millis(300)).await;
-    wait_for_count(&env, 0, 3).await;
-    set_behaviour(&env, cut_after(Some(4)));
-    call("POST", RESUMABLE).await;
-    wait_for_count(&env, 0, 4).await;
+async fn another_router_reports_after_the_holder_was_killed() {
+    let mut reporting = Reporting::start().await;
+    let killed = reporting.holder().await;
+    reporting.env.signal(killed, "KILL");
+    let name = format!("e-{killed}");
+    reporting.wait(4, |report| report.holder != name).await;
+    reporting.check().await;
 }
 
-/// Guards against counts that do not reach the collectors, and against counts that are lost with the
-/// router that made them, or with a collector.
+/// Guards against a holder that goes on under its old lease after it was frozen for longer.
 #[tokio::test(flavor = "multi_thread")]
-async fn counts_meet_at_the_collectors_and_survive_a_killed_router() {
-    let mut env = EntryEnv::start_fleet_with(3, 1, SETTINGS).await;
-    let start = Instant::now();
-    let ranks = loop {
-        let mut ranks = Vec::new();
-        for router in 0..3 {
-            let usage = usage(&env, router).await;
-            let collectors = usage["collectors"].as_array().map_or(0, Vec::len);
-            ranks.extend(usage["rank"].as_u64().filter(|_| collectors == 2));
-        }
-        if ranks.len() == 3 {
-            break ranks;
-        }
-        assert!(start.elapsed() < MEMBERSHIP, "ranks {ranks:?}");
-        sleep(Duration::from_millis(100)).await;
-    };
-    let mut sorted = ranks.clone();
-    sorted.sort_unstable();
-    assert_eq!(sorted, [0, 1, 2], "all routers know the same order");
-    for (router, requests) in [(0, 3), (1, 5), (2, 7)] {
-        for _ in 0..requests {
-            let reply = env.call_router(router, "GET", SAFE, "", &[]).await;
-            assert_eq!(reply.status, StatusCode::OK);
-        }
-    }
-    for router in 0..3 {
-        wait_for_count(&env, router, 15).await;
-    }
-    let first = ranks.iter().position(|rank| *rank == 0).unwrap();
-    env.signal(first, "KILL");
-    let others: Vec<_> = (0..3).filter(|router| *router != first).collect();
-    let reply = env.call_router(others[0], "GET", SAFE, "", &[]).await;
-    assert_eq!(reply.status, StatusCode::OK);
-    for router in others {
-        wait_for_count(&env, router, 16).await;
-    }
+async fn frozen_holder_does_not_report_under_its_old_lease() {
+    let mut reporting = Reporting::start().await;
+    let frozen = reporting.holder().await;
+    reporting.env.signal(frozen, "STOP");
+    let name = format!("e-{frozen}");
+    reporting.wait(4, |report| report.holder != name).await;
+    reporting.env.signal(frozen, "CONT");
+    reporting.wait(4, |_| true).await;
+    assert!(reporting.env.log(frozen).contains("usage_lost"));
+    reporting.check().await;
+}
+
+/// Guards against a holder that keeps on reporting although it cannot renew its lease, and against
+/// routers that wait for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn holder_without_the_store_is_replaced() {
+    let reporting = Reporting::start().await;
+    let cut = reporting.holder().await;
+    reporting.env.store_proxies[cut].set_fault(ConnectionFault::DropAll);
+    let name = format!("e-{cut}");
+    reporting.wait(4, |report| report.holder != name).await;
+    reporting.env.store_proxies[cut].set_fault(ConnectionFault::None);
+    reporting.wait(4, |_| true).await;
+    reporting.check().await;
+}
+
+/// Guards against a planned stop after which the others wait for the lease to end.
+#[tokio::test(flavor = "multi_thread")]
+async fn holder_that_stops_releases_its_lease() {
+    let mut reporting = Reporting::start().await;
+    let stopped = reporting.holder().await;
+    reporting.env.signal(stopped, "TERM");
+    let name = format!("e-{stopped}");
+    reporting.wait(3, |report| report.holder != name).await;
+    assert!(reporting.env.log(stopped).contains("usage_release"));
+    reporting.check().await;
+}
+
+/// Guards against reports that are lost or changed while the platform refuses them, and against a
+/// dump from which operators cannot tell that.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_reports_are_sent_again() {
+    let reporting = Reporting::start().await;
+    let holder = reporting.holder().await;
+    reporting
+        .platform
+        .refuse(Some(StatusCode::TOO_MANY_REQUESTS))
+        .await;
+    sleep(Duration::from_secs(4)).await;
+    let dump: serde_json::Value =
+        serde_json::from_str(&reporting.env.dump(holder).await).expect("the dump is JSON");
+    assert!(
+        dump["usage"]["unsent"].as_u64() >= Some(1),
+        "{}",
+        dump["usage"]
+    );
+    assert_eq!(dump["usage"]["holding"], true, "{}", dump["usage"]);
+    reporting.platform.refuse(None).await;
+    reporting.wait(5, |_| true).await;
+    reporting.check().await;
+    let printed = Command::new(env!("CARGO_BIN_EXE_ebonyfall"))
+        .args(["usage", &reporting.env.metrics_address(holder).to_string()])
+        .output()
+        .expect("the program starts");
+    let printed = String::from_utf8_lossy(&printed.stdout).into_owned();
+    assert!(
+        printed.contains(&format!("holder: e-{holder}")),
+        "{printed}"
+    );
+    let metrics = reporting.env.metrics(holder).await;
+    assert!(metrics.contains("ebonyfall_usage_reports_total{outcome=\"failed\"}"));
 }
 
-/// Guards against messages and metrics of usage reports in deployments without them.
+/// Guards against a report that stays in the socket buffer of a silent link and arrives when the
+/// link is back: the connection of a call without an answer is reset.
 #[tokio::test(flavor = "multi_thread")]
-async fn without_the_setting_nothing_is_counted() {
-    let env = EntryEnv::start(1).await;
-    assert_eq!(env.call("GET", SAFE, "", &[]).await.status, StatusCode::OK);
-    sleep(Duration::from_millis(300)).await;
-    assert_eq!(usage(&env, 0).await, Value::Null);
-    assert!(env.metrics(0).await.contains("usage_requests_total 0"));
+async fn call_without_an_answer_is_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    let _env = EntryEnv::start_fleet_with(1, 1, &settings(address)).await;
+    let accepted = timeout(REPORT_TIMEOUT, listener.accept()).await;
+    let (mut stream, _) = accepted
+        .expect("a report is due")
+        .expect("the socket listens");
+    let mut received = Vec::new();
+    let ended = timeout(REPORT_TIMEOUT, stream.read_to_end(&mut received)).await;
+    let error = ended
+        .expect("the call has a time limit")
+        .expect_err("the connection is reset");
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    assert!(received.starts_with(b"POST /usage HTTP/1.1\r\n"));
 }
