--- a/src/settings.rs
+++ b/src/settings.rs
@@ -353,8 +353,13 @@
         let fits = latest.is_none_or(|latest| lateness <= latest);
         (fits && !lateness.is_zero()).then_some(lateness)
     });
+    // The platform states its rates with a fraction, which is dropped.
     let calls_per_s = f.required("usage-calls-per-s", "a number, 1 or more", |text| {
-        parse::<u32>(text).filter(|calls| *calls >= 1)
+        let whole = text
+            .split_once('.')
+            .map_or(text, |(whole, _fraction)| whole);
+        parse::<f64>(text)?;
+        parse::<u32>(whole).filter(|calls| *calls >= 1)
     });
     Some(UsageConfig {
         platform: platform?,
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -88,7 +88,7 @@
         ("{{bounds.retry_slack}}", "58"),
         ("{{bounds.retry_window_s}}", "10"),
         ("{{cloud.addr}}", "127.0.0.1:6"),
-        ("{{cloud.duty_per_s}}", "50"),
+        ("{{cloud.duty_per_s}}", "50.0"),
         ("{{bounds.window_s}}", "5"),
         ("{{bounds.lease_ms}}", "3000"),
         ("{{bounds.usage_late_s}}", "10"),
