Keep the template without optional parts beside the one in use

The cases under review/ render deploy/entry.ini with a stand-in that knows its placeholders only, and stay as they are. deploy/system.toml names deploy/settings.ini, which adds the section on usage reports.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -578,11 +578,6 @@
             ("{{bounds.retry_window_s}}", "10".to_owned()),
         ];
         let mut settings = fs::read_to_string("deploy/entry.ini").map_err(text)?;
-        // These deployments have no usage reports, so that the template's section is not rendered.
-        if let Some((head, section)) = settings.split_once("{{#bounds.window_s}}") {
-            let tail = section.split_once("{{/bounds.window_s}}").map_or("", |(_, tail)| tail);
-            settings = format!("{head}{tail}");
-        }
         for (placeholder, value) in values {
             settings = settings.replace(placeholder, &value);
         }
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -68,7 +68,7 @@
 /// Guards against a template whose section does not render to valid settings.
 #[test]
 fn template_renders_with_and_without_usage_reports() {
-    let template = fs::read_to_string("deploy/entry.ini").expect("the template is in the folder");
+    let template = fs::read_to_string("deploy/settings.ini").expect("the template is in the folder");
     let (open, close) = ("{{#bounds.window_s}}", "{{/bounds.window_s}}");
     let (head, rest) = template.split_once(open).expect("the section begins");
     let (section, tail) = rest.split_once(close).expect("the section ends");
