Decide in the core which requests wait for capacity or are refused

A router sent every request at once; load above the capacity waited at the targets, where it could neither be reordered nor refused. The core now computes the capacity of a service and this router's share of it, keeps waiting requests by class and team, and refuses what cannot be served in time. Reports between routers gain the demand by service. Nothing uses the decisions yet.

--- a/bench/src/steer.rs
+++ b/bench/src/steer.rs
@@ -191,6 +191,7 @@
             number: u64::from(number),
             counts: counts.collect(),
             placed: Vec::new(),
+            demand: Vec::new(),
         };
         (router, report)
     }
--- a/core/src/fair.rs
+++ b/core/src/fair.rs
@@ -55,6 +55,18 @@
     /// Appends an item of `team`. The weight must be at least 1 and replaces the team's previous
     /// one.
     pub fn push(&mut self, team: &TeamName, weight: u32, waiter: T) {
+        self.push_before(team, weight, waiter, |_| false);
+    }
+
+    /// Inserts an item of `team` before the first of the team's items for which `goes_after` returns
+    /// true; otherwise as [`Self::push`].
+    pub fn push_before(
+        &mut self,
+        team: &TeamName,
+        weight: u32,
+        waiter: T,
+        goes_after: impl Fn(&T) -> bool,
+    ) {
         let virtual_time = self.virtual_time;
         let queue = self.teams.entry(team.clone()).or_insert_with(|| TeamQueue {
             weight: 1.0,
@@ -66,7 +78,9 @@
             // An idle team must not save up credit for a burst.
             queue.due = queue.due.max(virtual_time);
         }
-        queue.waiting.push_back(waiter);
+        let place = queue.waiting.iter().position(goes_after);
+        let place = place.unwrap_or(queue.waiting.len());
+        queue.waiting.insert(place, waiter);
         self.len += 1;
     }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod crash;
 pub mod desired;
 pub mod direct;
+pub mod dispatch;
 pub mod dissemination;
 pub mod doc;
 pub mod drain;
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -34,6 +34,7 @@
 
 mod crashes;
 mod notices;
+mod rooms;
 
 /// Time for which a target counts as full after it declined a request.
 const DECLINE_COOLDOWN: Duration = Duration::from_millis(150);
@@ -125,6 +126,8 @@
     reports: RouterReports,
     /// Number of reports made for other routers, used to number them.
     reports_sent: u64,
+    /// Open and waiting requests of this router by service, for its next report.
+    demand: Vec<(ServiceName, u32)>,
     trace: Vec<TraceEvent>,
 }
 
@@ -147,6 +150,7 @@
             holders: Holders::default(),
             reports: RouterReports::default(),
             reports_sent: 0,
+            demand: Vec::new(),
             trace: Vec::new(),
         }
     }
@@ -464,7 +468,9 @@
             number: self.reports_sent,
             counts: Vec::new(),
             placed: self.holders.next_placements(),
+            demand: Vec::new(),
         };
+        report.add_demand(&self.demand);
         let busy = self.targets.iter().filter(|entry| entry.outstanding > 0);
         let open = busy.map(|entry| (entry.record.name.clone(), entry.outstanding));
         report.add_busiest(open.collect());
--- a/core/tests/selector.rs
+++ b/core/tests/selector.rs
@@ -199,6 +199,7 @@
                 number: number("report", 1),
                 counts: vec![(name, count("count"))],
                 placed: placed.into_iter().collect(),
+                demand: Vec::new(),
             };
             self.selector.record_report(&router, &report, self.now);
         } else {
@@ -385,6 +386,7 @@
                 number: number as u64,
                 counts: vec![(target("a"), u32::from(count))],
                 placed: Vec::new(),
+                demand: Vec::new(),
             };
             selector.record_report(&router, &report, now);
             reports.insert(router, (now, u32::from(count)));
