--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -38,6 +38,10 @@
 const UNREPEATABLE_FACTOR: u32 = 2;
 /// Divisor of a router's limit: the places that only the most urgent class may use in addition.
 const RESERVE_DIVISOR: u32 = 8;
+/// Time constant of the mean demand. The demand of other routers is known with a delay of this order;
+/// with this router's demand of the moment, all routers would raise and lower their shares at the
+/// same time.
+const DEMAND_WINDOW: Duration = Duration::from_millis(300);
 /// Part of the route's timeout that a caller's stated time may differ by from the first arrival.
 const ROUTE_TIME_DIVISOR: u32 = 2;
 
@@ -163,6 +167,10 @@
     queue: WaitingQueue<T>,
     ends: EndRate,
     level: Level,
+    /// Mean of the open and waiting requests over `DEMAND_WINDOW`.
+    mean_demand: f64,
+    /// Time up to which the mean is computed.
+    mean_at: Time,
 }
 
 impl<T> Default for Service<T> {
@@ -173,6 +181,8 @@
             queue: WaitingQueue::default(),
             ends: EndRate::default(),
             level: Level::default(),
+            mean_demand: 0.0,
+            mean_at: Time::ZERO,
         }
     }
 }
@@ -216,6 +226,7 @@
     /// Replaces the capacities. Services that are not listed are not limited.
     pub fn set_rooms(&mut self, rooms: Vec<ServiceRoom>, random: f64, now: Time) {
         for service in self.services.values_mut() {
+            service.update_mean(now);
             service.room = None;
         }
         for room in rooms {
@@ -233,6 +244,7 @@
         let comeback = self.comebacks.take(request.content, now);
         let since = comeback.unwrap_or_else(|| first_arrival(&request));
         let service = self.services.entry(name.clone()).or_default();
+        service.update_mean(now);
         service.level.record_arrival(request.priority, now);
         let waiting = service.queue.len();
         let predicted = service.predicted_wait(&request, since, now);
@@ -287,6 +299,7 @@
     pub fn release(&mut self, id: u64, random: f64, now: Time) {
         if let Some(place) = self.places.remove(&id) {
             if let Some(service) = self.services.get_mut(&place.service) {
+                service.update_mean(now);
                 service.open = service.open.saturating_sub(1);
                 service.ends.record(now.since(place.taken_at), now);
             }
@@ -452,10 +465,18 @@
         self.open.saturating_add(waiting)
     }
 
+    /// Moves the mean demand on to `now`; called before the demand changes.
+    fn update_mean(&mut self, now: Time) {
+        let windows = now.since(self.mean_at).as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
+        let demand = f64::from(self.demand());
+        self.mean_demand = demand + (self.mean_demand - demand) * (-windows).exp();
+        self.mean_at = now;
+    }
+
     /// Number of requests that this router may have open; `None` if the service is not limited.
     fn limit(&self, now: Time) -> Option<u32> {
         let room = self.room.as_ref()?;
-        Some(room.limit(self.demand(), now))
+        Some(room.limit(self.mean_demand, now))
     }
 
     fn has_place(&self, class: u8, now: Time) -> bool {
--- a/core/src/dispatch/room.rs
+++ b/core/src/dispatch/room.rs
@@ -108,17 +108,17 @@
 }
 
 impl ServiceRoom {
-    /// Number of requests that this router may have open, given those that it has open and waiting.
+    /// Number of requests that this router may have open, given the recent mean of those that it has
+    /// open and waiting.
     ///
-    /// The share is by demand, so that every request is sent at once while the demand of all routers
-    /// is below the capacity. Half of the free capacity comes on top, because the demand of the
-    /// others may be out of date.
-    pub fn limit(&self, own_demand: u32, now: Time) -> u32 {
+    /// The share is by demand, so that routers with more callers get more. Half of the free capacity
+    /// comes on top, for a burst that is not part of the mean yet.
+    pub fn limit(&self, own_demand: f64, now: Time) -> u32 {
         let capacity = f64::from(self.capacity);
         let share = match self.demand_elsewhere {
             Some(elsewhere) => {
-                let all = f64::from(own_demand) + f64::from(elsewhere);
-                capacity * f64::from(own_demand) / all.max(1.0)
+                let all = own_demand + f64::from(elsewhere);
+                capacity * own_demand / all.max(1.0)
             }
             None => capacity / f64::from(self.routers.max(1)),
         };
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -29,6 +29,12 @@
 /// Time for which a load reported by a target is used.
 pub(crate) const LOAD_TTL: Duration = Duration::from_millis(700);
 
+/// Mean age of what routers know of each other's open requests: half of the interval of reports and
+/// their way.
+const REPORT_AGE: Duration = Duration::from_millis(170);
+/// Weight of the newest request in the mean time for which requests are open.
+const HELD_WEIGHT: f64 = 0.05;
+
 /// Estimated state of one target.
 #[derive(Debug, Clone)]
 pub(crate) struct Estimate {
@@ -74,6 +80,9 @@
     /// What else the target states about itself.
     pub(crate) notices: TargetNotices,
     last_loss: Option<Time>,
+    /// Mean time for which requests of this router are open, in seconds; `None` before the first
+    /// answer.
+    mean_held: Option<f64>,
 }
 
 /// A request whose connection to the target broke.
@@ -112,6 +121,7 @@
             limit: TargetLimit::default(),
             notices: TargetNotices::default(),
             last_loss: None,
+            mean_held: None,
         }
     }
 
@@ -131,6 +141,29 @@
         }
     }
 
+    /// Load for the comparison with other targets, in requests. Of the requests that other routers
+    /// have reported, only those count that are probably still open: if requests end within the age
+    /// of a report, all routers would choose the target that was the least loaded one before.
+    pub(crate) fn compared_load(&self, now: Time) -> f64 {
+        let is_reported = self
+            .reported_load
+            .is_some_and(|(_, at)| now.since(at) < LOAD_TTL);
+        match self.mean_held {
+            Some(held) if !is_reported => {
+                let still_open = (-REPORT_AGE.as_secs_f64() / held.max(0.001)).exp();
+                f64::from(self.outstanding) + f64::from(self.outstanding_elsewhere) * still_open
+            }
+            _ => self.load(now),
+        }
+    }
+
+    /// Records that a request of this router was answered after `held`.
+    pub(crate) fn record_held(&mut self, held: Duration) {
+        let held = held.as_secs_f64();
+        let mean = self.mean_held.unwrap_or(held);
+        self.mean_held = Some(mean + (held - mean) * HELD_WEIGHT);
+    }
+
     /// Decays the counts of results to `now`.
     pub(crate) fn decay(&mut self, now: Time) {
         if self.successes + self.failures < MIN_RESULT_COUNT {
--- a/core/src/preference.rs
+++ b/core/src/preference.rs
@@ -20,6 +20,8 @@
 const SPILL_FACTOR: f64 = 1.8;
 /// Load difference, in requests, above which a request without context goes to another zone.
 const CROSS_ZONE_PENALTY: f64 = 1.0;
+/// Largest difference in load, in requests, between targets that count as equally loaded.
+const MAX_TIE: f64 = 0.999;
 /// Window of the rate limit of cold targets.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Lower limit of this router's share of a cold target's rate, in requests per `COLD_WINDOW`.
@@ -95,7 +97,8 @@
 }
 
 /// The least loaded target, where `CROSS_ZONE_PENALTY` is added to the load of targets outside the
-/// zone `own`. `random` breaks ties.
+/// zone `own`. `random` decides between targets whose loads differ by less than one request, so that
+/// routers with the same reports do not all choose the same one.
 pub(crate) fn choose_least_loaded<'e>(
     entries: impl Iterator<Item = &'e Estimate>,
     own: &ZoneName,
@@ -106,10 +109,11 @@
     entries
         .map(|entry| {
             let other_zone = entry.record.zone != *own;
-            let cost = entry.load(now) + if other_zone { CROSS_ZONE_PENALTY } else { 0.0 };
-            let tie = xxh3_64_with_seed(&entry.hash.to_le_bytes(), seed);
-            (cost, tie, entry)
+            let penalty = if other_zone { CROSS_ZONE_PENALTY } else { 0.0 };
+            let tie = xxh3_64_with_seed(&entry.hash.to_le_bytes(), seed) >> 32;
+            let tie = f64::from(u32::try_from(tie).unwrap_or(u32::MAX)) / f64::from(u32::MAX);
+            (entry.compared_load(now) + penalty + tie * MAX_TIE, entry)
         })
-        .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
-        .map(|(_, _, entry)| entry)
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, entry)| entry)
 }
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -499,6 +499,7 @@
             End::Cancelled | End::Failed(Failure::Stopping) => {}
             End::Served => {
                 entry.count_result(false, now);
+                entry.record_held(now.since(finished.sent_at));
                 entry.consecutive_backoffs = 0;
             }
             End::Failed(Failure::NotSent) => {
--- /dev/null
+++ b/core/tests/dispatch/fleet.rs
@@ -0,0 +1,570 @@
+//! Routers before targets with slots, in steps of one millisecond. Selection, capacity and dispatch
+//! are the code of the product; callers, targets and the network are simulated.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use ebonyfall_core::{
+    budget::RetryBound,
+    direct::Failure,
+    dispatch::{DispatchRequest, Dispatcher, QueueLimits, Verdict},
+    doc::Idempotency,
+    id::Incarnation,
+    name::{ProcessName, RouteName, ServiceName, TargetName, TeamName},
+    outcome::{End, Finished},
+    reports::OpenReport,
+    selector::{Criteria, TargetSelector},
+    target::{ReportedLoad, Stage, TargetRecord},
+    time::Time,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const REPORT_INTERVAL_MS: u64 = 300;
+const PUBLISH_INTERVAL_MS: u64 = 50;
+/// Time of the warm-up, after which callers are counted.
+const COUNTED_FROM_MS: u64 = 1_500;
+/// Share of the length after which new callers are not counted, since they may not end in time.
+const COUNTED_TO_PERCENT: u64 = 50;
+
+/// How reports travel between routers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Network {
+    Sound,
+    /// Reports take 300 to 900 ms.
+    Late,
+    /// Half of the reports are lost.
+    Lossy,
+    /// Every second router hears the others but is heard by none.
+    OneWay,
+    /// No report arrives.
+    Silent,
+}
+
+/// What targets state about their load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Statement {
+    None,
+    True,
+    /// The largest number for running and waiting requests.
+    Huge,
+    /// Nothing runs and many wait.
+    Stuck,
+}
+
+/// Requests of one team.
+#[derive(Debug, Clone, Copy)]
+pub struct Stream {
+    pub team: &'static str,
+    pub class: u8,
+    /// Multiple of the capacity of all targets that the team asks for.
+    pub load: f64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Case {
+    pub seed: u64,
+    pub routers: usize,
+    pub targets: usize,
+    pub slots: u32,
+    /// Range of the service time, in milliseconds.
+    pub service_ms: [u64; 2],
+    pub objective_ms: u64,
+    pub deadline_ms: u64,
+    /// Requests that a target queues before it refuses.
+    pub target_queue: usize,
+    pub statement: Statement,
+    pub network: Network,
+    pub streams: Vec<Stream>,
+    pub length_ms: u64,
+    /// When the first router ends with all its requests.
+    pub killed_at_ms: Option<u64>,
+}
+
+impl Case {
+    /// Four plain services of 6 slots.
+    pub fn plain(seed: u64, routers: usize, streams: Vec<Stream>) -> Self {
+        Self {
+            seed,
+            routers,
+            targets: 4,
+            slots: 6,
+            service_ms: [30, 60],
+            objective_ms: 250,
+            deadline_ms: 3_000,
+            target_queue: 24,
+            statement: Statement::None,
+            network: Network::Sound,
+            streams,
+            length_ms: 6_500,
+            killed_at_ms: None,
+        }
+    }
+
+    /// Eight engines of 64 slots.
+    pub fn engines(seed: u64, routers: usize, streams: Vec<Stream>) -> Self {
+        Self {
+            targets: 8,
+            slots: 64,
+            service_ms: [400, 1_200],
+            objective_ms: 1_500,
+            deadline_ms: 8_000,
+            target_queue: 192,
+            length_ms: 14_000,
+            statement: Statement::True,
+            ..Self::plain(seed, routers, streams)
+        }
+    }
+
+    /// Whether callers that arrive first at `ms` are counted.
+    fn counts(&self, ms: u64) -> bool {
+        (COUNTED_FROM_MS..self.length_ms * COUNTED_TO_PERCENT / 100).contains(&ms)
+    }
+
+    fn mean_service_s(&self) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "small numbers of milliseconds")]
+        let sum = (self.service_ms[0] + self.service_ms[1]) as f64;
+        sum / 2_000.0
+    }
+}
+
+/// What callers of one team got.
+#[derive(Debug, Clone, Default)]
+pub struct Got {
+    pub asked: u32,
+    pub in_time: u32,
+    pub refused: u32,
+    pub at_deadline: u32,
+    /// Times to the answer, in milliseconds.
+    pub times: Vec<u64>,
+}
+
+impl Got {
+    pub fn share(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.asked.max(1))
+    }
+
+    pub fn p99(&self) -> u64 {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        times.get(times.len() * 99 / 100).copied().unwrap_or(0)
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub teams: Vec<Got>,
+    pub sent: u32,
+    pub declined: u32,
+    /// Share of the slots' time that was idle while at least as many requests waited at routers.
+    pub idle: f64,
+    /// Largest number of requests at the targets.
+    pub most_at_targets: usize,
+    pub held_sum: usize,
+}
+
+struct Call {
+    stream: usize,
+    router: usize,
+    arrived: u64,
+    first: u64,
+    deadline: u64,
+    target: Option<usize>,
+    sent_at: u64,
+    attempts: u32,
+    retried: bool,
+    done: bool,
+}
+
+struct Target {
+    running: Vec<(u64, u64)>,
+    queue: VecDeque<u64>,
+}
+
+struct Router {
+    name: ProcessName,
+    selector: TargetSelector,
+    dispatcher: Dispatcher<()>,
+    alive: bool,
+}
+
+struct World<'a> {
+    case: &'a Case,
+    rng: SmallRng,
+    now: u64,
+    routers: Vec<Router>,
+    targets: Vec<Target>,
+    calls: Vec<Call>,
+    /// Times at which refused callers come back, with their call.
+    returning: Vec<(u64, u64)>,
+    in_transit: Vec<(u64, usize, usize, Arc<OpenReport>)>,
+    open: Vec<u64>,
+    out: Outcome,
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("it is a name")
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms + 100_000)
+}
+
+pub fn run(case: &Case) -> Outcome {
+    let bound = RetryBound {
+        ratio: 0.2,
+        slack: 58.0,
+        window: Duration::from_secs(10),
+    };
+    let routers = (0..case.routers).map(|number| {
+        let mut selector = TargetSelector::new(name("z0"), bound);
+        for target in 0..case.targets {
+            let record = TargetRecord {
+                name: name(&format!("t-{target}")),
+                service: name("s"),
+                address: ([127, 0, 0, 1], u16::try_from(target).unwrap_or(0)).into(),
+                zone: name("z0"),
+                version: "v1".into(),
+                slots: case.slots,
+                stage: Stage::Ready,
+                cold: Duration::ZERO,
+                incarnation: Incarnation::from(1),
+            };
+            selector.put(record, at(0));
+        }
+        let names = (0..case.targets).map(|target| name(&format!("t-{target}")));
+        selector.retain(&names.collect(), at(0));
+        selector.set_routers(u32::try_from(case.routers).unwrap_or(1));
+        selector.set_rank(u32::try_from(number).unwrap_or(0));
+        Router {
+            name: name(&format!("r-{number}")),
+            selector,
+            dispatcher: Dispatcher::new(QueueLimits::default()),
+            alive: true,
+        }
+    });
+    let targets = (0..case.targets).map(|_| Target {
+        running: Vec::new(),
+        queue: VecDeque::new(),
+    });
+    let mut world = World {
+        case,
+        rng: SmallRng::seed_from_u64(case.seed),
+        now: 0,
+        routers: routers.collect(),
+        targets: targets.collect(),
+        calls: Vec::new(),
+        returning: Vec::new(),
+        in_transit: Vec::new(),
+        open: Vec::new(),
+        out: Outcome {
+            teams: vec![Got::default(); case.streams.len()],
+            ..Outcome::default()
+        },
+    };
+    let (mut idle, mut slots) = (0_u64, 0_u64);
+    for now in 0..case.length_ms {
+        world.now = now;
+        world.step();
+        let running: usize = world.targets.iter().map(|target| target.running.len()).sum();
+        let queued: usize = world.targets.iter().map(|target| target.queue.len()).sum();
+        let held = running + queued;
+        if case.counts(now) {
+            world.out.most_at_targets = world.out.most_at_targets.max(held);
+            world.out.held_sum += held;
+        }
+        let all = case.targets * case.slots as usize;
+        let is_waiting = |call: &&u64| world.calls[usize::try_from(**call).unwrap_or(0)].target.is_none();
+        let waiting = world.open.iter().filter(is_waiting).count();
+        idle += (all - running).min(waiting) as u64;
+        slots += all as u64;
+    }
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+    let share = idle as f64 / slots as f64;
+    world.out.idle = share;
+    world.out
+}
+
+impl World<'_> {
+    fn step(&mut self) {
+        if self.case.killed_at_ms == Some(self.now) {
+            self.routers[0].alive = false;
+            for call in std::mem::take(&mut self.open) {
+                if self.calls[index(call)].router != 0 {
+                    self.open.push(call);
+                } else if let Some(target) = self.calls[index(call)].target {
+                    self.targets[target].running.retain(|(_, other)| *other != call);
+                    self.targets[target].queue.retain(|other| *other != call);
+                }
+            }
+        }
+        self.end_running();
+        self.deliver();
+        for stream in 0..self.case.streams.len() {
+            let slots = f64::from(self.case.slots) * f64::from(u32::try_from(self.case.targets).unwrap_or(1));
+            let per_ms = self.case.streams[stream].load * slots / self.case.mean_service_s() / 1_000.0;
+            // A Poisson process in steps of a tenth of a millisecond.
+            for _ in 0..10 {
+                let whole = per_ms / 10.0;
+                let count = whole.floor() + f64::from(u8::from(self.rng.random_bool(whole.fract())));
+                for _ in 0..count as u32 {
+                    self.arrive(stream, None);
+                }
+            }
+        }
+        let (due, later) = std::mem::take(&mut self.returning)
+            .into_iter()
+            .partition(|(due, _)| *due <= self.now);
+        self.returning = later;
+        for (_, call) in due {
+            self.arrive(self.calls[index(call)].stream, Some(call));
+        }
+        for call in self.open.clone() {
+            if self.calls[index(call)].deadline <= self.now {
+                self.end(call, |got| got.at_deadline += 1, End::Cancelled);
+            }
+        }
+        for router in 0..self.routers.len() {
+            let offset = (router as u64 * 37) % REPORT_INTERVAL_MS;
+            if self.now % REPORT_INTERVAL_MS == offset {
+                self.report(router);
+            }
+            let (random, now) = (self.rng.random(), at(self.now));
+            let Router { selector, dispatcher, .. } = &mut self.routers[router];
+            if self.now % PUBLISH_INTERVAL_MS == offset % PUBLISH_INTERVAL_MS {
+                dispatcher.set_rooms(selector.rooms(now), random, now);
+            }
+            if dispatcher.next_expiry().is_some_and(|at| at <= now) {
+                dispatcher.expire(random, now);
+            }
+            self.act(router);
+        }
+    }
+
+    fn arrive(&mut self, stream: usize, back: Option<u64>) {
+        let alive: Vec<_> = (0..self.routers.len()).filter(|router| self.routers[*router].alive).collect();
+        let router = alive[self.rng.random_range(0..alive.len())];
+        let before = back.map(|call| (self.calls[index(call)].first, self.calls[index(call)].deadline));
+        let (first, deadline) = before.unwrap_or((self.now, self.now + self.case.deadline_ms));
+        let id = self.calls.len() as u64;
+        self.calls.push(Call {
+            stream,
+            router,
+            arrived: self.now,
+            first,
+            deadline,
+            target: None,
+            sent_at: 0,
+            attempts: 0,
+            retried: back.is_some(),
+            done: false,
+        });
+        self.open.push(id);
+        if back.is_none() && self.case.counts(self.now) {
+            self.out.teams[stream].asked += 1;
+        }
+        let Stream { team, class, .. } = self.case.streams[stream];
+        let request = DispatchRequest {
+            service: name("s"),
+            team: name(team),
+            priority: class,
+            content: back.unwrap_or(id).into(),
+            idempotency: Idempotency::Idempotent,
+            objective: Duration::from_millis(self.case.objective_ms),
+            timeout: Duration::from_millis(self.case.deadline_ms),
+            arrived: at(self.now),
+            deadline: at(deadline),
+            bytes: 1_000,
+        };
+        let random = self.rng.random();
+        let dispatcher = &mut self.routers[router].dispatcher;
+        dispatcher.offer(id, request, (), random, at(self.now));
+        self.act(router);
+    }
+
+    /// Acts on the decisions of a router.
+    fn act(&mut self, router: usize) {
+        loop {
+            let decided = self.routers[router].dispatcher.take_decided();
+            if decided.is_empty() {
+                return;
+            }
+            for decision in decided {
+                match decision.verdict {
+                    Verdict::Admitted => self.send(decision.id),
+                    Verdict::Refused { after, .. } => self.refused(decision.id, after),
+                }
+            }
+        }
+    }
+
+    fn refused(&mut self, id: u64, after: Duration) {
+        let after = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+        let call = &mut self.calls[index(id)];
+        let left = call.deadline.saturating_sub(self.now);
+        self.open.retain(|other| *other != id);
+        call.done = true;
+        if !call.retried && after <= left / 3 {
+            self.returning.push((self.now + after, id));
+        } else if self.case.counts(call.first) {
+            self.out.teams[call.stream].refused += 1;
+        }
+    }
+
+    fn send(&mut self, id: u64) {
+        let call = &self.calls[index(id)];
+        let criteria = Criteria {
+            service: &name::<ServiceName>("s"),
+            contexts: &[],
+            tried: &[],
+            is_retry: call.attempts > 0,
+            content: id.into(),
+            parts: &[],
+            team: &name::<TeamName>("t"),
+        };
+        let random = self.rng.random();
+        let selector = &mut self.routers[call.router].selector;
+        let Ok(choice) = selector.choose(&criteria, random, at(self.now)) else {
+            self.end(id, |got| got.refused += 1, End::Cancelled);
+            return;
+        };
+        let chosen = usize::from(choice.target.address.port());
+        let target = &mut self.targets[chosen];
+        let call = &mut self.calls[index(id)];
+        (call.target, call.sent_at) = (Some(chosen), self.now);
+        call.attempts += 1;
+        self.out.sent += 1;
+        if target.running.len() < self.case.slots as usize {
+            let [least, most] = self.case.service_ms;
+            target.running.push((self.now + self.rng.random_range(least..=most), id));
+        } else if target.queue.len() < self.case.target_queue {
+            // The most urgent class goes first.
+            let class = |call: &u64| self.case.streams[self.calls[index(*call)].stream].class;
+            let place = target.queue.iter().position(|other| class(other) > class(&id));
+            let place = place.unwrap_or(target.queue.len());
+            target.queue.insert(place, id);
+        } else {
+            self.out.declined += 1;
+            self.leave_target(id, End::Failed(Failure::Declined));
+            if self.calls[index(id)].attempts < 2 {
+                self.send(id);
+            } else {
+                self.end(id, |got| got.refused += 1, End::Cancelled);
+            }
+        }
+    }
+
+    fn end_running(&mut self) {
+        for target in 0..self.targets.len() {
+            let ended: Vec<_> = self.targets[target]
+                .running
+                .extract_if(.., |(until, _)| *until <= self.now)
+                .collect();
+            for (_, id) in ended {
+                let took = self.now - self.calls[index(id)].first;
+                self.end(
+                    id,
+                    |got| {
+                        got.in_time += 1;
+                        got.times.push(took);
+                    },
+                    End::Served,
+                );
+            }
+        }
+    }
+
+    /// Tells the router that the call has ended at its target, and lets the target go on.
+    fn leave_target(&mut self, id: u64, end: End) {
+        let call = &mut self.calls[index(id)];
+        let Some(target) = call.target.take() else {
+            return;
+        };
+        let finished = Finished {
+            end,
+            content: id.into(),
+            parts: &Arc::from([]),
+            sent_at: at(call.sent_at),
+            answer_begun: end == End::Served,
+            team: &name::<TeamName>("t"),
+            route: &name::<RouteName>("r"),
+            timing: None,
+        };
+        let target_name: TargetName = name(&format!("t-{target}"));
+        let selector = &mut self.routers[call.router].selector;
+        let state = &mut self.targets[target];
+        state.running.retain(|(_, other)| *other != id);
+        state.queue.retain(|other| *other != id);
+        while state.running.len() < self.case.slots as usize
+            && let Some(next) = state.queue.pop_front()
+        {
+            let [least, most] = self.case.service_ms;
+            state.running.push((self.now + self.rng.random_range(least..=most), next));
+        }
+        let load = match self.case.statement {
+            Statement::None => None,
+            Statement::True => Some([state.running.len(), state.queue.len()]),
+            Statement::Huge => Some([usize::MAX, usize::MAX]),
+            Statement::Stuck => Some([0, 3 * self.case.slots as usize]),
+        };
+        if let Some([running, waiting]) = load {
+            let count = |count| u32::try_from(count).unwrap_or(u32::MAX);
+            let (running, waiting) = (count(running), count(waiting));
+            let load = ReportedLoad { running, waiting };
+            selector.record_load(&target_name, load, at(self.now));
+        }
+        let _no_probe = selector.record_end(&target_name, &finished, at(self.now));
+    }
+
+    fn end(&mut self, id: u64, count: impl Fn(&mut Got), end: End) {
+        self.leave_target(id, end);
+        let call = &mut self.calls[index(id)];
+        if std::mem::replace(&mut call.done, true) {
+            return;
+        }
+        if self.case.counts(call.first) {
+            count(&mut self.out.teams[call.stream]);
+        }
+        let router = call.router;
+        debug_assert!(call.arrived <= self.now);
+        self.open.retain(|other| *other != id);
+        let random = self.rng.random();
+        let dispatcher = &mut self.routers[router].dispatcher;
+        dispatcher.release(id, random, at(self.now));
+        self.act(router);
+    }
+
+    fn report(&mut self, from: usize) {
+        if !self.routers[from].alive || self.case.network == Network::Silent {
+            return;
+        }
+        let router = &mut self.routers[from];
+        router.selector.set_demand(router.dispatcher.demand());
+        let report = Arc::new(router.selector.next_report());
+        for to in (0..self.routers.len()).filter(|to| *to != from) {
+            let delay = match self.case.network {
+                Network::Late => self.rng.random_range(300..900),
+                _ => self.rng.random_range(2..40),
+            };
+            let lost = match self.case.network {
+                Network::Lossy => self.rng.random_bool(0.5),
+                Network::OneWay => from % 2 == 1,
+                _ => false,
+            };
+            if !lost {
+                self.in_transit.push((self.now + delay, from, to, Arc::clone(&report)));
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let due = self.in_transit.extract_if(.., |(due, ..)| *due <= self.now);
+        for (_, from, to, report) in due {
+            let from = self.routers[from].name.clone();
+            let selector = &mut self.routers[to].selector;
+            selector.record_report(&from, &report, at(self.now));
+        }
+    }
+}
+
+fn index(call: u64) -> usize {
+    usize::try_from(call).expect("a call's number fits")
+}
