Admit requests by the capacity of their service before the first attempt

The task that selects targets publishes the capacity, the new task src/dispatch.rs owns the waiting requests, and a guard with a reserved message gives places back. The setting dispatch = off admits every request at once. Reports between routers carry the demand, so routers of this build and older ones do not read each other's reports of open requests.

--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -315,7 +315,10 @@
 
     /// When [`Self::expire`] has to be called next; `None` while no request waits.
     pub fn next_expiry(&self) -> Option<Time> {
-        let waiting = self.services.values().flat_map(|service| service.queue.iter());
+        let waiting = self
+            .services
+            .values()
+            .flat_map(|service| service.queue.iter());
         waiting
             .map(|waiter| waiter.review_at.unwrap_or(waiter.until).min(waiter.until))
             .min()
@@ -427,7 +430,11 @@
     /// Refuses requests until the queue is within its limits.
     fn evict(&mut self, random: f64, now: Time) {
         loop {
-            let waiting: usize = self.services.values().map(|service| service.queue.len()).sum();
+            let waiting: usize = self
+                .services
+                .values()
+                .map(|service| service.queue.len())
+                .sum();
             if waiting <= self.limits.requests && self.waiting_bytes <= self.limits.bytes {
                 return;
             }
--- a/core/src/dispatch/queue.rs
+++ b/core/src/dispatch/queue.rs
@@ -51,7 +51,9 @@
 
     /// Number of waiting requests by class, for the classes that have had any.
     pub(super) fn classes(&self) -> impl Iterator<Item = (u8, usize)> {
-        self.classes.iter().map(|(class, queue)| (*class, queue.len()))
+        self.classes
+            .iter()
+            .map(|(class, queue)| (*class, queue.len()))
     }
 
     /// The most urgent class with a waiting request.
@@ -101,7 +103,9 @@
     /// Removes all requests for which `matches` returns true.
     pub(super) fn extract_if(&mut self, matches: impl Fn(&Waiter<T>) -> bool) -> Vec<Waiter<T>> {
         let queues = self.classes.values_mut();
-        queues.flat_map(|queue| queue.extract_if(&matches)).collect()
+        queues
+            .flat_map(|queue| queue.extract_if(&matches))
+            .collect()
     }
 
     /// Iterates over all waiting requests.
--- a/core/src/dispatch/shed.rs
+++ b/core/src/dispatch/shed.rs
@@ -233,7 +233,8 @@
 
     /// Whether `class` is the most urgent one and a less urgent one is in use.
     pub(super) fn is_most_urgent(&self, class: u8) -> bool {
-        self.classes.len() > 1 && self.classes.first_key_value().map(|(first, _)| *first) >= Some(class)
+        self.classes.len() > 1
+            && self.classes.first_key_value().map(|(first, _)| *first) >= Some(class)
     }
 }
 
--- a/core/tests/dispatch/fleet.rs
+++ b/core/tests/dispatch/fleet.rs
@@ -264,7 +264,11 @@
     for now in 0..case.length_ms {
         world.now = now;
         world.step();
-        let running: usize = world.targets.iter().map(|target| target.running.len()).sum();
+        let running: usize = world
+            .targets
+            .iter()
+            .map(|target| target.running.len())
+            .sum();
         let queued: usize = world.targets.iter().map(|target| target.queue.len()).sum();
         let held = running + queued;
         if case.counts(now) {
@@ -272,7 +276,11 @@
             world.out.held_sum += held;
         }
         let all = case.targets * case.slots as usize;
-        let is_waiting = |call: &&u64| world.calls[usize::try_from(**call).unwrap_or(0)].target.is_none();
+        let is_waiting = |call: &&u64| {
+            world.calls[usize::try_from(**call).unwrap_or(0)]
+                .target
+                .is_none()
+        };
         let waiting = world.open.iter().filter(is_waiting).count();
         idle += (all - running).min(waiting) as u64;
         slots += all as u64;
@@ -291,7 +299,9 @@
                 if self.calls[index(call)].router != 0 {
                     self.open.push(call);
                 } else if let Some(target) = self.calls[index(call)].target {
-                    self.targets[target].running.retain(|(_, other)| *other != call);
+                    self.targets[target]
+                        .running
+                        .retain(|(_, other)| *other != call);
                     self.targets[target].queue.retain(|other| *other != call);
                 }
             }
@@ -299,12 +309,15 @@
         self.end_running();
         self.deliver();
         for stream in 0..self.case.streams.len() {
-            let slots = f64::from(self.case.slots) * f64::from(u32::try_from(self.case.targets).unwrap_or(1));
-            let per_ms = self.case.streams[stream].load * slots / self.case.mean_service_s() / 1_000.0;
+            let slots = f64::from(self.case.slots)
+                * f64::from(u32::try_from(self.case.targets).unwrap_or(1));
+            let per_ms =
+                self.case.streams[stream].load * slots / self.case.mean_service_s() / 1_000.0;
             // A Poisson process in steps of a tenth of a millisecond.
             for _ in 0..10 {
                 let whole = per_ms / 10.0;
-                let count = whole.floor() + f64::from(u8::from(self.rng.random_bool(whole.fract())));
+                let count =
+                    whole.floor() + f64::from(u8::from(self.rng.random_bool(whole.fract())));
                 for _ in 0..count as u32 {
                     self.arrive(stream, None);
                 }
@@ -328,7 +341,11 @@
                 self.report(router);
             }
             let (random, now) = (self.rng.random(), at(self.now));
-            let Router { selector, dispatcher, .. } = &mut self.routers[router];
+            let Router {
+                selector,
+                dispatcher,
+                ..
+            } = &mut self.routers[router];
             if self.now % PUBLISH_INTERVAL_MS == offset % PUBLISH_INTERVAL_MS {
                 dispatcher.set_rooms(selector.rooms(now), random, now);
             }
@@ -340,9 +357,16 @@
     }
 
     fn arrive(&mut self, stream: usize, back: Option<u64>) {
-        let alive: Vec<_> = (0..self.routers.len()).filter(|router| self.routers[*router].alive).collect();
+        let alive: Vec<_> = (0..self.routers.len())
+            .filter(|router| self.routers[*router].alive)
+            .collect();
         let router = alive[self.rng.random_range(0..alive.len())];
-        let before = back.map(|call| (self.calls[index(call)].first, self.calls[index(call)].deadline));
+        let before = back.map(|call| {
+            (
+                self.calls[index(call)].first,
+                self.calls[index(call)].deadline,
+            )
+        });
         let (first, deadline) = before.unwrap_or((self.now, self.now + self.case.deadline_ms));
         let id = self.calls.len() as u64;
         self.calls.push(Call {
@@ -434,11 +458,16 @@
         self.out.sent += 1;
         if target.running.len() < self.case.slots as usize {
             let [least, most] = self.case.service_ms;
-            target.running.push((self.now + self.rng.random_range(least..=most), id));
+            target
+                .running
+                .push((self.now + self.rng.random_range(least..=most), id));
         } else if target.queue.len() < self.case.target_queue {
             // The most urgent class goes first.
             let class = |call: &u64| self.case.streams[self.calls[index(*call)].stream].class;
-            let place = target.queue.iter().position(|other| class(other) > class(&id));
+            let place = target
+                .queue
+                .iter()
+                .position(|other| class(other) > class(&id));
             let place = place.unwrap_or(target.queue.len());
             target.queue.insert(place, id);
         } else {
@@ -497,7 +526,9 @@
             && let Some(next) = state.queue.pop_front()
         {
             let [least, most] = self.case.service_ms;
-            state.running.push((self.now + self.rng.random_range(least..=most), next));
+            state
+                .running
+                .push((self.now + self.rng.random_range(least..=most), next));
         }
         let load = match self.case.statement {
             Statement::None => None,
@@ -550,7 +581,8 @@
                 _ => false,
             };
             if !lost {
-                self.in_transit.push((self.now + delay, from, to, Arc::clone(&report)));
+                self.in_transit
+                    .push((self.now + delay, from, to, Arc::clone(&report)));
             }
         }
     }
--- a/core/tests/dispatch/main.rs
+++ b/core/tests/dispatch/main.rs
@@ -34,7 +34,8 @@
             got.p99(),
             out.declined,
             out.idle,
-            out.most_at_targets, out.held_sum as u64 / (case.length_ms / 2 - 1500)
+            out.most_at_targets,
+            out.held_sum as u64 / (case.length_ms / 2 - 1500)
         );
     }
 }
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -29,6 +29,7 @@
 
 use crate::{
     clock::{self, BootClock},
+    dispatch::{DispatchHandle, Place},
     follow::StoreState,
     logs,
     metrics::Metrics,
@@ -41,6 +42,8 @@
     web,
 };
 
+mod admit;
+
 /// Percentage of the latency objective after which an idempotent request is retried at another
 /// target if the first one has not answered.
 const RETRY_PERCENT: u32 = 60;
@@ -108,6 +111,8 @@
     pub store_state: StoreState,
     /// Task that chooses targets.
     pub selector: SelectorHandle,
+    /// Task that decides when requests are sent.
+    pub dispatch: DispatchHandle,
     /// How far a planned stop of the process has come.
     pub phases: StopPhases,
     /// Memory for answers.
@@ -128,6 +133,9 @@
     pub(crate) charge_retry: bool,
     /// Error answer of a target, returned to the caller if no other target can be tried.
     failure: Option<CompleteAnswer>,
+    /// Place of the request among those that the service can take; it is given back when the request
+    /// ends.
+    place: Option<Place>,
 }
 
 impl Forwarding {
@@ -150,6 +158,7 @@
             shared,
             charge_retry: false,
             failure: None,
+            place: None,
         }
     }
 
@@ -160,6 +169,7 @@
     ///
     /// Returns the result code for the caller if no target answered.
     pub async fn run(mut self) -> Result<CallerAnswer, SelectionRefusal> {
+        self.place = Some(self.admit().await?);
         loop {
             let open = match self.send_to_targets(None).await? {
                 TargetReply::Failure(complete) => return Ok(self.caller_answer(complete)),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,7 +3,7 @@
 
 use std::{io, net::SocketAddr, path::PathBuf, pin::Pin, sync::Arc, time::Duration};
 
-use ebonyfall_core::selector::TargetSelector;
+use ebonyfall_core::{dispatch::QueueLimits, selector::TargetSelector};
 use gotham::{handler::HandlerFuture, state::State};
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
@@ -16,6 +16,7 @@
 use crate::{
     carry::Forwarding,
     clock::BootClock,
+    dispatch::DispatchHandle,
     follow::{self, StoreState},
     intake::Intake,
     metrics::Metrics,
@@ -83,6 +84,14 @@
     let metrics = Metrics::new();
     let selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
     let selector = SelectorHandle::start(selector, BootClock, log.clone());
+    // Without capacities, every request is admitted.
+    let (_unlimited, no_rooms) = watch::channel(Vec::new());
+    let rooms = if cfg.dispatch {
+        selector.rooms()
+    } else {
+        no_rooms
+    };
+    let dispatch = DispatchHandle::start(rooms, QueueLimits::default(), BootClock);
     let store = StoreClient::new(cfg.store, metrics.entry.clone());
     let (access_tx, access) = watch::channel(None);
     let store_state = follow::start(
@@ -102,6 +111,7 @@
         zone: cfg.zone.clone(),
         store_state: store_state.clone(),
         selector: selector.clone(),
+        dispatch: dispatch.clone(),
         metrics: metrics.clone(),
     };
     monitoring::serve_monitoring(monitoring, pages, log.clone());
@@ -119,6 +129,7 @@
             seeds: cfg.seeds.clone(),
             store,
             selector: selector.clone(),
+            dispatch: dispatch.clone(),
             mirrors: store_state.mirrors.clone(),
             access: access_tx,
             metrics: metrics.clone(),
@@ -137,6 +148,7 @@
     let forwarding = Forwarding {
         store_state,
         selector,
+        dispatch,
         phases,
         buffers: AnswerBuffers::default(),
         metrics,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod dispatch;
 pub mod engine;
 pub mod entry;
 pub mod exit;
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -9,6 +9,10 @@
     registry::{Registry, Unit},
 };
 
+mod dispatch;
+
+pub use dispatch::DispatchMetrics;
+
 /// Histogram buckets of the time to an answer's head, in seconds, dense round the callers' latency
 /// objectives.
 const ANSWER_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.15, 0.3, 0.5, 1.0, 2.5, 5.0, 12.0];
@@ -75,6 +79,8 @@
     pub desired_version: Gauge,
     /// Number of calls of the store without a usable answer.
     pub store_failures: Counter,
+    /// Requests that wait for capacity.
+    pub dispatch: DispatchMetrics,
     state_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     failures: Family<FailureLabels, Counter>,
     exceeded: Family<LimitLabels, Counter>,
@@ -95,6 +101,7 @@
             routers: Gauge::default(),
             desired_version: Gauge::default(),
             store_failures: Counter::default(),
+            dispatch: DispatchMetrics::register(registry),
             state_age: Gauge::default(),
             failures: Family::default(),
             exceeded: Family::default(),
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -3,6 +3,7 @@
 use std::{pin::Pin, time::Duration};
 
 use ebonyfall_core::{
+    dispatch::ServiceDispatch,
     inspect::RoutingState,
     name::{ProcessName, ZoneName},
 };
@@ -14,6 +15,7 @@
 
 use crate::{
     clock::{self, BootClock},
+    dispatch::DispatchHandle,
     follow::StoreState,
     metrics::Metrics,
     selection::SelectorHandle,
@@ -57,6 +59,8 @@
     pub store_state: StoreState,
     /// Target selector, whose state is part of the dump.
     pub selector: SelectorHandle,
+    /// Task that owns the waiting requests, whose state is part of the dump and the metrics.
+    pub dispatch: DispatchHandle,
     /// Metrics of this process.
     pub metrics: Metrics,
 }
@@ -72,6 +76,7 @@
     /// Time since the desired state was last confirmed to be current.
     state_age_ms: Option<u64>,
     steering: RoutingState,
+    dispatch: Vec<ServiceDispatch>,
 }
 
 impl Monitoring {
@@ -81,7 +86,9 @@
         Some(BootClock.now().since(confirmed))
     }
 
-    fn metrics_page(&self) -> Response<Body> {
+    async fn metrics_page(&self) -> Response<Body> {
+        let dispatch = self.dispatch.inspect().await;
+        self.metrics.entry.dispatch.set_state(&dispatch);
         if let Some(age) = self.state_age() {
             self.metrics.entry.set_state_age(age);
         }
@@ -99,6 +106,7 @@
             routes: desired.as_ref().map(|desired| desired.route_count()),
             state_age_ms: self.state_age().map(clock::millis),
             steering,
+            dispatch: self.dispatch.inspect().await,
         };
         web::json_response(StatusCode::OK, &dump)
     }
@@ -113,7 +121,7 @@
             if uri.path() == DUMP_PATH {
                 monitoring.dump_page().await
             } else {
-                monitoring.metrics_page()
+                monitoring.metrics_page().await
             }
         }
     });
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     clock::{self, BootClock},
+    dispatch::DispatchHandle,
     gossip::{Gossip, LocalProcess},
     link::Identity,
     metrics::Metrics,
@@ -66,6 +67,8 @@
     pub store: StoreClient,
     /// Task that gets the reports of other routers and makes this router's.
     pub selector: SelectorHandle,
+    /// Task that knows this router's open and waiting requests.
+    pub dispatch: DispatchHandle,
     /// Copies of the store's streams that are served to other routers.
     pub mirrors: Mirrors,
     /// Access to the other routers, set once the exchange key is known and the socket is bound.
@@ -142,7 +145,8 @@
         incarnation: Incarnation,
         reported: &mut HashMap<ItemKey, RequestCounts>,
     ) {
-        let report = self.selector.report().await;
+        let demand = self.dispatch.demand().await;
+        let report = self.selector.report(demand).await;
         gossip
             .broadcast(Item {
                 key: ItemKey::RouterLoad(self.name.clone()),
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -1,11 +1,12 @@
 //! The entry router's task that owns the target selector and the idle connections to targets.
 
-use std::{collections::HashMap, io, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use ebonyfall_core::{
     code::Code,
+    dispatch::room::ServiceRoom,
     doc::Idempotency,
-    id::{Fingerprint, Incarnation, PartId},
+    id::{Fingerprint, PartId},
     inspect::RoutingState,
     moves::MoveState,
     name::{RouteName, ServiceName, TargetName, TeamName},
@@ -17,28 +18,29 @@
     timing::Timing,
 };
 use slog::Logger;
-use tokio::sync::{
-    mpsc::{self, OwnedPermit},
-    oneshot, watch,
+use tokio::{
+    sync::{
+        mpsc::{self, OwnedPermit},
+        oneshot, watch,
+    },
+    time,
 };
 
-use crate::{
-    clock::BootClock,
-    trace,
-    upstream::{ReadBuffer, TargetConnection},
-};
+use crate::{clock::BootClock, trace, upstream::TargetConnection};
 
+mod idle;
 mod update;
 
+use idle::IdleConnections;
 pub use update::{CrashAttribution, PartReport, RouterReport, Update};
 
 /// Maximum number of commands in the task's queue.
 const QUEUE_LEN: usize = 8_192;
+/// Shortest time between two publications of the services' capacity.
+const ROOM_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum idle time of a connection that may carry a request that is not idempotent. A target may
 /// close a connection that has been idle for longer just as the request is sent.
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(1_000);
-/// Maximum number of idle connections kept for each target.
-const MAX_IDLE_PER_TARGET: usize = 32;
 
 /// Properties of a request that determine the choice of its target.
 #[derive(Debug, Clone)]
@@ -86,7 +88,7 @@
     Load(TargetName, ReportedLoad),
     Notices(Box<TargetRecord>, Notices, Time),
     Update(Vec<Update>),
-    Report(oneshot::Sender<RouterReport>),
+    Report(Vec<(ServiceName, u32)>, oneshot::Sender<RouterReport>),
     PartMarks(oneshot::Sender<Vec<PartReport>>),
     Moves(oneshot::Sender<Vec<MoveState>>),
     Inspect(oneshot::Sender<RoutingState>),
@@ -192,6 +194,7 @@
 pub struct SelectorHandle {
     tx: mpsc::Sender<Command>,
     suspicions: watch::Receiver<u64>,
+    rooms: watch::Receiver<Vec<ServiceRoom>>,
 }
 
 impl SelectorHandle {
@@ -203,6 +206,7 @@
     pub fn start(selector: TargetSelector, clock: BootClock, log: Logger) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let (suspicions_tx, suspicions) = watch::channel(0);
+        let (rooms_tx, rooms) = watch::channel(Vec::new());
         let task = Task {
             selector,
             anonymous: TeamName::new("public").expect("the literal is a name"),
@@ -210,10 +214,16 @@
             idle: HashMap::new(),
             probes: tx.downgrade(),
             suspicions: suspicions_tx,
+            rooms: rooms_tx,
+            rooms_at: Time::ZERO,
             log,
         };
         tokio::spawn(task.run(rx));
-        Self { tx, suspicions }
+        Self {
+            tx,
+            suspicions,
+            rooms,
+        }
     }
 
     /// Selects a target. The connection is an idle one to that target; `None` if the caller has to
@@ -261,10 +271,11 @@
         let _ended = self.tx.send(Command::Update(updates)).await;
     }
 
-    /// Returns the next report to the other routers.
-    pub async fn report(&self) -> RouterReport {
+    /// Returns the next report to the other routers, with this router's open and waiting requests by
+    /// service.
+    pub async fn report(&self, demand: Vec<(ServiceName, u32)>) -> RouterReport {
         let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Report(reply)).await;
+        let _ended = self.tx.send(Command::Report(demand, reply)).await;
         answer.await.unwrap_or_default()
     }
 
@@ -274,6 +285,11 @@
         self.suspicions.clone()
     }
 
+    /// Returns a receiver of the capacity of each service that is limited.
+    pub fn rooms(&self) -> watch::Receiver<Vec<ServiceRoom>> {
+        self.rooms.clone()
+    }
+
     /// Returns the crashes counted against prompt parts.
     pub async fn part_marks(&self) -> Vec<PartReport> {
         let (reply, answer) = oneshot::channel();
@@ -307,17 +323,29 @@
     probes: mpsc::WeakSender<Command>,
     /// Changes of what this router counts against prompt parts.
     suspicions: watch::Sender<u64>,
+    /// Capacity of each service that is limited, for the task that dispatches requests.
+    rooms: watch::Sender<Vec<ServiceRoom>>,
+    /// When the capacity was published last.
+    rooms_at: Time,
     log: Logger,
 }
 
-struct IdleConnections {
-    incarnation: Incarnation,
-    connections: Vec<TargetConnection>,
-}
-
 impl Task {
     async fn run(mut self, mut rx: mpsc::Receiver<Command>) {
-        while let Some(command) = rx.recv().await {
+        let mut rooms_changed = false;
+        loop {
+            let command = tokio::select! {
+                biased;
+                command = rx.recv() => command,
+                () = time::sleep(ROOM_INTERVAL), if rooms_changed => {
+                    self.publish_rooms();
+                    rooms_changed = false;
+                    continue;
+                }
+            };
+            let Some(command) = command else {
+                return;
+            };
             match command {
                 Command::Choose(request, reply) => {
                     let selection = self.choose(&request);
@@ -349,7 +377,8 @@
                         .record_notices(&target, &notices, sent_at, now);
                 }
                 Command::Update(batch) => batch.into_iter().for_each(|update| self.apply(update)),
-                Command::Report(reply) => {
+                Command::Report(demand, reply) => {
+                    self.selector.set_demand(demand);
                     let _caller_gone = reply.send(self.report());
                 }
                 Command::Inspect(reply) => {
@@ -368,9 +397,19 @@
                 }
                 trace::log(&self.log, &event);
             }
+            rooms_changed = self.clock.now().since(self.rooms_at) < ROOM_INTERVAL;
+            if !rooms_changed {
+                self.publish_rooms();
+            }
         }
     }
 
+    fn publish_rooms(&mut self) {
+        let now = self.clock.now();
+        self.rooms_at = now;
+        self.rooms.send_replace(self.selector.rooms(now));
+    }
+
     fn choose(&mut self, request: &SelectionRequest) -> Result<Selection, SelectionRefusal> {
         let now = self.clock.now();
         let criteria = Criteria {
@@ -429,36 +468,6 @@
         }
     }
 
-    fn keep_idle(&mut self, target: &TargetName, connection: Option<TargetConnection>) {
-        if let Some(connection) = connection
-            && let Some(idle) = self.idle.get_mut(target)
-            && idle.connections.len() < MAX_IDLE_PER_TARGET
-        {
-            idle.connections.push(connection);
-        }
-    }
-
-    /// Opens a connection to a target after a request to it broke, so that a crash is noticed before
-    /// further requests are sent there. A connection that is established is kept for one of them.
-    fn probe(&self, target: TargetRecord) {
-        let Some(queue) = self.probes.upgrade() else {
-            return;
-        };
-        let now = self.clock.now();
-        tokio::spawn(async move {
-            let (probe, connection) =
-                match TargetConnection::connect(target.address, ReadBuffer::Adaptive, now).await {
-                    Ok(connection) => (Probe::Accepted, Some(connection)),
-                    Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                        (Probe::Refused, None)
-                    }
-                    Err(_timeout_or_cut) => (Probe::Unknown, None),
-                };
-            let command = Command::Probed(Box::new(target), probe, connection);
-            let _ended = queue.send(command).await;
-        });
-    }
-
     fn report(&mut self) -> RouterReport {
         let now = self.clock.now();
         let open = self.selector.next_report();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -120,6 +120,8 @@
     pub revocation: Duration,
     /// Limit on the retries that the whole fleet sends to one service.
     pub retry: RetryBound,
+    /// Whether requests wait for capacity of services whose targets state slots; on by default.
+    pub dispatch: bool,
     /// Lowest level that is logged, for each module; `info` by default.
     pub log_levels: Levels,
 }
@@ -193,6 +195,7 @@
         let ratio = f.required("retry-ratio", "a number such as 0.2", parse);
         let slack = f.required("retry-slack", "a number such as 50", parse);
         let window = f.required("retry-window-s", SECONDS, parse_seconds);
+        let dispatch = f.optional("dispatch", "on, off", parse_switch);
         let levels = f.optional("log-levels", "levels such as info, carry=debug", parse);
         Some(EntryConfig {
             name: name?,
@@ -211,6 +214,7 @@
                 slack: slack?,
                 window: window?,
             },
+            dispatch: dispatch.unwrap_or(true),
             log_levels: levels.unwrap_or_else(default_levels),
         })
     })
@@ -260,6 +264,14 @@
     Duration::try_from_secs_f64(text.parse().ok()?).ok()
 }
 
+fn parse_switch(text: &str) -> Option<bool> {
+    match text {
+        "on" => Some(true),
+        "off" => Some(false),
+        _ => None,
+    }
+}
+
 fn parse_millis(text: &str) -> Option<Duration> {
     Duration::try_from_secs_f64(text.parse::<f64>().ok()? / 1_000.0).ok()
 }
