--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -340,9 +340,13 @@
                 .queue
                 .extract_if(|waiter| waiter.review_at.is_some_and(|at| at <= now));
             for mut waiter in reviewed {
-                waiter.review_at = None;
+                let rate = service.per_second(now);
+                // Without a rate, nothing can be predicted yet.
+                waiter.review_at = rate
+                    .is_none()
+                    .then(|| now + waiter.request.objective / HARMLESS_DIVISOR);
                 let ahead = service.ahead(&waiter.request, waiter.since);
-                let wait = shed::time_for(ahead, service.per_second(now));
+                let wait = shed::time_for(ahead, rate);
                 if now + wait > waiter.until {
                     refused.push((waiter, Shed::Wait));
                 } else {
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the entry router as a process between stand-ins for callers, the store and targets.
 
 mod contexts;
+mod dispatch;
 mod env;
 mod keys;
 mod metrics;
