Let fewer requests wait at plain services the fewer routers there are

One router knows its own requests, so half of the slots waiting at a target only delays urgent and quiet callers; with many routers the spread of their choices needs more.

--- a/core/src/dispatch/room.rs
+++ b/core/src/dispatch/room.rs
@@ -10,8 +10,10 @@
 /// Divisor of the slots of a target that reports its load: the requests that may wait there, so that
 /// a freed slot is used before the next request arrives.
 const REPORTED_CUSHION_DIVISOR: u32 = 16;
-/// Divisor of the slots of a target that does not report its load. More may wait there, because the
-/// routers know its load only from each other's reports, which are up to 300 ms old.
+/// Divisor of the slots of a target that does not report its load: the most requests that may wait
+/// there. More may wait the more routers there are: they know the load only from each other's
+/// reports, which are up to 300 ms old, and the spread of their choices grows with the root of their
+/// number.
 const UNREPORTED_CUSHION_DIVISOR: u32 = 2;
 /// Divisor of the slots that count as running at least when a target reports many waiting requests,
 /// so that a false report does not stop all traffic to it.
@@ -19,6 +21,9 @@
 /// Reported requests per slot above which a report is ignored; targets queue three times their
 /// slots.
 const MAX_REPORTED_PER_SLOT: u64 = 8;
+/// Demand, as a multiple of the capacity, up to which a router may go beyond its share. Close to the
+/// capacity, some routers do not use their share while requests wait at others.
+const NEAR_CAPACITY: f64 = 1.25;
 /// Time after which routers with equal shares change places in the rounding of their shares.
 const ROUNDING_INTERVAL: Duration = Duration::from_millis(300);
 /// Multiples of these numbers modulo 1 are spread evenly over 0 to 1.
@@ -36,6 +41,8 @@
     pub reported: Option<ReportedLoad>,
     /// Whether the target reports its load with its answers.
     pub reports: bool,
+    /// Number of live routers.
+    pub routers: u32,
     /// Whether the target has just refused a request.
     pub refused: bool,
     /// Whether the target is cold and gets a limited rate of requests.
@@ -45,12 +52,17 @@
 impl TargetLoad {
     /// Requests that may wait at the target, so that it does not idle between two requests.
     fn cushion(&self) -> u32 {
-        let divisor = if self.reports {
-            REPORTED_CUSHION_DIVISOR
-        } else {
-            UNREPORTED_CUSHION_DIVISOR
-        };
-        (self.slots / divisor).max(1)
+        if self.reports {
+            return (self.slots / REPORTED_CUSHION_DIVISOR).max(1);
+        }
+        let spread = (f64::from(self.routers).sqrt() / 2.0).ceil();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the root of a u32 is small and not negative"
+        )]
+        let spread = spread as u32;
+        spread.clamp(1, (self.slots / UNREPORTED_CUSHION_DIVISOR).max(1))
     }
 
     /// The last report, unless it states more requests than a target can hold.
@@ -123,7 +135,12 @@
             None => capacity / f64::from(self.routers.max(1)),
         };
         let wanted_elsewhere = self.demand_elsewhere.unwrap_or(0).max(self.elsewhere);
-        let free = (capacity - f64::from(wanted_elsewhere) - share).max(0.0);
+        let most = if self.routers > 1 {
+            capacity * NEAR_CAPACITY
+        } else {
+            capacity
+        };
+        let free = (most - f64::from(wanted_elsewhere) - share).max(0.0);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -29,9 +29,10 @@
 /// Time for which a load reported by a target is used.
 pub(crate) const LOAD_TTL: Duration = Duration::from_millis(700);
 
-/// Mean age of what routers know of each other's open requests: half of the interval of reports and
-/// their way.
-const REPORT_AGE: Duration = Duration::from_millis(170);
+/// Age that is assumed of what routers know of each other's open requests: the interval of reports.
+/// Most are younger, but with an age of 170 ms, reports that came 300 to 900 ms late drew all routers
+/// to the same target.
+const REPORT_AGE: Duration = Duration::from_millis(300);
 /// Weight of the newest request in the mean time for which requests are open.
 const HELD_WEIGHT: f64 = 0.05;
 
--- a/core/src/selector/rooms.rs
+++ b/core/src/selector/rooms.rs
@@ -26,6 +26,7 @@
             return Vec::new();
         }
         self.reports.expire(&mut self.targets, now);
+        let routers = self.turns.routers;
         let evacuated = &self.evacuated;
         let mut rooms = HashMap::new();
         self.targets.for_each(|entry| {
@@ -39,7 +40,7 @@
             let sums = rooms
                 .entry(entry.record.service.clone())
                 .or_insert((0_u32, 0_u32, true));
-            let load = target_load(entry, now);
+            let load = target_load(entry, routers, now);
             sums.0 = sums.0.saturating_add(load.capacity());
             let elsewhere = load.load().saturating_sub(entry.outstanding);
             sums.1 = sums.1.saturating_add(elsewhere);
@@ -49,8 +50,8 @@
         let rooms = rooms.map(|(service, (capacity, elsewhere, _))| ServiceRoom {
             capacity,
             elsewhere,
-            demand_elsewhere: self.reports.demand(&service, self.turns.routers),
-            routers: self.turns.routers,
+            demand_elsewhere: self.reports.demand(&service, routers),
+            routers,
             rank: self.turns.rank,
             at: now,
             service,
@@ -59,7 +60,7 @@
     }
 }
 
-fn target_load(entry: &Estimate, now: Time) -> TargetLoad {
+fn target_load(entry: &Estimate, routers: u32, now: Time) -> TargetLoad {
     let reported = entry.reported_load;
     TargetLoad {
         slots: entry.record.slots,
@@ -70,6 +71,7 @@
             .filter(|(_, at)| now.since(*at) < LOAD_TTL)
             .map(|(load, _)| load),
         reports: reported.is_some(),
+        routers,
         refused: now < entry.full_until,
         cold: now < entry.cold_until,
     }
