--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -19,11 +19,13 @@
 mod queue;
 pub mod room;
 mod shed;
+mod teams;
 
 use queue::{Waiter, WaitingQueue};
 use room::ServiceRoom;
 pub use shed::Shed;
 use shed::{Comebacks, EndRate, Level};
+use teams::TeamArrivals;
 
 /// Part of the latency objective for which a request may wait before its refusal harms its caller.
 const HARMLESS_DIVISOR: u32 = 8;
@@ -36,7 +38,8 @@
 /// Multiple of the expected time at the target that a request which must not run twice needs before
 /// its deadline.
 const UNREPEATABLE_FACTOR: u32 = 2;
-/// Divisor of a router's limit: the places that only the most urgent class may use in addition.
+/// Divisor of a router's limit: the places that only the most urgent class and quiet teams may use
+/// in addition.
 const RESERVE_DIVISOR: u32 = 8;
 /// Time constant of the mean demand. The demand of other routers is known with a delay of this order;
 /// with this router's demand of the moment, all routers would raise and lower their shares at the
@@ -167,6 +170,7 @@
     queue: WaitingQueue<T>,
     ends: EndRate,
     level: Level,
+    teams: TeamArrivals,
     /// Mean of the open and waiting requests over `DEMAND_WINDOW`.
     mean_demand: f64,
     /// Time up to which the mean is computed.
@@ -181,6 +185,7 @@
             queue: WaitingQueue::default(),
             ends: EndRate::default(),
             level: Level::default(),
+            teams: TeamArrivals::default(),
             mean_demand: 0.0,
             mean_at: Time::ZERO,
         }
@@ -246,6 +251,8 @@
         let service = self.services.entry(name.clone()).or_default();
         service.update_mean(now);
         service.level.record_arrival(request.priority, now);
+        service.teams.record(&request.team, now);
+        let team = request.team.clone();
         let waiting = service.queue.len();
         let predicted = service.predicted_wait(&request, since, now);
         let admitted_by_level = service.level.admits(request.priority);
@@ -270,6 +277,12 @@
         if waiting == service.queue.len() && !service.queue.iter().any(|other| other.id == id) {
             return;
         }
+        if service.has_reserve(now) && service.teams.is_quiet(&team, now) {
+            for waiter in service.queue.extract_if(|waiter| waiter.id == id) {
+                self.admit(waiter, now);
+            }
+            return;
+        }
         let span = until.since(now);
         let too_long = predicted.is_some_and(|wait| wait > span.mul_f64(PREDICTION_SHARE));
         // A caller that came back as told must not be refused while newer requests are served, so it
@@ -407,7 +420,6 @@
             && service.has_place(class, now)
             && let Some(waiter) = service.queue.pop()
         {
-            let waited = now.since(waiter.request.arrived);
             // On a day without load, a request is sent whatever its deadline.
             if now >= waiter.until && service.is_loaded() {
                 let waited_to_end = now > waiter.request.arrived;
@@ -415,22 +427,31 @@
                 self.refuse(waiter, cause, random, now);
                 continue;
             }
-            service.open += 1;
-            let place = Place {
-                service: name.clone(),
-                taken_at: now,
-            };
-            self.places.insert(waiter.id, place);
-            self.waiting_bytes = self.waiting_bytes.saturating_sub(waiter.request.bytes);
-            self.decided.push(Decided {
-                id: waiter.id,
-                verdict: Verdict::Admitted,
-                figures: service.figures(waiter.predicted, waited, now),
-                handle: waiter.handle,
-            });
+            self.admit(waiter, now);
         }
     }
 
+    /// Gives a place to a request that has been taken from the queue.
+    fn admit(&mut self, waiter: Waiter<T>, now: Time) {
+        let time = now.since(waiter.request.arrived);
+        let name = waiter.request.service;
+        let service = self.services.entry(name.clone()).or_default();
+        service.open += 1;
+        let figures = service.figures(waiter.predicted, time, now);
+        let place = Place {
+            service: name,
+            taken_at: now,
+        };
+        self.places.insert(waiter.id, place);
+        self.waiting_bytes = self.waiting_bytes.saturating_sub(waiter.request.bytes);
+        self.decided.push(Decided {
+            id: waiter.id,
+            verdict: Verdict::Admitted,
+            figures,
+            handle: waiter.handle,
+        });
+    }
+
     /// Refuses requests until the queue is within its limits.
     fn evict(&mut self, random: f64, now: Time) {
         loop {
@@ -494,12 +515,15 @@
         let Some(limit) = self.limit(now) else {
             return true;
         };
-        let reserve = if self.level.is_most_urgent(class) {
-            (limit / RESERVE_DIVISOR).max(1)
-        } else {
-            0
-        };
-        self.open < limit.saturating_add(reserve)
+        self.open < limit || self.level.is_most_urgent(class) && self.has_reserve(now)
+    }
+
+    /// Whether a place in reserve is free.
+    fn has_reserve(&self, now: Time) -> bool {
+        self.limit(now).is_none_or(|limit| {
+            let reserve = (limit / RESERVE_DIVISOR).max(1);
+            self.open < limit.saturating_add(reserve)
+        })
     }
 
     fn per_second(&self, now: Time) -> Option<f64> {
--- a/core/tests/dispatch/fleet.rs
+++ b/core/tests/dispatch/fleet.rs
@@ -204,11 +204,11 @@
     out: Outcome,
 }
 
-fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+pub fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
     text.parse().expect("it is a name")
 }
 
-fn at(ms: u64) -> Time {
+pub fn at(ms: u64) -> Time {
     Time::from_millis(ms + 100_000)
 }
 
@@ -328,10 +328,7 @@
                 self.case.streams[stream].load * slots / self.case.mean_service_s() / 1_000.0;
             // A Poisson process in steps of a tenth of a millisecond.
             for _ in 0..10 {
-                let whole = per_ms / 10.0;
-                let count =
-                    whole.floor() + f64::from(u8::from(self.rng.random_bool(whole.fract())));
-                for _ in 0..count as u32 {
+                if self.rng.random_bool(per_ms / 10.0) {
                     self.arrive(stream, None);
                 }
             }
--- a/core/tests/dispatch/main.rs
+++ b/core/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 //! `cargo test -p ebonyfall-core --test dispatch -- --nocapture` prints the measured figures.
 
 mod fleet;
+mod rules;
 
 use fleet::{Case, Got, Network, Outcome, Statement, Stream, run};
 
@@ -130,27 +131,21 @@
 /// Guards against a team that slows down the others by sending eight times its usual traffic (D3).
 #[test]
 fn a_noisy_team_does_not_slow_down_a_quiet_one() {
-    for routers in [1, 6] {
-        let mut usual = f64::INFINITY;
-        for noisy in [0.4, 3.2] {
+    let (mut slowest, mut least) = (0.0_f64, 1.0_f64);
+    for routers in ROUTERS {
+        let mut quiet = |noisy| {
             let streams = vec![stream("quiet", 1, 0.2), stream("noisy", 1, noisy)];
             let out = measure(&Case::plain(SEED, routers, streams));
-            #[expect(clippy::cast_precision_loss, reason = "milliseconds of one schedule")]
-            let p99 = out.teams[0].p99() as f64;
-            if noisy > 1.0 {
-                println!(
-                    "quiet team, {routers} routers: {:.2} of the usual",
-                    p99 / usual
-                );
-                assert!(
-                    p99 <= usual * MAX_SLOWDOWN,
-                    "seed {SEED}: {p99} ms, usual {usual}"
-                );
-                assert!(out.teams[0].share() >= MIN_URGENT, "seed {SEED}");
-            }
-            usual = p99;
-        }
+            least = least.min(out.teams[0].share());
+            f64::from(u32::try_from(out.teams[0].p99()).unwrap_or(u32::MAX))
+        };
+        let usual = quiet(0.4);
+        let slowdown = quiet(3.2) / usual;
+        println!("quiet team, {routers} routers: {slowdown:.2} of the usual");
+        slowest = slowest.max(slowdown);
     }
+    assert!(least >= MIN_URGENT, "seed {SEED}: {least} in time");
+    assert!(slowest <= MAX_SLOWDOWN, "seed {SEED}: {slowest}");
 }
 
 /// Guards against waits and refusals on days with room, whatever reports arrive.
@@ -164,11 +159,8 @@
                 ..Case::plain(SEED, routers, vec![stream("a", 1, 0.6)])
             };
             let out = measure(&case);
-            assert_eq!(
-                total(&out, |got| got.refused),
-                0.0,
-                "seed {SEED} {network:?}"
-            );
+            let refused: u32 = out.teams.iter().map(|got| got.refused).sum();
+            assert_eq!(refused, 0, "seed {SEED} {network:?}");
             check_waste(&case, &out);
         }
     }
@@ -187,8 +179,9 @@
             f64::from(measure(&case).answers)
         };
         let usual = goodput(Sound);
-        for network in [Late, Lossy, OneWay, Silent] {
+        for network in [Lossy, OneWay, Silent, Late] {
             let ratio = goodput(network) / usual;
+            println!("goodput of {routers} routers with {network:?} reports: {ratio:.3}");
             assert!(
                 ratio >= MIN_GOODPUT,
                 "seed {SEED} routers {routers} {network:?}: {ratio}"
@@ -225,6 +218,7 @@
             0.15
         };
         assert!(served >= least, "seed {SEED} {statement:?}: {served}");
-        assert_eq!(total(&out, |got| got.at_deadline), 0.0, "seed {SEED}");
+        let at_deadline: u32 = out.teams.iter().map(|got| got.at_deadline).sum();
+        assert_eq!(at_deadline, 0, "seed {SEED}");
     }
 }
