--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,7 +3,7 @@
 
 use std::{io, net::SocketAddr, path::PathBuf, pin::Pin, sync::Arc, time::Duration};
 
-use ebonyfall_core::selector::TargetSelector;
+use ebonyfall_core::{dispatch::QueueLimits, selector::TargetSelector};
 use gotham::{handler::HandlerFuture, state::State};
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
@@ -16,6 +16,7 @@
 use crate::{
     carry::Forwarding,
     clock::BootClock,
+    dispatch::DispatchHandle,
     follow::{self, StoreState},
     intake::Intake,
     metrics::Metrics,
@@ -87,6 +88,14 @@
     let metrics = Metrics::new();
     let selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
     let selector = SelectorHandle::start(selector, BootClock, log.clone());
+    // Without capacities, every request is admitted.
+    let (_unlimited, no_rooms) = watch::channel(Vec::new());
+    let rooms = if cfg.dispatch {
+        selector.rooms()
+    } else {
+        no_rooms
+    };
+    let dispatch = DispatchHandle::start(rooms, QueueLimits::default(), BootClock);
     let store = StoreClient::new(cfg.store, metrics.entry.clone());
     let (access_tx, access) = watch::channel(None);
     let counter = cfg.usage.as_ref().map(|usage| {
@@ -134,6 +143,7 @@
         selector: selector.clone(),
         usage,
         counter: counter.clone(),
+        dispatch: dispatch.clone(),
         metrics: metrics.clone(),
     };
     monitoring::serve_monitoring(monitoring, pages, log.clone());
@@ -151,6 +161,7 @@
             seeds: cfg.seeds.clone(),
             store,
             selector: selector.clone(),
+            dispatch: dispatch.clone(),
             mirrors: store_state.mirrors.clone(),
             usage: counter.clone(),
             access: access_tx,
@@ -170,6 +181,7 @@
     let forwarding = Forwarding {
         store_state,
         selector,
+        dispatch,
         phases,
         usage: counter,
         buffers: AnswerBuffers::default(),
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -11,6 +11,10 @@
 
 use crate::usage::meters::{CountingMeters, UsageMetrics};
 
+mod dispatch;
+
+pub use dispatch::DispatchMetrics;
+
 /// Histogram buckets of the time to an answer's head, in seconds, dense round the callers' latency
 /// objectives.
 const ANSWER_BUCKETS: [f64; 10] = [0.01, 0.03, 0.1, 0.15, 0.3, 0.5, 1.0, 2.5, 5.0, 12.0];
@@ -81,6 +85,8 @@
     pub counting: CountingMeters,
     /// Metrics of usage reports.
     pub usage: UsageMetrics,
+    /// Requests that wait for capacity.
+    pub dispatch: DispatchMetrics,
     state_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     failures: Family<FailureLabels, Counter>,
     exceeded: Family<LimitLabels, Counter>,
@@ -103,6 +109,7 @@
             store_failures: Counter::default(),
             counting: CountingMeters::register(registry),
             usage: UsageMetrics::register(registry),
+            dispatch: DispatchMetrics::register(registry),
             state_age: Gauge::default(),
             failures: Family::default(),
             exceeded: Family::default(),
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -3,6 +3,7 @@
 use std::{pin::Pin, time::Duration};
 
 use ebonyfall_core::{
+    dispatch::ServiceDispatch,
     inspect::RoutingState,
     name::{ProcessName, ZoneName},
 };
@@ -14,6 +15,7 @@
 
 use crate::{
     clock::{self, BootClock},
+    dispatch::DispatchHandle,
     follow::StoreState,
     metrics::Metrics,
     selection::SelectorHandle,
@@ -66,6 +68,8 @@
     pub usage: Option<DutyHandle>,
     /// Counts of requests; `None` if the deployment has no usage reports.
     pub counter: Option<UsageCounter>,
+    /// Task that owns the waiting requests, whose state is part of the dump and the metrics.
+    pub dispatch: DispatchHandle,
     /// Metrics of this process.
     pub metrics: Metrics,
 }
@@ -87,6 +91,7 @@
     /// Absent if the deployment has no usage reports.
     #[serde(skip_serializing_if = "Option::is_none")]
     usage_counts: Option<CountingState>,
+    dispatch: Vec<ServiceDispatch>,
 }
 
 impl Monitoring {
@@ -96,7 +101,9 @@
         Some(BootClock.now().since(confirmed))
     }
 
-    fn metrics_page(&self) -> Response<Body> {
+    async fn metrics_page(&self) -> Response<Body> {
+        let dispatch = self.dispatch.inspect().await;
+        self.metrics.entry.dispatch.set_state(&dispatch);
         if let Some(age) = self.state_age() {
             self.metrics.entry.set_state_age(age);
         }
@@ -124,6 +131,7 @@
             steering,
             usage,
             usage_counts,
+            dispatch: self.dispatch.inspect().await,
         };
         web::json_response(StatusCode::OK, &dump)
     }
@@ -138,7 +146,7 @@
             if uri.path() == DUMP_PATH {
                 monitoring.dump_page().await
             } else {
-                monitoring.metrics_page()
+                monitoring.metrics_page().await
             }
         }
     });
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     clock::{self, BootClock},
+    dispatch::DispatchHandle,
     gossip::{Gossip, LocalProcess},
     link::Identity,
     metrics::Metrics,
@@ -67,6 +68,8 @@
     pub store: StoreClient,
     /// Task that gets the reports of other routers and makes this router's.
     pub selector: SelectorHandle,
+    /// Task that knows this router's open and waiting requests.
+    pub dispatch: DispatchHandle,
     /// Copies of the store's streams that are served to other routers.
     pub mirrors: Mirrors,
     /// Task that counts requests; `None` if usage is not reported.
@@ -146,7 +149,8 @@
         incarnation: Incarnation,
         reported: &mut HashMap<ItemKey, RequestCounts>,
     ) {
-        let report = self.selector.report().await;
+        let demand = self.dispatch.demand().await;
+        let report = self.selector.report(demand).await;
         gossip
             .broadcast(Item {
                 key: ItemKey::RouterLoad(self.name.clone()),
