Pace targets that start or recover, and place requests by their speed

A cold target was the last choice, so that it idled while its peers were loaded, and got everything at once when its time was over. Now it takes part with a share of its peers' load that starts at a fifth, doubles every 1.2 s and is halved by slow or refused answers. While it is cold, routers take turns at it on their common clock: with a rate for each router alone, more routers than requests per second may all send in one second. Growth as a limit relative to the mean of the warm peers is used for requests with context, as a weight for others; a weight alone cannot bound what a home attracts.

The fourth figure of the load header states how long work takes. With its age, and where it is missing with the answer times on the same route, it scales the cost of a target. Without a statement, a clear difference or a pace, the former choice is made.

--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -1,10 +1,6 @@
 //! Estimated load, health and readiness of one target, as seen by one router.
 
-use std::{
-    collections::{HashSet, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -13,6 +9,8 @@
     limit::TargetLimit,
     name::{TeamName, ZoneName},
     notice::TargetNotices,
+    pace::{Pace, PaceCause},
+    speed::Speed,
     target::{ReportedLoad, Stage, TargetRecord},
     time::Time,
 };
@@ -61,8 +59,10 @@
     pub(crate) consecutive_backoffs: u32,
     /// Until when the target counts as full after it declined a request.
     pub(crate) full_until: Time,
-    /// Times of recent requests while the target was cold.
-    pub(crate) cold_sent: VecDeque<Time>,
+    /// Rate and share of requests while the target starts or recovers.
+    pub(crate) pace: Pace,
+    /// Time that the target needs for work.
+    pub(crate) speed: Speed,
     /// Requests whose connections broke recently; they become suspects if the target crashed.
     pub(crate) broken_requests: Vec<BrokenRequest>,
     /// Whether it is being checked if the target still accepts connections.
@@ -105,7 +105,8 @@
             backoff_until: Time::ZERO,
             consecutive_backoffs: 0,
             full_until: Time::ZERO,
-            cold_sent: VecDeque::new(),
+            pace: Pace::new(now),
+            speed: Speed::default(),
             broken_requests: Vec::new(),
             probing: false,
             crashed_at: None,
@@ -178,12 +179,24 @@
         xxh3_64_with_seed(&self.hash.to_le_bytes(), context)
     }
 
+    /// Whether the target is in its cold start.
+    pub(crate) fn is_cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
+    /// Number of requests that the target runs concurrently, as it stated last.
+    pub(crate) fn slots(&self) -> u32 {
+        let stated = self.reported_load.and_then(|(load, _)| load.slots);
+        stated.unwrap_or(self.record.slots).max(1)
+    }
+
     /// Ranks the target last for a time within `BACKOFF_RANGE` that doubles with each consecutive
-    /// call.
+    /// call. After that, the target is under pace.
     pub(crate) fn start_backoff(&mut self, now: Time) {
         let backoff =
             (BACKOFF_RANGE[0] * (1 << self.consecutive_backoffs.min(8))).min(BACKOFF_RANGE[1]);
         self.consecutive_backoffs += 1;
         self.backoff_until = now + backoff;
+        self.pace.start(PaceCause::Backoff, self.backoff_until);
     }
 }
--- a/core/src/holders.rs
+++ b/core/src/holders.rs
@@ -150,7 +150,7 @@
     }
 
     /// Whether the target was assigned the context recently and in its current incarnation.
-    fn is_assigned(&self, context: u64, target: &Estimate, now: Time) -> bool {
+    pub(crate) fn is_assigned(&self, context: u64, target: &Estimate, now: Time) -> bool {
         let assigned = self.assigned.get(&target.context_rank(context));
         assigned.is_some_and(|(incarnation, at)| {
             *incarnation == target.record.incarnation && is_fresh(*at, now)
--- a/core/src/inspect.rs
+++ b/core/src/inspect.rs
@@ -78,6 +78,13 @@
     pub limit_per_s: Option<f64>,
     /// Remaining time of the cold start, in milliseconds.
     pub cold_ms: u128,
+    /// Share of its peers' load that the target may get while it is under pace, from 0 to 1; `None`
+    /// if it is not under pace.
+    pub pace: Option<f64>,
+    /// Estimated time that the target needs for work, as a multiple of the usual time.
+    pub slowness: f64,
+    /// The same as the target has stated it; `None` without a recent statement.
+    pub stated_slowness: Option<f64>,
     /// Remaining time, in milliseconds, for which the target gets no requests because it was
     /// unreachable.
     pub avoided_ms: u128,
@@ -117,6 +124,9 @@
             failure_share: entry.failure_share(),
             limit_per_s: entry.limit.rate(now),
             cold_ms: entry.cold_until.since(now).as_millis(),
+            pace: entry.pace.is_active().then(|| entry.pace.share()),
+            slowness: entry.speed.slowness(now),
+            stated_slowness: entry.speed.stated(now),
             avoided_ms: entry.backoff_until.since(now).as_millis(),
         }
     }
--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -49,8 +49,8 @@
 pub(crate) struct Turns {
     /// Number of routers, at least 1.
     pub(crate) routers: u32,
-    /// Number of routers that precede this one.
-    pub(crate) rank: u32,
+    /// Number of routers that precede this one; `None` until it is known.
+    pub(crate) rank: Option<u32>,
     /// Time of day at the epoch of the router's own times.
     pub(crate) unix_offset: Duration,
 }
@@ -59,7 +59,7 @@
     fn default() -> Self {
         Self {
             routers: 1,
-            rank: 0,
+            rank: None,
             unix_offset: Duration::ZERO,
         }
     }
@@ -68,12 +68,12 @@
 impl Turns {
     /// The router's first turn that does not start before `earliest`, with `interval` between the
     /// turns of all routers.
-    fn next(&self, earliest: Time, interval: Duration) -> Time {
+    pub(crate) fn next(&self, earliest: Time, interval: Duration) -> Time {
         let interval = interval.as_micros();
         let since_unix = self.unix_offset + earliest.since(Time::ZERO);
         let first = since_unix.as_micros().div_ceil(interval);
         let routers = u128::from(self.routers.max(1));
-        let rank = u128::from(self.rank) % routers;
+        let rank = u128::from(self.rank.unwrap_or(0)) % routers;
         let turn = first + (rank + routers - first % routers) % routers;
         let wait = (turn * interval).saturating_sub(since_unix.as_micros());
         earliest + Duration::from_micros(u64::try_from(wait).unwrap_or(u64::MAX))
--- a/core/src/moves.rs
+++ b/core/src/moves.rs
@@ -237,7 +237,8 @@
         }
     }
 
-    fn is_slow(&self, route: &RouteName, timing: Option<Timing>) -> bool {
+    /// Whether an answer took much longer than usual on its route.
+    pub(crate) fn is_slow(&self, route: &RouteName, timing: Option<Timing>) -> bool {
         timing.is_some_and(|timing| self.route_times.is_slow(route, timing))
     }
 }
--- a/core/src/notice.rs
+++ b/core/src/notice.rs
@@ -31,6 +31,8 @@
     pub is_leaving: bool,
     /// Pause that it wants from this router.
     pub pause: StatedPause,
+    /// Whether the slowness that it states with its load is not a usable number.
+    pub is_slowness_malformed: bool,
 }
 
 /// What one run of a target has stated to this router, besides its limit.
--- a/core/src/preference.rs
+++ b/core/src/preference.rs
@@ -1,7 +1,5 @@
 //! Ranks the targets of a service by health and chooses among those of equal rank.
 
-use std::time::Duration;
-
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{estimate::Estimate, name::ZoneName, time::Time};
@@ -20,10 +18,17 @@
 const SPILL_FACTOR: f64 = 1.8;
 /// Load difference, in requests, above which a request without context goes to another zone.
 const CROSS_ZONE_PENALTY: f64 = 1.0;
-/// Window of the rate limit of cold targets.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
-/// Lower limit of this router's share of a cold target's rate, in requests per `COLD_WINDOW`.
-const MIN_COLD_RATE: f64 = 0.01;
+/// Ratio of expected times at which another target is clearly better than a chat's home. Stated
+/// slowness changes many times a second, and a chat must not move with each change.
+const CLEARLY_BETTER: f64 = 1.5;
+/// Cost of reading a context again where it is missing, in requests at usual speed.
+const REREAD_COST: f64 = 2.0;
+/// Load up to which a target under pace is not limited, in requests, so that a few requests never
+/// leave their home. A target in its cold start has no such load, except for the first request of a
+/// context.
+const MIN_PACE_LOAD: f64 = 3.0;
+/// The same for a target in its cold start, for requests with a context.
+const MIN_COLD_LOAD: f64 = 1.0;
 
 /// Preference class of a target, from best to worst. Only targets of the best class present are
 /// candidates.
@@ -32,84 +37,167 @@
     Healthy,
     Full,
     Faulty,
-    Cold,
     BackedOff,
 }
 
-/// Preference class of a target, or `None` if this router has used up its rate for the cold target.
-/// `others_failure_share` is the mean failure share of the service's other targets, `cold_rate` the
-/// rate at which this router may send to a cold target, in requests per second.
-pub(crate) fn rank(
-    entry: &Estimate,
-    others_failure_share: f64,
-    cold_rate: f64,
-    now: Time,
-) -> Option<Rank> {
+/// Preference class of a target. `others_failure_share` is the mean failure share of the service's
+/// other targets.
+pub(crate) fn rank(entry: &Estimate, others_failure_share: f64, now: Time) -> Rank {
     if now < entry.backoff_until {
-        return Some(Rank::BackedOff);
-    }
-    if now < entry.cold_until {
-        // A rate below one request per window allows one request in a longer window.
-        let window = COLD_WINDOW.mul_f64(1.0 / cold_rate.clamp(MIN_COLD_RATE, 1.0));
-        let recent = entry
-            .cold_sent
-            .iter()
-            .filter(|sent| now.since(**sent) < window)
-            .count();
-        let recent = f64::from(u32::try_from(recent).unwrap_or(u32::MAX));
-        return (recent + 1.0 <= cold_rate.max(1.0)).then_some(Rank::Cold);
+        return Rank::BackedOff;
     }
     let share = entry.failure_share();
     if entry.failures >= FAULTY_MIN_FAILURES
         && share > FAULTY_MIN_SHARE
         && share > others_failure_share * FAULTY_MIN_RATIO
     {
-        return Some(Rank::Faulty);
+        return Rank::Faulty;
     }
     if now < entry.full_until {
-        return Some(Rank::Full);
+        return Rank::Full;
     }
-    Some(Rank::Healthy)
+    Rank::Healthy
+}
+
+/// The choice among targets of equal rank.
+#[derive(Debug)]
+pub(crate) struct Placement<'p> {
+    /// Mean load of the service's targets.
+    pub(crate) mean: f64,
+    /// Mean load of those that are not under pace; `None` without any.
+    pub(crate) warm_mean: Option<f64>,
+    /// Mean number of slots of the service's targets.
+    pub(crate) mean_slots: f64,
+    /// Zone of this router.
+    pub(crate) zone: &'p ZoneName,
+    pub(crate) now: Time,
 }
 
-/// The first target in the order of the context's hashes whose load is within the bound, or else
-/// the least loaded one. Zones are ignored, so that routers in all zones choose the same target and
-/// only one target computes the context.
-pub(crate) fn choose_for_context<'e>(
-    entries: impl Iterator<Item = &'e Estimate> + Clone,
-    context: u64,
-    mean: f64,
-    now: Time,
-) -> Option<&'e Estimate> {
-    let bound = mean * SPILL_FACTOR + SPILL_SLACK;
-    let within_bound = entries
-        .clone()
-        .filter(|entry| entry.load(now) + 1.0 <= bound);
-    within_bound
-        .min_by_key(|entry| entry.context_rank(context))
-        .or_else(|| {
-            let loads = entries.map(|entry| (entry.load(now), entry));
-            let least_loaded = loads.min_by(|a, b| a.0.total_cmp(&b.0));
-            least_loaded.map(|(_, entry)| entry)
-        })
+impl Placement<'_> {
+    /// The first target in the order of the context's hashes whose load is within the bound and its
+    /// pace, unless a later one is clearly faster. Zones are ignored, so that routers in all zones
+    /// choose the same target and only one target computes the context. `holds` tells whether a
+    /// target is likely to hold the context.
+    pub(crate) fn choose_for_context<'e>(
+        &self,
+        entries: impl Iterator<Item = &'e Estimate> + Clone,
+        context: u64,
+        holds: impl Fn(&Estimate) -> bool,
+    ) -> Option<&'e Estimate> {
+        let within_bound = entries.clone().filter(|entry| self.is_within_bound(entry));
+        let within_pace = within_bound
+            .clone()
+            .filter(|entry| self.is_within_pace(entry));
+        let rank = |entry: &&Estimate| entry.context_rank(context);
+        if let Some(home) = within_pace.clone().min_by_key(rank) {
+            let cost = |entry: &Estimate| {
+                let reread = if holds(entry) { 0.0 } else { REREAD_COST };
+                self.expected_time(entry, reread)
+            };
+            let home_slowness = self.slowness(home);
+            let home_cost = cost(home);
+            let better = within_pace.filter(|entry| {
+                self.slowness(entry) * CLEARLY_BETTER <= home_slowness
+                    && cost(entry) * CLEARLY_BETTER <= home_cost
+            });
+            return better.min_by_key(rank).or(Some(home));
+        }
+        // The others' load counts more than the pace of a target.
+        self.least_loaded(within_bound)
+            .or_else(|| self.least_loaded(entries))
+    }
+
+    /// The target that is expected to serve a request first, where `CROSS_ZONE_PENALTY` is added for
+    /// targets outside the router's zone. `random` breaks ties.
+    pub(crate) fn choose_least_loaded<'e>(
+        &self,
+        entries: impl Iterator<Item = &'e Estimate> + Clone,
+        random: f64,
+    ) -> Option<&'e Estimate> {
+        let is_plain = entries
+            .clone()
+            .all(|entry| !entry.pace.is_active() && is_usual(self.slowness(entry)));
+        if is_plain {
+            return self.least_costly(entries, random);
+        }
+        let within_bound = entries.clone().filter(|entry| self.is_within_bound(entry));
+        self.least_costly(within_bound, random)
+            .or_else(|| self.least_loaded(entries))
+    }
+
+    fn least_costly<'e>(
+        &self,
+        entries: impl Iterator<Item = &'e Estimate>,
+        random: f64,
+    ) -> Option<&'e Estimate> {
+        let seed = random.to_bits();
+        entries
+            .map(|entry| {
+                let other_zone = entry.record.zone != *self.zone;
+                let penalty = if other_zone { CROSS_ZONE_PENALTY } else { 0.0 };
+                let cost = self.expected_time(entry, 0.0) / self.share(entry) + penalty;
+                let tie = xxh3_64_with_seed(&entry.hash.to_le_bytes(), seed);
+                (cost, tie, entry)
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+            .map(|(_, _, entry)| entry)
+    }
+
+    fn least_loaded<'e>(
+        &self,
+        entries: impl Iterator<Item = &'e Estimate>,
+    ) -> Option<&'e Estimate> {
+        let loads = entries.map(|entry| (entry.load(self.now), entry));
+        let least_loaded = loads.min_by(|a, b| a.0.total_cmp(&b.0));
+        least_loaded.map(|(_, entry)| entry)
+    }
+
+    /// Whether the target stays within the fleet's load bound with one more request.
+    fn is_within_bound(&self, entry: &Estimate) -> bool {
+        entry.load(self.now) + 1.0 <= self.mean * SPILL_FACTOR + SPILL_SLACK
+    }
+
+    /// Whether a target under pace stays within its share of its peers' load with one more request.
+    fn is_within_pace(&self, entry: &Estimate) -> bool {
+        let Some(warm_mean) = self.warm_mean.filter(|_| entry.pace.is_active()) else {
+            return true;
+        };
+        let limit = entry.pace.share() * (warm_mean + SPILL_SLACK);
+        let least = if entry.is_cold(self.now) {
+            MIN_COLD_LOAD
+        } else {
+            MIN_PACE_LOAD
+        };
+        entry.load(self.now) + 1.0 <= limit.max(least)
+    }
+
+    /// Weight of the target against its peers, from 0 to 1.
+    fn share(&self, entry: &Estimate) -> f64 {
+        if !entry.is_cold(self.now) && entry.load(self.now) < MIN_PACE_LOAD {
+            return 1.0;
+        }
+        entry.pace.share()
+    }
+
+    /// Time that a request takes at the target besides the `others` that it has, in requests at a
+    /// target of usual speed.
+    fn expected_time(&self, entry: &Estimate, reread: f64) -> f64 {
+        (entry.load(self.now) + 1.0 + reread) * self.slowness(entry)
+    }
+
+    /// Time that the target needs for work beside its present load, as a multiple of the usual. Slots
+    /// matter only where the speed is not as usual; else the choice goes by requests alone.
+    fn slowness(&self, entry: &Estimate) -> f64 {
+        let slowness = entry.speed.slowness(self.now);
+        if is_usual(slowness) {
+            1.0
+        } else {
+            slowness * self.mean_slots / f64::from(entry.slots())
+        }
+    }
 }
 
-/// The least loaded target, where `CROSS_ZONE_PENALTY` is added to the load of targets outside the
-/// zone `own`. `random` breaks ties.
-pub(crate) fn choose_least_loaded<'e>(
-    entries: impl Iterator<Item = &'e Estimate>,
-    own: &ZoneName,
-    random: f64,
-    now: Time,
-) -> Option<&'e Estimate> {
-    let seed = random.to_bits();
-    entries
-        .map(|entry| {
-            let other_zone = entry.record.zone != *own;
-            let cost = entry.load(now) + if other_zone { CROSS_ZONE_PENALTY } else { 0.0 };
-            let tie = xxh3_64_with_seed(&entry.hash.to_le_bytes(), seed);
-            (cost, tie, entry)
-        })
-        .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
-        .map(|(_, _, entry)| entry)
+/// Whether a target works at the usual speed, as far as is known.
+fn is_usual(slowness: f64) -> bool {
+    (slowness - 1.0).abs() < f64::EPSILON
 }
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -23,9 +23,11 @@
     moves::{MoveState, MoveVerdict, Moves, VersionCounts},
     name::{MoveName, ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
+    pace::PaceCause,
     parts::PartMarks,
-    preference,
+    preference::{self, Placement},
     reports::{OpenReport, RouterReports},
+    speed::ServiceTimes,
     target::{ReportedLoad, TargetRecord},
     targets::TargetTable,
     time::Time,
@@ -34,6 +36,7 @@
 
 mod crashes;
 mod notices;
+mod pace;
 
 /// Time for which a target counts as full after it declined a request.
 const DECLINE_COOLDOWN: Duration = Duration::from_millis(150);
@@ -49,8 +52,6 @@
 /// Time for which a crash counts against the content that may have caused it. Content that has
 /// crashed two targets within this time is refused.
 const HOLD_DURATION: Duration = Duration::from_secs(60);
-/// Maximum number of recent requests to a cold target whose times are kept for its rate limit.
-const MAX_COLD_SENT: usize = 256;
 /// Delay after which a caller that was refused may retry.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -116,6 +117,7 @@
     initial_list_received: bool,
     /// Requests per second that a cold target of each service can serve.
     cold_rates: HashMap<ServiceName, f64>,
+    service_times: ServiceTimes,
     evacuated: HashSet<ZoneName>,
     retry_budgets: HashMap<ServiceName, FleetRetryBudget>,
     suspects: Suspects,
@@ -139,6 +141,7 @@
             moves: Moves::default(),
             initial_list_received: false,
             cold_rates: HashMap::new(),
+            service_times: ServiceTimes::default(),
             evacuated: HashSet::new(),
             retry_budgets: HashMap::new(),
             suspects: Suspects::new(HOLD_DURATION),
@@ -166,7 +169,7 @@
     /// in taking turns at targets that state a limit.
     pub fn set_rank(&mut self, rank: u32) {
         self.moves.set_rank(rank);
-        self.turns.rank = rank;
+        self.turns.rank = Some(rank);
     }
 
     /// Sets the time of day at the epoch of the router's own times.
@@ -255,6 +258,9 @@
                 // The target was registered before this router started.
                 entry.known_since = Time::ZERO;
             }
+            if entry.is_cold(now) {
+                entry.pace.start(PaceCause::Started, now);
+            }
             entry.outstanding_elsewhere = self.reports.open_at(&entry.record.name);
             self.targets.insert(entry);
             return;
@@ -271,9 +277,15 @@
             fresh.outstanding_elsewhere = entry.outstanding_elsewhere;
             let name = fresh.record.name.clone();
             *entry = fresh;
+            if entry.is_cold(now) {
+                entry.pace.start(PaceCause::Started, now);
+            }
             self.mark_running_requests(&name, broken, now);
             return;
         }
+        if !entry.is_cold(now) && !record.cold.is_zero() {
+            entry.pace.start(PaceCause::Started, now);
+        }
         entry.cold_until = now + record.cold;
         entry.record = record;
     }
@@ -374,11 +386,10 @@
         entry.outstanding += 1;
         entry.change_since_report += 1;
         entry.limit.take(&self.turns, now);
-        if now < entry.cold_until {
-            entry.cold_sent.push_back(now);
-            if entry.cold_sent.len() > MAX_COLD_SENT {
-                entry.cold_sent.pop_front();
-            }
+        if entry.is_cold(now) {
+            let rate = self.cold_rates.get(criteria.service);
+            let rate = rate.copied().unwrap_or(f64::INFINITY);
+            entry.pace.record_cold_sent(rate, &self.turns, now);
         }
         Ok(choice)
     }
@@ -389,23 +400,21 @@
         random: f64,
         now: Time,
     ) -> Option<(TargetName, f64)> {
-        let (mut sum, mut counted) = (0.0, 0.0);
-        let (mut failure_sum, mut usable) = (0.0, 0_u32);
-        let evacuated = &self.evacuated;
+        let mut service = ServiceSums::default();
+        let (evacuated, trace) = (&self.evacuated, &mut self.trace);
         self.targets.for_each_target(criteria.service, |entry| {
+            let is_evacuated = evacuated.contains(&entry.record.zone);
+            entry.pace.note_evacuated(is_evacuated, now);
             if !entry.is_usable(evacuated, now) {
                 // The load bound of the fleet counts the idle targets of evacuated zones as well.
-                let idle = evacuated.contains(&entry.record.zone);
-                counted += if idle { 1.0 } else { 0.0 };
+                service.counted += if is_evacuated { 1.0 } else { 0.0 };
                 return;
             }
             entry.decay(now);
-            sum += entry.load(now);
-            counted += 1.0;
-            failure_sum += entry.failure_share();
-            usable += 1;
+            pace::update(entry, trace, now);
+            service.add(entry, now);
         });
-        let mean = sum / f64::max(counted, 1.0);
+        let mean = service.sum / f64::max(service.counted, 1.0);
         let untried = self
             .targets
             .service_targets(criteria.service)
@@ -414,17 +423,19 @@
                     && !criteria.tried.contains(&entry.record.name)
                     && entry.limit.wait(&self.turns, now).is_zero()
             });
-        let rate = self.cold_rates.get(criteria.service);
-        let cold_rate = rate.map_or(f64::INFINITY, |rate| rate / f64::from(self.turns.routers));
+        let cold_rate = self.cold_rates.get(criteria.service);
+        let cold_rate = cold_rate.copied().unwrap_or(f64::INFINITY);
         let ranked = untried.filter_map(|entry| {
-            let others_failure_share =
-                (failure_sum - entry.failure_share()) / f64::from(usable.saturating_sub(1).max(1));
-            let rank = preference::rank(entry, others_failure_share, cold_rate, now)?;
-            Some((rank, entry))
+            let others_failure_share = (service.failures - entry.failure_share())
+                / f64::from(service.usable.saturating_sub(1).max(1));
+            let rank = preference::rank(entry, others_failure_share, now);
+            let may_send =
+                !entry.is_cold(now) || entry.pace.may_send_cold(cold_rate, &self.turns, now);
+            may_send.then_some((rank, entry))
         });
         let context = criteria.contexts.last().copied();
         let version = self.moves.choose(criteria.service, context, random, now);
-        let mut all = Vec::with_capacity(usable as usize);
+        let mut all = Vec::with_capacity(service.usable as usize);
         all.extend(ranked);
         let ranked = version.filter(all, &self.targets);
         let best = ranked.iter().map(|(rank, _)| *rank).min()?;
@@ -432,9 +443,19 @@
             .iter()
             .filter(|(rank, _)| *rank == best)
             .map(|(_, entry)| *entry);
+        let placement = Placement {
+            mean,
+            warm_mean: service.warm_mean(),
+            mean_slots: service.slots / f64::from(service.usable.max(1)),
+            zone: &self.zone,
+            now,
+        };
         let chosen = match context {
-            Some(context) => preference::choose_for_context(entries, context, mean, now),
-            None => preference::choose_least_loaded(entries, &self.zone, random, now),
+            Some(context) => {
+                let holds = |entry: &Estimate| self.holders.is_assigned(context, entry, now);
+                placement.choose_for_context(entries, context, holds)
+            }
+            None => placement.choose_least_loaded(entries, random),
         };
         chosen.map(|entry| (entry.record.name.clone(), mean))
     }
@@ -443,6 +464,9 @@
     pub fn record_load(&mut self, target: &TargetName, load: ReportedLoad, now: Time) {
         if let Some(entry) = self.targets.get_mut(target) {
             entry.reported_load = Some((load, now));
+            if let Some(slowness) = load.slowness {
+                entry.speed.record_stated(slowness, now);
+            }
             entry.change_since_report = 0;
         }
     }
@@ -485,6 +509,7 @@
                 self.trace_part(part, PartCause::Answer);
             }
         }
+        self.record_pace(target, finished, now);
         let entry = self.targets.get_mut(target)?;
         entry.outstanding = entry.outstanding.saturating_sub(1);
         entry.change_since_report -= 1;
@@ -531,3 +556,39 @@
         None
     }
 }
+
+/// Sums over the targets of a service.
+#[derive(Debug, Default)]
+struct ServiceSums {
+    /// Load of the usable targets.
+    sum: f64,
+    /// Number of usable targets and of those in evacuated zones.
+    counted: f64,
+    /// Failure shares of the usable targets.
+    failures: f64,
+    usable: u32,
+    slots: f64,
+    /// Load and number of the usable targets that are not under pace.
+    warm: (f64, u32),
+}
+
+impl ServiceSums {
+    fn add(&mut self, entry: &Estimate, now: Time) {
+        let load = entry.load(now);
+        self.sum += load;
+        self.counted += 1.0;
+        self.failures += entry.failure_share();
+        self.usable += 1;
+        self.slots += f64::from(entry.slots());
+        if !entry.pace.is_active() {
+            self.warm.0 += load;
+            self.warm.1 += 1;
+        }
+    }
+
+    /// Mean load of the targets that are not under pace; `None` without any.
+    fn warm_mean(&self) -> Option<f64> {
+        let (load, count) = self.warm;
+        (count > 0).then(|| load / f64::from(count))
+    }
+}
--- a/core/src/selector/notices.rs
+++ b/core/src/selector/notices.rs
@@ -38,6 +38,9 @@
             target: target.name.clone(),
             notice,
         };
+        if notices.is_slowness_malformed && entry.speed.record_malformed() {
+            self.trace.push(malformed(Notice::Slowness));
+        }
         match notices.pause {
             StatedPause::For(pause) => {
                 entry.notices.record_pause(pause, now);
--- a/core/src/target.rs
+++ b/core/src/target.rs
@@ -41,10 +41,15 @@
 }
 
 /// Load that a target reports with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ReportedLoad {
     /// Requests that the target is running.
     pub running: u32,
     /// Requests that wait at the target for a free slot.
     pub waiting: u32,
+    /// Requests that the target runs concurrently; `None` if it states none.
+    pub slots: Option<u32>,
+    /// How long work takes at this moment, as a multiple of the usual time, from 0.2 to 20; `None`
+    /// if the target states nothing usable.
+    pub slowness: Option<f64>,
 }
--- a/core/src/timing.rs
+++ b/core/src/timing.rs
@@ -28,7 +28,7 @@
 }
 
 impl Timing {
-    fn seconds(self) -> f64 {
+    pub(crate) fn seconds(self) -> f64 {
         match self {
             Self::Whole(time) | Self::Events(time) => time.as_secs_f64(),
         }
--- a/core/src/trace.rs
+++ b/core/src/trace.rs
@@ -8,6 +8,7 @@
     id::{Fingerprint, PartId},
     name::{TargetName, TeamName},
     outcome::Probe,
+    pace::PaceChange,
 };
 
 /// A statement that contains a number.
@@ -18,6 +19,8 @@
     Limit,
     /// Pause that the target wants from this router.
     Pause,
+    /// How long work takes at the target.
+    Slowness,
 }
 
 /// Why the mark of a prompt part changed.
@@ -81,6 +84,17 @@
         /// The result.
         result: Probe,
     },
+    /// The pace of a target started, was halved or ended.
+    Pace {
+        /// The target.
+        target: TargetName,
+        /// What changed.
+        change: PaceChange,
+        /// Share of its peers' load that the target may get, from 0 to 1.
+        share: f64,
+        /// Remaining time of its cold start.
+        cold: Duration,
+    },
     /// The crashes that are counted against a prompt part have changed.
     Part {
         /// The part.
--- /dev/null
+++ b/core/tests/pace.rs
@@ -0,0 +1,182 @@
+//! Tests of the pace at which targets that return get requests, and of placement by speed, with
+//! routers and targets on a fake clock.
+
+mod paced;
+
+use std::time::Duration;
+
+use paced::{COLD_LIMIT, Conditions, Counts, World};
+
+const SEED: u64 = 7;
+const USUAL: Conditions = Conditions {
+    routers: 6,
+    loss: 0.0,
+    delay_ms: 50,
+};
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Lets `returned` leave and return under load. Returns their load relative to their peers in the
+/// last second before 1, 3, 5 and 10 s after the return, and what was counted from then on.
+fn return_of(returned: &[usize], conditions: Conditions) -> ([f64; 4], Counts) {
+    let mut world = World::new(SEED, conditions);
+    world.run(seconds(10));
+    returned.iter().for_each(|target| world.stop(*target, true));
+    world.run(seconds(5));
+    returned.iter().for_each(|target| world.start(*target));
+    world.counts = Counts::default();
+    let mut loads = [0.0; 4];
+    for (load, step) in loads.iter_mut().zip([1, 2, 2, 5]) {
+        *load = world.run_and_compare(seconds(step), returned);
+    }
+    println!(
+        "{returned:?} {conditions:?}: {loads:.2?} {:?}",
+        world.counts
+    );
+    (loads, world.counts)
+}
+
+/// Checks what holds also if routers know little of each other.
+fn check_limits(counts: &Counts) {
+    assert!(counts.cold_peak <= COLD_LIMIT, "{counts:?}");
+    assert_eq!(counts.over_known, 0, "{counts:?}");
+    assert_eq!(counts.refused, 0, "{counts:?}");
+    assert!(counts.in_time * 100 >= counts.sent * 95, "{counts:?}");
+}
+
+fn check(returned: &[usize], conditions: Conditions) {
+    let (loads, counts) = return_of(returned, conditions);
+    check_limits(&counts);
+    assert!(counts.over_bound * 100 <= counts.sent, "{counts:?}");
+    assert!(loads[1] > 0.1, "the cold target idles: {loads:?}");
+    assert!((0.5..=1.5).contains(&loads[3]), "{loads:?}");
+}
+
+/// Guards against a target that crashes since it is flooded while it is cold, one that idles while
+/// its peers are loaded, and one that gets everything at once after that.
+#[test]
+fn a_target_returns_at_its_pace() {
+    for routers in [1, 6, 28] {
+        check(&[4], Conditions { routers, ..USUAL });
+    }
+}
+
+/// Guards against peers that are overloaded because all targets of a zone are under pace.
+#[test]
+fn a_zone_returns_at_its_pace() {
+    for routers in [1, 6, 28] {
+        check(&[0, 3, 6], Conditions { routers, ..USUAL });
+    }
+}
+
+/// Guards against a rate limit that needs reports of other routers to hold.
+#[test]
+fn lost_and_late_reports_do_not_break_the_limits() {
+    for routers in [6, 28] {
+        let conditions = Conditions {
+            routers,
+            loss: 0.5,
+            delay_ms: 1_000,
+        };
+        let (_, counts) = return_of(&[4], conditions);
+        check_limits(&counts);
+    }
+}
+
+/// Guards against routers that start anew and use their share of a cold target's rate once more.
+#[test]
+fn routers_that_start_anew_keep_the_cold_rate() {
+    for routers in [1, 6, 28] {
+        let mut world = World::new(SEED, Conditions { routers, ..USUAL });
+        world.run(seconds(5));
+        world.stop(4, true);
+        world.run(seconds(2));
+        world.start(4);
+        world.counts = Counts::default();
+        for restart in 0..30 {
+            world.run(Duration::from_millis(100));
+            world.restart_router(restart % usize::try_from(routers).expect("routers are few"));
+        }
+        println!("{routers} routers start anew: {:?}", world.counts);
+        assert!(world.counts.cold_peak <= COLD_LIMIT, "{:?}", world.counts);
+    }
+}
+
+/// Guards against a share that is kept over a crash, so that the next run of the target is flooded.
+#[test]
+fn a_target_that_fails_while_its_share_grows_starts_again() {
+    for routers in [1, 6, 28] {
+        let mut world = World::new(SEED, Conditions { routers, ..USUAL });
+        world.run(seconds(5));
+        world.stop(4, true);
+        world.run(seconds(2));
+        world.start(4);
+        world.run(seconds(4));
+        world.stop(4, false);
+        world.run(seconds(1));
+        world.start(4);
+        world.counts = Counts::default();
+        let loads = [1, 2, 2, 5].map(|step| world.run_and_compare(seconds(step), &[4]));
+        println!(
+            "{routers} routers, failed again: {loads:.2?} {:?}",
+            world.counts
+        );
+        assert!(world.counts.cold_peak <= COLD_LIMIT, "{:?}", world.counts);
+        assert!(loads[0] < 0.5, "{loads:?}");
+        assert!((0.5..=1.5).contains(&loads[3]), "{loads:?}");
+    }
+}
+
+/// Guards against a target that attracts all requests, or gets none any more, by what it states.
+#[test]
+fn absurd_slowness_does_not_break_the_load_bound() {
+    for stated in [[0.2, 0.2], [20.0, 20.0], [0.2, 20.0]] {
+        let mut world = World::new(SEED, USUAL);
+        world.run(seconds(5));
+        world.counts = Counts::default();
+        for turn in 0..100 {
+            world.targets[4].stated = Some(stated[turn % 2]);
+            world.run(Duration::from_millis(50));
+        }
+        let load = world.run_and_compare(seconds(3), &[4]);
+        println!("states {stated:?}: {load:.2} {:?}", world.counts);
+        check_limits(&world.counts);
+        assert!(world.counts.over_bound * 100 <= world.counts.sent);
+        assert!(load > 0.0, "the target gets nothing");
+    }
+}
+
+/// Guards against chats that stay at a slow target while others are faster, that do not return when
+/// it has recovered, and that return all at once.
+#[test]
+fn chats_leave_a_slow_home_and_return() {
+    for is_stated in [true, false] {
+        let mut world = World::new(SEED, USUAL);
+        world.run(seconds(20));
+        let chats = |world: &World| world.placed.iter().filter(|at| **at == Some(4)).count();
+        let usual = chats(&world);
+        let slow_down = |world: &mut World, slowness| {
+            world.targets[4].slowness = slowness;
+            for target in &mut world.targets {
+                target.stated = is_stated.then_some(target.slowness);
+            }
+        };
+        slow_down(&mut world, 2.5);
+        world.counts = Counts::default();
+        // A chat returns every 11 s in the mean; almost all of them within this time.
+        world.run(seconds(40));
+        let (slow, counts) = (chats(&world), world.counts);
+        slow_down(&mut world, 1.0);
+        let loads = [1, 2, 2, 10].map(|step| world.run_and_compare(seconds(step), &[4]));
+        world.run(seconds(25));
+        let recovered = chats(&world);
+        println!("stated {is_stated}: chats {usual}, {slow}, {recovered}; {loads:.2?} {counts:?}");
+        // Once some chats have left, the slow home serves the others as soon as its peers would:
+        // with 1.5 / 2.5 of their load, if a chat leaves for a gain of half.
+        assert!(slow * 4 < usual * 3, "{usual} and {slow}");
+        assert!(recovered * 4 > usual * 3, "{usual} and {recovered}");
+        assert!(loads.iter().all(|load| *load < 1.5), "{loads:?}");
+    }
+}
--- a/core/tests/selector.rs
+++ b/core/tests/selector.rs
@@ -204,7 +204,7 @@
         } else {
             let load = ReportedLoad {
                 running: count("running"),
-                waiting: 0,
+                ..ReportedLoad::default()
             };
             self.selector.record_load(&name, load, self.now);
         }
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -1,6 +1,10 @@
 //! Log lines for changes in the target selector.
 
-use ebonyfall_core::{parts::CRASHES_TO_HOLD, trace::TraceEvent};
+use std::time::Duration;
+
+use ebonyfall_core::{
+    name::TargetName, pace::PaceChange, parts::CRASHES_TO_HOLD, trace::TraceEvent,
+};
 use slog::{Logger, info, warn};
 
 use crate::{clock, logs};
@@ -38,6 +42,12 @@
             info!(log, "opened a connection to a target because a request to it broke";
                     "event" => "probe", "target" => %target, "result" => %result);
         }
+        TraceEvent::Pace {
+            target,
+            change,
+            share,
+            cold,
+        } => log_pace(log, target, *change, *share, *cold),
         TraceEvent::Part {
             part,
             cause,
@@ -50,3 +60,22 @@
         }
     }
 }
+
+fn log_pace(log: &Logger, target: &TargetName, change: PaceChange, share: f64, cold: Duration) {
+    let cold_ms = clock::millis(cold);
+    match change {
+        PaceChange::Started(cause) => {
+            info!(log, "a target gets a growing share of its peers' load"; "event" => "pace_start",
+                "target" => %target, "cause" => %cause, "share" => share, "cold_ms" => cold_ms);
+        }
+        PaceChange::Halved => {
+            info!(log, "a slow or refused answer halved a target's share of its peers' load";
+                "event" => "pace_halved", "target" => %target, "share" => share,
+                "cold_ms" => cold_ms);
+        }
+        PaceChange::Ended => {
+            info!(log, "a target gets the same load as its peers again"; "event" => "pace_end",
+                "target" => %target);
+        }
+    }
+}
