--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -23,7 +23,7 @@
     moves::{MoveState, MoveVerdict, Moves, VersionCounts},
     name::{MoveName, ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
-    pace::PaceCause,
+    pace::{ColdTurns, PaceCause},
     parts::PartMarks,
     preference::{self, Placement},
     reports::{OpenReport, RouterReports},
@@ -37,6 +37,7 @@
 mod crashes;
 mod notices;
 mod pace;
+mod sums;
 
 /// Time for which a target counts as full after it declined a request.
 const DECLINE_COOLDOWN: Duration = Duration::from_millis(150);
@@ -111,6 +112,7 @@
     /// Routers that share the retry budget, the rates of cold targets and the limits that targets
     /// state.
     turns: Turns,
+    cold_turns: ColdTurns,
     targets: TargetTable,
     moves: Moves,
     /// Whether a full list of targets has arrived since the router started.
@@ -137,6 +139,7 @@
             zone,
             retry,
             turns: Turns::default(),
+            cold_turns: ColdTurns::default(),
             targets: TargetTable::default(),
             moves: Moves::default(),
             initial_list_received: false,
@@ -165,6 +168,12 @@
         self.turns.routers = routers.max(1);
     }
 
+    /// Sends nothing to cold targets until the router's rank is known. A router that starts knows no
+    /// other one for a moment and would use the whole rate of a cold target.
+    pub fn await_rank(&mut self) {
+        self.cold_turns.await_rank();
+    }
+
     /// Sets the number of routers that precede this one in reporting the state of version moves, and
     /// in taking turns at targets that state a limit.
     pub fn set_rank(&mut self, rank: u32) {
@@ -389,7 +398,9 @@
         if entry.is_cold(now) {
             let rate = self.cold_rates.get(criteria.service);
             let rate = rate.copied().unwrap_or(f64::INFINITY);
-            entry.pace.record_cold_sent(rate, &self.turns, now);
+            let turns = self.cold_turns.update(&self.turns, now);
+            let turns = turns.unwrap_or(self.turns);
+            entry.pace.record_cold_sent(rate, &turns, now);
         }
         Ok(choice)
     }
@@ -400,7 +411,7 @@
         random: f64,
         now: Time,
     ) -> Option<(TargetName, f64)> {
-        let mut service = ServiceSums::default();
+        let mut service = sums::ServiceSums::default();
         let (evacuated, trace) = (&self.evacuated, &mut self.trace);
         self.targets.for_each_target(criteria.service, |entry| {
             let is_evacuated = evacuated.contains(&entry.record.zone);
@@ -424,13 +435,14 @@
                     && entry.limit.wait(&self.turns, now).is_zero()
             });
         let cold_rate = self.cold_rates.get(criteria.service);
+        let turns = self.cold_turns.update(&self.turns, now);
         let cold_rate = cold_rate.copied().unwrap_or(f64::INFINITY);
         let ranked = untried.filter_map(|entry| {
             let others_failure_share = (service.failures - entry.failure_share())
                 / f64::from(service.usable.saturating_sub(1).max(1));
             let rank = preference::rank(entry, others_failure_share, now);
             let may_send =
-                !entry.is_cold(now) || entry.pace.may_send_cold(cold_rate, &self.turns, now);
+                !entry.is_cold(now) || entry.pace.may_send_cold(cold_rate, turns.as_ref(), now);
             may_send.then_some((rank, entry))
         });
         let context = criteria.contexts.last().copied();
@@ -556,39 +568,3 @@
         None
     }
 }
-
-/// Sums over the targets of a service.
-#[derive(Debug, Default)]
-struct ServiceSums {
-    /// Load of the usable targets.
-    sum: f64,
-    /// Number of usable targets and of those in evacuated zones.
-    counted: f64,
-    /// Failure shares of the usable targets.
-    failures: f64,
-    usable: u32,
-    slots: f64,
-    /// Load and number of the usable targets that are not under pace.
-    warm: (f64, u32),
-}
-
-impl ServiceSums {
-    fn add(&mut self, entry: &Estimate, now: Time) {
-        let load = entry.load(now);
-        self.sum += load;
-        self.counted += 1.0;
-        self.failures += entry.failure_share();
-        self.usable += 1;
-        self.slots += f64::from(entry.slots());
-        if !entry.pace.is_active() {
-            self.warm.0 += load;
-            self.warm.1 += 1;
-        }
-    }
-
-    /// Mean load of the targets that are not under pace; `None` without any.
-    fn warm_mean(&self) -> Option<f64> {
-        let (load, count) = self.warm;
-        (count > 0).then(|| load / f64::from(count))
-    }
-}
--- a/core/tests/pace.rs
+++ b/core/tests/pace.rs
@@ -104,6 +104,40 @@
     }
 }
 
+/// Guards against routers that use the turns of all others: those that have lost sight of them, those
+/// that start and know no other one yet, and those whose clocks jump.
+#[test]
+fn routers_without_a_common_view_keep_the_cold_rate() {
+    type Disturb = fn(&mut World, usize);
+    let disturbances: [(&str, Disturb); 3] = [
+        ("cut off", |world, number| world.isolate(number)),
+        ("start alone", |world, number| {
+            world.restart_router(number);
+            world.isolate(number);
+        }),
+        ("clocks jump", |world, number| {
+            let seconds = Duration::from_millis(500 * u64::try_from(number % 5).unwrap_or(0));
+            world.set_clock(number, seconds);
+        }),
+    ];
+    for (name, disturb) in disturbances {
+        for routers in [6, 28] {
+            let mut world = World::new(SEED, Conditions { routers, ..USUAL });
+            world.run(seconds(5));
+            world.stop(4, true);
+            world.run(seconds(2));
+            world.start(4);
+            world.run(Duration::from_millis(700));
+            for number in 0..usize::try_from(routers).expect("routers are few") {
+                disturb(&mut world, number);
+            }
+            world.run(Duration::from_millis(2_300));
+            println!("{name}, {routers} routers: {:?}", world.counts);
+            assert!(world.counts.cold_peak <= COLD_LIMIT, "{:?}", world.counts);
+        }
+    }
+}
+
 /// Guards against a share that is kept over a crash, so that the next run of the target is flooded.
 #[test]
 fn a_target_that_fails_while_its_share_grows_starts_again() {
--- a/core/tests/paced/mod.rs
+++ b/core/tests/paced/mod.rs
@@ -169,6 +169,7 @@
         };
         let own_zone = u16::try_from(rank).expect("routers are few") % ZONES;
         let mut selector = TargetSelector::new(zone(own_zone), bound);
+        selector.await_rank();
         selector.set_routers(self.conditions.routers);
         selector.set_rank(rank);
         selector.set_cold_rates([(self.service.clone(), COLD_RATE)].into());
@@ -199,6 +200,18 @@
         self.routers[number] = self.router(rank);
     }
 
+    /// Lets a router believe that it is the only one.
+    pub fn isolate(&mut self, number: usize) {
+        let selector = &mut self.routers[number].selector;
+        selector.set_routers(1);
+        selector.set_rank(0);
+    }
+
+    /// Sets the clock of a router.
+    pub fn set_clock(&mut self, number: usize, offset: Duration) {
+        self.routers[number].selector.set_unix_offset(offset);
+    }
+
     /// Stops a target; its requests break, and its record disappears if `is_known`.
     pub fn stop(&mut self, number: usize, is_known: bool) {
         self.targets[number].is_up = false;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -81,7 +81,8 @@
     info!(log, "started"; "event" => "start", "name" => %cfg.name, "zone" => %cfg.zone,
         "version" => env!("CARGO_PKG_VERSION"));
     let metrics = Metrics::new();
-    let selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
+    let mut selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
+    selector.await_rank();
     let selector = SelectorHandle::start(selector, BootClock, log.clone());
     let store = StoreClient::new(cfg.store, metrics.entry.clone());
     let (access_tx, access) = watch::channel(None);
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -75,6 +75,9 @@
     pub desired_version: Gauge,
     /// Number of calls of the store without a usable answer.
     pub store_failures: Counter,
+    /// Number of targets under pace.
+    pub targets_under_pace: Gauge,
+    stated_slowness: Gauge<f64, std::sync::atomic::AtomicU64>,
     state_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     failures: Family<FailureLabels, Counter>,
     exceeded: Family<LimitLabels, Counter>,
@@ -95,6 +98,8 @@
             routers: Gauge::default(),
             desired_version: Gauge::default(),
             store_failures: Counter::default(),
+            targets_under_pace: Gauge::default(),
+            stated_slowness: Gauge::default(),
             state_age: Gauge::default(),
             failures: Family::default(),
             exceeded: Family::default(),
@@ -117,6 +122,13 @@
         registry.register("routers", help, self.routers.clone());
         let help = "Version of the desired state in force";
         registry.register("desired_version", help, self.desired_version.clone());
+        let help =
+            "Targets that get a limited share of their peers' load since they start or recover";
+        let gauge = self.targets_under_pace.clone();
+        registry.register("targets_under_pace", help, gauge);
+        let help =
+            "Highest slowness that a target states, as a multiple of the usual time; 0 if none";
+        registry.register("stated_slowness_max", help, self.stated_slowness.clone());
         let help = "Calls of the store without a usable answer";
         registry.register("store_failures", help, self.store_failures.clone());
         let help = "Requests that failed at a target, by how";
@@ -201,6 +213,11 @@
         self.store.observe(after.as_secs_f64());
     }
 
+    /// Sets the highest slowness that a target states; zero if none does.
+    pub fn set_stated_slowness(&self, slowness: f64) {
+        self.stated_slowness.set(slowness);
+    }
+
     /// Sets the time since the desired state was last confirmed by the store.
     pub fn set_state_age(&self, age: Duration) {
         self.state_age.set(age.as_secs_f64());
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -81,7 +81,18 @@
         Some(BootClock.now().since(confirmed))
     }
 
-    fn metrics_page(&self) -> Response<Body> {
+    async fn metrics_page(&self) -> Response<Body> {
+        let steering = self.selector.inspect().await;
+        let under_pace = steering
+            .targets
+            .iter()
+            .filter(|target| target.pace.is_some());
+        let under_pace = i64::try_from(under_pace.count()).unwrap_or(i64::MAX);
+        let entry = &self.metrics.entry;
+        entry.targets_under_pace.set(under_pace);
+        let stated = steering.targets.iter();
+        let stated = stated.filter_map(|target| target.stated_slowness);
+        entry.set_stated_slowness(stated.fold(0.0, f64::max));
         if let Some(age) = self.state_age() {
             self.metrics.entry.set_state_age(age);
         }
@@ -113,7 +124,7 @@
             if uri.path() == DUMP_PATH {
                 monitoring.dump_page().await
             } else {
-                monitoring.metrics_page()
+                monitoring.metrics_page().await
             }
         }
     });
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -173,6 +173,15 @@
     /// Tells the selector how many routers are alive, and logs when that differs from `before`.
     /// Returns their number.
     async fn update_routers(&self, gossip: &Gossip, before: usize) -> usize {
+        let since_epoch = BootClock.now().since(Time::ZERO);
+        let offset = Update::UnixOffset(clock::unix_time().saturating_sub(since_epoch));
+        // After a start or a pause, the others are not known yet. A router that takes itself for the
+        // only one uses the rates of cold targets and the retry budgets of all.
+        let is_fresh = gossip.membership().borrow().fresh;
+        if !is_fresh {
+            self.selector.update(vec![offset]).await;
+            return before;
+        }
         let (count, rank) = {
             let membership = gossip.membership();
             let routers = &membership.borrow().routers;
@@ -187,8 +196,6 @@
         }
         let saturating_u32 = |count| u32::try_from(count).unwrap_or(u32::MAX);
         let routers = Update::Routers(saturating_u32(count), saturating_u32(rank));
-        let since_epoch = BootClock.now().since(Time::ZERO);
-        let offset = Update::UnixOffset(clock::unix_time().saturating_sub(since_epoch));
         self.selector.update(vec![routers, offset]).await;
         count
     }
