--- a/core/src/pace.rs
+++ b/core/src/pace.rs
@@ -10,6 +10,8 @@
 /// Share of its peers' load with which a target starts. A cold target takes several times as long
 /// for a request as a warm one.
 const START_SHARE: f64 = 0.2;
+/// Share with which a target starts that was only slow: its caches are warm.
+const REGAINED_SHARE: f64 = 0.5;
 /// Smallest share, so that the target's answers still show when it recovers.
 const MIN_SHARE: f64 = 0.05;
 /// Largest share while the target is cold, or has not given a good answer since its pace started or
@@ -110,7 +112,14 @@
 
     /// Starts the pace, or returns to the start if it has grown. The share grows from `from` on.
     pub(crate) fn start(&mut self, cause: PaceCause, from: Time) {
-        let share = self.share.unwrap_or(1.0).min(START_SHARE);
+        let start = match cause {
+            PaceCause::SpeedRegained => REGAINED_SHARE,
+            PaceCause::Started
+            | PaceCause::Backoff
+            | PaceCause::Evacuated
+            | PaceCause::SlowAnswers => START_SHARE,
+        };
+        let share = self.share.unwrap_or(1.0).min(start);
         if self.share.replace(share).is_none() {
             self.changes.push(PaceChange::Started(cause));
         }
--- a/core/tests/pace.rs
+++ b/core/tests/pace.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use ebonyfall_core::pace::{PaceCause, PaceChange};
 use paced::{COLD_LIMIT, Conditions, Counts, World};
 
 const SEED: u64 = 7;
@@ -214,3 +215,44 @@
         assert!(loads.iter().all(|load| *load < 1.5), "{loads:?}");
     }
 }
+
+/// Guards against a target that turns cold without a word and keeps its full share, and against a
+/// pace that does not end, or is not traced, when its answers are good again.
+#[test]
+fn a_target_that_turns_slow_without_a_word_is_paced() {
+    let mut world = World::new(SEED, USUAL);
+    world.run(seconds(10));
+    assert_eq!(world.pace_changes(4), []);
+    world.targets[4].slowness = 6.0;
+    let load = world.run_and_compare(seconds(20), &[4]);
+    let changes = world.pace_changes(4);
+    let slow = PaceChange::Started(PaceCause::SlowAnswers);
+    assert!(changes.contains(&slow), "{changes:?}");
+    assert!(changes.contains(&PaceChange::Halved), "{changes:?}");
+    world.targets[4].slowness = 1.0;
+    let recovered = world.run_and_compare(seconds(20), &[4]);
+    let changes = world.pace_changes(4);
+    println!("slow without a word: {load:.2}, then {recovered:.2}");
+    assert!(changes.contains(&PaceChange::Ended), "{changes:?}");
+    assert!(load < 0.75, "{load}");
+    assert!((0.5..=1.5).contains(&recovered), "{recovered}");
+}
+
+/// Guards against placement that follows differences of 20 % between answer times.
+#[test]
+fn small_differences_of_speed_count_as_none() {
+    let mut world = World::new(SEED, USUAL);
+    for (target, slowness) in world.targets.iter_mut().zip([0.8, 1.0, 1.2].iter().cycle()) {
+        target.slowness = *slowness;
+    }
+    for _ in 0..30 {
+        world.run(seconds(1));
+        let slowness = world.slowness();
+        assert!(
+            slowness
+                .iter()
+                .all(|times| (times - 1.0).abs() < f64::EPSILON)
+        );
+    }
+    assert_eq!(world.pace_changes(2), []);
+}
--- a/core/tests/paced/mod.rs
+++ b/core/tests/paced/mod.rs
@@ -9,11 +9,13 @@
     id::{Fingerprint, Incarnation},
     name::{ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
+    pace::PaceChange,
     reports::OpenReport,
     selector::{Criteria, TargetSelector},
     target::{ReportedLoad, Stage, TargetRecord},
     time::Time,
     timing::Timing,
+    trace::TraceEvent,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -243,6 +245,26 @@
         }
     }
 
+    /// Changes that the routers have traced since the last call, of a target.
+    pub fn pace_changes(&mut self, number: usize) -> Vec<PaceChange> {
+        let name = &self.targets[number].record.name;
+        let routers = self.routers.iter_mut();
+        let events = routers.flat_map(|router| router.selector.take_trace());
+        let changes = events.filter_map(|event| match event {
+            TraceEvent::Pace { target, change, .. } if target == *name => Some(change),
+            _ => None,
+        });
+        changes.collect()
+    }
+
+    /// Slowness that each router estimates of each target.
+    pub fn slowness(&mut self) -> Vec<f64> {
+        let now = self.now;
+        let routers = self.routers.iter_mut();
+        let targets = routers.flat_map(|router| router.selector.inspect(now).targets);
+        targets.map(|target| target.slowness).collect()
+    }
+
     pub fn run(&mut self, length: Duration) {
         let end = self.now + length;
         while self.now < end {
