Move the agents' ramp below the pace, and let a stated slowness fade to the usual speed

The two share no rule: an agent limits what runs at once by proofs of health, a router a share of the peers' load. They are one module tree, core::pace, and agents do what they did.

A stated slowness that aged gave way to the measured one, so that the estimate of a target that stated its recovery swung between the two and its pace started up to four times at each router. Answer times now count only where nothing was stated for 3 s.

--- a/bench/src/admit.rs
+++ b/bench/src/admit.rs
@@ -14,7 +14,7 @@
     doc::Priority,
     id::Fingerprint,
     name::TeamName,
-    ramp::Capacity,
+    pace::ramp::Capacity,
     retry::{MAX_ATTEMPTS, RetryBudget},
     time::Time,
 };
--- a/core/src/admit.rs
+++ b/core/src/admit.rs
@@ -14,7 +14,7 @@
     fair::{FairQueue, count_to_f64},
     id::{Fingerprint, Incarnation},
     name::TeamName,
-    ramp::{Capacity, Ramp},
+    pace::ramp::{Capacity, Ramp},
     time::Time,
 };
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -46,7 +46,6 @@
 pub mod place;
 mod preference;
 mod probe;
-pub mod ramp;
 mod read;
 pub mod readers;
 pub mod record;
--- a/core/src/pace.rs
+++ b/core/src/pace.rs
@@ -7,6 +7,8 @@
 
 use crate::{limit::Turns, time::Time};
 
+pub mod ramp;
+
 /// Share of its peers' load with which a target starts. A cold target takes several times as long
 /// for a request as a warm one.
 const START_SHARE: f64 = 0.2;
--- a/core/src/speed.rs
+++ b/core/src/speed.rs
@@ -13,6 +13,9 @@
 const SLOWNESS_RANGE: [f64; 2] = [0.2, 20.0];
 /// Age at which a stated slowness has lost its weight.
 const STATED_TTL: Duration = Duration::from_millis(600);
+/// Time after a statement for which answer times are not used, and within which a target that stated
+/// a high slowness does not count as recovered because the statement has lost its weight.
+const STATED_MEMORY: Duration = Duration::from_secs(3);
 /// Weight of the newest stated slowness against the previous one, so that a target which states
 /// another one with each answer does not move all traffic each time.
 const STATED_WEIGHT: f64 = 0.5;
@@ -103,18 +106,18 @@
     /// Time that the target needs for work, as a multiple of the usual time; 1 where nothing else is
     /// known. The weight of a stated value falls to zero with its age.
     pub(crate) fn slowness(&self, now: Time) -> f64 {
-        let measured = self.measured(now);
-        let Some((times, at)) = self.stated else {
-            return measured;
+        let Some((times, at)) = self.remembered(now) else {
+            return self.measured(now);
         };
         let age = now.since(at).as_secs_f64() / STATED_TTL.as_secs_f64();
         let weight = (1.0 - age).max(0.0);
-        measured + weight * (times - measured)
+        1.0 + weight * (times - 1.0)
     }
 
     /// Whether the target was clearly slower at the last call and is not any more.
     pub(crate) fn has_recovered(&mut self, now: Time) -> bool {
-        let slowness = self.slowness(now);
+        let remembered = self.remembered(now);
+        let slowness = remembered.map_or_else(|| self.measured(now), |(times, _)| times);
         let threshold = if self.was_slower {
             NO_LONGER_SLOWER
         } else {
@@ -124,6 +127,11 @@
         std::mem::replace(&mut self.was_slower, is_slower) && !is_slower
     }
 
+    /// The last statement, unless it is older than [`STATED_MEMORY`].
+    fn remembered(&self, now: Time) -> Option<(f64, Time)> {
+        self.stated.filter(|(_, at)| now.since(*at) < STATED_MEMORY)
+    }
+
     fn measured(&self, now: Time) -> f64 {
         let ratio = self.decayed_ratio(now);
         if self.is_slower && ratio >= NO_LONGER_SLOWER {
--- a/core/tests/admit.rs
+++ b/core/tests/admit.rs
@@ -14,7 +14,7 @@
     drain::Drain,
     id::{AttemptId, Fingerprint, Incarnation},
     name::{TargetName, TeamName, ZoneName},
-    ramp::Capacity,
+    pace::ramp::Capacity,
     request::{Event, RelayedRequest},
     retry::RetryBudget,
     time::Time,
--- a/core/tests/pace.rs
+++ b/core/tests/pace.rs
@@ -24,9 +24,13 @@
 fn return_of(returned: &[usize], conditions: Conditions) -> ([f64; 4], Counts) {
     let mut world = World::new(SEED, conditions);
     world.run(seconds(10));
-    returned.iter().for_each(|target| world.stop(*target, true));
+    for target in returned {
+        world.stop(*target, true);
+    }
     world.run(seconds(5));
-    returned.iter().for_each(|target| world.start(*target));
+    for target in returned {
+        world.start(*target);
+    }
     world.counts = Counts::default();
     let mut loads = [0.0; 4];
     for (load, step) in loads.iter_mut().zip([1, 2, 2, 5]) {
@@ -203,10 +207,15 @@
         // A chat returns every 11 s in the mean; almost all of them within this time.
         world.run(seconds(40));
         let (slow, counts) = (chats(&world), world.counts);
+        world.pace_changes(4);
         slow_down(&mut world, 1.0);
         let loads = [1, 2, 2, 10].map(|step| world.run_and_compare(seconds(step), &[4]));
         world.run(seconds(25));
         let recovered = chats(&world);
+        // A statement that only ages, or answers that vary, must not pace the target again and again.
+        let changes = world.pace_changes(4).into_iter();
+        let starts = changes.filter(|change| matches!(change, PaceChange::Started(_)));
+        assert!(starts.count() <= 6);
         println!("stated {is_stated}: chats {usual}, {slow}, {recovered}; {loads:.2?} {counts:?}");
         // Once some chats have left, the slow home serves the others as soon as its peers would:
         // with 1.5 / 2.5 of their load, if a chat leaves for a gain of half.
--- a/core/tests/schedule/agents.rs
+++ b/core/tests/schedule/agents.rs
@@ -8,7 +8,7 @@
     code::Code,
     doc::{Idempotency, Priority},
     id::{AttemptId, Fingerprint},
-    ramp::Capacity,
+    pace::ramp::Capacity,
     request::Event,
     time::Time,
 };
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -12,7 +12,7 @@
     id::{AttemptId, Fingerprint, Incarnation},
     load::{LoadBound, PoolLoad},
     name::{TargetName, TeamName},
-    ramp::Capacity,
+    pace::ramp::Capacity,
     time::Time,
 };
 use ebonyfall_wire::frame::Load;
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -13,8 +13,8 @@
     id::AttemptId,
     load::LoadBound,
     name::TargetName,
+    pace::ramp::Capacity,
     peer::Role,
-    ramp::Capacity,
 };
 use ebonyfall_wire::frame::{Load, Submit, ToAgent, ToRouter};
 use slog::{Logger, debug, info, warn};
