--- a/core/tests/pace.rs
+++ b/core/tests/pace.rs
@@ -265,3 +265,29 @@
     }
     assert_eq!(world.pace_changes(2), []);
 }
+
+/// Guards against peers above the load bound because most targets are under pace: their share gives
+/// way to the bound once they are no longer cold.
+#[test]
+fn the_load_bound_holds_while_most_targets_are_under_pace() {
+    for routers in [1, 6, 28] {
+        let mut world = World::new(SEED, Conditions { routers, ..USUAL });
+        world.run(seconds(5));
+        let returned = [0, 3, 6, 1, 4];
+        for target in returned {
+            world.stop(target, true);
+        }
+        world.run(seconds(2));
+        for target in returned {
+            world.start(target);
+        }
+        world.run(seconds(3));
+        println!("{routers} routers, most return, cold: {:?}", world.counts);
+        assert!(world.counts.cold_peak <= COLD_LIMIT, "{:?}", world.counts);
+        world.counts = Counts::default();
+        world.run(seconds(7));
+        println!("{routers} routers, most return: {:?}", world.counts);
+        assert_eq!(world.counts.over_known, 0, "{:?}", world.counts);
+        assert!(world.counts.over_bound * 100 <= world.counts.sent);
+    }
+}
