--- a/core/tests/pace.rs
+++ b/core/tests/pace.rs
@@ -5,7 +5,11 @@
 
 use std::time::Duration;
 
-use ebonyfall_core::pace::{PaceCause, PaceChange};
+use ebonyfall_core::{
+    notice::Notices,
+    pace::{PaceCause, PaceChange},
+    trace::{Notice, TraceEvent},
+};
 use paced::{COLD_LIMIT, Conditions, Counts, World};
 
 const SEED: u64 = 7;
@@ -291,3 +295,23 @@
         assert!(world.counts.over_bound * 100 <= world.counts.sent);
     }
 }
+
+/// Guards against a log line for each answer of a target that states nonsense.
+#[test]
+fn malformed_slowness_is_traced_once() {
+    let mut world = World::new(SEED, USUAL);
+    let (record, now) = (world.targets[4].record.clone(), world.now);
+    let selector = world.selector(0);
+    let notices = Notices {
+        is_slowness_malformed: true,
+        ..Notices::default()
+    };
+    for _ in 0..3 {
+        selector.record_notices(&record, &notices, now, now);
+    }
+    let expected = TraceEvent::MalformedNotice {
+        target: record.name,
+        notice: Notice::Slowness,
+    };
+    assert_eq!(selector.take_trace(), [expected]);
+}
--- a/core/tests/paced/mod.rs
+++ b/core/tests/paced/mod.rs
@@ -202,6 +202,10 @@
         self.routers[number] = self.router(rank);
     }
 
+    pub fn selector(&mut self, router: usize) -> &mut TargetSelector {
+        &mut self.routers[router].selector
+    }
+
     /// Lets a router believe that it is the only one.
     pub fn isolate(&mut self, number: usize) {
         let selector = &mut self.routers[number].selector;
