--- a/core/src/selector/rooms.rs
+++ b/core/src/selector/rooms.rs
@@ -52,7 +52,7 @@
             elsewhere,
             demand_elsewhere: self.reports.demand(&service, routers),
             routers,
-            rank: self.turns.rank,
+            rank: self.turns.rank.unwrap_or(0),
             at: now,
             service,
         });
--- a/core/tests/dispatch/fleet.rs
+++ b/core/tests/dispatch/fleet.rs
@@ -550,7 +550,11 @@
         if let Some([running, waiting]) = load {
             let count = |count| u32::try_from(count).unwrap_or(u32::MAX);
             let (running, waiting) = (count(running), count(waiting));
-            let load = ReportedLoad { running, waiting };
+            let load = ReportedLoad {
+                running,
+                waiting,
+                ..ReportedLoad::default()
+            };
             selector.record_load(&target_name, load, at(self.now));
         }
         let _no_probe = selector.record_end(&target_name, &finished, at(self.now));
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -86,7 +86,8 @@
     info!(log, "started"; "event" => "start", "name" => %cfg.name, "zone" => %cfg.zone,
         "version" => env!("CARGO_PKG_VERSION"));
     let metrics = Metrics::new();
-    let selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
+    let mut selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
+    selector.await_rank();
     let selector = SelectorHandle::start(selector, BootClock, log.clone());
     // Without capacities, every request is admitted.
     let (_unlimited, no_rooms) = watch::channel(Vec::new());
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -87,6 +87,9 @@
     pub usage: UsageMetrics,
     /// Requests that wait for capacity.
     pub dispatch: DispatchMetrics,
+    /// Number of targets under pace.
+    pub targets_under_pace: Gauge,
+    stated_slowness: Gauge<f64, std::sync::atomic::AtomicU64>,
     state_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     failures: Family<FailureLabels, Counter>,
     exceeded: Family<LimitLabels, Counter>,
@@ -110,6 +113,8 @@
             counting: CountingMeters::register(registry),
             usage: UsageMetrics::register(registry),
             dispatch: DispatchMetrics::register(registry),
+            targets_under_pace: Gauge::default(),
+            stated_slowness: Gauge::default(),
             state_age: Gauge::default(),
             failures: Family::default(),
             exceeded: Family::default(),
@@ -132,6 +137,13 @@
         registry.register("routers", help, self.routers.clone());
         let help = "Version of the desired state in force";
         registry.register("desired_version", help, self.desired_version.clone());
+        let help =
+            "Targets that get a limited share of their peers' load since they start or recover";
+        let gauge = self.targets_under_pace.clone();
+        registry.register("targets_under_pace", help, gauge);
+        let help =
+            "Highest slowness that a target states, as a multiple of the usual time; 0 if none";
+        registry.register("stated_slowness_max", help, self.stated_slowness.clone());
         let help = "Calls of the store without a usable answer";
         registry.register("store_failures", help, self.store_failures.clone());
         let help = "Requests that failed at a target, by how";
@@ -216,6 +228,11 @@
         self.store.observe(after.as_secs_f64());
     }
 
+    /// Sets the highest slowness that a target states; zero if none does.
+    pub fn set_stated_slowness(&self, slowness: f64) {
+        self.stated_slowness.set(slowness);
+    }
+
     /// Sets the time since the desired state was last confirmed by the store.
     pub fn set_state_age(&self, age: Duration) {
         self.state_age.set(age.as_secs_f64());
