--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{
     fs, io,
     net::{IpAddr, SocketAddr},
+    ops::RangeInclusive,
     path::PathBuf,
     str::FromStr,
     time::Duration,
@@ -20,6 +21,15 @@
 
 use crate::logs::{Format, Levels};
 
+/// Memory of the smallest VM that a router is meant for, in MB.
+const DEFAULT_MEMORY_MB: usize = 160;
+/// Usual soft limit on the descriptors of a process.
+const DEFAULT_MAX_FDS: usize = 1_024;
+/// Range of the setting `memory-mb`. An idle router alone takes 16 MB.
+const MEMORY_MB: RangeInclusive<usize> = 64..=1 << 20;
+/// Range of the setting `max-fds`; 200 descriptors are reserved for files.
+const MAX_FDS: RangeInclusive<usize> = 300..=1 << 20;
+
 /// Failure to load a settings file.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -39,6 +49,24 @@
     },
 }
 
+/// What the machine grants to a router's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Memory of the process, in bytes; setting `memory-mb`, 160 MB by default.
+    pub memory: usize,
+    /// File descriptors of the process; setting `max-fds`, 1,024 by default.
+    pub max_fds: usize,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self {
+            memory: DEFAULT_MEMORY_MB << 20,
+            max_fds: DEFAULT_MAX_FDS,
+        }
+    }
+}
+
 /// Settings shared by routers and agents.
 #[derive(Debug, Clone)]
 pub struct CommonConfig {
@@ -78,6 +106,8 @@
     pub listen: SocketAddr,
     /// Admin addresses of the processes that `/v1/status` queries.
     pub processes: Vec<SocketAddr>,
+    /// What the machine grants to the process.
+    pub machine: MachineLimits,
 }
 
 /// Settings of an agent.
@@ -122,6 +152,8 @@
     pub retry: RetryBound,
     /// Lowest level that is logged, for each module; `info` by default.
     pub log_levels: Levels,
+    /// What the machine grants to the process.
+    pub machine: MachineLimits,
 }
 
 /// Settings of the operators' command line. Command-line options take precedence; `None` means that
@@ -164,10 +196,12 @@
         let common = parse_common(f);
         let listen = f.required("listen", ADDRESS, parse);
         let processes = f.list("processes", ADDRESSES, parse);
+        let machine = parse_machine(f);
         Some(RouterConfig {
             common: common?,
             listen: listen?,
             processes,
+            machine,
         })
     })
 }
@@ -194,6 +228,7 @@
         let slack = f.required("retry-slack", "a number such as 50", parse);
         let window = f.required("retry-window-s", SECONDS, parse_seconds);
         let levels = f.optional("log-levels", "levels such as info, carry=debug", parse);
+        let machine = parse_machine(f);
         Some(EntryConfig {
             name: name?,
             zone: zone?,
@@ -212,6 +247,7 @@
                 window: window?,
             },
             log_levels: levels.unwrap_or_else(default_levels),
+            machine,
         })
     })
 }
@@ -349,6 +385,20 @@
     })
 }
 
+fn parse_machine(f: &mut SectionReader<'_>) -> MachineLimits {
+    let default = MachineLimits::default();
+    let memory = f.optional("memory-mb", "megabytes from 64 to 1048576", |text| {
+        parse(text).filter(|megabytes| MEMORY_MB.contains(megabytes))
+    });
+    let max_fds = f.optional("max-fds", "descriptors from 300 to 1048576", |text| {
+        parse(text).filter(|count| MAX_FDS.contains(count))
+    });
+    MachineLimits {
+        memory: memory.map_or(default.memory, |megabytes: usize| megabytes << 20),
+        max_fds: max_fds.unwrap_or(default.max_fds),
+    }
+}
+
 fn parse<T: FromStr>(text: &str) -> Option<T> {
     text.parse().ok()
 }
