Test routers against crowds of callers, on both paths

Each test plays small crowds, one at a time, at a route, at a path without a route and at the readiness address, with memory-mb = 112 and max-fds = 400. It checks that the process lives, that its largest resident memory and its open descriptors stay within these settings, and that an ordinary request is answered afterwards. Crowds and bounds are fixed from here on.

--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -36,6 +36,8 @@
 const MAX_SEEDS: usize = 3;
 /// Time limit for connecting to a router.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limit on bodies, unless a test sets another one, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
 /// Timeout of all routes, unless a test sets another one.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit for a router to become ready after its start.
@@ -59,7 +61,8 @@
 pub struct Router {
     /// Address on which the router accepts requests of callers.
     pub listen: SocketAddr,
-    ready: SocketAddr,
+    /// Address on which the router answers readiness checks.
+    pub ready: SocketAddr,
     metrics: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
@@ -102,6 +105,20 @@
     ///
     /// Panics when a process does not start or become ready.
     pub async fn start(program: &Path, folder: &Path, routers: usize, targets: usize) -> Self {
+        Self::start_with(program, folder, (routers, targets), "").await
+    }
+
+    /// Like [`Self::start`], with these lines added to the settings of each router.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a process does not start or become ready.
+    pub async fn start_with(
+        program: &Path,
+        folder: &Path,
+        (routers, targets): (usize, usize),
+        own_settings: &str,
+    ) -> Self {
         let (store, store_address) = KeyedStore::start().await;
         let mut env = Self {
             store,
@@ -135,7 +152,7 @@
                 "[entry]\nname = e-{router}\nzone = z0\nlisten = {listen}\nready = {ready}\n\
                  metrics = {metrics}\nstore = {store}\npeers = {peers}\nseeds = {seeds}\n\
                  drain-ms = 2000\ngrace-s = 8\nrevocation-ms = 5000\nretry-ratio = 0.2\n\
-                 retry-slack = 58\nretry-window-s = 10\n"
+                 retry-slack = 58\nretry-window-s = 10\n{own_settings}"
             );
             let path = folder.join(format!("e-{router}.ini"));
             std::fs::write(&path, settings).expect("the folder is writable");
@@ -236,6 +253,18 @@
         version: u64,
         keys: &[&str],
         timeout: Duration,
+    ) {
+        self.put_desired_state_with(version, keys, timeout, MAX_BODY_BYTES)
+            .await;
+    }
+
+    /// Like [`Self::put_desired_state`], with this timeout of all routes and this limit on bodies.
+    pub async fn put_desired_state_with(
+        &self,
+        version: u64,
+        keys: &[&str],
+        timeout: Duration,
+        max_body_bytes: usize,
     ) {
         let timeout_ms = timeout.as_millis();
         let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
@@ -256,7 +285,7 @@
             ],
             "services": [{ "name": "plain", "max_conns": 100, "warmup_per_s": 0.0 }],
             "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": 65_536,
+                "max_header_bytes": 16_384, "max_body_bytes": max_body_bytes,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
             },
             "tenants": [{ "name": "desk", "api_keys": keys }],
@@ -289,6 +318,11 @@
         self.store.put("keyed.servers", name, Some(&entry)).await;
     }
 
+    /// Returns the id of a router's process; a restart changes it. `None` if it was never started.
+    pub fn process_id(&self, router: usize) -> Option<u32> {
+        self.routers[router].process.as_ref().map(Child::id)
+    }
+
     /// Returns the largest amount of memory that a router's process has held, in bytes. `None` if
     /// it has ended.
     pub fn peak_memory(&self, router: usize) -> Option<u64> {
