--- /dev/null
+++ b/core/src/connections.rs
@@ -0,0 +1,108 @@
+//! Decides which connections of callers are closed: those that wait for too long, and, when there
+//! is no room for new ones, the one that has waited the longest without a running request.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// No byte of a request has arrived since the connection was opened or the last answer ended.
+    Idle,
+    /// A part of a head has arrived.
+    Head,
+    /// A request runs, or its answer is being sent.
+    Running,
+}
+
+/// State of a connection that decides when it is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionState {
+    /// What the connection is doing.
+    pub phase: Phase,
+    /// Start of the phase.
+    pub since: Time,
+    /// Time since which the caller has taken no byte of what waits for it.
+    pub stalled_since: Option<Time>,
+    /// Deadline of the request whose answer is being sent.
+    pub deadline: Option<Time>,
+}
+
+/// Longest waits for a caller. Bytes that arrive meanwhile do not renew them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerDeadlines {
+    /// From the end of an answer, or from opening the connection, to the first byte of a head.
+    pub idle: Duration,
+    /// From the first byte of a head to its end.
+    pub head: Duration,
+    /// For a caller that takes no byte of an answer.
+    pub stall: Duration,
+    /// From the deadline of a request to the end of its answer.
+    pub answer_grace: Duration,
+}
+
+/// Why a connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CloseCause {
+    /// No request came.
+    Idle,
+    /// The head of a request was not complete in time.
+    SlowHead,
+    /// The caller did not read.
+    Stalled,
+    /// The answer had not been read when the request's deadline and the grace had passed.
+    Deadline,
+    /// It had waited the longest, and a new connection needed room.
+    Evicted,
+    /// All others had running requests, so that a new connection was refused.
+    Refused,
+}
+
+impl CloseCause {
+    /// Name in metrics and logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::SlowHead => "slow_head",
+            Self::Stalled => "stalled",
+            Self::Deadline => "deadline",
+            Self::Evicted => "evicted",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+impl ConnectionState {
+    /// Whether the connection may be closed in favour of a new one.
+    pub fn is_waiting(&self) -> bool {
+        self.phase != Phase::Running
+    }
+
+    /// Returns why the connection is to be closed now, if it is.
+    pub fn overdue(&self, deadlines: &CallerDeadlines, now: Time) -> Option<CloseCause> {
+        let is_over = |since: Time, limit: Duration| now.since(since) > limit;
+        match self.phase {
+            Phase::Idle => is_over(self.since, deadlines.idle).then_some(CloseCause::Idle),
+            Phase::Head => is_over(self.since, deadlines.head).then_some(CloseCause::SlowHead),
+            Phase::Running => {
+                let stalled = self.stalled_since;
+                let late = self.deadline;
+                if stalled.is_some_and(|since| is_over(since, deadlines.stall)) {
+                    Some(CloseCause::Stalled)
+                } else if late.is_some_and(|late| is_over(late, deadlines.answer_grace)) {
+                    Some(CloseCause::Deadline)
+                } else {
+                    None
+                }
+            }
+        }
+    }
+}
+
+/// Returns the connection that has waited the longest without a running request.
+pub fn longest_waiting<K>(states: impl IntoIterator<Item = (K, ConnectionState)>) -> Option<K> {
+    let waiting = states.into_iter().filter(|(_, state)| state.is_waiting());
+    let longest = waiting.min_by_key(|(_, state)| state.since);
+    longest.map(|(key, _)| key)
+}
--- a/core/src/desired.rs
+++ b/core/src/desired.rs
@@ -96,6 +96,8 @@
     pub max_header_bytes: usize,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Maximum time from the first byte of the request headers to their end; `None` if not stated.
+    pub header_timeout: Option<Duration>,
     /// Maximum time for which a caller keeps a connection open without a request.
     pub idle_timeout: Duration,
 }
--- a/core/tests/lease_explore.rs
+++ b/core/tests/lease_explore.rs
@@ -192,6 +192,7 @@
     let limits = CallerLimits {
         max_header_bytes: 0,
         max_body_bytes: 0,
+        header_timeout: None,
         idle_timeout: Duration::ZERO,
     };
     [HashMap::new(), HashMap::from([(KEY, team)])]
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -27,7 +27,9 @@
 use tokio::sync::watch;
 
 use crate::{
+    callers::CallerGuard,
     clock,
+    memory::MemoryBudget,
     metrics::Metrics,
     operate::{self, OperateError, PublishRequest},
     platform::Platform,
@@ -79,6 +81,7 @@
     metrics: Metrics,
     api: Option<ConfigApi>,
     task_dumps: Vec<(&'static str, TaskDump)>,
+    guard: CallerGuard,
 }
 
 impl std::fmt::Debug for Admin {
@@ -155,12 +158,23 @@
             started: Instant::now(),
             operator_tokens: common.operator_tokens.clone(),
             config,
+            guard: CallerGuard {
+                memory: MemoryBudget::default(),
+                metrics: metrics.callers.clone(),
+            },
             metrics,
             api: None,
             task_dumps: Vec::new(),
         }
     }
 
+    /// Takes the memory for connections from the budget of the process.
+    #[must_use]
+    pub fn with_guard(mut self, guard: CallerGuard) -> Self {
+        self.guard = guard;
+        self
+    }
+
     /// Adds a task to `/dump` under `name`; `state` is called for each dump.
     #[must_use]
     pub fn with_task_dump<F, T>(
@@ -202,10 +216,12 @@
         log: Logger,
     ) -> io::Result<()> {
         let listener = web::bind(address).await?;
+        let guard = self.guard.clone();
         tokio::spawn(web::serve(
             listener,
             self.routes(),
-            web::ConnectionLimits::default,
+            web::ConnectionLimits::small,
+            guard,
             stop,
             log,
         ));
--- /dev/null
+++ b/src/callers.rs
@@ -0,0 +1,495 @@
+//! Connections of callers: what each is doing, their deadlines, and the limit on their number.
+//!
+//! The task that accepts the connections of a listener owns their table. It closes those that are
+//! overdue, and the one that has waited the longest when a new one needs room.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use ebonyfall_core::{
+    connections::{CallerDeadlines, CloseCause, ConnectionState, Phase, longest_waiting},
+    memory::{MemoryRefusal, Taker},
+    time::Time,
+};
+use gotham::helpers::http::Body;
+use http::Response;
+use hyper::body::{Frame, SizeHint};
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+use slog::{Logger, warn};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    task::AbortHandle,
+    time::{Sleep, sleep},
+};
+
+use crate::{clock::BootClock, memory::MemoryBudget};
+
+/// Interval between two checks for overdue connections.
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Checks after which closed connections are logged, so that a crowd does not fill the log.
+const CHECKS_PER_LOG: u32 = 20;
+/// Time for which bytes of a refused body are read and dropped before the connection is closed.
+/// Closing a connection with unread bytes resets it, and the answer is lost.
+const LINGER: Duration = Duration::from_secs(2);
+/// Size of the parts in which they are read, in bytes.
+const LINGER_BUFFER_BYTES: usize = 4 << 10;
+/// Causes for which connections are closed.
+const CAUSES: [CloseCause; 6] = [
+    CloseCause::Idle,
+    CloseCause::SlowHead,
+    CloseCause::Stalled,
+    CloseCause::Deadline,
+    CloseCause::Evicted,
+    CloseCause::Refused,
+];
+
+/// Labels of the counter of closed connections.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CloseLabels {
+    /// Why the connection was closed.
+    pub cause: &'static str,
+}
+
+/// Labels of the gauge of held bytes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MemoryLabels {
+    /// What holds the bytes.
+    pub taker: &'static str,
+}
+
+/// Labels of the counter of bytes that did not fit.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MemoryRefusalLabels {
+    /// What asked for the bytes.
+    pub taker: &'static str,
+    /// Why they did not fit.
+    pub cause: &'static str,
+}
+
+/// Metrics of the limits on callers. Clones share their values.
+#[derive(Debug, Clone, Default)]
+pub struct CallerMetrics {
+    connections: Gauge,
+    closed: Family<CloseLabels, Counter>,
+    memory: Family<MemoryLabels, Gauge>,
+    refused: Family<MemoryRefusalLabels, Counter>,
+}
+
+impl CallerMetrics {
+    /// Creates the metrics and adds them to `registry`.
+    pub(crate) fn register(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let help = "Open connections of callers, load balancers and monitoring";
+        registry.register("caller_connections", help, metrics.connections.clone());
+        let help = "Connections of callers that were closed, by cause";
+        registry.register("caller_connections_closed", help, metrics.closed.clone());
+        let help = "Bytes held for callers and targets, by taker";
+        registry.register("memory_held_bytes", help, metrics.memory.clone());
+        let help = "Requests for memory that were refused, by taker and cause";
+        registry.register("memory_refused", help, metrics.refused.clone());
+        metrics
+    }
+
+    pub(crate) fn add_memory(&self, taker: Taker, bytes: usize) {
+        let taker = taker.name();
+        let gauge = self.memory.get_or_create(&MemoryLabels { taker });
+        gauge.inc_by(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn remove_memory(&self, taker: Taker, bytes: usize) {
+        let taker = taker.name();
+        let gauge = self.memory.get_or_create(&MemoryLabels { taker });
+        gauge.dec_by(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn count_memory_refusal(&self, taker: Taker, refusal: MemoryRefusal) {
+        let labels = MemoryRefusalLabels {
+            taker: taker.name(),
+            cause: refusal.name(),
+        };
+        self.refused.get_or_create(&labels).inc();
+    }
+
+    fn count_closed(&self, cause: CloseCause) {
+        let cause = cause.name();
+        self.closed.get_or_create(&CloseLabels { cause }).inc();
+    }
+}
+
+/// What the connections of all listeners of a process share.
+#[derive(Debug, Clone, Default)]
+pub struct CallerGuard {
+    /// Memory for connections.
+    pub memory: MemoryBudget,
+    /// Metrics of this process.
+    pub metrics: CallerMetrics,
+}
+
+/// Marks an answer that is sent while bytes of the request's body are unread.
+#[derive(Debug, Clone, Copy)]
+pub struct UnreadBody;
+
+/// Deadline of the request that an answer belongs to.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerDeadline(pub Time);
+
+/// Number of bits of a state word below the time.
+const FLAG_BITS: u32 = 3;
+/// State words: a time in milliseconds, and one of these values.
+const IDLE: u64 = 0;
+const HEAD: u64 = 1;
+const RUNNING: u64 = 2;
+/// The answer's body has ended, and its last bytes are being sent.
+const FLUSHING: u64 = 3;
+/// The connection has been chosen to be closed; no request may start.
+const CLOSING: u64 = 4;
+
+/// What a connection is doing. Its task writes it, the owner of the table reads it; both may change
+/// the phase, so that a connection is never closed in favour of another just as its request starts.
+#[derive(Debug, Clone)]
+pub(crate) struct Activity(Arc<ActivityWords>);
+
+#[derive(Debug)]
+struct ActivityWords {
+    /// Phase and its start.
+    phase: AtomicU64,
+    /// Time since which nothing could be written, in milliseconds; 0 if that is not so.
+    stalled_since: AtomicU64,
+    /// Deadline of the running request, in milliseconds; 0 if it has none.
+    deadline: AtomicU64,
+    /// 1 if a part of a refused body is unread.
+    unread: AtomicU64,
+}
+
+fn word(phase: u64) -> u64 {
+    BootClock.now().millis() << FLAG_BITS | phase
+}
+
+const fn phase_of(word: u64) -> u64 {
+    word & ((1 << FLAG_BITS) - 1)
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self(Arc::new(ActivityWords {
+            phase: AtomicU64::new(word(IDLE)),
+            stalled_since: AtomicU64::new(0),
+            deadline: AtomicU64::new(0),
+            unread: AtomicU64::new(0),
+        }))
+    }
+
+    /// Changes the phase if it is one of `from`; returns whether it was.
+    fn change(&self, from: &[u64], to: u64) -> bool {
+        let changed = self
+            .0
+            .phase
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |word_now| {
+                from.contains(&phase_of(word_now)).then(|| word(to))
+            });
+        changed.is_ok()
+    }
+
+    /// Records that a request starts; `false` if the connection is about to be closed.
+    pub(crate) fn start_request(&self) -> bool {
+        self.0.deadline.store(0, Ordering::Relaxed);
+        self.change(&[IDLE, HEAD, RUNNING, FLUSHING], RUNNING)
+    }
+
+    /// Prepares an answer, so that the end of its body and what it says of its request are seen.
+    pub(crate) fn track(&self, answer: Response<Body>) -> Response<Body> {
+        if let Some(AnswerDeadline(deadline)) = answer.extensions().get() {
+            let millis = deadline.millis().max(1);
+            self.0.deadline.store(millis, Ordering::Relaxed);
+        }
+        if answer.extensions().get::<UnreadBody>().is_some() {
+            self.0.unread.store(1, Ordering::Relaxed);
+        }
+        answer.map(|body| {
+            Body::new(TrackedBody {
+                body,
+                activity: self.clone(),
+            })
+        })
+    }
+
+    fn state(&self) -> ConnectionState {
+        let word = self.0.phase.load(Ordering::Acquire);
+        let phase = match phase_of(word) {
+            IDLE => Phase::Idle,
+            HEAD => Phase::Head,
+            _ => Phase::Running,
+        };
+        let time = |millis: u64| (millis > 0).then(|| Time::from_millis(millis));
+        ConnectionState {
+            phase,
+            since: Time::from_millis(word >> FLAG_BITS),
+            stalled_since: time(self.0.stalled_since.load(Ordering::Relaxed)),
+            deadline: time(self.0.deadline.load(Ordering::Relaxed)),
+        }
+    }
+
+    /// Records progress of writing, or that there is none.
+    fn record_write(&self, is_pending: bool) {
+        let stalled = &self.0.stalled_since;
+        if !is_pending {
+            stalled.store(0, Ordering::Relaxed);
+        } else if stalled.load(Ordering::Relaxed) == 0 {
+            stalled.store(BootClock.now().millis().max(1), Ordering::Relaxed);
+        }
+    }
+}
+
+/// Body of an answer that tells when it has ended.
+struct TrackedBody {
+    body: Body,
+    activity: Activity,
+}
+
+impl hyper::body::Body for TrackedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.activity.change(&[RUNNING], FLUSHING);
+    }
+}
+
+/// Connection of a caller that records when bytes arrive and whether they are taken.
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    activity: Activity,
+    /// End of the time for which unread bytes are dropped; set when the connection is shut down.
+    linger: Option<Pin<Box<Sleep>>>,
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.activity.change(&[IDLE], HEAD);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.record_write(polled.is_pending());
+        polled
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.record_write(polled.is_pending());
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// Called when everything that was buffered has been written.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.activity.change(&[FLUSHING], IDLE);
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            if self.activity.0.unread.load(Ordering::Relaxed) == 0 {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let linger = self.linger.get_or_insert_with(|| Box::pin(sleep(LINGER)));
+        if linger.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            let mut bytes = [0; LINGER_BUFFER_BYTES];
+            let mut buf = ReadBuf::new(&mut bytes);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+            if read.is_err() || buf.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+    }
+}
+
+/// A connection in the table.
+struct Entry {
+    activity: Activity,
+    task: AbortHandle,
+}
+
+/// Connections of one listener.
+pub(crate) struct CallerTable {
+    entries: Vec<Entry>,
+    metrics: CallerMetrics,
+    /// Closed connections since the last log line, in the order of [`CAUSES`].
+    closed: [u32; CAUSES.len()],
+    checks: u32,
+    log: Logger,
+}
+
+impl CallerTable {
+    pub(crate) fn new(metrics: CallerMetrics, log: Logger) -> Self {
+        Self {
+            entries: Vec::new(),
+            metrics,
+            closed: [0; CAUSES.len()],
+            checks: 0,
+            log,
+        }
+    }
+
+    /// Makes room for a new connection among at most `max` ones. Returns `false` if all of them have
+    /// running requests.
+    pub(crate) fn make_room(&mut self, max: usize) -> bool {
+        if self.entries.len() < max {
+            return true;
+        }
+        self.forget_ended();
+        while self.entries.len() >= max {
+            let states = self.entries.iter().enumerate();
+            let states = states.map(|(index, entry)| (index, entry.activity.state()));
+            let Some(index) = longest_waiting(states) else {
+                self.count(CloseCause::Refused);
+                return false;
+            };
+            if self.close(index) {
+                self.count(CloseCause::Evicted);
+            }
+        }
+        true
+    }
+
+    /// Wraps a new connection; [`add`](Self::add) puts its task into the table.
+    pub(crate) fn open(stream: TcpStream) -> (CallerStream, Activity) {
+        let activity = Activity::new();
+        let stream = CallerStream {
+            stream,
+            activity: activity.clone(),
+            linger: None,
+        };
+        (stream, activity)
+    }
+
+    pub(crate) fn add(&mut self, activity: Activity, task: AbortHandle) {
+        self.entries.push(Entry { activity, task });
+        self.metrics.connections.inc();
+    }
+
+    /// Closes the connections that are overdue at `now`.
+    pub(crate) fn check(&mut self, deadlines: &CallerDeadlines, now: Time) {
+        self.forget_ended();
+        let mut index = 0;
+        while index < self.entries.len() {
+            let state = self.entries[index].activity.state();
+            let cause = state.overdue(deadlines, now);
+            match cause {
+                Some(cause) if state.is_waiting() => {
+                    if self.close(index) {
+                        self.count(cause);
+                    } else {
+                        index += 1;
+                    }
+                }
+                Some(cause) => {
+                    self.remove(index).task.abort();
+                    self.count(cause);
+                }
+                None => index += 1,
+            }
+        }
+        self.checks += 1;
+        if self.checks.is_multiple_of(CHECKS_PER_LOG) {
+            self.log_closed();
+        }
+    }
+
+    /// Closes a connection without a running request; `false` if one has started meanwhile.
+    fn close(&mut self, index: usize) -> bool {
+        let closes = self.entries[index].activity.change(&[IDLE, HEAD], CLOSING);
+        if closes {
+            self.remove(index).task.abort();
+        }
+        closes
+    }
+
+    fn remove(&mut self, index: usize) -> Entry {
+        self.metrics.connections.dec();
+        self.entries.swap_remove(index)
+    }
+
+    fn forget_ended(&mut self) {
+        let before = self.entries.len();
+        self.entries.retain(|entry| !entry.task.is_finished());
+        let ended = before - self.entries.len();
+        let ended = i64::try_from(ended).unwrap_or(i64::MAX);
+        self.metrics.connections.dec_by(ended);
+    }
+
+    fn count(&mut self, cause: CloseCause) {
+        self.metrics.count_closed(cause);
+        let counts = CAUSES.iter().zip(&mut self.closed);
+        for (_, count) in counts.filter(|(known, _)| **known == cause) {
+            *count += 1;
+        }
+    }
+
+    fn log_closed(&mut self) {
+        for (cause, count) in CAUSES.iter().zip(std::mem::take(&mut self.closed)) {
+            if count > 0 {
+                warn!(self.log, "closed connections of callers"; "event" => "callers_closed",
+                    "cause" => cause.name(), "count" => count, "open" => self.entries.len());
+            }
+        }
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,17 +14,20 @@
 };
 
 use crate::{
+    body::RequestBodies,
+    callers::CallerGuard,
     carry::Forwarding,
     clock::BootClock,
     follow::{self, StoreState},
     intake::Intake,
+    memory::MemoryBudget,
     metrics::Metrics,
     monitoring::{self, Monitoring},
     peering::{self, Peering},
     receive::AnswerBuffers,
     report,
     selection::SelectorHandle,
-    settings::{self, EntryConfig},
+    settings::{self, EntryConfig, MachineLimits},
     stop::{StopPhases, StopTimes},
     store::StoreClient,
     web::{self, ConnectionLimits, Shared},
@@ -42,6 +45,12 @@
 const IDLE_MARGIN: Duration = Duration::from_secs(10);
 /// Idle time of callers' connections until the desired state specifies one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest wait for the rest of a head until the desired state specifies one.
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time added to the desired state's limit on the time of a head, for the way to the router.
+const HEADER_MARGIN: Duration = Duration::from_secs(1);
+/// Copies of a body that the router holds: all attempts send the same bytes.
+const BODY_COPIES: usize = 1;
 /// Smallest header buffer that the HTTP library accepts, in bytes.
 const MIN_HEADER_BYTES: usize = 8_192;
 /// Interval between checks of the settings file, which may change without a SIGHUP.
@@ -96,7 +105,18 @@
     let listener = listen(cfg.listen).await?;
     let ready = listen(cfg.ready).await?;
     let monitoring = listen(cfg.metrics).await?;
-    monitoring::serve_readiness(ready, store_state.clone(), stop.clone(), log.clone());
+    let memory = MemoryBudget::new(cfg.machine.memory, metrics.callers.clone());
+    let guard = CallerGuard {
+        memory: memory.clone(),
+        metrics: metrics.callers.clone(),
+    };
+    monitoring::serve_readiness(
+        ready,
+        store_state.clone(),
+        guard.clone(),
+        stop.clone(),
+        log.clone(),
+    );
     let pages = Monitoring {
         name: cfg.name.clone(),
         zone: cfg.zone.clone(),
@@ -104,7 +124,7 @@
         selector: selector.clone(),
         metrics: metrics.clone(),
     };
-    monitoring::serve_monitoring(monitoring, pages, log.clone());
+    monitoring::serve_monitoring(monitoring, pages, guard.clone(), log.clone());
     report::start(
         store.clone(),
         selector.clone(),
@@ -127,7 +147,7 @@
         stop.clone(),
     );
     tokio::spawn(watch_settings(cfg.clone(), path, log.clone()));
-    let limits = limits(&store_state);
+    let limits = limits(&store_state, cfg.machine);
     let grace = cfg.grace.saturating_sub(EXIT_MARGIN);
     let times = StopTimes {
         refuse_after: ACCEPT_AFTER_STOP,
@@ -138,18 +158,19 @@
         store_state,
         selector,
         phases,
-        buffers: AnswerBuffers::default(),
+        buffers: AnswerBuffers::new(memory.clone()),
         metrics,
         log: log.clone(),
     };
     let intake = Shared::new(Intake {
         shared: Arc::new(forwarding),
+        bodies: RequestBodies::new(memory, BODY_COPIES),
     });
     let handler = move || {
         let intake = intake.clone().into_inner();
         Ok(move |state: State| Box::pin(intake.handle(state)) as Pin<Box<HandlerFuture>>)
     };
-    let serving = web::serve(listener, handler, limits, stop.clone(), log.clone());
+    let serving = web::serve(listener, handler, limits, guard, stop.clone(), log.clone());
     tokio::pin!(serving);
     tokio::select! {
         () = &mut serving => return Ok(()),
@@ -166,14 +187,20 @@
 }
 
 /// Returns a function that reads the current limits on callers' connections from the desired state.
-fn limits(store_state: &StoreState) -> impl Fn() -> ConnectionLimits + use<> {
+fn limits(
+    store_state: &StoreState,
+    machine: MachineLimits,
+) -> impl Fn() -> ConnectionLimits + use<> {
     let desired = store_state.desired.clone();
     move || {
         let desired = desired.borrow();
         let known = desired.as_ref().map(|known| &known.limits);
+        let idle = known.map_or(DEFAULT_IDLE_TIMEOUT, |known| known.idle_timeout);
+        let head = known.and_then(|known| known.header_timeout);
+        let head = head.map_or(DEFAULT_HEADER_TIMEOUT, |head| head + HEADER_MARGIN);
         ConnectionLimits {
-            header_timeout: known.map_or(DEFAULT_IDLE_TIMEOUT, |known| known.idle_timeout)
-                + IDLE_MARGIN,
+            deadlines: web::caller_deadlines(idle + IDLE_MARGIN, head),
+            max_connections: machine.max_callers(),
             max_header_bytes: known.map_or(2 * MIN_HEADER_BYTES, |known| {
                 known.max_header_bytes.max(MIN_HEADER_BYTES)
             }),
--- a/src/front.rs
+++ b/src/front.rs
@@ -9,6 +9,7 @@
     code::Code,
     doc::{Idempotency, KeyHash, Priority, Team},
     id::{ChatId, RequestId},
+    memory::Party,
     name::{ModelName, TeamName},
 };
 use ebonyfall_wire::frame::Call;
@@ -21,7 +22,10 @@
     router::{Router, builder::build_router},
     state::State,
 };
-use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header::CONTENT_TYPE};
+use http::{
+    HeaderMap, HeaderValue, Method, Response, StatusCode, Uri,
+    header::{CONNECTION, CONTENT_TYPE},
+};
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use serde::Deserialize;
@@ -29,7 +33,10 @@
 use tokio::sync::mpsc;
 
 use crate::{
+    body::RequestBodies,
     cache::KeyedCall,
+    callers::{AnswerDeadline, UnreadBody},
+    clock::BootClock,
     relay::{Answer, Relay, RelayFailure, RelayJob},
     view::{Pool, View, Views},
     web::{self, Shared},
@@ -51,6 +58,7 @@
 struct Frontend {
     views: Views,
     relay: Relay,
+    bodies: RequestBodies,
 }
 
 /// An error answer: result code, message for the caller and `retry-after` time.
@@ -58,6 +66,8 @@
     code: Code,
     message: String,
     retry_after: Duration,
+    /// Whether a part of the request's body has not been read.
+    is_unread: bool,
 }
 
 impl From<RelayFailure> for ErrorAnswer {
@@ -75,6 +85,7 @@
             code,
             message: code.name().to_owned(),
             retry_after: Duration::ZERO,
+            is_unread: false,
         }
     }
 }
@@ -106,8 +117,12 @@
 }
 
 /// Builds the router of the callers' interface, with one handler for all paths.
-pub fn routes(views: Views, relay: Relay) -> Router {
-    let shared = Shared::new(Frontend { views, relay });
+pub fn routes(views: Views, relay: Relay, bodies: RequestBodies) -> Router {
+    let shared = Shared::new(Frontend {
+        views,
+        relay,
+        bodies,
+    });
     let pipeline = single_middleware(StateMiddleware::new(shared));
     let (chain, pipelines) = single_pipeline(pipeline);
     build_router(chain, pipelines, |route| {
@@ -121,13 +136,22 @@
     let frontend = Shared::<Frontend>::take_from(&mut state).into_inner();
     let request = RequestId::from(rand::random::<u128>());
     let mut res = match frontend.run(&mut state, request).await {
-        Ok(answer) => response(answer),
+        Ok((answer, deadline)) => {
+            let mut res = response(answer);
+            res.extensions_mut().insert(deadline);
+            res
+        }
         Err(error) => {
             frontend.relay.metrics.count_result(error.code.name());
             let mut res = web::error_response(error.code, &error.message, request);
             if let Some(value) = res.headers_mut().get_mut("retry-after") {
                 *value = HeaderValue::from(error.retry_after.as_secs().saturating_add(1));
             }
+            if error.is_unread {
+                res.extensions_mut().insert(UnreadBody);
+                res.headers_mut()
+                    .insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             res
         }
     };
@@ -138,14 +162,23 @@
 }
 
 impl Frontend {
-    async fn run(&self, state: &mut State, request: RequestId) -> Result<Answer, ErrorAnswer> {
+    async fn run(
+        &self,
+        state: &mut State,
+        request: RequestId,
+    ) -> Result<(Answer, AnswerDeadline), ErrorAnswer> {
         let view = self.views.borrow().clone().ok_or(Code::NoTarget)?;
         let headers = HeaderMap::borrow_from(state).clone();
         let (team_name, team) = authenticate(&view, &headers)?;
         let method = Method::borrow_from(state).clone();
         let uri = Uri::borrow_from(state).clone();
         let limit = view.document.limits.body_bytes as usize;
-        let body = web::read_body(state, limit).await?;
+        let party = Party::Team(team_name.clone());
+        let body = self.bodies.read(state, limit, &party).await;
+        let body = body.map_err(|code| ErrorAnswer {
+            is_unread: true,
+            ..code.into()
+        })?;
         if self.relay.phases.refuses_new() {
             return Err(Code::ShuttingDown.into());
         }
@@ -204,7 +237,9 @@
             call,
             key,
         };
-        Ok(self.relay.run(job).await?)
+        let deadline = BootClock.now() + job.time_left;
+        let answer = self.relay.run(job).await?;
+        Ok((answer, AnswerDeadline(deadline)))
     }
 }
 
@@ -227,6 +262,7 @@
         code: Code::BadRequest,
         message: format!("the body is not a chat completion request: {error}"),
         retry_after: Duration::ZERO,
+        is_unread: false,
     })?;
     let model = ModelName::new(&parsed.model).map_err(|_error| Code::UnknownModel)?;
     if !view.document.models.contains_key(&model) {
@@ -235,6 +271,7 @@
             code: Code::UnknownModel,
             message,
             retry_after: Duration::ZERO,
+            is_unread: false,
         });
     }
     if !team.models.is_empty() && !team.models.contains(&model) {
@@ -271,6 +308,7 @@
         code: Code::BadRequest,
         message: message.to_owned(),
         retry_after: Duration::ZERO,
+        is_unread: false,
     };
     let priority = match web::header(headers, "x-priority") {
         None => team.priority,
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -4,17 +4,25 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use ebonyfall_core::{code::Code, direct::DirectRequest, selector::SelectionRefusal, time::Time};
+use ebonyfall_core::{
+    code::Code, direct::DirectRequest, memory::Party, name::TeamName, selector::SelectionRefusal,
+    time::Time,
+};
 use ebonyfall_platform::{
     answer, desired,
     request::{self, CallerHeaders},
 };
 use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
-use http::{HeaderMap, Method, Response, StatusCode, Uri, header::HOST};
+use http::{
+    HeaderMap, HeaderValue, Method, Response, StatusCode, Uri,
+    header::{CONNECTION, HOST},
+};
 use slog::{info, warn};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    body::{self, RequestBodies},
+    callers::{AnswerDeadline, UnreadBody},
     carry::{CallerAnswer, ForwardJob, Forwarder, Forwarding},
     clock::{self, BootClock},
     web,
@@ -35,6 +43,8 @@
 pub struct Intake {
     /// Handles that forwarding a request needs, too.
     pub shared: Arc<Forwarding>,
+    /// Memory for the bodies of requests.
+    pub bodies: RequestBodies,
 }
 
 impl Intake {
@@ -55,24 +65,42 @@
             let desired = self.shared.store_state.desired.borrow();
             desired.as_ref().map(|state| state.limits.max_body_bytes)
         };
-        // The body is read even if the request is refused: closing a connection with unread bytes
-        // resets it, and the answer is lost.
-        let body = web::read_body(&mut state, limit.unwrap_or(DEFAULT_MAX_BODY_BYTES)).await;
-        let job = body.and_then(|body| self.route(inbound, &host, method, uri, body, arrived));
+        let limit = limit.unwrap_or(DEFAULT_MAX_BODY_BYTES);
+        let party = self.team(&inbound, &host, &uri).map(Party::Team);
+        let party = party.unwrap_or_else(|| body::address(&state));
+        // The body is read even if no route takes the request: a body that is not read costs the
+        // caller its connection.
+        let body = match self.bodies.read(&mut state, limit, &party).await {
+            Ok(body) => body,
+            Err(code) => return Ok((state, self.refuse_unread(&attempt_id, code))),
+        };
+        let job = self.route(inbound, &host, method, uri, body, arrived);
         let res = match job {
             Ok((job, direct)) => self.forward(job, direct).await,
-            Err(code) => self.refuse(
-                &attempt_id,
-                SelectionRefusal {
-                    code,
-                    after: RETRY_AFTER,
-                    part: None,
-                },
-            ),
+            Err(code) => self.refuse(&attempt_id, refusal(code)),
         };
         Ok((state, res))
     }
 
+    /// Team whose request this is, as far as headers and path tell.
+    fn team(&self, inbound: &CallerHeaders, host: &str, uri: &Uri) -> Option<TeamName> {
+        let desired = self.shared.store_state.desired.borrow();
+        let desired = desired.as_ref()?;
+        let route = desired.route(host, uri.path())?;
+        let key = inbound.key.as_deref().map(desired::key_hash);
+        let team = desired.authenticate(route, key.as_ref()).ok()??;
+        Some(team.name.clone())
+    }
+
+    /// Refuses a request whose body has not been read to its end, and closes the connection.
+    fn refuse_unread(&self, attempt_id: &str, code: Code) -> Response<Body> {
+        let mut res = self.refuse(attempt_id, refusal(code));
+        res.extensions_mut().insert(UnreadBody);
+        res.headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+        res
+    }
+
     fn route(
         &self,
         inbound: CallerHeaders,
@@ -141,13 +169,16 @@
     async fn forward(&self, job: ForwardJob, direct: DirectRequest) -> Response<Body> {
         let attempt_id = job.attempt_id.clone();
         let (arrived, version) = (job.arrived, job.version);
+        let deadline = AnswerDeadline(direct.deadline());
         let forwarder = Forwarder::new(job, direct, Arc::clone(&self.shared));
         match forwarder.run().await {
             Ok(given) => {
                 self.shared.metrics.count_result("Ok");
                 let after = BootClock.now().since(arrived);
                 self.shared.metrics.entry.observe_answer_time(after);
-                self.respond(given, version, after)
+                let mut res = self.respond(given, version, after);
+                res.extensions_mut().insert(deadline);
+                res
             }
             Err(refusal) => self.refuse(&attempt_id, refusal),
         }
@@ -190,6 +221,15 @@
     }
 }
 
+/// Refusal of a request before a target is chosen.
+const fn refusal(code: Code) -> SelectionRefusal {
+    SelectionRefusal {
+        code,
+        after: RETRY_AFTER,
+        part: None,
+    }
+}
+
 /// Returns the `host` header in lower case and without the port; empty when there is none.
 fn host(headers: &HeaderMap) -> String {
     let host = headers.get(HOST).and_then(|value| value.to_str().ok());
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,7 +8,7 @@
     registry::Registry,
 };
 
-use crate::{meters::EntryMetrics, reader::RejectCounts};
+use crate::{callers::CallerMetrics, meters::EntryMetrics, reader::RejectCounts};
 
 /// Histogram buckets of the delay until a configuration is in force, in seconds, dense round the
 /// goal of 3 s and the bound of 8 s.
@@ -54,6 +54,8 @@
     pub log_reset: Gauge,
     /// Metrics that only entry routers set.
     pub entry: EntryMetrics,
+    /// Metrics of the limits on callers.
+    pub callers: CallerMetrics,
     log_read: Gauge,
     in_force: Histogram,
     rejects: Family<RejectLabels, Gauge>,
@@ -111,9 +113,11 @@
         let help = "Datagrams that did not verify";
         let gossip_dropped = counter(&mut registry, "gossip_dropped", help);
         let entry = EntryMetrics::register(&mut registry);
+        let callers = CallerMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
             entry,
+            callers,
             gossip_sent,
             gossip_received,
             gossip_dropped,
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -13,6 +13,7 @@
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
+    callers::CallerGuard,
     clock::{self, BootClock},
     follow::StoreState,
     metrics::Metrics,
@@ -32,11 +33,12 @@
 pub fn serve_readiness(
     listener: TcpListener,
     store_state: StoreState,
+    guard: CallerGuard,
     stop: watch::Receiver<bool>,
     log: Logger,
 ) {
     let shared = Shared::new((store_state, stop));
-    serve_pages(listener, log, move |_uri| {
+    serve_pages(listener, guard, log, move |_uri| {
         let (store_state, stop) = shared.clone().into_inner();
         let mut res = Response::new(web::full_body(""));
         if !is_ready(&store_state, &stop) {
@@ -105,9 +107,14 @@
 }
 
 /// Serves the state dump at `/dump` and the metrics at every other path.
-pub fn serve_monitoring(listener: TcpListener, monitoring: Monitoring, log: Logger) {
+pub fn serve_monitoring(
+    listener: TcpListener,
+    monitoring: Monitoring,
+    guard: CallerGuard,
+    log: Logger,
+) {
     let shared = Shared::new(monitoring);
-    serve_pages(listener, log, move |uri| {
+    serve_pages(listener, guard, log, move |uri| {
         let monitoring = shared.clone().into_inner();
         async move {
             if uri.path() == DUMP_PATH {
@@ -132,6 +139,7 @@
 /// Serves `page` for every request until the process ends.
 fn serve_pages<P>(
     listener: TcpListener,
+    guard: CallerGuard,
     log: Logger,
     page: impl Fn(Uri) -> P + Clone + Send + Sync + std::panic::RefUnwindSafe + 'static,
 ) where
@@ -147,6 +155,7 @@
     tokio::spawn(async move {
         // The sender stays alive, so that the pages are served until the process exits.
         let (_never, running) = watch::channel(false);
-        web::serve(listener, handler, ConnectionLimits::default, running, log).await;
+        let limits = ConnectionLimits::small;
+        web::serve(listener, handler, limits, guard, running, log).await;
     });
 }
--- a/src/receive.rs
+++ b/src/receive.rs
@@ -1,19 +1,19 @@
 //! Reads the bodies of targets' answers into memory, within limits for each answer and for the
 //! process.
 
-use std::sync::Arc;
-
 use bytes::{Bytes, BytesMut};
+use ebonyfall_core::memory::{MemoryRefusal, Taker};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use snafu::Snafu;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::memory::{MemoryBudget, MemoryShare};
 
 /// Largest body of an answer that is not a stream, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Largest body of an error answer, in bytes.
 pub const MAX_ERROR_BYTES: usize = 64 << 10;
-/// Most bytes of answers that a process holds at once.
+/// Most bytes of answers that a process with the default memory holds at once.
 pub const MAX_BUFFERED_BYTES: usize = 24 << 20;
 
 /// Bytes of an incomplete event that take no share of the limit above, so that streams with ordinary
@@ -30,7 +30,7 @@
     #[snafu(display("the body is too long"))]
     TooLong,
     /// The process already holds as many bytes of answers as it may.
-    #[snafu(display("the process holds {MAX_BUFFERED_BYTES} bytes of answers"))]
+    #[snafu(display("the process's memory for answers is used up"))]
     BuffersFull,
 }
 
@@ -45,23 +45,16 @@
     }
 }
 
-/// Share of memory for answers that are being read or sent to callers. Clones share it.
-#[derive(Debug, Clone)]
-pub struct AnswerBuffers(Arc<Semaphore>);
-
-impl Default for AnswerBuffers {
-    fn default() -> Self {
-        Self(Arc::new(Semaphore::new(MAX_BUFFERED_BYTES)))
-    }
-}
+/// Memory for answers that are being read or sent to callers. Clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct AnswerBuffers(MemoryBudget);
 
 /// Body that is being received, with its share of the process's memory.
 #[derive(Debug)]
 pub struct ReceivedBody {
-    buffers: AnswerBuffers,
     limit: usize,
     bytes: BytesMut,
-    share: Option<OwnedSemaphorePermit>,
+    share: MemoryShare,
 }
 
 impl ReceivedBody {
@@ -74,11 +67,7 @@
         if self.bytes.len() + data.len() > self.limit {
             return Err(ReceiveFault::TooLong);
         }
-        let more = self.buffers.reserve(data.len())?;
-        match &mut self.share {
-            Some(share) => share.merge(more),
-            None => self.share = Some(more),
-        }
+        self.share.grow(data.len())?;
         self.bytes.extend_from_slice(data);
         Ok(())
     }
@@ -86,10 +75,7 @@
     /// Returns the complete body. Its share of the process's memory is returned when the last copy
     /// of the bytes is dropped.
     pub fn complete(self) -> Bytes {
-        Bytes::from_owner(SharedBytes {
-            bytes: self.bytes.freeze(),
-            _share: self.share,
-        })
+        self.share.attach(self.bytes.freeze())
     }
 }
 
@@ -97,7 +83,7 @@
 #[derive(Debug)]
 pub struct EventShare {
     buffers: AnswerBuffers,
-    share: Option<OwnedSemaphorePermit>,
+    share: Option<MemoryShare>,
 }
 
 impl EventShare {
@@ -118,41 +104,33 @@
             self.release();
             return Ok(());
         }
-        let held = self
+        let taker = Taker::Streams;
+        let share = self
             .share
-            .as_ref()
-            .map_or(0, OwnedSemaphorePermit::num_permits);
-        if wanted > held {
-            let more = self.buffers.reserve(wanted - held)?;
-            match &mut self.share {
-                Some(share) => share.merge(more),
-                None => self.share = Some(more),
-            }
-        }
+            .get_or_insert_with(|| self.buffers.0.share(taker, None));
+        share.grow(wanted.saturating_sub(share.len()))?;
         Ok(())
     }
 }
 
-/// Owner of a complete body's bytes.
-struct SharedBytes {
-    bytes: Bytes,
-    _share: Option<OwnedSemaphorePermit>,
-}
-
-impl AsRef<[u8]> for SharedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+impl From<MemoryRefusal> for ReceiveFault {
+    fn from(_refusal: MemoryRefusal) -> Self {
+        Self::BuffersFull
     }
 }
 
 impl AnswerBuffers {
+    /// Takes the memory for answers from `budget`.
+    pub fn new(budget: MemoryBudget) -> Self {
+        Self(budget)
+    }
+
     /// Starts an empty body of at most `limit` bytes.
     pub fn start(&self, limit: usize) -> ReceivedBody {
         ReceivedBody {
-            buffers: self.clone(),
             limit,
             bytes: BytesMut::new(),
-            share: None,
+            share: self.0.share(Taker::Answers, None),
         }
     }
 
@@ -182,15 +160,4 @@
         }
         Ok(received.complete())
     }
-
-    /// Takes a share of the process's memory for `bytes` bytes, until it is dropped.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process already holds too many bytes.
-    fn reserve(&self, bytes: usize) -> Result<OwnedSemaphorePermit, ReceiveFault> {
-        let bytes = u32::try_from(bytes).map_err(|_too_many| ReceiveFault::TooLong)?;
-        let share = Arc::clone(&self.0).try_acquire_many_owned(bytes);
-        share.map_err(|_used_up| ReceiveFault::BuffersFull)
-    }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -9,10 +9,13 @@
 
 use crate::{
     admin::Admin,
+    body::RequestBodies,
+    callers::CallerGuard,
     claims::Claims,
     clock::{self, Clock},
     front,
     gossip::Gossip,
+    memory::MemoryBudget,
     metrics::Metrics,
     peers::{self, JoinError, JoinParams, Joined},
     picker::Picker,
@@ -28,6 +31,10 @@
     view, web,
 };
 
+/// Copies of a body that the router holds while it sends the body to an agent: the body itself, the
+/// sealed frame, and the frame in the connection's write buffer.
+const BODY_COPIES: usize = 3;
+
 /// Reason why a router fails to start or to shut down cleanly.
 #[derive(Debug, Snafu)]
 pub enum RouterError {
@@ -92,8 +99,14 @@
     .await
     .context(JoinSnafu)?;
     let rollouts = Rollouts::start(views.clone(), gossip.clone(), platform.clone(), log.clone());
+    let memory = MemoryBudget::new(cfg.machine.memory, metrics.callers.clone());
+    let guard = CallerGuard {
+        memory: memory.clone(),
+        metrics: metrics.callers.clone(),
+    };
     let admin = Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
-        .with_config_api(platform.clone(), cfg.processes);
+        .with_config_api(platform.clone(), cfg.processes)
+        .with_guard(guard.clone());
     let address = cfg.common.admin;
     with_dumps(admin, &gossip, &rollouts)
         .start(address, stop.clone(), log.clone())
@@ -132,7 +145,7 @@
         views: views.clone(),
         picker,
         links: LinkPool::start(),
-        buffers: AnswerBuffers::default(),
+        buffers: AnswerBuffers::new(memory.clone()),
         retrier,
         rollouts,
         metrics,
@@ -142,12 +155,17 @@
     let address = cfg.listen;
     let listener = web::bind(address).await.context(ListenSnafu { address })?;
     info!(log, "router ready"; "listen" => address);
-    let routes = front::routes(views, relay);
+    let bodies = RequestBodies::new(memory, BODY_COPIES);
+    let routes = front::routes(views, relay, bodies);
     let stop_log = log.clone();
     let serving = web::serve(
         listener,
         routes,
-        web::ConnectionLimits::default,
+        move || web::ConnectionLimits {
+            max_connections: cfg.machine.max_callers(),
+            ..Default::default()
+        },
+        guard,
         stop.clone(),
         log,
     );
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -25,6 +25,8 @@
 const DEFAULT_MEMORY_MB: usize = 160;
 /// Usual soft limit on the descriptors of a process.
 const DEFAULT_MAX_FDS: usize = 1_024;
+/// Descriptors reserved for files.
+const FILE_FDS: usize = 200;
 /// Range of the setting `memory-mb`. An idle router alone takes 16 MB.
 const MEMORY_MB: RangeInclusive<usize> = 64..=1 << 20;
 /// Range of the setting `max-fds`; 200 descriptors are reserved for files.
@@ -58,6 +60,14 @@
     pub max_fds: usize,
 }
 
+impl MachineLimits {
+    /// Most connections of callers at once. A request takes one descriptor for its caller and one for
+    /// its target, so that callers get half of what is not reserved for files.
+    pub fn max_callers(&self) -> usize {
+        self.max_fds.saturating_sub(FILE_FDS) / 2
+    }
+}
+
 impl Default for MachineLimits {
     fn default() -> Self {
         Self {
--- a/src/web.rs
+++ b/src/web.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use ebonyfall_core::{code::Code, id::RequestId};
+use ebonyfall_core::{code::Code, connections::CallerDeadlines, id::RequestId, memory::Taker};
 use gotham::{
     handler::NewHandler,
     helpers::http::Body,
@@ -32,11 +32,35 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    time,
+    time::{self, MissedTickBehavior},
+};
+
+use crate::{
+    callers::{CHECK_INTERVAL, CallerGuard, CallerTable},
+    clock::BootClock,
+    memory::MemoryShare,
+    settings::MachineLimits,
 };
 
 /// Longest wait for the header of a request, and again for its body.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the first byte of a request on a connection of monitoring or operators.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time for which a caller takes no byte of its answer. The socket's buffer is small enough
+/// that a caller that reads 10 KB/s shows progress within that time.
+const STALL_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time after a request's deadline within which its caller has to have read the answer.
+const ANSWER_GRACE: Duration = Duration::from_secs(10);
+/// Connections to a listener for monitoring, load balancers or operators.
+const MAX_SMALL_CONNECTIONS: usize = 16;
+/// Most fields in the head of a request; more are answered with 431. Ordinary callers send far fewer,
+/// and each field takes several times its bytes in memory.
+const MAX_HEADER_FIELDS: usize = 100;
+/// Receive buffer of a caller's connection, in bytes; the kernel doubles it. Some platforms count
+/// received bytes that wait there as memory of the process.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// Send buffer of a caller's connection, in bytes; the kernel doubles it.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Default limit on request headers, in bytes.
 const MAX_HEADER_BYTES: usize = 16 << 10;
 /// Time for which connections are still accepted after new handshakes are blocked; longer than a
@@ -77,8 +101,10 @@
 /// Limits on the connections of callers.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionLimits {
-    /// Longest wait for the header of a request, including the idle time before it.
-    pub header_timeout: Duration,
+    /// Longest waits for callers.
+    pub deadlines: CallerDeadlines,
+    /// Most connections at once.
+    pub max_connections: usize,
     /// Limit on a connection's read buffer, and so on request headers, in bytes.
     pub max_header_bytes: usize,
     /// Time after the stop signal for which new connections are still accepted.
@@ -91,7 +117,8 @@
 impl Default for ConnectionLimits {
     fn default() -> Self {
         Self {
-            header_timeout: RECEIVE_TIMEOUT,
+            deadlines: caller_deadlines(IDLE_TIMEOUT, RECEIVE_TIMEOUT),
+            max_connections: MachineLimits::default().max_callers(),
             max_header_bytes: MAX_HEADER_BYTES,
             accept_grace: Duration::ZERO,
             idle_grace: Duration::from_secs(1),
@@ -99,6 +126,34 @@
     }
 }
 
+impl ConnectionLimits {
+    /// Limits of a listener for monitoring, load balancers or operators.
+    pub fn small() -> Self {
+        Self {
+            max_connections: MAX_SMALL_CONNECTIONS,
+            ..Self::default()
+        }
+    }
+
+    /// Limits of simulated servers, which never run out of descriptors.
+    pub fn simulated() -> Self {
+        Self {
+            max_connections: usize::MAX,
+            ..Self::default()
+        }
+    }
+}
+
+/// Returns the longest waits for callers, of which the desired state gives the first two.
+pub fn caller_deadlines(idle: Duration, head: Duration) -> CallerDeadlines {
+    CallerDeadlines {
+        idle,
+        head,
+        stall: STALL_TIMEOUT,
+        answer_grace: ANSWER_GRACE,
+    }
+}
+
 /// Serves `handler` on `listener` until `stop` turns true, and returns when all requests have
 /// ended. Connections that the kernel has established by then are still served. Each connection
 /// gets the limits that are current when it is accepted.
@@ -106,12 +161,14 @@
     listener: TcpListener,
     handler: impl NewHandler + 'static,
     limits: impl Fn() -> ConnectionLimits,
+    guard: CallerGuard,
     stop: watch::Receiver<bool>,
     log: Logger,
 ) {
     let server = Server {
         handler: Arc::new(handler),
         graceful: GracefulShutdown::new(),
+        guard,
         stop,
         log,
     };
@@ -124,6 +181,7 @@
 struct Server<H> {
     handler: Arc<H>,
     graceful: GracefulShutdown,
+    guard: CallerGuard,
     stop: watch::Receiver<bool>,
     log: Logger,
 }
@@ -144,26 +202,58 @@
             time::sleep(HANDSHAKE_GRACE).await;
         };
         tokio::pin!(closed);
+        let mut table = CallerTable::new(self.guard.metrics.clone(), self.log.clone());
+        let mut checks = time::interval(CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let (stream, peer) = tokio::select! {
                 biased;
+                _ = checks.tick() => {
+                    table.check(&limits().deadlines, BootClock.now());
+                    continue;
+                }
                 accepted = accept(&listener, &self.log) => accepted,
                 () = &mut closed => return,
             };
-            self.spawn_connection(stream, peer, limits());
+            let limits = limits();
+            // A connection that is not taken is closed; its caller tries another router.
+            if table.make_room(limits.max_connections)
+                && let Ok(share) = self
+                    .guard
+                    .memory
+                    .take(Taker::Heads, limits.max_header_bytes)
+            {
+                self.spawn_connection(&mut table, stream, peer, limits, share);
+            }
         }
     }
 
-    /// Serves a connection in a new task.
-    fn spawn_connection(&self, stream: TcpStream, peer: SocketAddr, limits: ConnectionLimits) {
+    /// Serves a connection in a new task. `share` is the memory that the connection takes.
+    fn spawn_connection(
+        &self,
+        table: &mut CallerTable,
+        stream: TcpStream,
+        peer: SocketAddr,
+        limits: ConnectionLimits,
+        share: MemoryShare,
+    ) {
         let _unset = stream.set_nodelay(true);
+        let socket = SockRef::from(&stream);
+        let _unset = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+        let _unset = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+        let (stream, activity) = CallerTable::open(stream);
         let (handler, stop) = (Arc::clone(&self.handler), self.stop.clone());
+        let requests = activity.clone();
         let service = service_fn(move |req| {
+            let may_start = requests.start_request();
             let state = State::from_request(req, peer);
             let answer = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
-            let stop = stop.clone();
+            let (stop, activity) = (stop.clone(), requests.clone());
             async move {
-                let mut answer = answer.await;
+                if !may_start {
+                    return Err(io::Error::from(io::ErrorKind::ConnectionAborted).into());
+                }
+                let mut answer = answer.await.map(|res| activity.track(res));
                 if let (Ok(res), true) = (&mut answer, *stop.borrow()) {
                     let headers = res.headers_mut();
                     headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -173,16 +263,19 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(limits.header_timeout)
+            .header_read_timeout(limits.deadlines.idle + limits.deadlines.head)
             .max_buf_size(limits.max_header_bytes)
+            .max_headers(MAX_HEADER_FIELDS)
             .serve_connection(TokioIo::new(stream), service);
         let connection = self.graceful.watch(connection);
         let log = self.log.clone();
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 debug!(log, "HTTP connection failed"; "peer" => peer, "error" => %error);
             }
+            drop(share);
         });
+        table.add(activity, task.abort_handle());
     }
 }
 
--- a/standin/src/host.rs
+++ b/standin/src/host.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::mpsc, thread, time::Duration};
 
-use ebonyfall::web;
+use ebonyfall::{callers::CallerGuard, web};
 use gotham::router::Router;
 use slog::{Discard, Logger, o};
 use tokio::{runtime::Builder, sync::watch};
@@ -49,7 +49,8 @@
                 runtime.spawn(web::serve(
                     listener,
                     routes,
-                    web::ConnectionLimits::default,
+                    web::ConnectionLimits::simulated,
+                    CallerGuard::default(),
                     stop,
                     log,
                 ));
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -12,7 +12,10 @@
 };
 
 use base64::{Engine, prelude::BASE64_STANDARD};
-use ebonyfall::web::{self, Shared};
+use ebonyfall::{
+    callers::CallerGuard,
+    web::{self, Shared},
+};
 use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
 use http::{Method, Response, StatusCode, Uri};
 use percent_encoding::percent_decode_str;
@@ -96,7 +99,8 @@
             web::serve(
                 listener,
                 handler,
-                web::ConnectionLimits::default,
+                web::ConnectionLimits::simulated,
+                CallerGuard::default(),
                 running,
                 log,
             )
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -7,7 +7,10 @@
     time::Duration,
 };
 
-use ebonyfall::web::{self, ConnectionLimits};
+use ebonyfall::{
+    callers::CallerGuard,
+    web::{self, ConnectionLimits},
+};
 use gotham::state::State;
 use http::Response;
 use slog::{Discard, Logger, o};
@@ -85,6 +88,7 @@
             listener,
             handler,
             ConnectionLimits::default,
+            CallerGuard::default(),
             stop,
             log,
         ));
