Give the limits on callers settings, and test what callers get at them

max-fields, body-time-s, body-rate, stall-s and answer-grace-s replace constants. The listeners for readiness and metrics get 32 connections, so that several load balancers with kept connections fit.

The tests show that a refused body gets a whole answer, that small requests are served while large bodies fill the memory, that kept connections give way and those with running requests do not, and that bytes do not renew a head's time.

--- a/src/body.rs
+++ b/src/body.rs
@@ -16,20 +16,17 @@
 use hyper::body::Body as _;
 use tokio::time::{Instant, timeout_at};
 
-use crate::memory::{MemoryBudget, MemoryShare};
-
-/// Longest time for a body to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for a body to arrive at any rate.
-const RATE_GRACE: Duration = Duration::from_secs(5);
-/// Lowest mean rate of a body after that time, in bytes per second.
-const MIN_RATE: u64 = 4 << 10;
+use crate::{
+    memory::{MemoryBudget, MemoryShare},
+    settings::CallerConfig,
+};
 
 /// Memory for the bodies of requests.
 #[derive(Debug, Clone)]
 pub struct RequestBodies {
     budget: MemoryBudget,
     copies: usize,
+    config: CallerConfig,
 }
 
 /// A body that is being read.
@@ -38,13 +35,18 @@
     share: MemoryShare,
     copies: usize,
     limit: usize,
+    config: CallerConfig,
 }
 
 impl RequestBodies {
     /// Takes the memory of bodies from `budget`. The process holds up to `copies` copies of each body
     /// at once, which all count.
-    pub fn new(budget: MemoryBudget, copies: usize) -> Self {
-        Self { budget, copies }
+    pub fn new(budget: MemoryBudget, copies: usize, config: CallerConfig) -> Self {
+        Self {
+            budget,
+            copies,
+            config,
+        }
     }
 
     /// Reads the body of a request, of at most `limit` bytes, from gotham's state. The bytes hold
@@ -72,6 +74,7 @@
             share: self.budget.share(Taker::Bodies, Some(party)),
             copies: self.copies,
             limit,
+            config: self.config,
         };
         incomplete.reserve(declared)?;
         let start = Instant::now();
@@ -91,8 +94,9 @@
 impl Incomplete {
     /// Time by which the next part has to arrive.
     fn deadline(&self, start: Instant) -> Instant {
-        let earned = Duration::from_secs(self.bytes.len() as u64 / MIN_RATE);
-        start + BODY_TIMEOUT.min(RATE_GRACE + earned)
+        let earned = Duration::from_secs(self.bytes.len() as u64 / self.config.body_rate);
+        let longest = self.config.body_time;
+        start + longest.min(longest / 2 + earned)
     }
 
     fn push(&mut self, data: &[u8]) -> Result<(), Code> {
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -43,8 +43,9 @@
 /// Checks after which closed connections are logged, so that a crowd does not fill the log.
 const CHECKS_PER_LOG: u32 = 20;
 /// Time for which bytes of a refused body are read and dropped before the connection is closed.
-/// Closing a connection with unread bytes resets it, and the answer is lost.
-const LINGER: Duration = Duration::from_secs(2);
+/// Closing a connection with unread bytes resets it, and the answer is lost. Some callers read it only
+/// after they have sent their body. The connection counts as idle, so that others take its place.
+const LINGER: Duration = Duration::from_secs(5);
 /// Size of the parts in which they are read, in bytes.
 const LINGER_BUFFER_BYTES: usize = 4 << 10;
 /// Causes for which connections are closed.
@@ -139,6 +140,16 @@
     pub metrics: CallerMetrics,
 }
 
+impl CallerGuard {
+    /// Creates the guard of a process that has `memory` bytes.
+    pub fn new(memory: usize, metrics: &CallerMetrics) -> Self {
+        Self {
+            memory: MemoryBudget::new(memory, metrics.clone()),
+            metrics: metrics.clone(),
+        }
+    }
+}
+
 /// Marks an answer that is sent while bytes of the request's body are unread.
 #[derive(Debug, Clone, Copy)]
 pub struct UnreadBody;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -20,14 +20,13 @@
     clock::BootClock,
     follow::{self, StoreState},
     intake::Intake,
-    memory::MemoryBudget,
     metrics::Metrics,
     monitoring::{self, Monitoring},
     peering::{self, Peering},
     receive::AnswerBuffers,
     report,
     selection::SelectorHandle,
-    settings::{self, EntryConfig, MachineLimits},
+    settings::{self, CallerConfig, EntryConfig, MachineLimits},
     stop::{StopPhases, StopTimes},
     store::StoreClient,
     web::{self, ConnectionLimits, Shared},
@@ -105,11 +104,7 @@
     let listener = listen(cfg.listen).await?;
     let ready = listen(cfg.ready).await?;
     let monitoring = listen(cfg.metrics).await?;
-    let memory = MemoryBudget::new(cfg.machine.memory, metrics.callers.clone());
-    let guard = CallerGuard {
-        memory: memory.clone(),
-        metrics: metrics.callers.clone(),
-    };
+    let guard = CallerGuard::new(cfg.machine.memory, &metrics.callers);
     monitoring::serve_readiness(
         ready,
         store_state.clone(),
@@ -147,7 +142,7 @@
         stop.clone(),
     );
     tokio::spawn(watch_settings(cfg.clone(), path, log.clone()));
-    let limits = limits(&store_state, cfg.machine);
+    let limits = limits(&store_state, cfg.machine, cfg.callers);
     let grace = cfg.grace.saturating_sub(EXIT_MARGIN);
     let times = StopTimes {
         refuse_after: ACCEPT_AFTER_STOP,
@@ -158,13 +153,13 @@
         store_state,
         selector,
         phases,
-        buffers: AnswerBuffers::new(memory.clone()),
+        buffers: AnswerBuffers::new(guard.memory.clone()),
         metrics,
         log: log.clone(),
     };
     let intake = Shared::new(Intake {
         shared: Arc::new(forwarding),
-        bodies: RequestBodies::new(memory, BODY_COPIES),
+        bodies: RequestBodies::new(guard.memory.clone(), BODY_COPIES, cfg.callers),
     });
     let handler = move || {
         let intake = intake.clone().into_inner();
@@ -190,6 +185,7 @@
 fn limits(
     store_state: &StoreState,
     machine: MachineLimits,
+    callers: CallerConfig,
 ) -> impl Fn() -> ConnectionLimits + use<> {
     let desired = store_state.desired.clone();
     move || {
@@ -199,13 +195,13 @@
         let head = known.and_then(|known| known.header_timeout);
         let head = head.map_or(DEFAULT_HEADER_TIMEOUT, |head| head + HEADER_MARGIN);
         ConnectionLimits {
-            deadlines: web::caller_deadlines(idle + IDLE_MARGIN, head),
             max_connections: machine.max_callers(),
             max_header_bytes: known.map_or(2 * MIN_HEADER_BYTES, |known| {
                 known.max_header_bytes.max(MIN_HEADER_BYTES)
             }),
             accept_grace: ACCEPT_AFTER_STOP,
             idle_grace: Duration::ZERO,
+            ..ConnectionLimits::new(&callers, idle + IDLE_MARGIN, head)
         }
     }
 }
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -39,7 +39,7 @@
     taker: Taker,
     /// Counter of the party that sends a body.
     party: Option<usize>,
-    permit: OwnedSemaphorePermit,
+    permit: Option<OwnedSemaphorePermit>,
 }
 
 /// Bytes with the share of memory that they take.
@@ -84,7 +84,6 @@
 
     /// Starts a share that holds nothing yet. Shares of bodies belong to a party.
     pub fn share(&self, taker: Taker, party: Option<&Party>) -> MemoryShare {
-        let permit = Arc::clone(self.part(taker)).try_acquire_many_owned(0);
         let party = party.map(|party| {
             let mut hasher = DefaultHasher::new();
             party.hash(&mut hasher);
@@ -95,7 +94,7 @@
             budget: self.clone(),
             taker,
             party,
-            permit: permit.expect("the semaphore is never closed"),
+            permit: None,
         }
     }
 
@@ -137,7 +136,9 @@
 impl MemoryShare {
     /// Bytes that the share holds.
     pub fn len(&self) -> usize {
-        self.permit.num_permits()
+        self.permit
+            .as_ref()
+            .map_or(0, OwnedSemaphorePermit::num_permits)
     }
 
     /// Whether the share holds nothing.
@@ -165,8 +166,11 @@
         let count = u32::try_from(more).map_err(|_too_many| MemoryRefusal::Full)?;
         let part = Arc::clone(self.budget.part(self.taker));
         let permit = part.try_acquire_many_owned(count);
-        self.permit
-            .merge(permit.map_err(|_used_up| MemoryRefusal::Full)?);
+        let permit = permit.map_err(|_used_up| MemoryRefusal::Full)?;
+        match &mut self.permit {
+            Some(held) => held.merge(permit),
+            None => self.permit = Some(permit),
+        }
         if let Some(party) = self.party {
             self.budget.0.parties[party].fetch_add(more, Ordering::Relaxed);
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,7 +15,6 @@
     clock::{self, Clock},
     front,
     gossip::Gossip,
-    memory::MemoryBudget,
     metrics::Metrics,
     peers::{self, JoinError, JoinParams, Joined},
     picker::Picker,
@@ -26,9 +25,10 @@
     relay::Relay,
     retrier::Retrier,
     rollouts::Rollouts,
-    settings::RouterConfig,
+    settings::{CallerConfig, MachineLimits, RouterConfig},
     stop::{StopPhases, StopTimes},
-    view, web,
+    view,
+    web::{self, ConnectionLimits},
 };
 
 /// Copies of a body that the router holds while it sends the body to an agent: the body itself, the
@@ -99,11 +99,7 @@
     .await
     .context(JoinSnafu)?;
     let rollouts = Rollouts::start(views.clone(), gossip.clone(), platform.clone(), log.clone());
-    let memory = MemoryBudget::new(cfg.machine.memory, metrics.callers.clone());
-    let guard = CallerGuard {
-        memory: memory.clone(),
-        metrics: metrics.callers.clone(),
-    };
+    let guard = CallerGuard::new(cfg.machine.memory, &metrics.callers);
     let admin = Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
         .with_config_api(platform.clone(), cfg.processes)
         .with_guard(guard.clone());
@@ -135,7 +131,7 @@
     let retrier = Retrier::start(views.clone());
     quarantine::start(gossip.clone(), retrier.clone(), views.clone());
     let times = StopTimes {
-        refuse_after: web::ConnectionLimits::default().idle_grace,
+        refuse_after: ConnectionLimits::default().idle_grace,
         end_after: cfg.common.drain,
     };
     let relay = Relay {
@@ -145,7 +141,7 @@
         views: views.clone(),
         picker,
         links: LinkPool::start(),
-        buffers: AnswerBuffers::new(memory.clone()),
+        buffers: AnswerBuffers::new(guard.memory.clone()),
         retrier,
         rollouts,
         metrics,
@@ -155,20 +151,11 @@
     let address = cfg.listen;
     let listener = web::bind(address).await.context(ListenSnafu { address })?;
     info!(log, "router ready"; "listen" => address);
-    let bodies = RequestBodies::new(memory, BODY_COPIES);
+    let bodies = RequestBodies::new(guard.memory.clone(), BODY_COPIES, cfg.callers);
     let routes = front::routes(views, relay, bodies);
     let stop_log = log.clone();
-    let serving = web::serve(
-        listener,
-        routes,
-        move || web::ConnectionLimits {
-            max_connections: cfg.machine.max_callers(),
-            ..Default::default()
-        },
-        guard,
-        stop.clone(),
-        log,
-    );
+    let limits = caller_limits(cfg.machine, cfg.callers);
+    let serving = web::serve(listener, routes, move || limits, guard, stop.clone(), log);
     tokio::pin!(serving);
     tokio::select! {
         () = &mut serving => {
@@ -186,6 +173,13 @@
     UnfinishedSnafu { left }.fail()
 }
 
+fn caller_limits(machine: MachineLimits, callers: CallerConfig) -> ConnectionLimits {
+    ConnectionLimits {
+        max_connections: machine.max_callers(),
+        ..ConnectionLimits::new(&callers, web::IDLE_TIMEOUT, web::RECEIVE_TIMEOUT)
+    }
+}
+
 /// Adds the state of the router's tasks to the dump of the admin interface.
 fn with_dumps(admin: Admin, gossip: &Gossip, rollouts: &Rollouts) -> Admin {
     let (gossip, rollouts) = (gossip.clone(), rollouts.clone());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -31,6 +31,10 @@
 const MEMORY_MB: RangeInclusive<usize> = 64..=1 << 20;
 /// Range of the setting `max-fds`; 200 descriptors are reserved for files.
 const MAX_FDS: RangeInclusive<usize> = 300..=1 << 20;
+/// Range of the settings for the time that callers have, in seconds.
+const CALLER_SECONDS: RangeInclusive<u64> = 1..=600;
+/// Range of the setting `max-fields`.
+const MAX_FIELDS: RangeInclusive<usize> = 20..=1_000;
 
 /// Failure to load a settings file.
 #[derive(Debug, Snafu)]
@@ -68,6 +72,38 @@
     }
 }
 
+/// Limits on callers that do not follow from the machine or from the desired state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerConfig {
+    /// Most fields in the head of a request; setting `max-fields`, 100 by default. More are answered
+    /// with 431. Each field takes several times its bytes in memory.
+    pub max_fields: usize,
+    /// Longest time for a body to arrive; setting `body-time-s`, 10 s by default.
+    pub body_time: Duration,
+    /// Lowest mean rate of a body after half of that time, in bytes per second; setting `body-rate`,
+    /// 4,096 by default.
+    pub body_rate: u64,
+    /// Longest time for which a caller takes no byte of its answer; setting `stall-s`, 15 s by default.
+    /// The buffers of a connection are small enough that a caller that reads 10 KB/s shows progress
+    /// within that time.
+    pub stall: Duration,
+    /// Time after a request's deadline within which its caller has to have read the answer; setting
+    /// `answer-grace-s`, 10 s by default.
+    pub answer_grace: Duration,
+}
+
+impl Default for CallerConfig {
+    fn default() -> Self {
+        Self {
+            max_fields: 100,
+            body_time: Duration::from_secs(10),
+            body_rate: 4 << 10,
+            stall: Duration::from_secs(15),
+            answer_grace: Duration::from_secs(10),
+        }
+    }
+}
+
 impl Default for MachineLimits {
     fn default() -> Self {
         Self {
@@ -118,6 +154,8 @@
     pub processes: Vec<SocketAddr>,
     /// What the machine grants to the process.
     pub machine: MachineLimits,
+    /// Other limits on callers.
+    pub callers: CallerConfig,
 }
 
 /// Settings of an agent.
@@ -164,6 +202,8 @@
     pub log_levels: Levels,
     /// What the machine grants to the process.
     pub machine: MachineLimits,
+    /// Other limits on callers.
+    pub callers: CallerConfig,
 }
 
 /// Settings of the operators' command line. Command-line options take precedence; `None` means that
@@ -207,11 +247,13 @@
         let listen = f.required("listen", ADDRESS, parse);
         let processes = f.list("processes", ADDRESSES, parse);
         let machine = parse_machine(f);
+        let callers = parse_callers(f);
         Some(RouterConfig {
             common: common?,
             listen: listen?,
             processes,
             machine,
+            callers,
         })
     })
 }
@@ -239,6 +281,7 @@
         let window = f.required("retry-window-s", SECONDS, parse_seconds);
         let levels = f.optional("log-levels", "levels such as info, carry=debug", parse);
         let machine = parse_machine(f);
+        let callers = parse_callers(f);
         Some(EntryConfig {
             name: name?,
             zone: zone?,
@@ -258,6 +301,7 @@
             },
             log_levels: levels.unwrap_or_else(default_levels),
             machine,
+            callers,
         })
     })
 }
@@ -409,6 +453,33 @@
     }
 }
 
+fn parse_callers(f: &mut SectionReader<'_>) -> CallerConfig {
+    let default = CallerConfig::default();
+    let mut seconds = |name: &'static str, default: Duration| {
+        let allowed = "seconds from 1 to 600";
+        let found = f.optional(name, allowed, |text| {
+            parse_seconds(text).filter(|time| CALLER_SECONDS.contains(&time.as_secs()))
+        });
+        found.unwrap_or(default)
+    };
+    let body_time = seconds("body-time-s", default.body_time);
+    let stall = seconds("stall-s", default.stall);
+    let answer_grace = seconds("answer-grace-s", default.answer_grace);
+    let max_fields = f.optional("max-fields", "fields from 20 to 1000", |text| {
+        parse(text).filter(|count| MAX_FIELDS.contains(count))
+    });
+    let body_rate = f.optional("body-rate", "bytes per second, at least 1", |text| {
+        parse(text).filter(|rate: &u64| *rate > 0)
+    });
+    CallerConfig {
+        max_fields: max_fields.unwrap_or(default.max_fields),
+        body_time,
+        body_rate: body_rate.unwrap_or(default.body_rate),
+        stall,
+        answer_grace,
+    }
+}
+
 fn parse<T: FromStr>(text: &str) -> Option<T> {
     text.parse().ok()
 }
--- a/src/web.rs
+++ b/src/web.rs
@@ -39,23 +39,16 @@
     callers::{CHECK_INTERVAL, CallerGuard, CallerTable},
     clock::BootClock,
     memory::MemoryShare,
-    settings::MachineLimits,
+    settings::{CallerConfig, MachineLimits},
 };
 
 /// Longest wait for the header of a request, and again for its body.
-const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest wait for the first byte of a request on a connection of monitoring or operators.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest time for which a caller takes no byte of its answer. The socket's buffer is small enough
-/// that a caller that reads 10 KB/s shows progress within that time.
-const STALL_TIMEOUT: Duration = Duration::from_secs(15);
-/// Time after a request's deadline within which its caller has to have read the answer.
-const ANSWER_GRACE: Duration = Duration::from_secs(10);
+pub(crate) const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the first byte of a request on a connection, unless the desired state
+/// specifies one.
+pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Connections to a listener for monitoring, load balancers or operators.
-const MAX_SMALL_CONNECTIONS: usize = 16;
-/// Most fields in the head of a request; more are answered with 431. Ordinary callers send far fewer,
-/// and each field takes several times its bytes in memory.
-const MAX_HEADER_FIELDS: usize = 100;
+const MAX_SMALL_CONNECTIONS: usize = 32;
 /// Receive buffer of a caller's connection, in bytes; the kernel doubles it. Some platforms count
 /// received bytes that wait there as memory of the process.
 const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
@@ -105,6 +98,8 @@
     pub deadlines: CallerDeadlines,
     /// Most connections at once.
     pub max_connections: usize,
+    /// Most fields in the head of a request.
+    pub max_fields: usize,
     /// Limit on a connection's read buffer, and so on request headers, in bytes.
     pub max_header_bytes: usize,
     /// Time after the stop signal for which new connections are still accepted.
@@ -117,16 +112,31 @@
 impl Default for ConnectionLimits {
     fn default() -> Self {
         Self {
-            deadlines: caller_deadlines(IDLE_TIMEOUT, RECEIVE_TIMEOUT),
             max_connections: MachineLimits::default().max_callers(),
+            ..Self::new(&CallerConfig::default(), IDLE_TIMEOUT, RECEIVE_TIMEOUT)
+        }
+    }
+}
+
+impl ConnectionLimits {
+    /// Limits with these settings, these longest waits for the first byte of a request and for the rest
+    /// of its head, and no limit on connections.
+    pub fn new(config: &CallerConfig, idle: Duration, head: Duration) -> Self {
+        Self {
+            deadlines: CallerDeadlines {
+                idle,
+                head,
+                stall: config.stall,
+                answer_grace: config.answer_grace,
+            },
+            max_connections: usize::MAX,
+            max_fields: config.max_fields,
             max_header_bytes: MAX_HEADER_BYTES,
             accept_grace: Duration::ZERO,
             idle_grace: Duration::from_secs(1),
         }
     }
-}
 
-impl ConnectionLimits {
     /// Limits of a listener for monitoring, load balancers or operators.
     pub fn small() -> Self {
         Self {
@@ -144,16 +154,6 @@
     }
 }
 
-/// Returns the longest waits for callers, of which the desired state gives the first two.
-pub fn caller_deadlines(idle: Duration, head: Duration) -> CallerDeadlines {
-    CallerDeadlines {
-        idle,
-        head,
-        stall: STALL_TIMEOUT,
-        answer_grace: ANSWER_GRACE,
-    }
-}
-
 /// Serves `handler` on `listener` until `stop` turns true, and returns when all requests have
 /// ended. Connections that the kernel has established by then are still served. Each connection
 /// gets the limits that are current when it is accepted.
@@ -265,7 +265,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(limits.deadlines.idle + limits.deadlines.head)
             .max_buf_size(limits.max_header_bytes)
-            .max_headers(MAX_HEADER_FIELDS)
+            .max_headers(limits.max_fields)
             .serve_connection(TokioIo::new(stream), service);
         let connection = self.graceful.watch(connection);
         let log = self.log.clone();
--- a/tests/callers/cases.rs
+++ b/tests/callers/cases.rs
@@ -119,9 +119,9 @@
             name: "heads of as many fields as are usual at most",
             callers: MANY,
             acts: |place, _| {
-                let fields: String = (0..90)
-                    .map(|field| format!("x-field-{field}: {}\r\n", "v".repeat(140)))
-                    .collect();
+                let field = |field| format!("x-field-{field}: {}\r\n", "v".repeat(140));
+                let fields: Vec<_> = (0..90).map(field).collect();
+                let fields = fields.concat();
                 vec![Act::Send(
                     format!("{}{fields}\r\n", place.head("GET")).into(),
                 )]
--- a/tests/callers/env.rs
+++ b/tests/callers/env.rs
@@ -47,8 +47,8 @@
 pub(crate) struct Place {
     pub(crate) name: &'static str,
     pub(crate) address: SocketAddr,
-    path: &'static str,
-    key: &'static str,
+    pub(crate) path: &'static str,
+    pub(crate) key: &'static str,
 }
 
 impl Place {
@@ -65,7 +65,7 @@
 /// A router with lowered limits.
 pub(crate) struct Env {
     routers: Routers,
-    _target: HostileTarget,
+    pub(crate) target: HostileTarget,
     _folder: Option<TempDir>,
 }
 
@@ -92,13 +92,13 @@
             .put_desired_state_with(2, &keys, ROUTE_TIMEOUT, MAX_BODY_BYTES)
             .await;
         let (target, address) = HostileTarget::start().await;
-        target.set_script(answer());
+        target.set_script(answer(ANSWER_BYTES));
         deployment.register_address("large-answers", address).await;
         // The router reads the entries of targets about once a second.
         sleep(Duration::from_millis(1_500)).await;
         Self {
             routers: Routers::Entry(deployment),
-            _target: target,
+            target,
             _folder: Some(folder),
         }
     }
@@ -115,10 +115,10 @@
             sleep(RETRY_INTERVAL).await;
         }
         let (target, _address) = HostileTarget::start_at(address).await;
-        target.set_script(answer());
+        target.set_script(answer(ANSWER_BYTES));
         Self {
             routers: Routers::Agent(env),
-            _target: target,
+            target,
             _folder: None,
         }
     }
@@ -193,12 +193,12 @@
     }
 }
 
-/// A sealed answer to each request; the connection closes after it.
-fn answer() -> [Step; 2] {
-    let body = "x".repeat(ANSWER_BYTES);
+/// A sealed answer of `len` bytes to each request; the connection closes after it.
+pub(crate) fn answer(len: usize) -> [Step; 2] {
+    let body = "x".repeat(len);
     let text = format!(
         "HTTP/1.1 200 OK\r\nEbonyfall-Attempt-Id: {{id}}\r\nEbonyfall-Server-Seal: s\r\n\
-         Content-Length: {ANSWER_BYTES}\r\nConnection: close\r\n\r\n{body}"
+         Content-Length: {len}\r\nConnection: close\r\n\r\n{body}"
     );
     [Step::Execute, Step::Send(text)]
 }
--- a/tests/callers/main.rs
+++ b/tests/callers/main.rs
@@ -7,6 +7,7 @@
 mod cases;
 mod crowd;
 mod env;
+mod limits;
 #[path = "../testenv/mod.rs"]
 mod testenv;
 
