--- a/src/memory.rs
+++ b/src/memory.rs
@@ -152,6 +152,9 @@
     ///
     /// Fails with the reason when they do not fit; the share keeps what it has.
     pub fn grow(&mut self, more: usize) -> Result<(), MemoryRefusal> {
+        if more == 0 {
+            return Ok(());
+        }
         let grown = self.try_grow(more);
         let metrics = &self.budget.0.metrics;
         match grown {
