--- a/core/tests/routers.rs
+++ b/core/tests/routers.rs
@@ -50,8 +50,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
     None,
-    /// Routers do not know of each other, so that each uses the whole budget.
+    /// Routers do not know of each other, so that each uses the whole retry budget. Each still keeps
+    /// to its share of the cold rate.
     UnsharedBudget,
+    /// Routers do not know of each other, so that each uses the whole cold rate.
+    UnsharedColdRate,
     /// Routers ignore that targets leave.
     NoRemoval,
     /// Routers ignore that zones go out.
@@ -174,10 +177,13 @@
         }
         let listed = self.targets.keys().cloned().collect();
         selector.retain(&listed, self.now);
-        if self.fault != Fault::UnsharedBudget {
-            selector.set_routers(ROUTERS);
+        let mut cold_rate = f64::from(COLD_RATE_AND_TIME.0);
+        match self.fault {
+            Fault::UnsharedBudget => cold_rate /= f64::from(ROUTERS),
+            Fault::UnsharedColdRate => {}
+            Fault::None | Fault::NoRemoval | Fault::NoEvacuation => selector.set_routers(ROUTERS),
         }
-        selector.set_cold_rates([(service(), f64::from(COLD_RATE_AND_TIME.0))].into());
+        selector.set_cold_rates([(service(), cold_rate)].into());
         selector.set_evacuated(self.out.clone());
         Router {
             selector,
@@ -510,6 +516,7 @@
 fn every_check_detects_its_fault() {
     for (fault, expected) in [
         (Fault::UnsharedBudget, "repeats of"),
+        (Fault::UnsharedColdRate, "to a cold target"),
         (Fault::NoRemoval, "had left"),
         (Fault::NoEvacuation, "is out"),
     ] {
--- a/standin/src/usage.rs
+++ b/standin/src/usage.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use ebonyfall::web::{self, Shared};
+use ebonyfall::{
+    callers::CallerGuard,
+    web::{self, Shared},
+};
 use gotham::{
     handler::{HandlerFuture, HandlerResult},
     helpers::http::Body,
@@ -80,8 +83,9 @@
         let log = Logger::root(Discard, o!());
         tokio::spawn(async move {
             let (_stop, running) = watch::channel(false);
-            let limits = web::ConnectionLimits::default;
-            web::serve(listener, handler, limits, running, log).await;
+            let limits = web::ConnectionLimits::simulated;
+            let guard = CallerGuard::default();
+            web::serve(listener, handler, limits, guard, running, log).await;
         });
         (platform, address)
     }
--- a/tests/entry/metrics.rs
+++ b/tests/entry/metrics.rs
@@ -10,8 +10,9 @@
 /// Unit suffixes that metric names may have.
 const UNIT_SUFFIXES: [&str; 3] = ["_seconds", "_bytes", "_total"];
 /// Gauges without a unit.
-const UNITLESS_GAUGES: [&str; 12] = [
+const UNITLESS_GAUGES: [&str; 15] = [
     "ebonyfall_open",
+    "ebonyfall_caller_connections",
     "ebonyfall_routers",
     "ebonyfall_desired_version",
     "ebonyfall_configuration_offset",
@@ -23,6 +24,8 @@
     "ebonyfall_dispatch_level",
     "ebonyfall_dispatch_waiting",
     "ebonyfall_usage_holding",
+    "ebonyfall_targets_under_pace",
+    "ebonyfall_stated_slowness_max",
 ];
 
 fn scrape(text: &str) -> Scrape {
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -65,14 +65,22 @@
     }
 }
 
-/// Guards against a template whose section does not render to valid settings.
+/// Sections of the template, which the platform renders where it has the value.
+const SECTIONS: [&str; 3] = ["bounds.window_s", "limits.memory_mb", "limits.max_fds"];
+
+fn render_section(template: &str, name: &str, is_present: bool) -> String {
+    let (open, close) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+    let (head, rest) = template.split_once(&open).expect("the section begins");
+    let (section, tail) = rest.split_once(&close).expect("the section ends");
+    let section = if is_present { section } else { "" };
+    format!("{head}{section}{tail}")
+}
+
+/// Guards against a template whose sections do not render to valid settings.
 #[test]
 fn template_renders_with_and_without_usage_reports() {
     let template =
         fs::read_to_string("deploy/settings.ini").expect("the template is in the folder");
-    let (open, close) = ("{{#bounds.window_s}}", "{{/bounds.window_s}}");
-    let (head, rest) = template.split_once(open).expect("the section begins");
-    let (section, tail) = rest.split_once(close).expect("the section ends");
     let values = [
         ("{{node}}", "e-1"),
         ("{{zone}}", "z"),
@@ -93,16 +101,19 @@
         ("{{bounds.window_s}}", "5"),
         ("{{bounds.lease_ms}}", "3000"),
         ("{{bounds.usage_late_s}}", "10"),
+        ("{{limits.memory_mb}}", "112"),
+        ("{{limits.max_fds}}", "2870"),
     ];
-    for (text, reports) in [
-        (format!("{head}{tail}"), false),
-        (format!("{head}{section}{tail}"), true),
-    ] {
+    for is_present in [false, true] {
+        let text = SECTIONS.iter().fold(template.clone(), |text, name| {
+            render_section(&text, name, is_present)
+        });
         let rendered = values
             .iter()
             .fold(text, |text, (name, value)| text.replace(name, value));
         let config = load(&rendered).expect("the rendered settings are right");
-        assert_eq!(config.usage.is_some(), reports);
+        assert_eq!(config.usage.is_some(), is_present);
+        assert_eq!(config.machine.memory == 112 << 20, is_present);
     }
 }
 
