--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -45,8 +45,6 @@
 /// with this router's demand of the moment, all routers would raise and lower their shares at the
 /// same time.
 const DEMAND_WINDOW: Duration = Duration::from_millis(300);
-/// Part of the route's timeout that a caller's stated time may differ by from the first arrival.
-const ROUTE_TIME_DIVISOR: u32 = 2;
 
 /// Limits on the waiting requests of one router.
 #[derive(Debug, Clone, Copy)]
@@ -247,7 +245,7 @@
     pub fn offer(&mut self, id: u64, request: DispatchRequest, handle: T, random: f64, now: Time) {
         let name = request.service.clone();
         let comeback = self.comebacks.take(request.content, now);
-        let since = comeback.unwrap_or_else(|| first_arrival(&request));
+        let since = comeback.unwrap_or_else(|| shed::first_arrival(&request));
         let service = self.services.entry(name.clone()).or_default();
         service.update_mean(now);
         service.level.record_arrival(request.priority, now);
@@ -596,16 +594,3 @@
         }
     }
 }
-
-/// First arrival of a request at any router, as far as its time left tells: a caller that was refused
-/// elsewhere and came back has used a part of the time that the route allows. A caller that states
-/// less than half of that time may always do so, and gets no credit; neither does one that came back
-/// earlier than any router tells.
-fn first_arrival(request: &DispatchRequest) -> Time {
-    let time_left = request.deadline.since(request.arrived);
-    let used = request.timeout.saturating_sub(time_left);
-    if used < shed::MIN_RETRY_AFTER || used > request.timeout / ROUTE_TIME_DIVISOR {
-        return request.arrived;
-    }
-    request.arrived.before(used)
-}
--- a/core/src/dispatch/shed.rs
+++ b/core/src/dispatch/shed.rs
@@ -10,6 +10,7 @@
 
 use derive_more::Display;
 
+use super::DispatchRequest;
 use crate::{fair::count_to_f64, id::Fingerprint, time::Time};
 
 /// Time constant of the rate at which requests end.
@@ -169,7 +170,7 @@
 }
 
 /// Shortest `Retry-After`; a request whose caller has used less time cannot have come back as told.
-pub(super) const MIN_RETRY_AFTER: Duration = RETRY_RANGE[0];
+const MIN_RETRY_AFTER: Duration = RETRY_RANGE[0];
 
 /// Admission level: the least urgent class of a service whose requests may wait.
 #[derive(Debug, Default)]
@@ -242,3 +243,19 @@
 pub(super) fn backlog_time(waiting: usize, per_second: Option<f64>) -> Duration {
     time_for(count_to_f64(waiting) + 1.0, per_second)
 }
+
+/// Part of the route's timeout that a caller's stated time may differ by from the first arrival.
+const ROUTE_TIME_DIVISOR: u32 = 2;
+
+/// First arrival of a request at any router, as far as its time left tells: a caller that was refused
+/// elsewhere and came back has used a part of the time that the route allows. A caller that states
+/// less than half of that time may always do so, and gets no credit; neither does one that came back
+/// earlier than any router tells.
+pub(super) fn first_arrival(request: &DispatchRequest) -> Time {
+    let time_left = request.deadline.since(request.arrived);
+    let used = request.timeout.saturating_sub(time_left);
+    if used < MIN_RETRY_AFTER || used > request.timeout / ROUTE_TIME_DIVISOR {
+        return request.arrived;
+    }
+    request.arrived.before(used)
+}
--- a/core/tests/dispatch/main.rs
+++ b/core/tests/dispatch/main.rs
@@ -3,10 +3,12 @@
 //!
 //! `cargo test -p ebonyfall-core --test dispatch -- --nocapture` prints the measured figures.
 
+mod case;
 mod fleet;
 mod rules;
 
-use fleet::{Case, Got, Network, Outcome, Statement, Stream, run};
+use case::{Case, Network, Statement, Stream};
+use fleet::{Got, Outcome, run};
 
 const SEED: u64 = 1;
 const ROUTERS: [usize; 4] = [103, 28, 6, 1];
