--- a/src/entry.rs
+++ b/src/entry.rs
@@ -23,6 +23,7 @@
     intake::Intake,
     metrics::Metrics,
     monitoring::{self, Monitoring},
+    neighbours::PeerAccess,
     peering::{self, Peering},
     receive::AnswerBuffers,
     report,
@@ -32,7 +33,7 @@
     store::StoreClient,
     usage::{
         counting::UsageCounter,
-        duty::{self, DutyTask},
+        duty::{self, DutyHandle, DutyTask},
     },
     web::{self, ConnectionLimits, Shared},
 };
@@ -93,119 +94,31 @@
 ) -> Result<(), EntryError> {
     info!(log, "started"; "event" => "start", "name" => %cfg.name, "zone" => %cfg.zone,
         "version" => env!("CARGO_PKG_VERSION"));
-    let metrics = Metrics::new();
-    let mut selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
-    selector.await_rank();
-    let selector = SelectorHandle::start(selector, BootClock, log.clone());
-    // Without capacities, every request is admitted.
-    let (_unlimited, no_rooms) = watch::channel(Vec::new());
-    let rooms = if cfg.dispatch {
-        selector.rooms()
-    } else {
-        no_rooms
-    };
-    let dispatch = DispatchHandle::start(rooms, QueueLimits::default(), BootClock);
-    let store = StoreClient::new(cfg.store, metrics.entry.clone());
-    let (access_tx, access) = watch::channel(None);
-    let counter = cfg.usage.as_ref().map(|usage| {
-        let counting = metrics.entry.counting.clone();
-        UsageCounter::start(
-            cfg.name.clone(),
-            usage.window,
-            access.clone(),
-            counting,
-            log.clone(),
-        )
-    });
-    let store_state = follow::start(
-        store.clone(),
-        selector.clone(),
-        access,
-        (cfg.revocation, cfg.drain),
-        metrics.clone(),
-        log.clone(),
-    );
+    let (tasks, access) = Tasks::start(&cfg, &log);
     let listener = listen(cfg.listen).await?;
     let ready = listen(cfg.ready).await?;
     let monitoring = listen(cfg.metrics).await?;
-    let guard = CallerGuard::new(cfg.machine.memory, &metrics.callers);
+    let guard = CallerGuard::new(cfg.machine.memory, &tasks.metrics.callers);
     monitoring::serve_readiness(
         ready,
-        store_state.clone(),
+        tasks.store_state.clone(),
         guard.clone(),
         stop.clone(),
         log.clone(),
     );
-    let usage = cfg
-        .usage
-        .clone()
-        .zip(counter.clone())
-        .map(|(config, counter)| {
-            let task = DutyTask {
-                name: cfg.name.clone(),
-                address: cfg.peers.ip(),
-                config,
-                store: store.clone(),
-                counter,
-                meters: metrics.entry.clone(),
-                log: log.clone(),
-            };
-            duty::start(task, stop.clone())
-        });
-    let pages = Monitoring {
-        name: cfg.name.clone(),
-        zone: cfg.zone.clone(),
-        store_state: store_state.clone(),
-        selector: selector.clone(),
-        usage,
-        counter: counter.clone(),
-        dispatch: dispatch.clone(),
-        metrics: metrics.clone(),
-    };
+    let pages = tasks.pages(&cfg, tasks.start_duty(&cfg, &stop));
     monitoring::serve_monitoring(monitoring, pages, guard.clone(), log.clone());
-    report::start(
-        store.clone(),
-        selector.clone(),
-        metrics.entry.clone(),
-        log.clone(),
-    );
-    peering::start(
-        Peering {
-            name: cfg.name.clone(),
-            zone: cfg.zone.clone(),
-            address: cfg.peers,
-            seeds: cfg.seeds.clone(),
-            store,
-            selector: selector.clone(),
-            dispatch: dispatch.clone(),
-            mirrors: store_state.mirrors.clone(),
-            usage: counter.clone(),
-            access: access_tx,
-            metrics: metrics.clone(),
-            log: log.clone(),
-        },
-        stop.clone(),
-    );
+    tasks.start_reports(&cfg, access, stop.clone());
     tokio::spawn(watch_settings(cfg.clone(), path, log.clone()));
-    let limits = limits(&store_state, cfg.machine, cfg.callers);
+    let limits = limits(&tasks.store_state, cfg.machine, cfg.callers);
     let grace = cfg.grace.saturating_sub(EXIT_MARGIN);
     let times = StopTimes {
         refuse_after: ACCEPT_AFTER_STOP,
         end_after: grace,
     };
     let phases = StopPhases::start(stop.clone(), times, log.clone());
-    let forwarding = Forwarding {
-        store_state,
-        selector,
-        dispatch,
-        phases,
-        usage: counter,
-        buffers: AnswerBuffers::new(guard.memory.clone()),
-        metrics,
-        log: log.clone(),
-    };
     let intake = Shared::new(Intake {
-        shared: Arc::new(forwarding),
+        shared: Arc::new(tasks.forwarding(phases, &guard)),
         bodies: RequestBodies::new(guard.memory.clone(), BODY_COPIES, cfg.callers),
     });
     let handler = move || {
@@ -228,6 +141,136 @@
     Ok(())
 }
 
+/// Handles of the tasks that requests and the pages for monitoring share.
+struct Tasks {
+    selector: SelectorHandle,
+    dispatch: DispatchHandle,
+    store: StoreClient,
+    store_state: StoreState,
+    /// Counts requests; `None` if usage is not reported.
+    counter: Option<UsageCounter>,
+    metrics: Metrics,
+    log: Logger,
+}
+
+impl Tasks {
+    /// Starts the tasks. The access to the other routers goes through the returned channel once it
+    /// is known.
+    fn start(cfg: &EntryConfig, log: &Logger) -> (Self, watch::Sender<Option<PeerAccess>>) {
+        let metrics = Metrics::new();
+        let mut selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
+        selector.await_rank();
+        let selector = SelectorHandle::start(selector, BootClock, log.clone());
+        // Without capacities, every request is admitted.
+        let (_unlimited, no_rooms) = watch::channel(Vec::new());
+        let rooms = if cfg.dispatch {
+            selector.rooms()
+        } else {
+            no_rooms
+        };
+        let dispatch = DispatchHandle::start(rooms, QueueLimits::default(), BootClock);
+        let store = StoreClient::new(cfg.store, metrics.entry.clone());
+        let (access_tx, access) = watch::channel(None);
+        let counter = cfg.usage.as_ref().map(|usage| {
+            let counting = metrics.entry.counting.clone();
+            let (name, access) = (cfg.name.clone(), access.clone());
+            UsageCounter::start(name, usage.window, access, counting, log.clone())
+        });
+        let store_state = follow::start(
+            store.clone(),
+            selector.clone(),
+            access,
+            (cfg.revocation, cfg.drain),
+            metrics.clone(),
+            log.clone(),
+        );
+        let tasks = Self {
+            selector,
+            dispatch,
+            store,
+            store_state,
+            counter,
+            metrics,
+            log: log.clone(),
+        };
+        (tasks, access_tx)
+    }
+
+    /// Starts the task that takes part in the reporting lease, if usage is reported.
+    fn start_duty(&self, cfg: &EntryConfig, stop: &watch::Receiver<bool>) -> Option<DutyHandle> {
+        let task = DutyTask {
+            name: cfg.name.clone(),
+            address: cfg.peers.ip(),
+            config: cfg.usage.clone()?,
+            store: self.store.clone(),
+            counter: self.counter.clone()?,
+            meters: self.metrics.entry.clone(),
+            log: self.log.clone(),
+        };
+        Some(duty::start(task, stop.clone()))
+    }
+
+    /// State for the metrics and the dump.
+    fn pages(&self, cfg: &EntryConfig, usage: Option<DutyHandle>) -> Monitoring {
+        Monitoring {
+            name: cfg.name.clone(),
+            zone: cfg.zone.clone(),
+            store_state: self.store_state.clone(),
+            selector: self.selector.clone(),
+            usage,
+            counter: self.counter.clone(),
+            dispatch: self.dispatch.clone(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    /// Starts the tasks that report to operators and to the other routers.
+    fn start_reports(
+        &self,
+        cfg: &EntryConfig,
+        access: watch::Sender<Option<PeerAccess>>,
+        stop: watch::Receiver<bool>,
+    ) {
+        report::start(
+            self.store.clone(),
+            self.selector.clone(),
+            self.metrics.entry.clone(),
+            self.log.clone(),
+        );
+        peering::start(
+            Peering {
+                name: cfg.name.clone(),
+                zone: cfg.zone.clone(),
+                address: cfg.peers,
+                seeds: cfg.seeds.clone(),
+                store: self.store.clone(),
+                selector: self.selector.clone(),
+                dispatch: self.dispatch.clone(),
+                mirrors: self.store_state.mirrors.clone(),
+                usage: self.counter.clone(),
+                access,
+                metrics: self.metrics.clone(),
+                log: self.log.clone(),
+            },
+            stop,
+        );
+    }
+
+    /// What forwarding a request needs.
+    fn forwarding(self, phases: StopPhases, guard: &CallerGuard) -> Forwarding {
+        Forwarding {
+            store_state: self.store_state,
+            selector: self.selector,
+            dispatch: self.dispatch,
+            phases,
+            usage: self.counter,
+            buffers: AnswerBuffers::new(guard.memory.clone()),
+            metrics: self.metrics,
+            log: self.log,
+        }
+    }
+}
+
 /// Returns a function that reads the current limits on callers' connections from the desired state.
 fn limits(
     store_state: &StoreState,
