--- a/core/src/dispatch/room.rs
+++ b/core/src/dispatch/room.rs
@@ -10,6 +10,11 @@
 /// Divisor of the slots of a target that reports its load: the requests that may wait there, so that
 /// a freed slot is used before the next request arrives.
 const REPORTED_CUSHION_DIVISOR: u32 = 16;
+/// Divisor of the slots of a target that does not report its load: the most requests that may wait
+/// there. More may wait the more routers there are: they know the load only from each other's
+/// reports, which are up to 300 ms old, and the spread of their choices grows with the root of their
+/// number.
+const UNREPORTED_CUSHION_DIVISOR: u32 = 2;
 /// Divisor of the slots that count as running at least when a target reports many waiting requests,
 /// so that a false report does not stop all traffic to it.
 const MIN_RUNNING_DIVISOR: u32 = 8;
@@ -46,22 +51,18 @@
 
 impl TargetLoad {
     /// Requests that may wait at the target, so that it does not idle between two requests.
-    ///
-    /// At a target that does not report its load, more may wait the more routers there are, but at
-    /// most as many as it runs: routers know the load only from each other's reports, which are up to
-    /// 300 ms old, and the spread of their choices grows with the root of their number.
     fn cushion(&self) -> u32 {
         if self.reports {
             return (self.slots / REPORTED_CUSHION_DIVISOR).max(1);
         }
-        let spread = f64::from(self.routers).sqrt().ceil();
+        let spread = (f64::from(self.routers).sqrt() / 2.0).ceil();
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "the root of a u32 is small and not negative"
         )]
         let spread = spread as u32;
-        spread.clamp(1, self.slots.max(1))
+        spread.clamp(1, (self.slots / UNREPORTED_CUSHION_DIVISOR).max(1))
     }
 
     /// The last report, unless it states more requests than a target can hold.
