Log where a desired state came from, and when a router leaves the one that it reads from

A late desired state could not be told apart by its cause: the line in force named neither the source of the record nor how old the knowledge was, and a router that gave up the one it follows said nothing. desired has origin, bytes and confirmed_ms now, and reader_left names the peer and the age of its confirmation. No decision changes.

--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -2,10 +2,12 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
+use derive_more::Display;
 use ebonyfall_core::{
     changeover::MoveOrder,
     desired::DesiredState,
@@ -24,7 +26,7 @@
 
 use super::{RETRY_DELAY, StoreHealth};
 use crate::{
-    clock::BootClock,
+    clock::{self, BootClock},
     mirror::Mirror,
     neighbours::{PeerRead, PeerReader},
     selection::{SelectorHandle, Update},
@@ -42,6 +44,20 @@
 /// records.
 const PEER_READ_DELAY: Duration = Duration::from_millis(700);
 
+/// How records reached this router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+enum Origin {
+    /// From the store's list of newest records.
+    #[display("list")]
+    List,
+    /// From the store's stream.
+    #[display("stream")]
+    Stream,
+    /// From another router.
+    #[display("router")]
+    Router,
+}
+
 /// Task that follows operators' orders.
 pub(super) struct OrderTask {
     pub(super) store: StoreClient,
@@ -79,7 +95,7 @@
             .newest(Topic::Orders, self.health.failures)
             .await?;
         self.record_answer();
-        self.replace_all(records, end).await;
+        self.replace_all(records, end, Origin::List).await;
         self.confirm(requested_at);
         Ok(end)
     }
@@ -91,12 +107,12 @@
     }
 
     /// Replaces all records by a complete list.
-    async fn replace_all(&mut self, records: Vec<KeyedRecord>, end: Offset) {
+    async fn replace_all(&mut self, records: Vec<KeyedRecord>, end: Offset, origin: Origin) {
         self.evacuated.clear();
         self.moves.clear();
         self.mirror
             .send_modify(|mirror| mirror.reset(&records, end));
-        self.apply(records).await;
+        self.apply(records, origin).await;
         self.publish().await;
     }
 
@@ -112,7 +128,7 @@
                         self.last_answer.send_replace(read.confirmed);
                         from = self.apply_read(read).await;
                     }
-                    _ => self.source.record_failure(rand::random(), BootClock.now()),
+                    read => self.leave_reader(reader, read.and_then(|read| read.confirmed)),
                 }
                 wait = Duration::ZERO;
                 continue;
@@ -122,7 +138,8 @@
                 Ok(tail) => {
                     self.record_answer();
                     let changed = !tail.records.is_empty();
-                    self.apply_changes(tail.records, tail.next).await;
+                    self.apply_changes(tail.records, tail.next, Origin::Stream)
+                        .await;
                     // An empty answer means that the store waited for the full time and had no new
                     // record at the end of it, so the state is confirmed for that moment. An answer
                     // with records may have been sent at any time after `requested_at`, so the next
@@ -152,6 +169,17 @@
         }
     }
 
+    /// Reads the store instead of `reader` for some seconds. `confirmed` is when the state in the
+    /// reader's answer was current; `None` without an answer.
+    fn leave_reader(&mut self, reader: SocketAddr, confirmed: Option<Time>) {
+        let now = BootClock.now();
+        info!(self.log, "another router has no recent orders; reading them from the store";
+            "event" => "reader_left", "peer" => %reader,
+            "peer_age_ms" => confirmed.map(|at| clock::millis(now.since(at))),
+            "confirmed_ms" => self.confirmed_age_ms());
+        self.source.record_failure(rand::random(), now);
+    }
+
     /// Source of the next read, and how long a read of the store may wait for a record.
     fn next_source(&self) -> (Source, Duration) {
         let Some((own, routers)) = self.peers.zone_routers() else {
@@ -172,9 +200,11 @@
     /// Applies records from another router; returns the next offset.
     async fn apply_read(&mut self, read: PeerRead) -> Offset {
         if read.is_complete {
-            self.replace_all(read.records, read.next).await;
+            self.replace_all(read.records, read.next, Origin::Router)
+                .await;
         } else {
-            self.apply_changes(read.records, read.next).await;
+            self.apply_changes(read.records, read.next, Origin::Router)
+                .await;
         }
         if let Some(confirmed) = read.confirmed {
             self.confirm(confirmed);
@@ -183,13 +213,13 @@
     }
 
     /// Applies records that follow the last known offset.
-    async fn apply_changes(&mut self, records: Vec<KeyedRecord>, next: Offset) {
+    async fn apply_changes(&mut self, records: Vec<KeyedRecord>, next: Offset, origin: Origin) {
         if records.is_empty() {
             return;
         }
         self.mirror
             .send_modify(|mirror| mirror.apply(&records, next));
-        self.apply(records).await;
+        self.apply(records, origin).await;
         self.publish().await;
     }
 
@@ -198,10 +228,12 @@
         self.mirror.send_modify(|mirror| mirror.confirm(at));
     }
 
-    async fn apply(&mut self, records: Vec<KeyedRecord>) {
+    async fn apply(&mut self, records: Vec<KeyedRecord>, origin: Origin) {
         for record in records {
             match (store::decode_order_key(&record.key), record.value) {
-                (Some(OrderKey::Desired), Some(value)) => self.apply_desired(&value).await,
+                (Some(OrderKey::Desired), Some(value)) => {
+                    self.apply_desired(&value, origin).await;
+                }
                 (Some(OrderKey::Evacuate(zone)), value) => {
                     let out = value.is_some();
                     info!(self.log, "zone evacuation changed"; "event" => "zone", "zone" => %zone,
@@ -221,6 +253,12 @@
         }
     }
 
+    /// Time since the state was last confirmed to be current, in milliseconds.
+    fn confirmed_age_ms(&self) -> Option<u64> {
+        let confirmed = self.lease.borrow().confirmed_at()?;
+        Some(clock::millis(BootClock.now().since(confirmed)))
+    }
+
     fn apply_move_order(&mut self, service: ServiceName, value: Option<&[u8]>, number: Offset) {
         let Some(value) = value else {
             info!(self.log, "order for version move withdrawn"; "event" => "move_withdrawn",
@@ -242,7 +280,7 @@
         self.moves.insert(service, order);
     }
 
-    async fn apply_desired(&mut self, value: &[u8]) {
+    async fn apply_desired(&mut self, value: &[u8], origin: Origin) {
         let state = match desired::decode(value) {
             Ok(state) => state,
             Err(error) => {
@@ -256,7 +294,8 @@
             return;
         }
         info!(self.log, "desired state in force"; "event" => "desired",
-            "version" => state.version, "before" => known, "routes" => state.route_count());
+            "version" => state.version, "before" => known, "routes" => state.route_count(),
+            "origin" => %origin, "bytes" => value.len(), "confirmed_ms" => self.confirmed_age_ms());
         let faults = state.faults();
         if let Some(first) = faults.first() {
             warn!(self.log, "desired state in force has faults"; "event" => "desired_faults",
