Take how long a router follows another one from the time within which a change must be in force

A router that follows a reader went on as long as the reader's orders were confirmed less than 2.4 s ago. That limit was 48 % of the bound on revoked keys; the bound on changes was not in the settings at all. A change right after the last confirmation of a reader that loses the store came into force after 2.4 s, the rest of a wait of 0.5 s, and a read of a long state.

The limit is 45 % of the new setting apply-ms now (1.35 s of 3 s; 48 % of revocation-ms at most), the waits derive from it, and a follower does not wait beyond it. More than half of the bound is left for the read of the reader that gets no answer (0.25 s) and for reads of the store. Where apply-ms is 3 s or more, readers call the store as often as before.

--- a/core/src/readers.rs
+++ b/core/src/readers.rs
@@ -19,6 +19,60 @@
 /// Random part of that time, so that routers do not return to a reader together.
 const FALLBACK_SPREAD: Duration = Duration::from_secs(2);
 
+/// Bounds on the age of the operators' orders in a router that reaches the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OrderBounds {
+    /// Time after which a changed order must be in force.
+    pub apply: Duration,
+    /// Time after which a revoked key must be refused.
+    pub revocation: Duration,
+}
+
+/// Times with which routers of a zone read the operators' orders from one another.
+///
+/// A change may come right after the last confirmation of a reader that then loses the store. Its
+/// followers have the change after `max_age`, a read of the reader that gets no answer, and a read of
+/// the store. The sum has to stay below [`OrderBounds::apply`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowTimes {
+    /// Age of the orders from which a router reads them from the store instead of a reader.
+    pub max_age: Duration,
+    /// Longest wait for a record in a reader's call of the store.
+    pub reader_wait: Duration,
+    /// Longest wait for a record in a follower's read.
+    pub follow_wait: Duration,
+}
+
+impl FollowTimes {
+    /// Maximum age as a percentage of the time within which a change must be in force. More than half
+    /// is left for reads that fail or transfer a long state.
+    const AGE_PERCENT_OF_APPLY: u32 = 45;
+    /// The same of the time within which a revoked key must be refused.
+    const AGE_PERCENT_OF_REVOCATION: u32 = 48;
+    /// Longest wait of a reader, as a percentage of the maximum age: a follower must not leave a reader
+    /// that is about to confirm its orders.
+    const READER_WAIT_PERCENT: u32 = 67;
+    /// Longest wait of a follower, in the same unit.
+    const FOLLOW_WAIT_PERCENT: u32 = 37;
+    /// Upper limit of a reader's wait.
+    const MAX_READER_WAIT: Duration = Duration::from_millis(900);
+    /// Upper limit of a follower's wait.
+    const MAX_FOLLOW_WAIT: Duration = Duration::from_millis(500);
+
+    /// Derives the times from the bounds on the age of the orders.
+    pub fn new(bounds: OrderBounds) -> Self {
+        let max_age = (bounds.apply * Self::AGE_PERCENT_OF_APPLY / 100)
+            .min(bounds.revocation * Self::AGE_PERCENT_OF_REVOCATION / 100);
+        let reader_wait = max_age * Self::READER_WAIT_PERCENT / 100;
+        let follow_wait = max_age * Self::FOLLOW_WAIT_PERCENT / 100;
+        Self {
+            max_age,
+            reader_wait: reader_wait.min(Self::MAX_READER_WAIT),
+            follow_wait: follow_wait.min(Self::MAX_FOLLOW_WAIT),
+        }
+    }
+}
+
 /// A router among those of its zone or of the fleet. The order of routers is the same in every process and does not
 /// follow their names, so that routers that are started in turn are not readers in turn.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -103,6 +157,13 @@
         confirmed.is_some_and(|confirmed| now.since(confirmed) < self.max_age)
     }
 
+    /// Returns how long a read from a reader may wait for a record: up to `longest`, and no longer than
+    /// until a state that was confirmed at `confirmed` is too old to go on without the store.
+    pub fn follow_wait(&self, longest: Duration, confirmed: Option<Time>, now: Time) -> Duration {
+        let age = confirmed.map_or(self.max_age, |confirmed| now.since(confirmed));
+        longest.min(self.max_age.saturating_sub(age))
+    }
+
     /// Records that a reader did not answer, or with a state that was too old. The store is read
     /// for some seconds then. `random` is uniform from 0 to 1.
     pub fn record_failure(&mut self, random: f64, now: Time) {
--- a/core/tests/readers.rs
+++ b/core/tests/readers.rs
@@ -10,21 +10,38 @@
 use ebonyfall_core::{
     lease::Lease,
     name::ProcessName,
-    readers::{self, Source, SourceChoice, ZONE_READERS, ZoneRouter},
+    readers::{self, FollowTimes, OrderBounds, Source, SourceChoice, ZONE_READERS, ZoneRouter},
     time::Time,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-/// Time from its revocation after which a key must be refused.
-const REVOCATION_BOUND: Duration = Duration::from_secs(5);
-/// Age of the state from which a router reads the store.
-const MAX_AGE: Duration = Duration::from_millis(2_400);
+/// Bounds on the age of the orders of a deployment, and how long after a fault they hold again.
+#[derive(Debug, Clone, Copy)]
+struct Bounds {
+    orders: OrderBounds,
+    settled: Duration,
+}
+
+impl Bounds {
+    const fn new(apply_ms: u64, settled_ms: u64) -> Self {
+        Self {
+            orders: OrderBounds {
+                apply: Duration::from_millis(apply_ms),
+                revocation: Duration::from_secs(5),
+            },
+            settled: Duration::from_millis(settled_ms),
+        }
+    }
+}
+
+/// Bounds of deployments of different sizes.
+const SMALL: Bounds = Bounds::new(2_000, 3_000);
+const GROWN: Bounds = Bounds::new(3_000, 4_000);
+const LARGE: Bounds = Bounds::new(4_000, 5_000);
 /// Longest wait of a read from the store.
 const STORE_WAIT: Duration = Duration::from_millis(1_800);
-/// The same for a router that others follow.
-const SHARED_STORE_WAIT: Duration = Duration::from_millis(900);
-/// Longest wait of a read from a reader.
-const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+/// Time in which the store's answer with a long state arrives over a slow link.
+const LONG_TRANSFER: Duration = Duration::from_millis(420);
 /// Time in addition to the wait after which a read from the store has failed.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time in addition to the wait after which a read from a reader has failed.
@@ -46,6 +63,9 @@
     NeverFallBack,
 }
 
+/// Number of the fault by which a router loses the store.
+const LOST_STORE: u32 = 2;
+
 /// What happens to routers and the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Faults {
@@ -62,10 +82,13 @@
     source: Source,
     sent_at: Time,
     wait: Duration,
+    /// When an answer with a change has arrived; `None` before the store sends it.
+    arrives: Option<Time>,
 }
 
 struct Router {
     entry: ZoneRouter,
+    times: FollowTimes,
     /// Whether the router knows the key to be valid; `None` before its first read.
     key_valid: Option<bool>,
     lease: Lease,
@@ -82,14 +105,16 @@
 }
 
 impl Router {
-    fn new(number: usize) -> Self {
+    fn new(number: usize, bounds: Bounds) -> Self {
+        let times = FollowTimes::new(bounds.orders);
         let name: ProcessName = format!("router-{number}").parse().expect("it is a name");
         let address = format!("127.0.0.1:{}", 7_000 + number).parse();
         Self {
             entry: ZoneRouter::new(name, address.expect("it is an address")),
+            times,
             key_valid: None,
-            lease: Lease::new(REVOCATION_BOUND),
-            choice: SourceChoice::new(MAX_AGE),
+            lease: Lease::new(bounds.orders.revocation),
+            choice: SourceChoice::new(times.max_age),
             read: None,
             next_read: Time::ZERO,
             wait: Duration::ZERO,
@@ -104,11 +129,23 @@
     fn runs(&self, now: Time) -> bool {
         now >= self.frozen_until && now >= self.down_until
     }
+
+    /// Whether nothing has happened to the router for `settled`.
+    fn is_settled(&self, settled: Duration, now: Time) -> bool {
+        let faults = [self.frozen_until, self.down_until, self.no_store_until];
+        faults.iter().all(|until| now >= *until + settled)
+    }
 }
 
 struct World {
     rng: SmallRng,
     bug: Bug,
+    bounds: Bounds,
+    /// Time for which the store's answer with a change is on its way. Readers do not pass on a state
+    /// that takes long.
+    transfer: Duration,
+    /// Whether the change comes right after a router has lost the store.
+    change_at_fault: bool,
     now: Time,
     routers: Vec<Router>,
     store_down_until: Time,
@@ -120,11 +157,20 @@
 
 impl World {
     fn new(seed: u64, routers: usize, bug: Bug) -> Self {
+        Self::with_bounds(seed, routers, bug, GROWN)
+    }
+
+    fn with_bounds(seed: u64, routers: usize, bug: Bug, bounds: Bounds) -> Self {
         let mut world = Self {
             rng: SmallRng::seed_from_u64(seed),
             bug,
+            bounds,
+            transfer: Duration::ZERO,
+            change_at_fault: false,
             now: Time::from_millis(1_000),
-            routers: (0..routers).map(Router::new).collect(),
+            routers: (0..routers)
+                .map(|number| Router::new(number, bounds))
+                .collect(),
             store_down_until: Time::ZERO,
             revoked_at: Time::ZERO,
             store_calls: 0,
@@ -177,6 +223,11 @@
 
     fn inject(&mut self, faults: Faults) {
         let until = self.now + Duration::from_millis(self.rng.random_range(500..6_000));
+        let changes_now =
+            self.change_at_fault && self.now < self.revoked_at && self.rng.random_ratio(1, 3);
+        if changes_now {
+            self.revoked_at = self.now + Duration::from_millis(self.rng.random_range(0..300));
+        }
         let number = match faults {
             Faults::None => return,
             Faults::Readers => {
@@ -191,17 +242,22 @@
             Faults::All => self.rng.random_range(0..self.routers.len()),
         };
         let kinds = if faults == Faults::All { 6 } else { 4 };
-        match self.rng.random_range(0..kinds) {
+        let kind = if changes_now {
+            LOST_STORE
+        } else {
+            self.rng.random_range(0..kinds)
+        };
+        match kind {
             0 => self.routers[number].frozen_until = until,
             1 => {
                 let entry = self.routers[number].entry.clone();
                 self.routers[number] = Router {
                     entry,
                     down_until: until,
-                    ..Router::new(number)
+                    ..Router::new(number, self.bounds)
                 };
             }
-            2 => self.routers[number].no_store_until = until,
+            LOST_STORE => self.routers[number].no_store_until = until,
             3 => self.routers[number].no_peers_until = until,
             4 => self.store_down_until = until,
             _ => {
@@ -227,7 +283,12 @@
                 let key_valid = now < self.revoked_at;
                 let router = &mut self.routers[number];
                 let changed = router.key_valid != Some(key_valid);
-                if up && (changed || due) {
+                let arrives = read
+                    .arrives
+                    .or((up && changed).then_some(now + self.transfer));
+                router.read = Some(Read { arrives, ..read });
+                let has_change = arrives.is_some_and(|at| now >= at);
+                if up && (has_change || due && !changed) {
                     // As the reader of the stream does: an answer with a change confirms nothing.
                     router.wait = if changed { Duration::ZERO } else { STORE_WAIT };
                     if !changed {
@@ -257,13 +318,18 @@
                 && now >= self.routers[number].no_peers_until;
             let changed = reader.key_valid != self.routers[number].key_valid;
             let confirmed = reader.lease.confirmed_at()?;
-            (reachable && (changed || due)).then_some((reader.key_valid, confirmed))
+            (reachable && (changed || due)).then_some((reader.key_valid, confirmed, changed))
         });
+        let too_long = self.transfer >= LONG_TRANSFER;
         let bug = self.bug;
         let random = self.rng.random();
         let router = &mut self.routers[number];
         let failed = match answer {
-            Some((key_valid, confirmed)) => {
+            Some((_, _, true)) if too_long => {
+                router.read = None;
+                true
+            }
+            Some((key_valid, confirmed, _)) => {
                 let confirmed = if bug == Bug::IgnoreAge {
                     now
                 } else {
@@ -302,9 +368,12 @@
         let own = &router.entry.name;
         let source = router.choice.source(own, &router.members, confirmed, now);
         let wait = match source {
-            Source::Reader(_) => FOLLOW_WAIT,
+            Source::Reader(_) => {
+                let longest = router.times.follow_wait;
+                router.choice.follow_wait(longest, confirmed, now)
+            }
             Source::Store if readers::has_followers(own, &router.members) => {
-                router.wait.min(SHARED_STORE_WAIT)
+                router.wait.min(router.times.reader_wait)
             }
             Source::Store => router.wait,
         };
@@ -312,6 +381,7 @@
             source,
             sent_at: now,
             wait,
+            arrives: None,
         });
         self.store_calls += u32::from(source == Source::Store);
     }
@@ -320,10 +390,23 @@
         for router in self.routers.iter().filter(|router| router.runs(self.now)) {
             let is_valid = router.lease.is_valid(self.now);
             let accepts = is_valid && router.key_valid == Some(true);
-            if accepts && self.now.since(self.revoked_at) > REVOCATION_BOUND {
+            if accepts && self.now.since(self.revoked_at) > self.bounds.orders.revocation {
                 let name = &router.entry.name;
                 return Err(format!("{name} accepts the revoked key at {:?}", self.now));
             }
+            let settled = self.bounds.settled;
+            let is_settled = router.is_settled(settled, self.now)
+                && self.now >= self.store_down_until + settled
+                && self.now >= start + settled;
+            let is_late = self.now.since(self.revoked_at) > self.bounds.orders.apply;
+            if is_settled && is_late && router.key_valid == Some(true) {
+                let name = &router.entry.name;
+                let revoked_at = self.revoked_at;
+                return Err(format!(
+                    "{name} has the state from before {revoked_at:?} at {:?}",
+                    self.now
+                ));
+            }
             let is_started = self.now.since(start.max(router.down_until)) > Duration::from_secs(2);
             let was_frozen = self.now.since(router.frozen_until) < Duration::from_secs(2);
             let is_cut = self.now.since(router.no_store_until) < Duration::from_secs(2);
@@ -354,6 +437,24 @@
     }
 }
 
+/// Guards against a router without a fault of its own that has a change too late because it follows a
+/// reader that has lost the store.
+#[test]
+fn a_change_is_in_force_in_time_while_readers_fail() {
+    for seed in seeds() {
+        for bounds in [SMALL, GROWN, LARGE] {
+            for transfer in [Duration::ZERO, LONG_TRANSFER] {
+                let mut world = World::with_bounds(seed, 12, Bug::None, bounds);
+                world.transfer = transfer;
+                world.change_at_fault = true;
+                if let Err(fault) = world.run(Faults::Readers) {
+                    panic!("seed {seed}, {bounds:?}, transfer {transfer:?}: {fault}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against routers that refuse callers because their readers fail while the store is up.
 #[test]
 fn followers_stay_current_while_readers_fail() {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -180,7 +180,7 @@
             store.clone(),
             selector.clone(),
             access,
-            (cfg.revocation, cfg.drain),
+            (cfg.orders, cfg.drain),
             metrics.clone(),
             log.clone(),
         );
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -9,7 +9,12 @@
     time::Duration,
 };
 
-use ebonyfall_core::{desired::DesiredState, lease::Lease, readers::SourceChoice, time::Time};
+use ebonyfall_core::{
+    desired::DesiredState,
+    lease::Lease,
+    readers::{FollowTimes, OrderBounds, SourceChoice},
+    time::Time,
+};
 use ebonyfall_wire::mirror::Stream;
 use slog::{Logger, info, warn};
 use tokio::{sync::watch, time};
@@ -31,9 +36,6 @@
 /// Age of a reader's copy of the targets' records from which a router asks the store instead, in the
 /// same unit. What is left covers the pause until the next read and a reader that does not answer.
 const TARGET_FOLLOW_PERCENT: u32 = 41;
-/// Age of the orders from which a router reads the store itself, as a percentage of the time within
-/// which a revoked key must be refused.
-const ORDER_AGE_PERCENT: u32 = 48;
 /// Mean delay before the next call after the store has failed.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -55,27 +57,29 @@
     pub mirrors: Mirrors,
 }
 
-/// Starts the tasks that follow the two streams. A revoked API key must be refused within
-/// `revocation`, and a draining target must get no new requests after `drain`.
+/// Starts the tasks that follow the two streams. A draining target must get no new requests after
+/// `drain`.
 pub fn start(
     store: StoreClient,
     selector: SelectorHandle,
     access: watch::Receiver<Option<PeerAccess>>,
-    (revocation, drain): (Duration, Duration),
+    (orders, drain): (OrderBounds, Duration),
     metrics: Metrics,
     log: Logger,
 ) -> StoreState {
     let (desired_tx, desired) = watch::channel(None);
-    let (lease_tx, lease) = watch::channel(Lease::new(revocation));
+    let (lease_tx, lease) = watch::channel(Lease::new(orders.revocation));
     let (last_answer_tx, last_answer) = watch::channel(None);
     let (loaded_tx, targets_loaded) = watch::channel(false);
     let (order_mirror, order_records) = watch::channel(Mirror::default());
     let (target_mirror, target_records) = watch::channel(Mirror::default());
+    let times = FollowTimes::new(orders);
     let order_task = OrderTask {
         store: store.clone(),
+        times,
         selector: selector.clone(),
         desired: desired_tx,
-        source: SourceChoice::new(revocation * ORDER_AGE_PERCENT / 100),
+        source: SourceChoice::new(times.max_age),
         lease: lease_tx,
         last_answer: last_answer_tx,
         evacuated: HashSet::new(),
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -14,7 +14,7 @@
     id::Offset,
     lease::Lease,
     name::{ServiceName, ZoneName},
-    readers::{self, Source, SourceChoice},
+    readers::{self, FollowTimes, Source, SourceChoice},
     time::Time,
 };
 use ebonyfall_platform::{
@@ -36,10 +36,8 @@
 /// Long-poll timeout for reads of operators' orders, which bounds the age of the last confirmation
 /// and the time until a connection without any answer is detected.
 const ORDER_READ_WAIT: Duration = Duration::from_millis(1_800);
-/// The same for a router that others follow: their state is older than its own.
-const READER_WAIT: Duration = Duration::from_millis(900);
-/// Longest time for which a read from another router waits for a change.
-const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+/// Shortest wait of a read from a reader. A read without a wait may get a state of any length.
+const MIN_FOLLOW_WAIT: Duration = Duration::from_millis(1);
 /// Mean delay before the next call after the store has failed and another router has supplied the
 /// records.
 const PEER_READ_DELAY: Duration = Duration::from_millis(700);
@@ -63,6 +61,7 @@
     pub(super) store: StoreClient,
     pub(super) selector: SelectorHandle,
     pub(super) desired: watch::Sender<Option<Arc<DesiredState>>>,
+    pub(super) times: FollowTimes,
     pub(super) source: SourceChoice,
     pub(super) lease: watch::Sender<Lease>,
     pub(super) last_answer: watch::Sender<Option<Time>>,
@@ -122,7 +121,8 @@
         loop {
             let (source, longest_wait) = self.next_source();
             if let Source::Reader(reader) = source {
-                match self.peers.read_from(reader, from, FOLLOW_WAIT).await {
+                let follow_wait = self.follow_wait();
+                match self.peers.read_from(reader, from, follow_wait).await {
                     Some(read) if self.source.is_recent(read.confirmed, BootClock.now()) => {
                         self.health.record_answer(BootClock.now());
                         self.last_answer.send_replace(read.confirmed);
@@ -190,13 +190,21 @@
             .source
             .source(&own, &routers, confirmed, BootClock.now());
         let longest_wait = if readers::has_followers(&own, &routers) {
-            READER_WAIT
+            self.times.reader_wait
         } else {
             ORDER_READ_WAIT
         };
         (source, longest_wait)
     }
 
+    /// How long a read from a reader may wait for a record.
+    fn follow_wait(&self) -> Duration {
+        let confirmed = self.lease.borrow().confirmed_at();
+        let longest = self.times.follow_wait;
+        let wait = self.source.follow_wait(longest, confirmed, BootClock.now());
+        wait.max(MIN_FOLLOW_WAIT)
+    }
+
     /// Applies records from another router; returns the next offset.
     async fn apply_read(&mut self, read: PeerRead) -> Offset {
         if read.is_complete {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,6 +14,7 @@
     doc::KeyHash,
     ini::{self, Diagnostic, SectionReader, join_lines},
     name::{OperatorName, ProcessName, TargetName, ZoneName},
+    readers::OrderBounds,
     usage::{reporter::KEPT_WINDOWS, window::WindowLength},
 };
 use ebonyfall_wire::auth::{Key, Keys};
@@ -31,6 +32,11 @@
 const DEFAULT_MAX_FDS: usize = 1_024;
 /// Descriptors reserved for files.
 const FILE_FDS: usize = 200;
+/// Time after which a changed desired state must be in force, unless the settings state another one.
+const DEFAULT_APPLY: Duration = Duration::from_secs(2);
+/// Lowest value of the setting `apply-ms`. A router waits for a record for less than half of it, and a
+/// read of another router takes up to 250 ms more.
+const MIN_APPLY: Duration = Duration::from_millis(500);
 /// Range of the setting `memory-mb`. An idle router alone takes 16 MB.
 const MEMORY_MB: RangeInclusive<usize> = 64..=1 << 20;
 /// Range of the setting `max-fds`; 200 descriptors are reserved for files.
@@ -198,8 +204,9 @@
     pub drain: Duration,
     /// Time from the stop signal until the platform kills the process.
     pub grace: Duration,
-    /// Time after which a revoked API key must be refused.
-    pub revocation: Duration,
+    /// Times after which a changed desired state must be in force and a revoked API key must be
+    /// refused; settings `apply-ms`, 2,000 ms by default, and `revocation-ms`.
+    pub orders: OrderBounds,
     /// Limit on the retries that the whole fleet sends to one service.
     pub retry: RetryBound,
     /// Usage reports; `None` if the deployment has none.
@@ -284,6 +291,7 @@
         let drain = f.required("drain-ms", MILLIS, parse_millis);
         let grace = f.required("grace-s", SECONDS, parse_seconds);
         let revocation = f.required("revocation-ms", MILLIS, parse_millis);
+        let apply = f.optional("apply-ms", APPLY_MILLIS, parse_apply);
         let ratio = f.required("retry-ratio", "a number such as 0.2", parse);
         let slack = f.required("retry-slack", "a number such as 50", parse);
         let window = f.required("retry-window-s", SECONDS, parse_seconds);
@@ -303,7 +311,10 @@
             seeds: seeds.unwrap_or_default(),
             drain: drain?,
             grace: grace?,
-            revocation: revocation?,
+            orders: OrderBounds {
+                apply: apply.unwrap_or(DEFAULT_APPLY),
+                revocation: revocation?,
+            },
             retry: RetryBound {
                 ratio: ratio?,
                 slack: slack?,
@@ -359,6 +370,7 @@
 const URL: &str = "a URL such as http://127.0.0.1:9000";
 const PEER_KEY: &str = "32 hex digits";
 const SECONDS: &str = "seconds, such as 8 or 0.5";
+const APPLY_MILLIS: &str = "milliseconds, at least 500";
 const MILLIS: &str = "milliseconds, such as 5000";
 
 /// Parses the addresses of other routers and drops their ports, which belong to another interface.
@@ -384,6 +396,10 @@
     }
 }
 
+fn parse_apply(text: &str) -> Option<Duration> {
+    parse_millis(text).filter(|apply| *apply >= MIN_APPLY)
+}
+
 fn parse_millis(text: &str) -> Option<Duration> {
     Duration::try_from_secs_f64(text.parse::<f64>().ok()? / 1_000.0).ok()
 }
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -1,4 +1,4 @@
-//! Tests of the settings of usage reports and of the operators' view of them.
+//! Tests of the settings of entry routers, and of the operators' view of usage reports.
 
 use std::{collections::BTreeMap, fs, net::IpAddr, time::Duration};
 
@@ -65,8 +65,27 @@
     }
 }
 
+/// Guards against a router that takes a bound within which it cannot follow another one.
+#[test]
+fn the_bound_on_changes_is_at_least_half_a_second() {
+    let apply = |value: &str| load(&format!("{BASE}apply-ms = {value}\n"));
+    let loaded = apply("500").expect("the settings are right");
+    assert_eq!(loaded.orders.apply, Duration::from_millis(500));
+    for value in ["499", "0", "-3000", "soon"] {
+        let Err(error) = apply(value) else {
+            panic!("{value} was accepted");
+        };
+        assert!(error.to_string().contains("apply-ms"), "{error}");
+    }
+}
+
 /// Sections of the template, which the platform renders where it has the value.
-const SECTIONS: [&str; 3] = ["bounds.window_s", "limits.memory_mb", "limits.max_fds"];
+const SECTIONS: [&str; 4] = [
+    "bounds.window_s",
+    "bounds.config_apply_ms",
+    "limits.memory_mb",
+    "limits.max_fds",
+];
 
 fn render_section(template: &str, name: &str, is_present: bool) -> String {
     let (open, close) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
@@ -93,6 +112,7 @@
         ("{{bounds.drain_ms}}", "2000"),
         ("{{bounds.grace_s}}", "8"),
         ("{{bounds.revoke_ms}}", "5000"),
+        ("{{bounds.config_apply_ms}}", "3000"),
         ("{{bounds.retry_ratio}}", "0.2"),
         ("{{bounds.retry_slack}}", "58"),
         ("{{bounds.retry_window_s}}", "10"),
@@ -114,6 +134,7 @@
         let config = load(&rendered).expect("the rendered settings are right");
         assert_eq!(config.usage.is_some(), is_present);
         assert_eq!(config.machine.memory == 112 << 20, is_present);
+        assert_eq!(config.orders.apply == Duration::from_secs(3), is_present);
     }
 }
 
