--- a/core/src/changeover.rs
+++ b/core/src/changeover.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     dissemination::{Arm, MoveDecision, RequestCounts},
-    id::{DeclarationHash, Offset},
+    id::{DeclarationHash, Era, Offset},
     name::{MoveName, ProcessName, RouteName, ServiceName},
     sequential::CountScore,
     time::Time,
@@ -52,6 +52,8 @@
 const REPORT_STAGGER: Duration = Duration::from_millis(400);
 /// Time for which the version of a withdrawn order gets no traffic. Its targets leave meanwhile.
 const WITHDRAWN_RETENTION: Duration = Duration::from_secs(60);
+/// Bits of a hash seed that hold the era of an order, above those of its offset.
+const ERA_BITS: u32 = 16;
 /// Maximum length of the service's name within the name of its move, in bytes.
 const MAX_SERVICE_BYTES: usize = 40;
 
@@ -64,8 +66,10 @@
     pub version: Arc<str>,
     /// Time limit for the move, counted from when a router learns of the order.
     pub within: Duration,
-    /// Offset of the order in the operators' stream; a later order has a higher one.
+    /// Offset of the order in the operators' stream; a later order of the same era has a higher one.
     pub offset: Offset,
+    /// Era in which the order has this offset.
+    pub era: Era,
 }
 
 impl MoveOrder {
@@ -74,12 +78,12 @@
     pub fn name(&self) -> Option<MoveName> {
         let service = self.service.as_str();
         let service = &service[..service.len().min(MAX_SERVICE_BYTES)];
-        MoveName::new(format!("{service}.{}", u64::from(self.offset))).ok()
+        MoveName::new(format!("{service}.{}.{}", self.era, self.offset)).ok()
     }
 
     /// Hash that distinguishes the order from others with the same name.
     pub fn declaration(&self) -> DeclarationHash {
-        let seed = u64::from(self.offset);
+        let seed = u64::from(self.offset) ^ u64::from(self.era).rotate_right(ERA_BITS);
         xxh3_64_with_seed(self.version.as_bytes(), seed).into()
     }
 }
--- a/core/src/id.rs
+++ b/core/src/id.rs
@@ -33,6 +33,10 @@
     /// Position of a record in a stream of the platform's log.
     #[derive(Default)]
     Offset(u64) as "{}";
+    /// Era of the store's history, which begins when the store comes back from an older copy and gives
+    /// offsets out again. Offsets of different eras cannot be compared.
+    #[derive(Default)]
+    Era(u64) as "{}";
     /// Hash of the model and versions of a version move. A verdict on a move applies only to the
     /// move with the same hash.
     DeclarationHash(u64) as "{:016x}";
@@ -54,6 +58,29 @@
     pub number: u32,
 }
 
+/// Place in a stream of the store.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[display("{era}:{offset}")]
+pub struct Position {
+    /// Era in which the offset was given out, or of the list from which it was read.
+    pub era: Era,
+    /// Offset in the stream.
+    pub offset: Offset,
+}
+
 impl Offset {
     /// The position that follows this one.
     #[must_use]
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod dissemination;
 pub mod doc;
 pub mod drain;
+pub mod eras;
 mod estimate;
 pub mod events;
 pub mod exchange;
--- a/core/tests/changeover.rs
+++ b/core/tests/changeover.rs
@@ -7,7 +7,7 @@
     budget::RetryBound,
     changeover::{MoveOrder, MoveProgress},
     direct::Failure,
-    id::{Fingerprint, Incarnation, Offset},
+    id::{Era, Fingerprint, Incarnation, Offset},
     name::{ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
     selector::{Criteria, TargetSelector},
@@ -79,6 +79,7 @@
         version: "v2".into(),
         within: WITHIN,
         offset: Offset::from(7),
+        era: Era::from(1),
     }
 }
 
--- a/core/tests/unit/changeover.rs
+++ b/core/tests/unit/changeover.rs
@@ -13,6 +13,7 @@
         version: "v2".into(),
         within: WITHIN,
         offset: Offset::from(7),
+        era: Era::from(1),
     }
 }
 
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -11,6 +11,7 @@
 
 use ebonyfall_core::{
     desired::DesiredState,
+    eras::Eras,
     lease::Lease,
     readers::{FollowTimes, OrderBounds, SourceChoice},
     time::Time,
@@ -36,6 +37,11 @@
 /// Age of a reader's copy of the targets' records from which a router asks the store instead, in the
 /// same unit. What is left covers the pause until the next read and a reader that does not answer.
 const TARGET_FOLLOW_PERCENT: u32 = 41;
+/// Time after the first list of an era from which on the orders are complete. Operators write again what
+/// the store has lost; until then, changes of keys that were known before wait for it.
+const ORDERS_SETTLE_TIME: Duration = Duration::from_secs(2);
+/// The same for targets: an entry of a target that had left lapses within three heartbeats.
+const TARGETS_SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Mean delay before the next call after the store has failed.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -77,6 +83,7 @@
     let order_task = OrderTask {
         store: store.clone(),
         times,
+        eras: Eras::new(ORDERS_SETTLE_TIME),
         selector: selector.clone(),
         desired: desired_tx,
         source: SourceChoice::new(times.max_age),
@@ -98,6 +105,7 @@
     let target_task = TargetTask {
         store,
         selector,
+        eras: Eras::new(TARGETS_SETTLE_TIME),
         loaded: loaded_tx,
         max_age: drain * TARGET_AGE_PERCENT / 100,
         source: SourceChoice::new(drain * TARGET_FOLLOW_PERCENT / 100),
@@ -150,6 +158,15 @@
         }
     }
 
+    /// Whether the stream has to be listed again at once because of `error`, which is logged then.
+    fn list_again(&self, error: &StoreError) -> bool {
+        if error.needs_list() {
+            info!(self.log, "records cannot be read on; listing the stream again";
+                "event" => "stream_listed", "stream" => self.stream, "error" => %error);
+        }
+        error.needs_list()
+    }
+
     /// Waits for half to one and a half times `mean`, so that routers that failed at the same time
     /// do not retry together.
     async fn sleep_with_jitter(mean: Duration) {
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -11,7 +11,8 @@
 use ebonyfall_core::{
     changeover::MoveOrder,
     desired::DesiredState,
-    id::Offset,
+    eras::{Eras, ListUse},
+    id::{Era, Position},
     lease::Lease,
     name::{ServiceName, ZoneName},
     readers::{self, FollowTimes, Source, SourceChoice},
@@ -30,7 +31,7 @@
     mirror::Mirror,
     neighbours::{PeerRead, PeerReader},
     selection::{SelectorHandle, Update},
-    store::{StoreClient, StoreError},
+    store::{Listing, StoreClient, StoreError},
 };
 
 /// Long-poll timeout for reads of operators' orders, which bounds the age of the last confirmation
@@ -65,6 +66,7 @@
     pub(super) source: SourceChoice,
     pub(super) lease: watch::Sender<Lease>,
     pub(super) last_answer: watch::Sender<Option<Time>>,
+    pub(super) eras: Eras,
     pub(super) evacuated: HashSet<ZoneName>,
     pub(super) moves: HashMap<ServiceName, MoveOrder>,
     pub(super) health: StoreHealth,
@@ -80,25 +82,66 @@
                 Ok(from) => self.tail(from).await,
                 Err(error) => error,
             };
-            if !matches!(error, StoreError::Expired) {
-                self.health.record_failure(&error, BootClock.now());
-                StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
+            if self.health.list_again(&error) {
+                continue;
             }
+            self.health.record_failure(&error, BootClock.now());
+            StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
         }
     }
 
-    async fn snapshot(&mut self) -> Result<Offset, StoreError> {
+    async fn snapshot(&mut self) -> Result<Position, StoreError> {
         let requested_at = BootClock.now();
-        let (records, end) = self
-            .store
-            .newest(Topic::Orders, self.health.failures)
-            .await?;
+        let failures = self.health.failures;
+        let Listing { records, end } = self.store.newest(Topic::Orders, failures).await?;
+        self.apply_list(records, end, Origin::List).await?;
         self.record_answer();
-        self.replace_all(records, end, Origin::List).await;
         self.confirm(requested_at);
         Ok(end)
     }
 
+    /// Applies a complete list as far as it is not older than what is known.
+    async fn apply_list(
+        &mut self,
+        records: Vec<KeyedRecord>,
+        end: Position,
+        origin: Origin,
+    ) -> Result<(), StoreError> {
+        match self.eras.on_list(end.era, BootClock.now()) {
+            ListUse::Replace => self.replace_all(records, end, origin).await,
+            ListUse::Merge => self.merge(records, end, origin).await,
+            ListUse::Ignore(known) => return Err(StoreError::restored(known, end.era)),
+        }
+        Ok(())
+    }
+
+    /// Takes from a list that may be older than what is known what is new.
+    async fn merge(&mut self, records: Vec<KeyedRecord>, end: Position, origin: Origin) {
+        let listed = records.len();
+        let new: Vec<_> = records
+            .into_iter()
+            .filter(|record| self.is_new(record))
+            .collect();
+        info!(self.log, "the store has come back from an older copy; keeping what is known";
+            "event" => "store_restored", "stream" => "orders", "era" => %end.era,
+            "listed" => listed, "new" => new.len());
+        self.mirror.send_modify(|mirror| mirror.merge(&new, end));
+        self.apply(new, end.era, origin).await;
+        self.publish().await;
+    }
+
+    /// Whether a record of a list that may be older than what is known is newer than that. A desired
+    /// state tells by its version.
+    fn is_new(&self, record: &KeyedRecord) -> bool {
+        let is_desired = store::decode_order_key(&record.key) == Some(OrderKey::Desired);
+        if !is_desired || !self.mirror.borrow().knows(&record.key) {
+            return !self.mirror.borrow().knows(&record.key);
+        }
+        let listed = record.value.as_ref().map(|value| desired::decode(value));
+        let known = self.desired.borrow().as_ref().map(|known| known.version);
+        matches!(listed, Some(Ok(listed)) if Some(listed.version) > known)
+    }
+
     fn record_answer(&mut self) {
         let now = BootClock.now();
         self.health.record_answer(now);
@@ -106,19 +149,27 @@
     }
 
     /// Replaces all records by a complete list.
-    async fn replace_all(&mut self, records: Vec<KeyedRecord>, end: Offset, origin: Origin) {
+    async fn replace_all(&mut self, records: Vec<KeyedRecord>, end: Position, origin: Origin) {
         self.evacuated.clear();
         self.moves.clear();
         self.mirror
             .send_modify(|mirror| mirror.reset(&records, end));
-        self.apply(records, origin).await;
+        self.apply(records, end.era, origin).await;
         self.publish().await;
     }
 
-    /// Reads changes until the records at the next offset have expired; returns that error.
-    async fn tail(&mut self, mut from: Offset) -> StoreError {
+    /// Reads changes until the stream has to be listed again; returns why.
+    async fn tail(&mut self, mut from: Position) -> StoreError {
         let mut wait = ORDER_READ_WAIT;
         loop {
+            if self.eras.is_list_due(BootClock.now()) {
+                match self.snapshot().await {
+                    Ok(end) => from = end,
+                    Err(error) => from = self.on_failure(&error, from).await,
+                }
+                wait = Duration::ZERO;
+                continue;
+            }
             let (source, longest_wait) = self.next_source();
             if let Source::Reader(reader) = source {
                 let follow_wait = self.follow_wait();
@@ -152,15 +203,9 @@
                     };
                     from = tail.next;
                 }
-                Err(StoreError::Expired) => return StoreError::Expired,
+                Err(error) if error.needs_list() => return error,
                 Err(error) => {
-                    self.health.record_failure(&error, BootClock.now());
-                    if let Some(read) = self.peers.read(from).await {
-                        from = self.apply_read(read).await;
-                        StoreHealth::sleep_with_jitter(PEER_READ_DELAY).await;
-                    } else {
-                        StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
-                    }
+                    from = self.on_failure(&error, from).await;
                     // Reads without waiting, so that the state is confirmed as soon as the store
                     // answers.
                     wait = Duration::ZERO;
@@ -169,6 +214,19 @@
         }
     }
 
+    /// Reads from another router after a call of the store has failed, and pauses; returns the position
+    /// of the next read.
+    async fn on_failure(&mut self, error: &StoreError, from: Position) -> Position {
+        self.health.record_failure(error, BootClock.now());
+        let Some(read) = self.peers.read(from).await else {
+            StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
+            return from;
+        };
+        let next = self.apply_read(read).await;
+        StoreHealth::sleep_with_jitter(PEER_READ_DELAY).await;
+        next
+    }
+
     /// Reads the store instead of `reader` for some seconds. `confirmed` is when the state in the
     /// reader's answer was current; `None` without an answer.
     fn leave_reader(&mut self, reader: SocketAddr, confirmed: Option<Time>) {
@@ -205,11 +263,12 @@
         wait.max(MIN_FOLLOW_WAIT)
     }
 
-    /// Applies records from another router; returns the next offset.
-    async fn apply_read(&mut self, read: PeerRead) -> Offset {
+    /// Applies records from another router; returns the next position.
+    async fn apply_read(&mut self, read: PeerRead) -> Position {
         if read.is_complete {
-            self.replace_all(read.records, read.next, Origin::Router)
-                .await;
+            let applied = self.apply_list(read.records, read.next, Origin::Router);
+            // A read names the era of what is known, so that no earlier one is in its answer.
+            let _never_earlier = applied.await.is_ok();
         } else {
             self.apply_changes(read.records, read.next, Origin::Router)
                 .await;
@@ -221,13 +280,13 @@
     }
 
     /// Applies records that follow the last known offset.
-    async fn apply_changes(&mut self, records: Vec<KeyedRecord>, next: Offset, origin: Origin) {
+    async fn apply_changes(&mut self, records: Vec<KeyedRecord>, next: Position, origin: Origin) {
         if records.is_empty() {
             return;
         }
         self.mirror
             .send_modify(|mirror| mirror.apply(&records, next));
-        self.apply(records, origin).await;
+        self.apply(records, next.era, origin).await;
         self.publish().await;
     }
 
@@ -236,7 +295,8 @@
         self.mirror.send_modify(|mirror| mirror.confirm(at));
     }
 
-    async fn apply(&mut self, records: Vec<KeyedRecord>, origin: Origin) {
+    /// Applies records whose offsets are of `era`.
+    async fn apply(&mut self, records: Vec<KeyedRecord>, era: Era, origin: Origin) {
         for record in records {
             match (store::decode_order_key(&record.key), record.value) {
                 (Some(OrderKey::Desired), Some(value)) => {
@@ -254,7 +314,9 @@
                     }
                 }
                 (Some(OrderKey::Move(service)), value) => {
-                    self.apply_move_order(service, value.as_deref(), record.offset);
+                    let offset = record.offset;
+                    let position = Position { era, offset };
+                    self.apply_move_order(service, value.as_deref(), position);
                 }
                 _ => {}
             }
@@ -267,7 +329,7 @@
         Some(clock::millis(BootClock.now().since(confirmed)))
     }
 
-    fn apply_move_order(&mut self, service: ServiceName, value: Option<&[u8]>, number: Offset) {
+    fn apply_move_order(&mut self, service: ServiceName, value: Option<&[u8]>, position: Position) {
         let Some(value) = value else {
             info!(self.log, "order for version move withdrawn"; "event" => "move_withdrawn",
                 "service" => %service);
@@ -275,7 +337,7 @@
             self.moves.remove(&service);
             return;
         };
-        let Some(order) = moves::decode_order(&service, value, number) else {
+        let Some(order) = moves::decode_order(&service, value, position) else {
             warn!(self.log, "cannot decode order for version move; ignoring it";
                 "event" => "move_bad", "service" => %service);
             return;
@@ -283,7 +345,7 @@
         info!(self.log, "order for version move in force";
             "event" => "move_ordered", "service" => %service,
             "version" => %order.version, "within_s" => order.within.as_secs_f64(),
-            "order" => %number);
+            "order" => %position);
         self.health.metrics.entry.count_belief_changes("move", 1);
         self.moves.insert(service, order);
     }
--- a/src/follow/targets.rs
+++ b/src/follow/targets.rs
@@ -1,9 +1,10 @@
 //! Follows the stream of target records.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use ebonyfall_core::{
-    id::Offset,
+    eras::{Eras, ListUse},
+    id::Position,
     name::TargetName,
     readers::{self, Source, SourceChoice},
     time::Time,
@@ -12,6 +13,7 @@
     store::{KeyedRecord, Topic},
     target,
 };
+use slog::info;
 use tokio::{sync::watch, time};
 
 use super::{RETRY_DELAY, StoreHealth};
@@ -20,13 +22,14 @@
     mirror::Mirror,
     neighbours::{PeerRead, PeerReader},
     selection::{SelectorHandle, Update},
-    store::{StoreClient, StoreError},
+    store::{Listing, StoreClient, StoreError},
 };
 
 /// Task that follows the targets' records.
 pub(super) struct TargetTask {
     pub(super) store: StoreClient,
     pub(super) selector: SelectorHandle,
+    pub(super) eras: Eras,
     pub(super) loaded: watch::Sender<bool>,
     /// Longest time from a change in the store to its use here.
     pub(super) max_age: Duration,
@@ -43,7 +46,7 @@
                 Ok(from) => self.tail(from).await,
                 Err(error) => error,
             };
-            if !matches!(error, StoreError::Expired) {
+            if !self.health.list_again(&error) {
                 self.record_failure(&error).await;
             }
         }
@@ -55,18 +58,57 @@
         StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
     }
 
-    async fn snapshot(&mut self) -> Result<Offset, StoreError> {
+    async fn snapshot(&mut self) -> Result<Position, StoreError> {
         let requested_at = BootClock.now();
         let failures = self.health.failures;
-        let (records, end) = self.store.newest(Topic::Targets, failures).await?;
+        let Listing { records, end } = self.store.newest(Topic::Targets, failures).await?;
+        self.apply_list(records, end, Some(requested_at)).await?;
         self.health.record_answer(BootClock.now());
-        self.replace_all(records, end, Some(requested_at)).await;
         self.loaded.send_replace(true);
         Ok(end)
     }
 
-    /// Reads changes until the records at the next offset have expired; returns that error.
-    async fn tail(&mut self, mut from: Offset) -> StoreError {
+    /// Applies a complete list as far as it is not older than what is known.
+    async fn apply_list(
+        &mut self,
+        records: Vec<KeyedRecord>,
+        end: Position,
+        confirmed: Option<Time>,
+    ) -> Result<(), StoreError> {
+        match self.eras.on_list(end.era, BootClock.now()) {
+            ListUse::Replace => self.replace_all(records, end, confirmed).await,
+            ListUse::Merge => self.merge(records, end, confirmed).await,
+            ListUse::Ignore(known) => return Err(StoreError::restored(known, end.era)),
+        }
+        Ok(())
+    }
+
+    /// Takes the targets that are not known from a list that may be older. A target that had left or
+    /// drained stays so until it writes again; one that is not listed counts as lapsed in an outage.
+    async fn merge(&self, records: Vec<KeyedRecord>, end: Position, confirmed: Option<Time>) {
+        let listed = listed_targets(&records);
+        let mirror = self.mirror.borrow().keys();
+        let new: Vec<_> = records
+            .into_iter()
+            .filter(|record| !mirror.contains(&record.key))
+            .collect();
+        info!(self.health.log, "the store has come back from an older copy; keeping what is known";
+            "event" => "store_restored", "stream" => "targets", "era" => %end.era,
+            "listed" => listed.len(), "new" => new.len());
+        self.mirror.send_modify(|mirror| {
+            mirror.merge(&new, end);
+            if let Some(confirmed) = confirmed {
+                mirror.confirm(confirmed);
+            }
+        });
+        let mut updates = vec![Update::StoreFailed];
+        updates.extend(target_updates(new));
+        updates.push(Update::RetainTargets(listed));
+        self.selector.update(updates).await;
+    }
+
+    /// Reads changes until the stream has to be listed again; returns why.
+    async fn tail(&mut self, mut from: Position) -> StoreError {
         loop {
             let (source, has_followers) = self.next_source();
             // A reader and its followers share the time.
@@ -81,6 +123,13 @@
                 }
                 self.source.record_failure(rand::random(), BootClock.now());
             }
+            if self.eras.is_list_due(BootClock.now()) {
+                match self.snapshot().await {
+                    Ok(end) => from = end,
+                    Err(error) => return error,
+                }
+                continue;
+            }
             let requested_at = BootClock.now();
             match self.store.read(Topic::Targets, from, Duration::ZERO).await {
                 Ok(tail) => {
@@ -89,7 +138,7 @@
                         .await;
                     from = tail.next;
                 }
-                Err(StoreError::Expired) => return StoreError::Expired,
+                Err(error) if error.needs_list() => return error,
                 Err(error) => match self.peers.read(from).await {
                     Some(read) if self.is_usable(&read) => {
                         self.health.record_failure(&error, BootClock.now());
@@ -115,11 +164,12 @@
         (source, readers::has_followers(&own, &routers))
     }
 
-    /// Applies records from another router; returns the next offset.
-    async fn apply_read(&self, read: PeerRead) -> Offset {
+    /// Applies records from another router; returns the next position.
+    async fn apply_read(&mut self, read: PeerRead) -> Position {
         if read.is_complete {
-            self.replace_all(read.records, read.next, read.confirmed)
-                .await;
+            let applied = self.apply_list(read.records, read.next, read.confirmed);
+            // A read names the era of what is known, so that no earlier one is in its answer.
+            let _never_earlier = applied.await.is_ok();
         } else {
             self.apply_changes(read.records, read.next, read.confirmed)
                 .await;
@@ -139,18 +189,16 @@
     }
 
     /// Replaces all records by a complete list.
-    async fn replace_all(&self, records: Vec<KeyedRecord>, end: Offset, confirmed: Option<Time>) {
+    async fn replace_all(&self, records: Vec<KeyedRecord>, end: Position, confirmed: Option<Time>) {
         self.mirror.send_modify(|mirror| {
             mirror.reset(&records, end);
             if let Some(confirmed) = confirmed {
                 mirror.confirm(confirmed);
             }
         });
-        let live = records.iter().filter(|record| record.value.is_some());
-        let listed = live.filter_map(|record| TargetName::new(&record.key).ok());
-        let listed = Update::RetainTargets(listed.collect());
+        let listed = listed_targets(&records);
         let mut updates = target_updates(records);
-        updates.push(listed);
+        updates.push(Update::RetainTargets(listed));
         self.selector.update(updates).await;
     }
 
@@ -158,7 +206,7 @@
     async fn apply_changes(
         &self,
         records: Vec<KeyedRecord>,
-        next: Offset,
+        next: Position,
         confirmed: Option<Time>,
     ) {
         self.mirror.send_modify(|mirror| {
@@ -176,6 +224,12 @@
     }
 }
 
+fn listed_targets(records: &[KeyedRecord]) -> HashSet<TargetName> {
+    let live = records.iter().filter(|record| record.value.is_some());
+    live.filter_map(|record| TargetName::new(&record.key).ok())
+        .collect()
+}
+
 /// Converts records to updates. Records that cannot be decoded are ignored, whoever wrote them.
 fn target_updates(records: Vec<KeyedRecord>) -> Vec<Update> {
     let change = |record: KeyedRecord| match record.value {
--- a/src/mirror.rs
+++ b/src/mirror.rs
@@ -4,9 +4,12 @@
 use std::collections::{HashMap, HashSet};
 
 use bytes::Bytes;
-use ebonyfall_core::{id::Offset, time::Time};
+use ebonyfall_core::{
+    id::{Era, Offset, Position},
+    time::Time,
+};
 use ebonyfall_platform::store::KeyedRecord;
-use ebonyfall_wire::mirror::{Changes, KeyRecord};
+use ebonyfall_wire::mirror::{Changes, KeyRecord, StreamChanges};
 
 /// Maximum number of tombstones (records of deleted keys).
 const MAX_TOMBSTONES: usize = 4_096;
@@ -17,27 +20,58 @@
     records: HashMap<String, KeyedRecord>,
     /// Offset from which on no tombstone is missing; `None` before the first complete list.
     complete_since: Option<Offset>,
-    next: Option<Offset>,
+    next: Option<Position>,
     confirmed: Option<Time>,
 }
 
 impl Mirror {
     /// Replaces the content by a complete list. Keys that are missing from the list become
     /// tombstones.
-    pub fn reset(&mut self, listed: &[KeyedRecord], next: Offset) {
+    pub fn reset(&mut self, listed: &[KeyedRecord], next: Position) {
+        self.enter_era(next);
         let listed_keys: HashSet<_> = listed.iter().map(|record| &record.key).collect();
         for record in self.records.values_mut() {
             if !listed_keys.contains(&record.key) {
                 record.value = None;
-                record.offset = next;
+                record.offset = next.offset;
             }
         }
-        self.complete_since.get_or_insert(next);
+        self.complete_since.get_or_insert(next.offset);
         self.apply(listed, next);
     }
 
+    /// Adds the records of a list that may be older than the content. What the content has of other
+    /// keys stays.
+    pub fn merge(&mut self, new: &[KeyedRecord], next: Position) {
+        self.enter_era(next);
+        self.complete_since.get_or_insert(next.offset);
+        self.apply(new, next);
+    }
+
+    /// Keys that the content has, or knows to be deleted.
+    pub fn keys(&self) -> HashSet<String> {
+        self.records.keys().cloned().collect()
+    }
+
+    /// Whether the content has this key, or knows that it was deleted.
+    pub fn knows(&self, key: &str) -> bool {
+        self.records.contains_key(key)
+    }
+
+    /// Moves the content into the era of `next` if that is later. Offsets of before mean nothing there:
+    /// a reader of an earlier era gets all records.
+    fn enter_era(&mut self, next: Position) {
+        if self.next.is_none_or(|known| known.era >= next.era) {
+            return;
+        }
+        for record in self.records.values_mut() {
+            record.offset = Offset::default();
+        }
+        self.complete_since = None;
+    }
+
     /// Applies records that follow the last known offset.
-    pub fn apply(&mut self, records: &[KeyedRecord], next: Offset) {
+    pub fn apply(&mut self, records: &[KeyedRecord], next: Position) {
         for record in records {
             self.records.insert(record.key.clone(), record.clone());
         }
@@ -45,7 +79,7 @@
         let tombstones = self.records.values();
         if tombstones.filter(|record| record.value.is_none()).count() > MAX_TOMBSTONES {
             self.records.retain(|_, record| record.value.is_some());
-            self.complete_since = self.next;
+            self.complete_since = self.next.map(|next| next.offset);
         }
     }
 
@@ -60,22 +94,56 @@
         self.confirmed
     }
 
-    /// Whether the mirror has a record at or after offset `from`.
-    pub fn has_changes(&self, from: Offset) -> bool {
+    /// Era of the content; `None` before the first list.
+    pub fn era(&self) -> Option<Era> {
+        self.next.map(|next| next.era)
+    }
+
+    /// Whether the mirror has a record at or after position `from`.
+    pub fn has_changes(&self, from: Position) -> bool {
         self.next.is_some_and(|next| next > from)
     }
 
-    /// Returns the records from offset `from` on, or all current records if tombstones since then
-    /// may be missing. `None` before the first complete list, or if the records have more than
-    /// `max_bytes`. The age in the answer is that at `requested_at`.
-    pub fn since(&self, from: Offset, requested_at: Time, max_bytes: usize) -> Option<Changes> {
-        let is_complete = from < self.complete_since?;
+    /// Like [`Self::has_changes`], for a router that knows no eras.
+    pub fn has_offset(&self, from: Offset) -> bool {
+        self.next.is_some_and(|next| next.offset > from)
+    }
+
+    /// Like [`Self::since`], for a router that knows no eras: `from` is taken for an offset of the
+    /// mirror's era.
+    pub fn since_offset(
+        &self,
+        from: Offset,
+        requested_at: Time,
+        max_bytes: usize,
+    ) -> Option<Changes> {
+        let era = self.next?.era;
+        let from = Position { era, offset: from };
+        let changes = self.since(from, requested_at, max_bytes)?;
+        Some(changes.changes)
+    }
+
+    /// Returns the records from position `from` on, or all current records if tombstones since then
+    /// may be missing or `from` is of an earlier era. `None` before the first complete list, if `from`
+    /// is of a later era, or if the records have more than `max_bytes`. The age in the answer is that at
+    /// `requested_at`.
+    pub fn since(
+        &self,
+        from: Position,
+        requested_at: Time,
+        max_bytes: usize,
+    ) -> Option<StreamChanges> {
+        let next = self.next?;
+        if from.era > next.era {
+            return None;
+        }
+        let is_complete = from.era < next.era || from.offset < self.complete_since?;
         let changed = self.records.values().filter(|record| {
             let live = record.value.is_some();
             if is_complete {
                 live
             } else {
-                record.offset >= from
+                record.offset >= from.offset
             }
         });
         let mut changed: Vec<_> = changed.collect();
@@ -90,13 +158,17 @@
             value: record.value.clone(),
             offset: record.offset,
         });
-        Some(Changes {
-            is_complete,
-            records: records.collect(),
-            next: self.next?,
-            age: self
-                .confirmed
-                .map(|confirmed| requested_at.since(confirmed)),
+        let age = self
+            .confirmed
+            .map(|confirmed| requested_at.since(confirmed));
+        Some(StreamChanges {
+            era: next.era,
+            changes: Changes {
+                is_complete,
+                records: records.collect(),
+                next: next.offset,
+                age,
+            },
         })
     }
 }
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -7,10 +7,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use ebonyfall_core::{id::Offset, name::ProcessName, readers::ZoneRouter, time::Time};
+use ebonyfall_core::{id::Position, name::ProcessName, readers::ZoneRouter, time::Time};
 use ebonyfall_platform::store::KeyedRecord;
 use ebonyfall_wire::{
-    mirror::{Changes, ChangesRequest, Stream},
+    mirror::{Changes, Stream, StreamChanges, StreamRead},
     usage::{ReadRange, RouterRequest},
 };
 use rand::seq::SliceRandom;
@@ -80,8 +80,8 @@
     pub is_complete: bool,
     /// Records in the order of their offsets. A record without a value marks a deleted key.
     pub records: Vec<KeyedRecord>,
-    /// Offset at which the next read starts.
-    pub next: Offset,
+    /// Position at which the next read starts.
+    pub next: Position,
     /// Time at which the other router's copy was known to be up to date; `None` if it never was.
     pub confirmed: Option<Time>,
 }
@@ -113,19 +113,19 @@
         }
     }
 
-    /// Reads the records from offset `from` on from any router. `None` if none answered.
-    pub async fn read(&mut self, from: Offset) -> Option<PeerRead> {
+    /// Reads the records from position `from` on from any router. `None` if none answered.
+    pub async fn read(&mut self, from: Position) -> Option<PeerRead> {
         let read = self.read_from_any(from).await;
         self.count(read.is_some());
         read
     }
 
-    /// Reads the records from offset `from` on from the router at `peer`, which waits up to `wait`
+    /// Reads the records from position `from` on from the router at `peer`, which waits up to `wait`
     /// for one. `None` if it did not answer.
     pub async fn read_from(
         &mut self,
         peer: SocketAddr,
-        from: Offset,
+        from: Position,
         wait: Duration,
     ) -> Option<PeerRead> {
         let access = self.access.borrow().clone()?;
@@ -158,7 +158,7 @@
         self.meters.count_peer_read(stream, answered);
     }
 
-    async fn read_from_any(&mut self, from: Offset) -> Option<PeerRead> {
+    async fn read_from_any(&mut self, from: Position) -> Option<PeerRead> {
         let access = self.access.borrow().clone()?;
         let last_link = self.link.take();
         let mut peers = access.gossip.peer_addresses().await;
@@ -203,21 +203,21 @@
         &mut self,
         peer: SocketAddr,
         mut link: Link,
-        from: Offset,
+        from: Position,
         wait: Duration,
         limit: Duration,
     ) -> Option<PeerRead> {
-        let request = ChangesRequest {
+        let request = StreamRead {
             stream: self.stream,
             from,
             wait,
         };
         let requested_at = BootClock.now();
         let answer = async {
-            link.send(&request).await?;
-            link.receive::<Option<Changes>>().await
+            link.send(&RouterRequest::Stream(request)).await?;
+            link.receive::<Option<StreamChanges>>().await
         };
-        let changes = match timeout(limit + wait, answer).await {
+        let StreamChanges { era, changes } = match timeout(limit + wait, answer).await {
             Ok(Ok(changes)) => changes?,
             Ok(Err(error)) => {
                 debug!(self.log, "router did not answer a read of the store's records";
@@ -235,7 +235,10 @@
         Some(PeerRead {
             is_complete: changes.is_complete,
             records: records.collect(),
-            next: changes.next.max(request.from),
+            next: request.from.max(Position {
+                era,
+                offset: changes.next,
+            }),
             confirmed: changes.age.map(|age| requested_at.before(age)),
         })
     }
@@ -280,9 +283,22 @@
     let mut link = Link::accept(identity, stream).await?;
     let mut idle_timeout = IDLE_TIMEOUT;
     while let Ok(request) = timeout(idle_timeout, link.receive::<RouterRequest>()).await {
-        let (ReadRange { from, wait }, mut mirror) = match request? {
-            RouterRequest::Orders(range) => (range, mirrors.orders.clone()),
-            RouterRequest::Targets(range) => (range, mirrors.targets.clone()),
+        match request? {
+            RouterRequest::Orders(range) => {
+                let changes = earlier_changes(mirrors.orders.clone(), range).await;
+                link.send(&changes).await?;
+            }
+            RouterRequest::Targets(range) => {
+                let changes = earlier_changes(mirrors.targets.clone(), range).await;
+                link.send(&changes).await?;
+            }
+            RouterRequest::Stream(read) => {
+                let mirror = match read.stream {
+                    Stream::Orders => mirrors.orders.clone(),
+                    Stream::Targets => mirrors.targets.clone(),
+                };
+                link.send(&changes(mirror, read).await).await?;
+            }
             RouterRequest::Counts(message) => {
                 // A router that does not report usage closes the connection.
                 let Some(usage) = usage else {
@@ -293,20 +309,37 @@
                 };
                 link.send(&counts).await?;
                 idle_timeout = COUNTS_IDLE_TIMEOUT;
-                continue;
             }
-        };
-        let requested_at = BootClock.now();
-        let record = mirror.wait_for(|mirror| mirror.has_changes(from));
-        // Without a record in time, the answer confirms that there is none.
-        let _none = timeout(wait.min(MAX_WAIT), record).await.is_err();
-        let max_bytes = if wait.is_zero() {
-            MAX_ANSWER_BYTES
-        } else {
-            MAX_FOLLOW_BYTES
-        };
-        let changes = mirror.borrow().since(from, requested_at, max_bytes);
-        link.send(&changes).await?;
+        }
     }
     Ok(())
 }
+
+/// Waits for a change, and returns what has changed. `None` if the records are too long or of an
+/// earlier era than the read.
+async fn changes(mut mirror: watch::Receiver<Mirror>, read: StreamRead) -> Option<StreamChanges> {
+    let StreamRead { from, wait, .. } = read;
+    let requested_at = BootClock.now();
+    let record = mirror.wait_for(|mirror| mirror.has_changes(from));
+    // Without a record in time, the answer confirms that there is none.
+    let _none = timeout(wait.min(MAX_WAIT), record).await.is_err();
+    mirror.borrow().since(from, requested_at, max_bytes(wait))
+}
+
+/// Like [`changes`], for a router of an earlier version, which knows no eras.
+async fn earlier_changes(mut mirror: watch::Receiver<Mirror>, read: ReadRange) -> Option<Changes> {
+    let ReadRange { from, wait } = read;
+    let requested_at = BootClock.now();
+    let record = mirror.wait_for(|mirror| mirror.has_offset(from));
+    let _none = timeout(wait.min(MAX_WAIT), record).await.is_err();
+    let mirror = mirror.borrow();
+    mirror.since_offset(from, requested_at, max_bytes(wait))
+}
+
+fn max_bytes(wait: Duration) -> usize {
+    if wait.is_zero() {
+        MAX_ANSWER_BYTES
+    } else {
+        MAX_FOLLOW_BYTES
+    }
+}
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -36,7 +36,7 @@
     metrics::Metrics,
     neighbours::{self, Mirrors, PeerAccess},
     selection::{CrashAttribution, PartReport, RouterReport, SelectorHandle, Update},
-    store::{StoreClient, StoreError},
+    store::{Listing, StoreClient, StoreError},
     usage::counting::UsageCounter,
     view,
 };
@@ -253,7 +253,7 @@
     }
 
     async fn read_or_create_key(&self) -> Result<Option<Key>, StoreError> {
-        let (records, end) = self.store.newest(Topic::Routers, 0).await?;
+        let Listing { records, end } = self.store.newest(Topic::Routers, 0).await?;
         let known = records.into_iter().find(|record| record.key == KEY_RECORD);
         let known = known.and_then(|record| record.value);
         if let Some(value) = known.and_then(|value| <[u8; KEY_BYTES]>::try_from(&*value).ok()) {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -12,7 +12,7 @@
 use serde_with::{base64::Base64, serde_as};
 use snafu::{ResultExt, Snafu};
 
-use crate::rest::Rest;
+use crate::rest::{Answer, Rest};
 
 /// Timeout for a call to the platform.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -173,7 +173,7 @@
     ) -> Result<T, PlatformError> {
         let no_answer = |reason: String| PlatformError::NoAnswer { reason };
         let answer = self.rest.call(method, path, body, CALL_TIMEOUT).await;
-        let (status, body) = answer.map_err(|error| no_answer(error.reason))?;
+        let Answer { status, body, .. } = answer.map_err(|error| no_answer(error.reason))?;
         if status == StatusCode::GONE {
             let FirstOffset { first } = serde_json::from_slice(&body).context(DecodeSnafu)?;
             return ExpiredSnafu { first }.fail();
--- a/src/report.rs
+++ b/src/report.rs
@@ -7,7 +7,7 @@
 
 use ebonyfall_core::{
     changeover::{MoveOrder, MoveProgress},
-    id::Offset,
+    id::Position,
     moves::MoveState,
     name::ServiceName,
     time::Time,
@@ -24,7 +24,7 @@
     clock::BootClock,
     meters::EntryMetrics,
     selection::{SelectorHandle, Update},
-    store::{StoreClient, StoreError},
+    store::{Listing, StoreClient, StoreError},
 };
 
 /// Interval between checks for progress that has to be recorded.
@@ -135,9 +135,9 @@
     }
 
     /// Reads the recorded status of the order's service, and the offset of the stream's end.
-    async fn read(&self, order: &MoveOrder) -> Result<(RecordedStatus, Offset), StoreError> {
+    async fn read(&self, order: &MoveOrder) -> Result<(RecordedStatus, Position), StoreError> {
         let key = moves::status_key(&order.service);
-        let (records, end) = self.store.newest(Topic::Status, 0).await?;
+        let Listing { records, end } = self.store.newest(Topic::Status, 0).await?;
         let known = records.into_iter().find(|record| record.key == key);
         let value = known.and_then(|record| record.value);
         let status = value.map_or(RecordedStatus::Missing, |value| {
@@ -196,12 +196,15 @@
     async fn is_replaced(&self, order: &MoveOrder) -> Result<bool, StoreError> {
         let own_key = Some(OrderKey::Move(order.service.clone()));
         let is_own = |record: &&KeyedRecord| store::decode_order_key(&record.key) == own_key;
-        let mut from = order.offset.next();
+        let mut from = Position {
+            era: order.era,
+            offset: order.offset.next(),
+        };
         loop {
             let batch = match self.store.read(Topic::Orders, from, Duration::ZERO).await {
                 Ok(batch) => batch,
                 Err(StoreError::Expired) => {
-                    let (records, _) = self.store.newest(Topic::Orders, 0).await?;
+                    let Listing { records, .. } = self.store.newest(Topic::Orders, 0).await?;
                     let newest = records.iter().find(is_own).map(|record| record.offset);
                     return Ok(newest != Some(order.offset));
                 }
--- a/src/rest.rs
+++ b/src/rest.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -21,6 +21,17 @@
     pub reason: String,
 }
 
+/// A complete answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
 /// Client of one service; clones share its connections.
 #[derive(Debug, Clone)]
 pub struct Rest {
@@ -58,7 +69,7 @@
         path: &str,
         body: Vec<u8>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), NoAnswer> {
+    ) -> Result<Answer, NoAnswer> {
         let no_answer = |reason: String| NoAnswer { reason };
         let req = Request::builder()
             .method(method)
@@ -72,12 +83,14 @@
                 .request(req)
                 .await
                 .map_err(|error| no_answer(error.to_string()))?;
-            let status = res.status();
-            let body = Limited::new(res.into_body(), self.max_answer_bytes)
-                .collect()
-                .await;
+            let (head, body) = res.into_parts();
+            let body = Limited::new(body, self.max_answer_bytes).collect().await;
             let body = body.map_err(|error| no_answer(error.to_string()))?;
-            Ok((status, body.to_bytes()))
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body: body.to_bytes(),
+            })
         };
         let Ok(answer) = timeout(limit, exchange).await else {
             return Err(no_answer("timeout".to_owned()));
--- a/src/store.rs
+++ b/src/store.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use ebonyfall_core::id::Offset;
-use ebonyfall_platform::store::{self, KeyedRecord, ReadBatch, StoreDecodeError, Topic};
+use ebonyfall_core::id::{Era, Offset, Position};
+use ebonyfall_platform::store::{self, KeyedRecord, StoreDecodeError, Topic};
 use http::{Method, StatusCode};
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 use tokio::time;
 
 use crate::{
@@ -50,6 +50,15 @@
     /// The requested records have expired.
     #[snafu(display("the requested records have expired from the store"))]
     Expired,
+    /// The store has come back from an older copy, so that offsets of before mean other records. An
+    /// append may have taken effect.
+    #[snafu(display("the store has come back from an older copy: era {era}, {known} before"))]
+    Restored {
+        /// Era of the offset in the call.
+        known: Era,
+        /// Era of the answer.
+        era: Era,
+    },
     /// A list goes on after a key at which a page has ended before.
     #[snafu(display("a list of the store does not advance after the key {key:?}"))]
     NoProgress {
@@ -67,6 +76,48 @@
     },
 }
 
+impl StoreError {
+    /// The error of an answer of `era` where `known` was expected.
+    pub fn restored(known: Era, era: Era) -> Self {
+        Self::Restored { known, era }
+    }
+
+    /// Whether the stream has to be listed before it can be read on.
+    pub fn needs_list(&self) -> bool {
+        match self {
+            Self::Expired => true,
+            Self::Restored { known, era } => era > known,
+            _ => false,
+        }
+    }
+}
+
+/// The newest record of each key of a stream.
+#[derive(Debug)]
+pub struct Listing {
+    /// The records.
+    pub records: Vec<KeyedRecord>,
+    /// Position from which to read later records.
+    pub end: Position,
+}
+
+/// Consecutive records of a stream.
+#[derive(Debug)]
+pub struct Batch {
+    /// The records that could be decoded; others are omitted.
+    pub records: Vec<KeyedRecord>,
+    /// Position that follows the last record of the batch.
+    pub next: Position,
+    /// Position that the next record of the stream will get.
+    pub end: Position,
+}
+
+/// Body of a successful answer, and the era of the store that gave it.
+struct StoreAnswer {
+    era: Era,
+    body: Bytes,
+}
+
 /// Client of the log store; clones share its connections and metrics.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
@@ -81,18 +132,13 @@
         Self { rest, meters }
     }
 
-    /// Returns the newest record of each key, and the offset from which to read later records. The
-    /// timeout grows with the number of preceding `failures`, since a fleet that starts all at once
+    /// Returns the newest record of each key. The timeout grows with the number of preceding `failures`, since a fleet that starts all at once
     /// may request more than the store can send within the normal timeout.
     ///
     /// # Errors
     ///
-    /// Fails if the store refuses a call or does not answer.
-    pub async fn newest(
-        &self,
-        topic: Topic,
-        failures: u32,
-    ) -> Result<(Vec<KeyedRecord>, Offset), StoreError> {
+    /// Fails if the store refuses a call, does not answer, or comes back from an older copy meanwhile.
+    pub async fn newest(&self, topic: Topic, failures: u32) -> Result<Listing, StoreError> {
         let wait = CALL_TIMEOUT * ((1 << failures.min(MAX_TIMEOUT_DOUBLINGS)) - 1);
         let mut records = Vec::new();
         let mut after: Option<String> = None;
@@ -100,20 +146,24 @@
         let mut bytes = 0;
         loop {
             let path = store::newest_path(topic, after.as_deref());
-            let body = match after {
+            let answer = match after {
                 None => self.call(Method::GET, &path, Vec::new(), wait).await?,
                 Some(_) => self.later_page(&path, wait).await?,
             };
-            let page = store::decode_newest(&body).context(DecodeSnafu)?;
+            let page = store::decode_newest(&answer.body).context(DecodeSnafu)?;
             bytes += page.records.iter().map(record_len).sum::<usize>();
             if bytes > MAX_LIST_BYTES {
                 return TooLongSnafu.fail();
             }
             records.extend(page.records);
             // Pages are not one snapshot, so changes after the first page must be read again.
-            let end = *end.get_or_insert(page.end);
+            let end = *end.get_or_insert(Position {
+                era: answer.era,
+                offset: page.end,
+            });
+            check_era(end.era, answer.era)?;
             let Some(next) = page.next_page_after else {
-                return Ok((records, end));
+                return Ok(Listing { records, end });
             };
             if after.as_ref() == Some(&next) {
                 return NoProgressSnafu { key: next }.fail();
@@ -124,7 +174,7 @@
 
     /// Requests a page after the first one, with retries, so that one failed call does not discard
     /// the preceding pages.
-    async fn later_page(&self, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
+    async fn later_page(&self, path: &str, wait: Duration) -> Result<StoreAnswer, StoreError> {
         let mut pause = PAGE_RETRY_PAUSE;
         loop {
             let answer = self.call(Method::GET, path, Vec::new(), wait).await;
@@ -136,32 +186,43 @@
         }
     }
 
-    /// Reads records from offset `from`; the store waits up to `wait` for the first one.
+    /// Reads records from position `from`; the store waits up to `wait` for the first one.
     ///
     /// # Errors
     ///
-    /// Fails if the store refuses the call or does not answer, or the records have expired.
+    /// Fails if the store refuses the call or does not answer, the records have expired, or the store
+    /// has come back from an older copy.
     pub async fn read(
         &self,
         topic: Topic,
-        from: Offset,
+        from: Position,
         wait: Duration,
-    ) -> Result<ReadBatch, StoreError> {
-        let path = store::read_path(topic, from, wait);
-        let body = self.call(Method::GET, &path, Vec::new(), wait).await?;
-        store::decode_read(from, body).context(DecodeSnafu)
+    ) -> Result<Batch, StoreError> {
+        let path = store::read_path(topic, from.offset, wait);
+        let answer = self.call_in(from.era, Method::GET, &path, Vec::new(), wait);
+        let body = answer.await?;
+        let batch = store::decode_read(from.offset, body).context(DecodeSnafu)?;
+        let position = |offset| Position {
+            era: from.era,
+            offset,
+        };
+        Ok(Batch {
+            records: batch.records,
+            next: position(batch.next),
+            end: position(batch.end),
+        })
     }
 
-    /// Appends one keyed record if the next offset of the stream is `at`.
+    /// Appends one keyed record if the next position of the stream is `at`.
     ///
     /// # Errors
     ///
     /// Fails with `Refused` if the stream has grown in the meantime or the store refuses the call.
-    /// Without an answer, the record may have been appended.
+    /// Without an answer, or with `Restored`, the record may have been appended.
     pub async fn append_at(
         &self,
         topic: Topic,
-        at: Offset,
+        at: Position,
         key: &str,
         value: &[u8],
     ) -> Result<(), StoreError> {
@@ -177,7 +238,7 @@
     pub async fn append_confirmed(
         &self,
         topic: Topic,
-        at: Offset,
+        at: Position,
         key: &str,
         value: &[u8],
     ) -> Result<Offset, StoreError> {
@@ -188,37 +249,61 @@
     async fn post_append(
         &self,
         topic: Topic,
-        at: Offset,
+        at: Position,
         key: &str,
         value: &[u8],
     ) -> Result<Bytes, StoreError> {
-        let path = store::append_path(topic, at);
+        let path = store::append_path(topic, at.offset);
         let body = store::append_body(key, value);
-        self.call(Method::POST, &path, body, Duration::ZERO).await
+        self.call_in(at.era, Method::POST, &path, body, Duration::ZERO)
+            .await
     }
 
-    async fn call(
+    /// Makes a call whose offset is of the era `known`, and returns the body of the answer.
+    async fn call_in(
         &self,
+        known: Era,
         method: Method,
         path: &str,
         body: Vec<u8>,
         wait: Duration,
     ) -> Result<Bytes, StoreError> {
+        let answer = self.call(method, path, body, wait).await?;
+        check_era(known, answer.era)?;
+        Ok(answer.body)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        wait: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
         let start = BootClock.now();
         let answer = self
             .rest
             .call(method, path, body, wait + CALL_TIMEOUT)
             .await;
         self.meters.observe_store_call(BootClock.now().since(start));
-        let (status, body) = answer.context(CallSnafu)?;
-        match status {
+        let answer = answer.context(CallSnafu)?;
+        match answer.status {
             StatusCode::GONE => ExpiredSnafu.fail(),
-            status if status.is_success() => Ok(body),
+            status if status.is_success() => Ok(StoreAnswer {
+                era: store::decode_era(&answer.headers),
+                body: answer.body,
+            }),
             status => RefusedSnafu { status }.fail(),
         }
     }
 }
 
+/// Checks that an answer of `era` is of the era `known`, to which the offset in the call belongs.
+fn check_era(known: Era, era: Era) -> Result<(), StoreError> {
+    ensure!(era == known, RestoredSnafu { known, era });
+    Ok(())
+}
+
 fn record_len(record: &KeyedRecord) -> usize {
     record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
 }
--- a/src/usage/duty.rs
+++ b/src/usage/duty.rs
@@ -9,7 +9,7 @@
 };
 
 use ebonyfall_core::{
-    id::Offset,
+    id::{Era, Offset, Position},
     name::ProcessName,
     usage::{
         counts::WindowCounts,
@@ -39,7 +39,7 @@
 use crate::{
     clock::{self, BootClock},
     meters::EntryMetrics,
-    store::{StoreClient, StoreError},
+    store::{Listing, StoreClient, StoreError},
     view,
 };
 
@@ -122,8 +122,10 @@
     permit: watch::Sender<Option<Permit>>,
     reports: mpsc::Sender<UsageReport>,
     sent: mpsc::Receiver<Sent>,
-    answer_tx: mpsc::Sender<StoreAnswer>,
-    answers: mpsc::Receiver<StoreAnswer>,
+    /// Era of the offsets that are known of the usage stream.
+    era: Era,
+    answer_tx: mpsc::Sender<EraAnswer>,
+    answers: mpsc::Receiver<EraAnswer>,
 }
 
 impl Task {
@@ -174,6 +176,7 @@
             permit,
             reports,
             sent,
+            era: Era::default(),
             answer_tx,
             answers,
         }
@@ -226,8 +229,9 @@
         });
         if let Some(call) = call {
             let (store, tx, log) = (self.store.clone(), self.answer_tx.clone(), self.log.clone());
+            let era = self.era;
             tokio::spawn(async move {
-                let answer = call_store(&store, call, &log).await;
+                let answer = call_store(&store, call, era, &log).await;
                 let _ended = tx.send(answer).await;
             });
         }
@@ -261,7 +265,8 @@
         }
     }
 
-    async fn on_answer(&mut self, answer: StoreAnswer) {
+    async fn on_answer(&mut self, EraAnswer { answer, era }: EraAnswer) {
+        self.era = era;
         let counts = self.duty.on_answer(BootClock.now(), answer);
         if !counts.is_empty() {
             self.counter.merge(counts).await;
@@ -400,16 +405,25 @@
     let _sender_gone = stop.wait_for(|stop| *stop).await.is_err();
 }
 
-async fn call_store(store: &StoreClient, call: StoreCall, log: &Logger) -> StoreAnswer {
-    let answer = match call {
+/// Answer to a call of the store, and the era of its offsets.
+struct EraAnswer {
+    answer: StoreAnswer,
+    era: Era,
+}
+
+/// Makes a call whose offsets are of `era`.
+async fn call_store(store: &StoreClient, call: StoreCall, era: Era, log: &Logger) -> EraAnswer {
+    let position = |offset| Position { era, offset };
+    let answered = match call {
         StoreCall::Newest => read_newest(store, log).await,
-        StoreCall::Read(from) => read_from(store, from, log).await,
-        StoreCall::Append(at, record) => append(store, at, &record).await,
+        StoreCall::Read(from) => read_from(store, position(from), log).await,
+        StoreCall::Append(at, record) => append(store, position(at), &record).await,
     };
-    answer.unwrap_or_else(|error| {
+    answered.unwrap_or_else(|error| {
         warn!(log, "call of the store for the usage stream failed";
             "event" => "usage_store", "error" => %error);
-        StoreAnswer::Lost
+        let answer = StoreAnswer::Lost;
+        EraAnswer { answer, era }
     })
 }
 
@@ -426,44 +440,55 @@
     status.is_client_error() && !passing.contains(status)
 }
 
-fn empty() -> StoreAnswer {
-    StoreAnswer::Records {
+fn empty(era: Era) -> EraAnswer {
+    let answer = StoreAnswer::Records {
         records: Vec::new(),
         next: Offset::default(),
         end: Offset::default(),
-    }
+    };
+    EraAnswer { answer, era }
 }
 
-async fn read_newest(store: &StoreClient, log: &Logger) -> Result<StoreAnswer, StoreError> {
-    let (mut records, end) = match store.newest(Topic::Usage, 0).await {
-        Err(error) if is_missing(&error) => return Ok(empty()),
+async fn read_newest(store: &StoreClient, log: &Logger) -> Result<EraAnswer, StoreError> {
+    let Listing { mut records, end } = match store.newest(Topic::Usage, 0).await {
+        Err(error) if is_missing(&error) => return Ok(empty(Era::default())),
         answer => answer?,
     };
+    let Position { era, offset: end } = end;
     records.sort_by_key(|record| record.offset);
     // Records after the end of the first page are read again.
     records.retain(|record| record.offset < end);
     let (records, _) = decode(records, log);
     let next = end;
-    Ok(StoreAnswer::Records { records, next, end })
+    let answer = StoreAnswer::Records { records, next, end };
+    Ok(EraAnswer { answer, era })
 }
 
 async fn read_from(
     store: &StoreClient,
-    from: Offset,
+    from: Position,
     log: &Logger,
-) -> Result<StoreAnswer, StoreError> {
+) -> Result<EraAnswer, StoreError> {
+    let era = from.era;
+    let expired = EraAnswer {
+        answer: StoreAnswer::Expired,
+        era,
+    };
     let batch = match store.read(Topic::Usage, from, Duration::ZERO).await {
-        Err(error) if is_missing(&error) && from == Offset::default() => return Ok(empty()),
-        Err(StoreError::Expired) => return Ok(StoreAnswer::Expired),
+        Err(error) if is_missing(&error) && from.offset == Offset::default() => {
+            return Ok(empty(era));
+        }
+        Err(error) if error.needs_list() => return Ok(expired),
         answer => answer?,
     };
-    let (next, end) = (batch.next, batch.end);
+    let (next, end) = (batch.next.offset, batch.end.offset);
     let (records, complete) = decode(batch.records, log);
     // A record that cannot be read may be a claim of another version of the software.
     if !complete {
-        return Ok(StoreAnswer::Expired);
+        return Ok(expired);
     }
-    Ok(StoreAnswer::Records { records, next, end })
+    let answer = StoreAnswer::Records { records, next, end };
+    Ok(EraAnswer { answer, era })
 }
 
 /// Decodes records; false if one could not be decoded.
@@ -485,18 +510,21 @@
 
 async fn append(
     store: &StoreClient,
-    at: Offset,
+    at: Position,
     record: &UsageRecord,
-) -> Result<StoreAnswer, StoreError> {
-    let key = usage::record_key(record, at);
+) -> Result<EraAnswer, StoreError> {
+    let era = at.era;
+    let key = usage::record_key(record, at.offset);
     let Ok(value) = usage::encode_record(record) else {
-        return Ok(StoreAnswer::Lost);
+        let answer = StoreAnswer::Lost;
+        return Ok(EraAnswer { answer, era });
     };
-    match store.append_confirmed(Topic::Usage, at, &key, &value).await {
-        Ok(offset) => Ok(StoreAnswer::Appended(offset)),
+    let answer = match store.append_confirmed(Topic::Usage, at, &key, &value).await {
+        Ok(offset) => StoreAnswer::Appended(offset),
         Err(StoreError::Refused { status }) if status == StatusCode::PRECONDITION_FAILED => {
-            Ok(StoreAnswer::Conflict)
+            StoreAnswer::Conflict
         }
-        Err(error) => Err(error),
-    }
+        Err(error) => return Err(error),
+    };
+    Ok(EraAnswer { answer, era })
 }
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -17,7 +17,7 @@
     web::{self, Shared},
 };
 use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
-use http::{Method, Response, StatusCode, Uri};
+use http::{HeaderValue, Method, Response, StatusCode, Uri};
 use percent_encoding::percent_decode_str;
 use serde_json::json;
 use slog::{Discard, Logger, o};
@@ -57,6 +57,7 @@
         oneshot::Sender<Result<u64, u64>>,
     ),
     ReadTopic(String, oneshot::Sender<Vec<Record>>),
+    Restore(Vec<(String, usize)>, oneshot::Sender<()>),
     SetFault(StoreFault),
 }
 
@@ -66,6 +67,8 @@
     tx: mpsc::Sender<Command>,
     changes: watch::Receiver<u64>,
     fault: watch::Receiver<StoreFault>,
+    /// Rises by one with each restore.
+    era: watch::Receiver<u64>,
     calls: Arc<AtomicU64>,
 }
 
@@ -79,11 +82,13 @@
         let (tx, rx) = mpsc::channel(1_024);
         let (change_tx, changes) = watch::channel(0);
         let (fault_tx, fault) = watch::channel(StoreFault::None);
-        tokio::spawn(run(rx, change_tx, fault_tx));
+        let (era_tx, era) = watch::channel(1);
+        tokio::spawn(run(rx, change_tx, fault_tx, era_tx));
         let store = Self {
             tx,
             changes,
             fault,
+            era,
             calls: Arc::default(),
         };
         let listener = web::bind(LOOPBACK).await.expect("a port is free");
@@ -133,6 +138,16 @@
         found.filter_map(|(_, value)| value).collect()
     }
 
+    /// Goes back to a copy that lacks the last records of each topic: as many as named for it. Their
+    /// offsets are given out again.
+    pub async fn restore(&self, lost: &[(&str, usize)]) {
+        let lost = lost
+            .iter()
+            .map(|(topic, count)| ((*topic).to_owned(), *count));
+        let lost = lost.collect();
+        self.call(|reply| Command::Restore(lost, reply)).await;
+    }
+
     /// Returns whether a fault has been set or cleared since the store's start.
     pub fn had_fault(&self) -> bool {
         self.fault.has_changed().unwrap_or(true)
@@ -156,6 +171,7 @@
     mut rx: mpsc::Receiver<Command>,
     change_tx: watch::Sender<u64>,
     fault: watch::Sender<StoreFault>,
+    era: watch::Sender<u64>,
 ) {
     let mut topics: BTreeMap<String, Vec<Record>> = BTreeMap::new();
     while let Some(command) = rx.recv().await {
@@ -173,6 +189,15 @@
             Command::ReadTopic(topic, reply) => {
                 let _gone = reply.send(topics.get(&topic).cloned().unwrap_or_default());
             }
+            Command::Restore(lost, reply) => {
+                for (topic, count) in lost {
+                    let records = topics.entry(topic).or_default();
+                    records.truncate(records.len().saturating_sub(count));
+                }
+                era.send_modify(|era| *era += 1);
+                change_tx.send_modify(|count| *count += 1);
+                let _gone = reply.send(());
+            }
             Command::SetFault(new) => {
                 fault.send_replace(new);
             }
@@ -184,11 +209,13 @@
     let res = serve(&store, &mut state).await;
     // The fault also applies to calls that were waiting when it was set.
     let fault = *store.fault.borrow();
-    let res = match fault {
+    let mut res = match fault {
         StoreFault::None | StoreFault::RateLimited => res,
         StoreFault::NoAnswer => std::future::pending().await,
         StoreFault::Unavailable => web::json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
     };
+    let era = HeaderValue::from(*store.era.borrow());
+    res.headers_mut().insert("store-era", era);
     Ok((state, res))
 }
 
@@ -223,6 +250,9 @@
             let from = number("from").unwrap_or_default();
             let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
             let records = read_or_wait(store, &topic, from, wait).await;
+            if from > records.len() as u64 {
+                return web::json_response(StatusCode::GONE, &json!({ "first": 0 }));
+            }
             encode_records(&records, from)
         }
         ("POST", "/api/log-append") => {
@@ -255,7 +285,7 @@
         let records = store
             .call(|reply| Command::ReadTopic(topic.to_owned(), reply))
             .await;
-        if records.len() as u64 > from {
+        if records.len() as u64 != from {
             return records;
         }
         if !matches!(time::timeout_at(until, changes.changed()).await, Ok(Ok(()))) {
--- a/tests/entry/keys.rs
+++ b/tests/entry/keys.rs
@@ -63,7 +63,7 @@
     let listed = timeout(LIST_TIMEOUT, client.newest(Topic::Targets, 0)).await;
     let listed = listed.expect("the list ends");
     listed
-        .map(|(records, _)| records.len())
+        .map(|listing| listing.records.len())
         .expect_err("the list is refused")
 }
 
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod parts;
 mod readers;
 mod reports;
+mod restored;
 mod usage;
 mod usage_counts;
 
--- a/tests/entry/readers.rs
+++ b/tests/entry/readers.rs
@@ -11,7 +11,7 @@
 };
 
 /// Routers of the zone; two of them read the store.
-const ROUTERS: usize = 5;
+pub const ROUTERS: usize = 5;
 /// Time after which a change in the store must be in force in every router.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
@@ -19,7 +19,7 @@
 const MEMBERSHIP: Duration = Duration::from_secs(15);
 
 /// Waits until all routers but two read the orders from another router, and returns those.
-async fn followers(env: &EntryEnv) -> Vec<usize> {
+pub async fn followers(env: &EntryEnv) -> Vec<usize> {
     let start = Instant::now();
     loop {
         let mut followers = Vec::new();
--- a/tests/mirror.rs
+++ b/tests/mirror.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use ebonyfall::mirror::Mirror;
-use ebonyfall_core::{id::Offset, time::Time};
+use ebonyfall_core::{
+    id::{Era, Offset, Position},
+    time::Time,
+};
 use ebonyfall_platform::store::KeyedRecord;
 use ebonyfall_wire::mirror::Changes;
 use quickcheck::quickcheck;
@@ -45,8 +48,16 @@
         live.collect()
     }
 
-    fn end(&self) -> Offset {
-        Offset::from(self.0.len() as u64)
+    fn end(&self) -> Position {
+        position(self.0.len() as u64)
+    }
+}
+
+/// Position in the only era of most tests.
+fn position(offset: u64) -> Position {
+    Position {
+        era: Era::from(1),
+        offset: Offset::from(offset),
     }
 }
 
@@ -86,7 +97,7 @@
         let known = known % (log.0.len() + 1);
         let mut live = BTreeMap::new();
         apply_records(&mut live, log.records(0).into_iter().take(known).collect());
-        let mut from = Offset::from(known as u64);
+        let mut from = position(known as u64);
         if mirror.since(from, now, MAX_BYTES).is_some() {
             return false;
         }
@@ -102,8 +113,8 @@
                     let Some(changes) = mirror.since(from, now, MAX_BYTES) else {
                         return false;
                     };
-                    from = changes.next;
-                    apply_changes(&mut live, changes);
+                    from = position(changes.changes.next.into());
+                    apply_changes(&mut live, changes.changes);
                     if live != log.live() {
                         return false;
                     }
@@ -113,7 +124,7 @@
         let Some(changes) = mirror.since(from, now, MAX_BYTES) else {
             return false;
         };
-        apply_changes(&mut live, changes);
+        apply_changes(&mut live, changes.changes);
         live == log.live()
     }
 
@@ -125,7 +136,7 @@
         let times = confirmed.iter().map(|at| Time::from_millis(u64::from(*at)));
         times.clone().for_each(|at| mirror.confirm(at));
         let now = Time::from_millis(u64::from(u16::MAX) + u64::from(later));
-        let age = mirror.since(log.end(), now, MAX_BYTES).and_then(|changes| changes.age);
+        let age = mirror.since(log.end(), now, MAX_BYTES).and_then(|changes| changes.changes.age);
         let expected = times.max().map(|last| now.since(last));
         age == expected && age.is_none_or(|age| age >= Duration::from_millis(u64::from(later)))
     }
@@ -141,9 +152,56 @@
     };
     let now = Time::from_millis(5);
     let mut mirror = Mirror::default();
-    mirror.reset(&[record], Offset::from(1));
-    assert!(mirror.since(Offset::from(0), now, 2_000).is_some());
-    assert!(mirror.since(Offset::from(0), now, 1_000).is_none());
+    mirror.reset(&[record], position(1));
+    assert!(mirror.since(position(0), now, 2_000).is_some());
+    assert!(mirror.since(position(0), now, 1_000).is_none());
     // A router that has the record can follow the later ones.
-    assert!(mirror.since(Offset::from(1), now, 1_000).is_some());
+    assert!(mirror.since(position(1), now, 1_000).is_some());
+}
+
+fn record(key: &str, value: Option<u8>, offset: u64) -> KeyedRecord {
+    KeyedRecord {
+        key: key.to_owned(),
+        value: value.map(|value| Bytes::from(vec![value])),
+        offset: Offset::from(offset),
+    }
+}
+
+/// Guards against records that a router with offsets of an earlier era takes for known ones, and against
+/// records of an earlier era that reach a router of a later one.
+#[test]
+fn a_read_from_another_era_gets_all_records_or_none() {
+    let later = |offset| Position {
+        era: Era::from(2),
+        offset: Offset::from(offset),
+    };
+    let now = Time::from_millis(5);
+    let mut mirror = Mirror::default();
+    mirror.reset(
+        &[record("a", Some(1), 3), record("b", Some(1), 4)],
+        position(5),
+    );
+    assert!(mirror.since(later(5), now, MAX_BYTES).is_none());
+    mirror.merge(&[record("c", Some(2), 0)], later(1));
+    mirror.apply(&[record("b", None, 1)], later(2));
+    let changes = mirror
+        .since(position(5), now, MAX_BYTES)
+        .expect("the mirror is of a later era");
+    assert_eq!(changes.era, Era::from(2));
+    assert!(changes.changes.is_complete);
+    let keys: Vec<_> = changes
+        .changes
+        .records
+        .iter()
+        .map(|record| &*record.key)
+        .collect();
+    assert_eq!(keys.len(), 2);
+    assert!(keys.contains(&"a") && keys.contains(&"c"));
+    // A router of the later era gets what has come since.
+    let changes = mirror
+        .since(later(1), now, MAX_BYTES)
+        .expect("the mirror has the era");
+    assert!(!changes.changes.is_complete);
+    assert_eq!(changes.changes.records.len(), 1);
+    assert!(mirror.has_changes(position(9)) && !mirror.has_changes(later(2)));
 }
--- a/wire/src/mirror.rs
+++ b/wire/src/mirror.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ebonyfall_core::id::Offset;
+use ebonyfall_core::id::{Era, Offset, Position};
 use serde::{Deserialize, Serialize};
 
 /// A keyed stream that routers follow.
@@ -18,15 +18,24 @@
 
 /// Request for the changes of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChangesRequest {
+pub struct StreamRead {
     /// The stream to read.
     pub stream: Stream,
-    /// Offset of the first record that the requesting router does not have.
-    pub from: Offset,
+    /// Position of the first record that the requesting router does not have.
+    pub from: Position,
     /// Time for which the answer may wait for such a record.
     pub wait: Duration,
 }
 
+/// Answer to a [`StreamRead`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamChanges {
+    /// Era of the offsets in `changes`. They are complete if the request named an earlier one.
+    pub era: Era,
+    /// The changes.
+    pub changes: Changes,
+}
+
 /// The newest record of a key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyRecord {
@@ -38,7 +47,7 @@
     pub offset: Offset,
 }
 
-/// Answer to a [`ChangesRequest`].
+/// Changes of a stream; alone, the answer to a read of a router that knows no eras.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
     /// Whether `records` holds all keys of the stream, so that keys missing from it were deleted.
--- a/wire/src/usage.rs
+++ b/wire/src/usage.rs
@@ -15,11 +15,12 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::mirror::StreamRead;
+
 /// Request of a router to another one on an authenticated connection.
 ///
-/// The first two variants are encoded like a [`ChangesRequest`](crate::mirror::ChangesRequest) of
-/// these streams, so that routers of earlier versions can read from this one. A router that does not
-/// know the third variant closes the connection.
+/// The first two variants are the reads of routers of earlier versions, which know no eras of the
+/// store; those can read from this one. A router that does not know a variant closes the connection.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouterRequest {
     /// Read of the operators' orders.
@@ -28,6 +29,8 @@
     Targets(ReadRange),
     /// Exchange of counts; answered by a [`CountsAnswer`].
     Counts(CountsMessage),
+    /// Read of a stream; answered by [`StreamChanges`](crate::mirror::StreamChanges).
+    Stream(StreamRead),
 }
 
 /// What to read of a stream.
--- a/wire/tests/unit/usage.rs
+++ b/wire/tests/unit/usage.rs
@@ -1,7 +1,15 @@
 //! Tests of the internals of `src/usage.rs`.
 
 use super::*;
-use crate::mirror::{ChangesRequest, Stream};
+use crate::mirror::Stream;
+
+/// Read of a stream as routers of earlier versions encode it.
+#[derive(Serialize)]
+struct EarlierRead {
+    stream: Stream,
+    from: Offset,
+    wait: Duration,
+}
 
 fn source(router: usize) -> CountSource {
     CountSource {
@@ -28,7 +36,7 @@
             from: 7_000.into(),
             wait: Duration::from_millis(1_500),
         };
-        let earlier = ChangesRequest {
+        let earlier = EarlierRead {
             stream,
             from: range.from,
             wait: range.wait,
