Go on with a version move whose order is written again after a restore

An order has another position after the store has come back from an older copy, also where its record was not lost. Routers took it for a new order: the move began anew, with traffic for the old version, and what the operator had been told was withdrawn. The end of a move that was recorded in the lost seconds was not recorded again. An order of a later era with the same content goes on now, and its progress is due again.

a_move_goes_on_when_its_order_is_written_again_after_a_restore fails without the change of core/src/moves.rs.

--- a/core/src/changeover.rs
+++ b/core/src/changeover.rs
@@ -86,6 +86,14 @@
         let seed = u64::from(self.offset) ^ u64::from(self.era).rotate_right(ERA_BITS);
         xxh3_64_with_seed(self.version.as_bytes(), seed).into()
     }
+
+    /// Whether `later` is this order as found in a later era, in which it may have another offset.
+    pub fn is_same_in_later_era(&self, later: &Self) -> bool {
+        later.era > self.era
+            && later.service == self.service
+            && later.version == self.version
+            && later.within == self.within
+    }
 }
 
 /// Progress of a move, as shown to operators.
@@ -167,6 +175,13 @@
         &self.order
     }
 
+    /// Goes on under the order as found in a later era. Its progress has to be reported again.
+    pub fn adopt_order(&mut self, order: MoveOrder) {
+        self.name = order.name();
+        self.order = order;
+        self.pending_report = None;
+    }
+
     /// Name of the order, see [`MoveOrder::name`].
     pub fn name(&self) -> Option<&MoveName> {
         self.name.as_ref()
--- a/core/src/moves.rs
+++ b/core/src/moves.rs
@@ -75,7 +75,7 @@
     }
 
     /// Replaces the orders that are in force. Moves whose order is missing are withdrawn, and a new
-    /// order for a service replaces its move.
+    /// order for a service replaces its move. A move goes on under its own order of a later era.
     pub(crate) fn set_orders(&mut self, orders: Vec<MoveOrder>, now: Time) {
         for active in self.active.values_mut() {
             if !orders
@@ -86,12 +86,18 @@
             }
         }
         for order in orders {
-            let known = self.active.get(&order.service);
-            if known.is_none_or(|known| *known.order() != order) {
-                let service = order.service.clone();
-                self.reported.remove(&service);
-                self.active.insert(service, Changeover::new(order, now));
+            let service = order.service.clone();
+            match self.active.get_mut(&service) {
+                Some(known) if *known.order() == order => continue,
+                Some(known) if known.order().is_same_in_later_era(&order) => {
+                    known.adopt_order(order);
+                }
+                _ => {
+                    self.active
+                        .insert(service.clone(), Changeover::new(order, now));
+                }
             }
+            self.reported.remove(&service);
         }
     }
 
--- a/core/tests/changeover.rs
+++ b/core/tests/changeover.rs
@@ -368,3 +368,34 @@
     assert_eq!(states[0].progress, None);
     assert!(states[0].share > 0.0);
 }
+
+/// Guards against a move that starts anew, or is never reported again, because the store came back from
+/// an older copy and the operator wrote the order again at another offset.
+#[test]
+fn a_move_goes_on_when_its_order_is_written_again_after_a_restore() {
+    let mut world = World::new(1, Behaviour::Good);
+    let now = world.now;
+    let selector = &mut world.selectors[0];
+    selector.record_move_progress(&order(), MoveProgress::Complete);
+    let again = MoveOrder {
+        offset: Offset::from(3),
+        era: Era::from(2),
+        ..order()
+    };
+    selector.set_moves(vec![again.clone()], now);
+    let states = selector.moves(now);
+    assert_eq!(states[0].order, again);
+    assert_eq!(states[0].progress, Some(MoveProgress::Complete));
+    assert!(states[0].share >= 1.0);
+    // The record of its end is lost, too, so that it is due again.
+    let states = selector.moves(now + Duration::from_secs(5));
+    assert_eq!(states[0].due, Some(MoveProgress::Complete));
+    // An order of that era with other content is a new one.
+    let other = MoveOrder {
+        within: WITHIN * 2,
+        offset: Offset::from(4),
+        ..again
+    };
+    selector.set_moves(vec![other], now);
+    assert_eq!(selector.moves(now)[0].progress, None);
+}
