Write the exchange key again after the store has lost it

The first router writes the key that authenticates routers to each other. A store that came back from a copy without it would have given the next router to start another key, and neither part of the fleet would have heard the other. A router that finds a later era writes its key again where none is recorded.

the_exchange_key_is_written_again failed without it. A router that starts between the store's return and that write can still make another key; both sides log it (exchange_key).

--- a/src/peering.rs
+++ b/src/peering.rs
@@ -12,7 +12,7 @@
 
 use ebonyfall_core::{
     dissemination::{HeardLimit, Item, ItemKey, RequestCounts, Value},
-    id::Incarnation,
+    id::{Era, Incarnation},
     limit::{LimitReport, per_1000_s, per_s},
     moves::VersionCounts,
     name::{ProcessName, ZoneName},
@@ -52,6 +52,8 @@
 /// Length of the exchange key in bytes.
 const KEY_BYTES: usize = 16;
 
+type KeyBytes = [u8; KEY_BYTES];
+
 /// Configuration and dependencies of the gossip between routers.
 #[derive(Debug)]
 pub struct Peering {
@@ -91,11 +93,12 @@
 impl Peering {
     async fn run(self, mut stop: watch::Receiver<bool>) {
         let key = self.exchange_key().await;
+        let mut era = None;
         let incarnation = view::incarnation(clock::unix_time());
         let identity = Identity {
             name: self.name.clone(),
             incarnation,
-            keys: Keys::new(key, None),
+            keys: Keys::new(Key::new(key), None),
         };
         let gossip = self.join(identity.clone()).await;
         let access = PeerAccess {
@@ -127,6 +130,7 @@
                 _ = ticks.tick() => {
                     self.send_report(&gossip, incarnation, &mut reported).await;
                     routers = self.update_routers(&gossip, routers).await;
+                    era = self.keep_key(key, era);
                 }
                 // A part that crashes targets must not wait for the next report.
                 Ok(()) = suspicions.changed() => {
@@ -236,45 +240,27 @@
         items
     }
 
-    /// Returns the key that the first router has written to the store, or writes a new one. Retries
-    /// until that succeeds.
-    async fn exchange_key(&self) -> Key {
-        loop {
-            match self.read_or_create_key().await {
-                Ok(Some(key)) => return key,
-                Ok(None) => {}
-                Err(error) => {
-                    warn!(self.log, "cannot read or create the exchange key in the store; retrying";
-                        "event" => "exchange_key", "error" => %error);
-                    time::sleep(RETRY_DELAY).await;
+    /// Writes the key to the store again if that has come back from an older copy since `known`; returns
+    /// its era. Routers that start later would make another key, and neither would reach the others.
+    fn keep_key(&self, key: KeyBytes, known: Option<Era>) -> Option<Era> {
+        let era = self.mirrors.orders.borrow().era();
+        if known.is_some() && era > known {
+            let (store, log) = (self.store.clone(), self.log.clone());
+            tokio::spawn(async move {
+                let recorded = exchange_key(&store, key, &log).await;
+                if recorded != key {
+                    warn!(log, "another exchange key is in the store; routers that started after its \
+                        return do not reach this one"; "event" => "exchange_key");
                 }
-            }
+            });
         }
+        era.max(known)
     }
 
-    async fn read_or_create_key(&self) -> Result<Option<Key>, StoreError> {
-        let Listing { records, end } = self.store.newest(Topic::Routers, 0).await?;
-        let known = records.into_iter().find(|record| record.key == KEY_RECORD);
-        let known = known.and_then(|record| record.value);
-        if let Some(value) = known.and_then(|value| <[u8; KEY_BYTES]>::try_from(&*value).ok()) {
-            return Ok(Some(Key::new(value)));
-        }
-        let new_key: [u8; KEY_BYTES] = rand::random();
-        // If another router has written a record meanwhile, the append fails and the key is read
-        // again.
-        let written = self
-            .store
-            .append_at(Topic::Routers, end, KEY_RECORD, &new_key)
-            .await;
-        match written {
-            Ok(()) => Ok(Some(Key::new(new_key))),
-            Err(StoreError::Refused { status })
-                if status == http::StatusCode::PRECONDITION_FAILED =>
-            {
-                Ok(None)
-            }
-            Err(error) => Err(error),
-        }
+    /// Returns the key that the first router has written to the store, or writes a new one. Retries
+    /// until that succeeds.
+    async fn exchange_key(&self) -> KeyBytes {
+        exchange_key(&self.store, rand::random(), &self.log).await
     }
 
     async fn join(&self, identity: Identity) -> Gossip {
@@ -303,6 +289,42 @@
     }
 }
 
+/// Returns the key that the store has, or writes `key`. Retries until that succeeds.
+async fn exchange_key(store: &StoreClient, key: KeyBytes, log: &Logger) -> KeyBytes {
+    loop {
+        match read_or_write_key(store, key).await {
+            Ok(Some(recorded)) => return recorded,
+            Ok(None) => {}
+            Err(error) => {
+                warn!(log, "cannot read or create the exchange key in the store; retrying";
+                    "event" => "exchange_key", "error" => %error);
+                time::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Returns the key that the store has; writes `key` if it has none. `None` if another router has
+/// written a record meanwhile, so that the key has to be read again.
+async fn read_or_write_key(
+    store: &StoreClient,
+    key: KeyBytes,
+) -> Result<Option<KeyBytes>, StoreError> {
+    let Listing { records, end } = store.newest(Topic::Routers, 0).await?;
+    let known = records.into_iter().find(|record| record.key == KEY_RECORD);
+    let known = known.and_then(|record| record.value);
+    if let Some(value) = known.and_then(|value| KeyBytes::try_from(&*value).ok()) {
+        return Ok(Some(value));
+    }
+    match store.append_at(Topic::Routers, end, KEY_RECORD, &key).await {
+        Ok(()) => Ok(Some(key)),
+        Err(StoreError::Refused { status }) if status == http::StatusCode::PRECONDITION_FAILED => {
+            Ok(None)
+        }
+        Err(error) => Err(error),
+    }
+}
+
 /// Converts the verdicts of a report to gossip items.
 fn verdicts(report: &RouterReport) -> impl Iterator<Item = Item> + use<'_> {
     report.verdicts.iter().map(|verdict| Item {
--- a/tests/entry/restored.rs
+++ b/tests/entry/restored.rs
@@ -123,3 +123,17 @@
     }
     assert_eq!(env.targets[0].executed_requests().len(), before);
 }
+
+/// Guards against routers that start after a restore with another exchange key than the others have.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_exchange_key_is_written_again() {
+    let env = EntryEnv::start(1).await;
+    let keys = || env.store.values("keyed.routers", "exchange-key");
+    let before = keys().await;
+    assert_eq!(before.len(), 1);
+    sleep(Duration::from_secs(1)).await;
+    restore(&env, &[("keyed.routers", 1)], async {}).await;
+    assert!(keys().await.is_empty());
+    sleep(IN_FORCE).await;
+    assert_eq!(keys().await, before);
+}
