List targets again in the new era also in routers that follow others

A follower merged the first list of a new era, but listed again only while it read the store itself: targets that the copy lacked stayed known. A failed list went on without the other routers' records, too. The list that is due comes before the reader now, and its failure is handled like that of a read.

--- a/src/follow/targets.rs
+++ b/src/follow/targets.rs
@@ -112,7 +112,10 @@
             let is_shared = has_followers || source != Source::Store;
             let parts = if is_shared { 2 } else { 1 };
             time::sleep(self.max_age / parts).await;
-            if let Source::Reader(reader) = source {
+            let is_list_due = self.eras.is_list_due(BootClock.now());
+            if let Source::Reader(reader) = source
+                && !is_list_due
+            {
                 let read = self.peers.read_from(reader, from, Duration::ZERO).await;
                 if let Some(read) = read.filter(|read| self.is_recent(read)) {
                     from = self.apply_read(read).await;
@@ -120,21 +123,13 @@
                 }
                 self.source.record_failure(rand::random(), BootClock.now());
             }
-            if self.eras.is_list_due(BootClock.now()) {
-                match self.snapshot().await {
-                    Ok(end) => from = end,
-                    Err(error) => return error,
-                }
-                continue;
-            }
-            let requested_at = BootClock.now();
-            match self.store.read(Topic::Targets, from, Duration::ZERO).await {
-                Ok(tail) => {
-                    self.health.record_answer(BootClock.now());
-                    self.apply_changes(tail.records, tail.next, Some(requested_at))
-                        .await;
-                    from = tail.next;
-                }
+            let read = if is_list_due {
+                self.snapshot().await
+            } else {
+                self.read(from).await
+            };
+            match read {
+                Ok(next) => from = next,
                 Err(error) if error.needs_list() => return error,
                 Err(error) => match self.peers.read(from).await {
                     Some(read) if self.is_usable(&read) => {
@@ -149,6 +144,19 @@
         }
     }
 
+    /// Reads changes from the store; returns the position of the next read.
+    async fn read(&mut self, from: Position) -> Result<Position, StoreError> {
+        let requested_at = BootClock.now();
+        let tail = self
+            .store
+            .read(Topic::Targets, from, Duration::ZERO)
+            .await?;
+        self.health.record_answer(BootClock.now());
+        self.apply_changes(tail.records, tail.next, Some(requested_at))
+            .await;
+        Ok(tail.next)
+    }
+
     /// Source of the next read, and whether other routers follow this one.
     fn next_source(&self) -> (Source, bool) {
         let Some((own, routers)) = self.peers.zone_routers() else {
