--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -126,8 +126,10 @@
         info!(self.log, "the store has come back from an older copy; keeping what is known";
             "event" => "store_restored", "stream" => "orders", "era" => %end.era,
             "listed" => listed, "new" => new.len());
-        // A router without a valid lease may have missed what the copy lacks, too.
-        self.may_lack_revocation |= !self.lease.borrow().is_valid(BootClock.now());
+        // A router without a valid lease may have missed what the copy lacks, too. Another router's
+        // records are confirmed only if they do not lack it.
+        let has_lease = self.lease.borrow().is_valid(BootClock.now());
+        self.may_lack_revocation = origin != Origin::Router && !has_lease;
         self.mirror.send_modify(|mirror| mirror.merge(&new, end));
         self.apply(new, end.era, origin).await;
         self.publish().await;
