Pass a router's part in the fleet's limits as a type

The retry budget divided its slack by a bare number that is one while nothing is known of other routers. No decision changes yet; core/tests/selector.rs passes.

--- a/core/src/budget.rs
+++ b/core/src/budget.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use crate::time::Time;
+use crate::{fleet::FleetShare, time::Time};
 
 /// Fraction of the bound that routers may use. The rest covers requests in flight and routers that
 /// are not known yet.
@@ -51,12 +51,14 @@
     }
 
     /// Counts a retry and returns true if the budget allows it. The fleet-wide slack is divided
-    /// evenly between `routers` routers; zero counts as one.
-    pub fn try_take(&mut self, routers: u32, now: Time) -> bool {
+    /// evenly between the routers; `share` is `None` while it is not known how many these are.
+    pub fn try_take(&mut self, share: Option<&FleetShare>, now: Time) -> bool {
         self.current_bucket(now);
         let first: u32 = self.buckets.iter().map(|bucket| bucket.first).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let slack = self.bound.slack / f64::from(routers.max(1));
+        let slack = share.map_or(0.0, |share| {
+            self.bound.slack / f64::from(share.routers.get())
+        });
         let allowed = USED_SHARE * (self.bound.ratio * f64::from(first) + slack);
         let within_bound = f64::from(retries) + 1.0 <= allowed;
         if within_bound {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod events;
 pub mod exchange;
 pub mod fair;
+pub mod fleet;
 pub mod guard;
 mod holders;
 pub mod id;
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -16,6 +16,7 @@
     direct::Failure,
     dissemination::MoveDecision,
     estimate::{BrokenRequest, Estimate, LOAD_TTL},
+    fleet::FleetShare,
     holders::Holders,
     id::{Fingerprint, PartId},
     inspect::{MoveSummary, RoutingState, TargetState},
@@ -381,7 +382,8 @@
             .entry(criteria.service.clone())
             .or_insert_with(|| FleetRetryBudget::new(bound));
         if criteria.is_retry {
-            if !budget.try_take(self.turns.routers, now) {
+            let share = FleetShare::settled(self.turns.routers);
+            if !budget.try_take(Some(&share), now) {
                 return Err(refusal(Code::Overloaded));
             }
         } else if criteria.tried.is_empty() {
--- a/core/tests/selector.rs
+++ b/core/tests/selector.rs
@@ -17,6 +17,7 @@
     direct::Failure,
     dissemination::MAX_PACKET_BYTES,
     events::EventSplitter,
+    fleet::FleetShare,
     id::{Fingerprint, Incarnation},
     lease::Lease,
     name::{ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
@@ -416,7 +417,7 @@
             if !repeat {
                 share.record_first(now);
                 first.push(now);
-            } else if share.try_take(routers, now) {
+            } else if share.try_take(Some(&FleetShare::settled(routers)), now) {
                 repeats.push(now);
             }
         }
