Let the stand-in name cold targets and sum what the fleet sends

Callers of two sites had a cold target flooded and more repeats than the fleet may send, and no test saw it: each target counted its arrivals without their times, no target was ever cold, and nothing summed repeats over routers.

A target now records when each request arrived, its attempt id and its path, and whether it was answered as another target's. It counts a request to a cold target by its arrival, so that requests that routers held back and then sent together count, too.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Demo, load tool, soak test and measurements of the fleet.
 
 pub mod admit;
+pub mod bounds;
 mod cache;
 mod callers;
 pub mod case;
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -1,59 +1,68 @@
 //! Deployment for entry routers: the routers run as processes, the store and the targets are
 //! simulated in this process.
 
+mod calls;
+mod processes;
+mod state;
+
 use std::{
-    fs::File,
-    io,
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::Child,
     time::Duration,
 };
 
-use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use serde_json::json;
-use tokio::{
-    net::TcpStream,
-    time::{Instant, sleep, timeout},
-};
+use http::StatusCode;
 
 use crate::{
     deploy::free_address,
-    deploy::process_memory,
     keyed::KeyedStore,
     memory::PromptCaches,
     proxy::Proxy,
     registered::{ModelServer, RegisteredTarget},
 };
 
+pub use self::{
+    calls::{CallerConnection, Reply},
+    state::ColdPeriod,
+};
+
 /// API key of the team `desk` in the first desired state.
 pub const TEAM_KEY: &str = "key-of-the-desk";
 /// Most routers that each router gets as gossip seeds.
 const MAX_SEEDS: usize = 3;
-/// Time limit for connecting to a router.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Limit on bodies, unless a test sets another one, in bytes.
-const MAX_BODY_BYTES: usize = 64 << 10;
-/// Timeout of all routes, unless a test sets another one.
-const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time limit for a router to become ready after its start.
-const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Length of the window of the retry bound, as the routers' settings state it.
+pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+/// Sizes and limits of a deployment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetPlan<'a> {
+    /// Number of routers.
+    pub routers: usize,
+    /// Number of targets.
+    pub targets: usize,
+    /// Retries that the fleet may send for each request.
+    pub retry_ratio: f64,
+    /// Retries that the fleet may send besides those of the ratio, in each window.
+    pub retry_slack: f64,
+    /// Requests per second that a cold target tolerates from all routers together; 0 if targets
+    /// need no such limit.
+    pub cold_rate: f64,
+    /// Lines that are added to the settings of each router.
+    pub router_settings: &'a str,
+}
 
-/// A router's answer to one request.
-#[derive(Debug)]
-pub struct Reply {
-    /// HTTP status of the answer.
-    pub status: StatusCode,
-    /// Time from sending the request on an open connection to receiving the answer's headers.
-    pub time_to_head: Duration,
-    /// HTTP headers of the answer.
-    pub headers: HeaderMap,
-    /// Complete body, or an error when the connection closed within it.
-    pub body: Result<String, hyper::Error>,
+impl Default for FleetPlan<'_> {
+    fn default() -> Self {
+        Self {
+            routers: 1,
+            targets: 1,
+            retry_ratio: 0.2,
+            retry_slack: 58.0,
+            cold_rate: 0.0,
+            router_settings: "",
+        }
+    }
 }
 
 /// An entry router that runs as a process of its own, which is killed on drop.
@@ -95,6 +104,7 @@
     /// Addresses under which routers reach the targets, which are those of `proxies`.
     pub target_addresses: Vec<SocketAddr>,
     program: PathBuf,
+    cold_rate: f64,
 }
 
 impl EntryDeployment {
@@ -120,6 +130,27 @@
         (routers, targets): (usize, usize),
         router_settings: &str,
     ) -> Self {
+        let plan = FleetPlan {
+            routers,
+            targets,
+            router_settings,
+            ..FleetPlan::default()
+        };
+        let mut env = Self::prepare(program, folder, &plan).await;
+        for router in 0..routers {
+            env.restart(router).expect("the program starts");
+        }
+        env.wait_until_ready(0..routers).await;
+        env
+    }
+
+    /// Starts the store and the targets of a plan, and writes the settings of its routers, which
+    /// are not started.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the folder is not writable or no port is free.
+    pub async fn prepare(program: &Path, folder: &Path, plan: &FleetPlan<'_>) -> Self {
         let (store, store_address) = KeyedStore::start().await;
         let mut env = Self {
             store,
@@ -129,8 +160,9 @@
             routers: Vec::new(),
             target_addresses: Vec::new(),
             program: program.to_owned(),
+            cold_rate: plan.cold_rate,
         };
-        for target in 0..targets {
+        for target in 0..plan.targets {
             let (registered, target_address) = RegisteredTarget::start().await;
             let (proxy, address) = Proxy::start(target_address).await;
             env.targets.push(registered);
@@ -142,9 +174,16 @@
         let peers_port = free_address().port();
         // All routers receive gossip on the same port, so each needs its own IP address.
         let peers = |router: usize| format!("127.0.1.{}:{peers_port}", router + 1);
-        let seeds: Vec<_> = (0..routers.min(MAX_SEEDS)).map(peers).collect();
+        let seeds: Vec<_> = (0..plan.routers.min(MAX_SEEDS)).map(peers).collect();
         let seeds = seeds.join(",");
-        for router in 0..routers {
+        let FleetPlan {
+            retry_ratio,
+            retry_slack,
+            router_settings,
+            ..
+        } = plan;
+        let retry_window_s = RETRY_WINDOW.as_secs();
+        for router in 0..plan.routers {
             let [listen, ready, metrics] = [(); 3].map(|()| free_address());
             let peers = peers(router);
             let (store_proxy, store) = Proxy::start(store_address).await;
@@ -152,8 +191,9 @@
             let settings = format!(
                 "[entry]\nname = e-{router}\nzone = z0\nlisten = {listen}\nready = {ready}\n\
                  metrics = {metrics}\nstore = {store}\npeers = {peers}\nseeds = {seeds}\n\
-                 drain-ms = 2000\ngrace-s = 8\nrevocation-ms = 5000\nretry-ratio = 0.2\n\
-                 retry-slack = 58\nretry-window-s = 10\n{router_settings}"
+                 drain-ms = 2000\ngrace-s = 8\nrevocation-ms = 5000\n\
+                 retry-ratio = {retry_ratio}\nretry-slack = {retry_slack}\n\
+                 retry-window-s = {retry_window_s}\n{router_settings}"
             );
             let path = folder.join(format!("e-{router}.ini"));
             std::fs::write(&path, settings).expect("the folder is writable");
@@ -165,17 +205,6 @@
                 log: folder.join(format!("e-{router}.log")),
                 process: None,
             });
-            env.restart(router).expect("the program starts");
-        }
-        for router in 0..routers {
-            let started = Instant::now();
-            while !env.is_ready(router).await {
-                assert!(
-                    started.elapsed() < READY_TIMEOUT,
-                    "the router did not become ready in time"
-                );
-                sleep(Duration::from_millis(20)).await;
-            }
         }
         env
     }
@@ -192,180 +221,9 @@
         prompt_caches
     }
 
-    /// Starts a router's process again if it has ended.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the log file cannot be opened or the program cannot be started.
-    pub fn restart(&mut self, router: usize) -> io::Result<()> {
-        if !self.has_ended(router) {
-            return Ok(());
-        }
-        let router = &mut self.routers[router];
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(&router.log)?;
-        let process = Command::new(&self.program)
-            .env("EBONYFALL_CONFIG", &router.settings)
-            .stdout(log)
-            .stderr(Stdio::inherit())
-            .spawn()?;
-        router.process = Some(process);
-        Ok(())
-    }
-
-    /// Sends a signal such as `TERM` to a router's process; does nothing if it has ended.
-    ///
-    /// # Panics
-    ///
-    /// Panics when the signal cannot be sent.
-    pub fn signal(&mut self, router: usize, signal: &str) {
-        if self.has_ended(router) {
-            return;
-        }
-        if let Some(process) = &self.routers[router].process {
-            let pid = process.id().to_string();
-            let sent = Command::new("kill")
-                .args([&format!("-{signal}"), &pid])
-                .status();
-            assert!(
-                sent.is_ok_and(|status| status.success()),
-                "kill could not signal the router's process"
-            );
-        }
-    }
-
-    /// Returns whether a router's process has ended.
-    pub fn has_ended(&mut self, router: usize) -> bool {
-        let process = self.routers[router].process.as_mut();
-        process.is_none_or(|process| process.try_wait().is_ok_and(|status| status.is_some()))
-    }
-
-    /// Writes a desired state in which the team `desk` has these API keys.
-    pub async fn put_desired_state(&self, version: u64, keys: &[&str]) {
-        self.put_desired_state_with_timeout(version, keys, ROUTE_TIMEOUT)
-            .await;
-    }
-
-    /// Like [`Self::put_desired_state`], with this timeout of all routes.
-    pub async fn put_desired_state_with_timeout(
-        &self,
-        version: u64,
-        keys: &[&str],
-        timeout: Duration,
-    ) {
-        self.put_desired_state_with(version, keys, timeout, MAX_BODY_BYTES)
-            .await;
-    }
-
-    /// Like [`Self::put_desired_state`], with this timeout of all routes and this limit on bodies.
-    pub async fn put_desired_state_with(
-        &self,
-        version: u64,
-        keys: &[&str],
-        timeout: Duration,
-        max_body_bytes: usize,
-    ) {
-        let timeout_ms = timeout.as_millis();
-        let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
-            json!({
-                "name": name, "host": "spine.example", "path_prefix": format!("/{name}/"),
-                "type": kind, "timeout_ms": timeout_ms, "slo_ms": 500, "priority": 0,
-                "service": "plain", "max_attempts": attempts, "public": false, "sticky": kind == "stream",
-                "resumable": resumable,
-            })
-        };
-        let state = json!({
-            "version": version,
-            "routes": [
-                route("status", "safe", 2, false),
-                route("order", "unsafe", 1, false),
-                route("suggest", "stream", 2, true),
-                route("draft", "stream", 1, false),
-            ],
-            "services": [{ "name": "plain", "max_conns": 100, "warmup_per_s": 0.0 }],
-            "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": max_body_bytes,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-            },
-            "tenants": [{ "name": "desk", "api_keys": keys }],
-        });
-        self.store.put("keyed.op", "config", Some(&state)).await;
-    }
-
-    /// Writes a target's entry in the store, with version `v1` of its software.
-    pub async fn register(&self, target: usize, state: &str) {
-        self.register_version(target, state, "v1").await;
-    }
-
-    /// Writes a target's entry in the store, with this version of its software.
-    pub async fn register_version(&self, target: usize, state: &str, version: &str) {
-        let entry = json!({
-            "service": "plain", "addr": self.target_addresses[target], "zone": format!("z{target}"),
-            "version": version, "slots": 8, "state": state, "warmup_left_ms": 0, "seq": 1,
-            "born": 1,
-        });
-        let key = format!("t-{target}");
-        self.store.put("keyed.servers", &key, Some(&entry)).await;
-    }
-
-    /// Writes an entry for a target of the service that this deployment did not start.
-    pub async fn register_address(&self, name: &str, address: SocketAddr) {
-        let entry = json!({
-            "service": "plain", "addr": address, "zone": "z0", "version": "v1", "slots": 8,
-            "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": 1,
-        });
-        self.store.put("keyed.servers", name, Some(&entry)).await;
-    }
-
-    /// Returns the id of a router's process; a restart changes it. `None` if it was never started.
-    pub fn process_id(&self, router: usize) -> Option<u32> {
-        self.routers[router].process.as_ref().map(Child::id)
-    }
-
-    /// Returns the largest amount of memory that a router's process has held, in bytes. `None` if
-    /// it has ended.
-    pub fn peak_memory(&self, router: usize) -> Option<u64> {
-        let process = self.routers[router].process.as_ref()?;
-        process_memory(process.id())
-    }
-
-    /// Sends a request on a new connection to `address`. Returns `None` when the connection fails
-    /// or closes before an answer.
-    pub async fn call(
-        address: SocketAddr,
-        id: &str,
-        (method, path, body): (&str, &str, &str),
-        headers: &[(&str, &str)],
-    ) -> Option<Reply> {
-        send(address, request(id, (method, path, body), headers)).await
-    }
-
-    /// Sends a request to the first router and closes the connection after `after`.
-    ///
-    /// # Panics
-    ///
-    /// Panics when the router does not accept the connection, or answers within `after`.
-    pub async fn call_and_disconnect(&self, method: &str, path: &str, after: Duration) {
-        let req = request("leaves", (method, path, ""), &[]);
-        let stream = TcpStream::connect(self.routers[0].listen).await;
-        let stream = stream.expect("the router listens");
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .expect("the connection is new");
-        let connection = tokio::spawn(connection);
-        let outcome = timeout(after, sender.send_request(req)).await;
-        assert!(
-            outcome.is_err(),
-            "the router answered before the caller disconnected"
-        );
-        connection.abort();
-    }
-
     /// Returns whether a router's readiness check, which load balancers query, succeeds.
     pub async fn is_ready(&self, router: usize) -> bool {
-        let reply = get(self.routers[router].ready, "/").await;
+        let reply = calls::get(self.routers[router].ready, "/").await;
         reply.is_some_and(|reply| reply.status == StatusCode::OK)
     }
 
@@ -393,7 +251,7 @@
     }
 
     async fn get_page(&self, router: usize, path: &str) -> String {
-        let reply = get(self.routers[router].metrics, path).await;
+        let reply = calls::get(self.routers[router].metrics, path).await;
         let reply = reply.expect("the page is served");
         reply.body.expect("the answer is whole")
     }
@@ -407,49 +265,3 @@
         std::fs::read_to_string(&self.routers[router].log).expect("the log is readable")
     }
 }
-
-fn request(
-    id: &str,
-    (method, path, body): (&str, &str, &str),
-    headers: &[(&str, &str)],
-) -> Request<Full<Bytes>> {
-    let mut req = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", "spine.example")
-        .header("ebonyfall-attempt-id", id);
-    let key = format!("Bearer {TEAM_KEY}");
-    for (name, value) in [("ebonyfall-deadline-ms", "2000"), ("authorization", &key)] {
-        if !headers.iter().any(|(given, _)| *given == name) {
-            req = req.header(name, value);
-        }
-    }
-    for (name, value) in headers {
-        req = req.header(*name, *value);
-    }
-    req.body(Full::from(body.to_owned()))
-        .expect("the parts are valid")
-}
-
-async fn get(address: SocketAddr, path: &str) -> Option<Reply> {
-    let req = Request::builder().uri(path).header("host", "x");
-    send(address, req.body(Full::from("")).ok()?).await
-}
-
-async fn send(address: SocketAddr, req: Request<Full<Bytes>>) -> Option<Reply> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = stream.ok()?.ok()?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(connection);
-    let sent = Instant::now();
-    let res = sender.send_request(req).await.ok()?;
-    let time_to_head = sent.elapsed();
-    let (head, body) = res.into_parts();
-    let body = body.collect().await;
-    Some(Reply {
-        status: head.status,
-        time_to_head,
-        headers: head.headers,
-        body: body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned()),
-    })
-}
--- /dev/null
+++ b/standin/src/entrance/state.rs
@@ -0,0 +1,134 @@
+//! Desired states and target entries that a deployment for entry routers writes to its store.
+
+use std::{net::SocketAddr, time::Duration};
+
+use ebonyfall::clock;
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::EntryDeployment;
+
+/// Limit on bodies, unless a test sets another one, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
+/// Timeout of all routes, unless a test sets another one.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time for which a target tolerates few requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdPeriod {
+    /// Index of the target.
+    pub target: usize,
+    /// When the target's entry stated it.
+    pub start: Instant,
+    /// When the target is warm.
+    pub end: Instant,
+}
+
+impl EntryDeployment {
+    /// Writes a desired state in which the team `desk` has these API keys.
+    pub async fn put_desired_state(&self, version: u64, keys: &[&str]) {
+        self.put_desired_state_with_timeout(version, keys, ROUTE_TIMEOUT)
+            .await;
+    }
+
+    /// Like [`Self::put_desired_state`], with this timeout of all routes.
+    pub async fn put_desired_state_with_timeout(
+        &self,
+        version: u64,
+        keys: &[&str],
+        timeout: Duration,
+    ) {
+        self.put_desired_state_with(version, keys, timeout, MAX_BODY_BYTES)
+            .await;
+    }
+
+    /// Like [`Self::put_desired_state`], with this timeout of all routes and this limit on bodies.
+    pub async fn put_desired_state_with(
+        &self,
+        version: u64,
+        keys: &[&str],
+        timeout: Duration,
+        max_body_bytes: usize,
+    ) {
+        let timeout_ms = timeout.as_millis();
+        let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
+            json!({
+                "name": name, "host": "spine.example", "path_prefix": format!("/{name}/"),
+                "type": kind, "timeout_ms": timeout_ms, "slo_ms": 500, "priority": 0,
+                "service": "plain", "max_attempts": attempts, "public": false, "sticky": kind == "stream",
+                "resumable": resumable,
+            })
+        };
+        let state = json!({
+            "version": version,
+            "routes": [
+                route("status", "safe", 2, false),
+                route("order", "unsafe", 1, false),
+                route("suggest", "stream", 2, true),
+                route("draft", "stream", 1, false),
+            ],
+            "services": [{ "name": "plain", "max_conns": 100, "warmup_per_s": self.cold_rate }],
+            "limits": {
+                "max_header_bytes": 16_384, "max_body_bytes": max_body_bytes,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+            },
+            "tenants": [{ "name": "desk", "api_keys": keys }],
+        });
+        self.store.put("keyed.op", "config", Some(&state)).await;
+    }
+
+    /// Writes a target's entry in the store, with version `v1` of its software.
+    pub async fn register(&self, target: usize, state: &str) {
+        self.register_version(target, state, "v1").await;
+    }
+
+    /// Writes a target's entry in the store, with this version of its software.
+    pub async fn register_version(&self, target: usize, state: &str, version: &str) {
+        self.write_entry(target, state, version, Duration::ZERO)
+            .await;
+    }
+
+    /// Writes the entry of a target that has just started again and is cold for `time`.
+    pub async fn register_cold(&self, target: usize, time: Duration) -> ColdPeriod {
+        let born = u64::try_from(clock::unix_time().as_millis()).unwrap_or(u64::MAX);
+        self.targets[target].set_start_time(born);
+        self.turn_cold(target, time).await
+    }
+
+    /// Writes the entry of a target that turns cold for `time` while it runs.
+    pub async fn turn_cold(&self, target: usize, time: Duration) -> ColdPeriod {
+        let start = Instant::now();
+        self.write_entry(target, "ready", "v1", time).await;
+        ColdPeriod {
+            target,
+            start,
+            end: start + time,
+        }
+    }
+
+    /// Removes the entry of a target, as when it has left.
+    pub async fn unregister(&self, target: usize) {
+        let key = format!("t-{target}");
+        self.store.put("keyed.servers", &key, None).await;
+    }
+
+    async fn write_entry(&self, target: usize, state: &str, version: &str, cold: Duration) {
+        let warmup_left_ms = cold.as_millis();
+        let entry = json!({
+            "service": "plain", "addr": self.target_addresses[target], "zone": format!("z{target}"),
+            "version": version, "slots": 8, "state": state, "warmup_left_ms": warmup_left_ms,
+            "seq": 1, "born": self.targets[target].start_time(),
+        });
+        let key = format!("t-{target}");
+        self.store.put("keyed.servers", &key, Some(&entry)).await;
+    }
+
+    /// Writes an entry for a target of the service that this deployment did not start.
+    pub async fn register_address(&self, name: &str, address: SocketAddr) {
+        let entry = json!({
+            "service": "plain", "addr": address, "zone": "z0", "version": "v1", "slots": 8,
+            "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": 1,
+        });
+        self.store.put("keyed.servers", name, Some(&entry)).await;
+    }
+}
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -8,7 +8,7 @@
     net::{TcpListener, TcpStream},
     sync::{mpsc, watch},
     task::JoinSet,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 use crate::{
@@ -123,6 +123,19 @@
     pub body: Vec<u8>,
 }
 
+/// Arrival of a request at a target, which may have refused it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// When the target had read the request.
+    pub at: Instant,
+    /// The request's attempt id.
+    pub attempt_id: String,
+    /// The request's path.
+    pub path: String,
+    /// Whether the target answered as another one than the router expects.
+    pub is_misdirected: bool,
+}
+
 /// Handle that controls a simulated target and reports what it received.
 #[derive(Debug)]
 pub struct RegisteredTarget {
@@ -130,8 +143,10 @@
     model_server: watch::Sender<Option<ModelServer>>,
     deadly_part: watch::Sender<Option<String>>,
     received: watch::Receiver<Vec<ReceivedRequest>>,
-    arrived: watch::Receiver<usize>,
+    arrivals: watch::Receiver<Vec<Arrival>>,
     open: watch::Receiver<usize>,
+    /// Start time that the target states, in milliseconds since the Unix epoch.
+    start_time: watch::Sender<u64>,
 }
 
 /// What the connections of a target share.
@@ -141,7 +156,7 @@
     model_server: watch::Receiver<Option<ModelServer>>,
     deadly_part: watch::Receiver<Option<String>>,
     received: watch::Sender<Vec<ReceivedRequest>>,
-    arrived: watch::Sender<usize>,
+    arrivals: watch::Sender<Vec<Arrival>>,
     crash: mpsc::Sender<()>,
 }
 
@@ -158,7 +173,7 @@
         let (model_server, model_server_rx) = watch::channel(None);
         let (deadly_part, deadly_part_rx) = watch::channel(None);
         let (received_tx, received) = watch::channel(Vec::new());
-        let (arrived_tx, arrived) = watch::channel(0);
+        let (arrivals_tx, arrivals) = watch::channel(Vec::new());
         let (open_tx, open) = watch::channel(0);
         let (crash, crashes) = mpsc::channel(1);
         let behaviour = Behaviour {
@@ -166,7 +181,7 @@
             model_server: model_server_rx,
             deadly_part: deadly_part_rx,
             received: received_tx,
-            arrived: arrived_tx,
+            arrivals: arrivals_tx,
             crash,
         };
         tokio::spawn(run(listener, behaviour, crashes, open_tx));
@@ -175,8 +190,9 @@
             model_server,
             deadly_part,
             received,
-            arrived,
+            arrivals,
             open,
+            start_time: watch::channel(1).0,
         };
         (registered, address)
     }
@@ -205,7 +221,20 @@
 
     /// Returns the number of requests that reached the target, executed or not.
     pub fn arrived_requests(&self) -> usize {
-        *self.arrived.borrow()
+        self.arrivals.borrow().len()
+    }
+
+    /// Returns the arrivals of all requests, executed or not, oldest first.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.borrow().clone()
+    }
+
+    pub(crate) fn start_time(&self) -> u64 {
+        *self.start_time.borrow()
+    }
+
+    pub(crate) fn set_start_time(&self, unix_ms: u64) {
+        self.start_time.send_replace(unix_ms);
     }
 
     /// Returns all requests that the target executed, in order of execution.
@@ -262,7 +291,13 @@
         let id = id.unwrap_or_default();
         let last_event_id = req.headers.get("last-event-id").cloned();
         let is_stream = STREAM_PATHS.iter().any(|path| req.line.contains(path));
-        behaviour.arrived.send_modify(|arrived| *arrived += 1);
+        let arrival = Arrival {
+            at: Instant::now(),
+            attempt_id: id.clone(),
+            path: req.line.split(' ').nth(1).unwrap_or_default().to_owned(),
+            is_misdirected: mode == AnswerMode::WrongTarget,
+        };
+        behaviour.arrivals.send_modify(|all| all.push(arrival));
         let is_refusal = matches!(
             mode,
             AnswerMode::Decline | AnswerMode::Pause(_) | AnswerMode::WrongTarget
