Log, count and show the decisions of the fleet's retry budget

The timeline of the shared limits does not say how many repeats a router allowed, nor by which figures. A line event=retries a second at most for each service has the repeats taken and refused since the last one, the attempts in the window, the routers counted, the part of the slack and what is allowed. The same figures are in /dump, and ebonyfall_retries_total counts by service. No decision changes.

--- a/core/src/inspect.rs
+++ b/core/src/inspect.rs
@@ -6,6 +6,7 @@
 use serde_with::{DisplayFromStr, serde_as};
 
 use crate::{
+    budget::{RetryCounts, RetryFigures},
     estimate::Estimate,
     id::PartId,
     moves::MoveState,
@@ -21,6 +22,8 @@
     pub routers: u32,
     /// Zones that get no new requests.
     pub evacuated: Vec<ZoneName>,
+    /// Retry budgets, ordered by service.
+    pub retries: Vec<RetryState>,
     /// Number of request contents that are suspected of crashing targets.
     pub suspects: usize,
     /// Prompt parts that are suspected of crashing targets, those with the most crashes first.
@@ -33,6 +36,19 @@
     pub moves: Vec<MoveSummary>,
 }
 
+/// A router's part in the retry budget of one service.
+#[derive(Debug, Clone, Serialize)]
+pub struct RetryState {
+    /// The service to which the retries are sent.
+    pub service: ServiceName,
+    /// Decisions since the start of the router.
+    #[serde(flatten)]
+    pub total: RetryCounts,
+    /// The figures by which a retry would be allowed or refused now.
+    #[serde(flatten)]
+    pub figures: RetryFigures,
+}
+
 /// Crashes counted against a prompt part.
 #[serde_as]
 #[derive(Debug, Clone, Serialize)]
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -16,7 +16,6 @@
     direct::Failure,
     dissemination::MoveDecision,
     estimate::{BrokenRequest, Estimate, LOAD_TTL},
-    fleet::FleetShare,
     holders::Holders,
     id::{Fingerprint, PartId},
     inspect::{MoveSummary, RoutingState, TargetState},
@@ -39,6 +38,7 @@
 mod crashes;
 mod notices;
 mod pace;
+mod retries;
 mod rooms;
 mod sums;
 
@@ -166,7 +166,8 @@
     }
 
     /// Removes and returns what has changed since the last call, for the log.
-    pub fn take_trace(&mut self) -> Vec<TraceEvent> {
+    pub fn take_trace(&mut self, now: Time) -> Vec<TraceEvent> {
+        self.trace_retries(now);
         std::mem::take(&mut self.trace)
     }
 
@@ -241,6 +242,7 @@
         RoutingState {
             routers: self.turns.routers,
             evacuated,
+            retries: self.inspect_retries(now),
             suspects: self.suspects.marks().count(),
             parts: self.parts.inspect(now),
             contexts: self.holders.len(),
@@ -376,18 +378,8 @@
                 after: self.time_to_next_place(criteria.service, now),
                 ..refusal(Code::NoTarget)
             })?;
-        let bound = self.retry;
-        let budget = self
-            .retry_budgets
-            .entry(criteria.service.clone())
-            .or_insert_with(|| FleetRetryBudget::new(bound));
-        if criteria.is_retry {
-            let share = FleetShare::settled(self.turns.routers);
-            if !budget.try_take(Some(&share), now) {
-                return Err(refusal(Code::Overloaded));
-            }
-        } else if criteria.tried.is_empty() {
-            budget.record_first(now);
+        if !self.count_attempt(criteria, now) {
+            return Err(refusal(Code::Overloaded));
         }
         let context_source =
             self.holders
--- a/core/src/trace.rs
+++ b/core/src/trace.rs
@@ -5,8 +5,9 @@
 use derive_more::Display;
 
 use crate::{
+    budget::{RetryCounts, RetryFigures},
     id::{Fingerprint, PartId},
-    name::{TargetName, TeamName},
+    name::{ServiceName, TargetName, TeamName},
     outcome::Probe,
     pace::PaceChange,
 };
@@ -104,6 +105,15 @@
         /// Remaining time of its cold start.
         cold: Duration,
     },
+    /// The fleet's retry budget allowed or refused retries since the last such event.
+    Retries {
+        /// The service to which the retries are sent.
+        service: ServiceName,
+        /// The decisions.
+        counts: RetryCounts,
+        /// The figures after the last decision.
+        figures: RetryFigures,
+    },
     /// The crashes that are counted against a prompt part have changed.
     Part {
         /// The part.
--- a/core/tests/pace.rs
+++ b/core/tests/pace.rs
@@ -319,5 +319,5 @@
         target: record.name,
         notice: Notice::Slowness,
     };
-    assert_eq!(selector.take_trace(), [expected]);
+    assert_eq!(selector.take_trace(now), [expected]);
 }
--- a/core/tests/paced/mod.rs
+++ b/core/tests/paced/mod.rs
@@ -253,7 +253,7 @@
     pub fn pace_changes(&mut self, number: usize) -> Vec<PaceChange> {
         let name = &self.targets[number].record.name;
         let routers = self.routers.iter_mut();
-        let events = routers.flat_map(|router| router.selector.take_trace());
+        let events = routers.flat_map(|router| router.selector.take_trace(self.now));
         let changes = events.filter_map(|event| match event {
             TraceEvent::Pace { target, change, .. } if target == *name => Some(change),
             _ => None,
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -290,7 +290,7 @@
 
     /// Chooses a target; refuses when the process ends before one is found.
     async fn choose(&self) -> Result<(Reservation, Option<TargetConnection>), SelectionRefusal> {
-        tokio::select! {
+        let selected = tokio::select! {
             biased;
             selected = self.shared.selector.choose(self.selection_request()) => selected,
             () = self.shared.phases.ending() => Err(SelectionRefusal {
@@ -298,7 +298,16 @@
                 after: RETRY_AFTER,
                 part: None,
             }),
+        };
+        let taken = match &selected {
+            Ok(_) => Some(true),
+            Err(refusal) => (refusal.code == Code::Overloaded).then_some(false),
+        };
+        if let Some(taken) = taken.filter(|_| self.charge_retry) {
+            let metrics = &self.shared.metrics.entry;
+            metrics.count_retry(&self.job.service, taken);
         }
+        selected
     }
 
     /// Waits for a target, at most `limit` and only as long as the process may hold a request that
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use ebonyfall_core::name::ServiceName;
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -49,6 +50,15 @@
     pub context: &'static str,
 }
 
+/// Labels of the counter of decisions on retries.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RetryLabels {
+    /// Service to which the retry is sent.
+    pub service: String,
+    /// `taken`, or `refused` by the fleet's retry budget.
+    pub outcome: &'static str,
+}
+
 /// Labels of the counter of stream reads from other routers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PeerReadLabels {
@@ -94,6 +104,7 @@
     failures: Family<FailureLabels, Counter>,
     exceeded: Family<LimitLabels, Counter>,
     choices: Family<ChoiceLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
     peer_reads: Family<PeerReadLabels, Counter>,
     moves: Family<MoveLabels, Counter>,
     beliefs: Family<BeliefLabels, Counter>,
@@ -119,6 +130,7 @@
             failures: Family::default(),
             exceeded: Family::default(),
             choices: Family::default(),
+            retries: Family::default(),
             peer_reads: Family::default(),
             moves: Family::default(),
             beliefs: Family::default(),
@@ -152,6 +164,8 @@
         registry.register("limits_exceeded", help, self.exceeded.clone());
         let help = "Targets chosen, by where the prompt's context is believed to be";
         registry.register("choices", help, self.choices.clone());
+        let help = "Retries that the fleet's budget allowed or refused, by service";
+        registry.register("retries", help, self.retries.clone());
         let help = "Reads of the store's streams from other routers";
         registry.register("peer_reads", help, self.peer_reads.clone());
         let help = "Reports of the state of version moves";
@@ -193,6 +207,15 @@
         self.choice.observe(after.as_secs_f64());
     }
 
+    /// Counts a retry that the fleet's budget allowed, or refused if not `taken`.
+    pub fn count_retry(&self, service: &ServiceName, taken: bool) {
+        let labels = RetryLabels {
+            service: service.to_string(),
+            outcome: if taken { "taken" } else { "refused" },
+        };
+        self.retries.get_or_create(&labels).inc();
+    }
+
     /// Counts a read of `stream` from other routers; `answered` is false if none answered.
     pub fn count_peer_read(&self, stream: &'static str, answered: bool) {
         let outcome = if answered { "answered" } else { "failed" };
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -391,7 +391,7 @@
                     let _caller_gone = reply.send(self.selector.moves(self.clock.now()));
                 }
             }
-            for event in self.selector.take_trace() {
+            for event in self.selector.take_trace(self.clock.now()) {
                 if event.is_own_suspicion() {
                     self.suspicions.send_modify(|changes| *changes += 1);
                 }
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -1,9 +1,13 @@
 //! Log lines for changes in the target selector.
 
-use std::time::Duration;
+use std::{num::NonZeroU32, time::Duration};
 
 use ebonyfall_core::{
-    name::TargetName, pace::PaceChange, parts::CRASHES_TO_HOLD, trace::TraceEvent,
+    budget::{RetryCounts, RetryFigures},
+    name::{ServiceName, TargetName},
+    pace::PaceChange,
+    parts::CRASHES_TO_HOLD,
+    trace::TraceEvent,
 };
 use slog::{Logger, info, warn};
 
@@ -57,6 +61,11 @@
             share,
             cold,
         } => log_pace(log, target, *change, *share, *cold),
+        TraceEvent::Retries {
+            service,
+            counts,
+            figures,
+        } => log_retries(log, service, *counts, figures),
         TraceEvent::Part {
             part,
             cause,
@@ -70,6 +79,14 @@
     }
 }
 
+fn log_retries(log: &Logger, service: &ServiceName, counts: RetryCounts, figures: &RetryFigures) {
+    info!(log, "retries allowed and refused by the fleet's budget"; "event" => "retries",
+        "service" => %service, "taken" => counts.taken, "refused" => counts.refused,
+        "first" => figures.first, "retries" => figures.retries,
+        "routers" => figures.routers.map(NonZeroU32::get), "slack" => figures.slack,
+        "allowed" => figures.allowed);
+}
+
 fn log_pace(log: &Logger, target: &TargetName, change: PaceChange, share: f64, cold: Duration) {
     let cold_ms = clock::millis(cold);
     match change {
