Count a retry against the fleet's budget for a whole window

Callers of a service saw up to 1.4 times the repeats that the fleet may send, also long after the last start of a router. Cause: counts are kept in buckets of a tenth of the window. A bucket was dropped when its start was as old as the window, so that repeats at its end counted for 9 s only, and the same part was used again in the same 10 s. Evidence: core/tests/budget.rs, retries_count_for_a_whole_window. Repeats now count until their bucket is older than the window by one bucket; first attempts are still forgotten early, never late.

--- a/core/src/budget.rs
+++ b/core/src/budget.rs
@@ -101,7 +101,10 @@
     /// The figures by which a retry at `now` would be allowed or refused.
     pub fn figures(&mut self, share: Option<&FleetShare>, now: Time) -> RetryFigures {
         self.current_bucket(now);
-        let first: u32 = self.buckets.iter().map(|bucket| bucket.first).sum();
+        let window = self.bound.window;
+        let recent = self.buckets.iter();
+        let recent = recent.filter(|bucket| now.since(bucket.start) < window);
+        let first: u32 = recent.map(|bucket| bucket.first).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let slack = share.map_or(0.0, |share| {
             USED_SHARE * self.bound.slack / f64::from(share.routers.get())
@@ -134,13 +137,14 @@
     }
 
     fn current_bucket(&mut self, now: Time) -> &mut Bucket {
-        let window = self.bound.window;
+        let bucket_span = self.bound.window / WINDOW_BUCKETS;
+        // No retry is forgotten before it is as old as the window.
+        let kept = self.bound.window + bucket_span;
         while let Some(oldest) = self.buckets.front()
-            && now.since(oldest.start) >= window
+            && now.since(oldest.start) >= kept
         {
             self.buckets.pop_front();
         }
-        let bucket_span = window / WINDOW_BUCKETS;
         let is_current = self
             .buckets
             .back()
--- a/core/tests/budget.rs
+++ b/core/tests/budget.rs
@@ -14,6 +14,28 @@
     window: Duration::from_secs(10),
 };
 
+/// Guards against retries that are forgotten before they are as old as the window.
+#[test]
+fn retries_count_for_a_whole_window() {
+    let start = Time::from_millis(100_000);
+    let share = FleetShare::settled(1);
+    for first_burst in [0, 300, 900, 999] {
+        let mut budget = FleetRetryBudget::new(BOUND);
+        budget.record_first(start);
+        let mut taken = 0;
+        for millis in [first_burst, first_burst + 9_000, first_burst + 9_999] {
+            let now = start + Duration::from_millis(millis);
+            while budget.try_take(Some(&share), now) {
+                taken += 1;
+            }
+        }
+        assert!(
+            f64::from(taken) <= BOUND.slack,
+            "{taken} from {first_burst} ms on"
+        );
+    }
+}
+
 /// Guards against decisions that are missing from the log, and against a line for each of them under
 /// load.
 #[test]
