Count a retry after a target's 421 that an unreachable one follows

An attempt reached a wrong target (421), the next one found its target unreachable, and the third was sent without a part of the retry budget, although it is the second arrival. Only attempts that the intended target got were looked at. Evidence: invariants_hold_after_any_failures, which now asks that exactly the attempts after an arrival count, failed before with [WrongTarget, NotSent] (aarch64). Before, it let any attempt pass that followed no received one.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -177,6 +177,8 @@
     tried: Vec<TargetName>,
     received_attempts: u32,
     unsent_attempts: u32,
+    /// Whether an attempt has reached a target, even one that it was not meant for.
+    has_arrived: bool,
     answer_begun: bool,
     may_have_run: Option<Code>,
 }
@@ -194,6 +196,7 @@
             tried: Vec::new(),
             received_attempts: 0,
             unsent_attempts: 0,
+            has_arrived: false,
             answer_begun: false,
             may_have_run: None,
         }
@@ -243,8 +246,9 @@
         if code.execution() != Execution::NotRun {
             self.may_have_run = Some(code);
         }
+        self.has_arrived |= failure != Failure::NotSent;
         let retry = NextStep::Again {
-            repeat: failure != Failure::NotSent || self.received_attempts > 0,
+            repeat: self.has_arrived,
         };
         let may_repeat =
             code.execution() == Execution::NotRun || self.idempotency == Idempotency::Idempotent;
--- a/core/tests/direct.rs
+++ b/core/tests/direct.rs
@@ -159,7 +159,8 @@
 quickcheck! {
     /// Guards against non-idempotent requests that are repeated after they may have run, codes that
     /// wrongly state that a request did not run, more attempts than the route allows, streams that
-    /// are restarted from the beginning, and attempts after the deadline.
+    /// are restarted from the beginning, attempts after the deadline, and attempts that do not count
+    /// as retries although an earlier one has arrived at a target, even at a wrong one.
     fn invariants_hold_after_any_failures(
         failures: Vec<u8>,
         not_idempotent: bool,
@@ -184,7 +185,7 @@
             Duration::from_secs(9),
             now,
         );
-        let (mut received, mut may_have_run) = (0, false);
+        let (mut received, mut arrived, mut may_have_run) = (0, false, false);
         for (index, failure) in failures.into_iter().enumerate() {
             if usize::from(answer_begins_at) == index {
                 request.record_answer_begun();
@@ -192,12 +193,13 @@
             let begun = index >= usize::from(answer_begins_at);
             let failure = FAILURES[usize::from(failure) % FAILURES.len()];
             received += u32::from(!matches!(failure, Failure::NotSent | Failure::WrongTarget));
+            arrived |= failure != Failure::NotSent;
             may_have_run |= failure.code().execution() != Execution::NotRun;
             now = now + Duration::from_millis(u64::from(pause % 700));
             let target = TargetName::new(format!("t{index}")).expect("the name is valid");
             let allowed = match request.on_failure(&target, failure, now) {
                 NextStep::Again { repeat } => {
-                    let budgeted = repeat || received == 0;
+                    let budgeted = repeat == arrived;
                     let may_repeat = !(not_idempotent && may_have_run);
                     let may_restart = !begun || (stream && !not_idempotent);
                     if budgeted
