--- a/src/meters.rs
+++ b/src/meters.rs
@@ -104,7 +104,7 @@
     failures: Family<FailureLabels, Counter>,
     exceeded: Family<LimitLabels, Counter>,
     choices: Family<ChoiceLabels, Counter>,
-    retries: Family<RetryLabels, Counter>,
+    retry_decisions: Family<RetryLabels, Counter>,
     peer_reads: Family<PeerReadLabels, Counter>,
     moves: Family<MoveLabels, Counter>,
     beliefs: Family<BeliefLabels, Counter>,
@@ -130,7 +130,7 @@
             failures: Family::default(),
             exceeded: Family::default(),
             choices: Family::default(),
-            retries: Family::default(),
+            retry_decisions: Family::default(),
             peer_reads: Family::default(),
             moves: Family::default(),
             beliefs: Family::default(),
@@ -165,7 +165,7 @@
         let help = "Targets chosen, by where the prompt's context is believed to be";
         registry.register("choices", help, self.choices.clone());
         let help = "Retries that the fleet's budget allowed or refused, by service";
-        registry.register("retries", help, self.retries.clone());
+        registry.register("retry_decisions", help, self.retry_decisions.clone());
         let help = "Reads of the store's streams from other routers";
         registry.register("peer_reads", help, self.peer_reads.clone());
         let help = "Reports of the state of version moves";
@@ -213,7 +213,7 @@
             service: service.to_string(),
             outcome: if taken { "taken" } else { "refused" },
         };
-        self.retries.get_or_create(&labels).inc();
+        self.retry_decisions.get_or_create(&labels).inc();
     }
 
     /// Counts a read of `stream` from other routers; `answered` is false if none answered.
