Let routers with agents share one reserve of retries

An operator reads the budget of retries as a share of first attempts. Each router had a reserve of 100 more at each start, however many routers there are. Cause: the token bucket of each router started full. Callers of small deployments keep what they need: the loss of a target right after the start (3 retries at once), 100 or 33 retries for one or three routers from 2 s after others were heard, and 100 for each that first attempts have earned. Starting with none was tried: a request that crashes its target right after the start was not tried again (tests/faults.rs).

--- a/bench/src/admit.rs
+++ b/bench/src/admit.rs
@@ -5,6 +5,7 @@
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, VecDeque},
     error::Error,
+    num::NonZeroU32,
     time::Duration,
 };
 
@@ -343,10 +344,12 @@
     mixed: bool,
     sources: Vec<TeamTraffic>,
 ) -> HashMap<TeamName, OutcomeCounts> {
+    let mut budget = RetryBudget::new(RETRY_RATIO);
+    budget.add_reserve(NonZeroU32::MIN);
     let mut simulation = Simulation {
         targets: (0..targets).map(|_| Target::new(policy)).collect(),
         events: BinaryHeap::new(),
-        budget: RetryBudget::new(RETRY_RATIO),
+        budget,
         counts_by_team: HashMap::new(),
         mixed,
         sources,
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -1,15 +1,20 @@
 //! Retry policy: whether a failed request is retried, and after which delay.
 
-use std::time::Duration;
+use std::{num::NonZeroU32, time::Duration};
 
 use crate::{
     code::{Code, Execution},
     doc::Idempotency,
 };
 
-/// Capacity of the token bucket in retries, and its initial level. The initial tokens let a router
-/// with little traffic survive the loss of one target.
+/// Capacity of the token bucket in retries.
 const MAX_TOKENS: f64 = 100.0;
+/// Retries beyond the ratio that all routers of the fleet together may send after their start. They
+/// let routers with little traffic survive the loss of one target.
+const FLEET_RESERVE: f64 = 100.0;
+/// Part of the reserve that a router has before it knows the others, so that the first requests after
+/// its start survive the loss of one target.
+const START_TOKENS: f64 = 3.0;
 /// Shortest and longest backoff before jitter; it doubles with each attempt within these limits.
 const BACKOFF_RANGE: [Duration; 2] = [Duration::from_millis(4), Duration::from_millis(250)];
 /// Maximum number of attempts for one request, the first one included.
@@ -20,14 +25,26 @@
 pub struct RetryBudget {
     retry_ratio: f64,
     tokens: f64,
+    has_reserve: bool,
 }
 
 impl RetryBudget {
-    /// Creates a full bucket; each first attempt adds `retry_ratio` tokens, and a retry costs one.
+    /// Creates a bucket with the tokens of a router that knows no others; each first attempt adds `retry_ratio` tokens, and a retry costs one.
     pub fn new(retry_ratio: f64) -> Self {
         Self {
             retry_ratio,
-            tokens: MAX_TOKENS,
+            tokens: START_TOKENS,
+            has_reserve: false,
+        }
+    }
+
+    /// Adds what is missing of this router's part of the fleet's reserve, divided by the routers that
+    /// are known; it is added once only.
+    pub fn add_reserve(&mut self, routers: NonZeroU32) {
+        if !self.has_reserve {
+            self.has_reserve = true;
+            let part = FLEET_RESERVE / f64::from(routers.get());
+            self.tokens = (self.tokens + (part - START_TOKENS).max(0.0)).min(MAX_TOKENS);
         }
     }
 
--- a/core/tests/admit.rs
+++ b/core/tests/admit.rs
@@ -3,7 +3,7 @@
 //! `cargo test -p ebonyfall-core --test admit` runs every scenario file; with `SCENARIO=<file>` in
 //! the environment, it runs only the file with that name.
 
-use std::{collections::HashMap, fmt::Write as _, path::Path, time::Duration};
+use std::{collections::HashMap, fmt::Write as _, num::NonZeroU32, path::Path, time::Duration};
 
 use datadriven::{TestCase, TestFile, walk};
 use ebonyfall_core::{
@@ -53,6 +53,8 @@
     fn new() -> Self {
         let (relayed, _) =
             RelayedRequest::start(1.into(), Idempotency::Idempotent, Time::from_millis(1000));
+        let mut budget = RetryBudget::new(0.1);
+        budget.add_reserve(NonZeroU32::MIN);
         Self {
             now: Time::ZERO,
             admission: Admission::new(Capacity {
@@ -64,7 +66,7 @@
             running: Vec::new(),
             tickets: HashMap::new(),
             relayed,
-            budget: RetryBudget::new(0.1),
+            budget,
             suspects: Suspects::new(Duration::from_secs(3600)),
             drain: Drain::default(),
         }
--- a/src/retrier.rs
+++ b/src/retrier.rs
@@ -3,6 +3,8 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    num::NonZeroU32,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -10,11 +12,16 @@
     code::Code,
     crash::{ContentStatus, Crash, Marks, Suspects},
     id::Fingerprint,
+    membership::MembershipView,
     name::{TargetName, TeamName, ZoneName},
     retry::RetryBudget,
     time::Time,
 };
-use tokio::sync::{mpsc, oneshot};
+use slog::{Logger, info};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time,
+};
 
 use crate::{
     clock,
@@ -23,6 +30,10 @@
 
 /// Capacity of the task's message queue.
 const QUEUE_LEN: usize = 4096;
+/// Time after which a router that starts and hears others knows all of them.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Time without an answer of any other process after which a router takes those that it knows for all.
+const SOLITUDE_TIME: Duration = Duration::from_secs(4);
 /// Shortest and longest time for which an unreachable or leaving target is avoided. The time
 /// doubles with each consecutive failure.
 const AVOIDANCE_RANGE: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(4)];
@@ -65,6 +76,7 @@
     Merge(Marks),
     Clear(Fingerprint, oneshot::Sender<bool>),
     TryTakeRetry(oneshot::Sender<bool>),
+    AddReserve(NonZeroU32),
     SetQuarantined(HashSet<Fingerprint>),
 }
 
@@ -74,7 +86,11 @@
 
 impl Retrier {
     /// Starts the task, which ends when the last handle is dropped.
-    pub fn start(views: Views) -> Self {
+    pub fn start(
+        views: Views,
+        membership: watch::Receiver<Arc<MembershipView>>,
+        log: Logger,
+    ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let task = Task {
             views,
@@ -84,6 +100,7 @@
             quarantined: HashSet::new(),
         };
         tokio::spawn(task.run(rx));
+        tokio::spawn(add_reserve(membership, tx.downgrade(), log));
         Self(tx)
     }
 
@@ -214,6 +231,7 @@
                 Command::Survived(fingerprint) => {
                     self.suspects.record_success(fingerprint, unix_now());
                 }
+                Command::AddReserve(routers) => self.budget.add_reserve(routers),
                 Command::TryTakeRetry(reply) => {
                     let _caller_gone = reply.send(self.budget.try_take());
                 }
@@ -285,6 +303,26 @@
     }
 }
 
+/// Waits until the other routers are known, and adds this router's part of the reserve.
+async fn add_reserve(
+    mut membership: watch::Receiver<Arc<MembershipView>>,
+    tx: mpsc::WeakSender<Command>,
+    log: Logger,
+) {
+    let fresh = membership.wait_for(|view| view.fresh);
+    if let Ok(Err(_ended)) = time::timeout(SOLITUDE_TIME, fresh).await {
+        return;
+    }
+    time::sleep(SETTLE_TIME).await;
+    let routers = u32::try_from(membership.borrow().routers.len()).unwrap_or(u32::MAX);
+    let routers = NonZeroU32::new(routers).unwrap_or(NonZeroU32::MIN);
+    if let Some(tx) = tx.upgrade() {
+        info!(log, "this router's part of the reserve of retries is available";
+            "routers" => routers.get());
+        let _ended = tx.send(Command::AddReserve(routers)).await;
+    }
+}
+
 fn unix_now() -> Time {
     Time::ZERO + clock::unix_time()
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -128,7 +128,7 @@
         peers,
         log.clone(),
     );
-    let retrier = Retrier::start(views.clone());
+    let retrier = Retrier::start(views.clone(), gossip.membership(), log.clone());
     quarantine::start(gossip.clone(), retrier.clone(), views.clone());
     let times = StopTimes {
         refuse_after: ConnectionLimits::default().idle_grace,
