--- a/core/src/selector/retries.rs
+++ b/core/src/selector/retries.rs
@@ -16,10 +16,10 @@
             .entry(criteria.service.clone())
             .or_insert_with(|| FleetRetryBudget::new(bound));
         if criteria.is_retry {
-            return budget.try_take(share.as_ref(), now);
+            return budget.try_take(Some(&share), now);
         }
         if criteria.tried.is_empty() {
-            budget.record_first(share.as_ref(), now);
+            budget.record_first(Some(&share), now);
         }
         true
     }
@@ -32,7 +32,7 @@
                 self.trace.push(TraceEvent::Retries {
                     service: service.clone(),
                     counts,
-                    figures: budget.figures(share.as_ref(), now),
+                    figures: budget.figures(Some(&share), now),
                 });
             }
         }
@@ -45,14 +45,14 @@
         let states = budgets.map(|(service, budget)| RetryState {
             service: service.clone(),
             total: budget.total(),
-            figures: budget.figures(share.as_ref(), now),
+            figures: budget.figures(Some(&share), now),
         });
         let mut states: Vec<_> = states.collect();
         states.sort_by(|a, b| a.service.cmp(&b.service));
         states
     }
 
-    fn fleet_share(&self) -> Option<FleetShare> {
-        Some(FleetShare::settled(self.turns.routers))
+    fn fleet_share(&self) -> FleetShare {
+        FleetShare::settled(self.turns.routers)
     }
 }
--- a/core/tests/budget.rs
+++ b/core/tests/budget.rs
@@ -112,7 +112,7 @@
             present: 0,
             trouble: false,
             // The routers have not sent any retry when the disturbance comes.
-            fails_from: (seed % 2 == 0).then_some(CALM_TICKS + 75),
+            fails_from: seed.is_multiple_of(2).then_some(CALM_TICKS + 75),
             first: vec![0; LENGTH_TICKS],
             retries: vec![0; LENGTH_TICKS + MAX_DELAY_TICKS],
         };
@@ -157,7 +157,7 @@
             (Schedule::FirstStart, 0)
             | (Schedule::RestartTogether, 100)
             | (Schedule::RestartTwice, 100 | 300) => all.for_each(|number| self.start(number)),
-            (Schedule::RestartInSeries, 0..) if since % 15 == 0 && since / 15 < count => {
+            (Schedule::RestartInSeries, 0..) if since.is_multiple_of(15) && since / 15 < count => {
                 self.start(since / 15);
             }
             (Schedule::Growth, 100) => {
