Take a small part of a service's capacity until the routers are known

Callers see refusals by full targets, and the repeats that follow, after all routers have started at the same moment under load: each router knows no other one and takes the whole capacity of a service whose targets state slots, so that 26 routers allow 26 times the capacity until they hear of each other.

A router whose settings name other routers now divides the capacity by 128 until it knows their number, at least one place. Reports that arrive meanwhile come from some of the routers only and are not used. One whose settings name no other router goes on as before. Below the capacity, waiting at the router costs less than the flood only if it is short: the number of routers has to be known soon after a start.

--- a/core/src/dispatch/room.rs
+++ b/core/src/dispatch/room.rs
@@ -24,6 +24,9 @@
 /// Demand, as a multiple of the capacity, up to which a router may go beyond its share. Close to the
 /// capacity, some routers do not use their share while requests wait at others.
 const NEAR_CAPACITY: f64 = 1.25;
+/// Routers among which the capacity is divided while their number is not known, as in a large fleet
+/// that starts at once.
+const ASSUMED_ROUTERS: u32 = 128;
 /// Time after which routers with equal shares change places in the rounding of their shares.
 const ROUNDING_INTERVAL: Duration = Duration::from_millis(300);
 /// Multiples of these numbers modulo 1 are spread evenly over 0 to 1.
@@ -111,8 +114,8 @@
     pub elsewhere: u32,
     /// Open and waiting requests of the other routers; `None` if no router reports any.
     pub demand_elsewhere: Option<u32>,
-    /// Number of live routers, this one included.
-    pub routers: u32,
+    /// Number of live routers, this one included; `None` while it is not known.
+    pub routers: Option<u32>,
     /// Number of routers that precede this one.
     pub rank: u32,
     /// When the figures were computed.
@@ -124,18 +127,22 @@
     /// open and waiting.
     ///
     /// The share is by demand, so that routers with more callers get more. Half of the free capacity
-    /// comes on top, for a burst that is not part of the mean yet.
+    /// comes on top, for a burst that is not part of the mean yet. While the number of routers is not
+    /// known, reports come from only some of them, and a share by demand would be too large.
     pub fn limit(&self, own_demand: f64, now: Time) -> u32 {
+        let Some(routers) = self.routers else {
+            return (self.capacity / ASSUMED_ROUTERS).max(1);
+        };
         let capacity = f64::from(self.capacity);
         let share = match self.demand_elsewhere {
             Some(elsewhere) => {
                 let all = own_demand + f64::from(elsewhere);
                 capacity * own_demand / all.max(1.0)
             }
-            None => capacity / f64::from(self.routers.max(1)),
+            None => capacity / f64::from(routers.max(1)),
         };
         let wanted_elsewhere = self.demand_elsewhere.unwrap_or(0).max(self.elsewhere);
-        let most = if self.routers > 1 {
+        let most = if routers > 1 {
             capacity * NEAR_CAPACITY
         } else {
             capacity
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -116,6 +116,8 @@
     /// state.
     turns: Turns,
     cold_turns: ColdTurns,
+    /// Whether other routers are expected that may not be known yet.
+    expects_routers: bool,
     targets: TargetTable,
     moves: Moves,
     /// Whether a full list of targets has arrived since the router started.
@@ -146,6 +148,7 @@
             retry,
             turns: Turns::default(),
             cold_turns: ColdTurns::default(),
+            expects_routers: false,
             targets: TargetTable::default(),
             moves: Moves::default(),
             initial_list_received: false,
@@ -182,6 +185,12 @@
         self.cold_turns.await_rank();
     }
 
+    /// Uses a small part of each service's capacity until other routers are known, or it is known
+    /// that there are none.
+    pub fn expect_routers(&mut self) {
+        self.expects_routers = true;
+    }
+
     /// Sets the number of routers that precede this one in reporting the state of version moves, and
     /// in taking turns at targets that state a limit.
     pub fn set_rank(&mut self, rank: u32) {
--- a/core/src/selector/rooms.rs
+++ b/core/src/selector/rooms.rs
@@ -26,7 +26,8 @@
             return Vec::new();
         }
         self.reports.expire(&mut self.targets, now);
-        let routers = self.turns.routers;
+        let known = self.known_routers(now);
+        let routers = known.unwrap_or(1);
         let evacuated = &self.evacuated;
         let mut rooms = HashMap::new();
         self.targets.for_each(|entry| {
@@ -51,13 +52,20 @@
             capacity,
             elsewhere,
             demand_elsewhere: self.reports.demand(&service, routers),
-            routers,
+            routers: known,
             rank: self.turns.rank.unwrap_or(0),
             at: now,
             service,
         });
         rooms.collect()
     }
+
+    /// Number of live routers; `None` while a router that has started may not have heard of the
+    /// others yet.
+    fn known_routers(&mut self, now: Time) -> Option<u32> {
+        let turns = self.cold_turns.update(&self.turns, now);
+        (turns.is_some() || !self.expects_routers).then_some(self.turns.routers)
+    }
 }
 
 fn target_load(entry: &Estimate, routers: u32, now: Time) -> TargetLoad {
--- a/core/tests/dispatch/case.rs
+++ b/core/tests/dispatch/case.rs
@@ -57,6 +57,8 @@
     pub length_ms: u64,
     /// When the first router ends with all its requests.
     pub killed_at_ms: Option<u64>,
+    /// When each router learns of the others; `None` if it knows them from the start.
+    pub known_from_ms: Option<u64>,
 }
 
 impl Case {
@@ -76,6 +78,7 @@
             streams,
             length_ms: 6_500,
             killed_at_ms: None,
+            known_from_ms: None,
         }
     }
 
--- a/core/tests/dispatch/fleet.rs
+++ b/core/tests/dispatch/fleet.rs
@@ -133,8 +133,15 @@
         }
         let names = (0..case.targets).map(|target| name(&format!("t-{target}")));
         selector.retain(&names.collect(), at(0));
-        selector.set_routers(u32::try_from(case.routers).unwrap_or(1));
-        selector.set_rank(u32::try_from(number).unwrap_or(0));
+        if case.known_from_ms.is_none() {
+            selector.set_routers(u32::try_from(case.routers).unwrap_or(1));
+            selector.set_rank(u32::try_from(number).unwrap_or(0));
+        } else {
+            selector.await_rank();
+            selector.expect_routers();
+            selector.set_routers(1);
+            selector.set_rank(0);
+        }
         Router {
             name: name(&format!("r-{number}")),
             selector,
@@ -216,6 +223,14 @@
                 router.selector.set_routers(left);
             }
         }
+        if self.case.known_from_ms == Some(self.now) {
+            for (number, router) in self.routers.iter_mut().enumerate() {
+                let routers = u32::try_from(self.case.routers).unwrap_or(1);
+                router.selector.set_routers(routers);
+                let rank = u32::try_from(number).unwrap_or(0);
+                router.selector.set_rank(rank);
+            }
+        }
         self.end_running();
         self.deliver();
         for stream in 0..self.case.streams.len() {
--- a/core/tests/dispatch/main.rs
+++ b/core/tests/dispatch/main.rs
@@ -226,6 +226,45 @@
     assert!(out.idle <= MAX_IDLE, "seed {SEED}: idle {}", out.idle);
 }
 
+/// Guards against targets that refuse requests, which become repeats, because each router that has
+/// started takes the whole capacity until it hears of the others (D5). Guards also against routers
+/// that go on with too small a part: below the capacity, requests that waited are sent soon after.
+#[test]
+fn a_common_start_does_not_flood_full_targets() {
+    let mut flooded = Vec::new();
+    for routers in [103, 26, 6] {
+        for load in [0.6, 2.0, 4.0] {
+            let mut usual = 0;
+            for known_from_ms in [None, Some(400), Some(2_000)] {
+                let case = Case {
+                    length_ms: 1_500,
+                    known_from_ms,
+                    ..Case::plain(SEED, routers, vec![stream("a", 1, load)])
+                };
+                let out = run(&case);
+                println!(
+                    "seed {SEED} {routers} routers at {load}, known from {known_from_ms:?} ms: {} arrived, \
+                     {} sent, {} declined, idle {:.3}",
+                    out.arrived, out.sent, out.declined, out.idle
+                );
+                let declined = f64::from(out.declined) / f64::from(out.arrived);
+                if declined >= MAX_DECLINED {
+                    flooded.push((routers, load, known_from_ms, declined));
+                }
+                match known_from_ms {
+                    None => usual = out.sent,
+                    Some(..500) if load < 1.0 => {
+                        let sent = f64::from(out.sent) / f64::from(usual);
+                        assert!(sent >= MIN_GOODPUT, "seed {SEED} {routers} routers: {sent}");
+                    }
+                    Some(_) => {}
+                }
+            }
+        }
+    }
+    assert!(flooded.is_empty(), "seed {SEED}: {flooded:?}");
+}
+
 /// Guards against targets that get no requests, or all of them, because they report an absurd load.
 #[test]
 fn absurd_loads_stop_no_traffic() {
--- a/core/tests/dispatch/rules.rs
+++ b/core/tests/dispatch/rules.rs
@@ -21,7 +21,7 @@
         capacity: 1,
         elsewhere: 0,
         demand_elsewhere: None,
-        routers: 1,
+        routers: Some(1),
         rank: 0,
         at: at(0),
     };
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -160,6 +160,9 @@
         let metrics = Metrics::new();
         let mut selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
         selector.await_rank();
+        if cfg.seeds.iter().any(|seed| *seed != cfg.peers.ip()) {
+            selector.expect_routers();
+        }
         let selector = SelectorHandle::start(selector, BootClock, log.clone());
         // Without capacities, every request is admitted.
         let (_unlimited, no_rooms) = watch::channel(Vec::new());
