Keep a router's counts for a version move over its restart

A router that restarted during a version move took what it had counted before with it: the others filed its new counts under the same name, and the router passed over its own earlier ones. With restarts in series the fleet forgot most answers of the new version, so that the verdict came later than it could.

Counts are filed by router and incarnation now. They are in the gossip under that key already, so that nothing changes on the wire.

--- a/core/src/changeover.rs
+++ b/core/src/changeover.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     dissemination::{Arm, MoveDecision, RequestCounts},
-    id::{DeclarationHash, Era, Offset},
+    id::{DeclarationHash, Era, Incarnation, Offset},
     name::{MoveName, ProcessName, RouteName, ServiceName},
     sequential::CountScore,
     time::Time,
@@ -128,6 +128,15 @@
     Failed,
 }
 
+/// One run of a router, from its start to its end. The counts of each run start at zero.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct RouterRun {
+    /// The router.
+    pub router: ProcessName,
+    /// Incarnation of the router in this run.
+    pub incarnation: Incarnation,
+}
+
 /// State of one version move at a router.
 #[derive(Debug)]
 pub struct Changeover {
@@ -142,7 +151,8 @@
     progress: Option<MoveProgress>,
     withdrawn_at: Option<Time>,
     local: BTreeMap<(RouteName, Arm), RequestCounts>,
-    peers: HashMap<ProcessName, BTreeMap<(RouteName, Arm), RequestCounts>>,
+    /// Counts of other runs: of other routers, and of this one before it restarted.
+    peers: HashMap<RouterRun, BTreeMap<(RouteName, Arm), RequestCounts>>,
     scores: BTreeMap<Option<RouteName>, CountScore>,
     /// Answers of the old and the new version that all routers have counted. The sums are cached at
     /// each evaluation, since every request reads them.
@@ -321,15 +331,15 @@
             .map(|((route, arm), counts)| (route, *arm, *counts))
     }
 
-    /// Replaces the counts of another router for a route and version.
+    /// Replaces the counts of another run for a route and version.
     pub fn set_peer_counts(
         &mut self,
-        router: &ProcessName,
+        run: &RouterRun,
         route: &RouteName,
         arm: Arm,
         counts: RequestCounts,
     ) {
-        let known = self.peers.entry(router.clone()).or_default();
+        let known = self.peers.entry(run.clone()).or_default();
         known.insert((route.clone(), arm), counts);
     }
 
--- a/core/src/moves.rs
+++ b/core/src/moves.rs
@@ -3,12 +3,12 @@
 use std::collections::HashMap;
 
 use crate::{
-    changeover::{AnswerQuality, Changeover, MoveOrder, MoveProgress},
+    changeover::{AnswerQuality, Changeover, MoveOrder, MoveProgress, RouterRun},
     direct::Failure,
     dissemination::{Arm, MoveDecision, RequestCounts},
     estimate::Estimate,
     id::DeclarationHash,
-    name::{MoveName, ProcessName, RouteName, ServiceName},
+    name::{MoveName, RouteName, ServiceName},
     outcome::{End, Finished},
     targets::TargetTable,
     time::Time,
@@ -125,12 +125,8 @@
         }
     }
 
-    /// Applies the counts of another router.
-    pub(crate) fn apply_version_counts(
-        &mut self,
-        router: &ProcessName,
-        peer_counts: &VersionCounts,
-    ) {
+    /// Applies the counts of another run of a router.
+    pub(crate) fn apply_version_counts(&mut self, run: &RouterRun, peer_counts: &VersionCounts) {
         let VersionCounts {
             name,
             route,
@@ -138,7 +134,7 @@
             counts,
         } = peer_counts;
         if let Some(known) = self.find(name) {
-            known.set_peer_counts(router, route, *arm, *counts);
+            known.set_peer_counts(run, route, *arm, *counts);
         }
     }
 
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     budget::{FleetRetryBudget, RetryBound},
-    changeover::{MoveOrder, MoveProgress},
+    changeover::{MoveOrder, MoveProgress, RouterRun},
     code::Code,
     crash::{ContentStatus, Suspects},
     direct::Failure,
@@ -218,9 +218,9 @@
         self.moves.apply_verdict(name, verdict);
     }
 
-    /// Records the answers that another router has counted for a version move.
-    pub fn record_version_counts(&mut self, router: &ProcessName, counts: &VersionCounts) {
-        self.moves.apply_version_counts(router, counts);
+    /// Records the answers that another run of a router has counted for a version move.
+    pub fn record_version_counts(&mut self, run: &RouterRun, counts: &VersionCounts) {
+        self.moves.apply_version_counts(run, counts);
     }
 
     /// Answers that this router has counted for version moves.
--- a/core/tests/changeover.rs
+++ b/core/tests/changeover.rs
@@ -5,7 +5,7 @@
 
 use ebonyfall_core::{
     budget::RetryBound,
-    changeover::{MoveOrder, MoveProgress},
+    changeover::{MoveOrder, MoveProgress, RouterRun},
     direct::Failure,
     id::{Era, Fingerprint, Incarnation, Offset},
     name::{ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
@@ -73,6 +73,13 @@
     ProcessName::new(format!("r{index}")).expect("it is a name")
 }
 
+fn run(index: usize) -> RouterRun {
+    RouterRun {
+        router: router(index),
+        incarnation: Incarnation::from(1),
+    }
+}
+
 fn order() -> MoveOrder {
     MoveOrder {
         service: service(),
@@ -216,7 +223,7 @@
                 let selector = &mut self.selectors[other];
                 selector.record_report(&router(router_index), &open, self.now);
                 for version_counts in &counts {
-                    selector.record_version_counts(&router(router_index), version_counts);
+                    selector.record_version_counts(&run(router_index), version_counts);
                 }
                 for state in &states {
                     if let (Some(name), Some(verdict)) = (state.order.name(), state.verdict) {
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -11,6 +11,7 @@
 };
 
 use ebonyfall_core::{
+    changeover::RouterRun,
     dissemination::{HeardLimit, Item, ItemKey, RequestCounts, Value},
     id::{Era, Incarnation},
     limit::{LimitReport, per_1000_s, per_s},
@@ -95,6 +96,10 @@
         let key = self.exchange_key().await;
         let mut era = None;
         let incarnation = view::incarnation(clock::unix_time());
+        let own_run = RouterRun {
+            router: self.name.clone(),
+            incarnation,
+        };
         let identity = Identity {
             name: self.name.clone(),
             incarnation,
@@ -143,7 +148,7 @@
                 Ok(()) = urgent.changed() => time::sleep(URGENT_DELAY).await,
             }
             let items = gossip.items().await;
-            self.selector.update(updates(&items, &self.name)).await;
+            self.selector.update(updates(&items, &own_run)).await;
         }
     }
 
@@ -379,7 +384,7 @@
         })
 }
 
-fn updates(items: &ebonyfall_core::dissemination::ItemStore, own: &ProcessName) -> Vec<Update> {
+fn updates(items: &ebonyfall_core::dissemination::ItemStore, own_run: &RouterRun) -> Vec<Update> {
     let unix = clock::unix_time();
     let updates = items.iter().filter_map(|(key, value)| match (key, value) {
         (ItemKey::RouterLoad(router), Value::Open { report, .. }) => {
@@ -412,20 +417,24 @@
         (
             ItemKey::Evidence {
                 agent,
+                incarnation,
                 move_name: name,
                 arm,
                 route,
-                ..
             },
             Value::Evidence { counts, .. },
-        ) if agent != own => {
+        ) if (agent, incarnation) != (&own_run.router, &own_run.incarnation) => {
+            let run = RouterRun {
+                router: agent.clone(),
+                incarnation: *incarnation,
+            };
             let evidence = VersionCounts {
                 name: name.clone(),
                 route: route.clone(),
                 arm: *arm,
                 counts: *counts,
             };
-            Some(Update::Evidence(agent.clone(), evidence))
+            Some(Update::Evidence(run, evidence))
         }
         (ItemKey::Verdict(name, _), Value::Verdict(verdict)) => {
             Some(Update::MoveVerdict(name.clone(), *verdict))
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -540,8 +540,8 @@
                 self.selector.record_move_progress(&order, progress);
             }
             Update::MoveVerdict(name, verdict) => self.selector.record_move_verdict(&name, verdict),
-            Update::Evidence(router, evidence) => {
-                self.selector.record_version_counts(&router, &evidence);
+            Update::Evidence(run, evidence) => {
+                self.selector.record_version_counts(&run, &evidence);
             }
             Update::StoreFailed => self.selector.record_store_failure(now),
             Update::OpenReport(name, report) => self.selector.record_report(&name, &report, now),
--- a/src/selection/update.rs
+++ b/src/selection/update.rs
@@ -7,7 +7,7 @@
 };
 
 use ebonyfall_core::{
-    changeover::{MoveOrder, MoveProgress},
+    changeover::{MoveOrder, MoveProgress, RouterRun},
     dissemination::MoveDecision,
     id::{Fingerprint, Incarnation, PartId},
     limit::LimitReport,
@@ -40,8 +40,8 @@
     MoveProgress(MoveOrder, MoveProgress),
     /// Verdict of another router on a version move.
     MoveVerdict(MoveName, MoveDecision),
-    /// Request counts of another router for a version move.
-    Evidence(ProcessName, VersionCounts),
+    /// Request counts of another run of a router for a version move.
+    Evidence(RouterRun, VersionCounts),
     /// A call to the store failed, so that targets may be unable to renew their records.
     StoreFailed,
     /// Another router's report of its open requests.
