--- a/core/tests/pace.rs
+++ b/core/tests/pace.rs
@@ -25,6 +25,10 @@
     delay_ms: 50,
 };
 
+/// Requests in five seconds above the load bound from which on these count as too many, if they are
+/// over 3 in 100, too.
+const MIN_OVER_BOUND: u32 = 20;
+
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
@@ -302,6 +306,61 @@
     }
 }
 
+/// Checks the load bound of the fleet on what was counted in five seconds.
+fn check_load_bound(name: &str, counts: &Counts) {
+    println!("{name}: {counts:?}");
+    let Counts {
+        sent, over_bound, ..
+    } = *counts;
+    assert!(
+        over_bound < MIN_OVER_BOUND || over_bound * 100 <= 3 * sent,
+        "{name}: {counts:?}"
+    );
+}
+
+/// Guards against routers that overload a target together because each knows too little of the others'
+/// requests after its start: at a common start, and at restarts in series.
+#[test]
+fn the_load_bound_holds_while_routers_restart() {
+    for routers in [6, 26, 103] {
+        let mut world = World::new(seed(), Conditions { routers, ..USUAL });
+        let number = |router: u32| usize::try_from(router).expect("routers are few");
+        world.run(seconds(5));
+        (0..routers).for_each(|router| world.restart_router(number(router)));
+        // Routers are bound from 3 s after their start.
+        world.run(seconds(3));
+        world.counts = Counts::default();
+        world.run(seconds(5));
+        check_load_bound(&format!("{routers} routers, common start"), &world.counts);
+        world.counts = Counts::default();
+        for router in 0..10 {
+            world.restart_router(number(router % routers));
+            world.run(Duration::from_millis(500));
+        }
+        check_load_bound(
+            &format!("{routers} routers, restarts in series"),
+            &world.counts,
+        );
+    }
+}
+
+/// Guards against routers that overload a target together because reports between them are late.
+#[test]
+fn the_load_bound_holds_with_late_reports() {
+    for routers in [6, 26, 103] {
+        let conditions = Conditions {
+            routers,
+            loss: 0.0,
+            delay_ms: 1_000,
+        };
+        let mut world = World::new(seed(), conditions);
+        world.run(seconds(5));
+        world.counts = Counts::default();
+        world.run(seconds(5));
+        check_load_bound(&format!("{routers} routers, late reports"), &world.counts);
+    }
+}
+
 /// Guards against a log line for each answer of a target that states nonsense.
 #[test]
 fn malformed_slowness_is_traced_once() {
