Log with how many routers a router shares the limits of the fleet

An operator saw how many routers are alive (event=routers), but not among how many this router divides repeats, cold targets and the limits that targets state, nor on what that was decided.

The gauge ebonyfall_fleet_share_routers, the counter ebonyfall_cold_withheld_total and the dump state the same. No decision changes.

--- a/core/src/inspect.rs
+++ b/core/src/inspect.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     estimate::Estimate,
+    fleet::ShareBasis,
     id::PartId,
     moves::MoveState,
     name::{ServiceName, TargetName, TeamName, ZoneName},
@@ -19,6 +20,10 @@
 pub struct RoutingState {
     /// Number of live routers, including this one.
     pub routers: u32,
+    /// This router's part in the limits that all routers share.
+    pub share: ShareState,
+    /// Choices that did not consider a cold target since it was not this router's turn there.
+    pub cold_withheld: u64,
     /// Zones that get no new requests.
     pub evacuated: Vec<ZoneName>,
     /// Number of request contents that are suspected of crashing targets.
@@ -33,6 +38,19 @@
     pub moves: Vec<MoveSummary>,
 }
 
+/// A router's part in the limits of the fleet.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct ShareState {
+    /// Number of routers that share the limits; `None` while the router uses no part of them.
+    pub routers: Option<u32>,
+    /// Number of routers that precede this one in taking turns.
+    pub rank: u32,
+    /// What the part was decided on.
+    pub basis: ShareBasis,
+    /// Time since the part last changed, in milliseconds.
+    pub age_ms: u128,
+}
+
 /// Crashes counted against a prompt part.
 #[serde_as]
 #[derive(Debug, Clone, Serialize)]
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -16,7 +16,7 @@
     direct::Failure,
     dissemination::MoveDecision,
     estimate::{BrokenRequest, Estimate, LOAD_TTL},
-    fleet::FleetShare,
+    fleet::{FleetPart, FleetShare},
     holders::Holders,
     id::{Fingerprint, PartId},
     inspect::{MoveSummary, RoutingState, TargetState},
@@ -37,6 +37,7 @@
 use notices::LapsedStatements;
 
 mod crashes;
+mod fleet;
 mod notices;
 mod pace;
 mod rooms;
@@ -115,7 +116,12 @@
     /// Routers that share the retry budget, the rates of cold targets and the limits that targets
     /// state.
     turns: Turns,
+    /// What the part in these limits was decided on last.
+    fleet: FleetPart,
+    fleet_since: Time,
     cold_turns: ColdTurns,
+    /// Choices that did not consider a cold target since it was not this router's turn there.
+    cold_withheld: u64,
     targets: TargetTable,
     moves: Moves,
     /// Whether a full list of targets has arrived since the router started.
@@ -145,7 +151,10 @@
             zone,
             retry,
             turns: Turns::default(),
+            fleet: FleetPart::default(),
+            fleet_since: Time::ZERO,
             cold_turns: ColdTurns::default(),
+            cold_withheld: 0,
             targets: TargetTable::default(),
             moves: Moves::default(),
             initial_list_received: false,
@@ -170,30 +179,6 @@
         std::mem::take(&mut self.trace)
     }
 
-    /// Sets the number of routers, this one included, that share the retry budgets and the rates of
-    /// cold targets.
-    pub fn set_routers(&mut self, routers: u32) {
-        self.turns.routers = routers.max(1);
-    }
-
-    /// Sends nothing to cold targets until the router's rank is known. A router that starts knows no
-    /// other one for a moment and would use the whole rate of a cold target.
-    pub fn await_rank(&mut self) {
-        self.cold_turns.await_rank();
-    }
-
-    /// Sets the number of routers that precede this one in reporting the state of version moves, and
-    /// in taking turns at targets that state a limit.
-    pub fn set_rank(&mut self, rank: u32) {
-        self.moves.set_rank(rank);
-        self.turns.rank = Some(rank);
-    }
-
-    /// Sets the time of day at the epoch of the router's own times.
-    pub fn set_unix_offset(&mut self, unix_offset: Duration) {
-        self.turns.unix_offset = unix_offset;
-    }
-
     /// Replaces the orders of version moves by all that are in force.
     pub fn set_moves(&mut self, orders: Vec<MoveOrder>, now: Time) {
         self.moves.set_orders(orders, now);
@@ -240,6 +225,8 @@
         evacuated.sort();
         RoutingState {
             routers: self.turns.routers,
+            share: self.share_state(now),
+            cold_withheld: self.cold_withheld,
             evacuated,
             suspects: self.suspects.marks().count(),
             parts: self.parts.inspect(now),
@@ -450,18 +437,21 @@
         let cold_rate = self.cold_rates.get(criteria.service);
         let turns = self.cold_turns.update(&self.turns, now);
         let cold_rate = cold_rate.copied().unwrap_or(f64::INFINITY);
+        let mut withheld = false;
         let ranked = untried.filter_map(|entry| {
             let others_failure_share = (service.failures - entry.failure_share())
                 / f64::from(service.usable.saturating_sub(1).max(1));
             let rank = preference::rank(entry, others_failure_share, now);
             let may_send =
                 !entry.is_cold(now) || entry.pace.may_send_cold(cold_rate, turns.as_ref(), now);
+            withheld |= !may_send;
             may_send.then_some((rank, entry))
         });
         let context = criteria.contexts.last().copied();
         let version = self.moves.choose(criteria.service, context, random, now);
         let mut all = Vec::with_capacity(service.usable as usize);
         all.extend(ranked);
+        self.cold_withheld += u64::from(withheld);
         let ranked = version.filter(all, &self.targets);
         let best = ranked.iter().map(|(rank, _)| *rank).min()?;
         let entries = ranked
--- a/core/src/trace.rs
+++ b/core/src/trace.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use crate::{
+    fleet::FleetPart,
     id::{Fingerprint, PartId},
     name::{TargetName, TeamName},
     outcome::Probe,
@@ -49,6 +50,15 @@
         /// Time between the break of the request's connection and the detection of the crash.
         broken_for: Duration,
     },
+    /// The router's part in the limits of the fleet changed.
+    FleetShare {
+        /// The part from now on.
+        part: FleetPart,
+        /// The part until now.
+        before: FleetPart,
+        /// Time for which the part before was in use.
+        held: Duration,
+    },
     /// A target stated another limit on its requests than before, or none any more.
     Limit {
         /// The target.
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -1,7 +1,7 @@
 //! Metrics that only entry routers have: answer times, target selection, calls of the store, and
 //! changes in the state of targets, zones and moves.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use prometheus_client::{
     encoding::EncodeLabelSet,
@@ -77,6 +77,10 @@
 pub struct EntryMetrics {
     /// Number of live routers, including this one.
     pub routers: Gauge,
+    /// Number of routers with which this one shares the limits of the fleet; 0 while unknown.
+    pub fleet_share_routers: Gauge,
+    /// Choices that did not consider a cold target since it was not this router's turn there.
+    cold_withheld: Counter,
     /// Version number of the desired state in force.
     pub desired_version: Gauge,
     /// Number of calls of the store without a usable answer.
@@ -108,6 +112,8 @@
     pub(crate) fn register(registry: &mut Registry) -> Self {
         let meters = Self {
             routers: Gauge::default(),
+            fleet_share_routers: Gauge::default(),
+            cold_withheld: Counter::default(),
             desired_version: Gauge::default(),
             store_failures: Counter::default(),
             counting: CountingMeters::register(registry),
@@ -135,6 +141,14 @@
     fn register_counts(&self, registry: &mut Registry) {
         let help = "Routers that are alive, with this one";
         registry.register("routers", help, self.routers.clone());
+        let help = "Routers that share the limits of the fleet, with this one; 0 while unknown";
+        registry.register(
+            "fleet_share_routers",
+            help,
+            self.fleet_share_routers.clone(),
+        );
+        let help = "Choices that left out a cold target, since it was not this router's turn there";
+        registry.register("cold_withheld", help, self.cold_withheld.clone());
         let help = "Version of the desired state in force";
         registry.register("desired_version", help, self.desired_version.clone());
         let help =
@@ -228,6 +242,11 @@
         self.store.observe(after.as_secs_f64());
     }
 
+    /// Sets the number of choices that did not consider a cold target, counted since the start.
+    pub fn set_cold_withheld(&self, count: u64) {
+        self.cold_withheld.inner().store(count, Ordering::Relaxed);
+    }
+
     /// Sets the highest slowness that a target states; zero if none does.
     pub fn set_stated_slowness(&self, slowness: f64) {
         self.stated_slowness.set(slowness);
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -114,6 +114,9 @@
         let under_pace = i64::try_from(under_pace.count()).unwrap_or(i64::MAX);
         let entry = &self.metrics.entry;
         entry.targets_under_pace.set(under_pace);
+        let sharing = steering.share.routers.unwrap_or(0);
+        entry.fleet_share_routers.set(sharing.into());
+        entry.set_cold_withheld(steering.cold_withheld);
         let stated = steering.targets.iter();
         let stated = stated.filter_map(|target| target.stated_slowness);
         entry.set_stated_slowness(stated.fold(0.0, f64::max));
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -12,6 +12,7 @@
 
 use ebonyfall_core::{
     dissemination::{HeardLimit, Item, ItemKey, RequestCounts, Value},
+    fleet::{FleetPart, FleetShare, ShareBasis},
     id::{Era, Incarnation},
     limit::{LimitReport, per_1000_s, per_s},
     moves::VersionCounts,
@@ -207,8 +208,14 @@
             self.metrics.entry.routers.set(gauge);
         }
         let saturating_u32 = |count| u32::try_from(count).unwrap_or(u32::MAX);
-        let routers = Update::Routers(saturating_u32(count), saturating_u32(rank));
-        self.selector.update(vec![routers, offset]).await;
+        let (routers, rank) = (saturating_u32(count), saturating_u32(rank));
+        let part = FleetPart {
+            share: Some(FleetShare::settled(routers)),
+            rank,
+            basis: ShareBasis::Membership,
+        };
+        let updates = vec![Update::Routers(routers, rank), Update::Fleet(part), offset];
+        self.selector.update(updates).await;
         count
     }
 
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -535,6 +535,7 @@
                 self.selector.set_routers(routers);
                 self.selector.set_rank(rank);
             }
+            Update::Fleet(part) => self.selector.set_fleet(part, now),
             Update::Moves(orders) => self.selector.set_moves(orders, now),
             Update::MoveProgress(order, progress) => {
                 self.selector.record_move_progress(&order, progress);
--- a/src/selection/update.rs
+++ b/src/selection/update.rs
@@ -9,6 +9,7 @@
 use ebonyfall_core::{
     changeover::{MoveOrder, MoveProgress},
     dissemination::MoveDecision,
+    fleet::FleetPart,
     id::{Fingerprint, Incarnation, PartId},
     limit::LimitReport,
     moves::{MoveVerdict, VersionCounts},
@@ -34,6 +35,8 @@
     /// Number of live routers with this one, which share the fleet-wide limits, and this router's
     /// rank: the number of routers whose names sort before its own.
     Routers(u32, u32),
+    /// This router's part in the limits that all routers share.
+    Fleet(FleetPart),
     /// Complete list of orders for version moves.
     Moves(Vec<MoveOrder>),
     /// Progress of a version move as recorded in the store.
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -12,6 +12,12 @@
 /// Writes the log line of a change.
 pub fn log(log: &Logger, event: &TraceEvent) {
     match event {
+        TraceEvent::FleetShare { part, before, held } => {
+            info!(log, "this router's part in the limits of the fleet changed";
+                "event" => "fleet_share", "routers" => part.routers(), "rank" => part.rank,
+                "basis" => %part.basis, "before" => before.routers(),
+                "before_ms" => clock::millis(*held));
+        }
         TraceEvent::Crash {
             target,
             content,
--- a/tests/entry/metrics.rs
+++ b/tests/entry/metrics.rs
@@ -10,10 +10,11 @@
 /// Unit suffixes that metric names may have.
 const UNIT_SUFFIXES: [&str; 3] = ["_seconds", "_bytes", "_total"];
 /// Gauges without a unit.
-const UNITLESS_GAUGES: [&str; 15] = [
+const UNITLESS_GAUGES: [&str; 16] = [
     "ebonyfall_open",
     "ebonyfall_caller_connections",
     "ebonyfall_routers",
+    "ebonyfall_fleet_share_routers",
     "ebonyfall_desired_version",
     "ebonyfall_configuration_offset",
     "ebonyfall_configuration_log_reset",
