Share the fleet's limits with all routers that may send, not with those seen alive

What callers and targets saw: after routers started, lost sight of each other or froze, a cold target got more requests than its limit allows, and limits that targets state and the slack of repeats were exceeded as well.

Cause: each router divided these limits by the routers that it saw alive. A router that starts sees none, and one that is silent may still send. Only cold targets had some protection (`ColdTurns`), which ended with the first other router that was seen.

Now `core::fleet` decides for all three limits. Every router counts that the membership table has, silent or not; one that left counts for 5 min more, since it serves while it leaves and may start again. At a start, the others come from the roster: records `router/NAME` in the topic that holds the exchange key, read with the same list as the key. A router that started less than 5 min before is still counted by all others and uses its part at once. Another one uses no part until its record has been in the roster for 2 s and it has read the roster again; if that fails, until gossip has arrived for 4 s. The router that created the key is the first of its fleet: nobody else can use a part yet, so it does at once. Turns follow a hash of the names, so that the routers of a zone, which hear of changes together, are not neighbours in that order. A router whose name the roster lacks reports that it is ready once it uses its part, or after 5 s; a router that has run before does not wait, since that would prolong an outage of all.

The roster states when a record was written besides the start of the run, since a router that runs for more than 24 h would not count otherwise.

New tests of the limits that targets state and of the record in the store (tests/entry/fleet_share.rs) call what did not exist before.

Changed tests: core/tests/paced sets the parts by `core::fleet`; "cut off" and "start alone" mean what the membership table and an unread roster give then, with the same bound. In tests/entry/restored.rs, the topic has a second record, so that two have to be lost for the key to be lost. The stand-in store can refuse appends alone.

Not covered: a cut of more than 15 min, after which each side takes the other for gone.

--- a/core/src/inspect.rs
+++ b/core/src/inspect.rs
@@ -44,7 +44,7 @@
     /// Number of routers that share the limits; `None` while the router uses no part of them.
     pub routers: Option<u32>,
     /// Number of routers that precede this one in taking turns.
-    pub rank: u32,
+    pub rank: Option<u32>,
     /// What the part was decided on.
     pub basis: ShareBasis,
     /// Time since the part last changed, in milliseconds.
--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -15,6 +15,8 @@
 pub(crate) const LIMIT_TTL: Duration = Duration::from_secs(30);
 /// Time after which a statement that still holds is reported to other routers once more.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+/// Time after which a router that does not know its turns yet may do so.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
 /// Ratio of two limits from which on a change is logged.
 const LOGGED_CHANGE: f64 = 1.1;
 
@@ -55,16 +57,6 @@
     pub(crate) unix_offset: Duration,
 }
 
-impl Default for Turns {
-    fn default() -> Self {
-        Self {
-            routers: 1,
-            rank: None,
-            unix_offset: Duration::ZERO,
-        }
-    }
-}
-
 impl Turns {
     /// The router's first turn that does not start before `earliest`, with `interval` between the
     /// turns of all routers.
@@ -115,8 +107,17 @@
         now.since(self.stated_at.unwrap_or(now))
     }
 
-    /// Time until this router may send the target a request; zero if it may now.
-    pub(crate) fn wait(&self, turns: &Turns, now: Time) -> Duration {
+    /// Time until this router may send the target a request; zero if it may now. `turns` are `None` while
+    /// the router uses no part of the fleet's limits.
+    pub(crate) fn wait(&self, turns: Option<&Turns>, now: Time) -> Duration {
+        let Some(turns) = turns else {
+            let is_limited = self.rate(now).is_some();
+            return if is_limited {
+                UNKNOWN_WAIT
+            } else {
+                Duration::ZERO
+            };
+        };
         self.next_turn(turns, now)
             .map_or(Duration::ZERO, |turn| turn.since(now))
     }
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -5,10 +5,20 @@
 use crate::{
     member::Members,
     name::{ProcessName, TargetName},
-    peer::{MemberState, Role},
+    peer::{Liveness, MemberState, Role},
     readers::ZoneRouter,
 };
 
+/// A router in the membership table, in whatever state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownRouter {
+    /// Name of the router.
+    pub name: ProcessName,
+    /// Whether it announced that it leaves, and no longer runs. One that is only silent may still send
+    /// requests.
+    pub has_left: bool,
+}
+
 /// The part of the membership table that other tasks use.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct MembershipView {
@@ -16,6 +26,8 @@
     pub avoid: BTreeMap<TargetName, MemberState>,
     /// Routers that are alive, including this process if it is one, sorted by name.
     pub routers: Vec<ProcessName>,
+    /// All routers that the table has, alive or not, including this process if it is one.
+    pub known_routers: Vec<KnownRouter>,
     /// Routers of this process's zone that are alive, including this process if it is one, in the
     /// order that decides which of them read the store.
     pub zone_routers: Vec<ZoneRouter>,
@@ -37,6 +49,12 @@
         let own = self.own();
         let own = (own.role == Role::Router).then_some((own, MemberState::Alive));
         for (record, state) in self.records().chain(own) {
+            if record.target().is_none() {
+                view.known_routers.push(KnownRouter {
+                    name: record.name.clone(),
+                    has_left: record.leaving && record.liveness == Liveness::Gone,
+                });
+            }
             match record.target() {
                 Some(target) if state != MemberState::Alive => {
                     if let Ok(target) = TargetName::new(target) {
--- a/core/src/pace.rs
+++ b/core/src/pace.rs
@@ -37,12 +37,6 @@
 /// leaves a part of the fleet's bound (1.5 times the rate and 5) for routers that disagree on
 /// their turns for a moment.
 const TURN_VALIDITY: Duration = Duration::from_millis(250);
-/// Time for which a router that sees fewer routers than before keeps its turns. A router that is cut
-/// off from the others would otherwise use the turns of all; cold starts are shorter than this.
-const TURNS_RETENTION: Duration = Duration::from_secs(10);
-/// Time after which a router that has started and sees no other one takes itself for the only one.
-/// It is longer than most cold starts: all routers may start at once and not reach each other.
-const SOLITUDE_TIME: Duration = Duration::from_secs(4);
 /// Number of intervals between turns for which an unused turn may also still be used.
 const SPARE_TURNS: u32 = 2;
 
@@ -244,43 +238,6 @@
     }
 }
 
-/// Position of this router in the turns at cold targets.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct ColdTurns {
-    turns: Turns,
-    /// Since when fewer routers are seen than `turns` counts.
-    reduced_since: Option<Time>,
-    /// Whether the router sends nothing to cold targets until it knows its rank.
-    is_awaiting_rank: bool,
-    /// Since when a router that awaits its rank has seen no other one.
-    alone_since: Option<Time>,
-}
-
-impl ColdTurns {
-    /// Lets the router send nothing to cold targets until it knows its rank.
-    pub(crate) fn await_rank(&mut self) {
-        self.is_awaiting_rank = true;
-    }
-
-    /// The turns to be used now, where `seen` are those by the routers that are alive as far as is
-    /// known; `None` if the router may not send to cold targets yet.
-    pub(crate) fn update(&mut self, seen: &Turns, now: Time) -> Option<Turns> {
-        let is_reduced = seen.rank.is_some() && seen.routers < self.turns.routers;
-        let since = is_reduced.then(|| *self.reduced_since.get_or_insert(now));
-        if since.is_none_or(|since| now.since(since) >= TURNS_RETENTION) {
-            self.turns = *seen;
-            self.reduced_since = None;
-        }
-        // The clock may be corrected at any time.
-        self.turns.unix_offset = seen.unix_offset;
-        if self.is_awaiting_rank && seen.rank.is_some() {
-            let alone_since = *self.alone_since.get_or_insert(now);
-            self.is_awaiting_rank = seen.routers <= 1 && now.since(alone_since) < SOLITUDE_TIME;
-        }
-        (!self.is_awaiting_rank).then_some(self.turns)
-    }
-}
-
 /// Time between two requests of all routers together.
 fn interval(rate: f64) -> Duration {
     Duration::from_secs_f64(1.0 / rate.max(MIN_COLD_RATE))
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -16,15 +16,14 @@
     direct::Failure,
     dissemination::MoveDecision,
     estimate::{BrokenRequest, Estimate, LOAD_TTL},
-    fleet::{FleetPart, FleetShare},
+    fleet::FleetPart,
     holders::Holders,
     id::{Fingerprint, PartId},
     inspect::{MoveSummary, RoutingState, TargetState},
-    limit::Turns,
     moves::{MoveState, MoveVerdict, Moves, VersionCounts},
     name::{MoveName, ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
-    pace::{ColdTurns, PaceCause},
+    pace::PaceCause,
     parts::PartMarks,
     preference::{self, Placement},
     reports::{OpenReport, RouterReports},
@@ -34,6 +33,7 @@
     time::Time,
     trace::{PartCause, TraceEvent},
 };
+use fleet::LiveRouters;
 use notices::LapsedStatements;
 
 mod crashes;
@@ -113,13 +113,15 @@
 pub struct TargetSelector {
     zone: ZoneName,
     retry: RetryBound,
-    /// Routers that share the retry budget, the rates of cold targets and the limits that targets
+    /// Number of live routers, this one included, and how many of them precede this one.
+    live: LiveRouters,
+    /// The router's part in the retry budget, the rates of cold targets and the limits that targets
     /// state.
-    turns: Turns,
-    /// What the part in these limits was decided on last.
     fleet: FleetPart,
+    /// Since when it has this part.
     fleet_since: Time,
-    cold_turns: ColdTurns,
+    /// Time of day at the epoch of the router's own times.
+    unix_offset: Duration,
     /// Choices that did not consider a cold target since it was not this router's turn there.
     cold_withheld: u64,
     targets: TargetTable,
@@ -150,10 +152,10 @@
         Self {
             zone,
             retry,
-            turns: Turns::default(),
-            fleet: FleetPart::default(),
+            live: LiveRouters::default(),
+            fleet: FleetPart::fixed(1),
             fleet_since: Time::ZERO,
-            cold_turns: ColdTurns::default(),
+            unix_offset: Duration::ZERO,
             cold_withheld: 0,
             targets: TargetTable::default(),
             moves: Moves::default(),
@@ -224,7 +226,7 @@
         let mut evacuated: Vec<_> = self.evacuated.iter().cloned().collect();
         evacuated.sort();
         RoutingState {
-            routers: self.turns.routers,
+            routers: self.live.count,
             share: self.share_state(now),
             cold_withheld: self.cold_withheld,
             evacuated,
@@ -369,13 +371,13 @@
             .entry(criteria.service.clone())
             .or_insert_with(|| FleetRetryBudget::new(bound));
         if criteria.is_retry {
-            let share = FleetShare::settled(self.turns.routers);
-            if !budget.try_take(Some(&share), now) {
+            if !budget.try_take(self.fleet.share.as_ref(), now) {
                 return Err(refusal(Code::Overloaded));
             }
         } else if criteria.tried.is_empty() {
             budget.record_first(now);
         }
+        let turns = self.fleet_turns();
         let context_source =
             self.holders
                 .assign_and_locate(criteria.contexts, &name, &self.targets, now);
@@ -394,13 +396,13 @@
         };
         entry.outstanding += 1;
         entry.change_since_report += 1;
-        entry.limit.take(&self.turns, now);
-        if entry.is_cold(now) {
-            let rate = self.cold_rates.get(criteria.service);
-            let rate = rate.copied().unwrap_or(f64::INFINITY);
-            let turns = self.cold_turns.update(&self.turns, now);
-            let turns = turns.unwrap_or(self.turns);
-            entry.pace.record_cold_sent(rate, &turns, now);
+        if let Some(turns) = turns {
+            entry.limit.take(&turns, now);
+            if entry.is_cold(now) {
+                let rate = self.cold_rates.get(criteria.service);
+                let rate = rate.copied().unwrap_or(f64::INFINITY);
+                entry.pace.record_cold_sent(rate, &turns, now);
+            }
         }
         Ok(choice)
     }
@@ -426,16 +428,16 @@
             service.add(entry, now);
         });
         let mean = service.sum / f64::max(service.counted, 1.0);
+        let turns = self.fleet_turns();
         let untried = self
             .targets
             .service_targets(criteria.service)
             .filter(|entry| {
                 entry.is_usable(&self.evacuated, now)
                     && !criteria.tried.contains(&entry.record.name)
-                    && entry.limit.wait(&self.turns, now).is_zero()
+                    && entry.limit.wait(turns.as_ref(), now).is_zero()
             });
         let cold_rate = self.cold_rates.get(criteria.service);
-        let turns = self.cold_turns.update(&self.turns, now);
         let cold_rate = cold_rate.copied().unwrap_or(f64::INFINITY);
         let mut withheld = false;
         let ranked = untried.filter_map(|entry| {
--- a/core/src/selector/notices.rs
+++ b/core/src/selector/notices.rs
@@ -162,8 +162,9 @@
         let ready = self.targets.service_targets(service).filter(|entry| {
             entry.record.stage == Stage::Ready && !self.evacuated.contains(&entry.record.zone)
         });
+        let turns = self.fleet_turns();
         let waits = ready.map(|entry| {
-            let turn = entry.limit.wait(&self.turns, now);
+            let turn = entry.limit.wait(turns.as_ref(), now);
             turn.max(entry.notices.pause(now))
         });
         let next = waits.filter(|wait| !wait.is_zero()).min();
--- a/core/src/selector/rooms.rs
+++ b/core/src/selector/rooms.rs
@@ -26,7 +26,7 @@
             return Vec::new();
         }
         self.reports.expire(&mut self.targets, now);
-        let routers = self.turns.routers;
+        let routers = self.live.count;
         let evacuated = &self.evacuated;
         let mut rooms = HashMap::new();
         self.targets.for_each(|entry| {
@@ -52,7 +52,7 @@
             elsewhere,
             demand_elsewhere: self.reports.demand(&service, routers),
             routers,
-            rank: self.turns.rank.unwrap_or(0),
+            rank: self.live.rank,
             at: now,
             service,
         });
--- a/core/tests/limits.rs
+++ b/core/tests/limits.rs
@@ -7,6 +7,8 @@
 use common::variable;
 use ebonyfall_core::{
     budget::RetryBound,
+    code::Code,
+    fleet::{FleetPart, FleetShare, ShareBasis},
     id::{Fingerprint, Incarnation},
     limit::{LimitReport, StatedLimit},
     name::{RouteName, ServiceName, TargetName, TeamName},
@@ -366,3 +368,50 @@
         assert_eq!(result, Ok(()), "{routers} routers");
     }
 }
+
+/// Guards against a router that starts and sends to a target that states a limit, before it knows with
+/// whom it shares that.
+#[test]
+fn a_router_without_a_part_sends_nothing_to_a_limited_target() {
+    let mut fleet = Fleet::new(2, 2, 10.0, 1);
+    let now = fleet.now;
+    let targets: Vec<_> = fleet
+        .targets
+        .iter()
+        .map(|target| target.record.clone())
+        .collect();
+    let criteria = Criteria {
+        service: &fleet.service,
+        contexts: &[],
+        tried: &[],
+        is_retry: false,
+        content: Fingerprint::from(1),
+        parts: &[],
+        team: &fleet.team,
+    };
+    let router = &mut fleet.routers[0];
+    let part = FleetPart {
+        share: Some(FleetShare::settled(2)),
+        rank: Some(0),
+        basis: ShareBasis::Roster,
+    };
+    let limit = |rate| Notices {
+        limit: StatedLimit::new(rate),
+        ..Notices::default()
+    };
+    router.await_fleet(now);
+    router.record_notices(&targets[0], &limit(1_000.0), now, now);
+    for _ in 0..20 {
+        let choice = router.choose(&criteria, 0.5, now).expect("one is free");
+        assert_eq!(choice.target.name, targets[1].name);
+    }
+    router.record_notices(&targets[1], &limit(1_000.0), now, now);
+    let refusal = router
+        .choose(&criteria, 0.5, now)
+        .expect_err("both limited");
+    assert_eq!(refusal.code, Code::NoTarget);
+    assert!(refusal.after <= Duration::from_secs(1), "{refusal:?}");
+    router.set_fleet(part, now);
+    let later = now + Duration::from_millis(100);
+    router.choose(&criteria, 0.5, later).expect("it has a part");
+}
--- a/core/tests/pace.rs
+++ b/core/tests/pace.rs
@@ -126,10 +126,7 @@
     type Disturb = fn(&mut World, usize);
     let disturbances: [(&str, Disturb); 3] = [
         ("cut off", |world, number| world.isolate(number)),
-        ("start alone", |world, number| {
-            world.restart_router(number);
-            world.isolate(number);
-        }),
+        ("start alone", |world, number| world.start_alone(number)),
         ("clocks jump", |world, number| {
             let seconds = Duration::from_millis(500 * u64::try_from(number % 5).unwrap_or(0));
             world.set_clock(number, seconds);
--- a/core/tests/paced/mod.rs
+++ b/core/tests/paced/mod.rs
@@ -6,7 +6,9 @@
 use ebonyfall_core::{
     budget::RetryBound,
     direct::Failure,
+    fleet::{Fleet, RosterEntry},
     id::{Fingerprint, Incarnation},
+    membership::KnownRouter,
     name::{ProcessName, RouteName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
     pace::PaceChange,
@@ -71,6 +73,7 @@
 }
 
 struct Router {
+    fleet: Fleet,
     selector: TargetSelector,
     store: VecDeque<(Time, Option<TargetRecord>, TargetName)>,
     reports: Vec<(Time, usize, OpenReport)>,
@@ -108,6 +111,13 @@
     service: ServiceName,
 }
 
+impl Router {
+    fn update_fleet(&mut self, now: Time) {
+        let part = self.fleet.part(now);
+        self.selector.set_fleet(part, now);
+    }
+}
+
 fn zone(number: u16) -> ZoneName {
     format!("z{number}").parse().expect("it is a name")
 }
@@ -171,9 +181,7 @@
         };
         let own_zone = u16::try_from(rank).expect("routers are few") % ZONES;
         let mut selector = TargetSelector::new(zone(own_zone), bound);
-        selector.await_rank();
-        selector.set_routers(self.conditions.routers);
-        selector.set_rank(rank);
+        let fleet = self.fleet(rank);
         selector.set_cold_rates([(self.service.clone(), COLD_RATE)].into());
         let up = self.targets.iter().filter(|target| target.is_up);
         for target in up.clone() {
@@ -183,11 +191,31 @@
         }
         let listed = up.map(|target| target.record.name.clone()).collect();
         selector.retain(&listed, self.now);
-        Router {
+        let mut router = Router {
+            fleet,
             selector,
             store: VecDeque::new(),
             reports: Vec::new(),
-        }
+        };
+        router.update_fleet(self.now);
+        // Tests of the trace start with an empty one.
+        router.selector.take_trace();
+        router
+    }
+
+    /// What a router that starts again knows of the others: their records in the roster.
+    fn fleet(&self, rank: u32) -> Fleet {
+        let started = Duration::from_secs(1_000_000);
+        let name = |rank| process(usize::try_from(rank).expect("routers are few"));
+        let mut fleet = Fleet::new(name(rank), self.now, started);
+        let before = started - Duration::from_secs(10);
+        let roster = (0..self.conditions.routers).map(|rank| RosterEntry {
+            name: name(rank),
+            started: before,
+            written: before,
+        });
+        fleet.record_first_list(&roster.collect::<Vec<_>>(), false);
+        fleet
     }
 
     /// Replaces a router by one that knows only the store.
@@ -206,11 +234,31 @@
         &mut self.routers[router].selector
     }
 
-    /// Lets a router believe that it is the only one.
+    /// Lets a router lose sight of all others, which its membership table keeps.
     pub fn isolate(&mut self, number: usize) {
-        let selector = &mut self.routers[number].selector;
-        selector.set_routers(1);
-        selector.set_rank(0);
+        let now = self.now;
+        let others = 0..self.routers.len();
+        let others = others.map(|number| KnownRouter {
+            name: process(number),
+            has_left: false,
+        });
+        let others: Vec<_> = others.collect();
+        let router = &mut self.routers[number];
+        router.fleet.record_members(&others, true, now);
+        router.selector.set_live_routers(1, 0);
+        router.update_fleet(now);
+    }
+
+    /// Replaces a router by one that reaches neither the roster nor another router.
+    pub fn start_alone(&mut self, number: usize) {
+        self.restart_router(number);
+        let now = self.now;
+        let started = Duration::from_secs(1_000_000);
+        let router = &mut self.routers[number];
+        router.fleet = Fleet::new(process(number), now, started);
+        router.fleet.record_members(&[], true, now);
+        router.selector.set_live_routers(1, 0);
+        router.update_fleet(now);
     }
 
     /// Sets the clock of a router.
@@ -314,6 +362,9 @@
             return;
         }
         self.next_report = self.now + REPORT_INTERVAL;
+        for router in &mut self.routers {
+            router.update_fleet(self.now);
+        }
         for from in 0..self.routers.len() {
             let report = self.routers[from].selector.next_report();
             for to in (0..self.routers.len()).filter(|to| *to != from) {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -22,7 +22,7 @@
     follow::{self, StoreState},
     intake::Intake,
     metrics::Metrics,
-    monitoring::{self, Monitoring},
+    monitoring::{self, Monitoring, Readiness},
     neighbours::PeerAccess,
     peering::{self, Peering},
     receive::AnswerBuffers,
@@ -95,20 +95,21 @@
     info!(log, "started"; "event" => "start", "name" => %cfg.name, "zone" => %cfg.zone,
         "version" => env!("CARGO_PKG_VERSION"));
     let (tasks, access) = Tasks::start(&cfg, &log);
+    let (entered_tx, entered) = watch::channel(false);
     let listener = listen(cfg.listen).await?;
     let ready = listen(cfg.ready).await?;
     let monitoring = listen(cfg.metrics).await?;
     let guard = CallerGuard::new(cfg.machine.memory, &tasks.metrics.callers);
-    monitoring::serve_readiness(
-        ready,
-        tasks.store_state.clone(),
-        guard.clone(),
-        stop.clone(),
-        log.clone(),
-    );
+    let readiness = Readiness {
+        store_state: tasks.store_state.clone(),
+        entered,
+        started_at: BootClock.now(),
+        stop: stop.clone(),
+    };
+    monitoring::serve_readiness(ready, readiness, guard.clone(), log.clone());
     let pages = tasks.pages(&cfg, tasks.start_duty(&cfg, &stop));
     monitoring::serve_monitoring(monitoring, pages, guard.clone(), log.clone());
-    tasks.start_reports(&cfg, access, stop.clone());
+    tasks.start_reports(&cfg, access, entered_tx, stop.clone());
     tokio::spawn(watch_settings(cfg.clone(), path, log.clone()));
     let limits = limits(&tasks.store_state, cfg.machine, cfg.callers);
     let grace = cfg.grace.saturating_sub(EXIT_MARGIN);
@@ -159,7 +160,7 @@
     fn start(cfg: &EntryConfig, log: &Logger) -> (Self, watch::Sender<Option<PeerAccess>>) {
         let metrics = Metrics::new();
         let mut selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
-        selector.await_rank();
+        selector.await_fleet(BootClock.now());
         let selector = SelectorHandle::start(selector, BootClock, log.clone());
         // Without capacities, every request is admitted.
         let (_unlimited, no_rooms) = watch::channel(Vec::new());
@@ -229,6 +230,7 @@
         &self,
         cfg: &EntryConfig,
         access: watch::Sender<Option<PeerAccess>>,
+        entered: watch::Sender<bool>,
         stop: watch::Receiver<bool>,
     ) {
         report::start(
@@ -249,6 +251,7 @@
                 mirrors: self.store_state.mirrors.clone(),
                 usage: self.counter.clone(),
                 access,
+                entered,
                 metrics: self.metrics.clone(),
                 log: self.log.clone(),
             },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod rest;
 pub mod retrier;
 pub mod rollouts;
+mod roster;
 pub mod router;
 pub mod selection;
 mod serving;
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -6,6 +6,7 @@
     dispatch::ServiceDispatch,
     inspect::RoutingState,
     name::{ProcessName, ZoneName},
+    time::Time,
 };
 use gotham::{handler::HandlerFuture, helpers::http::Body, prelude::FromState, state::State};
 use http::{Response, StatusCode, Uri};
@@ -32,23 +33,53 @@
 /// also holds while it reads through other routers, since those learn of changes sooner.
 const MAX_STORE_SILENCE: Duration = Duration::from_millis(3_000);
 
+/// Longest time after its start for which a new router is not ready since it does not know its part in
+/// the limits of the fleet. Without one, it refuses most retries.
+const MAX_ENTRY_WAIT: Duration = Duration::from_secs(5);
+
 /// Path of the state dump.
 const DUMP_PATH: &str = "/dump";
 
+/// What decides whether the router is ready.
+#[derive(Debug, Clone)]
+pub struct Readiness {
+    /// State read from the store.
+    pub store_state: StoreState,
+    /// Whether the router may take requests, as far as the other routers are concerned.
+    pub entered: watch::Receiver<bool>,
+    /// When the process started.
+    pub started_at: Time,
+    /// Whether the process is stopping.
+    pub stop: watch::Receiver<bool>,
+}
+
+impl Readiness {
+    fn is_ready(&self, now: Time) -> bool {
+        let last_answer = *self.store_state.last_answer.borrow();
+        let store_answers =
+            last_answer.is_some_and(|last_answer| now.since(last_answer) < MAX_STORE_SILENCE);
+        store_answers
+            && self.store_state.desired.borrow().is_some()
+            && *self.store_state.targets_loaded.borrow()
+            && (*self.entered.borrow() || now.since(self.started_at) >= MAX_ENTRY_WAIT)
+            && !*self.stop.borrow()
+    }
+}
+
 /// Serves the readiness check: 200 if the router has a desired state and targets, the store
-/// answers, and the router is not stopping; else 503.
+/// answers, a new router knows its part in the limits of the fleet, and the router is not stopping;
+/// else 503.
 pub fn serve_readiness(
     listener: TcpListener,
-    store_state: StoreState,
+    readiness: Readiness,
     guard: CallerGuard,
-    stop: watch::Receiver<bool>,
     log: Logger,
 ) {
-    let shared = Shared::new((store_state, stop));
+    let shared = Shared::new(readiness);
     serve_pages(listener, guard, log, move |_uri| {
-        let (store_state, stop) = shared.clone().into_inner();
+        let readiness = shared.clone().into_inner();
         let mut res = Response::new(web::full_body(""));
-        if !is_ready(&store_state, &stop) {
+        if !readiness.is_ready(BootClock.now()) {
             *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
         std::future::ready(res)
@@ -173,16 +204,6 @@
     });
 }
 
-fn is_ready(store_state: &StoreState, stop: &watch::Receiver<bool>) -> bool {
-    let last_answer = *store_state.last_answer.borrow();
-    let store_answers = last_answer
-        .is_some_and(|last_answer| BootClock.now().since(last_answer) < MAX_STORE_SILENCE);
-    store_answers
-        && store_state.desired.borrow().is_some()
-        && *store_state.targets_loaded.borrow()
-        && !*stop.borrow()
-}
-
 /// Serves `page` for every request until the process ends.
 fn serve_pages<P>(
     listener: TcpListener,
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -12,7 +12,7 @@
 
 use ebonyfall_core::{
     dissemination::{HeardLimit, Item, ItemKey, RequestCounts, Value},
-    fleet::{FleetPart, FleetShare, ShareBasis},
+    fleet::Fleet,
     id::{Era, Incarnation},
     limit::{LimitReport, per_1000_s, per_s},
     moves::VersionCounts,
@@ -20,7 +20,6 @@
     peer::Role,
     time::Time,
 };
-use ebonyfall_platform::store::Topic;
 use ebonyfall_wire::auth::{Key, Keys};
 use slog::{Logger, info, warn};
 use tokio::{
@@ -36,8 +35,9 @@
     link::Identity,
     metrics::Metrics,
     neighbours::{self, Mirrors, PeerAccess},
+    roster::{self, KeyBytes, Registration, RosterHandle, RouterRecords},
     selection::{CrashAttribution, PartReport, RouterReport, SelectorHandle, Update},
-    store::{Listing, StoreClient, StoreError},
+    store::StoreClient,
     usage::counting::UsageCounter,
     view,
 };
@@ -46,15 +46,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time from an urgent change of the gossip items to its application.
 const URGENT_DELAY: Duration = Duration::from_millis(20);
-/// Delay after a failed attempt to get the key or to bind the socket.
+/// Delay after a failed attempt to bind the socket.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
-/// Key of the store's record that contains the exchange key.
-const KEY_RECORD: &str = "exchange-key";
-/// Length of the exchange key in bytes.
-const KEY_BYTES: usize = 16;
-
-type KeyBytes = [u8; KEY_BYTES];
-
 /// Configuration and dependencies of the gossip between routers.
 #[derive(Debug)]
 pub struct Peering {
@@ -79,6 +72,8 @@
     pub usage: Option<UsageCounter>,
     /// Access to the other routers, set once the exchange key is known and the socket is bound.
     pub access: watch::Sender<Option<PeerAccess>>,
+    /// Becomes true when the router may take requests, as far as the other routers are concerned.
+    pub entered: watch::Sender<bool>,
     /// Metrics of this process.
     pub metrics: Metrics,
     /// Logger of this process.
@@ -93,7 +88,7 @@
 
 impl Peering {
     async fn run(self, mut stop: watch::Receiver<bool>) {
-        let key = self.exchange_key().await;
+        let (mut fleet, key, mut roster) = self.enter_fleet().await;
         let mut era = None;
         let incarnation = view::incarnation(clock::unix_time());
         let identity = Identity {
@@ -131,7 +126,13 @@
                 _ = ticks.tick() => {
                     self.send_report(&gossip, incarnation, &mut reported).await;
                     routers = self.update_routers(&gossip, routers).await;
-                    era = self.keep_key(key, era);
+                    self.update_fleet(&gossip, &mut fleet).await;
+                    era = self.keep_records(key, &roster, era);
+                }
+                list = roster.next_list() => {
+                    fleet.record_later_list(&list, clock::unix_time());
+                    self.update_fleet(&gossip, &mut fleet).await;
+                    continue;
                 }
                 // A part that crashes targets must not wait for the next report.
                 Ok(()) = suspicions.changed() => {
@@ -148,6 +149,51 @@
         }
     }
 
+    /// Reads the records of the routers, and starts the task that writes this router's record.
+    async fn enter_fleet(&self) -> (Fleet, KeyBytes, RosterHandle) {
+        let (started_at, started) = (BootClock.now(), clock::unix_time());
+        let records = roster::read_or_create(&self.store, rand::random(), &self.log).await;
+        let RouterRecords {
+            key,
+            roster,
+            is_first,
+        } = records;
+        let mut fleet = Fleet::new(self.name.clone(), started_at, started);
+        let relist_after = fleet.record_first_list(&roster, is_first);
+        info!(self.log, "the list of routers is read"; "event" => "roster", "count" => roster.len(),
+            "first" => is_first, "settle_ms" => relist_after.map(clock::millis));
+        let registration = Registration {
+            store: self.store.clone(),
+            name: self.name.clone(),
+            started,
+            relist_after,
+            log: self.log.clone(),
+        };
+        // A router that the others count may use its part before gossip arrives.
+        self.apply_part(&mut fleet).await;
+        (fleet, key, registration.start())
+    }
+
+    /// Tells the selector this router's part in the limits of the fleet.
+    async fn update_fleet(&self, gossip: &Gossip, fleet: &mut Fleet) {
+        {
+            let membership = gossip.membership();
+            let membership = membership.borrow();
+            let now = BootClock.now();
+            fleet.record_members(&membership.known_routers, membership.fresh, now);
+        }
+        self.apply_part(fleet).await;
+    }
+
+    async fn apply_part(&self, fleet: &mut Fleet) {
+        let now = BootClock.now();
+        let part = Update::Fleet(fleet.part(now));
+        self.selector.update(vec![unix_offset(), part]).await;
+        if fleet.is_ready(now) {
+            self.entered.send_replace(true);
+        }
+    }
+
     async fn send_report(
         &self,
         gossip: &Gossip,
@@ -186,13 +232,8 @@
     /// Tells the selector how many routers are alive, and logs when that differs from `before`.
     /// Returns their number.
     async fn update_routers(&self, gossip: &Gossip, before: usize) -> usize {
-        let since_epoch = BootClock.now().since(Time::ZERO);
-        let offset = Update::UnixOffset(clock::unix_time().saturating_sub(since_epoch));
-        // After a start or a pause, the others are not known yet. A router that takes itself for the
-        // only one uses the rates of cold targets and the retry budgets of all.
-        let is_fresh = gossip.membership().borrow().fresh;
-        if !is_fresh {
-            self.selector.update(vec![offset]).await;
+        // After a start or a pause, the others are not known yet.
+        if !gossip.membership().borrow().fresh {
             return before;
         }
         let (count, rank) = {
@@ -208,14 +249,8 @@
             self.metrics.entry.routers.set(gauge);
         }
         let saturating_u32 = |count| u32::try_from(count).unwrap_or(u32::MAX);
-        let (routers, rank) = (saturating_u32(count), saturating_u32(rank));
-        let part = FleetPart {
-            share: Some(FleetShare::settled(routers)),
-            rank,
-            basis: ShareBasis::Membership,
-        };
-        let updates = vec![Update::Routers(routers, rank), Update::Fleet(part), offset];
-        self.selector.update(updates).await;
+        let routers = Update::Routers(saturating_u32(count), saturating_u32(rank));
+        self.selector.update(vec![routers]).await;
         count
     }
 
@@ -247,15 +282,22 @@
         items
     }
 
-    /// Writes the key to the store again if that has come back from an older copy since `known`; returns
-    /// its era. Routers that start later would make another key, and neither would reach the others.
-    fn keep_key(&self, key: KeyBytes, known: Option<Era>) -> Option<Era> {
+    /// Writes the key and this router's record to the store again if that has come back from an older
+    /// copy since `known`; returns its era. Routers that start later would make another key, and neither
+    /// would reach the others.
+    fn keep_records(
+        &self,
+        key: KeyBytes,
+        roster: &RosterHandle,
+        known: Option<Era>,
+    ) -> Option<Era> {
         let era = self.mirrors.orders.borrow().era();
         if known.is_some() && era > known {
+            roster.rewrite();
             let (store, log) = (self.store.clone(), self.log.clone());
             tokio::spawn(async move {
-                let recorded = exchange_key(&store, key, &log).await;
-                if recorded != key {
+                let records = roster::read_or_create(&store, key, &log).await;
+                if records.key != key {
                     warn!(log, "another exchange key is in the store; routers that started after its \
                         return do not reach this one"; "event" => "exchange_key");
                 }
@@ -264,12 +306,6 @@
         era.max(known)
     }
 
-    /// Returns the key that the first router has written to the store, or writes a new one. Retries
-    /// until that succeeds.
-    async fn exchange_key(&self) -> KeyBytes {
-        exchange_key(&self.store, rand::random(), &self.log).await
-    }
-
     async fn join(&self, identity: Identity) -> Gossip {
         let socket = loop {
             match UdpSocket::bind(self.address).await {
@@ -296,40 +332,10 @@
     }
 }
 
-/// Returns the key that the store has, or writes `key`. Retries until that succeeds.
-async fn exchange_key(store: &StoreClient, key: KeyBytes, log: &Logger) -> KeyBytes {
-    loop {
-        match read_or_write_key(store, key).await {
-            Ok(Some(recorded)) => return recorded,
-            Ok(None) => {}
-            Err(error) => {
-                warn!(log, "cannot read or create the exchange key in the store; retrying";
-                    "event" => "exchange_key", "error" => %error);
-                time::sleep(RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-/// Returns the key that the store has; writes `key` if it has none. `None` if another router has
-/// written a record meanwhile, so that the key has to be read again.
-async fn read_or_write_key(
-    store: &StoreClient,
-    key: KeyBytes,
-) -> Result<Option<KeyBytes>, StoreError> {
-    let Listing { records, end } = store.newest(Topic::Routers, 0).await?;
-    let known = records.into_iter().find(|record| record.key == KEY_RECORD);
-    let known = known.and_then(|record| record.value);
-    if let Some(value) = known.and_then(|value| KeyBytes::try_from(&*value).ok()) {
-        return Ok(Some(value));
-    }
-    match store.append_at(Topic::Routers, end, KEY_RECORD, &key).await {
-        Ok(()) => Ok(Some(key)),
-        Err(StoreError::Refused { status }) if status == http::StatusCode::PRECONDITION_FAILED => {
-            Ok(None)
-        }
-        Err(error) => Err(error),
-    }
+/// Time of day at the epoch of this process's times.
+fn unix_offset() -> Update {
+    let since_epoch = BootClock.now().since(Time::ZERO);
+    Update::UnixOffset(clock::unix_time().saturating_sub(since_epoch))
 }
 
 /// Converts the verdicts of a report to gossip items.
--- /dev/null
+++ b/src/roster.rs
@@ -0,0 +1,208 @@
+//! Records of the routers in the store: the key that authenticates the gossip, and the roster, the list
+//! of routers that share the limits of the fleet.
+//!
+//! A router reads both with one list when it starts. Then a task writes the router's own record, and
+//! reads the roster once more if the router has to wait until the others know it.
+
+use std::time::Duration;
+
+use ebonyfall_core::{
+    fleet::{REWRITE_INTERVAL, RosterEntry},
+    name::ProcessName,
+};
+use ebonyfall_platform::{
+    roster,
+    store::{KeyedRecord, Topic},
+};
+use slog::{Logger, info, warn};
+use tokio::{
+    sync::mpsc,
+    time::{self, timeout},
+};
+
+use crate::{
+    clock,
+    store::{Listing, StoreClient, StoreError},
+};
+
+/// Delay after a failed attempt to get the exchange key.
+const KEY_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Mean pause before the first retry of a call for the roster, doubled with each further retry.
+const ROSTER_RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Largest mean pause between two retries.
+const MAX_ROSTER_RETRY_PAUSE: Duration = Duration::from_secs(60);
+/// Key of the store's record that contains the exchange key.
+const KEY_RECORD: &str = "exchange-key";
+/// Length of the exchange key in bytes.
+const KEY_BYTES: usize = 16;
+
+/// Key that authenticates the gossip between routers.
+pub(crate) type KeyBytes = [u8; KEY_BYTES];
+
+/// What a router that starts finds in the store.
+pub(crate) struct RouterRecords {
+    pub(crate) key: KeyBytes,
+    pub(crate) roster: Vec<RosterEntry>,
+    /// Whether this router has created the key, so that no other one has used the roster before.
+    pub(crate) is_first: bool,
+}
+
+/// Returns the records in the store, with `key` as exchange key if there is none yet. Retries until that
+/// succeeds.
+pub(crate) async fn read_or_create(
+    store: &StoreClient,
+    key: KeyBytes,
+    log: &Logger,
+) -> RouterRecords {
+    loop {
+        match read_or_write_key(store, key, log).await {
+            Ok(Some(records)) => return records,
+            Ok(None) => {}
+            Err(error) => {
+                warn!(log, "cannot read or create the exchange key in the store; retrying";
+                    "event" => "exchange_key", "error" => %error);
+                time::sleep(KEY_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Returns the records that the store has; writes `key` if it has none. `None` if another router has
+/// written a record meanwhile, so that they have to be read again.
+async fn read_or_write_key(
+    store: &StoreClient,
+    key: KeyBytes,
+    log: &Logger,
+) -> Result<Option<RouterRecords>, StoreError> {
+    let Listing { records, end } = store.newest(Topic::Routers, 0).await?;
+    let roster = decode_roster(&records, log);
+    let known = records.into_iter().find(|record| record.key == KEY_RECORD);
+    let known = known.and_then(|record| record.value);
+    if let Some(key) = known.and_then(|value| KeyBytes::try_from(&*value).ok()) {
+        return Ok(Some(RouterRecords {
+            key,
+            roster,
+            is_first: false,
+        }));
+    }
+    let is_first = roster.is_empty();
+    match store.append_at(Topic::Routers, end, KEY_RECORD, &key).await {
+        Ok(()) => Ok(Some(RouterRecords {
+            key,
+            roster,
+            is_first,
+        })),
+        Err(StoreError::Refused { status }) if status == http::StatusCode::PRECONDITION_FAILED => {
+            Ok(None)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Decodes the records of routers. One that cannot be decoded is logged and omitted.
+fn decode_roster(records: &[KeyedRecord], log: &Logger) -> Vec<RosterEntry> {
+    let entries = records.iter().filter_map(roster::decode);
+    let entries = entries.filter_map(|entry| match entry {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            warn!(log, "a router's record in the store is ignored";
+                "event" => "roster_bad", "error" => %error);
+            None
+        }
+    });
+    entries.collect()
+}
+
+/// What the task that keeps a router's record needs.
+#[derive(Debug)]
+pub(crate) struct Registration {
+    pub(crate) store: StoreClient,
+    pub(crate) name: ProcessName,
+    /// Start of this run, as time since the Unix epoch.
+    pub(crate) started: Duration,
+    /// Time after the record is written at which the roster is read once more; `None` if it is not.
+    pub(crate) relist_after: Option<Duration>,
+    pub(crate) log: Logger,
+}
+
+/// Handle of the task that keeps a router's record. The task ends when the handle is dropped.
+#[derive(Debug)]
+pub(crate) struct RosterHandle {
+    lists: mpsc::Receiver<Vec<RosterEntry>>,
+    rewrites: mpsc::Sender<()>,
+}
+
+impl RosterHandle {
+    /// Waits for the roster to be read once more. Never returns if it is not.
+    pub(crate) async fn next_list(&mut self) -> Vec<RosterEntry> {
+        match self.lists.recv().await {
+            Some(list) => list,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Lets the task write the record again.
+    pub(crate) fn rewrite(&self) {
+        // If the queue is full, the record is going to be written again anyway.
+        let _full = self.rewrites.try_send(());
+    }
+}
+
+impl Registration {
+    /// Starts the task that writes the record, and writes it again at intervals and on request.
+    pub(crate) fn start(self) -> RosterHandle {
+        let (list_tx, lists) = mpsc::channel(1);
+        let (rewrites, rewrite_rx) = mpsc::channel(1);
+        tokio::spawn(self.run(list_tx, rewrite_rx));
+        RosterHandle { lists, rewrites }
+    }
+
+    async fn run(self, lists: mpsc::Sender<Vec<RosterEntry>>, mut rewrites: mpsc::Receiver<()>) {
+        self.write().await;
+        if let Some(after) = self.relist_after {
+            time::sleep(after).await;
+            let _ended = lists.send(self.read().await).await;
+        }
+        // The sender stays alive, so that the receiver waits for lists that do not come.
+        while !matches!(timeout(REWRITE_INTERVAL, rewrites.recv()).await, Ok(None)) {
+            self.write().await;
+        }
+    }
+
+    /// Writes the record. Retries until that succeeds.
+    async fn write(&self) {
+        let key = roster::record_key(&self.name);
+        let mut pause = ROSTER_RETRY_PAUSE;
+        loop {
+            let entry = RosterEntry {
+                name: self.name.clone(),
+                started: self.started,
+                written: clock::unix_time(),
+            };
+            let value = roster::encode(&entry);
+            match self.store.append(Topic::Routers, &key, &value).await {
+                Ok(()) => break,
+                Err(error) => self.wait_to_retry("append", &error, &mut pause).await,
+            }
+        }
+        info!(self.log, "this router's record is in the store"; "event" => "roster_written");
+    }
+
+    /// Reads the roster. Retries until that succeeds.
+    async fn read(&self) -> Vec<RosterEntry> {
+        let mut pause = ROSTER_RETRY_PAUSE;
+        loop {
+            match self.store.newest(Topic::Routers, 0).await {
+                Ok(listing) => return decode_roster(&listing.records, &self.log),
+                Err(error) => self.wait_to_retry("list", &error, &mut pause).await,
+            }
+        }
+    }
+
+    async fn wait_to_retry(&self, call: &'static str, error: &StoreError, pause: &mut Duration) {
+        warn!(self.log, "a call of the store for the list of routers failed; retrying";
+            "event" => "roster_failed", "call" => call, "error" => %error);
+        time::sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
+        *pause = (*pause * 2).min(MAX_ROSTER_RETRY_PAUSE);
+    }
+}
--- a/src/selection/update.rs
+++ b/src/selection/update.rs
@@ -32,8 +32,8 @@
     EvacuatedZones(HashSet<ZoneName>),
     /// Maximum requests per second to a cold target, by service.
     ColdRates(HashMap<ServiceName, f64>),
-    /// Number of live routers with this one, which share the fleet-wide limits, and this router's
-    /// rank: the number of routers whose names sort before its own.
+    /// Number of live routers with this one, and this router's rank: the number of routers whose names
+    /// sort before its own.
     Routers(u32, u32),
     /// This router's part in the limits that all routers share.
     Fleet(FleetPart),
--- a/src/store.rs
+++ b/src/store.rs
@@ -213,6 +213,19 @@
         })
     }
 
+    /// Appends one keyed record, wherever the stream ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Refused` if the store refuses the call. Without an answer, the record may have been
+    /// appended.
+    pub async fn append(&self, topic: Topic, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        let path = store::append_path(topic);
+        let body = store::append_body(key, value);
+        self.call(Method::POST, &path, body, Duration::ZERO).await?;
+        Ok(())
+    }
+
     /// Appends one keyed record if the next position of the stream is `at`.
     ///
     /// # Errors
@@ -253,7 +266,7 @@
         key: &str,
         value: &[u8],
     ) -> Result<Bytes, StoreError> {
-        let path = store::append_path(topic, at.offset);
+        let path = store::append_at_path(topic, at.offset);
         let body = store::append_body(key, value);
         self.call_in(at.era, Method::POST, &path, body, Duration::ZERO)
             .await
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -45,6 +45,8 @@
     Unavailable,
     /// Every other call is answered with status 429, as when the fleet exceeds its call rate.
     RateLimited,
+    /// Appends are answered with status 503, reads correctly.
+    ReadOnly,
 }
 
 type Record = (String, Option<Vec<u8>>);
@@ -210,7 +212,7 @@
     // The fault also applies to calls that were waiting when it was set.
     let fault = *store.fault.borrow();
     let mut res = match fault {
-        StoreFault::None | StoreFault::RateLimited => res,
+        StoreFault::None | StoreFault::RateLimited | StoreFault::ReadOnly => res,
         StoreFault::NoAnswer => std::future::pending().await,
         StoreFault::Unavailable => web::json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
     };
@@ -221,8 +223,13 @@
 
 async fn serve(store: &KeyedStore, state: &mut State) -> Response<Body> {
     let call = store.calls.fetch_add(1, Ordering::Relaxed);
+    let is_write = *Method::borrow_from(state) == Method::POST;
     match *store.fault.borrow() {
         StoreFault::None => {}
+        StoreFault::ReadOnly if !is_write => {}
+        StoreFault::ReadOnly => {
+            return web::json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
         StoreFault::RateLimited if call.is_multiple_of(2) => {}
         StoreFault::RateLimited => {
             return web::json_response(StatusCode::TOO_MANY_REQUESTS, &json!({}));
--- a/tests/entry/env.rs
+++ b/tests/entry/env.rs
@@ -94,7 +94,12 @@
 
     /// Starts the first router again.
     pub fn restart(&mut self) {
-        self.entrance.restart(0).expect("the program starts");
+        self.restart_router(0);
+    }
+
+    /// Starts the router with index `router` again.
+    pub fn restart_router(&mut self, router: usize) {
+        self.entrance.restart(router).expect("the program starts");
     }
 
     /// Waits for the first router to exit. False if it is still running after `limit`.
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod contexts;
 mod dispatch;
 mod env;
+mod fleet_share;
 mod keys;
 mod metrics;
 mod moves;
--- a/tests/entry/restored.rs
+++ b/tests/entry/restored.rs
@@ -132,7 +132,8 @@
     let before = keys().await;
     assert_eq!(before.len(), 1);
     sleep(Duration::from_secs(1)).await;
-    restore(&env, &[("keyed.routers", 1)], async {}).await;
+    // The topic holds the key, and after it the record of the router itself.
+    restore(&env, &[("keyed.routers", 2)], async {}).await;
     assert!(keys().await.is_empty());
     sleep(IN_FORCE).await;
     assert_eq!(keys().await, before);
