--- a/core/tests/paced/mod.rs
+++ b/core/tests/paced/mod.rs
@@ -208,7 +208,7 @@
         let started = Duration::from_secs(1_000_000);
         let name = |rank| process(usize::try_from(rank).expect("routers are few"));
         let mut fleet = Fleet::new(name(rank), self.now, started);
-        let before = started - Duration::from_secs(10);
+        let before = started.saturating_sub(Duration::from_secs(10));
         let roster = (0..self.conditions.routers).map(|rank| RosterEntry {
             name: name(rank),
             started: before,
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -7,6 +7,7 @@
 use std::{
     collections::HashMap,
     net::{IpAddr, SocketAddr},
+    sync::Arc,
     time::Duration,
 };
 
@@ -176,12 +177,9 @@
 
     /// Tells the selector this router's part in the limits of the fleet.
     async fn update_fleet(&self, gossip: &Gossip, fleet: &mut Fleet) {
-        {
-            let membership = gossip.membership();
-            let membership = membership.borrow();
-            let now = BootClock.now();
-            fleet.record_members(&membership.known_routers, membership.fresh, now);
-        }
+        let membership = Arc::clone(&gossip.membership().borrow());
+        let now = BootClock.now();
+        fleet.record_members(&membership.known_routers, membership.fresh, now);
         self.apply_part(fleet).await;
     }
 
