--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -16,14 +16,14 @@
     direct::Failure,
     dissemination::MoveDecision,
     estimate::{BrokenRequest, Estimate, LOAD_TTL},
+    fleet::FleetPart,
     holders::Holders,
     id::{Fingerprint, PartId},
     inspect::{MoveSummary, RoutingState, TargetState},
-    limit::Turns,
     moves::{MoveState, MoveVerdict, Moves, VersionCounts},
     name::{MoveName, ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
-    pace::{ColdTurns, PaceCause},
+    pace::PaceCause,
     parts::PartMarks,
     preference::{self, Placement},
     reports::{OpenReport, RouterReports},
@@ -33,9 +33,11 @@
     time::Time,
     trace::{PartCause, TraceEvent},
 };
+use fleet::LiveRouters;
 use notices::LapsedStatements;
 
 mod crashes;
+mod fleet;
 mod notices;
 mod pace;
 mod retries;
@@ -112,12 +114,17 @@
 pub struct TargetSelector {
     zone: ZoneName,
     retry: RetryBound,
-    /// Routers that share the retry budget, the rates of cold targets and the limits that targets
+    /// Number of live routers, this one included, and how many of them precede this one.
+    live: LiveRouters,
+    /// The router's part in the retry budget, the rates of cold targets and the limits that targets
     /// state.
-    turns: Turns,
-    cold_turns: ColdTurns,
-    /// Whether other routers are expected that may not be known yet.
-    expects_routers: bool,
+    fleet: FleetPart,
+    /// Since when it has this part.
+    fleet_since: Time,
+    /// Time of day at the epoch of the router's own times.
+    unix_offset: Duration,
+    /// Choices that did not consider a cold target since it was not this router's turn there.
+    cold_withheld: u64,
     targets: TargetTable,
     moves: Moves,
     /// Whether a full list of targets has arrived since the router started.
@@ -146,9 +153,11 @@
         Self {
             zone,
             retry,
-            turns: Turns::default(),
-            cold_turns: ColdTurns::default(),
-            expects_routers: false,
+            live: LiveRouters::default(),
+            fleet: FleetPart::fixed(1),
+            fleet_since: Time::ZERO,
+            unix_offset: Duration::ZERO,
+            cold_withheld: 0,
             targets: TargetTable::default(),
             moves: Moves::default(),
             initial_list_received: false,
@@ -174,36 +183,6 @@
         std::mem::take(&mut self.trace)
     }
 
-    /// Sets the number of routers, this one included, that share the retry budgets and the rates of
-    /// cold targets.
-    pub fn set_routers(&mut self, routers: u32) {
-        self.turns.routers = routers.max(1);
-    }
-
-    /// Sends nothing to cold targets until the router's rank is known. A router that starts knows no
-    /// other one for a moment and would use the whole rate of a cold target.
-    pub fn await_rank(&mut self) {
-        self.cold_turns.await_rank();
-    }
-
-    /// Uses a small part of each service's capacity until other routers are known, or it is known
-    /// that there are none.
-    pub fn expect_routers(&mut self) {
-        self.expects_routers = true;
-    }
-
-    /// Sets the number of routers that precede this one in reporting the state of version moves, and
-    /// in taking turns at targets that state a limit.
-    pub fn set_rank(&mut self, rank: u32) {
-        self.moves.set_rank(rank);
-        self.turns.rank = Some(rank);
-    }
-
-    /// Sets the time of day at the epoch of the router's own times.
-    pub fn set_unix_offset(&mut self, unix_offset: Duration) {
-        self.turns.unix_offset = unix_offset;
-    }
-
     /// Replaces the orders of version moves by all that are in force.
     pub fn set_moves(&mut self, orders: Vec<MoveOrder>, now: Time) {
         self.moves.set_orders(orders, now);
@@ -249,7 +228,9 @@
         let mut evacuated: Vec<_> = self.evacuated.iter().cloned().collect();
         evacuated.sort();
         RoutingState {
-            routers: self.turns.routers,
+            routers: self.live.count,
+            share: self.share_state(now),
+            cold_withheld: self.cold_withheld,
             evacuated,
             retries: self.inspect_retries(now),
             suspects: self.suspects.marks().count(),
@@ -390,6 +371,7 @@
         if !self.count_attempt(criteria, now) {
             return Err(refusal(Code::Overloaded));
         }
+        let turns = self.fleet_turns();
         let context_source =
             self.holders
                 .assign_and_locate(criteria.contexts, &name, &self.targets, now);
@@ -408,13 +390,13 @@
         };
         entry.outstanding += 1;
         entry.change_since_report += 1;
-        entry.limit.take(&self.turns, now);
-        if entry.is_cold(now) {
-            let rate = self.cold_rates.get(criteria.service);
-            let rate = rate.copied().unwrap_or(f64::INFINITY);
-            let turns = self.cold_turns.update(&self.turns, now);
-            let turns = turns.unwrap_or(self.turns);
-            entry.pace.record_cold_sent(rate, &turns, now);
+        if let Some(turns) = turns {
+            entry.limit.take(&turns, now);
+            if entry.is_cold(now) {
+                let rate = self.cold_rates.get(criteria.service);
+                let rate = rate.copied().unwrap_or(f64::INFINITY);
+                entry.pace.record_cold_sent(rate, &turns, now);
+            }
         }
         Ok(choice)
     }
@@ -440,29 +422,32 @@
             service.add(entry, now);
         });
         let mean = service.sum / f64::max(service.counted, 1.0);
+        let turns = self.fleet_turns();
         let untried = self
             .targets
             .service_targets(criteria.service)
             .filter(|entry| {
                 entry.is_usable(&self.evacuated, now)
                     && !criteria.tried.contains(&entry.record.name)
-                    && entry.limit.wait(&self.turns, now).is_zero()
+                    && entry.limit.wait(turns.as_ref(), now).is_zero()
             });
         let cold_rate = self.cold_rates.get(criteria.service);
-        let turns = self.cold_turns.update(&self.turns, now);
         let cold_rate = cold_rate.copied().unwrap_or(f64::INFINITY);
+        let mut withheld = false;
         let ranked = untried.filter_map(|entry| {
             let others_failure_share = (service.failures - entry.failure_share())
                 / f64::from(service.usable.saturating_sub(1).max(1));
             let rank = preference::rank(entry, others_failure_share, now);
             let may_send =
                 !entry.is_cold(now) || entry.pace.may_send_cold(cold_rate, turns.as_ref(), now);
+            withheld |= !may_send;
             may_send.then_some((rank, entry))
         });
         let context = criteria.contexts.last().copied();
         let version = self.moves.choose(criteria.service, context, random, now);
         let mut all = Vec::with_capacity(service.usable as usize);
         all.extend(ranked);
+        self.cold_withheld += u64::from(withheld);
         let ranked = version.filter(all, &self.targets);
         let best = ranked.iter().map(|(rank, _)| *rank).min()?;
         let entries = ranked
--- a/core/tests/dispatch/fleet.rs
+++ b/core/tests/dispatch/fleet.rs
@@ -137,10 +137,7 @@
             selector.set_routers(u32::try_from(case.routers).unwrap_or(1));
             selector.set_rank(u32::try_from(number).unwrap_or(0));
         } else {
-            selector.await_rank();
-            selector.expect_routers();
-            selector.set_routers(1);
-            selector.set_rank(0);
+            selector.await_fleet(at(0));
         }
         Router {
             name: name(&format!("r-{number}")),
