Keep the capacity divided while routers are cut off from each other

Callers see refusals by full targets, and the repeats that follow, for as long as routers do not hear of each other under load: each counts itself only, and takes the whole capacity of a service whose targets state slots. The routers that a router saw until 10 s ago (the time for which it keeps its turns at cold targets) count now. With fewer than a third of them in sight, the demand of the others is estimated from the reports that still arrive; without any report, a router goes beyond its share by two standard deviations of a random demand instead of half of what seems free. Where a third or more is in sight, nothing changes, so that the capacity of routers that ended is used at once.

After 10 s in a cut the fault is as before; that needs a longer memory of the other routers.

--- a/core/src/dispatch/room.rs
+++ b/core/src/dispatch/room.rs
@@ -27,6 +27,9 @@
 /// Routers among which the capacity is divided while their number is not known, as in a large fleet
 /// that starts at once.
 const ASSUMED_ROUTERS: u32 = 128;
+/// Standard deviations of a random demand by which a router that is cut off from all others may exceed
+/// its share. The standard deviation is the root of the mean.
+const BURST_DEVIATIONS: f64 = 2.0;
 /// Time after which routers with equal shares change places in the rounding of their shares.
 const ROUNDING_INTERVAL: Duration = Duration::from_millis(300);
 /// Multiples of these numbers modulo 1 are spread evenly over 0 to 1.
@@ -114,8 +117,10 @@
     pub elsewhere: u32,
     /// Open and waiting requests of the other routers; `None` if no router reports any.
     pub demand_elsewhere: Option<u32>,
-    /// Number of live routers, this one included; `None` while it is not known.
+    /// Number of routers that share the capacity, this one included; `None` while it is not known.
     pub routers: Option<u32>,
+    /// Whether most of them are out of sight, although they may go on sending.
+    pub is_cut_off: bool,
     /// Number of routers that precede this one.
     pub rank: u32,
     /// When the figures were computed.
@@ -148,12 +153,18 @@
             capacity
         };
         let free = (most - f64::from(wanted_elsewhere) - share).max(0.0);
+        let for_burst = if self.is_cut_off && self.demand_elsewhere.is_none() {
+            // All routers would use the free capacity, since they do not know of each other's requests.
+            BURST_DEVIATIONS * share.sqrt()
+        } else {
+            free / 2.0
+        };
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "the sum is between 0 and twice a u32, and the cast saturates"
         )]
-        let limit = (share + self.rounding(now).max(free / 2.0)).floor() as u32;
+        let limit = (share + self.rounding(now).max(for_burst)).floor() as u32;
         limit.max(1)
     }
 
--- a/core/src/selector/rooms.rs
+++ b/core/src/selector/rooms.rs
@@ -13,6 +13,10 @@
 /// Share of failures from which on a target does not count, since its requests end late or fail.
 const MAX_FAILURE_SHARE: f64 = 0.5;
 
+/// Divisor of the number of routers: with fewer alive than that, as far as is known, the others count as
+/// cut off rather than ended. Their demand is estimated from the reports that still arrive.
+const MIN_VISIBLE_DIVISOR: u32 = 3;
+
 impl TargetSelector {
     /// Sets the open and waiting requests of this router by service, for its next report.
     pub fn set_demand(&mut self, demand: Vec<(ServiceName, u32)>) {
@@ -28,6 +32,12 @@
         self.reports.expire(&mut self.targets, now);
         let known = self.known_routers(now);
         let routers = known.unwrap_or(1);
+        let is_cut_off = self.turns.routers * MIN_VISIBLE_DIVISOR < routers;
+        let reporting = if is_cut_off {
+            routers
+        } else {
+            self.turns.routers
+        };
         let evacuated = &self.evacuated;
         let mut rooms = HashMap::new();
         self.targets.for_each(|entry| {
@@ -51,8 +61,9 @@
         let rooms = rooms.map(|(service, (capacity, elsewhere, _))| ServiceRoom {
             capacity,
             elsewhere,
-            demand_elsewhere: self.reports.demand(&service, routers),
+            demand_elsewhere: self.reports.demand(&service, reporting),
             routers: known,
+            is_cut_off,
             rank: self.turns.rank.unwrap_or(0),
             at: now,
             service,
@@ -60,11 +71,12 @@
         rooms.collect()
     }
 
-    /// Number of live routers; `None` while a router that has started may not have heard of the
-    /// others yet.
+    /// Number of routers with which the capacity is shared, with those that have just fallen silent;
+    /// `None` while a router that has started may not have heard of the others yet.
     fn known_routers(&mut self, now: Time) -> Option<u32> {
         let turns = self.cold_turns.update(&self.turns, now);
-        (turns.is_some() || !self.expects_routers).then_some(self.turns.routers)
+        let turns = turns.or((!self.expects_routers).then_some(self.turns));
+        turns.map(|turns| turns.routers)
     }
 }
 
--- a/core/tests/dispatch/case.rs
+++ b/core/tests/dispatch/case.rs
@@ -59,6 +59,16 @@
     pub killed_at_ms: Option<u64>,
     /// When each router learns of the others; `None` if it knows them from the start.
     pub known_from_ms: Option<u64>,
+    /// A cut between routers, after which each hears only those of its group.
+    pub cut: Option<Cut>,
+}
+
+/// A cut between routers. All of them still reach the targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cut {
+    pub at_ms: u64,
+    /// Number of groups of about equal size.
+    pub groups: usize,
 }
 
 impl Case {
@@ -79,6 +89,7 @@
             length_ms: 6_500,
             killed_at_ms: None,
             known_from_ms: None,
+            cut: None,
         }
     }
 
--- a/core/tests/dispatch/fleet.rs
+++ b/core/tests/dispatch/fleet.rs
@@ -231,6 +231,18 @@
                 router.selector.set_rank(rank);
             }
         }
+        if let Some(cut) = self.case.cut
+            && cut.at_ms + MEMBERSHIP_DELAY_MS == self.now
+        {
+            for (number, router) in self.routers.iter_mut().enumerate() {
+                let group = number % cut.groups;
+                let members = (group..self.case.routers).step_by(cut.groups).count();
+                let members = u32::try_from(members).unwrap_or(1);
+                router.selector.set_routers(members);
+                let rank = u32::try_from(number / cut.groups).unwrap_or(0);
+                router.selector.set_rank(rank);
+            }
+        }
         self.end_running();
         self.deliver();
         for stream in 0..self.case.streams.len() {
@@ -506,7 +518,11 @@
                 Network::OneWay => from % 2 == 1,
                 _ => false,
             };
-            if !lost {
+            let is_cut = self
+                .case
+                .cut
+                .is_some_and(|cut| self.now >= cut.at_ms && from % cut.groups != to % cut.groups);
+            if !lost && !is_cut {
                 self.in_transit
                     .push((self.now + delay, from, to, Arc::clone(&report)));
             }
--- a/core/tests/dispatch/main.rs
+++ b/core/tests/dispatch/main.rs
@@ -7,7 +7,7 @@
 mod fleet;
 mod rules;
 
-use case::{Case, Network, Statement, Stream};
+use case::{Case, Cut, Network, Statement, Stream};
 use fleet::{Got, Outcome, run};
 
 const SEED: u64 = 1;
@@ -265,6 +265,34 @@
     assert!(flooded.is_empty(), "seed {SEED}: {flooded:?}");
 }
 
+/// Guards against targets that refuse requests, which become repeats, because each router that a cut
+/// has separated from others takes their part of the capacity (D5).
+#[test]
+fn a_cut_between_routers_does_not_flood_full_targets() {
+    let mut flooded = Vec::new();
+    for routers in [103, 26, 6] {
+        for groups in [2, 4, routers] {
+            let case = Case {
+                cut: Some(Cut {
+                    at_ms: 1_000,
+                    groups,
+                }),
+                ..Case::plain(SEED, routers, vec![stream("a", 1, 4.0)])
+            };
+            let out = run(&case);
+            println!(
+                "seed {SEED} {routers} routers, cut into {groups}: {} arrived, {} sent, {} declined, idle {:.3}",
+                out.arrived, out.sent, out.declined, out.idle
+            );
+            let declined = f64::from(out.declined) / f64::from(out.arrived);
+            if declined >= MAX_DECLINED || out.idle > MAX_IDLE {
+                flooded.push((routers, groups, declined, out.idle));
+            }
+        }
+    }
+    assert!(flooded.is_empty(), "seed {SEED}: {flooded:?}");
+}
+
 /// Guards against targets that get no requests, or all of them, because they report an absurd load.
 #[test]
 fn absurd_loads_stop_no_traffic() {
--- a/core/tests/dispatch/rules.rs
+++ b/core/tests/dispatch/rules.rs
@@ -22,6 +22,7 @@
         elsewhere: 0,
         demand_elsewhere: None,
         routers: Some(1),
+        is_cut_off: false,
         rank: 0,
         at: at(0),
     };
