--- a/core/tests/changeover_restarts.rs
+++ b/core/tests/changeover_restarts.rs
@@ -51,6 +51,8 @@
     InSeries(Duration),
     /// All at once, this long after the order.
     AtOnce(Duration),
+    /// All at once, again and again at this interval.
+    AllEvery(Duration),
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -194,7 +196,7 @@
         let end = self.start + WITHIN + Duration::from_secs(6);
         let mut next_report = self.start;
         let mut next_restart = match self.case.restarts {
-            Restarts::InSeries(interval) => self.start + interval,
+            Restarts::InSeries(interval) | Restarts::AllEvery(interval) => self.start + interval,
             Restarts::AtOnce(after) => self.start + after,
         };
         let mut turn = 0;
@@ -207,6 +209,10 @@
                         turn += 1;
                         next_restart = next_restart + interval;
                     }
+                    Restarts::AllEvery(interval) => {
+                        (0..self.case.routers).for_each(|number| self.stop(number));
+                        next_restart = next_restart + interval;
+                    }
                     Restarts::AtOnce(_) => {
                         (0..self.case.routers).for_each(|number| self.stop(number));
                         next_restart = end;
@@ -505,6 +511,8 @@
 fn common_restarts_keep_the_bounds() {
     let after = |rng: &mut SmallRng| Duration::from_millis(rng.random_range(500..9_000));
     check(&FLEETS, |rng| Restarts::AtOnce(after(rng)), 300);
+    let interval = Duration::from_secs(5);
+    check(&FLEETS[..2], |_| Restarts::AllEvery(interval), 300);
 }
 
 /// Guards against a bad version that gets too much while counts and verdicts arrive late.
