--- a/core/src/selector/fleet.rs
+++ b/core/src/selector/fleet.rs
@@ -5,9 +5,6 @@
 use super::TargetSelector;
 use crate::{fleet::FleetPart, inspect::ShareState, limit::Turns, time::Time, trace::TraceEvent};
 
-/// Time after its start in which a router has heard of all others that are alive.
-const HEARING_TIME: Duration = Duration::from_secs(10);
-
 /// The routers that are alive, as far as is known.
 #[derive(Debug)]
 pub(super) struct LiveRouters {
@@ -71,16 +68,6 @@
         self.unix_offset = unix_offset;
     }
 
-    /// Number of routers that may be sending requests, this one included; `None` while it is not known.
-    /// A router that has just started counts all that share the limits: it has not heard of all of
-    /// them yet.
-    pub(super) fn sending_routers(&self, now: Time) -> Option<u32> {
-        let share = self.fleet.share?;
-        let is_young = now.since(share.started_at) < HEARING_TIME;
-        let shared = if is_young { share.routers.get() } else { 1 };
-        Some(self.live.count.max(shared))
-    }
-
     /// The router's turns at targets that are cold or limited; `None` if it has none.
     pub(super) fn fleet_turns(&self) -> Option<Turns> {
         Some(Turns {
--- a/core/src/selector/rooms.rs
+++ b/core/src/selector/rooms.rs
@@ -13,6 +13,10 @@
 /// Share of failures from which on a target does not count, since its requests end late or fail.
 const MAX_FAILURE_SHARE: f64 = 0.5;
 
+/// Divisor of the number of routers: with fewer alive than that, as far as is known, the others count as
+/// cut off rather than ended. Their demand is estimated from the reports that still arrive.
+const MIN_VISIBLE_DIVISOR: u32 = 3;
+
 impl TargetSelector {
     /// Sets the open and waiting requests of this router by service, for its next report.
     pub fn set_demand(&mut self, demand: Vec<(ServiceName, u32)>) {
@@ -26,8 +30,10 @@
             return Vec::new();
         }
         self.reports.expire(&mut self.targets, now);
-        let known = self.sending_routers(now);
+        let known = self.fleet.routers();
         let routers = known.unwrap_or(1);
+        let is_cut_off = self.live.count * MIN_VISIBLE_DIVISOR < routers;
+        let reporting = if is_cut_off { routers } else { self.live.count };
         let evacuated = &self.evacuated;
         let mut rooms = HashMap::new();
         self.targets.for_each(|entry| {
@@ -51,8 +57,9 @@
         let rooms = rooms.map(|(service, (capacity, elsewhere, _))| ServiceRoom {
             capacity,
             elsewhere,
-            demand_elsewhere: self.reports.demand(&service, routers),
+            demand_elsewhere: self.reports.demand(&service, reporting),
             routers: known,
+            is_cut_off,
             rank: self.live.rank,
             at: now,
             service,
