Sum retries and requests to cold targets in the soak

The soak watched each request by itself and had no cold target, so that it could not see that all routers together sent too much.

It now checks both sums with bench/src/bounds.rs and prints the window that uses most of each limit. New faults: all routers restart at once or in series, each with callers that come back together, half of the time while all targets fail; a target turns cold while it runs, or crashes, leaves the list and comes back cold.

--- a/bench/src/callers.rs
+++ b/bench/src/callers.rs
@@ -3,9 +3,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use ebonyfall_standin::entrance::EntryDeployment;
+use futures_util::future::join_all;
 use http::{StatusCode, header::RETRY_AFTER};
 use rand::{Rng, rngs::StdRng};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
 
 /// Team key that is granted and revoked during a soak.
 pub const GUEST_KEY: &str = "key-of-a-guest";
@@ -21,6 +25,11 @@
 const DISCONNECT_GRACE: Duration = Duration::from_secs(8);
 /// Most attempts of one request.
 const MAX_ATTEMPTS: usize = 3;
+/// Requests of a surge to one router.
+const SURGE_CALLS: usize = 12;
+/// Longest time that a surge waits for a router that starts, and the pause between two tries.
+const SURGE_WAIT: Duration = Duration::from_secs(2);
+const SURGE_POLL: Duration = Duration::from_millis(10);
 /// Share of requests whose caller disconnects early, and the latest time of that in milliseconds.
 const DISCONNECT_RATE_AND_MAX_MS: (f64, u64) = (0.08, 60);
 
@@ -194,6 +203,18 @@
     attempts
 }
 
+/// Sends requests that may run more than once to a router, all at once when it accepts connections.
+/// `id` is the first part of their attempt ids.
+pub async fn surge(id: String, router: usize, address: SocketAddr) -> Vec<Attempt> {
+    let limit = Instant::now() + SURGE_WAIT;
+    while TcpStream::connect(address).await.is_err() && Instant::now() < limit {
+        sleep(SURGE_POLL).await;
+    }
+    let calls = (0..SURGE_CALLS)
+        .map(|number| Call::idempotent(format!("{id}-{router}-{number}"), router).send(address));
+    join_all(calls).await
+}
+
 /// An attempt that has not been sent.
 #[derive(Debug)]
 pub struct Call {
--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -7,16 +7,19 @@
 };
 
 use ebonyfall_standin::{
-    entrance::{EntryDeployment, TEAM_KEY},
+    entrance::{ColdPeriod, EntryDeployment, TEAM_KEY},
     keyed::StoreFault,
     proxy::ConnectionFault,
     registered::{AnswerMode, RegisteredTarget},
 };
 use rand::{Rng, rngs::StdRng};
 use serde_json::json;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
-use crate::callers::{Attempt, GUEST_KEY, STREAM_EVENTS};
+use crate::callers::{Attempt, GUEST_KEY, STREAM_EVENTS, surge};
 
 /// Longest time after its revocation for which any router may accept a key.
 const REVOCATION_BOUND: Duration = Duration::from_secs(5);
@@ -32,6 +35,11 @@
 /// Records that each stream loses then.
 const LOST_RECORDS: usize = 3;
 
+/// Time for which a target is cold.
+const COLD_TIME: Duration = Duration::from_secs(4);
+/// Pause between two restarts in series.
+const SERIES_PAUSE: Duration = Duration::from_millis(100);
+
 /// Behaviour of a healthy target.
 pub const fn healthy_behaviour() -> AnswerMode {
     AnswerMode::ByPath {
@@ -39,6 +47,12 @@
     }
 }
 
+fn fail_all(env: &EntryDeployment) {
+    for target in &env.targets {
+        target.set_mode(AnswerMode::Fail);
+    }
+}
+
 /// Injects random faults, which may overlap.
 #[derive(Debug)]
 pub struct Faults {
@@ -53,6 +67,10 @@
     /// The evacuated zone, when its evacuation began, and how many requests its target had run once
     /// `ZONE_BOUND` had passed.
     evacuated: Option<(usize, Instant, Option<usize>)>,
+    /// The target that has crashed and is not registered.
+    left_target: Option<usize>,
+    cold_periods: Vec<ColdPeriod>,
+    surges: JoinSet<Vec<Attempt>>,
     /// When the guest key was granted (true) or revoked (false).
     guest_changes: Vec<(Instant, bool)>,
     /// Guarantees that were violated.
@@ -69,11 +87,19 @@
             stopped: HashMap::new(),
             pauses: Vec::new(),
             evacuated: None,
+            left_target: None,
+            cold_periods: Vec::new(),
+            surges: JoinSet::new(),
             guest_changes: vec![(Instant::now(), false)],
             broken: Vec::new(),
         }
     }
 
+    /// Times for which targets were cold.
+    pub fn cold_periods(&self) -> &[ColdPeriod] {
+        &self.cold_periods
+    }
+
     /// Returns a random pause before the next fault.
     pub fn next_pause(&mut self) -> Duration {
         let [least, most] = FAULT_PAUSE_MS;
@@ -90,7 +116,8 @@
         self.check_zone(env);
         let router = self.random.random_range(0..env.routers.len());
         let target = self.random.random_range(0..env.targets.len());
-        match self.random.random_range(0..13) {
+        self.bring_back_target(env).await;
+        match self.random.random_range(0..19) {
             0 => env.signal(router, "KILL"),
             1 => env.signal(router, "TERM"),
             2 => self.stop(env, router),
@@ -124,7 +151,19 @@
                 let fault = self.random_fault();
                 env.store_proxies[router].set_fault(fault);
             }
-            _ => self.toggle_zone(env, target).await,
+            12 => self.toggle_zone(env, target).await,
+            13 => self.restart_at_once(env)?,
+            14 => self.restart_in_series(env).await?,
+            15 => fail_all(env),
+            16 => {
+                let cold = env.turn_cold(target, COLD_TIME).await;
+                self.cold_periods.push(cold);
+            }
+            _ => {
+                env.unregister(target).await;
+                env.targets[target].crash().await;
+                self.left_target = Some(target);
+            }
         }
         // Ending earlier faults at random lets faults overlap.
         let (router, target) = (
@@ -140,6 +179,52 @@
         Ok(())
     }
 
+    /// Restarts all routers at the same moment; callers of each come back together. Half of the
+    /// time, targets fail all requests until later faults end that.
+    fn restart_at_once(&mut self, env: &mut EntryDeployment) -> Result<(), Box<dyn Error>> {
+        if self.random.random_bool(0.5) {
+            fail_all(env);
+        }
+        env.kill_and_restart(0..env.routers.len())?;
+        for router in 0..env.routers.len() {
+            self.start_surge(env, router);
+        }
+        Ok(())
+    }
+
+    /// Like [`Self::restart_at_once`], one router after the other.
+    async fn restart_in_series(&mut self, env: &mut EntryDeployment) -> Result<(), Box<dyn Error>> {
+        if self.random.random_bool(0.5) {
+            fail_all(env);
+        }
+        for router in 0..env.routers.len() {
+            env.kill_and_restart([router])?;
+            self.start_surge(env, router);
+            sleep(SERIES_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    fn start_surge(&mut self, env: &EntryDeployment, router: usize) {
+        let id = format!("surge-{}", self.count);
+        self.surges
+            .spawn(surge(id, router, env.routers[router].listen));
+    }
+
+    /// Waits for the answers to all surges.
+    pub async fn take_surges(&mut self) -> Vec<Attempt> {
+        let attempts = std::mem::take(&mut self.surges).join_all().await;
+        attempts.into_iter().flatten().collect()
+    }
+
+    /// Registers the target that has crashed; it starts cold.
+    async fn bring_back_target(&mut self, env: &EntryDeployment) {
+        if let Some(target) = self.left_target.take() {
+            let cold = env.register_cold(target, COLD_TIME).await;
+            self.cold_periods.push(cold);
+        }
+    }
+
     fn stop(&mut self, env: &mut EntryDeployment, router: usize) {
         env.signal(router, "STOP");
         self.stopped.entry(router).or_insert_with(Instant::now);
@@ -278,6 +363,7 @@
     /// Fails when a router cannot be restarted.
     pub async fn clear_all(&mut self, env: &mut EntryDeployment) -> Result<(), Box<dyn Error>> {
         env.store.set_fault(StoreFault::None).await;
+        self.bring_back_target(env).await;
         if let Some((zone, ..)) = self.evacuated.take() {
             let key = format!("evacuate/z{zone}");
             env.store.put("keyed.op", &key, None).await;
--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -12,7 +12,10 @@
 };
 
 use argh::FromArgs;
-use ebonyfall_standin::entrance::EntryDeployment;
+use ebonyfall_standin::{
+    entrance::{EntryDeployment, FleetPlan, RETRY_WINDOW},
+    registered::RegisteredTarget,
+};
 use http::StatusCode;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::Serialize;
@@ -22,13 +25,16 @@
 };
 
 use crate::{
+    bounds::{Peak, RetryLimit, Sent, worst_cold_second, worst_retry_window},
     callers::{Attempt, Attempts, Call, call_until, guest_calls},
     demo::programs,
     faults::{Faults, healthy_behaviour},
 };
 
-/// Callers that send requests concurrently.
-const CONCURRENT_CALLERS: usize = 8;
+/// Retries that the fleet may send to a service, for each request.
+const RETRY_RATIO: f64 = 0.2;
+/// Requests per second that a cold target tolerates.
+const COLD_RATE: f64 = 10.0;
 /// Time that the deployment has to recover before the final calls.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Calls after the recovery, and how many of them must be served at least.
@@ -53,6 +59,12 @@
     /// targets of a deployment
     #[argh(option, default = "4")]
     targets: usize,
+    /// retries that the fleet may send in a window besides the ratio, 58 by default
+    #[argh(option, default = "58.0")]
+    retry_slack: f64,
+    /// callers that send requests concurrently, 8 by default
+    #[argh(option, default = "8")]
+    callers: usize,
     /// seconds of faults for each seed
     #[argh(option, default = "20")]
     seconds: u64,
@@ -69,6 +81,8 @@
             seeds: 1,
             routers: 3,
             targets: 4,
+            retry_slack: 58.0,
+            callers: 8,
             seconds,
             programs: Some(programs.into()),
         }
@@ -92,6 +106,10 @@
     faults: usize,
     /// Calls served after the recovery.
     last_served: usize,
+    /// Window with most retries, of those that the fleet may send.
+    retries: Option<Peak>,
+    /// Second with most requests to a cold target.
+    cold: Option<Peak>,
     /// Guarantees that were violated.
     broken: Vec<String>,
 }
@@ -103,36 +121,38 @@
 /// Fails when the programs or a folder cannot be found.
 pub async fn run(args: SoakArgs) -> Result<bool, Box<dyn Error>> {
     let mut passed = true;
-    let folder = match args.programs {
-        Some(folder) => folder,
+    let folder = match &args.programs {
+        Some(folder) => folder.clone(),
         None => programs()?,
     };
     let program = folder.join("ebonyfall-entry");
     for seed in args.seed..args.seed + args.seeds {
-        let length = Duration::from_secs(args.seconds);
-        let report = soak(seed, length, &program, (args.routers, args.targets)).await?;
+        let report = soak(seed, &args, &program).await?;
         passed &= report.broken.is_empty();
         println!("{}", serde_json::to_string(&report)?);
     }
     Ok(passed)
 }
 
-async fn soak(
-    seed: u64,
-    length: Duration,
-    program: &Path,
-    (routers, targets): (usize, usize),
-) -> Result<Report, Box<dyn Error>> {
+async fn soak(seed: u64, args: &SoakArgs, program: &Path) -> Result<Report, Box<dyn Error>> {
     let mut random = StdRng::seed_from_u64(seed);
     let folder = tempfile::tempdir()?;
-    let mut env = EntryDeployment::start(program, folder.path(), routers, targets).await;
+    let plan = FleetPlan {
+        routers: args.routers,
+        targets: args.targets,
+        retry_ratio: RETRY_RATIO,
+        retry_slack: args.retry_slack,
+        cold_rate: COLD_RATE,
+        router_settings: "",
+    };
+    let mut env = EntryDeployment::start_plan(program, folder.path(), &plan).await;
     for target in &env.targets {
         target.set_mode(healthy_behaviour());
     }
     let listen: Vec<_> = env.routers.iter().map(|router| router.listen).collect();
-    let until = Instant::now() + length;
+    let until = Instant::now() + Duration::from_secs(args.seconds);
     let mut callers = JoinSet::new();
-    for caller in 0..CONCURRENT_CALLERS {
+    for caller in 0..args.callers {
         let random = StdRng::seed_from_u64(random.random());
         callers.spawn(call_until(caller, listen.clone(), random, until));
     }
@@ -167,6 +187,7 @@
     let (repeated, repeated_served) =
         (repeated.len(), repeated.iter().filter(ended_served).count());
     requests.extend(guest.into_iter().map(|attempt| vec![attempt]));
+    requests.extend(faults.take_surges().await.into_iter().map(|one| vec![one]));
     let mut broken = std::mem::take(&mut faults.broken);
     if last_served < FINAL_CALLS_AND_MIN_SERVED.1 {
         broken.push(format!(
@@ -174,6 +195,12 @@
         ));
     }
     broken.extend(check(&env, &requests, &faults));
+    let retries = worst_retries(&plan, &env, &requests);
+    let cold = worst_cold(&env, &faults);
+    for (peak, what) in [(retries, "retries"), (cold, "requests to a cold target")] {
+        let exceeded = peak.filter(Peak::is_exceeded);
+        broken.extend(exceeded.map(|peak| format!("{what} of all routers: {peak}")));
+    }
     let calls: Vec<_> = requests.iter().flatten().collect();
     let report = Report {
         seed,
@@ -184,6 +211,8 @@
         disconnected: calls.iter().filter(|attempt| attempt.disconnected).count(),
         faults: faults.count,
         last_served,
+        retries,
+        cold,
         broken,
     };
     if !report.broken.is_empty() {
@@ -197,6 +226,36 @@
     Ok(report)
 }
 
+/// Window with most retries of all routers.
+fn worst_retries(
+    plan: &FleetPlan<'_>,
+    env: &EntryDeployment,
+    requests: &[Attempts],
+) -> Option<Peak> {
+    let limit = RetryLimit {
+        ratio: plan.retry_ratio,
+        slack: plan.retry_slack,
+        window: RETRY_WINDOW,
+    };
+    let sent = requests.iter().flatten().map(|attempt| Sent {
+        at: attempt.began,
+        attempt_id: attempt.id.clone(),
+    });
+    let sent: Vec<_> = sent.collect();
+    let targets = env.targets.iter();
+    let arrivals: Vec<_> = targets.flat_map(RegisteredTarget::arrivals).collect();
+    worst_retry_window(limit, &sent, &arrivals)
+}
+
+/// Second with most requests of all routers to a cold target.
+fn worst_cold(env: &EntryDeployment, faults: &Faults) -> Option<Peak> {
+    let peaks = faults.cold_periods().iter().filter_map(|cold| {
+        let arrivals = env.targets[cold.target].arrivals();
+        worst_cold_second(COLD_RATE, cold, &arrivals)
+    });
+    peaks.max_by_key(|peak| peak.counted)
+}
+
 /// Returns the violated guarantees, one message each.
 fn check(env: &EntryDeployment, requests: &[Attempts], faults: &Faults) -> Vec<String> {
     let mut executions: BTreeMap<String, u32> = BTreeMap::new();
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -136,11 +136,20 @@
             router_settings,
             ..FleetPlan::default()
         };
-        let mut env = Self::prepare(program, folder, &plan).await;
-        for router in 0..routers {
+        Self::start_plan(program, folder, &plan).await
+    }
+
+    /// Like [`Self::start`], with these sizes and limits.
+    ///
+    /// # Panics
+    ///
+    /// Panics like [`Self::start`].
+    pub async fn start_plan(program: &Path, folder: &Path, plan: &FleetPlan<'_>) -> Self {
+        let mut env = Self::prepare(program, folder, plan).await;
+        for router in 0..plan.routers {
             env.restart(router).expect("the program starts");
         }
-        env.wait_until_ready(0..routers).await;
+        env.wait_until_ready(0..plan.routers).await;
         env
     }
 
--- a/standin/src/entrance/state.rs
+++ b/standin/src/entrance/state.rs
@@ -84,8 +84,14 @@
 
     /// Writes a target's entry in the store, with this version of its software.
     pub async fn register_version(&self, target: usize, state: &str, version: &str) {
-        self.write_entry(target, state, version, Duration::ZERO)
-            .await;
+        let registered = &self.targets[target];
+        let entry = json!({
+            "service": "plain", "addr": self.target_addresses[target], "zone": format!("z{target}"),
+            "version": version, "slots": 8, "state": state, "seq": 1,
+            "warmup_left_ms": registered.cold_time().as_millis(), "born": registered.start_time(),
+        });
+        let key = format!("t-{target}");
+        self.store.put("keyed.servers", &key, Some(&entry)).await;
     }
 
     /// Writes the entry of a target that has just started again and is cold for `time`.
@@ -98,12 +104,10 @@
     /// Writes the entry of a target that turns cold for `time` while it runs.
     pub async fn turn_cold(&self, target: usize, time: Duration) -> ColdPeriod {
         let start = Instant::now();
-        self.write_entry(target, "ready", "v1", time).await;
-        ColdPeriod {
-            target,
-            start,
-            end: start + time,
-        }
+        let end = start + time;
+        self.targets[target].set_cold_until(end);
+        self.register(target, "ready").await;
+        ColdPeriod { target, start, end }
     }
 
     /// Removes the entry of a target, as when it has left.
@@ -112,17 +116,6 @@
         self.store.put("keyed.servers", &key, None).await;
     }
 
-    async fn write_entry(&self, target: usize, state: &str, version: &str, cold: Duration) {
-        let warmup_left_ms = cold.as_millis();
-        let entry = json!({
-            "service": "plain", "addr": self.target_addresses[target], "zone": format!("z{target}"),
-            "version": version, "slots": 8, "state": state, "warmup_left_ms": warmup_left_ms,
-            "seq": 1, "born": self.targets[target].start_time(),
-        });
-        let key = format!("t-{target}");
-        self.store.put("keyed.servers", &key, Some(&entry)).await;
-    }
-
     /// Writes an entry for a target of the service that this deployment did not start.
     pub async fn register_address(&self, name: &str, address: SocketAddr) {
         let entry = json!({
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -147,6 +147,8 @@
     open: watch::Receiver<usize>,
     /// Start time that the target states, in milliseconds since the Unix epoch.
     start_time: watch::Sender<u64>,
+    cold_until: watch::Sender<Instant>,
+    crash: mpsc::Sender<()>,
 }
 
 /// What the connections of a target share.
@@ -176,6 +178,7 @@
         let (arrivals_tx, arrivals) = watch::channel(Vec::new());
         let (open_tx, open) = watch::channel(0);
         let (crash, crashes) = mpsc::channel(1);
+        let crash_handle = crash.clone();
         let behaviour = Behaviour {
             mode: mode_rx,
             model_server: model_server_rx,
@@ -193,6 +196,8 @@
             arrivals,
             open,
             start_time: watch::channel(1).0,
+            cold_until: watch::channel(Instant::now()).0,
+            crash: crash_handle,
         };
         (registered, address)
     }
@@ -214,6 +219,11 @@
         self.deadly_part.send_replace(Some(id.to_owned()));
     }
 
+    /// Makes the target crash. It is back after 300 ms.
+    pub async fn crash(&self) {
+        let _ended = self.crash.send(()).await;
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         *self.open.borrow()
@@ -237,6 +247,17 @@
         self.start_time.send_replace(unix_ms);
     }
 
+    /// Remaining time for which the target is cold.
+    pub(crate) fn cold_time(&self) -> Duration {
+        self.cold_until
+            .borrow()
+            .saturating_duration_since(Instant::now())
+    }
+
+    pub(crate) fn set_cold_until(&self, end: Instant) {
+        self.cold_until.send_replace(end);
+    }
+
     /// Returns all requests that the target executed, in order of execution.
     pub fn executed_requests(&self) -> Vec<ReceivedRequest> {
         self.received.borrow().clone()
