--- a/core/src/budget.rs
+++ b/core/src/budget.rs
@@ -77,6 +77,8 @@
 pub struct FleetRetryBudget {
     bound: RetryBound,
     buckets: VecDeque<Bucket>,
+    /// When the router got its first request for the service.
+    begun_at: Option<Time>,
     total: RetryCounts,
     /// Decisions that are not in the log yet.
     unlogged: RetryCounts,
@@ -89,6 +91,7 @@
         Self {
             bound,
             buckets: VecDeque::new(),
+            begun_at: None,
             total: RetryCounts::default(),
             unlogged: RetryCounts::default(),
             logged_at: None,
@@ -97,6 +100,7 @@
 
     /// Counts the first attempt of a request.
     pub fn record_first(&mut self, share: Option<&FleetShare>, now: Time) {
+        self.begun_at.get_or_insert(now);
         self.current_bucket(share, now).first += 1;
     }
 
@@ -130,7 +134,12 @@
                 routers = routers.max(bucket.routers);
             }
         }
-        let steady = f64::from(first.min(first_before));
+        let begins = share.is_some_and(|share| self.load_begins(share, now));
+        let steady = f64::from(if begins {
+            first
+        } else {
+            first.min(first_before)
+        });
         let ratio_part = RATIO_PART * f64::from(first) + STEADY_RATIO_PART * steady;
         let slack = share.map_or(0.0, |share| self.slack(share, routers, now));
         RetryFigures {
@@ -143,6 +152,16 @@
         }
     }
 
+    /// Whether the service's first requests have come a short time ago, to a router that had run for
+    /// longer than the window. They are taken to be new to all routers: callers need the whole ratio when
+    /// the load of a service begins, and such requests rarely come from another router.
+    fn load_begins(&self, share: &FleetShare, now: Time) -> bool {
+        self.begun_at.is_some_and(|begun_at| {
+            begun_at.since(share.started_at) >= self.memory()
+                && now.since(begun_at) < self.bound.window * KEPT_WINDOWS
+        })
+    }
+
     /// Part of the slack for this router, if `routers` share it. The sum over all routers and their
     /// runs in any window is at most the settled part and the young part: only the last run may be
     /// young, and the one before it must have been settled.
