End the first router's use of all limits while others may have started

A router that creates the exchange key counts itself only until it reads the roster again. It uses them for 1.5 s after its start now, then after the second list, or after 4 s of gossip. the_first_router_uses_the_whole_limits_for_a_moment_only asks for a part after 1.5 s: the code before gives one; it passes now (aarch64).

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -22,6 +22,9 @@
 /// Time after which the first router of a roster reads it again. Those that start with it still wait
 /// then, and gossip may not have reached it yet.
 const FIRST_SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time after its start from which the first router of a fleet uses no part until it has read the roster
+/// again. The others begin to use theirs [`SETTLE_TIME`] after their records are written.
+const FIRST_USE_TIME: Duration = Duration::from_millis(1_500);
 /// Time of gossip after which the membership table counts as complete, if the roster cannot be written
 /// or read once more.
 const GOSSIP_SETTLE_TIME: Duration = Duration::from_secs(4);
@@ -141,6 +144,8 @@
     members: HashMap<ProcessName, Option<Time>>,
     /// Since when gossip has been arriving without a pause.
     fresh_since: Option<Time>,
+    /// Whether the roster has been read again.
+    has_later_list: bool,
     /// Whether the others are known and count this router.
     is_settled: bool,
 }
@@ -158,6 +163,7 @@
             roster: HashSet::new(),
             members: HashMap::new(),
             fresh_since: None,
+            has_later_list: false,
             is_settled: false,
         }
     }
@@ -187,7 +193,7 @@
     /// the time since the Unix epoch.
     pub fn record_later_list(&mut self, list: &[RosterEntry], unix: Duration) {
         self.add_to_roster(list, unix);
-        self.is_settled = true;
+        self.has_later_list = true;
     }
 
     /// Records the routers in the membership table. `is_fresh` is false until gossip has arrived after
@@ -242,14 +248,20 @@
     }
 
     fn is_settled(&mut self, now: Time) -> bool {
+        let gossips_for = |least| {
+            self.fresh_since
+                .is_some_and(|since| now.since(since) >= least)
+        };
         self.is_settled |= match self.origin {
             None => false,
-            Some(Origin::First | Origin::Returning) => true,
-            Some(Origin::New) => self
-                .fresh_since
-                .is_some_and(|since| now.since(since) >= GOSSIP_SETTLE_TIME),
+            Some(Origin::Returning) => true,
+            Some(Origin::First | Origin::New) => {
+                self.has_later_list || gossips_for(GOSSIP_SETTLE_TIME)
+            }
         };
-        self.is_settled
+        let is_alone =
+            self.origin == Some(Origin::First) && now.since(self.started_at) < FIRST_USE_TIME;
+        self.is_settled || is_alone
     }
 
     fn add_to_roster(&mut self, list: &[RosterEntry], unix: Duration) {
--- a/core/tests/fleet_share.rs
+++ b/core/tests/fleet_share.rs
@@ -346,3 +346,17 @@
     fleet.record_members(&others, false, at(16));
     assert_eq!(fleet.part(at(16)).routers(), Some(2), "it stays known");
 }
+
+/// Guards against a first router that stands still or cannot read the roster again, and goes on with
+/// the whole limits beside routers that have started meanwhile.
+#[test]
+fn the_first_router_uses_the_whole_limits_for_a_moment_only() {
+    let at = |ms| Time::ZERO + millis(ms);
+    let mut fleet = Fleet::new(router("own"), Time::ZERO, seconds(STARTED));
+    fleet.record_first_list(&[], true);
+    assert_eq!(fleet.part(at(1_400)).routers(), Some(1));
+    assert_eq!(fleet.part(at(1_500)).routers(), None);
+    let roster = [record("other", STARTED, STARTED)];
+    fleet.record_later_list(&roster, seconds(STARTED + 7));
+    assert_eq!(fleet.part(at(7_000)).routers(), Some(2));
+}
