Settle a router by gossip only if it has heard another one

An empty membership table counts as fresh, so that 4 s without any answer passed for 4 s of gossip: a new router whose record the store did not take, and that nobody answered, took itself for the only one and used the whole limits.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -142,7 +142,7 @@
     roster: HashSet<ProcessName>,
     /// Other routers in the membership table, with the time since which one is known to have left.
     members: HashMap<ProcessName, Option<Time>>,
-    /// Since when gossip has been arriving without a pause.
+    /// Since when gossip of others has been arriving without a pause.
     fresh_since: Option<Time>,
     /// Whether the roster has been read again.
     has_later_list: bool,
@@ -206,7 +206,9 @@
             (router.name.clone(), left_since)
         });
         self.members = members.collect();
-        self.fresh_since = is_fresh.then(|| self.fresh_since.unwrap_or(now));
+        // An empty table counts as fresh, but shows nothing of the others.
+        let hears_others = is_fresh && !self.members.is_empty();
+        self.fresh_since = hears_others.then(|| self.fresh_since.unwrap_or(now));
     }
 
     /// The router's part now.
--- a/core/tests/fleet_share.rs
+++ b/core/tests/fleet_share.rs
@@ -360,3 +360,17 @@
     fleet.record_later_list(&roster, seconds(STARTED + 7));
     assert_eq!(fleet.part(at(7_000)).routers(), Some(2));
 }
+
+/// Guards against a router that hears nobody and takes itself for the only one.
+#[test]
+fn a_router_that_hears_nobody_waits_for_its_record() {
+    let at = |secs| Time::ZERO + seconds(secs);
+    let mut fleet = Fleet::new(router("own"), Time::ZERO, seconds(STARTED));
+    fleet.record_first_list(&[], false);
+    for secs in 0..60 {
+        fleet.record_members(&[known("own", false)], true, at(secs));
+        assert_eq!(fleet.part(at(secs)).routers(), None, "{secs} s");
+    }
+    fleet.record_later_list(&[], seconds(STARTED + 60));
+    assert_eq!(fleet.part(at(60)).routers(), Some(1));
+}
