Use no slack of retries in a young run whose record is not written

A run learns of the one before it from that one's record. Until its record is written, a run now counts as one after a short run. The same field no longer takes an own record from the future for a recent run, which let a router whose clock is behind use its part at once. a_run_without_a_record_counts_as_one_after_a_short_run and a_record_from_the_future_does_not_show_that_others_count_a_router failed before (aarch64).

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -48,7 +48,7 @@
     /// When this run of the router started.
     pub started_at: Time,
     /// Time from the start of this router's run before to that of this one; `None` if it has not run
-    /// before.
+    /// before. Zero if that is not known, or if a run after this one could not know of it.
     pub earlier_run: Option<Duration>,
 }
 
@@ -144,6 +144,8 @@
     members: HashMap<ProcessName, Option<Time>>,
     /// Since when gossip of others has been arriving without a pause.
     fresh_since: Option<Time>,
+    /// Whether the record of this run is in the roster.
+    is_recorded: bool,
     /// Whether the roster has been read again.
     has_later_list: bool,
     /// Whether the others are known and count this router.
@@ -163,6 +165,7 @@
             roster: HashSet::new(),
             members: HashMap::new(),
             fresh_since: None,
+            is_recorded: false,
             has_later_list: false,
             is_settled: false,
         }
@@ -174,10 +177,12 @@
     pub fn record_first_list(&mut self, list: &[RosterEntry], is_first: bool) -> Option<Duration> {
         self.add_to_roster(list, self.started);
         let own = list.iter().find(|entry| entry.name == self.own);
-        self.earlier_run = own.map(|entry| self.started.saturating_sub(entry.started));
-        let origin = match self.earlier_run {
+        // A record from the future shows that a clock is wrong, not how long ago the run was.
+        let since_start = own.map(|entry| self.started.checked_sub(entry.started));
+        self.earlier_run = since_start.map(Option::unwrap_or_default);
+        let origin = match since_start {
             // An earlier run that left did so after its start.
-            Some(earlier) if earlier < LEFT_RETENTION => Origin::Returning,
+            Some(Some(earlier)) if earlier < LEFT_RETENTION => Origin::Returning,
             None if is_first => Origin::First,
             _ => Origin::New,
         };
@@ -196,6 +201,11 @@
         self.has_later_list = true;
     }
 
+    /// Records that the record of this run is in the roster.
+    pub fn record_written(&mut self) {
+        self.is_recorded = true;
+    }
+
     /// Records the routers in the membership table. `is_fresh` is false until gossip has arrived after
     /// a start or pause.
     pub fn record_members(&mut self, routers: &[KnownRouter], is_fresh: bool, now: Time) {
@@ -232,7 +242,11 @@
             share: Some(FleetShare {
                 routers,
                 started_at: self.started_at,
-                earlier_run: self.earlier_run,
+                earlier_run: if self.is_recorded {
+                    self.earlier_run
+                } else {
+                    Some(Duration::ZERO)
+                },
             }),
             rank: Some(rank),
             basis: if uses_roster {
--- a/core/tests/fleet_share.rs
+++ b/core/tests/fleet_share.rs
@@ -318,6 +318,7 @@
         let own = own.map(|age| record("own", STARTED - age, STARTED - age));
         let list: Vec<_> = list.iter().cloned().chain(own).collect();
         let wait = fleet.record_first_list(&list, is_first);
+        fleet.record_written();
         let share = fleet.part(Time::ZERO).share;
         (wait, share.map(|share| share.earlier_run))
     };
@@ -374,3 +375,26 @@
     fleet.record_later_list(&[], seconds(STARTED + 60));
     assert_eq!(fleet.part(at(60)).routers(), Some(1));
 }
+
+/// Guards against restarts in series whose runs each take themselves for the first one after a long run,
+/// since the store took no record of those between.
+#[test]
+fn a_run_without_a_record_counts_as_one_after_a_short_run() {
+    let mut fleet = returning(&[]);
+    let earlier_run = |fleet: &mut Fleet| {
+        let share = fleet.part(Time::ZERO).share.expect("the others count it");
+        share.earlier_run
+    };
+    assert_eq!(earlier_run(&mut fleet), Some(Duration::ZERO));
+    fleet.record_written();
+    assert_eq!(earlier_run(&mut fleet), Some(seconds(10)));
+}
+
+/// Guards against a router that uses its part at once since its own record is from the future.
+#[test]
+fn a_record_from_the_future_does_not_show_that_others_count_a_router() {
+    let mut fleet = Fleet::new(router("own"), Time::ZERO, seconds(STARTED));
+    let own = record("own", STARTED + 3_600, STARTED + 3_600);
+    assert_eq!(fleet.record_first_list(&[own], false), Some(seconds(2)));
+    assert_eq!(fleet.part(Time::ZERO).routers(), None);
+}
--- a/core/tests/sharing/mod.rs
+++ b/core/tests/sharing/mod.rs
@@ -317,6 +317,7 @@
                     written: unix,
                 };
                 self.roster.insert(node.name.clone(), entry);
+                run.fleet.record_written();
                 run.relist_at = run.relist_after.map(|after| now + after);
             }
         } else if run.relist_at.is_some_and(|at| now >= at) {
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -37,7 +37,7 @@
     link::Identity,
     metrics::Metrics,
     neighbours::{self, Mirrors, PeerAccess},
-    roster::{self, KeyBytes, Registration, RosterHandle, RouterRecords},
+    roster::{self, KeyBytes, Registration, RosterEvent, RosterHandle, RouterRecords},
     selection::{CrashAttribution, PartReport, RouterReport, SelectorHandle, Update},
     store::StoreClient,
     usage::counting::UsageCounter,
@@ -135,8 +135,13 @@
                     self.update_fleet(&gossip, &mut fleet).await;
                     era = self.keep_records(key, &roster, era);
                 }
-                list = roster.next_list() => {
-                    fleet.record_later_list(&list, clock::unix_time());
+                event = roster.next_event() => {
+                    match event {
+                        RosterEvent::Written => fleet.record_written(),
+                        RosterEvent::Listed(list) => {
+                            fleet.record_later_list(&list, clock::unix_time());
+                        }
+                    }
                     self.update_fleet(&gossip, &mut fleet).await;
                     continue;
                 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -125,18 +125,27 @@
     pub(crate) log: Logger,
 }
 
+/// What the task that keeps a router's record reports.
+#[derive(Debug)]
+pub(crate) enum RosterEvent {
+    /// The record is in the roster.
+    Written,
+    /// The roster was read once more.
+    Listed(Vec<RosterEntry>),
+}
+
 /// Handle of the task that keeps a router's record. The task ends when the handle is dropped.
 #[derive(Debug)]
 pub(crate) struct RosterHandle {
-    lists: mpsc::Receiver<Vec<RosterEntry>>,
+    events: mpsc::Receiver<RosterEvent>,
     rewrites: mpsc::Sender<()>,
 }
 
 impl RosterHandle {
-    /// Waits for the roster to be read once more. Never returns if it is not.
-    pub(crate) async fn next_list(&mut self) -> Vec<RosterEntry> {
-        match self.lists.recv().await {
-            Some(list) => list,
+    /// Waits for the next event. Never returns if there is none.
+    pub(crate) async fn next_event(&mut self) -> RosterEvent {
+        match self.events.recv().await {
+            Some(event) => event,
             None => std::future::pending().await,
         }
     }
@@ -151,19 +160,20 @@
 impl Registration {
     /// Starts the task that writes the record, and writes it again at intervals and on request.
     pub(crate) fn start(self) -> RosterHandle {
-        let (list_tx, lists) = mpsc::channel(1);
+        let (event_tx, events) = mpsc::channel(1);
         let (rewrites, rewrite_rx) = mpsc::channel(1);
-        tokio::spawn(self.run(list_tx, rewrite_rx));
-        RosterHandle { lists, rewrites }
+        tokio::spawn(self.run(event_tx, rewrite_rx));
+        RosterHandle { events, rewrites }
     }
 
-    async fn run(self, lists: mpsc::Sender<Vec<RosterEntry>>, mut rewrites: mpsc::Receiver<()>) {
+    async fn run(self, events: mpsc::Sender<RosterEvent>, mut rewrites: mpsc::Receiver<()>) {
         self.write().await;
+        let _ended = events.send(RosterEvent::Written).await;
         if let Some(after) = self.relist_after {
             time::sleep(after).await;
-            let _ended = lists.send(self.read().await).await;
+            let _ended = events.send(RosterEvent::Listed(self.read().await)).await;
         }
-        // The sender stays alive, so that the receiver waits for lists that do not come.
+        // The sender stays alive, so that the receiver waits for events that do not come.
         while !matches!(timeout(REWRITE_INTERVAL, rewrites.recv()).await, Ok(None)) {
             self.write().await;
         }
