Divide the reserve of routers with agents by silent routers as well

The reserve was divided by the routers that were alive 2 s after the start, so that a router which started while it heard few others took a larger part. It counts all routers of the membership table now, as entry routers do.

--- a/src/retrier.rs
+++ b/src/retrier.rs
@@ -314,7 +314,8 @@
         return;
     }
     time::sleep(SETTLE_TIME).await;
-    let routers = u32::try_from(membership.borrow().routers.len()).unwrap_or(u32::MAX);
+    // A router that is silent has its part, too.
+    let routers = u32::try_from(membership.borrow().known_routers.len()).unwrap_or(u32::MAX);
     let routers = NonZeroU32::new(routers).unwrap_or(NonZeroU32::MIN);
     if let Some(tx) = tx.upgrade() {
         info!(log, "this router's part of the reserve of retries is available";
