Hand the capacity of ended routers to the others after 10 s

Callers would have waited beside idle targets after a scale-in or the loss of zones. The test of a cut passes as before (aarch64). After 10 s in a cut, each side takes the whole capacity.

--- a/core/src/selector/rooms.rs
+++ b/core/src/selector/rooms.rs
@@ -30,7 +30,7 @@
             return Vec::new();
         }
         self.reports.expire(&mut self.targets, now);
-        let known = self.fleet.routers();
+        let known = self.capacity_sharers(now);
         let routers = known.unwrap_or(1);
         let is_cut_off = self.live.count * MIN_VISIBLE_DIVISOR < routers;
         let reporting = if is_cut_off { routers } else { self.live.count };
--- a/core/tests/dispatch/fleet.rs
+++ b/core/tests/dispatch/fleet.rs
@@ -236,7 +236,9 @@
                 let members = (group..self.case.routers).step_by(cut.groups).count();
                 let members = u32::try_from(members).unwrap_or(1);
                 let rank = u32::try_from(number / cut.groups).unwrap_or(0);
-                router.selector.set_live_routers(members, rank);
+                router
+                    .selector
+                    .set_live_routers(members, rank, at(self.now));
             }
         }
         self.end_running();
--- a/core/tests/dispatch/main.rs
+++ b/core/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 
 mod case;
 mod fleet;
+mod rooms;
 mod rules;
 
 use case::{Case, Cut, Network, Statement, Stream};
--- a/core/tests/paced/mod.rs
+++ b/core/tests/paced/mod.rs
@@ -245,7 +245,7 @@
         let others: Vec<_> = others.collect();
         let router = &mut self.routers[number];
         router.fleet.record_members(&others, true, now);
-        router.selector.set_live_routers(1, 0);
+        router.selector.set_live_routers(1, 0, now);
         router.update_fleet(now);
     }
 
@@ -257,7 +257,7 @@
         let router = &mut self.routers[number];
         router.fleet = Fleet::new(process(number), now, started);
         router.fleet.record_members(&[], true, now);
-        router.selector.set_live_routers(1, 0);
+        router.selector.set_live_routers(1, 0, now);
         router.update_fleet(now);
     }
 
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -531,7 +531,7 @@
             }
             Update::EvacuatedZones(zones) => self.selector.set_evacuated(zones),
             Update::ColdRates(rates) => self.selector.set_cold_rates(rates),
-            Update::Routers(count, rank) => self.selector.set_live_routers(count, rank),
+            Update::Routers(count, rank) => self.selector.set_live_routers(count, rank, now),
             Update::Fleet(part) => self.selector.set_fleet(part, now),
             Update::Moves(orders) => self.selector.set_moves(orders, now),
             Update::MoveProgress(order, progress) => {
