--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -29,7 +29,8 @@
 }
 
 impl RetryBudget {
-    /// Creates a bucket with the tokens of a router that knows no others; each first attempt adds `retry_ratio` tokens, and a retry costs one.
+    /// Creates a bucket with the tokens of a router that knows no others; each first attempt adds
+    /// `retry_ratio` tokens, and a retry costs one.
     pub fn new(retry_ratio: f64) -> Self {
         Self {
             retry_ratio,
--- a/core/tests/fleet_share.rs
+++ b/core/tests/fleet_share.rs
@@ -14,7 +14,7 @@
 };
 use sharing::{COLD_LIMIT, COLD_RATE, Counts, RosterCalls, World};
 
-/// Sizes of the fleets of the users' sites.
+/// Sizes of fleets: with the largest, each part is smaller than one request.
 const FLEETS: [usize; 3] = [6, 26, 103];
 
 fn seconds(seconds: u64) -> Duration {
--- a/tests/shared_limits/main.rs
+++ b/tests/shared_limits/main.rs
@@ -1,4 +1,4 @@
-//! Limits that all routers share, with fleets of the users' sizes as real processes: retries to a
+//! Limits that all routers share, with fleets of 6 and 26 routers as real processes: retries to a
 //! service, and requests to a cold target, summed over all routers.
 //!
 //! Callers load every router from the moment at which it accepts connections, and most where it has
@@ -20,7 +20,7 @@
     time::sleep,
 };
 
-/// Size of lakeshore-proofs.
+/// A small fleet.
 const SMALL: FleetPlan<'static> = FleetPlan {
     routers: 6,
     targets: 4,
@@ -29,7 +29,7 @@
     cold_rate: 10.0,
     router_settings: "",
 };
-/// Size of lakeshore-proofs-grown.
+/// A fleet whose routers each get a small part of the limits.
 const LARGE: FleetPlan<'static> = FleetPlan {
     routers: 26,
     targets: 5,
