--- a/src/roster.rs
+++ b/src/roster.rs
@@ -134,7 +134,8 @@
     Listed(Vec<RosterEntry>),
 }
 
-/// Handle of the task that keeps a router's record. The task ends when the handle is dropped.
+/// Handle of the task that keeps a router's record. The task ends after the handle is dropped, once the
+/// call that it is making has succeeded.
 #[derive(Debug)]
 pub(crate) struct RosterHandle {
     events: mpsc::Receiver<RosterEvent>,
