--- a/src/peering.rs
+++ b/src/peering.rs
@@ -50,6 +50,7 @@
 const URGENT_DELAY: Duration = Duration::from_millis(20);
 /// Delay after a failed attempt to bind the socket.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
+
 /// Configuration and dependencies of the gossip between routers.
 #[derive(Debug)]
 pub struct Peering {
