Give the first router of a fleet time to read the roster again, and log a part once

Two (a retry and a resumed stream refused, 502) come from the end of the first router's use 1.5 s after its start: it reads the roster again 1 s after its record is written, so that on a busy machine it had no part in between. New routers wait 2.5 s now in place of 2 s, and the first one uses the limits for 2.2 s, so that it has a second for that list. New routers are ready half a second later.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -18,13 +18,14 @@
 use crate::{membership::KnownRouter, name::ProcessName, time::Time};
 
 /// Time after which the others have heard of a router whose record is in the roster, by gossip.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
+const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 /// Time after which the first router of a roster reads it again. Those that start with it still wait
 /// then, and gossip may not have reached it yet.
 const FIRST_SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Time after its start from which the first router of a fleet uses no part until it has read the roster
-/// again. The others begin to use theirs [`SETTLE_TIME`] after their records are written.
-const FIRST_USE_TIME: Duration = Duration::from_millis(1_500);
+/// again. The others begin to use theirs [`SETTLE_TIME`] after their records are written, and a part that
+/// has ended may be in use for 300 ms more.
+const FIRST_USE_TIME: Duration = Duration::from_millis(2_200);
 /// Time of gossip after which the membership table counts as complete, if the roster cannot be written
 /// or read once more.
 const GOSSIP_SETTLE_TIME: Duration = Duration::from_secs(4);
@@ -100,6 +101,11 @@
         }
     }
 
+    /// Whether the number of routers, the rank and the basis are those of `other`.
+    pub fn is_like(&self, other: &Self) -> bool {
+        (self.routers(), self.rank, self.basis) == (other.routers(), other.rank, other.basis)
+    }
+
     /// Number of routers that share the limits; `None` while it is not known.
     pub fn routers(&self) -> Option<u32> {
         self.share.map(|share| share.routers.get())
--- a/core/src/selector/fleet.rs
+++ b/core/src/selector/fleet.rs
@@ -96,7 +96,7 @@
     /// its own first attempts allow, and sends nothing to targets that are cold or limited.
     pub fn set_fleet(&mut self, part: FleetPart, now: Time) {
         let before = std::mem::replace(&mut self.fleet, part);
-        if before == part {
+        if before.is_like(&part) {
             return;
         }
         let held = now.since(std::mem::replace(&mut self.fleet_since, now));
