Reproduce routers that do not catch up over a thin link

Callers of such a router get 503 (StaleState) although it reaches the store. The proxy of the stand-ins gets a link of a stated rate that all connections share, the stand-in of the store obeys max_kb, and a desired state can be written at a stated length.

--- a/standin/src/entrance/state.rs
+++ b/standin/src/entrance/state.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use ebonyfall::clock;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::Instant;
 
 use super::EntryDeployment;
@@ -50,6 +50,34 @@
         timeout: Duration,
         max_body_bytes: usize,
     ) {
+        let state = self.desired_state(version, keys, timeout, max_body_bytes);
+        self.store.put("keyed.op", "config", Some(&state)).await;
+    }
+
+    /// Like [`Self::put_desired_state`], with so many further routes that the state has at least `bytes`.
+    pub async fn put_long_desired_state(&self, version: u64, keys: &[&str], bytes: usize) {
+        let mut state = self.desired_state(version, keys, ROUTE_TIMEOUT, MAX_BODY_BYTES);
+        let route = state["routes"][0].clone();
+        let count = bytes / route.to_string().len() + 1;
+        let further = (0..count).map(|number| {
+            let mut route = route.clone();
+            route["name"] = json!(format!("further-{number}"));
+            route["path_prefix"] = json!(format!("/further-{number}/"));
+            route
+        });
+        if let Some(routes) = state["routes"].as_array_mut() {
+            routes.extend(further);
+        }
+        self.store.put("keyed.op", "config", Some(&state)).await;
+    }
+
+    fn desired_state(
+        &self,
+        version: u64,
+        keys: &[&str],
+        timeout: Duration,
+        max_body_bytes: usize,
+    ) -> Value {
         let timeout_ms = timeout.as_millis();
         let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
             json!({
@@ -59,7 +87,7 @@
                 "resumable": resumable,
             })
         };
-        let state = json!({
+        json!({
             "version": version,
             "routes": [
                 route("status", "safe", 2, false),
@@ -73,8 +101,7 @@
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
             },
             "tenants": [{ "name": "desk", "api_keys": keys }],
-        });
-        self.store.put("keyed.op", "config", Some(&state)).await;
+        })
     }
 
     /// Writes a target's entry in the store, with version `v1` of its software.
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -32,6 +32,11 @@
 const PAGE_ENTRIES: usize = 500;
 /// Largest body of an append, with one record.
 const MAX_RECORD_BYTES: usize = 1 << 18;
+/// Size of the records in an answer to a read, unless the caller names another one, in KiB. The first
+/// record is sent whatever its size.
+const DEFAULT_READ_KB: u64 = 1_024;
+/// Size of the offsets before the records in an answer to a read.
+const READ_HEADER_BYTES: usize = 16;
 
 /// Fault that the store injects into every call.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -260,7 +265,8 @@
             if from > records.len() as u64 {
                 return web::json_response(StatusCode::GONE, &json!({ "first": 0 }));
             }
-            encode_records(&records, from)
+            let max_bytes = number("max_kb").unwrap_or(DEFAULT_READ_KB) << 10;
+            encode_records(&records, from, max_bytes)
         }
         ("POST", "/api/log-append") => {
             let at = number("at");
@@ -323,13 +329,17 @@
     )
 }
 
-fn encode_records(records: &[Record], from: u64) -> Response<Body> {
+fn encode_records(records: &[Record], from: u64, max_bytes: u64) -> Response<Body> {
     let mut body = (records.len() as u64).to_be_bytes().to_vec();
     body.extend(0_u64.to_be_bytes());
     let from = usize::try_from(from).unwrap_or(usize::MAX);
     for (key, value) in records.iter().skip(from) {
         let value = value.as_deref().unwrap_or_default();
         let len = u32::try_from(1 + key.len() + value.len()).expect("records are short");
+        let is_first = body.len() == READ_HEADER_BYTES;
+        if !is_first && (body.len() + value.len()) as u64 > max_bytes {
+            break;
+        }
         body.extend(len.to_be_bytes());
         body.push(u8::try_from(key.len()).expect("keys are short"));
         body.extend(key.as_bytes());
--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -1,6 +1,6 @@
 //! Loopback TCP proxy that injects faults into connections.
 
-use std::{io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use ebonyfall::web;
 use tokio::{
@@ -9,7 +9,7 @@
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::watch,
+    sync::{Mutex, watch},
     time::sleep,
 };
 
@@ -29,6 +29,8 @@
     None,
     /// Each chunk of bytes is forwarded after this delay.
     Delay(Duration),
+    /// All connections share a link that forwards this many bytes a second in each direction.
+    Rate(u32),
     /// Open connections are closed, and new ones right after they are accepted.
     Reset,
     /// Bytes to the server are dropped; those to the caller are forwarded.
@@ -39,6 +41,13 @@
     DropAll,
 }
 
+/// Link that the connections of a proxy share. A direction is locked while a chunk is on its way.
+#[derive(Debug, Clone, Default)]
+struct SharedLink {
+    to_server: Arc<Mutex<()>>,
+    to_caller: Arc<Mutex<()>>,
+}
+
 /// Handle that sets the fault of a proxy.
 #[derive(Debug)]
 pub struct Proxy(watch::Sender<ConnectionFault>);
@@ -53,9 +62,10 @@
         let listener = web::bind(LOOPBACK).await.expect("a port is free");
         let address = listener.local_addr().expect("the socket has an address");
         let (tx, fault) = watch::channel(ConnectionFault::None);
+        let link = SharedLink::default();
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                tokio::spawn(relay(caller, server, fault.clone()));
+                tokio::spawn(relay(caller, server, fault.clone(), link.clone()));
             }
         });
         (Self(tx), address)
@@ -67,7 +77,12 @@
     }
 }
 
-async fn relay(caller: TcpStream, server: SocketAddr, fault: watch::Receiver<ConnectionFault>) {
+async fn relay(
+    caller: TcpStream,
+    server: SocketAddr,
+    fault: watch::Receiver<ConnectionFault>,
+    link: SharedLink,
+) {
     if *fault.borrow() == ConnectionFault::Reset {
         return;
     }
@@ -77,9 +92,19 @@
     let (from_caller, to_caller) = caller.into_split();
     let (from_server, to_server) = server.into_split();
     let mut reset = fault.clone();
+    let to_server = Direction {
+        to: to_server,
+        link: link.to_server,
+        drop_fault: ConnectionFault::DropToServer,
+    };
+    let to_caller = Direction {
+        to: to_caller,
+        link: link.to_caller,
+        drop_fault: ConnectionFault::DropToCaller,
+    };
     tokio::select! {
-        () = copy(from_caller, to_server, fault.clone(), ConnectionFault::DropToServer) => {}
-        () = copy(from_server, to_caller, fault, ConnectionFault::DropToCaller) => {}
+        () = copy(from_caller, to_server, fault.clone()) => {}
+        () = copy(from_server, to_caller, fault) => {}
         _ = reset.wait_for(|fault| *fault == ConnectionFault::Reset) => {}
     }
 }
@@ -93,27 +118,36 @@
     Closed,
 }
 
-/// Forwards one direction, and drops its bytes under `drop_fault`. Returns when either side closes,
-/// which closes the whole connection.
+/// Where the bytes of one direction go.
+struct Direction {
+    to: OwnedWriteHalf,
+    link: Arc<Mutex<()>>,
+    /// Fault under which the bytes are dropped.
+    drop_fault: ConnectionFault,
+}
+
+/// Forwards one direction. Returns when either side closes, which closes the whole connection.
 async fn copy(
     mut from: OwnedReadHalf,
-    to: OwnedWriteHalf,
+    direction: Direction,
     fault: watch::Receiver<ConnectionFault>,
-    drop_fault: ConnectionFault,
 ) {
     let mut buf = vec![0; CHUNK_BYTES];
     while let Ok(len) = from.read(&mut buf).await {
         if len == 0 {
             return;
         }
-        let pause = match *fault.borrow() {
-            ConnectionFault::Delay(pause) => Some(pause),
-            _ => None,
-        };
-        if let Some(pause) = pause {
-            sleep(pause).await;
+        let current = *fault.borrow();
+        match current {
+            ConnectionFault::Delay(pause) => sleep(pause).await,
+            ConnectionFault::Rate(bytes_per_s) => {
+                let _turn = direction.link.lock().await;
+                let len = u32::try_from(len).unwrap_or(u32::MAX);
+                sleep(Duration::from_secs(1) * len / bytes_per_s.max(1)).await;
+            }
+            _ => {}
         }
-        match forward(&to, &buf[..len], &fault, drop_fault).await {
+        match forward(&direction, &buf[..len], &fault).await {
             Forwarded::Whole => {}
             // Bytes are dropped without closing the connection, so the copy must not return.
             Forwarded::Dropped => return std::future::pending().await,
@@ -125,11 +159,11 @@
 /// Writes `bytes` unless the fault forbids it. The fault is read-locked during each write, so that
 /// no byte is written after [`Proxy::set_fault`] has returned.
 async fn forward(
-    to: &OwnedWriteHalf,
+    direction: &Direction,
     mut bytes: &[u8],
     fault: &watch::Receiver<ConnectionFault>,
-    drop_fault: ConnectionFault,
 ) -> Forwarded {
+    let Direction { to, drop_fault, .. } = direction;
     while !bytes.is_empty() {
         if to.writable().await.is_err() {
             return Forwarded::Closed;
@@ -138,7 +172,7 @@
         if *fault == ConnectionFault::Reset {
             return Forwarded::Closed;
         }
-        if *fault == ConnectionFault::DropAll || *fault == drop_fault {
+        if *fault == ConnectionFault::DropAll || *fault == *drop_fault {
             return Forwarded::Dropped;
         }
         match to.try_write(bytes) {
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -12,6 +12,7 @@
 mod readers;
 mod reports;
 mod restored;
+mod thin_link;
 mod usage;
 mod usage_counts;
 
