Log why the orders of a router are late

A router that stayed 7 s behind logged dependency_lost once and nothing else. While the orders are not confirmed within apply-ms, orders_late now tells each second which step the router is in and since when, how many records the store has left for it, and the last error. The decision when to report is in the core and tested with a fake clock.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod id;
 pub mod ini;
 pub mod inspect;
+pub mod lateness;
 pub mod lease;
 pub mod ledger;
 pub mod limit;
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -1,5 +1,6 @@
 //! Tasks that follow the store's streams of operators' orders and of target records.
 
+mod fetch;
 mod orders;
 mod targets;
 
@@ -28,6 +29,7 @@
     selection::SelectorHandle,
     store::{StoreClient, StoreError},
 };
+use fetch::FetchState;
 use orders::OrderTask;
 use targets::TargetTask;
 
@@ -80,6 +82,8 @@
     let (order_mirror, order_records) = watch::channel(Mirror::default());
     let (target_mirror, target_records) = watch::channel(Mirror::default());
     let times = FollowTimes::new(orders);
+    let fetch = FetchState::default();
+    fetch.report_lateness(lease.clone(), orders.apply, log.clone());
     let order_task = OrderTask {
         store: store.clone(),
         times,
@@ -100,6 +104,7 @@
             metrics.entry.clone(),
             log.clone(),
         ),
+        fetch,
         log: log.clone(),
     };
     tokio::spawn(order_task.run());
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -25,7 +25,10 @@
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
 
-use super::{RETRY_DELAY, StoreHealth};
+use super::{
+    RETRY_DELAY, StoreHealth,
+    fetch::{FetchState, Step},
+};
 use crate::{
     clock::{self, BootClock},
     mirror::Mirror,
@@ -75,6 +78,7 @@
     pub(super) health: StoreHealth,
     pub(super) mirror: watch::Sender<Mirror>,
     pub(super) peers: PeerReader,
+    pub(super) fetch: FetchState,
     pub(super) log: Logger,
 }
 
@@ -88,17 +92,28 @@
             if self.health.list_again(&error) {
                 continue;
             }
-            self.health.record_failure(&error, BootClock.now());
-            StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
+            self.record_failure(&error);
+            self.pause(RETRY_DELAY).await;
         }
     }
 
+    fn record_failure(&mut self, error: &StoreError) {
+        self.fetch.record_failure(error);
+        self.health.record_failure(error, BootClock.now());
+    }
+
+    async fn pause(&self, mean: Duration) {
+        self.fetch.begin(Step::Pause, BootClock.now());
+        StoreHealth::sleep_with_jitter(mean).await;
+    }
+
     async fn snapshot(&mut self) -> Result<Position, StoreError> {
         let requested_at = BootClock.now();
+        self.fetch.begin(Step::List, requested_at);
         let failures = self.health.failures;
         let Listing { records, end } = self.store.newest(Topic::Orders, failures).await?;
         self.apply_list(records, end, Origin::List).await?;
-        self.record_answer();
+        self.record_answer(0);
         self.confirm(requested_at);
         Ok(end)
     }
@@ -149,8 +164,10 @@
         matches!(listed, Some(Ok(listed)) if Some(listed.version) > known)
     }
 
-    fn record_answer(&mut self) {
+    /// Records an answer of the store, which left `left` records to be read.
+    fn record_answer(&mut self, left: u64) {
         let now = BootClock.now();
+        self.fetch.record_answer(left);
         self.health.record_answer(now);
         self.last_answer.send_replace(Some(now));
     }
@@ -181,6 +198,7 @@
             let (source, longest_wait) = self.next_source();
             if let Source::Reader(reader) = source {
                 let follow_wait = self.follow_wait();
+                self.fetch.begin(Step::Reader, BootClock.now());
                 match self.peers.read_from(reader, from, follow_wait).await {
                     Some(read) if self.source.is_recent(read.confirmed, BootClock.now()) => {
                         self.health.record_answer(BootClock.now());
@@ -193,9 +211,10 @@
                 continue;
             }
             let requested_at = BootClock.now();
+            self.fetch.begin(Step::Stream, requested_at);
             match self.store.read(Topic::Orders, from, wait).await {
                 Ok(tail) => {
-                    self.record_answer();
+                    self.record_answer(tail.left());
                     let changed = !tail.records.is_empty();
                     self.apply_changes(tail.records, tail.next, Origin::Stream)
                         .await;
@@ -225,13 +244,14 @@
     /// Reads from another router after a call of the store has failed, and pauses; returns the position
     /// of the next read.
     async fn on_failure(&mut self, error: &StoreError, from: Position) -> Position {
-        self.health.record_failure(error, BootClock.now());
+        self.record_failure(error);
+        self.fetch.begin(Step::Router, BootClock.now());
         let Some(read) = self.peers.read(from).await else {
-            StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
+            self.pause(RETRY_DELAY).await;
             return from;
         };
         let next = self.apply_read(read).await;
-        StoreHealth::sleep_with_jitter(PEER_READ_DELAY).await;
+        self.pause(PEER_READ_DELAY).await;
         next
     }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -112,6 +112,14 @@
     pub end: Position,
 }
 
+impl Batch {
+    /// Number of records after this batch that the stream had when the store answered.
+    pub fn left(&self) -> u64 {
+        let (next, end) = (u64::from(self.next.offset), u64::from(self.end.offset));
+        end.saturating_sub(next)
+    }
+}
+
 /// Body of a successful answer, and the era of the store that gave it.
 struct StoreAnswer {
     era: Era,
