Bound calls by their progress instead of their whole time

Callers of a router behind a thin link got 503 (StaleState) for good: a read of orders returns all records since its position, up to 1 MiB, and had 0.7 s. At 10 Mbit/s that is 875 kB; after the timeout the read began anew at the same position. The class: a retry that repeats all of its work within a fixed time. It stood in one place for all calls of the store (orders, targets, roster, status, usage), of the agents' platform, and in the reads from other routers.

A dead connection is found as soon as before, and an answer that trickles is given up; a long one over a thin link is not cut. Records that arrived before a read of the store stalled are applied, so that the next read goes on after them.

Failed reads from other routers are logged (peer_read_failed), with the bytes that had arrived.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod time;
 pub mod timing;
 pub mod trace;
+pub mod transfer;
 pub mod usage;
 mod visit;
 pub mod wait;
--- a/src/link.rs
+++ b/src/link.rs
@@ -4,7 +4,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use ebonyfall_core::{id::Incarnation, name::ProcessName};
+use ebonyfall_core::{id::Incarnation, name::ProcessName, transfer::Transfer};
 use ebonyfall_wire::{
     auth::{self, AuthError, Channel, Keys},
     frame::{Hello, MAX_FRAME_BYTES, WIRE_MAX, WIRE_MIN},
@@ -15,14 +15,20 @@
 use tokio::{net::TcpStream, time::timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::clock::BootClock;
+
 /// Initial size of a connection's read and write buffers. With 8 KiB, the library's default, they
 /// took a quarter of the memory of an open stream.
 const INITIAL_BUFFER_BYTES: usize = 2 << 10;
 /// Timeout of the TCP connection and the handshake together.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Interval at which the progress of a message is looked up.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Error after which a connection cannot be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum LinkError {
     /// The operating system reported an error.
     #[snafu(display("connection failed: {source}"))]
@@ -36,6 +42,9 @@
     /// The peer did not complete the handshake in time.
     #[snafu(display("handshake not completed within {HANDSHAKE_TIMEOUT:?}"))]
     Timeout,
+    /// The answer of the peer did not begin, or did not advance.
+    #[snafu(display("the peer's answer stalled"))]
+    Stalled,
     /// A frame could not be sealed, authenticated or decoded.
     #[snafu(display("{source}"))]
     Auth {
@@ -180,6 +189,29 @@
         self.channel.open(&frame).context(AuthSnafu)
     }
 
+    /// Receives the next message as long as it advances within the limits of `transfer`; `None` if it
+    /// stalls.
+    pub async fn receive_within<T: DeserializeOwned>(
+        &mut self,
+        transfer: &mut Transfer,
+    ) -> Option<Result<T, LinkError>> {
+        loop {
+            let left = transfer.deadline().since(BootClock.now());
+            if let Ok(received) = timeout(left.min(PROGRESS_INTERVAL), self.receive()).await {
+                return Some(received);
+            }
+            let now = BootClock.now();
+            // The codec yields whole frames; its buffer holds what has arrived of one.
+            let received = self.frames.read_buffer().len();
+            if received > 0 {
+                transfer.record(received, now);
+            }
+            if transfer.is_stalled(now) {
+                return None;
+            }
+        }
+    }
+
     /// Whether the peer has neither closed the connection nor sent data that was not received.
     pub fn is_idle(&self) -> bool {
         let mut byte = [0];
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -7,7 +7,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use ebonyfall_core::{id::Position, name::ProcessName, readers::ZoneRouter, time::Time};
+use ebonyfall_core::{
+    id::Position,
+    name::ProcessName,
+    readers::ZoneRouter,
+    time::Time,
+    transfer::{Transfer, TransferLimits},
+};
 use ebonyfall_platform::store::KeyedRecord;
 use ebonyfall_wire::{
     mirror::{Changes, Stream, StreamChanges, StreamRead},
@@ -24,7 +30,7 @@
 use crate::{
     clock::BootClock,
     gossip::Gossip,
-    link::{Identity, Link, LinkError},
+    link::{Identity, Link, LinkError, StalledSnafu},
     meters::EntryMetrics,
     mirror::Mirror,
     usage::counting::UsageCounter,
@@ -33,10 +39,10 @@
 
 /// Maximum number of routers that are tried for one read.
 const MAX_PEERS_TRIED: usize = 2;
-/// Timeout for connecting to a router, and for its answer.
+/// Timeout for connecting to a router, time until its answer begins, and longest time without progress.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time in addition to the wait within which a reader answers. A follower asks the store then, while
-/// its own state is still recent enough.
+/// Time in addition to the wait within which a reader's answer begins, and longest time without
+/// progress. A follower asks the store then, while its own state is still recent enough.
 const READER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum number of connections from other routers: two for each follower in a zone, and one for
 /// each router of the fleet that sends its counts.
@@ -205,7 +211,7 @@
         mut link: Link,
         from: Position,
         wait: Duration,
-        limit: Duration,
+        pause: Duration,
     ) -> Option<PeerRead> {
         let request = StreamRead {
             stream: self.stream,
@@ -213,18 +219,16 @@
             wait,
         };
         let requested_at = BootClock.now();
-        let answer = async {
-            link.send(&RouterRequest::Stream(request)).await?;
-            link.receive::<Option<StreamChanges>>().await
-        };
-        let StreamChanges { era, changes } = match timeout(limit + wait, answer).await {
-            Ok(Ok(changes)) => changes?,
-            Ok(Err(error)) => {
-                debug!(self.log, "router did not answer a read of the store's records";
-                    "error" => %error);
+        let mut transfer = Transfer::new(TransferLimits::new(wait, pause), requested_at);
+        let exchange = exchange(&mut link, request, &mut transfer);
+        let StreamChanges { era, changes } = match exchange.await {
+            Ok(changes) => changes?,
+            Err(error) => {
+                info!(self.log, "another router did not answer a read of the store's records";
+                    "event" => "peer_read_failed", "stream" => ?self.stream, "peer" => %peer,
+                    "error" => %error, "received" => transfer.received());
                 return None;
             }
-            Err(_late) => return None,
         };
         self.link = Some((peer, link));
         let records = changes.records.into_iter().map(|record| KeyedRecord {
@@ -244,6 +248,22 @@
     }
 }
 
+/// Sends a read on `link` and receives the answer.
+async fn exchange(
+    link: &mut Link,
+    request: StreamRead,
+    transfer: &mut Transfer,
+) -> Result<Option<StreamChanges>, LinkError> {
+    let request = RouterRequest::Stream(request);
+    let send_limit = transfer.deadline().since(BootClock.now());
+    match timeout(send_limit, link.send(&request)).await {
+        Ok(result) => result?,
+        Err(_late) => return StalledSnafu.fail(),
+    }
+    let received = link.receive_within(transfer).await;
+    received.unwrap_or_else(|| StalledSnafu.fail())
+}
+
 /// Serves reads and counts of other routers until the process ends. `usage` is `None` if usage is not
 /// reported.
 pub async fn serve(access: PeerAccess, mirrors: Mirrors, usage: Option<UsageCounter>, log: Logger) {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -6,6 +6,7 @@
 use ebonyfall_core::{
     id::Offset,
     name::{VmName, ZoneName},
+    transfer::TransferLimits,
 };
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -14,7 +15,7 @@
 
 use crate::rest::{Answer, Rest};
 
-/// Timeout for a call to the platform.
+/// Time until the answer to a call begins, and longest time without progress of it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum size of an answer, in bytes; a batch of configuration records may be long.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -172,7 +173,8 @@
         body: Vec<u8>,
     ) -> Result<T, PlatformError> {
         let no_answer = |reason: String| PlatformError::NoAnswer { reason };
-        let answer = self.rest.call(method, path, body, CALL_TIMEOUT).await;
+        let limits = TransferLimits::new(Duration::ZERO, CALL_TIMEOUT);
+        let answer = self.rest.call(method, path, body, limits).await;
         let Answer { status, body, .. } = answer.map_err(|error| no_answer(error.reason))?;
         if status == StatusCode::GONE {
             let FirstOffset { first } = serde_json::from_slice(&body).context(DecodeSnafu)?;
--- a/src/rest.rs
+++ b/src/rest.rs
@@ -1,11 +1,13 @@
 //! HTTP client for the platform's services, such as its log, with limits on the time and size of
 //! answers.
 
-use std::time::Duration;
+use std::{fmt::Display, pin::pin};
 
-use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use ebonyfall_core::transfer::{Transfer, TransferLimits};
+use http::{HeaderMap, Method, Request, StatusCode, response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -13,15 +15,28 @@
 use snafu::Snafu;
 use tokio::time::timeout;
 
+use crate::clock::BootClock;
+
 /// A call got no complete answer, but may have taken effect.
 #[derive(Debug, Snafu)]
 #[snafu(display("no answer: {reason}"))]
 pub struct NoAnswer {
     /// Cause, such as a connection error or `timeout`.
     pub reason: String,
+    /// The part of the answer that arrived before the call ended, with its head.
+    pub partial: Option<Box<Answer>>,
 }
 
-/// A complete answer.
+impl NoAnswer {
+    fn new(reason: impl Display) -> Self {
+        Self {
+            reason: reason.to_string(),
+            partial: None,
+        }
+    }
+}
+
+/// An answer.
 #[derive(Debug)]
 pub struct Answer {
     /// HTTP status.
@@ -57,7 +72,7 @@
         }
     }
 
-    /// Sends a request and waits up to `limit` for the complete answer.
+    /// Sends a request and waits for the complete answer, as long as it advances within `limits`.
     ///
     /// # Errors
     ///
@@ -68,33 +83,72 @@
         method: Method,
         path: &str,
         body: Vec<u8>,
-        limit: Duration,
+        limits: TransferLimits,
     ) -> Result<Answer, NoAnswer> {
-        let no_answer = |reason: String| NoAnswer { reason };
+        let limits = limits.with_body(body.len());
         let req = Request::builder()
             .method(method)
             .uri(format!("{}{path}", self.base))
             .header("content-type", "application/json")
             .body(Full::from(body))
-            .map_err(|error| no_answer(error.to_string()))?;
-        let exchange = async {
-            let res = self
-                .http
-                .request(req)
-                .await
-                .map_err(|error| no_answer(error.to_string()))?;
-            let (head, body) = res.into_parts();
-            let body = Limited::new(body, self.max_answer_bytes).collect().await;
-            let body = body.map_err(|error| no_answer(error.to_string()))?;
-            Ok(Answer {
-                status: head.status,
-                headers: head.headers,
-                body: body.to_bytes(),
-            })
+            .map_err(NoAnswer::new)?;
+        let mut transfer = Transfer::new(limits, BootClock.now());
+        let Some(res) = advance(&mut transfer, self.http.request(req)).await else {
+            return Err(NoAnswer::new("timeout"));
         };
-        let Ok(answer) = timeout(limit, exchange).await else {
-            return Err(no_answer("timeout".to_owned()));
+        let (head, body) = res.map_err(NoAnswer::new)?.into_parts();
+        transfer.record(0, BootClock.now());
+        self.receive(head, body, transfer).await
+    }
+
+    async fn receive(
+        &self,
+        head: response::Parts,
+        mut body: Incoming,
+        mut transfer: Transfer,
+    ) -> Result<Answer, NoAnswer> {
+        let mut buf = BytesMut::new();
+        let reason = loop {
+            let Some(frame) = advance(&mut transfer, body.frame()).await else {
+                break format!("timeout after {} bytes of the answer", buf.len());
+            };
+            let frame = match frame {
+                None => return Ok(answer(head, buf)),
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => break error.to_string(),
+            };
+            let data = frame.into_data().unwrap_or_default();
+            if buf.len() + data.len() > self.max_answer_bytes {
+                return Err(NoAnswer::new("the answer is too long"));
+            }
+            buf.extend_from_slice(&data);
+            transfer.record(buf.len(), BootClock.now());
         };
-        answer
+        Err(NoAnswer {
+            reason,
+            partial: Some(Box::new(answer(head, buf))),
+        })
+    }
+}
+
+fn answer(head: response::Parts, body: BytesMut) -> Answer {
+    Answer {
+        status: head.status,
+        headers: head.headers,
+        body: body.freeze(),
+    }
+}
+
+/// Waits for the next step of an answer; `None` if the transfer stalls.
+async fn advance<T>(transfer: &mut Transfer, step: impl Future<Output = T>) -> Option<T> {
+    let mut step = pin!(step);
+    loop {
+        let left = transfer.deadline().since(BootClock.now());
+        if let Ok(done) = timeout(left, &mut step).await {
+            return Some(done);
+        }
+        if transfer.is_stalled(BootClock.now()) {
+            return None;
+        }
     }
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use ebonyfall_core::id::{Era, Offset, Position};
+use ebonyfall_core::{
+    id::{Era, Offset, Position},
+    transfer::TransferLimits,
+};
 use ebonyfall_platform::store::{self, KeyedRecord, StoreDecodeError, Topic};
 use http::{Method, StatusCode};
 use snafu::{ResultExt, Snafu, ensure};
@@ -12,11 +15,11 @@
 use crate::{
     clock::BootClock,
     meters::EntryMetrics,
-    rest::{NoAnswer, Rest},
+    rest::{Answer, NoAnswer, Rest},
 };
 
-/// Timeout of a call, in addition to the time for which the store may wait for records. A
-/// slow store answers within it; a connection without an answer is closed and replaced.
+/// Time until an answer begins, in addition to the time for which the store may wait for records, and
+/// longest time without progress of it. A connection without progress is closed and replaced.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Maximum size of an answer, in bytes. The store returns at most 1 MiB of records in a call, a third
@@ -126,6 +129,20 @@
     body: Bytes,
 }
 
+impl StoreAnswer {
+    /// Takes a successful answer.
+    fn new(answer: Answer) -> Result<Self, StoreError> {
+        match answer.status {
+            StatusCode::GONE => ExpiredSnafu.fail(),
+            status if status.is_success() => Ok(Self {
+                era: store::decode_era(&answer.headers),
+                body: answer.body,
+            }),
+            status => RefusedSnafu { status }.fail(),
+        }
+    }
+}
+
 /// Client of the log store; clones share its connections and metrics.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
@@ -194,7 +211,8 @@
         }
     }
 
-    /// Reads records from position `from`; the store waits up to `wait` for the first one.
+    /// Reads records from position `from`; the store waits up to `wait` for the first one. The records
+    /// that arrived before an answer stalled are returned, so that the next read goes on after them.
     ///
     /// # Errors
     ///
@@ -207,18 +225,20 @@
         wait: Duration,
     ) -> Result<Batch, StoreError> {
         let path = store::read_path(topic, from.offset, wait);
-        let answer = self.call_in(from.era, Method::GET, &path, Vec::new(), wait);
-        let body = answer.await?;
-        let batch = store::decode_read(from.offset, body).context(DecodeSnafu)?;
-        let position = |offset| Position {
-            era: from.era,
-            offset,
-        };
-        Ok(Batch {
-            records: batch.records,
-            next: position(batch.next),
-            end: position(batch.end),
-        })
+        match self.call(Method::GET, &path, Vec::new(), wait).await {
+            Ok(answer) => decode_batch(from, answer),
+            Err(StoreError::Call { mut source }) => {
+                let batch = source.partial.take().map(|partial| {
+                    let answer = StoreAnswer::new(*partial)?;
+                    decode_batch(from, answer)
+                });
+                match batch {
+                    Some(Ok(batch)) if !batch.records.is_empty() => Ok(batch),
+                    _ => Err(StoreError::Call { source }),
+                }
+            }
+            Err(error) => Err(error),
+        }
     }
 
     /// Appends one keyed record, wherever the stream ends.
@@ -302,23 +322,28 @@
         wait: Duration,
     ) -> Result<StoreAnswer, StoreError> {
         let start = BootClock.now();
-        let answer = self
-            .rest
-            .call(method, path, body, wait + CALL_TIMEOUT)
-            .await;
+        let limits = TransferLimits::new(wait, CALL_TIMEOUT);
+        let answer = self.rest.call(method, path, body, limits).await;
         self.meters.observe_store_call(BootClock.now().since(start));
-        let answer = answer.context(CallSnafu)?;
-        match answer.status {
-            StatusCode::GONE => ExpiredSnafu.fail(),
-            status if status.is_success() => Ok(StoreAnswer {
-                era: store::decode_era(&answer.headers),
-                body: answer.body,
-            }),
-            status => RefusedSnafu { status }.fail(),
-        }
+        StoreAnswer::new(answer.context(CallSnafu)?)
     }
 }
 
+/// Decodes the answer to a read from `from` on.
+fn decode_batch(from: Position, answer: StoreAnswer) -> Result<Batch, StoreError> {
+    check_era(from.era, answer.era)?;
+    let batch = store::decode_read(from.offset, answer.body).context(DecodeSnafu)?;
+    let position = |offset| Position {
+        era: from.era,
+        offset,
+    };
+    Ok(Batch {
+        records: batch.records,
+        next: position(batch.next),
+        end: position(batch.end),
+    })
+}
+
 /// Checks that an answer of `era` is of the era `known`, to which the offset in the call belongs.
 fn check_era(known: Era, era: Era) -> Result<(), StoreError> {
     ensure!(era == known, RestoredSnafu { known, era });
