Do not take an own standstill for a silent store

A router whose machine stood still (SIGSTOP, a frozen VM) ended its open read as it resumed: its timer was over, although the answer lay in its socket.

A timer that ends 0.4 s late or more shows a standstill; the transfer then gets one more pause, once in a call, so that a dead connection is still given up. Both tests with a fake clock are new; a_process_that_stood_still_has_time_to_read_what_has_arrived fails without the change.

--- a/core/src/transfer.rs
+++ b/core/src/transfer.rs
@@ -13,6 +13,10 @@
 /// Rate at which the body of a call leaves, in bytes per second: a tenth of 10 Mbit/s.
 const SEND_RATE: u32 = 125_000;
 
+/// Delay of a timer that shows that the process itself stood still, and may not have read what arrived.
+/// Longer than the pauses of a VM that has used up its processor time.
+const STANDSTILL: Duration = Duration::from_millis(400);
+
 /// Limits on the time of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TransferLimits {
@@ -49,6 +53,8 @@
     /// Bytes that had arrived when the deadline was last moved; `None` before the answer begins.
     counted: Option<usize>,
     received: usize,
+    /// Whether the transfer has got another pause because the process stood still.
+    has_resumed: bool,
 }
 
 impl Transfer {
@@ -59,6 +65,7 @@
             deadline: now + limits.begin,
             counted: None,
             received: 0,
+            has_resumed: false,
         }
     }
 
@@ -85,8 +92,17 @@
         }
     }
 
-    /// Whether the transfer has to be given up.
-    pub fn is_stalled(&self, now: Time) -> bool {
-        now >= self.deadline
+    /// Whether the transfer has to be given up. After the process has stood still, another pause begins
+    /// once.
+    pub fn is_stalled(&mut self, now: Time) -> bool {
+        if now < self.deadline {
+            return false;
+        }
+        if self.has_resumed || now.since(self.deadline) < STANDSTILL {
+            return true;
+        }
+        self.has_resumed = true;
+        self.deadline = now + self.pause;
+        false
     }
 }
--- a/core/tests/transfer.rs
+++ b/core/tests/transfer.rs
@@ -88,3 +88,24 @@
     assert!(limits.begin >= PAUSE + sending);
     assert_eq!(limits.pause, PAUSE);
 }
+
+/// Guards against a router that takes its own standstill for a silent store, and leaves the answer unread.
+#[test]
+fn a_process_that_stood_still_has_time_to_read_what_has_arrived() {
+    let start = Time::from_millis(1_000);
+    let mut transfer = Transfer::new(TransferLimits::new(WAIT, PAUSE), start);
+    let resumed = start + Duration::from_millis(3_500);
+    assert!(!transfer.is_stalled(resumed));
+    assert!(!transfer.is_stalled((resumed + PAUSE).before(STEP)));
+    assert!(transfer.is_stalled(resumed + PAUSE));
+}
+
+/// Guards against a dead connection that is kept while the process stands still again and again.
+#[test]
+fn a_standstill_counts_once_in_a_call() {
+    let start = Time::from_millis(1_000);
+    let mut transfer = Transfer::new(TransferLimits::new(WAIT, PAUSE), start);
+    let standstill = Duration::from_millis(3_500);
+    assert!(!transfer.is_stalled(start + standstill));
+    assert!(transfer.is_stalled(start + standstill * 2));
+}
