Look up a replaced order in the list of orders

Before the end of a version move is recorded, the router looked whether the order had been replaced by reading every record of the operators' stream since that order. The list has the newest record of the order's key, whatever was written since.

Found by reading.

--- a/src/report.rs
+++ b/src/report.rs
@@ -14,7 +14,7 @@
 };
 use ebonyfall_platform::{
     moves::{self, RecordedStatus},
-    store::{self, KeyedRecord, OrderKey, Topic},
+    store::{self, OrderKey, Topic},
 };
 use http::StatusCode;
 use slog::{Logger, info, warn};
@@ -195,29 +195,13 @@
     /// withdrawal.
     async fn is_replaced(&self, order: &MoveOrder) -> Result<bool, StoreError> {
         let own_key = Some(OrderKey::Move(order.service.clone()));
-        let is_own = |record: &&KeyedRecord| store::decode_order_key(&record.key) == own_key;
-        let mut from = Position {
-            era: order.era,
-            offset: order.offset.next(),
-        };
-        loop {
-            let batch = match self.store.read(Topic::Orders, from, Duration::ZERO).await {
-                Ok(batch) => batch,
-                Err(StoreError::Expired) => {
-                    let Listing { records, .. } = self.store.newest(Topic::Orders, 0).await?;
-                    let newest = records.iter().find(is_own).map(|record| record.offset);
-                    return Ok(newest != Some(order.offset));
-                }
-                Err(error) => return Err(error),
-            };
-            if batch.records.iter().any(|record| is_own(&record)) {
-                return Ok(true);
-            }
-            if batch.next >= batch.end || batch.next <= from {
-                return Ok(false);
-            }
-            from = batch.next;
+        let Listing { records, end } = self.store.newest(Topic::Orders, 0).await?;
+        if end.era != order.era {
+            return Err(StoreError::restored(order.era, end.era));
         }
+        let mut records = records.into_iter();
+        let own = records.find(|record| store::decode_order_key(&record.key) == own_key);
+        Ok(own.map(|record| record.offset) != Some(order.offset))
     }
 
     fn log_replaced(&self, order: &MoveOrder, progress: MoveProgress) {
