List the newest records when a router is far behind a stream

Callers of a router whose machine had stood still got 503 for seconds, since it read every desired state that it had missed: ten of 123 kB in 3.5 s, and 304 to 420 kB every 0.33 s are more than 10 Mbit/s carry. Only the newest record of a key counts, and a list has just these.

A read now brings 128 KiB or one record; the offsets in its head tell how many are left. If these are longer than a list (estimated from the records read and from what is known), the router lists (stream_behind). The same for targets, which also read on at once instead of at the next interval, and no longer count as confirmed by an answer that leaves records.

--- /dev/null
+++ b/core/src/catch_up.rs
@@ -0,0 +1,44 @@
+//! Decides how a router that is behind a keyed stream of the store goes on.
+//!
+//! Only the newest record of a key counts. A router that has missed many records of few keys has what
+//! counts sooner from a list, whose size does not depend on what was missed.
+
+/// What one answer to a read of a stream brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadProgress {
+    /// Number of records.
+    pub records: u64,
+    /// Their size.
+    pub bytes: u64,
+    /// Number of later records that the stream has.
+    pub left: u64,
+}
+
+/// How the router goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CatchUp {
+    /// It has every record that the stream had when the answer was given.
+    UpToDate,
+    /// It reads the records that are left.
+    ReadOn,
+    /// It lists the newest record of each key.
+    List,
+}
+
+impl CatchUp {
+    /// Decides after an answer. `known_bytes` is the size of the newest records that the router has of
+    /// all keys, by which the size of a list is estimated.
+    pub fn after(read: ReadProgress, known_bytes: u64) -> Self {
+        if read.left == 0 {
+            return Self::UpToDate;
+        }
+        // Values of a list are in base64.
+        let list_bytes = known_bytes.saturating_mul(4) / 3;
+        let mean_bytes = read.bytes.checked_div(read.records);
+        let left_bytes = mean_bytes.map(|mean| mean.saturating_mul(read.left));
+        match left_bytes {
+            Some(left) if left <= list_bytes => Self::ReadOn,
+            _ => Self::List,
+        }
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod answer;
 pub mod budget;
+pub mod catch_up;
 pub mod changeover;
 pub mod chat;
 pub mod choose;
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -11,6 +11,7 @@
 };
 
 use ebonyfall_core::{
+    catch_up::{CatchUp, ReadProgress},
     desired::DesiredState,
     eras::Eras,
     lease::Lease,
@@ -173,6 +174,20 @@
         error.needs_list()
     }
 
+    /// Decides how to go on after a read that made this `progress`, and logs a list. `mirror` has what
+    /// is known of the stream.
+    fn catch_up(&self, progress: ReadProgress, mirror: &Mirror) -> CatchUp {
+        let known_bytes = mirror.size();
+        let next = CatchUp::after(progress, known_bytes);
+        if next == CatchUp::List {
+            info!(self.log, "far behind the stream; listing its newest records";
+                "event" => "stream_behind", "stream" => self.stream, "left" => progress.left,
+                "records" => progress.records, "bytes" => progress.bytes,
+                "known_bytes" => known_bytes);
+        }
+        next
+    }
+
     /// Waits for half to one and a half times `mean`, so that routers that failed at the same time
     /// do not retry together.
     async fn sleep_with_jitter(mean: Duration) {
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -9,6 +9,7 @@
 
 use derive_more::Display;
 use ebonyfall_core::{
+    catch_up::CatchUp,
     changeover::MoveOrder,
     desired::DesiredState,
     eras::{Eras, ListUse},
@@ -186,8 +187,9 @@
     /// Reads changes until the stream has to be listed again; returns why.
     async fn tail(&mut self, mut from: Position) -> StoreError {
         let mut wait = ORDER_READ_WAIT;
+        let mut is_behind = false;
         loop {
-            if self.eras.is_list_due(BootClock.now()) {
+            if std::mem::take(&mut is_behind) || self.eras.is_list_due(BootClock.now()) {
                 match self.snapshot().await {
                     Ok(end) => from = end,
                     Err(error) => from = self.on_failure(&error, from).await,
@@ -214,21 +216,24 @@
             self.fetch.begin(Step::Stream, requested_at);
             match self.store.read(Topic::Orders, from, wait).await {
                 Ok(tail) => {
-                    self.record_answer(tail.left());
+                    let progress = tail.progress();
+                    self.record_answer(progress.left);
                     let changed = !tail.records.is_empty();
                     self.apply_changes(tail.records, tail.next, Origin::Stream)
                         .await;
+                    from = tail.next;
+                    let next = self.health.catch_up(progress, &self.mirror.borrow());
+                    is_behind = next == CatchUp::List;
                     // An empty answer means that the store waited for the full time and had no new
                     // record at the end of it, so the state is confirmed for that moment. An answer
                     // with records may have been sent at any time after `requested_at`, so the next
                     // read does not wait and confirms the state at once.
-                    wait = if changed {
+                    wait = if changed || progress.left > 0 {
                         Duration::ZERO
                     } else {
                         self.confirm(requested_at + wait);
                         longest_wait
                     };
-                    from = tail.next;
                 }
                 Err(error) if error.needs_list() => return error,
                 Err(error) => {
--- a/src/follow/targets.rs
+++ b/src/follow/targets.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashSet, time::Duration};
 
 use ebonyfall_core::{
+    catch_up::CatchUp,
     eras::{Eras, ListUse},
     id::Position,
     name::TargetName,
@@ -124,12 +125,12 @@
                 self.source.record_failure(rand::random(), BootClock.now());
             }
             let read = if is_list_due {
-                self.snapshot().await
+                self.snapshot().await.map(|next| from = next)
             } else {
-                self.read(from).await
+                self.read(&mut from).await
             };
             match read {
-                Ok(next) => from = next,
+                Ok(()) => {}
                 Err(error) if error.needs_list() => return error,
                 Err(error) => match self.peers.read(from).await {
                     Some(read) if self.is_usable(&read) => {
@@ -144,17 +145,28 @@
         }
     }
 
-    /// Reads changes from the store; returns the position of the next read.
-    async fn read(&mut self, from: Position) -> Result<Position, StoreError> {
-        let requested_at = BootClock.now();
-        let tail = self
-            .store
-            .read(Topic::Targets, from, Duration::ZERO)
-            .await?;
-        self.health.record_answer(BootClock.now());
-        self.apply_changes(tail.records, tail.next, Some(requested_at))
-            .await;
-        Ok(tail.next)
+    /// Reads changes from the store until none is left; moves `from` with each answer.
+    async fn read(&mut self, from: &mut Position) -> Result<(), StoreError> {
+        loop {
+            let requested_at = BootClock.now();
+            let tail = self
+                .store
+                .read(Topic::Targets, *from, Duration::ZERO)
+                .await?;
+            self.health.record_answer(BootClock.now());
+            let progress = tail.progress();
+            // An answer that leaves records does not have the state of that moment.
+            let confirmed = (progress.left == 0).then_some(requested_at);
+            self.apply_changes(tail.records, tail.next, confirmed).await;
+            *from = tail.next;
+            match self.health.catch_up(progress, &self.mirror.borrow()) {
+                CatchUp::UpToDate => return Ok(()),
+                CatchUp::ReadOn => {}
+                CatchUp::List => break,
+            }
+        }
+        *from = self.snapshot().await?;
+        Ok(())
     }
 
     /// Source of the next read, and whether other routers follow this one.
--- a/src/mirror.rs
+++ b/src/mirror.rs
@@ -3,7 +3,6 @@
 
 use std::collections::{HashMap, HashSet};
 
-use bytes::Bytes;
 use ebonyfall_core::{
     id::{Era, Offset, Position},
     time::Time,
@@ -94,6 +93,15 @@
         self.next.map(|next| next.era)
     }
 
+    /// Size of the keys and values of all current records, in bytes.
+    pub fn size(&self) -> u64 {
+        let live = self
+            .records
+            .values()
+            .filter(|record| record.value.is_some());
+        live.map(KeyedRecord::size).sum::<usize>() as u64
+    }
+
     /// Whether the mirror has a record at or after position `from`.
     pub fn has_changes(&self, from: Position) -> bool {
         self.next.is_some_and(|next| next > from)
@@ -143,9 +151,7 @@
         });
         let mut changed: Vec<_> = changed.collect();
         changed.sort_by_key(|record| record.offset);
-        let size =
-            |record: &&KeyedRecord| record.key.len() + record.value.as_ref().map_or(0, Bytes::len);
-        if changed.iter().map(size).sum::<usize>() > max_bytes {
+        if changed.iter().map(|record| record.size()).sum::<usize>() > max_bytes {
             return None;
         }
         let records = changed.into_iter().map(|record| KeyRecord {
--- a/src/store.rs
+++ b/src/store.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ebonyfall_core::{
+    catch_up::ReadProgress,
     id::{Era, Offset, Position},
     transfer::TransferLimits,
 };
@@ -25,6 +26,9 @@
 /// Maximum size of an answer, in bytes. The store returns at most 1 MiB of records in a call, a third
 /// more in a list, where values are in base64.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Size of the records in the answer to a read, in KiB; a longer record comes alone. A router that is
+/// behind learns from it how far, before it reads what a list would spare it.
+const MAX_READ_KB: u32 = 128;
 /// Largest list of newest records, in bytes of keys and values; several times the entries and the
 /// desired state of the target size.
 pub const MAX_LIST_BYTES: usize = 32 << 20;
@@ -116,10 +120,15 @@
 }
 
 impl Batch {
-    /// Number of records after this batch that the stream had when the store answered.
-    pub fn left(&self) -> u64 {
+    /// What the batch brought, and how many records the stream had after it.
+    pub fn progress(&self) -> ReadProgress {
         let (next, end) = (u64::from(self.next.offset), u64::from(self.end.offset));
-        end.saturating_sub(next)
+        let bytes: usize = self.records.iter().map(KeyedRecord::size).sum();
+        ReadProgress {
+            records: self.records.len() as u64,
+            bytes: bytes as u64,
+            left: end.saturating_sub(next),
+        }
     }
 }
 
@@ -176,7 +185,7 @@
                 Some(_) => self.later_page(&path, wait).await?,
             };
             let page = store::decode_newest(&answer.body).context(DecodeSnafu)?;
-            bytes += page.records.iter().map(record_len).sum::<usize>();
+            bytes += page.records.iter().map(KeyedRecord::size).sum::<usize>();
             if bytes > MAX_LIST_BYTES {
                 return TooLongSnafu.fail();
             }
@@ -224,7 +233,7 @@
         from: Position,
         wait: Duration,
     ) -> Result<Batch, StoreError> {
-        let path = store::read_path(topic, from.offset, wait);
+        let path = store::read_path(topic, from.offset, wait, MAX_READ_KB);
         match self.call(Method::GET, &path, Vec::new(), wait).await {
             Ok(answer) => decode_batch(from, answer),
             Err(StoreError::Call { mut source }) => {
@@ -349,7 +358,3 @@
     ensure!(era == known, RestoredSnafu { known, era });
     Ok(())
 }
-
-fn record_len(record: &KeyedRecord) -> usize {
-    record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
-}
