Confirm the orders while states follow each other without a pause

An answer that reaches the end of the stream has the state of the moment at which it was requested; one that leaves records has the state of the last moment whose end has been reached since. core/tests/catch_up.rs gets the lease and a stream that the link just carries; the former rule is a fault there (ConfirmsWhenEmpty), which the checks find.

--- a/core/src/catch_up.rs
+++ b/core/src/catch_up.rs
@@ -3,6 +3,8 @@
 //! Only the newest record of a key counts. A router that has missed many records of few keys has what
 //! counts sooner from a list, whose size does not depend on what was missed.
 
+use crate::{id::Position, time::Time};
+
 /// What one answer to a read of a stream brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReadProgress {
@@ -42,3 +44,41 @@
         }
     }
 }
+
+/// Tells for which moment a router knows all records of a stream that others write all the time.
+///
+/// An answer that leaves records does not confirm the router's state. Once the router has read as far as
+/// the stream reached at an earlier read, it has the state of that moment.
+#[derive(Debug, Default)]
+pub struct Confirmation {
+    awaited: Option<Awaited>,
+}
+
+/// End of the stream at some time.
+#[derive(Debug, Clone, Copy)]
+struct Awaited {
+    end: Position,
+    at: Time,
+}
+
+impl Confirmation {
+    /// Records an answer that was requested at `requested_at`. The router has the records before `next`,
+    /// and the stream reached to `end`. Returns the latest time of which it has the state, if that is
+    /// known now.
+    pub fn record(&mut self, next: Position, end: Position, requested_at: Time) -> Option<Time> {
+        if next >= end {
+            self.awaited = None;
+            return Some(requested_at);
+        }
+        let awaited = Awaited {
+            end,
+            at: requested_at,
+        };
+        let earlier = *self.awaited.get_or_insert(awaited);
+        if next < earlier.end {
+            return None;
+        }
+        self.awaited = Some(awaited);
+        Some(earlier.at)
+    }
+}
--- a/core/tests/catch_up.rs
+++ b/core/tests/catch_up.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use ebonyfall_core::{
-    catch_up::{CatchUp, ReadProgress},
+    catch_up::{CatchUp, Confirmation, ReadProgress},
+    id::{Era, Offset, Position},
+    lease::Lease,
     time::Time,
     transfer::{Transfer, TransferLimits},
 };
@@ -12,6 +14,8 @@
 const THIN_LINK: u64 = 1_250_000;
 /// Time within which a change must be in force.
 const APPLY: Duration = Duration::from_secs(3);
+/// Time within which a revoked key must be refused.
+const REVOCATION: Duration = Duration::from_secs(5);
 const PAUSE: Duration = Duration::from_millis(700);
 const STEP: Duration = Duration::from_millis(10);
 /// Most bytes in an answer, but for its first record.
@@ -25,6 +29,8 @@
     NeverLists,
     /// Ends each call after the pause, and begins at the same position.
     FixedTime,
+    /// Counts its state as confirmed only by an answer without records.
+    ConfirmsWhenEmpty,
 }
 
 /// Store with one key, whose record of `bytes` is replaced every `gap`.
@@ -47,6 +53,8 @@
 struct Outcome {
     /// Longest time, after the first [`APPLY`], that a record was not in force after it was written.
     late: Duration,
+    /// Whether the lease on the state ran out, after the first [`APPLY`].
+    lapsed: bool,
     /// Bytes that the router had received when it was first up to date; `None` if it never was.
     cost: Option<u64>,
 }
@@ -57,12 +65,15 @@
     let (mut now, mut position, mut received) = (resumed, 0, 0);
     let mut outcome = Outcome {
         late: Duration::ZERO,
+        lapsed: false,
         cost: None,
     };
+    let (mut confirmation, mut lease) = (Confirmation::default(), Lease::new(REVOCATION));
     let mut lists = false;
     while now.since(resumed) < until {
         let end = stream.end(now);
-        let max_read = if bug == Bug::None { MAX_READ } else { 1 << 20 };
+        let is_old = matches!(bug, Bug::NeverLists | Bug::FixedTime);
+        let max_read = if is_old { 1 << 20 } else { MAX_READ };
         let records = (end - position).min((max_read / stream.bytes).max(1));
         let bytes = if lists {
             stream.bytes * 4 / 3
@@ -71,7 +82,9 @@
         };
         let (arrived, done) = receive(bug, bytes, now);
         outcome.late = outcome.late.max(late(stream, position, resumed, done));
+        let requested_at = now;
         now = done;
+        outcome.lapsed |= now.since(resumed) > APPLY && !lease.is_valid(now);
         received += arrived;
         if arrived < bytes {
             continue;
@@ -83,7 +96,17 @@
             left: end - position,
         };
         let next = CatchUp::after(read, stream.bytes);
-        lists = bug == Bug::None && next == CatchUp::List;
+        let confirmed = if lists {
+            Some(requested_at)
+        } else if bug == Bug::ConfirmsWhenEmpty {
+            (end == position && records == 0).then_some(requested_at)
+        } else {
+            confirmation.record(place(position), place(end), requested_at)
+        };
+        if let Some(confirmed) = confirmed {
+            lease.confirm(confirmed);
+        }
+        lists = !is_old && next == CatchUp::List;
         if next == CatchUp::UpToDate {
             outcome.cost.get_or_insert(received);
             now = now + STEP;
@@ -92,6 +115,13 @@
     outcome
 }
 
+fn place(offset: u64) -> Position {
+    Position {
+        era: Era::default(),
+        offset: Offset::from(offset),
+    }
+}
+
 /// Bytes of an answer that have arrived when the call ends, and when it ends.
 fn receive(bug: Bug, bytes: u64, start: Time) -> (u64, Time) {
     let mut transfer = Transfer::new(TransferLimits::new(Duration::ZERO, PAUSE), start);
@@ -132,12 +162,18 @@
     bytes: 420_000,
     gap: Duration::from_millis(330),
 };
+/// States of which the link carries about one in each gap, so that a read always finds a newer one.
+const NEXT_STATES: Stream = Stream {
+    bytes: 250_000,
+    gap: Duration::from_millis(170),
+};
+const STREAMS: [Stream; 3] = [LONG_STATES, LONGEST_STATES, NEXT_STATES];
 const PLAYED: Duration = Duration::from_secs(20);
 
 /// Guards against a router that stays behind the desired state, although it reaches the store.
 #[test]
 fn a_router_behind_has_the_newest_state_in_time_over_a_thin_link() {
-    for stream in [LONG_STATES, LONGEST_STATES] {
+    for stream in STREAMS {
         for missed in [1, 3, 11, 60, 600] {
             let outcome = catch_up(Bug::None, stream, missed, PLAYED);
             assert!(
@@ -168,12 +204,12 @@
 /// Guards against checks that pass whatever the router does.
 #[test]
 fn the_checks_find_a_router_that_stays_behind() {
-    for bug in [Bug::NeverLists, Bug::FixedTime] {
-        let late = [LONG_STATES, LONGEST_STATES].map(|stream| {
-            let outcome = catch_up(bug, stream, 60, PLAYED);
-            outcome.late
-        });
-        assert!(late.iter().any(|late| *late >= APPLY), "{bug:?}: {late:?}");
+    for bug in [Bug::NeverLists, Bug::FixedTime, Bug::ConfirmsWhenEmpty] {
+        let outcomes = STREAMS.map(|stream| catch_up(bug, stream, 60, PLAYED));
+        let found = outcomes
+            .iter()
+            .any(|outcome| outcome.late >= APPLY || outcome.lapsed);
+        assert!(found, "{bug:?}: {outcomes:?}");
     }
 }
 
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -11,7 +11,7 @@
 };
 
 use ebonyfall_core::{
-    catch_up::{CatchUp, ReadProgress},
+    catch_up::{CatchUp, Confirmation, ReadProgress},
     desired::DesiredState,
     eras::Eras,
     lease::Lease,
@@ -89,6 +89,7 @@
         store: store.clone(),
         times,
         eras: Eras::new(ORDERS_SETTLE_TIME),
+        confirmation: Confirmation::default(),
         may_lack_revocation: false,
         selector: selector.clone(),
         desired: desired_tx,
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -9,7 +9,7 @@
 
 use derive_more::Display;
 use ebonyfall_core::{
-    catch_up::CatchUp,
+    catch_up::{CatchUp, Confirmation},
     changeover::MoveOrder,
     desired::DesiredState,
     eras::{Eras, ListUse},
@@ -71,6 +71,7 @@
     pub(super) lease: watch::Sender<Lease>,
     pub(super) last_answer: watch::Sender<Option<Time>>,
     pub(super) eras: Eras,
+    pub(super) confirmation: Confirmation,
     /// Whether the copy from which the store has come back may lack a revocation that this router
     /// does not know.
     pub(super) may_lack_revocation: bool,
@@ -115,6 +116,8 @@
         let Listing { records, end } = self.store.newest(Topic::Orders, failures).await?;
         self.apply_list(records, end, Origin::List).await?;
         self.record_answer(0);
+        // Positions of before the list do not tell how far the router has read since.
+        self.confirmation = Confirmation::default();
         self.confirm(requested_at);
         Ok(end)
     }
@@ -219,6 +222,7 @@
                     let progress = tail.progress();
                     self.record_answer(progress.left);
                     let changed = !tail.records.is_empty();
+                    let confirmed = self.confirmation.record(tail.next, tail.end, requested_at);
                     self.apply_changes(tail.records, tail.next, Origin::Stream)
                         .await;
                     from = tail.next;
@@ -228,12 +232,16 @@
                     // record at the end of it, so the state is confirmed for that moment. An answer
                     // with records may have been sent at any time after `requested_at`, so the next
                     // read does not wait and confirms the state at once.
-                    wait = if changed || progress.left > 0 {
-                        Duration::ZERO
+                    let is_empty = !changed && progress.left == 0;
+                    let (waited, next_wait) = if is_empty {
+                        (wait, longest_wait)
                     } else {
-                        self.confirm(requested_at + wait);
-                        longest_wait
+                        (Duration::ZERO, Duration::ZERO)
                     };
+                    if let Some(confirmed) = confirmed {
+                        self.confirm(confirmed + waited);
+                    }
+                    wait = next_wait;
                 }
                 Err(error) if error.needs_list() => return error,
                 Err(error) => {
