--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -19,7 +19,10 @@
     time::{Instant, sleep},
 };
 
-use crate::callers::{Attempt, GUEST_KEY, STREAM_EVENTS, surge};
+use crate::{
+    callers::{Attempt, GUEST_KEY, STREAM_EVENTS, surge},
+    catch_up::{self, THIN_LINK},
+};
 
 /// Longest time after its revocation for which any router may accept a key.
 const REVOCATION_BOUND: Duration = Duration::from_secs(5);
@@ -32,6 +35,8 @@
 
 /// Desired states after which the store goes back to an older copy.
 const STATES_PER_RESTORE: u64 = 4;
+/// Longest desired state, in bytes.
+const MAX_STATE_BYTES: usize = 200_000;
 /// Records that each stream loses then.
 const LOST_RECORDS: usize = 3;
 
@@ -249,6 +254,7 @@
     fn random_fault(&mut self) -> ConnectionFault {
         let faults = [
             ConnectionFault::Delay(Duration::from_millis(30)),
+            ConnectionFault::Rate(THIN_LINK),
             ConnectionFault::Reset,
             ConnectionFault::DropToServer,
             ConnectionFault::DropToCaller,
@@ -272,7 +278,8 @@
         };
         // A grant counts from the start of the write, a revocation from its acknowledgement.
         let began = Instant::now();
-        env.put_desired_state(self.version, keys).await;
+        let bytes = self.random.random_range(0..MAX_STATE_BYTES);
+        env.put_long_desired_state(self.version, keys, bytes).await;
         let at = if granted { began } else { Instant::now() };
         self.guest_changes.push((at, granted));
         if self.version.is_multiple_of(STATES_PER_RESTORE) {
@@ -280,6 +287,12 @@
         }
     }
 
+    /// Checks that routers catch up over thin links once all faults have ended.
+    pub async fn check_catch_up(&mut self, env: &mut EntryDeployment) {
+        let late = catch_up::check(env, &mut self.random, self.version).await;
+        self.broken.extend(late);
+    }
+
     /// Makes the store go back to an older copy. The operator and the targets write again what it has
     /// lost.
     async fn restore_store(&self, env: &EntryDeployment, keys: &[&str]) {
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -5,6 +5,7 @@
 mod cache;
 mod callers;
 pub mod case;
+mod catch_up;
 pub mod claims;
 pub mod client;
 pub mod config;
--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -179,6 +179,7 @@
         last_served += usize::from(last.is_served());
         requests.push(vec![last]);
     }
+    faults.check_catch_up(&mut env).await;
     let repeated: Vec<_> = requests
         .iter()
         .filter(|attempts| attempts.len() > 1)
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -245,6 +245,18 @@
         self.get_page(router, "/metrics").await
     }
 
+    /// Returns the version of the desired state that a router has in force; `None` before the first one.
+    ///
+    /// # Panics
+    ///
+    /// Panics like [`Self::metrics`].
+    pub async fn desired_version(&self, router: usize) -> Option<u64> {
+        let metrics = self.metrics(router).await;
+        let mut lines = metrics.lines();
+        let version = lines.find_map(|line| line.strip_prefix("ebonyfall_desired_version "))?;
+        version.parse().ok()
+    }
+
     /// Returns a router's state dump.
     ///
     /// # Panics
--- a/tests/entry/thin_link.rs
+++ b/tests/entry/thin_link.rs
@@ -25,16 +25,6 @@
     env
 }
 
-/// Version of the desired state that is in force.
-async fn version(env: &EntryEnv) -> u64 {
-    let metrics = env.metrics(0).await;
-    let mut lines = metrics.lines();
-    let value = lines.find_map(|line| line.strip_prefix("ebonyfall_desired_version "));
-    value
-        .and_then(|value| value.parse().ok())
-        .expect("a version is in force")
-}
-
 /// Guards against a router that reads each state it missed, with the same time for all of them together.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_router_that_missed_many_long_states_has_the_newest_in_time() {
@@ -48,9 +38,12 @@
     sleep(STANDSTILL).await;
     env.signal(0, "CONT");
     let resumed = Instant::now();
-    while version(&env).await < LAST {
-        let version = version(&env).await;
-        assert!(resumed.elapsed() < APPLY, "version {version} is in force");
+    loop {
+        let version = env.desired_version(0).await;
+        if version == Some(LAST) {
+            break;
+        }
+        assert!(resumed.elapsed() < APPLY, "version {version:?} is in force");
         sleep(Duration::from_millis(50)).await;
     }
     let reply = env.call_router(0, "GET", SAFE, "", &[]).await;
@@ -71,10 +64,10 @@
         sleep(GAP).await;
         let due = written.iter().rev().find(|(_, at)| at.elapsed() > APPLY);
         let due = due.map_or(1, |(number, _)| *number);
-        let version = version(&env).await;
+        let version = env.desired_version(0).await;
         assert!(
-            version >= due,
-            "version {version} is in force instead of {due}"
+            version >= Some(due),
+            "version {version:?} is in force instead of {due}"
         );
         let reply = env.call_router(0, "GET", SAFE, "", &[]).await;
         assert_eq!(reply.status, StatusCode::OK, "after version {number}");
