Bound the wait on the store by the time in which a change must be in force

A router that no other one follows waited 1.8 s for the store's answer, whatever apply-ms is.

The wait is now the age up to which orders may be used without asking (45 % of apply-ms), 1.8 s at most; while no other router has recent records, the store is asked again after 0.25 s instead of 0.7 s. a_change_is_in_force_in_time_when_connections_fall_silent (fake clock) fails with the former wait at a bound of 2 s (seed 3, 2 routers) and passes. Routers that nobody follows make up to twice the calls of orders on sites with 2 s.

--- a/core/src/readers.rs
+++ b/core/src/readers.rs
@@ -37,6 +37,9 @@
 pub struct FollowTimes {
     /// Age of the orders from which a router reads them from the store instead of a reader.
     pub max_age: Duration,
+    /// Longest wait for a record in a call of the store by a router that no other one follows. It bounds
+    /// the time until a connection without any answer is found.
+    pub store_wait: Duration,
     /// Longest wait for a record in a reader's call of the store.
     pub reader_wait: Duration,
     /// Longest wait for a record in a follower's read.
@@ -54,6 +57,8 @@
     const READER_WAIT_PERCENT: u32 = 67;
     /// Longest wait of a follower, in the same unit.
     const FOLLOW_WAIT_PERCENT: u32 = 37;
+    /// Upper limit of the wait of a router that no other one follows.
+    const MAX_STORE_WAIT: Duration = Duration::from_millis(1_800);
     /// Upper limit of a reader's wait.
     const MAX_READER_WAIT: Duration = Duration::from_millis(900);
     /// Upper limit of a follower's wait.
@@ -67,6 +72,7 @@
         let follow_wait = max_age * Self::FOLLOW_WAIT_PERCENT / 100;
         Self {
             max_age,
+            store_wait: max_age.min(Self::MAX_STORE_WAIT),
             reader_wait: reader_wait.min(Self::MAX_READER_WAIT),
             follow_wait: follow_wait.min(Self::MAX_FOLLOW_WAIT),
         }
--- a/core/tests/readers.rs
+++ b/core/tests/readers.rs
@@ -38,8 +38,6 @@
 const SMALL: Bounds = Bounds::new(2_000, 3_000);
 const GROWN: Bounds = Bounds::new(3_000, 4_000);
 const LARGE: Bounds = Bounds::new(4_000, 5_000);
-/// Longest wait of a read from the store.
-const STORE_WAIT: Duration = Duration::from_millis(1_800);
 /// Time in which the store's answer with a long state arrives over a slow link.
 const LONG_TRANSFER: Duration = Duration::from_millis(420);
 /// Time in addition to the wait after which a read from the store has failed.
@@ -72,6 +70,8 @@
     None,
     /// The zone's readers freeze, are killed or lose the store; the store itself is up.
     Readers,
+    /// The connections of all routers to the store fall silent at the same moment; new ones work.
+    Silence,
     /// Anything happens to any router, and the store is down at times.
     All,
 }
@@ -84,6 +84,8 @@
     wait: Duration,
     /// When an answer with a change has arrived; `None` before the store sends it.
     arrives: Option<Time>,
+    /// Whether the connection carries no answer any more.
+    is_silent: bool,
 }
 
 struct Router {
@@ -230,6 +232,14 @@
         }
         let number = match faults {
             Faults::None => return,
+            Faults::Silence => {
+                for router in &mut self.routers {
+                    if let Some(read) = &mut router.read {
+                        read.is_silent = true;
+                    }
+                }
+                return;
+            }
             Faults::Readers => {
                 let mut entries: Vec<_> = self.routers.iter().map(|r| &r.entry).collect();
                 entries.sort();
@@ -279,7 +289,9 @@
         let due = now >= read.sent_at + read.wait;
         match read.source {
             Source::Store => {
-                let up = now >= self.store_down_until && now >= self.routers[number].no_store_until;
+                let up = now >= self.store_down_until
+                    && now >= self.routers[number].no_store_until
+                    && !read.is_silent;
                 let key_valid = now < self.revoked_at;
                 let router = &mut self.routers[number];
                 let changed = router.key_valid != Some(key_valid);
@@ -290,7 +302,11 @@
                 let has_change = arrives.is_some_and(|at| now >= at);
                 if up && (has_change || due && !changed) {
                     // As the reader of the stream does: an answer with a change confirms nothing.
-                    router.wait = if changed { Duration::ZERO } else { STORE_WAIT };
+                    router.wait = if changed {
+                        Duration::ZERO
+                    } else {
+                        router.times.store_wait
+                    };
                     if !changed {
                         router.lease.confirm(read.sent_at + read.wait);
                     }
@@ -382,6 +398,7 @@
             sent_at: now,
             wait,
             arrives: None,
+            is_silent: false,
         });
         self.store_calls += u32::from(source == Source::Store);
     }
@@ -455,6 +472,23 @@
     }
 }
 
+/// Guards against a router that waits so long on a connection which has fallen silent that it has a change
+/// too late.
+#[test]
+fn a_change_is_in_force_in_time_when_connections_fall_silent() {
+    for seed in seeds() {
+        for bounds in [SMALL, GROWN, LARGE] {
+            for routers in [1, 2, 12] {
+                let mut world = World::with_bounds(seed, routers, Bug::None, bounds);
+                world.change_at_fault = true;
+                if let Err(fault) = world.run(Faults::Silence) {
+                    panic!("seed {seed}, {bounds:?}, {routers} routers: {fault}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against routers that refuse callers because their readers fail while the store is up.
 #[test]
 fn followers_stay_current_while_readers_fail() {
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -38,9 +38,6 @@
     store::{Listing, StoreClient, StoreError},
 };
 
-/// Long-poll timeout for reads of operators' orders, which bounds the age of the last confirmation
-/// and the time until a connection without any answer is detected.
-const ORDER_READ_WAIT: Duration = Duration::from_millis(1_800);
 /// Shortest wait of a read from a reader. A read without a wait may get a state of any length.
 const MIN_FOLLOW_WAIT: Duration = Duration::from_millis(1);
 /// Mean delay before the next call after the store has failed and another router has supplied the
@@ -189,7 +186,7 @@
 
     /// Reads changes until the stream has to be listed again; returns why.
     async fn tail(&mut self, mut from: Position) -> StoreError {
-        let mut wait = ORDER_READ_WAIT;
+        let mut wait = self.times.store_wait;
         let mut is_behind = false;
         loop {
             if std::mem::take(&mut is_behind) || self.eras.is_list_due(BootClock.now()) {
@@ -263,8 +260,15 @@
             self.pause(RETRY_DELAY).await;
             return from;
         };
+        let is_recent = self.source.is_recent(read.confirmed, BootClock.now());
         let next = self.apply_read(read).await;
-        self.pause(PEER_READ_DELAY).await;
+        // While no other router has recent records, only the store can help.
+        let pause = if is_recent {
+            PEER_READ_DELAY
+        } else {
+            RETRY_DELAY
+        };
+        self.pause(pause).await;
         next
     }
 
@@ -282,7 +286,7 @@
     /// Source of the next read, and how long a read of the store may wait for a record.
     fn next_source(&self) -> (Source, Duration) {
         let Some((own, routers)) = self.peers.zone_routers() else {
-            return (Source::Store, ORDER_READ_WAIT);
+            return (Source::Store, self.times.store_wait);
         };
         let confirmed = self.lease.borrow().confirmed_at();
         let source = self
@@ -291,7 +295,7 @@
         let longest_wait = if readers::has_followers(&own, &routers) {
             self.times.reader_wait
         } else {
-            ORDER_READ_WAIT
+            self.times.store_wait
         };
         (source, longest_wait)
     }
