Confirm a wait on the store only if the answer has no record at all

An answer with nothing but a record that cannot be decoded comes before the wait is over, and was taken for one without records: the orders counted as confirmed for up to 1.8 s that had not passed, so that a revoked key could be accepted that much longer. Found by reading; the store's stream may have records of other writers. a_wait_counts_as_confirmed_only_without_any_record checks the decision, which is in the core now; the former rule looked at the decoded records.

--- a/core/src/catch_up.rs
+++ b/core/src/catch_up.rs
@@ -3,6 +3,8 @@
 //! Only the newest record of a key counts. A router that has missed many records of few keys has what
 //! counts sooner from a list, whose size does not depend on what was missed.
 
+use std::time::Duration;
+
 use crate::{id::Position, time::Time};
 
 /// What one answer to a read of a stream brought.
@@ -61,14 +63,38 @@
     at: Time,
 }
 
+/// Positions of one answer to a read of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span {
+    /// Where the read began.
+    pub from: Position,
+    /// Where the next read begins.
+    pub next: Position,
+    /// End of the stream when the store answered.
+    pub end: Position,
+}
+
+impl Span {
+    /// Whether there was no record, not even one that cannot be decoded, so that the store has waited as
+    /// long as it was asked to.
+    pub fn is_empty(&self) -> bool {
+        self.next == self.from && self.end == self.from
+    }
+}
+
 impl Confirmation {
-    /// Records an answer that was requested at `requested_at`. The router has the records before `next`,
-    /// and the stream reached to `end`. Returns the latest time of which it has the state, if that is
-    /// known now.
-    pub fn record(&mut self, next: Position, end: Position, requested_at: Time) -> Option<Time> {
+    /// Records an answer that was requested at `requested_at`, with up to `wait` for a record. Returns the
+    /// latest time of which the router has the state, if that is known now.
+    pub fn record(&mut self, span: Span, requested_at: Time, wait: Duration) -> Option<Time> {
+        let Span { next, end, .. } = span;
         if next >= end {
             self.awaited = None;
-            return Some(requested_at);
+            let waited = if span.is_empty() {
+                wait
+            } else {
+                Duration::ZERO
+            };
+            return Some(requested_at + waited);
         }
         let awaited = Awaited {
             end,
--- a/core/tests/catch_up.rs
+++ b/core/tests/catch_up.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ebonyfall_core::{
-    catch_up::{CatchUp, Confirmation, ReadProgress},
+    catch_up::{CatchUp, Confirmation, ReadProgress, Span},
     id::{Era, Offset, Position},
     lease::Lease,
     time::Time,
@@ -101,7 +101,12 @@
         } else if bug == Bug::ConfirmsWhenEmpty {
             (end == position && records == 0).then_some(requested_at)
         } else {
-            confirmation.record(place(position), place(end), requested_at)
+            let span = Span {
+                from: place(position - records),
+                next: place(position),
+                end: place(end),
+            };
+            confirmation.record(span, requested_at, Duration::ZERO)
         };
         if let Some(confirmed) = confirmed {
             lease.confirm(confirmed);
@@ -228,3 +233,24 @@
     };
     assert_eq!(CatchUp::after(read, 300 * 250), CatchUp::List);
 }
+
+/// Guards against a state that counts as confirmed for a time which the store did not wait for, since the
+/// answer had only a record that cannot be decoded.
+#[test]
+fn a_wait_counts_as_confirmed_only_without_any_record() {
+    let (requested_at, wait) = (Time::from_millis(1_000), Duration::from_secs(1));
+    let span = Span {
+        from: place(4),
+        next: place(4),
+        end: place(4),
+    };
+    let confirmed = Confirmation::default().record(span, requested_at, wait);
+    assert_eq!(confirmed, Some(requested_at + wait));
+    let skipped = Span {
+        next: place(5),
+        end: place(5),
+        ..span
+    };
+    let confirmed = Confirmation::default().record(skipped, requested_at, wait);
+    assert_eq!(confirmed, Some(requested_at));
+}
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -58,6 +58,27 @@
     Router,
 }
 
+/// Next read of the orders.
+#[derive(Debug, Clone, Copy)]
+struct NextRead {
+    from: Position,
+    /// Time for which the store may wait for a record.
+    wait: Duration,
+    /// Whether the newest records are listed instead.
+    is_list: bool,
+}
+
+impl NextRead {
+    /// A read of the stream that does not wait.
+    fn at_once(from: Position) -> Self {
+        Self {
+            from,
+            wait: Duration::ZERO,
+            is_list: false,
+        }
+    }
+}
+
 /// Task that follows operators' orders.
 pub(super) struct OrderTask {
     pub(super) store: StoreClient,
@@ -185,72 +206,84 @@
     }
 
     /// Reads changes until the stream has to be listed again; returns why.
-    async fn tail(&mut self, mut from: Position) -> StoreError {
-        let mut wait = self.times.store_wait;
-        let mut is_behind = false;
+    async fn tail(&mut self, from: Position) -> StoreError {
+        let mut next = NextRead {
+            wait: self.times.store_wait,
+            ..NextRead::at_once(from)
+        };
         loop {
-            if std::mem::take(&mut is_behind) || self.eras.is_list_due(BootClock.now()) {
-                match self.snapshot().await {
-                    Ok(end) => from = end,
-                    Err(error) => from = self.on_failure(&error, from).await,
-                }
-                wait = Duration::ZERO;
+            if next.is_list || self.eras.is_list_due(BootClock.now()) {
+                let from = match self.snapshot().await {
+                    Ok(end) => end,
+                    Err(error) => self.on_failure(&error, next.from).await,
+                };
+                next = NextRead::at_once(from);
                 continue;
             }
             let (source, longest_wait) = self.next_source();
             if let Source::Reader(reader) = source {
-                let follow_wait = self.follow_wait();
-                self.fetch.begin(Step::Reader, BootClock.now());
-                match self.peers.read_from(reader, from, follow_wait).await {
-                    Some(read) if self.source.is_recent(read.confirmed, BootClock.now()) => {
-                        self.health.record_answer(BootClock.now());
-                        self.last_answer.send_replace(read.confirmed);
-                        from = self.apply_read(read).await;
-                    }
-                    read => self.leave_reader(reader, read.and_then(|read| read.confirmed)),
-                }
-                wait = Duration::ZERO;
+                let from = self.read_reader(reader, next.from).await;
+                next = NextRead::at_once(from);
                 continue;
             }
-            let requested_at = BootClock.now();
-            self.fetch.begin(Step::Stream, requested_at);
-            match self.store.read(Topic::Orders, from, wait).await {
-                Ok(tail) => {
-                    let progress = tail.progress();
-                    self.record_answer(progress.left);
-                    let changed = !tail.records.is_empty();
-                    let confirmed = self.confirmation.record(tail.next, tail.end, requested_at);
-                    self.apply_changes(tail.records, tail.next, Origin::Stream)
-                        .await;
-                    from = tail.next;
-                    let next = self.health.catch_up(progress, &self.mirror.borrow());
-                    is_behind = next == CatchUp::List;
-                    // An empty answer means that the store waited for the full time and had no new
-                    // record at the end of it, so the state is confirmed for that moment. An answer
-                    // with records may have been sent at any time after `requested_at`, so the next
-                    // read does not wait and confirms the state at once.
-                    let is_empty = !changed && progress.left == 0;
-                    let (waited, next_wait) = if is_empty {
-                        (wait, longest_wait)
-                    } else {
-                        (Duration::ZERO, Duration::ZERO)
-                    };
-                    if let Some(confirmed) = confirmed {
-                        self.confirm(confirmed + waited);
-                    }
-                    wait = next_wait;
-                }
+            next = match self.read_store(next, longest_wait).await {
+                Ok(next) => next,
                 Err(error) if error.needs_list() => return error,
-                Err(error) => {
-                    from = self.on_failure(&error, from).await;
-                    // Reads without waiting, so that the state is confirmed as soon as the store
-                    // answers.
-                    wait = Duration::ZERO;
-                }
+                // Without a wait, the state is confirmed as soon as the store answers.
+                Err(error) => NextRead::at_once(self.on_failure(&error, next.from).await),
+            };
+        }
+    }
+
+    /// Reads from the zone's reader; returns the position of the next read.
+    async fn read_reader(&mut self, reader: SocketAddr, from: Position) -> Position {
+        let follow_wait = self.follow_wait();
+        self.fetch.begin(Step::Reader, BootClock.now());
+        match self.peers.read_from(reader, from, follow_wait).await {
+            Some(read) if self.source.is_recent(read.confirmed, BootClock.now()) => {
+                self.health.record_answer(BootClock.now());
+                self.last_answer.send_replace(read.confirmed);
+                self.apply_read(read).await
+            }
+            read => {
+                self.leave_reader(reader, read.and_then(|read| read.confirmed));
+                from
             }
         }
     }
 
+    /// Reads from the store. A read after this one waits up to `longest_wait` for a record.
+    async fn read_store(
+        &mut self,
+        read: NextRead,
+        longest_wait: Duration,
+    ) -> Result<NextRead, StoreError> {
+        let NextRead { from, wait, .. } = read;
+        let requested_at = BootClock.now();
+        self.fetch.begin(Step::Stream, requested_at);
+        let tail = self.store.read(Topic::Orders, from, wait).await?;
+        let (span, progress) = (tail.span(from), tail.progress());
+        self.record_answer(progress.left);
+        self.apply_changes(tail.records, tail.next, Origin::Stream)
+            .await;
+        if let Some(confirmed) = self.confirmation.record(span, requested_at, wait) {
+            self.confirm(confirmed);
+        }
+        let catch_up = self.health.catch_up(progress, &self.mirror.borrow());
+        // An answer with records may have been sent at any time after `requested_at`, so the next read
+        // does not wait and confirms the state at once.
+        let wait = if span.is_empty() {
+            longest_wait
+        } else {
+            Duration::ZERO
+        };
+        Ok(NextRead {
+            from: tail.next,
+            wait,
+            is_list: catch_up == CatchUp::List,
+        })
+    }
+
     /// Reads from another router after a call of the store has failed, and pauses; returns the position
     /// of the next read.
     async fn on_failure(&mut self, error: &StoreError, from: Position) -> Position {
--- a/src/store.rs
+++ b/src/store.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use ebonyfall_core::{
-    catch_up::ReadProgress,
+    catch_up::{ReadProgress, Span},
     id::{Era, Offset, Position},
     transfer::TransferLimits,
 };
@@ -120,6 +120,15 @@
 }
 
 impl Batch {
+    /// Positions of the batch, which was read from `from` on.
+    pub fn span(&self, from: Position) -> Span {
+        Span {
+            from,
+            next: self.next,
+            end: self.end,
+        }
+    }
+
     /// What the batch brought, and how many records the stream had after it.
     pub fn progress(&self) -> ReadProgress {
         let (next, end) = (u64::from(self.next.offset), u64::from(self.end.offset));
