--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -94,6 +94,13 @@
     pub confirmed: Option<Time>,
 }
 
+impl PeerRead {
+    /// Whether the other router's copy was confirmed less than `max_age` before `now`.
+    fn is_recent(&self, max_age: Duration, now: Time) -> bool {
+        self.confirmed.is_some_and(|at| now.since(at) < max_age)
+    }
+}
+
 /// Client that reads one stream from other routers, with one connection at a time.
 #[derive(Debug)]
 pub struct PeerReader {
@@ -170,8 +177,6 @@
     async fn read_from_any(&mut self, from: Position, max_age: Duration) -> Option<PeerRead> {
         let access = self.access.borrow().clone()?;
         let started_at = BootClock.now();
-        let mut best: Option<PeerRead> = None;
-        let mut late = 0;
         let last_link = self.link.take();
         let last_peer = last_link.as_ref().map(|(peer, _)| *peer);
         let mut peers = access.gossip.peer_addresses().await;
@@ -179,41 +184,44 @@
         peers.shuffle(&mut rand::rng());
         let last = last_link.map(|(peer, link)| (peer, Some(link)));
         let others = peers.into_iter().map(|peer| (peer, None));
+        let mut late: Vec<PeerRead> = Vec::new();
         for (peer, link) in last.into_iter().chain(others).take(MAX_PEERS_TRIED) {
-            let link = match link {
-                Some(link) => Some(link),
-                None => self.dial(&access, peer).await,
-            };
-            if let Some(link) = link
-                && let Some(read) = self
-                    .request(peer, link, from, Duration::ZERO, ANSWER_TIMEOUT)
-                    .await
-            {
-                let age = read.confirmed.map(|at| BootClock.now().since(at));
-                if age.is_some_and(|age| age < max_age) {
-                    return Some(read);
-                }
-                // Another router that is behind, too, is not asked first the next time.
-                self.link = None;
-                late += 1;
-                if best
-                    .as_ref()
-                    .is_none_or(|best| best.confirmed < read.confirmed)
-                {
-                    best = Some(read);
+            match self.read_from_peer(&access, peer, link, from).await {
+                Some(read) if read.is_recent(max_age, BootClock.now()) => return Some(read),
+                Some(read) => {
+                    // Another router that is behind, too, is not asked first the next time.
+                    self.link = None;
+                    late.push(read);
                 }
+                None => {}
             }
             if BootClock.now().since(started_at) > PEERS_TIME {
                 break;
             }
         }
-        if let Some(best) = &best {
-            let age = best.confirmed.map(|at| BootClock.now().since(at));
-            info!(self.log, "no router that was asked has recent records";
-                "event" => "peers_late", "stream" => ?self.stream, "asked" => late,
-                "peer_age_ms" => age.map(clock::millis));
-        }
-        best
+        let asked = late.len();
+        let best = late.into_iter().max_by_key(|read| read.confirmed)?;
+        let age = best.confirmed.map(|at| BootClock.now().since(at));
+        info!(self.log, "no router that was asked has recent records";
+            "event" => "peers_late", "stream" => ?self.stream, "asked" => asked,
+            "peer_age_ms" => age.map(clock::millis));
+        Some(best)
+    }
+
+    /// Reads from the router at `peer`, on a new connection if there is no `link`.
+    async fn read_from_peer(
+        &mut self,
+        access: &PeerAccess,
+        peer: SocketAddr,
+        link: Option<Link>,
+        from: Position,
+    ) -> Option<PeerRead> {
+        let link = match link {
+            Some(link) => link,
+            None => self.dial(access, peer).await?,
+        };
+        self.request(peer, link, from, Duration::ZERO, ANSWER_TIMEOUT)
+            .await
     }
 
     async fn dial(&self, access: &PeerAccess, peer: SocketAddr) -> Option<Link> {
