--- a/core/tests/readers.rs
+++ b/core/tests/readers.rs
@@ -301,7 +301,7 @@
                 router.read = Some(Read { arrives, ..read });
                 let has_change = arrives.is_some_and(|at| now >= at);
                 if up && (has_change || due && !changed) {
-                    // As the reader of the stream does: an answer with a change confirms nothing.
+                    // Stricter than the router, which also confirms by an answer with a change.
                     router.wait = if changed {
                         Duration::ZERO
                     } else {
