Log why a request is not sent again after a failed attempt

A stream that is cut has the code StreamCut, and a request whose earlier attempt may have run the code of that attempt, so that the log did not tell an empty retry budget, a missing target, a revoked key, the deadline and a stop apart. The line not_retried names which it was, and the line stalled how late its timer was, which tells silence of the target from a standstill of the router.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod selector;
 pub mod sequential;
 pub mod speed;
+pub mod takeover;
 pub mod tally;
 pub mod target;
 mod targets;
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -13,6 +13,7 @@
     name::{ServiceName, TargetName, TeamName},
     outcome::End,
     selector::{Choice, SelectionRefusal},
+    takeover::Obstacle,
     time::Time,
     timing::Timing,
     wait::{ANSWER_GRACE, MAX_EVENT_GAP},
@@ -233,6 +234,7 @@
     ) -> Result<TargetReply, SelectionRefusal> {
         loop {
             if BootClock.now() >= self.attempts.deadline() {
+                self.log_obstacle(Code::DeadlinePassed);
                 return Err(self.refusal(Code::DeadlinePassed));
             }
             let requested_at = BootClock.now();
@@ -364,11 +366,24 @@
         &mut self,
         mut refusal: SelectionRefusal,
     ) -> Result<TargetReply, SelectionRefusal> {
+        self.log_obstacle(refusal.code);
         refusal.code = self.attempts.final_code(refusal.code);
         let target_answer = self.failure.take().map(TargetReply::failure);
         target_answer.ok_or(refusal)
     }
 
+    /// Logs why the request is not sent again after a failed attempt. The code that its caller gets may
+    /// be that of the attempt.
+    fn log_obstacle(&self, code: Code) {
+        if self.attempts.tried().is_empty() {
+            return;
+        }
+        info!(self.shared.log, "no other target takes over the request"; "event" => "not_retried",
+            "request" => &self.job.attempt_id, "cause" => %Obstacle::of_refusal(code),
+            "code" => code.name(), "tried" => self.attempts.tried().len(),
+            "begun" => self.attempts.has_begun());
+    }
+
     /// Checks that the API key is still valid, by a desired state that is recent enough.
     fn check_key(&self) -> Result<(), Code> {
         let Some(key) = &self.job.key else {
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -123,10 +123,11 @@
                 return Ok(None);
             };
             let start = BootClock.now();
+            let limit = self.wait.limit(may_resume, start);
             let phases = &self.forwarder.shared.phases;
             let frame = tokio::select! {
                 biased;
-                frame = receive(&mut open.body, self.wait.limit(may_resume, start)) => frame,
+                frame = receive(&mut open.body, limit) => frame,
                 () = phases.ending(), if !self.forwarder.attempts.has_begun() => {
                     Err(Failure::Stopping)
                 }
@@ -163,7 +164,7 @@
             };
             let target = open.reservation.choice.target.name.clone();
             if failure == Failure::TimedOut {
-                self.log_stall(&target);
+                self.log_stall(&target, BootClock.now().since(start + limit));
             }
             open.reservation.finish(failure.end(), None);
             drop(open.connection);
@@ -205,12 +206,14 @@
         }
     }
 
-    fn log_stall(&self, target: &TargetName) {
+    /// Logs a stream that is given up. `overslept` is the delay of the timer that ended the wait; it is
+    /// long if the process itself stood still.
+    fn log_stall(&self, target: &TargetName, overslept: Duration) {
         let (late, late_bytes) = self.wait.late();
         info!(self.forwarder.shared.log, "no event in time; closing the stream from the target";
             "event" => "stalled", "request" => self.forwarder.attempt_id(), "target" => %target,
             "gap_ms" => clock::millis(self.wait.gap()), "late_ms" => clock::millis(late),
-            "late_bytes" => late_bytes);
+            "late_bytes" => late_bytes, "overslept_ms" => clock::millis(overslept));
     }
 
     /// Counts a stream that exceeds a limit; returns how the attempt failed.
