Reproduce answers that are given up while their sound target pauses

Targets that pause for less than callers bear: the router gives them up after 1.2 s (streams) or 60 % of the objective (single answers) before it knows whether another target may and can take over.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod keyed;
 pub mod log;
 pub mod memory;
+pub mod pausing;
 pub mod platform;
 pub mod proxy;
 pub mod registered;
