Keep a silent target until another one has accepted the request

What callers saw: streams cut, and 502 or 504, although the target of their request was sound and paused for 1.4 s or more (single answers: 60 % of the objective), most of them while the fleet's retry budget was used up, beside planned stops and without them.

Cause: the connection to a silent target was dropped as soon as the route allowed a further attempt. The retry budget, another target, the key and the phase of a stop were asked after that. Beside it, a router that stood still took its own standstill for silence of its targets. Class of fault: what one has is given up before its replacement is allowed, found and accepted.

Now the target is kept while another one is chosen, connected to and asked, and the request moves when the head of the second answer has arrived. What the first target sends meanwhile counts. Both have the request for 300 ms at most; then the first one is kept, unless a check shows that it cannot be reached. A target that can be reached is left to work for 60 % of the silence that callers bear, for which routes now carry the longest gap between events.

The planned stop of tests/hostile gives its silent target 32 slots in place of 8: its requests are now kept, and those beyond eight would wait for a place.

--- a/core/src/desired.rs
+++ b/core/src/desired.rs
@@ -49,6 +49,9 @@
     pub timeout: Duration,
     /// Latency target for responses, in the sense of a service-level objective.
     pub latency_objective: Duration,
+    /// Longest time between two events of a stream for which its response is on time; `None` if not
+    /// stated.
+    pub max_event_gap: Option<Duration>,
     /// Priority of the requests; 0 is the most urgent.
     pub priority: u8,
     /// Services among which the requests are divided by weight.
--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -224,6 +224,28 @@
             && self.received_attempts + 1 < self.max_attempts
     }
 
+    /// Whether another target may be asked to take over while the present one is silent.
+    pub fn may_ask(&self, now: Time) -> bool {
+        self.has_attempts_left()
+            && self.unsent_attempts < MAX_UNSENT_ATTEMPTS
+            && now < self.deadline
+            && (!self.answer_begun || self.resumable)
+    }
+
+    /// Records that the request was sent to `target`, or was to be sent, while the present target was
+    /// silent, and that the present one goes on. `failure` is `None` if it was ended at `target`.
+    pub fn record_second(&mut self, target: &TargetName, failure: Option<Failure>) {
+        self.tried.push(target.clone());
+        let failure = failure.unwrap_or(Failure::TimedOut);
+        match failure {
+            Failure::NotSent | Failure::WrongTarget => self.unsent_attempts += 1,
+            _ => self.received_attempts += 1,
+        }
+        if failure.code().execution() != Execution::NotRun {
+            self.may_have_run = Some(failure.code());
+        }
+    }
+
     /// Whether a part of an answer was sent to the caller.
     pub fn has_begun(&self) -> bool {
         self.answer_begun
--- a/core/src/takeover.rs
+++ b/core/src/takeover.rs
@@ -1,8 +1,50 @@
-//! Why no other target takes over a request.
+//! When a request whose target is silent asks another target, which of the two goes on, and when it has
+//! to end.
+//!
+//! A target that can be reached is kept until another one has accepted the request. Two targets have the
+//! request for a short time only, and what the first one sends meanwhile counts.
+
+use std::time::Duration;
 
 use derive_more::Display;
 
-use crate::code::Code;
+use crate::{
+    code::Code,
+    desired::{DesiredRoute, ResponseKind},
+    outcome::Probe,
+    time::Time,
+    transfer::STANDSTILL,
+};
+
+/// Silence of a stream after which it is checked whether its target can be reached.
+pub const CHECK_AFTER: Duration = Duration::from_millis(1_000);
+/// Silence of a stream after which another target is asked at the earliest.
+pub const MIN_ASK_AFTER: Duration = Duration::from_millis(1_200);
+/// Silence that callers of streams bear at least. They leave later on routes with a long objective or
+/// long gaps between events.
+const MIN_BEARABLE: Duration = Duration::from_secs(2);
+/// The same in objectives and in gaps of the route.
+const BEARABLE_OBJECTIVES: u32 = 4;
+const BEARABLE_GAPS: u32 = 8;
+/// Percentage of the silence that callers bear, after which another target is asked although the first
+/// one can be reached. The rest is for the second one to begin.
+const ASK_PERCENT: u32 = 60;
+/// Percentage of the objective after which another target is asked for a single answer.
+const SINGLE_ASK_PERCENT: u32 = 60;
+/// Pause between two questions to other targets.
+const ASK_INTERVAL: Duration = Duration::from_millis(400);
+/// Pause between two checks of a target that can be reached.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time for which two targets have a request. They must not both work on it for 400 ms, and the
+/// end of the one that is given up takes a while to arrive.
+pub const MAX_OVERLAP: Duration = Duration::from_millis(300);
+/// Pause after a failed check, which may fail at once.
+const FAILED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Wait where nothing but the target decides.
+const UNLIMITED: Duration = Duration::from_secs(3_600);
+/// Failed checks in a row after which a target that no other one replaces is given up. One or two may be
+/// due to lost packets.
+const MAX_FAILED_CHECKS: u32 = 3;
 
 /// Why no other target takes over a request whose target has not answered, or has stopped answering.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -37,3 +79,265 @@
         }
     }
 }
+
+/// Silence of a target that a request bears, by its route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SilenceLimits {
+    check_after: Duration,
+    /// Silence after which another target is asked if the first one cannot be reached.
+    ask_early: Duration,
+    /// The same if it can be reached.
+    ask_after: Duration,
+}
+
+impl SilenceLimits {
+    /// Limits of the requests of a route.
+    pub fn for_route(route: &DesiredRoute) -> Self {
+        let objective = route.latency_objective;
+        match route.response {
+            ResponseKind::Single => {
+                let ask_after = objective * SINGLE_ASK_PERCENT / 100;
+                Self {
+                    check_after: ask_after,
+                    ask_early: ask_after,
+                    ask_after,
+                }
+            }
+            ResponseKind::EventStream { .. } => {
+                let by_objective = objective * BEARABLE_OBJECTIVES;
+                let by_gap = route.max_event_gap.unwrap_or_default() * BEARABLE_GAPS;
+                let bearable = MIN_BEARABLE.max(by_objective).max(by_gap);
+                Self {
+                    check_after: CHECK_AFTER,
+                    ask_early: MIN_ASK_AFTER,
+                    ask_after: MIN_ASK_AFTER.max(bearable * ASK_PERCENT / 100),
+                }
+            }
+        }
+    }
+}
+
+/// What the checks of a silent target have shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Reach {
+    /// It has not been checked.
+    Unknown,
+    /// It accepts connections.
+    Reachable,
+    /// It accepts no connections, but its machine answers. A target that leaves may still complete its
+    /// open requests; the system resets the connections of one that has ended.
+    Closed,
+    /// There was no answer to the last checks.
+    #[display("unreachable")]
+    Unreachable {
+        /// Number of these checks.
+        checks: u32,
+    },
+}
+
+/// What to do for a request whose target is silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Wait for the target, for this long at most.
+    Wait(Duration),
+    /// Check whether the target can be reached.
+    Check,
+    /// Ask another target.
+    Ask,
+    /// Both targets have had the request for long enough. End it at the one that is not kept.
+    EndOverlap {
+        /// Whether the first target is kept.
+        keep_first: bool,
+    },
+    /// End the request: its target cannot be reached, and no other one takes over.
+    End,
+}
+
+/// Another target that is asked to take over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Second {
+    /// None is asked.
+    None,
+    /// It is being chosen, or connected to.
+    Asked,
+    /// It has the request and may keep it until then, unless it accepts.
+    Sent(Time),
+}
+
+/// Silence of the target that has a request.
+///
+/// Only time spent waiting for the target counts, not the time that the caller takes to read.
+#[derive(Debug, Clone)]
+pub struct Silence {
+    limits: SilenceLimits,
+    /// Silence in earlier waits.
+    before: Duration,
+    /// Start of the present wait.
+    since: Option<Time>,
+    /// When the present step ends.
+    due: Option<Time>,
+    reach: Reach,
+    is_checking: bool,
+    /// Silence after which the next check is made.
+    next_check: Duration,
+    /// Silence after which another target is asked again.
+    next_ask: Duration,
+    second: Second,
+    /// Whether the last target that was asked did not take over, or there was none.
+    is_refused: bool,
+}
+
+impl Silence {
+    /// Creates the silence of a target that has just got a request.
+    pub fn new(limits: SilenceLimits) -> Self {
+        Self {
+            limits,
+            before: Duration::ZERO,
+            since: None,
+            due: None,
+            reach: Reach::Unknown,
+            is_checking: false,
+            next_check: limits.check_after,
+            next_ask: Duration::ZERO,
+            second: Second::None,
+            is_refused: false,
+        }
+    }
+
+    /// Time spent waiting since the last progress.
+    pub fn time(&self, now: Time) -> Duration {
+        let present = self.since.map(|since| now.since(since));
+        self.before + present.unwrap_or_default()
+    }
+
+    /// What is known of the target.
+    pub fn reach(&self) -> Reach {
+        self.reach
+    }
+
+    /// Records that a wait for the target begins.
+    pub fn begin_wait(&mut self, now: Time) {
+        self.since = Some(now);
+        self.due = None;
+    }
+
+    /// Records that the wait has ended, because bytes arrived or for another reason.
+    pub fn end_wait(&mut self, now: Time) {
+        self.before = self.time(now);
+        self.since = None;
+    }
+
+    /// Records that the target went on.
+    pub fn record_progress(&mut self, now: Time) {
+        *self = Self {
+            since: self.since.map(|_| now),
+            ..Self::new(self.limits)
+        };
+    }
+
+    /// Decides what to do now. `may_ask` tells whether the request may be sent to another target.
+    pub fn step(&mut self, may_ask: bool, now: Time) -> Step {
+        self.excuse_standstill(now);
+        let step = self.next_step(may_ask, now);
+        if let Step::Wait(time) = step {
+            self.due = Some(now + time);
+        }
+        step
+    }
+
+    /// Starts the silence anew when the process stood still, since it has not read what arrived
+    /// meanwhile.
+    fn excuse_standstill(&mut self, now: Time) {
+        let overslept = self.due.take().map(|due| now.since(due));
+        let stood_still = overslept.is_some_and(|overslept| overslept >= STANDSTILL);
+        if stood_still && self.second == Second::None {
+            self.record_progress(now);
+        }
+    }
+
+    fn next_step(&mut self, may_ask: bool, now: Time) -> Step {
+        let silent = self.time(now);
+        let has_second = self.second != Second::None;
+        if !may_ask && !has_second {
+            return Step::Wait(UNLIMITED);
+        }
+        if !self.is_checking && silent >= self.next_check {
+            self.is_checking = true;
+            return Step::Check;
+        }
+        let until_check = if self.is_checking {
+            UNLIMITED
+        } else {
+            self.next_check.saturating_sub(silent)
+        };
+        match self.second {
+            Second::Asked => Step::Wait(until_check),
+            Second::Sent(until) if now >= until => Step::EndOverlap {
+                keep_first: !matches!(self.reach, Reach::Unreachable { .. }),
+            },
+            Second::Sent(until) => Step::Wait(until_check.min(until.since(now))),
+            Second::None if self.is_lost() => Step::End,
+            Second::None => {
+                let ask_at = self.ask_after().max(self.next_ask);
+                if silent < ask_at {
+                    return Step::Wait(until_check.min(ask_at.saturating_sub(silent)));
+                }
+                self.second = Second::Asked;
+                Step::Ask
+            }
+        }
+    }
+
+    fn ask_after(&self) -> Duration {
+        match self.reach {
+            Reach::Unknown | Reach::Reachable => self.limits.ask_after,
+            Reach::Closed | Reach::Unreachable { .. } => self.limits.ask_early,
+        }
+    }
+
+    fn is_lost(&self) -> bool {
+        let checks = match self.reach {
+            Reach::Unreachable { checks } => checks,
+            Reach::Unknown | Reach::Reachable | Reach::Closed => 0,
+        };
+        self.is_refused && checks >= MAX_FAILED_CHECKS
+    }
+
+    /// Records the result of a check.
+    pub fn record_check(&mut self, result: Probe, now: Time) {
+        self.is_checking = false;
+        self.reach = match (result, self.reach) {
+            (Probe::Accepted, _) => Reach::Reachable,
+            (Probe::Refused, _) => Reach::Closed,
+            (Probe::Unknown, Reach::Unreachable { checks }) => {
+                let checks = checks.saturating_add(1);
+                Reach::Unreachable { checks }
+            }
+            (Probe::Unknown, _) => Reach::Unreachable { checks: 1 },
+        };
+        self.next_check = self.time(now) + self.check_interval();
+    }
+
+    fn check_interval(&self) -> Duration {
+        match self.reach {
+            Reach::Unreachable { checks } if checks < MAX_FAILED_CHECKS => FAILED_CHECK_INTERVAL,
+            Reach::Unknown | Reach::Reachable | Reach::Closed | Reach::Unreachable { .. } => {
+                CHECK_INTERVAL
+            }
+        }
+    }
+
+    /// Records that another target has got the request.
+    pub fn record_sent(&mut self, now: Time) {
+        self.second = Second::Sent(now + MAX_OVERLAP);
+    }
+
+    /// Records that no other target takes over: none could be asked, it did not accept, or the request
+    /// was ended there.
+    pub fn record_refused(&mut self, now: Time) {
+        self.second = Second::None;
+        self.is_refused = true;
+        self.next_ask = self.time(now) + ASK_INTERVAL;
+    }
+}
--- a/core/src/transfer.rs
+++ b/core/src/transfer.rs
@@ -15,7 +15,7 @@
 
 /// Delay of a timer that shows that the process itself stood still, and may not have read what arrived.
 /// Longer than the pauses of a VM that has used up its processor time.
-const STANDSTILL: Duration = Duration::from_millis(400);
+pub(crate) const STANDSTILL: Duration = Duration::from_millis(400);
 
 /// Limits on the time of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/core/src/wait.rs
+++ b/core/src/wait.rs
@@ -1,12 +1,9 @@
-//! How long a router waits for the next event of a target's stream.
+//! How long a router waits for a target's stream in all.
 
 use std::time::Duration;
 
 use crate::time::Time;
 
-/// Longest time without an event while another attempt is left. After a longer gap the stream is
-/// resumed at another target.
-pub const MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
 /// Time that a router waits in all for a target after the deadline, so that an answer which the
 /// target ends at the deadline still arrives.
 pub const ANSWER_GRACE: Duration = Duration::from_millis(60);
@@ -17,12 +14,10 @@
 /// Limits on the waits for one stream, over all targets that send it.
 ///
 /// Only time spent waiting for a target counts, not the time that the caller takes to read. Bytes
-/// that arrive renew no wait, and only an event restarts the gap.
+/// that arrive renew no wait.
 #[derive(Debug, Clone)]
 pub struct StreamWait {
     deadline: Time,
-    /// Time spent waiting since the last event.
-    gap: Duration,
     /// Time spent waiting after the deadline.
     late: Duration,
     /// Bytes that arrived after the deadline.
@@ -34,29 +29,17 @@
     pub fn new(deadline: Time) -> Self {
         Self {
             deadline,
-            gap: Duration::ZERO,
             late: Duration::ZERO,
             late_bytes: 0,
         }
     }
 
-    /// Longest wait for more bytes from `now` on; zero when the stream has to end. `may_resume` tells
-    /// whether another attempt is left.
-    pub fn limit(&self, may_resume: bool, now: Time) -> Duration {
+    /// Longest wait for more bytes from `now` on; zero when the stream has to end.
+    pub fn limit(&self, now: Time) -> Duration {
         if self.late_bytes > MAX_LATE_BYTES {
             return Duration::ZERO;
         }
-        let until_end = self.deadline.since(now) + ANSWER_GRACE.saturating_sub(self.late);
-        if may_resume {
-            until_end.min(MAX_EVENT_GAP.saturating_sub(self.gap))
-        } else {
-            until_end
-        }
-    }
-
-    /// Time spent waiting since the last event.
-    pub fn gap(&self) -> Duration {
-        self.gap
+        self.deadline.since(now) + ANSWER_GRACE.saturating_sub(self.late)
     }
 
     /// Time spent waiting after the deadline, and the bytes that arrived then.
@@ -66,15 +49,9 @@
 
     /// Records a wait for the target from `start` to `end`, in which `len` bytes arrived.
     pub fn record(&mut self, len: usize, start: Time, end: Time) {
-        self.gap += end.since(start);
         if end >= self.deadline {
             self.late += end.since(start.max(self.deadline));
             self.late_bytes += len;
         }
     }
-
-    /// Restarts the gap: an event arrived, or another target sends the stream.
-    pub fn restart_gap(&mut self) {
-        self.gap = Duration::ZERO;
-    }
 }
--- a/core/tests/direct.rs
+++ b/core/tests/direct.rs
@@ -33,6 +33,7 @@
         response,
         timeout: Duration::from_secs(2),
         latency_objective: Duration::from_millis(200),
+        max_event_gap: None,
         priority: 0,
         shares: Vec::new(),
         max_attempts,
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -7,26 +7,23 @@
 use ebonyfall_core::{
     code::Code,
     desired::{DesiredRoute, ResponseKind},
-    direct::{AnswerKind, DirectRequest, Failure, NextStep},
+    direct::{DirectRequest, Failure, NextStep},
     doc::KeyHash,
     id::{Fingerprint, PartId},
     name::{ServiceName, TargetName, TeamName},
     outcome::End,
     selector::{Choice, SelectionRefusal},
-    takeover::Obstacle,
+    takeover::{Obstacle, SilenceLimits},
     time::Time,
     timing::Timing,
-    wait::{ANSWER_GRACE, MAX_EVENT_GAP},
-};
-use ebonyfall_platform::{
-    answer,
-    request::{self, TargetHeaders},
+    wait::ANSWER_GRACE,
 };
+use ebonyfall_platform::answer;
 use gotham::helpers::http::Body;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
-use http_body_util::Full;
+use http::{HeaderMap, Method, StatusCode, Uri};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use slog::{Logger, info};
-use tokio::time::timeout;
 
 use crate::{
     clock::{self, BootClock},
@@ -34,24 +31,23 @@
     follow::StoreState,
     logs,
     metrics::Metrics,
-    receive::{AnswerBuffers, MAX_ANSWER_BYTES, MAX_ERROR_BYTES, ReceiveFault},
+    receive::{AnswerBuffers, MAX_ANSWER_BYTES, ReceiveFault},
     reply::{CompleteAnswer, OpenAnswer, StreamHead, TargetReply},
     selection::{Reservation, SelectionRequest, SelectorHandle},
     stop::StopPhases,
     streaming::StreamRelay,
-    upstream::{ReadBuffer, TargetConnection},
+    upstream::TargetConnection,
     usage::{counting::UsageCounter, starts::RequestStart},
     web,
 };
 
 mod admit;
+mod attempt;
+mod takeover;
+
+use attempt::{Attempt, DecodedHead};
+pub(crate) use takeover::{Waited, Watch};
 
-/// Percentage of the latency objective after which an idempotent request is retried at another
-/// target if the first one has not answered.
-const RETRY_PERCENT: u32 = 60;
-/// Longest wait for the body of an error answer that is not passed on; it is read only so that the
-/// connection can be used again.
-const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Delay after which a caller may retry a refused request.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -131,7 +127,7 @@
 /// work there.
 #[derive(Debug)]
 pub struct Forwarder {
-    job: ForwardJob,
+    job: Arc<ForwardJob>,
     pub(crate) attempts: DirectRequest,
     pub(crate) shared: Arc<Forwarding>,
     pub(crate) start: RequestStart,
@@ -160,7 +156,7 @@
         let usage = shared.usage.as_ref();
         Self {
             start: RequestStart::new(usage, job.team.as_ref(), &job.route),
-            job,
+            job: Arc::new(job),
             attempts,
             shared,
             charge_retry: false,
@@ -252,11 +248,12 @@
                 Err(refusal) => return self.final_failure(refusal),
             };
             let target = reservation.choice.target.name.clone();
-            let result = match self.connect(&reservation, connection).await {
+            let attempt = self.attempt();
+            let result = match attempt.connect(&reservation, connection).await {
                 Ok(connection) => {
                     // The key may have been revoked while the connection was opened or during an
                     // earlier attempt.
-                    if let Err(code) = self.check_key() {
+                    if let Err(code) = attempt.check_key() {
                         return self.final_failure(SelectionRefusal {
                             code,
                             after: RETRY_AFTER,
@@ -306,19 +303,21 @@
             Err(refusal) => (refusal.code == Code::Overloaded).then_some(false),
         };
         if let Some(taken) = taken.filter(|_| self.charge_retry) {
-            let metrics = &self.shared.metrics.entry;
-            metrics.count_retry(&self.job.service, taken);
+            self.count_retry(taken);
         }
         selected
     }
 
-    /// Waits for a target, at most `limit` and only as long as the process may hold a request that
-    /// has no answer.
-    async fn wait<T>(&self, limit: Duration, work: impl Future<Output = T>) -> Result<T, Failure> {
-        tokio::select! {
-            biased;
-            done = timeout(limit, work) => done.map_err(|_late| Failure::TimedOut),
-            () = self.shared.phases.ending() => Err(Failure::Stopping),
+    fn count_retry(&self, taken: bool) {
+        let metrics = &self.shared.metrics.entry;
+        metrics.count_retry(&self.job.service, taken);
+    }
+
+    fn attempt(&self) -> Attempt {
+        Attempt {
+            job: Arc::clone(&self.job),
+            shared: Arc::clone(&self.shared),
+            deadline: self.attempts.deadline(),
         }
     }
 
@@ -384,192 +383,147 @@
             "begun" => self.attempts.has_begun());
     }
 
-    /// Checks that the API key is still valid, by a desired state that is recent enough.
-    fn check_key(&self) -> Result<(), Code> {
-        let Some(key) = &self.job.key else {
-            return Ok(());
-        };
-        let desired = self.shared.store_state.desired.borrow();
-        let desired = desired.as_ref().ok_or(Code::StaleState)?;
-        let lease = self.shared.store_state.lease.borrow();
-        lease.authorize(desired, key, BootClock.now())
-    }
-
-    /// Returns the idle connection that came with the selection, or opens a new one.
-    async fn connect(
-        &self,
-        reservation: &Reservation,
-        connection: Option<TargetConnection>,
-    ) -> Result<TargetConnection, Failure> {
-        match connection {
-            Some(connection) => Ok(connection),
-            None => TargetConnection::connect(
-                reservation.choice.target.address,
-                ReadBuffer::Adaptive,
-                BootClock.now(),
-            )
-            .await
-            .map_err(|_unreachable| Failure::NotSent),
-        }
-    }
-
-    /// Sends the request to one target and waits for the headers of its answer.
+    /// Sends the request to one target and waits for the headers of an answer, of that target or of one
+    /// that has taken over.
     async fn send(
         &mut self,
         reservation: Reservation,
         mut connection: TargetConnection,
         last_event: Option<&str>,
     ) -> Result<OpenAnswer, (Failure, Option<CompleteAnswer>)> {
-        let fail = |reservation: Reservation, failure: Failure| {
-            reservation.finish(failure.end(), None);
-            (failure, None)
-        };
+        let attempt = self.attempt();
+        let target = reservation.choice.target.name.clone();
         let now = BootClock.now();
-        let time_left = self.attempts.deadline().since(now);
-        let limit = self.answer_timeout(time_left);
-        let req = self.target_request(&reservation, time_left, last_event);
+        let limit = attempt.deadline.since(now) + ANSWER_GRACE;
+        let req = attempt.request(&reservation, last_event, now);
         self.start.record_sent(now);
-        let res = match self.wait(limit, connection.send(req)).await {
-            Ok(Ok(res)) => res,
-            Ok(Err(failure)) => {
-                if failure == Failure::Oversized {
-                    self.shared.metrics.entry.count_limit_exceeded("head");
+        let mut watch = self.watch(&reservation, None);
+        let mut failed_head = None;
+        let head = async {
+            let res = connection.send(req).await?;
+            let head = DecodedHead::new(res, &attempt.job.attempt_id);
+            match head.failure() {
+                None => Ok(head),
+                Some(failure) => {
+                    failed_head = Some(head);
+                    Err(failure)
                 }
-                return Err(fail(reservation, failure));
             }
-            Err(failure) => return Err(fail(reservation, failure)),
         };
-        let (head, body) = res.into_parts();
-        let decoded = answer::decode(head.status, &head.headers, &self.job.attempt_id);
-        if let Some(load) = decoded.load {
-            reservation.record_load(load);
-        }
-        if decoded.matches == Some(true) {
-            reservation.record_notices(decoded.notices);
-        }
-        let open = OpenAnswer {
-            reservation,
-            connection,
-            status: head.status,
-            headers: head.headers,
-            body,
-            sent_at: now,
-        };
-        let failure = match decoded.kind() {
-            AnswerKind::Answer => {
+        let waited = self
+            .wait_or_replace(&mut watch, limit, last_event, head)
+            .await;
+        match waited {
+            Waited::Done(Ok(head)) => {
+                self.record_progress(&mut watch);
+                let open = head.open(reservation, connection, now);
                 let round_trip = open.connection.round_trip();
                 self.start.record_answer(round_trip, BootClock.now());
-                return Ok(open);
+                Ok(open)
             }
-            AnswerKind::Failed => Failure::Failed,
-            AnswerKind::Declined => Failure::Declined,
-            AnswerKind::WrongTarget => Failure::WrongTarget,
-            AnswerKind::Unrelated => return Err(fail(open.reservation, Failure::Broken)),
-        };
-        let keep = decoded.may_pass_on();
-        Err((failure, self.read_failure(open, failure, keep).await))
-    }
-
-    /// Reads the body of an error answer, so that the connection can be reused. Returns the answer
-    /// if `keep` is set and the body was complete.
-    async fn read_failure(
-        &self,
-        open: OpenAnswer,
-        failure: Failure,
-        keep: bool,
-    ) -> Option<CompleteAnswer> {
-        let limit = if keep {
-            self.answer_timeout(self.attempts.deadline().since(BootClock.now()))
-        } else {
-            UNUSED_BODY_TIMEOUT
-        };
-        let choice = open.reservation.choice.clone();
-        let body = self.shared.buffers.read(open.body, MAX_ERROR_BYTES);
-        let body = match self.wait(limit, body).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(fault)) => {
-                self.shared.count_receive_fault(fault);
-                open.reservation.finish(End::Failed(failure), None);
-                return None;
+            Waited::TakenOver(open, failure) => {
+                reservation.finish(failure.end(), None);
+                self.adopt(&target, failure, &open);
+                Ok(*open)
             }
-            Err(_late) => {
-                open.reservation.finish(End::Failed(failure), None);
-                return None;
+            Waited::Done(Err(failure)) => {
+                let Some(head) = failed_head else {
+                    attempt.count_failure(failure);
+                    reservation.finish(failure.end(), None);
+                    return Err((failure, None));
+                };
+                let place = (reservation, connection);
+                let may_ask = self.attempts.has_attempts_left();
+                let answer = attempt.read_failure(head, failure, place, may_ask).await;
+                Err((failure, answer))
             }
-        };
-        let connection = mark_idle(open.connection, &open.headers);
-        open.reservation
-            .finish(End::Failed(failure), Some(connection));
-        keep.then_some(CompleteAnswer {
-            choice,
-            status: open.status,
-            headers: open.headers,
-            body,
-        })
+        }
     }
 
-    fn target_request(
-        &self,
-        reservation: &Reservation,
-        time_left: Duration,
-        last_event: Option<&str>,
-    ) -> Request<Full<Bytes>> {
-        let target_headers = TargetHeaders {
-            target: &reservation.choice.target.name,
-            time_left,
-            team: self.job.team.as_ref(),
-            priority: self.job.route.cache_affinity.then_some(self.job.priority),
-            last_event,
-            cache_source: reservation.choice.context_source,
-        };
-        let mut req = Request::new(Full::new(self.job.body.clone()));
-        *req.method_mut() = self.job.method.clone();
-        *req.uri_mut() = self.job.uri.clone();
-        *req.headers_mut() = request::encode(&self.job.headers, &target_headers);
-        req
+    /// Watches the target of `reservation`, whose answer has to continue `expected` if another target
+    /// takes over.
+    pub(crate) fn watch(&self, reservation: &Reservation, expected: Option<StreamHead>) -> Watch {
+        Watch::new(
+            reservation,
+            SilenceLimits::for_route(&self.job.route),
+            expected,
+        )
     }
 
-    /// Time to wait for the headers of an answer, or for the rest of one that is not a stream.
-    fn answer_timeout(&self, time_left: Duration) -> Duration {
-        if !self.attempts.has_attempts_left() {
-            return time_left + ANSWER_GRACE;
-        }
-        let wait = match self.job.route.response {
-            ResponseKind::Single => self.job.route.latency_objective * RETRY_PERCENT / 100,
-            ResponseKind::EventStream { .. } => MAX_EVENT_GAP,
-        };
-        wait.min(time_left + ANSWER_GRACE)
+    /// Records that another target has taken over, whose answer is `open`.
+    pub(crate) fn adopt(&mut self, first: &TargetName, failure: Failure, open: &OpenAnswer) {
+        self.record_failure(first, failure);
+        self.start.record_sent(open.sent_at);
+        let round_trip = open.connection.round_trip();
+        self.start.record_answer(round_trip, BootClock.now());
     }
 
-    /// Reads an answer to its end. `None` if the answer was incomplete and another target may be
-    /// tried.
+    /// Reads an answer to its end, that of the target or of one that takes over. `None` if the answer was
+    /// incomplete and another target may be tried.
     async fn read_answer(
         &mut self,
         mut open: OpenAnswer,
     ) -> Result<Option<CallerAnswer>, SelectionRefusal> {
-        let time_left = self.attempts.deadline().since(BootClock.now());
-        let target = open.reservation.choice.target.name.clone();
-        let body = self.shared.buffers.read(open.body, MAX_ANSWER_BYTES);
-        let failure = match self.wait(self.answer_timeout(time_left), body).await {
-            Ok(Ok(body)) => {
-                let connection = mark_idle(open.connection, &open.headers);
-                let choice = open.reservation.choice.clone();
-                let took = BootClock.now().since(open.sent_at);
-                open.reservation.record_timing(Timing::Whole(took));
-                open.reservation.finish(End::Served, Some(connection));
-                return Ok(Some(self.caller_answer(CompleteAnswer {
-                    choice,
-                    status: open.status,
-                    headers: open.headers,
-                    body,
-                })));
+        loop {
+            let mut watch = self.watch(&open.reservation, Some(open.head()));
+            let target = open.reservation.choice.target.name.clone();
+            match self.read_body(&mut watch, &mut open.body).await {
+                Waited::Done(Ok(body)) => {
+                    let connection = mark_idle(open.connection, &open.headers);
+                    let choice = open.reservation.choice.clone();
+                    let took = BootClock.now().since(open.sent_at);
+                    open.reservation.record_timing(Timing::Whole(took));
+                    open.reservation.finish(End::Served, Some(connection));
+                    return Ok(Some(self.caller_answer(CompleteAnswer {
+                        choice,
+                        status: open.status,
+                        headers: open.headers,
+                        body,
+                    })));
+                }
+                Waited::TakenOver(second, failure) => {
+                    open.reservation.finish(failure.end(), None);
+                    self.adopt(&target, failure, &second);
+                    open = *second;
+                }
+                Waited::Done(Err(failure)) => {
+                    open.reservation.finish(failure.end(), None);
+                    self.prepare_retry(&target, failure)?;
+                    return Ok(None);
+                }
             }
-            Ok(Err(fault)) => self.shared.count_receive_fault(fault),
-            Err(failure) => failure,
+        }
+    }
+
+    /// Reads a body to its end. Each part of it shows that its target goes on.
+    async fn read_body(&mut self, watch: &mut Watch, body: &mut Incoming) -> Waited<Bytes> {
+        let mut received = match self.shared.buffers.start_body(body, MAX_ANSWER_BYTES) {
+            Ok(received) => received,
+            Err(fault) => return Waited::Done(Err(self.shared.count_receive_fault(fault))),
         };
-        open.reservation.finish(failure.end(), None);
-        self.prepare_retry(&target, failure)?;
-        Ok(None)
+        // Bytes that arrive do not move the end.
+        let end = self.attempts.deadline() + ANSWER_GRACE;
+        loop {
+            let limit = end.since(BootClock.now());
+            let frame = async {
+                let frame = body.frame().await.transpose();
+                frame.map_err(|_broken| Failure::Broken)
+            };
+            let frame = match self.wait_or_replace(watch, limit, None, frame).await {
+                Waited::Done(Ok(frame)) => frame,
+                Waited::Done(Err(failure)) => return Waited::Done(Err(failure)),
+                Waited::TakenOver(open, failure) => return Waited::TakenOver(open, failure),
+            };
+            self.record_progress(watch);
+            let Some(frame) = frame else {
+                return Waited::Done(Ok(received.complete()));
+            };
+            if let Ok(data) = frame.into_data()
+                && let Err(fault) = received.push(&data)
+            {
+                return Waited::Done(Err(self.shared.count_receive_fault(fault)));
+            }
+        }
     }
 
     /// Records a failed attempt and prepares the next one.
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -1,7 +1,7 @@
 //! Metrics that only entry routers have: answer times, target selection, calls of the store, and
 //! changes in the state of targets, zones and moves.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{fmt::Display, sync::atomic::Ordering, time::Duration};
 
 use ebonyfall_core::name::ServiceName;
 use prometheus_client::{
@@ -59,6 +59,14 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the counter of other targets that were asked to take over a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TakeoverLabels {
+    /// `taken`, `withdrawn` if the first target went on or the request ended, `late` if the other target
+    /// did not accept in time, `failed`.
+    pub outcome: String,
+}
+
 /// Labels of the counter of stream reads from other routers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PeerReadLabels {
@@ -109,6 +117,7 @@
     exceeded: Family<LimitLabels, Counter>,
     choices: Family<ChoiceLabels, Counter>,
     retry_decisions: Family<RetryLabels, Counter>,
+    takeovers: Family<TakeoverLabels, Counter>,
     peer_reads: Family<PeerReadLabels, Counter>,
     moves: Family<MoveLabels, Counter>,
     beliefs: Family<BeliefLabels, Counter>,
@@ -137,6 +146,7 @@
             exceeded: Family::default(),
             choices: Family::default(),
             retry_decisions: Family::default(),
+            takeovers: Family::default(),
             peer_reads: Family::default(),
             moves: Family::default(),
             beliefs: Family::default(),
@@ -180,6 +190,8 @@
         registry.register("choices", help, self.choices.clone());
         let help = "Retries that the fleet's budget allowed or refused, by service";
         registry.register("retry_decisions", help, self.retry_decisions.clone());
+        let help = "Targets that got a request while the first one was silent, by what came of it";
+        registry.register("takeovers", help, self.takeovers.clone());
         let help = "Reads of the store's streams from other routers";
         registry.register("peer_reads", help, self.peer_reads.clone());
         let help = "Reports of the state of version moves";
@@ -230,6 +242,14 @@
         self.retry_decisions.get_or_create(&labels).inc();
     }
 
+    /// Counts another target that got a request while the first one was silent.
+    pub fn count_takeover(&self, outcome: impl Display) {
+        let labels = TakeoverLabels {
+            outcome: outcome.to_string(),
+        };
+        self.takeovers.get_or_create(&labels).inc();
+    }
+
     /// Counts a read of `stream` from other routers; `answered` is false if none answered.
     pub fn count_peer_read(&self, stream: &'static str, answered: bool) {
         let outcome = if answered { "answered" } else { "failed" };
--- a/src/receive.rs
+++ b/src/receive.rs
@@ -134,6 +134,18 @@
         }
     }
 
+    /// Starts to receive `body`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body states that it is longer than `limit` bytes.
+    pub fn start_body(&self, body: &Incoming, limit: usize) -> Result<ReceivedBody, ReceiveFault> {
+        if body.size_hint().lower() > limit as u64 {
+            return Err(ReceiveFault::TooLong);
+        }
+        Ok(self.start(limit))
+    }
+
     /// Starts the share of a stream, which takes no memory yet.
     pub fn event_share(&self) -> EventShare {
         EventShare {
@@ -149,10 +161,7 @@
     /// Fails when the connection breaks or the body is longer than `limit` bytes, and when the
     /// process holds too many bytes of other answers.
     pub async fn read(&self, mut body: Incoming, limit: usize) -> Result<Bytes, ReceiveFault> {
-        if body.size_hint().lower() > limit as u64 {
-            return Err(ReceiveFault::TooLong);
-        }
-        let mut received = self.start(limit);
+        let mut received = self.start_body(&body, limit)?;
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame.map_err(|_broken| ReceiveFault::Broken)?.into_data() {
                 received.push(&data)?;
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -84,6 +84,7 @@
         oneshot::Sender<Result<Selection, SelectionRefusal>>,
     ),
     Ended(Box<EndedRequest>),
+    Check(Box<TargetRecord>, oneshot::Sender<Probe>),
     Probed(Box<TargetRecord>, Probe, Option<TargetConnection>),
     Load(TargetName, ReportedLoad),
     Notices(Box<TargetRecord>, Notices, Time),
@@ -213,6 +214,7 @@
             clock,
             idle: HashMap::new(),
             probes: tx.downgrade(),
+            checks: HashMap::new(),
             suspicions: suspicions_tx,
             rooms: rooms_tx,
             rooms_at: Time::ZERO,
@@ -266,6 +268,14 @@
         Ok((reservation, connection))
     }
 
+    /// Checks whether a target accepts connections. Checks of one target at the same time share a
+    /// connection, which is kept for a request.
+    pub async fn check(&self, target: TargetRecord) -> Probe {
+        let (reply, answer) = oneshot::channel();
+        let _ended = self.tx.send(Command::Check(Box::new(target), reply)).await;
+        answer.await.unwrap_or(Probe::Unknown)
+    }
+
     /// Applies `updates` in order.
     pub async fn update(&self, updates: Vec<Update>) {
         let _ended = self.tx.send(Command::Update(updates)).await;
@@ -321,6 +331,8 @@
     idle: HashMap<TargetName, IdleConnections>,
     /// Queue of this task, for the results of probes.
     probes: mpsc::WeakSender<Command>,
+    /// Requests that wait for the result of a probe.
+    checks: HashMap<TargetName, Vec<oneshot::Sender<Probe>>>,
     /// Changes of what this router counts against prompt parts.
     suspicions: watch::Sender<u64>,
     /// Capacity of each service that is limited, for the task that dispatches requests.
@@ -364,7 +376,9 @@
                     }
                 }
                 Command::Ended(ended) => self.record_end(*ended),
+                Command::Check(target, reply) => self.check(*target, reply),
                 Command::Probed(target, probe, connection) => {
+                    self.answer_checks(&target.name, probe);
                     self.selector.record_probe(&target, probe, self.clock.now());
                     self.keep_idle(&target.name, connection);
                 }
--- a/src/streaming.rs
+++ b/src/streaming.rs
@@ -2,10 +2,10 @@
 
 use std::{io, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use ebonyfall_core::{
     direct::Failure,
-    events::{EventSplitter, StreamFault},
+    events::{CompleteEvents, EventSplitter, StreamFault},
     name::TargetName,
     outcome::End,
     selector::SelectionRefusal,
@@ -16,12 +16,11 @@
 use gotham::helpers::http::Body;
 use http::header::CONTENT_LENGTH;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use slog::{info, warn};
-use tokio::time::timeout;
 
 use crate::{
-    carry::{CallerAnswer, Forwarder, mark_idle},
+    carry::{CallerAnswer, Forwarder, Waited, Watch, mark_idle},
     clock::{self, BootClock},
     receive::EventShare,
     reply::{OpenAnswer, StreamHead, TargetReply},
@@ -39,6 +38,8 @@
     /// Whether an event has arrived, from any target.
     has_events: bool,
     wait: StreamWait,
+    /// Present target, and what is done while it is silent.
+    watch: Watch,
     /// Memory that the incomplete event takes.
     share: EventShare,
 }
@@ -63,6 +64,7 @@
     ) -> Result<CallerAnswer, Box<Unstarted>> {
         let mut relay = Self {
             wait: StreamWait::new(forwarder.attempts.deadline()),
+            watch: forwarder.watch(&open.reservation, Some(open.head())),
             share: forwarder.shared.buffers.event_share(),
             forwarder,
             head: open.head(),
@@ -110,70 +112,140 @@
         }
     }
 
-    /// Reads up to the next event boundary, or to the end of the stream. `None` after the end.
+    /// Reads up to the next event boundary, or to the end of the stream. `None` after the end. Another target
+    /// may take over meanwhile.
     ///
     /// # Errors
     ///
     /// Fails with the target and the failure when the stream breaks off. The connection to the
     /// target is closed then, which ends the work there before another target resumes the stream.
     async fn part(&mut self) -> Result<Option<Bytes>, (TargetName, Failure)> {
+        let mut filler = BytesMut::new();
         loop {
-            let may_resume = self.forwarder.attempts.has_attempts_left();
-            let Some(open) = &mut self.open else {
-                return Ok(None);
-            };
-            let start = BootClock.now();
-            let limit = self.wait.limit(may_resume, start);
-            let phases = &self.forwarder.shared.phases;
-            let frame = tokio::select! {
-                biased;
-                frame = receive(&mut open.body, limit) => frame,
-                () = phases.ending(), if !self.forwarder.attempts.has_begun() => {
-                    Err(Failure::Stopping)
-                }
-            };
-            self.wait.record(frame_len(&frame), start, BootClock.now());
-            let failure = match frame {
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    let pushed = self.events.push(&data);
-                    let fits = self.share.resize(self.events.pending_len());
-                    match (pushed, fits) {
-                        (Ok(Some(complete)), _) => {
-                            if complete.has_event {
-                                open.reservation.record_answer_begun();
-                                let round_trip = open.connection.round_trip();
-                                self.record_event(round_trip);
-                            }
+            let failure = match self.receive().await {
+                Ok(Received::Data(data)) => match self.push(&data) {
+                    Ok(Some(complete)) => {
+                        let is_pending = !complete.has_event && self.watch.has_second();
+                        if !is_pending && filler.is_empty() {
                             return Ok(Some(complete.bytes));
                         }
-                        (Ok(None), Ok(())) => continue,
-                        (Ok(None), Err(fault)) => self.forwarder.shared.count_receive_fault(fault),
-                        (Err(fault), _) => self.count_fault(fault),
+                        // The caller may read slowly, but the second target must be given up in time.
+                        filler.extend_from_slice(&complete.bytes);
+                        if !is_pending {
+                            return Ok(Some(filler.freeze()));
+                        }
+                        continue;
                     }
+                    Ok(None) => continue,
+                    Err(failure) => failure,
+                },
+                Ok(Received::TakenOver) => {
+                    filler.clear();
+                    continue;
                 }
-                Ok(None) if self.is_complete() => return Ok(self.finish()),
-                Ok(None) => Failure::Broken,
-                Ok(Some(Err(_broken))) => Failure::Broken,
+                Ok(Received::End) => return Ok(self.finish()),
                 Err(failure) => failure,
             };
-            let Some(open) = self.open.take() else {
+            let Some(target) = self.close(failure) else {
                 return Ok(None);
             };
-            let target = open.reservation.choice.target.name.clone();
-            if failure == Failure::TimedOut {
-                self.log_stall(&target, BootClock.now().since(start + limit));
-            }
-            open.reservation.finish(failure.end(), None);
-            drop(open.connection);
-            self.events.drop_partial();
-            self.share.release();
             return Err((target, failure));
         }
     }
 
+    /// Receives the next bytes of the target, or has another one take over.
+    async fn receive(&mut self) -> Result<Received, Failure> {
+        let is_complete = self.is_complete();
+        let Some(open) = &mut self.open else {
+            return Ok(Received::End);
+        };
+        let start = BootClock.now();
+        let limit = self.wait.limit(start);
+        let last_event = self.events.last_id().map(str::to_owned);
+        let frame = async {
+            match open.body.frame().await {
+                Some(Ok(frame)) => Ok(Some(frame)),
+                None if is_complete => Ok(None),
+                Some(Err(_)) | None => Err(Failure::Broken),
+            }
+        };
+        let last_event = last_event.as_deref();
+        let waited = self
+            .forwarder
+            .wait_or_replace(&mut self.watch, limit, last_event, frame)
+            .await;
+        let frame = match waited {
+            Waited::Done(frame) => frame,
+            Waited::TakenOver(second, failure) => {
+                self.wait.record(0, start, BootClock.now());
+                self.take_over(*second, failure);
+                return Ok(Received::TakenOver);
+            }
+        };
+        let len = frame.as_ref().map_or(0, |frame| frame_len(frame.as_ref()));
+        self.wait.record(len, start, BootClock.now());
+        let Some(frame) = frame? else {
+            return Ok(Received::End);
+        };
+        Ok(Received::Data(frame.into_data().unwrap_or_default()))
+    }
+
+    /// Adds received bytes, and returns the events that are complete now.
+    fn push(&mut self, data: &[u8]) -> Result<Option<CompleteEvents>, Failure> {
+        let pushed = self.events.push(data);
+        let fits = self.share.resize(self.events.pending_len());
+        let complete = match (pushed, fits) {
+            (Ok(Some(complete)), _) => complete,
+            (Ok(None), Ok(())) => return Ok(None),
+            (Ok(None), Err(fault)) => return Err(self.forwarder.shared.count_receive_fault(fault)),
+            (Err(fault), _) => return Err(self.count_fault(fault)),
+        };
+        if complete.has_event
+            && let Some(open) = &mut self.open
+        {
+            open.reservation.record_answer_begun();
+            let round_trip = open.connection.round_trip();
+            self.record_event(round_trip);
+        }
+        Ok(Some(complete))
+    }
+
+    /// Continues with another target, which has accepted the request after the last complete event.
+    fn take_over(&mut self, second: OpenAnswer, failure: Failure) {
+        self.discard_partial();
+        self.watch = self
+            .forwarder
+            .watch(&second.reservation, Some(self.head.clone()));
+        if !self.forwarder.attempts.has_begun() {
+            self.head = second.head();
+        }
+        if let Some(first) = self.open.take() {
+            let target = first.reservation.choice.target.name.clone();
+            first.reservation.finish(failure.end(), None);
+            self.forwarder.adopt(&target, failure, &second);
+        }
+        self.open = Some(second);
+    }
+
+    /// Closes the connection to the target, and returns the target.
+    fn close(&mut self, failure: Failure) -> Option<TargetName> {
+        let open = self.open.take()?;
+        let target = open.reservation.choice.target.name.clone();
+        if failure == Failure::TimedOut {
+            self.log_stall(&target);
+        }
+        open.reservation.finish(failure.end(), None);
+        self.discard_partial();
+        Some(target)
+    }
+
+    /// Discards the incomplete event of a target that does not go on.
+    fn discard_partial(&mut self) {
+        self.events.drop_partial();
+        self.share.release();
+        self.arrivals = Arrivals::default();
+    }
+
     /// Whether the stream may end here. A target that crashes may close its connection like one that
     /// has sent everything, unless the answer has a length.
     fn is_complete(&self) -> bool {
@@ -185,6 +257,7 @@
     /// Ends a complete stream, and returns the bytes after its last event boundary if there are
     /// any.
     fn finish(&mut self) -> Option<Bytes> {
+        self.forwarder.record_progress(&mut self.watch);
         let mut open = self.open.take()?;
         let connection = mark_idle(open.connection, &open.headers);
         if let Some(mean_gap) = self.arrivals.mean_gap() {
@@ -199,21 +272,19 @@
         self.has_events = true;
         let start = &mut self.forwarder.start;
         start.record_event(round_trip, BootClock.now());
-        self.wait.restart_gap();
+        self.forwarder.record_progress(&mut self.watch);
         if let Some(gap) = self.arrivals.record(BootClock.now()) {
             let metrics = &self.forwarder.shared.metrics;
             metrics.entry.observe_stream_gap(gap);
         }
     }
 
-    /// Logs a stream that is given up. `overslept` is the delay of the timer that ended the wait; it is
-    /// long if the process itself stood still.
-    fn log_stall(&self, target: &TargetName, overslept: Duration) {
+    fn log_stall(&self, target: &TargetName) {
         let (late, late_bytes) = self.wait.late();
         info!(self.forwarder.shared.log, "no event in time; closing the stream from the target";
             "event" => "stalled", "request" => self.forwarder.attempt_id(), "target" => %target,
-            "gap_ms" => clock::millis(self.wait.gap()), "late_ms" => clock::millis(late),
-            "late_bytes" => late_bytes, "overslept_ms" => clock::millis(overslept));
+            "gap_ms" => clock::millis(self.watch.silence()), "late_ms" => clock::millis(late),
+            "late_bytes" => late_bytes);
     }
 
     /// Counts a stream that exceeds a limit; returns how the attempt failed.
@@ -241,14 +312,14 @@
     ) -> Result<OpenAnswer, SelectionRefusal> {
         loop {
             self.forwarder.prepare_retry(&target, failure)?;
-            self.arrivals = Arrivals::default();
-            self.wait.restart_gap();
             let last = self.events.last_id().map(str::to_owned);
             let TargetReply::Answer(open) = self.forwarder.send_to_targets(last.as_deref()).await?
             else {
                 return Err(self.forwarder.refusal(Failure::Failed.code()));
             };
             if open.continues(&self.head) {
+                let head = Some(self.head.clone());
+                self.watch = self.forwarder.watch(&open.reservation, head);
                 return Ok(*open);
             }
             (target, failure) = (open.reservation.choice.target.name.clone(), Failure::Failed);
@@ -257,20 +328,15 @@
     }
 }
 
-type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
-
-/// Reads the next frame of a body. Without any time left, not even one that is ready is read.
-async fn receive(body: &mut Incoming, limit: Duration) -> Result<BodyFrame, Failure> {
-    if limit.is_zero() {
-        return Err(Failure::TimedOut);
-    }
-    let frame = timeout(limit, body.frame()).await;
-    frame.map_err(|_late| Failure::TimedOut)
+/// What a wait for a stream has brought.
+enum Received {
+    Data(Bytes),
+    /// Another target has taken over.
+    TakenOver,
+    End,
 }
 
-fn frame_len(frame: &Result<BodyFrame, Failure>) -> usize {
-    let Ok(Some(Ok(frame))) = frame else {
-        return 0;
-    };
-    frame.data_ref().map_or(0, Bytes::len)
+fn frame_len(frame: Option<&Frame<Bytes>>) -> usize {
+    let data = frame.and_then(Frame::data_ref);
+    data.map_or(0, Bytes::len)
 }
--- a/standin/src/entrance/state.rs
+++ b/standin/src/entrance/state.rs
@@ -10,6 +10,8 @@
 
 /// Limit on bodies, unless a test sets another one, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
+/// Slots of a target, unless a test sets another number.
+const DEFAULT_SLOTS: u32 = 8;
 /// Timeout of all routes, unless a test sets another one.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -145,8 +147,13 @@
 
     /// Writes an entry for a target of the service that this deployment did not start.
     pub async fn register_address(&self, name: &str, address: SocketAddr) {
+        self.register_slots(name, address, DEFAULT_SLOTS).await;
+    }
+
+    /// Like [`Self::register_address`], for a target with this many slots.
+    pub async fn register_slots(&self, name: &str, address: SocketAddr, slots: u32) {
         let entry = json!({
-            "service": "plain", "addr": address, "zone": "z0", "version": "v1", "slots": 8,
+            "service": "plain", "addr": address, "zone": "z0", "version": "v1", "slots": slots,
             "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": 1,
         });
         self.store.put("keyed.servers", name, Some(&entry)).await;
--- a/tests/hostile/env.rs
+++ b/tests/hostile/env.rs
@@ -1,6 +1,6 @@
 //! Routers in front of a scripted target, on both paths: an entry router, and a router with an agent.
 
-use std::{path::Path, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use ebonyfall_standin::{
     deploy::TEAM_KEY,
@@ -36,6 +36,7 @@
 pub(crate) struct Env {
     pub(crate) deployment: EntryDeployment,
     pub(crate) hostile: HostileTarget,
+    pub(crate) hostile_address: SocketAddr,
     _folder: TempDir,
 }
 
@@ -51,6 +52,7 @@
         Self {
             deployment,
             hostile,
+            hostile_address: address,
             _folder: folder,
         }
     }
--- a/tests/hostile/stops.rs
+++ b/tests/hostile/stops.rs
@@ -27,6 +27,8 @@
 const DRAIN: Duration = Duration::from_secs(3);
 const DRAIN_SETTING: &str = "drain = 3s\n";
 
+/// Slots of the target, more than the requests that it keeps.
+const SLOTS: u32 = 32;
 /// Times from the stop signal until a slow caller sends its body; requests are refused by then.
 const SLOW_BODY: Duration = Duration::from_secs(4);
 const AGENT_SLOW_BODY: Duration = Duration::from_secs(2);
@@ -76,6 +78,9 @@
     deployment
         .put_desired_state_with_timeout(2, &keys, TIMEOUT)
         .await;
+    deployment
+        .register_slots("hostile", env.hostile_address, SLOTS)
+        .await;
     sleep(Duration::from_millis(1_500)).await;
     env.hostile.set_script(silent());
     let listen = deployment.routers[0].listen;
--- a/tests/takeover/main.rs
+++ b/tests/takeover/main.rs
@@ -10,6 +10,7 @@
 
 use ebonyfall_standin::pausing::{Conduct, PauseAt};
 use env::{Env, RESUMABLE, SAFE};
+use futures_util::future::join_all;
 
 /// Pauses that callers bear: two seconds at least, by the routes of the deployment.
 const PAUSES: [Duration; 2] = [Duration::from_millis(1_400), Duration::from_millis(1_700)];
@@ -59,12 +60,13 @@
         Conduct::Close,
         Conduct::Silent,
     ];
-    for conduct in conducts {
+    let plays = conducts.map(|conduct| async move {
         let env = Env::start(&[conduct], 1_000.0).await;
         for (path, place, pause) in cases() {
             env.first.set_conduct(Conduct::Serve(place, pause));
             let case = format!("{conduct:?} {path} {place:?} {pause:?}");
             env.assert_whole(path, 8, &case).await;
         }
-    }
+    });
+    join_all(plays).await;
 }
--- a/tests/takeover/stops.rs
+++ b/tests/takeover/stops.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ebonyfall_standin::pausing::{Conduct, PauseAt};
-use tokio::time::sleep;
+use tokio::{join, time::sleep};
 
 use crate::env::{Env, RESUMABLE, SAFE, is_whole};
 
@@ -42,7 +42,8 @@
 /// retry can be made.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_beside_a_pause_cuts_no_answer() {
-    let sound = Conduct::Serve(PauseAt::Head, Duration::ZERO);
+    let sound = [Conduct::Serve(PauseAt::Head, Duration::ZERO)];
+    let declines = [Conduct::Decline];
     for signals in [
         &["TERM"][..],
         &["TERM", "TERM"],
@@ -50,8 +51,10 @@
         &["HUP", "TERM", "HUP", "TERM"],
         &["INT", "TERM"],
     ] {
-        stop_beside_pauses(&[], 58.0, signals).await;
-        stop_beside_pauses(&[sound], 0.0, signals).await;
-        stop_beside_pauses(&[Conduct::Decline], 1_000.0, signals).await;
+        join!(
+            stop_beside_pauses(&[], 58.0, signals),
+            stop_beside_pauses(&sound, 0.0, signals),
+            stop_beside_pauses(&declines, 1_000.0, signals),
+        );
     }
 }
