Test requests at a target that can no longer be reached

Two branches of the takeover had tests in the core only: a second target that takes longer than both may have the request (600 ms) gets it if the first one accepts no connections, and a stream that no other target takes over ends within 3 s. The stand-in's listener has a short queue, which the test fills, so that the system drops the packets of further connections.

--- a/standin/src/pausing.rs
+++ b/standin/src/pausing.rs
@@ -5,9 +5,9 @@
 
 use tokio::{
     io::AsyncWriteExt,
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -19,6 +19,10 @@
 const EVENTS: u32 = 4;
 /// Time between two events of a streamed answer without a pause.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+/// Connections that wait to be accepted before the system drops the packets of further ones.
+const BACKLOG: u32 = 16;
+/// Time after which a connection that is not established shows that the queue is full.
+const FULL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Body of an answer that is not a stream.
 const BODY: &str = "done and told";
 
@@ -66,6 +70,8 @@
 pub struct PausingTarget {
     conduct: watch::Sender<Conduct>,
     work: watch::Sender<Vec<Work>>,
+    is_dark: watch::Sender<bool>,
+    address: SocketAddr,
 }
 
 impl PausingTarget {
@@ -74,18 +80,26 @@
     /// # Panics
     ///
     /// Panics when no port is free.
-    pub async fn start(conduct: Conduct) -> (Self, SocketAddr) {
-        let listener = TcpListener::bind(LOOPBACK).await.expect("a port is free");
+    pub fn start(conduct: Conduct) -> (Self, SocketAddr) {
+        let listener = listen().expect("a port is free");
         let address = listener.local_addr().expect("the socket has an address");
         let conduct = watch::channel(conduct).0;
         let work = watch::channel(Vec::new()).0;
         let target = Self {
             conduct: conduct.clone(),
             work: work.clone(),
+            is_dark: watch::channel(false).0,
+            address,
         };
+        let mut is_dark = target.is_dark.subscribe();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, conduct.subscribe(), work.clone()));
+            while is_dark.wait_for(|is_dark| !is_dark).await.is_ok() {
+                tokio::select! {
+                    Ok((stream, _)) = listener.accept() => {
+                        tokio::spawn(serve(stream, conduct.subscribe(), work.clone()));
+                    }
+                    Ok(()) = is_dark.changed() => {}
+                }
             }
         });
         (target, address)
@@ -96,12 +110,33 @@
         self.conduct.send_replace(conduct);
     }
 
+    /// Makes the target unreachable for new connections: their packets are dropped. Open ones stay.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the target goes on to accept connections.
+    pub async fn darken(&self) -> Vec<TcpStream> {
+        self.is_dark.send_replace(true);
+        let mut waiting = Vec::new();
+        while let Ok(connected) = timeout(FULL_TIMEOUT, TcpStream::connect(self.address)).await {
+            waiting.push(connected.expect("the target listens"));
+            assert!(waiting.len() < 64, "the target accepts connections");
+        }
+        waiting
+    }
+
     /// Returns the work on all requests that were executed, in the order of their arrival.
     pub fn work(&self) -> Vec<Work> {
         self.work.borrow().clone()
     }
 }
 
+fn listen() -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(LOOPBACK)?;
+    socket.listen(BACKLOG)
+}
+
 async fn serve(
     mut stream: TcpStream,
     conduct: watch::Receiver<Conduct>,
--- a/tests/takeover/env.rs
+++ b/tests/takeover/env.rs
@@ -50,7 +50,7 @@
             .put_desired_state_with_timeout(2, &[TEAM_KEY], TIMEOUT)
             .await;
         let calm = Conduct::Serve(PauseAt::Head, Duration::ZERO);
-        let (first, address) = PausingTarget::start(calm).await;
+        let (first, address) = PausingTarget::start(calm);
         deployment.register_address("first", address).await;
         let mut env = Self {
             deployment,
@@ -59,7 +59,7 @@
             _folder: folder,
         };
         for (number, conduct) in others.iter().enumerate() {
-            let (other, address) = PausingTarget::start(*conduct).await;
+            let (other, address) = PausingTarget::start(*conduct);
             let name = format!("other-{number}");
             env.deployment.register_address(&name, address).await;
             env.others.push(other);
--- a/tests/takeover/overlap.rs
+++ b/tests/takeover/overlap.rs
@@ -68,6 +68,46 @@
     assert!(work.count() > 0, "the second target got requests");
 }
 
+/// Guards against a request that stays at a target which can no longer be reached because the second one
+/// takes longer than both may have the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreachable_target_is_left_for_a_slow_one() {
+    let slow = Conduct::Serve(PauseAt::Head, Duration::from_millis(600));
+    let env = Env::start(&[slow], 1_000.0).await;
+    env.first
+        .set_conduct(Conduct::Serve(PauseAt::Within, ENDLESS));
+    let calls: Vec<_> = (0..8).map(|_| tokio::spawn(env.call(RESUMABLE))).collect();
+    sleep(Duration::from_millis(300)).await;
+    let _waiting = env.first.darken().await;
+    for call in calls {
+        let (id, reply) = call.await.expect("no panic");
+        assert!(is_whole(RESUMABLE, reply.as_ref()), "{id}: {reply:?}");
+    }
+    assert!(
+        !env.first.work().is_empty(),
+        "the first target got requests"
+    );
+}
+
+/// Guards against callers that wait until their deadline for a target which can no longer be reached,
+/// although they could ask again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_an_unreachable_target_ends_if_no_other_takes_it() {
+    let env = Env::start(&[], 58.0).await;
+    env.first
+        .set_conduct(Conduct::Serve(PauseAt::Within, ENDLESS));
+    let begun = Instant::now();
+    let calls: Vec<_> = (0..4).map(|_| tokio::spawn(env.call(RESUMABLE))).collect();
+    sleep(Duration::from_millis(300)).await;
+    let _waiting = env.first.darken().await;
+    for call in calls {
+        let (id, reply) = call.await.expect("no panic");
+        assert!(!is_whole(RESUMABLE, reply.as_ref()), "{id}: {reply:?}");
+    }
+    let took = begun.elapsed();
+    assert!(took < Duration::from_secs(3), "{took:?}");
+}
+
 /// Guards against work that goes on at either target after the caller has left while both had its
 /// request.
 #[tokio::test(flavor = "multi_thread")]
