Leave a target that can be reached only for one that may begin at once

A target whose last load report, if it is recent, shows waiting requests or no free slot is not asked while the first one can be reached. Targets that report no load, and those asked for a target that cannot be reached, are as before.

--- a/bench/src/steer.rs
+++ b/bench/src/steer.rs
@@ -153,6 +153,7 @@
                 contexts: &contexts,
                 tried: &[],
                 is_retry: false,
+                needs_slot: false,
                 content: Fingerprint::from(context),
                 parts: &self.parts,
                 team: &self.team,
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -208,6 +208,16 @@
             && !evacuated.contains(&self.record.zone)
     }
 
+    /// Whether a request may begin at once, as far as the target's last load report tells.
+    pub(crate) fn may_have_free_slot(&self, now: Time) -> bool {
+        let recent = self
+            .reported_load
+            .filter(|(_, at)| now.since(*at) < LOAD_TTL);
+        recent.is_none_or(|(load, _)| {
+            load.waiting == 0 && load.slots.is_none_or(|slots| load.running < slots)
+        })
+    }
+
     /// Sort key of the target for a context; the target with the lowest key is the context's home.
     pub(crate) fn context_rank(&self, context: u64) -> u64 {
         xxh3_64_with_seed(&self.hash.to_le_bytes(), context)
--- a/core/tests/selector.rs
+++ b/core/tests/selector.rs
@@ -206,6 +206,8 @@
         } else {
             let load = ReportedLoad {
                 running: count("running"),
+                waiting: count("waiting"),
+                slots: text("slots").map(|_| count("slots")),
                 ..ReportedLoad::default()
             };
             self.selector.record_load(&name, load, self.now);
@@ -227,6 +229,7 @@
                 contexts: &contexts,
                 tried: &tried,
                 is_retry: text("repeat").is_some(),
+                needs_slot: text("slot").is_some(),
                 content: Fingerprint::from(number("content").unwrap_or(0)),
                 parts: &[],
                 team: &self.team,
@@ -258,6 +261,7 @@
         contexts,
         tried,
         is_retry: false,
+        needs_slot: false,
         content: Fingerprint::from(0),
         parts: &[],
         team: &TEAM,
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -327,6 +327,7 @@
             contexts: self.job.contexts.clone(),
             tried: self.attempts.tried().to_vec(),
             charge_retry: self.charge_retry,
+            needs_slot: false,
             idempotency: self.attempts.idempotency(),
             content: self.job.content,
             parts: Arc::clone(&self.job.parts),
--- a/src/carry/takeover.rs
+++ b/src/carry/takeover.rs
@@ -9,7 +9,7 @@
     name::TargetName,
     outcome::Probe,
     selector::SelectionRefusal,
-    takeover::{MIN_ASK_AFTER, Obstacle, Silence, SilenceLimits, Step},
+    takeover::{MIN_ASK_AFTER, Obstacle, Reach, Silence, SilenceLimits, Step},
     target::TargetRecord,
     time::Time,
 };
@@ -249,6 +249,8 @@
         let mut request = self.selection_request();
         request.tried.push(watch.target.name.clone());
         request.charge_retry = true;
+        // A target that can be reached is left only for one that may begin at once.
+        request.needs_slot = !matches!(watch.silence.reach(), Reach::Unreachable { .. });
         let attempt = self.attempt();
         watch.second = Some(Second::Asked(Box::pin(prepare(attempt, request))));
     }
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -53,6 +53,8 @@
     pub tried: Vec<TargetName>,
     /// Whether the attempt is a retry that counts against the retry budget.
     pub charge_retry: bool,
+    /// Whether only targets are considered that are not known to be full.
+    pub needs_slot: bool,
     /// Whether the request may run more than once, which allows connections that have been idle
     /// longer.
     pub idempotency: Idempotency,
@@ -431,6 +433,7 @@
             contexts: &request.contexts,
             tried: &request.tried,
             is_retry: request.charge_retry,
+            needs_slot: request.needs_slot,
             content: request.content,
             parts: &request.parts,
             team: request.team.as_ref().unwrap_or(&self.anonymous),
