Answer a request whose head has begun when a server closes idle connections

Callers saw a kept connection end without an answer (end of file) when a stop came between two segments of their next request's head. The HTTP library takes a kept connection as idle until a head is complete, and its shutdown closed it with the part that had been read; a fresh connection was kept. The connection's own task knows that a head has begun, and now waits for its end within the usual limit before it shuts the connection down.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -238,6 +238,11 @@
         })
     }
 
+    /// Whether a part of a head has arrived, but not all of it.
+    pub(crate) fn has_incomplete_head(&self) -> bool {
+        phase_of(self.0.phase.load(Ordering::Acquire)) == HEAD
+    }
+
     fn state(&self) -> ConnectionState {
         let word = self.0.phase.load(Ordering::Acquire);
         let phase = match phase_of(word) {
--- a/src/web.rs
+++ b/src/web.rs
@@ -2,8 +2,8 @@
 //! helpers for requests and answers.
 
 use std::{
-    any::Any, convert::Infallible, io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc,
-    time::Duration,
+    any::Any, convert::Infallible, future::poll_fn, io, net::SocketAddr, panic::AssertUnwindSafe,
+    pin::Pin, sync::Arc, task::Poll, time::Duration,
 };
 
 use bytes::Bytes;
@@ -23,7 +23,7 @@
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
+    server::graceful::GracefulConnection,
 };
 use serde::Serialize;
 use serde_with::{DisplayFromStr, serde_as};
@@ -36,7 +36,7 @@
 };
 
 use crate::{
-    callers::{CHECK_INTERVAL, CallerGuard, CallerTable},
+    callers::{Activity, CHECK_INTERVAL, CallerGuard, CallerTable},
     clock::BootClock,
     memory::MemoryShare,
     settings::{CallerConfig, MachineLimits},
@@ -167,20 +167,22 @@
 ) {
     let server = Server {
         handler: Arc::new(handler),
-        graceful: GracefulShutdown::new(),
+        closing: watch::Sender::new(()),
         guard,
         stop,
         log,
     };
     server.accept(listener, &limits).await;
     time::sleep(limits().idle_grace).await;
-    server.graceful.shutdown().await;
+    server.closing.send_replace(());
+    server.closing.closed().await;
 }
 
 /// Handler, stop signal and logger that all connections of a server share.
 struct Server<H> {
     handler: Arc<H>,
-    graceful: GracefulShutdown,
+    /// Changes when idle connections are to close; each connection holds a receiver.
+    closing: watch::Sender<()>,
     guard: CallerGuard,
     stop: watch::Receiver<bool>,
     log: Logger,
@@ -267,10 +269,12 @@
             .max_buf_size(limits.max_header_bytes)
             .max_headers(limits.max_fields)
             .serve_connection(TokioIo::new(stream), service);
-        let connection = self.graceful.watch(connection);
-        let log = self.log.clone();
+        let closing = self.closing.subscribe();
+        let (log, requests) = (self.log.clone(), activity.clone());
+        let max_head_time = limits.deadlines.head;
         let task = tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            let served = serve_connection(connection, requests, closing, max_head_time);
+            if let Err(error) = served.await {
                 debug!(log, "HTTP connection failed"; "peer" => peer, "error" => %error);
             }
             drop(share);
@@ -279,6 +283,42 @@
     }
 }
 
+/// Serves a connection to its end. Once `closing` changes, it ends after the running request, and after
+/// the next one if a part of its head has arrived, which may take `max_head_time` more.
+async fn serve_connection<C: GracefulConnection>(
+    connection: C,
+    activity: Activity,
+    mut closing: watch::Receiver<()>,
+    max_head_time: Duration,
+) -> C::Output {
+    tokio::pin!(connection);
+    tokio::select! {
+        biased;
+        served = &mut connection => return served,
+        _closing = closing.changed() => {}
+    }
+    let head = finish_head(connection.as_mut(), &activity);
+    if let Ok(Some(served)) = time::timeout(max_head_time, head).await {
+        return served;
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await
+}
+
+/// Serves a connection until no incomplete head waits on it. The HTTP library takes a kept connection as
+/// idle until a head is complete, and would close it. Returns the result if the connection has ended.
+async fn finish_head<C: GracefulConnection>(
+    mut connection: Pin<&mut C>,
+    activity: &Activity,
+) -> Option<C::Output> {
+    poll_fn(|cx| match connection.as_mut().poll(cx) {
+        Poll::Ready(served) => Poll::Ready(Some(served)),
+        Poll::Pending if activity.has_incomplete_head() => Poll::Pending,
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
+}
+
 /// Attaches a socket filter that drops the SYN packets of new connections; callers retransmit them
 /// and then find the port closed. Closing the listener without this filter resets connections that
 /// are established but not accepted yet.
