Refuse requests whose bodies are incomplete at the end of a stop

Callers whose bodies were still arriving when the grace period of a planned stop ended saw their connection end without an answer (end of file), although the router had read the head and knew that nothing had run. Reading a body did not look at the phase of the stop.

--- a/src/body.rs
+++ b/src/body.rs
@@ -19,6 +19,7 @@
 use crate::{
     memory::{MemoryBudget, MemoryShare},
     settings::CallerConfig,
+    stop::StopPhases,
 };
 
 /// Memory for the bodies of requests.
@@ -27,6 +28,7 @@
     budget: MemoryBudget,
     copies: usize,
     config: CallerConfig,
+    phases: StopPhases,
 }
 
 /// A body that is being read.
@@ -41,11 +43,17 @@
 impl RequestBodies {
     /// Takes the memory of bodies from `budget`. The process holds up to `copies` copies of each body
     /// at once, which all count.
-    pub fn new(budget: MemoryBudget, copies: usize, config: CallerConfig) -> Self {
+    pub fn new(
+        budget: MemoryBudget,
+        copies: usize,
+        config: CallerConfig,
+        phases: StopPhases,
+    ) -> Self {
         Self {
             budget,
             copies,
             config,
+            phases,
         }
     }
 
@@ -55,8 +63,8 @@
     /// # Errors
     ///
     /// Fails with `TooLarge` above the limit, with `Overloaded` when the memory for bodies is used up,
-    /// with `SlowRequest` when the body takes too long, and with `BadRequest` when it is incomplete or
-    /// malformed. A declared body that is too large or does not fit is not read at all.
+    /// with `SlowRequest` when the body takes too long, with `ShuttingDown` when the process ends before
+    /// its end has arrived, and with `BadRequest` when it is incomplete or malformed. A declared body that is too large or does not fit is not read at all.
     pub async fn read(
         &self,
         state: &mut State,
@@ -79,7 +87,11 @@
         incomplete.reserve(declared)?;
         let start = Instant::now();
         loop {
-            let frame = timeout_at(incomplete.deadline(start), body.frame()).await;
+            let frame = tokio::select! {
+                biased;
+                frame = timeout_at(incomplete.deadline(start), body.frame()) => frame,
+                () = self.phases.ending() => return Err(Code::ShuttingDown),
+            };
             let Some(frame) = frame.map_err(|_late| Code::SlowRequest)? else {
                 break;
             };
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -118,9 +118,10 @@
         end_after: grace,
     };
     let phases = StopPhases::start(stop.clone(), times, log.clone());
+    let memory = guard.memory.clone();
     let intake = Shared::new(Intake {
+        bodies: RequestBodies::new(memory, BODY_COPIES, cfg.callers, phases.clone()),
         shared: Arc::new(tasks.forwarding(phases, &guard)),
-        bodies: RequestBodies::new(guard.memory.clone(), BODY_COPIES, cfg.callers),
     });
     let handler = move || {
         let intake = intake.clone().into_inner();
--- a/src/router.rs
+++ b/src/router.rs
@@ -134,8 +134,11 @@
         refuse_after: ConnectionLimits::default().idle_grace,
         end_after: cfg.common.drain,
     };
+    let phases = StopPhases::start(stop.clone(), times, log.clone());
+    let memory = guard.memory.clone();
+    let bodies = RequestBodies::new(memory, BODY_COPIES, cfg.callers, phases.clone());
     let relay = Relay {
-        phases: StopPhases::start(stop.clone(), times, log.clone()),
+        phases,
         identity,
         claims,
         views: views.clone(),
@@ -151,7 +154,6 @@
     let address = cfg.listen;
     let listener = web::bind(address).await.context(ListenSnafu { address })?;
     info!(log, "router ready"; "listen" => address);
-    let bodies = RequestBodies::new(guard.memory.clone(), BODY_COPIES, cfg.callers);
     let routes = front::routes(views, relay, bodies);
     let stop_log = log.clone();
     let limits = caller_limits(cfg.machine, cfg.callers);
--- a/tests/hostile/stops.rs
+++ b/tests/hostile/stops.rs
@@ -31,6 +31,13 @@
 const SLOW_BODY: Duration = Duration::from_secs(4);
 const AGENT_SLOW_BODY: Duration = Duration::from_secs(2);
 
+/// Length of a body that its caller does not send to its end, and of the part that it sends. The part is
+/// long enough for the router to wait for the rest until its grace period ends.
+const LONG_BODY: usize = 64 << 10;
+const BODY_PART: usize = LONG_BODY / 2;
+/// Callers at once that do so.
+const UNFINISHED: usize = 8;
+
 /// Keeps requests without an answer.
 fn silent() -> [Step; 2] {
     [Step::Execute, Step::Wait(2 * TIMEOUT)]
@@ -46,6 +53,18 @@
     stream.write_all(head.as_bytes()).await?;
     go.await.map_err(std::io::Error::other)?;
     stream.write_all(b"body").await?;
+    status_line(&mut stream).await
+}
+
+/// Sends the head of a request with a part of its body, and returns the status line.
+async fn call_without_end(listen: SocketAddr, head: String) -> Result<String, std::io::Error> {
+    let mut stream = TcpStream::connect(listen).await?;
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&vec![b'b'; BODY_PART]).await?;
+    status_line(&mut stream).await
+}
+
+async fn status_line(stream: &mut TcpStream) -> Result<String, std::io::Error> {
     let mut answer = Vec::new();
     let mut buf = [0; 4_096];
     while !answer.windows(4).any(|part| part == b"\r\n\r\n") {
@@ -66,6 +85,17 @@
     assert_ne!(reply.status, StatusCode::SERVICE_UNAVAILABLE, "{what}");
 }
 
+/// Checks that callers that send no more of their bodies are told that their requests have not run.
+async fn assert_refused(calls: JoinSet<Result<String, std::io::Error>>) {
+    let lines = calls.join_all().await;
+    for line in &lines {
+        let is_refusal = line
+            .as_ref()
+            .is_ok_and(|line| line.starts_with("HTTP/1.1 503"));
+        assert!(is_refusal, "{lines:?}");
+    }
+}
+
 /// Guards against requests that are taken during the grace period of a planned stop, passed on, and cut
 /// without an answer at its end, among them those that may run once only.
 #[tokio::test(flavor = "multi_thread")]
@@ -191,3 +221,40 @@
     assert!(refused.starts_with("HTTP/1.1 503"), "{refused:?}");
     assert_eq!(env.hostile.total_executions(), 3);
 }
+
+/// Guards against a planned stop that closes connections without an answer while bodies are incomplete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_refuses_requests_with_incomplete_bodies() {
+    let mut env = Env::start(0).await;
+    let listen = env.deployment.routers[0].listen;
+    let head = format!(
+        "POST {UNSAFE} HTTP/1.1\r\nHost: spine.example\r\nEbonyfall-Attempt-Id: part\r\n\
+         Authorization: Bearer {TEAM_KEY}\r\nEbonyfall-Deadline-Ms: 30000\r\n\
+         Content-Length: {LONG_BODY}\r\n\r\n"
+    );
+    let calls = (0..UNFINISHED).map(|_| call_without_end(listen, head.clone()));
+    let calls: JoinSet<_> = calls.collect();
+    sleep(Duration::from_millis(100)).await;
+    env.deployment.signal(0, "TERM");
+    assert_refused(calls).await;
+    assert_eq!(env.hostile.executions("part"), 0);
+}
+
+/// Guards against the same at a router with agents.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_refuses_requests_with_incomplete_bodies_behind_an_agent() {
+    let env = AgentEnv::start_with(DRAIN_SETTING).await;
+    let listen = env.env.deployment.routers[0].listen;
+    let key = deploy::TEAM_KEY;
+    let head = format!(
+        "POST {AGENT_UNSAFE} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n\
+         X-Deadline-Ms: 30000\r\nContent-Length: {LONG_BODY}\r\n\r\n"
+    );
+    let calls = (0..UNFINISHED).map(|_| call_without_end(listen, head.clone()));
+    let calls: JoinSet<_> = calls.collect();
+    sleep(Duration::from_millis(100)).await;
+    let router = &env.env.deployment.routers[0];
+    router.terminate().expect("the signal is sent");
+    assert_refused(calls).await;
+    assert_eq!(env.hostile.total_executions(), 0);
+}
