Test kept connections while signals arrive in series

No fault was found, and nothing but the test changes. Two targets, one router for each series, 24 callers that send request after request on kept connections until the router accepts no more, and 120 that send their second request 2.5 to 3.0 s after the first signal.

--- /dev/null
+++ b/tests/entry/kept.rs
@@ -0,0 +1,200 @@
+//! Callers that keep connections open, and send request after request, while a router stops.
+
+use std::{
+    net::SocketAddr,
+    ops::Range,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use ebonyfall_standin::{
+    entrance::{CallerConnection, Reply},
+    registered::AnswerMode,
+};
+use http::StatusCode;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{RESUMABLE, SAFE, STREAM, UNSAFE, env::EntryEnv, events, executed};
+
+/// Paths of all kinds of routes.
+const PATHS: [&str; 4] = [SAFE, UNSAFE, RESUMABLE, STREAM];
+/// Callers that send request after request.
+const CALLERS: usize = 24;
+/// Longest pause of a caller after an answer, in milliseconds.
+const MAX_PAUSE_MS: u64 = 300;
+/// Callers that send two requests on a connection: one before the first signal, and one around the time at
+/// which a router closes idle connections, in milliseconds after that signal.
+const IDLE_CALLERS: usize = 120;
+const SECOND_REQUEST_MS: Range<u64> = 2_500..3_000;
+/// Time from the start of the calls to the first signal, and between two signals.
+const BEFORE_SIGNAL: Duration = Duration::from_millis(500);
+const BETWEEN_SIGNALS: Duration = Duration::from_millis(200);
+/// Time for which callers call a router that is not stopped.
+const CALL_TIME: Duration = Duration::from_secs(3);
+/// Time from a stop signal until the router has to have ended.
+const GRACE: Duration = Duration::from_secs(8);
+/// Events of a streamed answer, which lasts 200 ms.
+const EVENTS: u32 = 40;
+
+static CALLS: AtomicU64 = AtomicU64::new(1);
+
+/// A request and how it ended.
+#[derive(Debug)]
+struct Call {
+    id: String,
+    path: &'static str,
+    /// Whether the connection had carried a request before.
+    is_kept: bool,
+    reply: Option<Reply>,
+}
+
+impl Call {
+    async fn send(open: &mut CallerConnection, path: &'static str, is_kept: bool) -> Self {
+        let id = format!("kept-{}", CALLS.fetch_add(1, Ordering::Relaxed));
+        let method = if path == SAFE { "GET" } else { "POST" };
+        let headers = [("ebonyfall-deadline-ms", "2000")];
+        let reply = open.call(&id, (method, path, "body"), &headers).await;
+        Self {
+            id,
+            path,
+            is_kept,
+            reply,
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        self.reply.as_ref().is_some_and(|reply| {
+            let expected = match self.path {
+                RESUMABLE | STREAM => events(EVENTS),
+                _ => "done".to_owned(),
+            };
+            reply.status == StatusCode::OK && reply.body.as_ref().ok() == Some(&expected)
+        })
+    }
+
+    fn is_refused(&self) -> bool {
+        let status = self.reply.as_ref().map(|reply| reply.status);
+        status == Some(StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+/// Sends request after request until `end` or until the router accepts no more connections.
+async fn call_on(listen: SocketAddr, path: &'static str, end: Instant) -> Vec<Call> {
+    let mut calls = Vec::new();
+    let mut connection = None;
+    while Instant::now() < end {
+        let is_kept = connection.is_some();
+        let open = match connection.take() {
+            Some(open) => Some(open),
+            None => CallerConnection::open(listen).await,
+        };
+        let Some(mut open) = open else {
+            return calls;
+        };
+        let call = Call::send(&mut open, path, is_kept).await;
+        let stays_open = call.reply.as_ref().is_some_and(|reply| {
+            let connection = reply.headers.get("connection");
+            reply.body.is_ok() && connection.is_none_or(|value| value != "close")
+        });
+        connection = stays_open.then_some(open);
+        calls.push(call);
+        sleep(Duration::from_millis(rand::random_range(0..MAX_PAUSE_MS))).await;
+    }
+    calls
+}
+
+/// Sends a request now and another one on the same connection at `second_at`.
+async fn call_twice(listen: SocketAddr, path: &'static str, second_at: Instant) -> Vec<Call> {
+    let Some(mut open) = CallerConnection::open(listen).await else {
+        return Vec::new();
+    };
+    let mut calls = Vec::new();
+    for is_kept in [false, true] {
+        if is_kept {
+            sleep_until(second_at).await;
+        }
+        calls.push(Call::send(&mut open, path, is_kept).await);
+    }
+    calls
+}
+
+/// Checks the answers to callers that call while these signals arrive.
+async fn check_signals(signals: &'static [&'static str]) {
+    let mut env = EntryEnv::start(2).await;
+    for target in &env.targets {
+        target.set_mode(AnswerMode::ByPath { events: EVENTS });
+    }
+    let listen = env.routers[0].listen;
+    let end = Instant::now() + BEFORE_SIGNAL + GRACE;
+    let stops = signals.iter().any(|signal| *signal != "HUP");
+    let end = if stops {
+        end
+    } else {
+        Instant::now() + CALL_TIME
+    };
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        callers.spawn(call_on(listen, PATHS[caller % PATHS.len()], end));
+    }
+    let signalled = Instant::now() + BEFORE_SIGNAL;
+    for caller in 0..IDLE_CALLERS {
+        let after = Duration::from_millis(rand::random_range(SECOND_REQUEST_MS));
+        callers.spawn(call_twice(
+            listen,
+            PATHS[caller % PATHS.len()],
+            signalled + after,
+        ));
+    }
+    sleep_until(signalled).await;
+    for signal in signals {
+        env.signal(0, signal);
+        sleep(BETWEEN_SIGNALS).await;
+    }
+    let calls: Vec<_> = callers.join_all().await.into_iter().flatten().collect();
+    if stops {
+        assert!(env.ended(GRACE).await, "{signals:?}");
+    }
+    let executed = executed(&env);
+    let runs = |id: &str| {
+        let ids = executed.iter();
+        let ids = ids.filter_map(|req| req.headers.get("ebonyfall-attempt-id"));
+        ids.filter(|executed| *executed == id).count()
+    };
+    let [mut whole, mut refused, mut crossed] = [0; 3];
+    for call in &calls {
+        let case = format!("{signals:?}: {call:?}");
+        if call.is_whole() {
+            whole += 1;
+            assert_eq!(runs(&call.id), 1, "{case}");
+        } else if call.is_refused() {
+            refused += 1;
+            assert_eq!(runs(&call.id), 0, "{case}");
+        } else {
+            // A request that crosses the end of an idle connection has not been read.
+            assert!(call.reply.is_none() && call.is_kept, "{case}");
+            assert_eq!(runs(&call.id), 0, "{case}");
+            crossed += 1;
+        }
+    }
+    println!("{signals:?}: {whole} whole, {refused} refused, {crossed} crossed the end");
+    assert!(whole > 0, "{signals:?}");
+}
+
+/// Guards against requests on kept and new connections that are cut, lost or run although they were
+/// refused, while stop and reload signals arrive in series.
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_in_series_lose_no_request_on_kept_connections() {
+    let series = [
+        &["TERM"][..],
+        &["TERM", "TERM"],
+        &["TERM", "HUP"],
+        &["HUP", "TERM"],
+        &["HUP", "HUP", "HUP"],
+        &["INT", "TERM"],
+    ];
+    let checks: JoinSet<_> = series.into_iter().map(check_signals).collect();
+    checks.join_all().await;
+}
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod dispatch;
 mod env;
 mod fleet_share;
+mod kept;
 mod keys;
 mod metrics;
 mod moves;
