Close idle connections for new ones when the memory for heads is used up

Callers saw new connections closed without a byte (connection 513 of a router with memory-mb = 64 and max-fds = 4000), and readiness checks failed, for as long as idle connections held all of the memory for heads: only the number of connections made one give way. At both limits, an idle connection was closed first, and then the new one did not get its memory either.

The connections that give way are now chosen before any is closed, for places and bytes together, and none is if all waiting ones are not enough. The table holds the memory of a connection, so that it is free at once. Callers leave 512 KiB to the listeners for readiness and metrics, so that idle callers do not make a router look dead.

--- a/core/src/connections.rs
+++ b/core/src/connections.rs
@@ -55,7 +55,7 @@
     Deadline,
     /// It had waited the longest, and a new connection needed room.
     Evicted,
-    /// All others had running requests, so that a new connection was refused.
+    /// The others had running requests or held too little, so that a new connection was refused.
     Refused,
 }
 
@@ -100,9 +100,50 @@
     }
 }
 
-/// Returns the connection that has waited the longest without a running request.
-pub fn longest_waiting<K>(states: impl IntoIterator<Item = (K, ConnectionState)>) -> Option<K> {
-    let waiting = states.into_iter().filter(|(_, state)| state.is_waiting());
-    let longest = waiting.min_by_key(|(_, state)| state.since);
-    longest.map(|(key, _)| key)
+/// Room for the connections of a listener, before a new one is added.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// Open connections.
+    pub open: usize,
+    /// Most connections at once.
+    pub max_open: usize,
+    /// Bytes that are free for further connections.
+    pub free_bytes: usize,
+}
+
+impl Room {
+    /// Whether a connection that takes `bytes` fits.
+    pub const fn fits(&self, bytes: usize) -> bool {
+        self.open < self.max_open && bytes <= self.free_bytes
+    }
+
+    const fn without(self, bytes: usize) -> Self {
+        Self {
+            open: self.open.saturating_sub(1),
+            free_bytes: self.free_bytes.saturating_add(bytes),
+            ..self
+        }
+    }
+}
+
+/// Returns the connections that have to be closed so that a new one fits that takes `bytes`: those that
+/// have waited the longest without a running request. Each comes with its state and the bytes that it
+/// holds. `None` if closing all of them is not enough; then none is to be closed.
+pub fn choose_evictions<K>(
+    connections: impl IntoIterator<Item = (K, ConnectionState, usize)>,
+    mut room: Room,
+    bytes: usize,
+) -> Option<Vec<K>> {
+    let waiting = connections.into_iter();
+    let mut waiting: Vec<_> = waiting.filter(|(_, state, _)| state.is_waiting()).collect();
+    waiting.sort_by_key(|(_, state, _)| state.since);
+    let mut chosen = Vec::new();
+    for (key, _, held) in waiting {
+        if room.fits(bytes) {
+            break;
+        }
+        room = room.without(held);
+        chosen.push(key);
+    }
+    room.fits(bytes).then_some(chosen)
 }
--- a/core/tests/callers.rs
+++ b/core/tests/callers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ebonyfall_core::{
-    connections::{CallerDeadlines, CloseCause, ConnectionState, Phase, longest_waiting},
+    connections::{CallerDeadlines, CloseCause, ConnectionState, Phase, Room, choose_evictions},
     memory::{BodyUse, MemoryParts, MemoryRefusal, SMALL_BODY_BYTES, admit_body},
     time::Time,
 };
@@ -18,7 +18,7 @@
     answer_grace: Duration::from_secs(10),
 };
 
-fn state(phase: Phase, since_s: u64) -> ConnectionState {
+const fn state(phase: Phase, since_s: u64) -> ConnectionState {
     ConnectionState {
         phase,
         since: at(since_s),
@@ -27,7 +27,7 @@
     }
 }
 
-fn at(seconds: u64) -> Time {
+const fn at(seconds: u64) -> Time {
     Time::from_millis(seconds * 1_000)
 }
 
@@ -120,16 +120,53 @@
     assert_eq!(running.overdue(&DEADLINES, at(1_000_000)), None);
 }
 
-/// Guards against closing a connection whose request runs in favour of a new one.
+const WAITING: [ConnectionState; 4] = [
+    state(Phase::Running, 1),
+    state(Phase::Head, 3),
+    state(Phase::Idle, 2),
+    state(Phase::Idle, 4),
+];
+
+/// Connections that hold 10 bytes each.
+fn holding(states: &[ConnectionState]) -> impl Iterator<Item = (usize, ConnectionState, usize)> {
+    let states = states.iter().enumerate();
+    states.map(|(number, state)| (number, *state, 10))
+}
+
+/// Guards against closing a connection whose request runs in favour of a new one, and against closing
+/// another one than that which has waited the longest.
 #[test]
 fn the_longest_waiting_connection_gives_way() {
-    let states = [
-        state(Phase::Running, 1),
-        state(Phase::Head, 3),
-        state(Phase::Idle, 2),
-        state(Phase::Idle, 4),
-    ];
-    assert_eq!(longest_waiting((0..).zip(states)), Some(2));
-    let running = [state(Phase::Running, 1); 3];
-    assert_eq!(longest_waiting((0..).zip(running)), None);
+    let full = Room {
+        open: 4,
+        max_open: 4,
+        free_bytes: 100,
+    };
+    let chosen = choose_evictions(holding(&WAITING), full, 10);
+    assert_eq!(chosen, Some(vec![2]));
+    let running = [state(Phase::Running, 1); 4];
+    assert_eq!(choose_evictions(holding(&running), full, 10), None);
+}
+
+/// Guards against closing more connections than a new one needs, or any in vain.
+#[test]
+fn as_many_connections_give_way_as_a_new_one_needs() {
+    let room = |max_open, free_bytes| Room {
+        open: 4,
+        max_open,
+        free_bytes,
+    };
+    for (room, bytes, expected) in [
+        (room(9, 10), 10, Some(vec![])),
+        (room(9, 9), 10, Some(vec![2])),
+        (room(9, 0), 20, Some(vec![2, 1])),
+        (room(9, 5), 35, Some(vec![2, 1, 3])),
+        (room(9, 5), 36, None),
+        (room(4, 0), 31, None),
+        (room(3, 10), 10, Some(vec![2, 1])),
+        (room(1, 10), 10, None),
+    ] {
+        let chosen = choose_evictions(holding(&WAITING), room, bytes);
+        assert_eq!(chosen, expected, "{room:?}, {bytes}");
+    }
 }
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -16,7 +16,7 @@
 
 use bytes::Bytes;
 use ebonyfall_core::{
-    connections::{CallerDeadlines, CloseCause, ConnectionState, Phase, longest_waiting},
+    connections::{CallerDeadlines, CloseCause, ConnectionState, Phase, Room, choose_evictions},
     memory::{MemoryRefusal, Taker},
     time::Time,
 };
@@ -36,7 +36,10 @@
     time::{Sleep, sleep},
 };
 
-use crate::{clock::BootClock, memory::MemoryBudget};
+use crate::{
+    clock::BootClock,
+    memory::{MemoryBudget, MemoryShare},
+};
 
 /// Interval between two checks for overdue connections.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -382,11 +385,14 @@
 struct Entry {
     activity: Activity,
     task: AbortHandle,
+    /// Memory that the connection takes.
+    share: MemoryShare,
 }
 
 /// Connections of one listener.
 pub(crate) struct CallerTable {
     entries: Vec<Entry>,
+    memory: MemoryBudget,
     metrics: CallerMetrics,
     /// Closed connections since the last log line, in the order of [`CAUSES`].
     closed: [u32; CAUSES.len()],
@@ -395,35 +401,58 @@
 }
 
 impl CallerTable {
-    pub(crate) fn new(metrics: CallerMetrics, log: Logger) -> Self {
+    pub(crate) fn new(guard: &CallerGuard, log: Logger) -> Self {
         Self {
             entries: Vec::new(),
-            metrics,
+            memory: guard.memory.clone(),
+            metrics: guard.metrics.clone(),
             closed: [0; CAUSES.len()],
             checks: 0,
             log,
         }
     }
 
-    /// Makes room for a new connection among at most `max` ones. Returns `false` if all of them have
-    /// running requests.
-    pub(crate) fn make_room(&mut self, max: usize) -> bool {
-        if self.entries.len() < max {
-            return true;
+    /// Makes room for a new connection that takes `bytes` bytes, among at most `max` ones, and leaves
+    /// `reserved` bytes to other listeners. Returns its memory, or `None` if the connections without a
+    /// running request hold too little.
+    pub(crate) fn make_room(
+        &mut self,
+        max: usize,
+        bytes: usize,
+        reserved: usize,
+    ) -> Option<MemoryShare> {
+        let needed = bytes.saturating_add(reserved);
+        if !self.room(max).fits(needed) {
+            self.forget_ended();
         }
-        self.forget_ended();
-        while self.entries.len() >= max {
-            let states = self.entries.iter().enumerate();
-            let states = states.map(|(index, entry)| (index, entry.activity.state()));
-            let Some(index) = longest_waiting(states) else {
+        while !self.room(max).fits(needed) {
+            let Some(mut chosen) = choose_evictions(self.states(), self.room(max), needed) else {
                 self.count(CloseCause::Refused);
-                return false;
+                return None;
             };
-            if self.close(index) {
-                self.count(CloseCause::Evicted);
+            // Removing an entry moves only later ones.
+            chosen.sort_unstable_by(|one, other| other.cmp(one));
+            for index in chosen {
+                if self.close(index) {
+                    self.count(CloseCause::Evicted);
+                }
             }
         }
-        true
+        self.memory.take(Taker::Heads, bytes).ok()
+    }
+
+    fn room(&self, max: usize) -> Room {
+        Room {
+            open: self.entries.len(),
+            max_open: max,
+            free_bytes: self.memory.free(Taker::Heads),
+        }
+    }
+
+    /// States of the connections, with the bytes that they hold.
+    fn states(&self) -> impl Iterator<Item = (usize, ConnectionState, usize)> {
+        let entries = self.entries.iter().enumerate();
+        entries.map(|(index, entry)| (index, entry.activity.state(), entry.share.len()))
     }
 
     /// Wraps a new connection; [`add`](Self::add) puts its task into the table.
@@ -437,8 +466,12 @@
         (stream, activity)
     }
 
-    pub(crate) fn add(&mut self, activity: Activity, task: AbortHandle) {
-        self.entries.push(Entry { activity, task });
+    pub(crate) fn add(&mut self, activity: Activity, task: AbortHandle, share: MemoryShare) {
+        self.entries.push(Entry {
+            activity,
+            task,
+            share,
+        });
         self.metrics.connections.inc();
     }
 
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -109,6 +109,11 @@
         Ok(share)
     }
 
+    /// Bytes that `taker` can still take.
+    pub fn free(&self, taker: Taker) -> usize {
+        self.part(taker).available_permits()
+    }
+
     fn part(&self, taker: Taker) -> &Arc<Semaphore> {
         match taker {
             Taker::Heads => &self.0.heads,
--- a/src/web.rs
+++ b/src/web.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use ebonyfall_core::{code::Code, connections::CallerDeadlines, id::RequestId, memory::Taker};
+use ebonyfall_core::{code::Code, connections::CallerDeadlines, id::RequestId};
 use gotham::{
     handler::NewHandler,
     helpers::http::Body,
@@ -49,6 +49,8 @@
 pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Connections to a listener for monitoring, load balancers or operators.
 const MAX_SMALL_CONNECTIONS: usize = 32;
+/// Memory that callers leave to such listeners, so that idle callers do not make a process look dead.
+const SMALL_LISTENERS_BYTES: usize = MAX_SMALL_CONNECTIONS * MAX_HEADER_BYTES;
 /// Receive buffer of a caller's connection, in bytes; the kernel doubles it. Some platforms count
 /// received bytes that wait there as memory of the process.
 const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
@@ -102,6 +104,8 @@
     pub max_fields: usize,
     /// Limit on a connection's read buffer, and so on request headers, in bytes.
     pub max_header_bytes: usize,
+    /// Bytes of the memory for connections that are left to other listeners.
+    pub reserved_bytes: usize,
     /// Time after the stop signal for which new connections are still accepted.
     pub accept_grace: Duration,
     /// Time after that for which idle connections stay open, because a caller may be sending its
@@ -132,6 +136,7 @@
             max_connections: usize::MAX,
             max_fields: config.max_fields,
             max_header_bytes: MAX_HEADER_BYTES,
+            reserved_bytes: SMALL_LISTENERS_BYTES,
             accept_grace: Duration::ZERO,
             idle_grace: Duration::from_secs(1),
         }
@@ -141,6 +146,7 @@
     pub fn small() -> Self {
         Self {
             max_connections: MAX_SMALL_CONNECTIONS,
+            reserved_bytes: 0,
             ..Self::default()
         }
     }
@@ -204,7 +210,7 @@
             time::sleep(HANDSHAKE_GRACE).await;
         };
         tokio::pin!(closed);
-        let mut table = CallerTable::new(self.guard.metrics.clone(), self.log.clone());
+        let mut table = CallerTable::new(&self.guard, self.log.clone());
         let mut checks = time::interval(CHECK_INTERVAL);
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -218,13 +224,10 @@
                 () = &mut closed => return,
             };
             let limits = limits();
+            let bytes = limits.max_header_bytes;
+            let share = table.make_room(limits.max_connections, bytes, limits.reserved_bytes);
             // A connection that is not taken is closed; its caller tries another router.
-            if table.make_room(limits.max_connections)
-                && let Ok(share) = self
-                    .guard
-                    .memory
-                    .take(Taker::Heads, limits.max_header_bytes)
-            {
+            if let Some(share) = share {
                 self.spawn_connection(&mut table, stream, peer, limits, share);
             }
         }
@@ -277,9 +280,8 @@
             if let Err(error) = served.await {
                 debug!(log, "HTTP connection failed"; "peer" => peer, "error" => %error);
             }
-            drop(share);
         });
-        table.add(activity, task.abort_handle());
+        table.add(activity, task.abort_handle(), share);
     }
 }
 
--- a/tests/entry/kept.rs
+++ b/tests/entry/kept.rs
@@ -39,6 +39,16 @@
 /// Events of a streamed answer, which lasts 200 ms.
 const EVENTS: u32 = 40;
 
+/// Path without a route.
+const NO_ROUTE: &str = "/none/7";
+/// Settings of a router whose memory holds fewer connections than its descriptors, and how many.
+const FEW_HEADS: &str = "memory-mb = 64\nmax-fds = 4000\n";
+const MAX_HEADS: usize = (64 << 20) / 8 / (16 << 10);
+/// Connections that the listeners for readiness and metrics may have.
+const OTHER_HEADS: usize = 32;
+/// Connections that come when no more fit.
+const NEW_CONNECTIONS: usize = 8;
+
 static CALLS: AtomicU64 = AtomicU64::new(1);
 
 /// A request and how it ended.
@@ -198,3 +208,25 @@
     let checks: JoinSet<_> = series.into_iter().map(check_signals).collect();
     checks.join_all().await;
 }
+
+/// Guards against a router that takes no new connection, is not ready, or evicts more than it needs to,
+/// while idle connections hold all of the memory for heads.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_give_their_memory_to_new_ones() {
+    let env = EntryEnv::start_fleet_with(1, 1, FEW_HEADS).await;
+    let listen = env.routers[0].listen;
+    let mut kept = Vec::new();
+    for number in 0..MAX_HEADS + NEW_CONNECTIONS {
+        let mut open = CallerConnection::open(listen).await.expect("it listens");
+        let call = Call::send(&mut open, NO_ROUTE, false).await;
+        let status = call.reply.map(|reply| reply.status);
+        assert_eq!(status, Some(StatusCode::NOT_FOUND), "connection {number}");
+        kept.push(open);
+    }
+    assert!(env.is_ready(0).await, "readiness checks find room");
+    // Callers leave to the other listeners what these have at most, and what they hold now.
+    for open in &mut kept[NEW_CONNECTIONS + 2 * OTHER_HEADS..] {
+        let call = Call::send(open, NO_ROUTE, true).await;
+        assert!(call.reply.is_some());
+    }
+}
