Read the streams while a list that is due fails

After the store has come back from an older copy, a router lists both streams a second time. While that list failed, it was tried again and again, and the streams, which the store served, were not read: with one router, requests with keys got 503 (StaleState) after 4 s, and a target that drained went on getting requests (drain-ms is 2 s). What the router had, a stream that it could read, was given up before the list was there. Now the stream is read once after each failed list.

The test failed before with 503 StaleState (expected 200), and with the change of the orders alone with 6 requests at the draining target (expected 0); it passes now (x86_64). The stand-in of the store can refuse lists alone.

--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -66,6 +66,9 @@
     wait: Duration,
     /// Whether the newest records are listed instead.
     is_list: bool,
+    /// Whether a list has just failed. The stream is read before the next one, since the store may serve
+    /// it all the same.
+    has_list_failed: bool,
 }
 
 impl NextRead {
@@ -75,6 +78,7 @@
             from,
             wait: Duration::ZERO,
             is_list: false,
+            has_list_failed: false,
         }
     }
 }
@@ -212,12 +216,15 @@
             ..NextRead::at_once(from)
         };
         loop {
-            if next.is_list || self.eras.is_list_due(BootClock.now()) {
-                let from = match self.snapshot().await {
-                    Ok(end) => end,
-                    Err(error) => self.on_failure(&error, next.from).await,
+            let is_list_due = self.eras.is_list_due(BootClock.now()) && !next.has_list_failed;
+            if next.is_list || is_list_due {
+                next = match self.snapshot().await {
+                    Ok(end) => NextRead::at_once(end),
+                    Err(error) => NextRead {
+                        has_list_failed: true,
+                        ..NextRead::at_once(self.on_failure(&error, next.from).await)
+                    },
                 };
-                next = NextRead::at_once(from);
                 continue;
             }
             let (source, longest_wait) = self.next_source();
@@ -281,6 +288,7 @@
             from: tail.next,
             wait,
             is_list: catch_up == CatchUp::List,
+            has_list_failed: false,
         })
     }
 
--- a/src/follow/targets.rs
+++ b/src/follow/targets.rs
@@ -107,13 +107,15 @@
 
     /// Reads changes until the stream has to be listed again; returns why.
     async fn tail(&mut self, mut from: Position) -> StoreError {
+        // After a list that failed, the stream is read first: the store may serve it all the same.
+        let mut has_list_failed = false;
         loop {
             let (source, has_followers) = self.next_source();
             // A reader and its followers share the time.
             let is_shared = has_followers || source != Source::Store;
             let parts = if is_shared { 2 } else { 1 };
             time::sleep(self.max_age / parts).await;
-            let is_list_due = self.eras.is_list_due(BootClock.now());
+            let is_list_due = self.eras.is_list_due(BootClock.now()) && !has_list_failed;
             if let Source::Reader(reader) = source
                 && !is_list_due
             {
@@ -129,6 +131,7 @@
             } else {
                 self.read(&mut from).await
             };
+            has_list_failed = is_list_due && read.is_err();
             match read {
                 Ok(()) => {}
                 Err(error) if error.needs_list() => return error,
--- a/standin/src/keyed.rs
+++ b/standin/src/keyed.rs
@@ -52,8 +52,13 @@
     RateLimited,
     /// Appends are answered with status 503, reads correctly.
     ReadOnly,
+    /// Lists of newest records are answered with status 503, other calls correctly.
+    NoLists,
 }
 
+/// Path of the lists of newest records.
+const NEWEST_PATH: &str = "/api/log-newest";
+
 type Record = (String, Option<Vec<u8>>);
 
 enum Command {
@@ -217,7 +222,9 @@
     // The fault also applies to calls that were waiting when it was set.
     let fault = *store.fault.borrow();
     let mut res = match fault {
-        StoreFault::None | StoreFault::RateLimited | StoreFault::ReadOnly => res,
+        StoreFault::None | StoreFault::RateLimited | StoreFault::ReadOnly | StoreFault::NoLists => {
+            res
+        }
         StoreFault::NoAnswer => std::future::pending().await,
         StoreFault::Unavailable => web::json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
     };
@@ -229,10 +236,12 @@
 async fn serve(store: &KeyedStore, state: &mut State) -> Response<Body> {
     let call = store.calls.fetch_add(1, Ordering::Relaxed);
     let is_write = *Method::borrow_from(state) == Method::POST;
+    let is_list = Uri::borrow_from(state).path() == NEWEST_PATH;
     match *store.fault.borrow() {
         StoreFault::None => {}
         StoreFault::ReadOnly if !is_write => {}
-        StoreFault::ReadOnly => {
+        StoreFault::NoLists if !is_list => {}
+        StoreFault::ReadOnly | StoreFault::NoLists => {
             return web::json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
         }
         StoreFault::RateLimited if call.is_multiple_of(2) => {}
@@ -252,7 +261,7 @@
     let topic = query.get("topic").copied().unwrap_or_default().to_owned();
     let number = |key: &str| query.get(key).and_then(|text| text.parse::<u64>().ok());
     match (method.as_str(), uri.path()) {
-        ("GET", "/api/log-newest") => {
+        ("GET", NEWEST_PATH) => {
             let records = store.call(|reply| Command::ReadTopic(topic, reply)).await;
             let after = query.get("after");
             let after = after.map(|key| percent_decode_str(key).decode_utf8_lossy());
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod fleet_share;
 mod kept;
 mod keys;
+mod lists;
 mod metrics;
 mod moves;
 mod notices;
