Ask other routers while the list fails that a router needs to go on

A router that finds a later era of the store, or that its position has expired, leaves the stream and lists it. While that list failed, it asked no other router, although one of its zone had the new list: requests with keys got 503 (StaleState) after 4 s. It does so now after each failed list, like after any other failed call, and goes on in the stream from where the other router's records end.

--- a/core/src/id.rs
+++ b/core/src/id.rs
@@ -59,7 +59,9 @@
 }
 
 /// Place in a stream of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
 #[display("{era}:{offset}")]
 pub struct Position {
     /// Era in which the offset was given out, or of the list from which it was read.
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -108,19 +108,30 @@
 
 impl OrderTask {
     pub(super) async fn run(mut self) {
+        let mut known = None;
         loop {
-            let error = match self.snapshot().await {
+            let start = match known.take() {
+                Some(from) => Ok(from),
+                None => self.snapshot().await,
+            };
+            let error = match start {
                 Ok(from) => self.tail(from).await,
                 Err(error) => error,
             };
-            if self.health.list_again(&error) {
-                continue;
+            if !self.health.list_again(&error) {
+                known = self.read_instead_of_list(&error).await;
             }
-            self.record_failure(&error);
-            self.pause(RETRY_DELAY).await;
         }
     }
 
+    /// Reads from another router after a list has failed; returns the position from which the stream can
+    /// be read on if there were newer records.
+    async fn read_instead_of_list(&mut self, error: &StoreError) -> Option<Position> {
+        let from = self.mirror.borrow().next().unwrap_or_default();
+        let next = self.on_failure(error, from).await;
+        (next > from).then_some(next)
+    }
+
     fn record_failure(&mut self, error: &StoreError) {
         self.fetch.record_failure(error);
         self.health.record_failure(error, BootClock.now());
--- a/src/follow/targets.rs
+++ b/src/follow/targets.rs
@@ -42,13 +42,46 @@
 
 impl TargetTask {
     pub(super) async fn run(mut self) {
+        let mut known = None;
         loop {
-            let error = match self.snapshot().await {
+            let start = match known.take() {
+                Some(from) => Ok(from),
+                None => self.snapshot().await,
+            };
+            let error = match start {
                 Ok(from) => self.tail(from).await,
                 Err(error) => error,
             };
             if !self.health.list_again(&error) {
-                self.record_failure(&error).await;
+                known = self.read_instead_of_list(&error).await;
+            }
+        }
+    }
+
+    /// Reads from another router after a list has failed; returns the position from which the stream can
+    /// be read on if there were newer records.
+    async fn read_instead_of_list(&mut self, error: &StoreError) -> Option<Position> {
+        let from = self.mirror.borrow().next().unwrap_or_default();
+        let next = self.on_failure(error, from).await?;
+        if next == from {
+            StoreHealth::sleep_with_jitter(RETRY_DELAY).await;
+        }
+        (next > from).then_some(next)
+    }
+
+    /// Reads from another router after a call of the store has failed. Returns the position of the next
+    /// read, or `None`, after a pause, if no other router has records that may be used.
+    async fn on_failure(&mut self, error: &StoreError, from: Position) -> Option<Position> {
+        match self.peers.read(from, self.max_age).await {
+            Some(read) if self.is_usable(&read) => {
+                self.health.record_failure(error, BootClock.now());
+                Some(self.apply_read(read).await)
+            }
+            // The selector must know of the outage: records may expire only because their targets
+            // cannot renew them.
+            _ => {
+                self.record_failure(error).await;
+                None
             }
         }
     }
@@ -135,15 +168,7 @@
             match read {
                 Ok(()) => {}
                 Err(error) if error.needs_list() => return error,
-                Err(error) => match self.peers.read(from, self.max_age).await {
-                    Some(read) if self.is_usable(&read) => {
-                        self.health.record_failure(&error, BootClock.now());
-                        from = self.apply_read(read).await;
-                    }
-                    // The selector must know of the outage: records may expire only because their
-                    // targets cannot renew them.
-                    _ => self.record_failure(&error).await,
-                },
+                Err(error) => from = self.on_failure(&error, from).await.unwrap_or(from),
             }
         }
     }
--- a/src/mirror.rs
+++ b/src/mirror.rs
@@ -88,6 +88,11 @@
         self.confirmed
     }
 
+    /// Position that follows the last known record; `None` before the first list.
+    pub fn next(&self) -> Option<Position> {
+        self.next
+    }
+
     /// Era of the content; `None` before the first list.
     pub fn era(&self) -> Option<Era> {
         self.next.map(|next| next.era)
--- a/tests/entry/lists.rs
+++ b/tests/entry/lists.rs
@@ -6,7 +6,10 @@
 use http::StatusCode;
 use tokio::time::{Instant, sleep};
 
-use crate::{SAFE, env::EntryEnv};
+use crate::{
+    SAFE,
+    env::{EntryEnv, TEAM_KEY},
+};
 
 /// Time after a restore from which on lists of both streams are due that are complete again.
 const SETTLED: Duration = Duration::from_secs(6);
@@ -54,3 +57,20 @@
     sleep(SETTLED).await;
     check_serves(&env, 0).await;
 }
+
+/// Guards against a router that asks no other router while the list fails which it needs to go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_asks_others_while_the_list_fails_that_it_needs() {
+    let mut env = EntryEnv::start_fleet(2, 2).await;
+    env.put_desired_state(2, &[TEAM_KEY]).await;
+    // Gossip connects the routers.
+    sleep(Duration::from_secs(3)).await;
+    env.signal(0, "STOP");
+    env.store.restore(&[]).await;
+    // The other router has listed both streams by then.
+    sleep(Duration::from_secs(2)).await;
+    env.store.set_fault(StoreFault::NoLists).await;
+    env.signal(0, "CONT");
+    sleep(SETTLED).await;
+    check_serves(&env, 0).await;
+}
