Keep no idle connection to an earlier run of a target

A connection was kept for reuse under the name of its target alone. One whose request ended after another run had registered under the name, or after the target had moved to another address, carried the next request to the earlier run: a server that drains got new requests, and the new one fewer. Idle connections now belong to a run and its address; those of an earlier one are closed.

--- a/src/selection.rs
+++ b/src/selection.rs
@@ -31,7 +31,7 @@
 mod idle;
 mod update;
 
-use idle::IdleConnections;
+use idle::{IdleConnections, TargetRun};
 pub use update::{CrashAttribution, PartReport, RouterReport, Update};
 
 /// Maximum number of commands in the task's queue.
@@ -103,6 +103,7 @@
 #[derive(Debug)]
 struct EndedRequest {
     target: TargetName,
+    run: TargetRun,
     end: End,
     connection: Option<TargetConnection>,
     origin: RequestOrigin,
@@ -172,6 +173,7 @@
         if let Some(permit) = self.permit.take() {
             permit.send(Command::Ended(Box::new(EndedRequest {
                 target: self.choice.target.name.clone(),
+                run: TargetRun::of(&self.choice.target),
                 end,
                 connection,
                 origin: self.origin.clone(),
@@ -353,6 +355,7 @@
                     // released.
                     if let Err(Ok(selection)) = reply.send(selection) {
                         self.record_end(EndedRequest {
+                            run: TargetRun::of(&selection.choice.target),
                             target: selection.choice.target.name,
                             end: End::Cancelled,
                             connection: selection.connection,
@@ -366,7 +369,7 @@
                 Command::Ended(ended) => self.record_end(*ended),
                 Command::Probed(target, probe, connection) => {
                     self.selector.record_probe(&target, probe, self.clock.now());
-                    self.keep_idle(&target.name, connection);
+                    self.keep_idle(&target.name, TargetRun::of(&target), connection);
                 }
                 Command::Load(target, load) => {
                     self.selector.record_load(&target, load, self.clock.now());
@@ -424,9 +427,7 @@
         let choice = self.selector.choose(&criteria, rand::random(), now)?;
         let idle = self.idle.get_mut(&choice.target.name);
         let connection = idle.and_then(|idle| {
-            if idle.incarnation != choice.target.incarnation {
-                idle.connections.clear();
-            }
+            idle.enter(TargetRun::of(&choice.target));
             idle.connections
                 .retain(|connection| connection.is_usable(now));
             let newest = idle
@@ -444,6 +445,7 @@
         let now = self.clock.now();
         let EndedRequest {
             target,
+            run,
             end,
             connection,
             origin,
@@ -462,7 +464,7 @@
             timing,
         };
         let doubtful = self.selector.record_end(&target, &finished, now);
-        self.keep_idle(&target, connection);
+        self.keep_idle(&target, run, connection);
         if let Some(target) = doubtful {
             self.probe(target);
         }
@@ -508,17 +510,10 @@
         let now = self.clock.now();
         match update {
             Update::PutTarget(record) => {
-                let idle = self
-                    .idle
-                    .entry(record.name.clone())
-                    .or_insert(IdleConnections {
-                        incarnation: record.incarnation,
-                        connections: Vec::new(),
-                    });
-                if idle.incarnation != record.incarnation {
-                    idle.incarnation = record.incarnation;
-                    idle.connections.clear();
-                }
+                let run = TargetRun::of(&record);
+                let idle = self.idle.entry(record.name.clone());
+                let idle = idle.or_insert_with(|| IdleConnections::new(run));
+                idle.enter(run);
                 self.selector.put(record, now);
             }
             Update::RemoveTarget(name) => {
--- a/tests/entry/kept.rs
+++ b/tests/entry/kept.rs
@@ -8,16 +8,21 @@
 };
 
 use ebonyfall_standin::{
-    entrance::{CallerConnection, Reply},
+    entrance::{CallerConnection, EntryDeployment, Reply},
     registered::AnswerMode,
 };
 use http::StatusCode;
+use serde_json::json;
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::{RESUMABLE, SAFE, STREAM, UNSAFE, env::EntryEnv, events, executed};
+use crate::{
+    RESUMABLE, SAFE, STREAM, UNSAFE,
+    env::{EntryEnv, TEAM_KEY},
+    events, executed,
+};
 
 /// Paths of all kinds of routes.
 const PATHS: [&str; 4] = [SAFE, UNSAFE, RESUMABLE, STREAM];
@@ -49,6 +54,12 @@
 /// Connections that come when no more fit.
 const NEW_CONNECTIONS: usize = 8;
 
+/// Time in which a router learns what was written to the store.
+const LEARN_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which a request runs, and time in which it begins.
+const RUN_TIME: Duration = Duration::from_millis(2_000);
+const CALL_START: Duration = Duration::from_millis(100);
+
 static CALLS: AtomicU64 = AtomicU64::new(1);
 
 /// A request and how it ended.
@@ -230,3 +241,46 @@
         assert!(call.reply.is_some());
     }
 }
+
+/// Guards against a connection to an earlier run of a target that is kept for the next request to the run
+/// which has replaced it at another address.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_to_an_earlier_run_is_not_used_again() {
+    check_replaced(2).await;
+}
+
+/// Guards against the same where the target has only moved to another address.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_to_an_earlier_address_is_not_used_again() {
+    check_replaced(1).await;
+}
+
+/// Replaces a target, which states 1 as its start, while it runs a request, and checks where the next one
+/// runs.
+async fn check_replaced(born: u64) {
+    let env = EntryEnv::start(2).await;
+    env.put_desired_state_with_timeout(2, &[TEAM_KEY], 3 * RUN_TIME)
+        .await;
+    env.unregister(1).await;
+    env.targets[0].set_mode(AnswerMode::Delay(RUN_TIME));
+    sleep(LEARN_TIME).await;
+    let listen = env.routers[0].listen;
+    let running = tokio::spawn(EntryDeployment::call(
+        listen,
+        "earlier",
+        ("POST", UNSAFE, ""),
+        &[("ebonyfall-deadline-ms", "6000")],
+    ));
+    sleep(CALL_START).await;
+    let entry = json!({
+        "service": "plain", "addr": env.target_addresses[1], "zone": "z0", "version": "v1",
+        "slots": 8, "state": "ready", "seq": 2, "born": born,
+    });
+    env.store.put("keyed.servers", "t-0", Some(&entry)).await;
+    let earlier = running.await.expect("no panic").expect("an answer");
+    assert_eq!(earlier.status, StatusCode::OK);
+    let later = EntryDeployment::call(listen, "later", ("POST", UNSAFE, ""), &[]).await;
+    assert_eq!(later.map(|reply| reply.status), Some(StatusCode::OK));
+    let at = |target: usize| env.targets[target].executed_requests().len();
+    assert_eq!([at(0), at(1)], [1, 1]);
+}
