Accept what is established where handshakes cannot be blocked

The users' record has the line "cannot block new handshakes": the socket filter that keeps connections from being established while the port closes could not be attached. Callers saw established connections reset: the runtime had not yet seen them when the listener was closed. A limit of the server now says whether the filter is used, so that a test can go without it.

Weighed and not taken: keeping the port open until the process ends, which moves the same moment.

--- a/src/web.rs
+++ b/src/web.rs
@@ -108,6 +108,8 @@
     pub reserved_bytes: usize,
     /// Time after the stop signal for which new connections are still accepted.
     pub accept_grace: Duration,
+    /// Whether a socket filter blocks new handshakes then, before the listener is closed.
+    pub blocks_handshakes: bool,
     /// Time after that for which idle connections stay open, because a caller may be sending its
     /// next request on one. Its answer carries `connection: close`.
     pub idle_grace: Duration,
@@ -138,6 +140,7 @@
             max_header_bytes: MAX_HEADER_BYTES,
             reserved_bytes: SMALL_LISTENERS_BYTES,
             accept_grace: Duration::ZERO,
+            blocks_handshakes: true,
             idle_grace: Duration::from_secs(1),
         }
     }
@@ -178,7 +181,8 @@
         stop,
         log,
     };
-    server.accept(listener, &limits).await;
+    let table = server.accept(&listener, &limits).await;
+    server.accept_established(listener, table, &limits).await;
     time::sleep(limits().idle_grace).await;
     server.closing.send_replace(());
     server.closing.closed().await;
@@ -196,13 +200,19 @@
 
 impl<H: NewHandler + 'static> Server<H> {
     /// Accepts connections until the stop signal, and for `accept_grace` after it.
-    async fn accept(&self, listener: TcpListener, limits: &impl Fn() -> ConnectionLimits) {
+    async fn accept(
+        &self,
+        listener: &TcpListener,
+        limits: &impl Fn() -> ConnectionLimits,
+    ) -> CallerTable {
         let mut stop = self.stop.clone();
         let closed = async {
             // The sender lives as long as the process, so an error counts as a stop as well.
             let _closed = stop.wait_for(|stop| *stop).await.is_err();
             time::sleep(limits().accept_grace).await;
-            if let Err(error) = block_handshakes(&listener) {
+            if limits().blocks_handshakes
+                && let Err(error) = block_handshakes(listener)
+            {
                 warn!(self.log,
                     "cannot block new handshakes; connections during the shutdown may be reset";
                     "error" => %error);
@@ -220,17 +230,55 @@
                     table.check(&limits().deadlines, BootClock.now());
                     continue;
                 }
-                accepted = accept(&listener, &self.log) => accepted,
-                () = &mut closed => return,
+                accepted = accept(listener, &self.log) => accepted,
+                () = &mut closed => return table,
             };
-            let limits = limits();
-            let bytes = limits.max_header_bytes;
-            let share = table.make_room(limits.max_connections, bytes, limits.reserved_bytes);
-            // A connection that is not taken is closed; its caller tries another router.
-            if let Some(share) = share {
-                self.spawn_connection(&mut table, stream, peer, limits, share);
+            self.take_connection(&mut table, stream, peer, limits());
+        }
+    }
+
+    /// Closes the listener after accepting the connections that the kernel has established by now. The
+    /// runtime may not have seen them yet, and closing resets them.
+    async fn accept_established(
+        &self,
+        listener: TcpListener,
+        mut table: CallerTable,
+        limits: &impl Fn() -> ConnectionLimits,
+    ) {
+        let Ok(listener) = listener.into_std() else {
+            return;
+        };
+        let accepted = std::iter::from_fn(|| listener.accept().ok());
+        let accepted: Vec<_> = accepted.collect();
+        drop(listener);
+        if accepted.is_empty() {
+            return;
+        }
+        for (stream, peer) in accepted {
+            if stream.set_nonblocking(true).is_ok()
+                && let Ok(stream) = TcpStream::from_std(stream)
+            {
+                self.take_connection(&mut table, stream, peer, limits());
             }
         }
+        // Their callers may not have sent their requests yet.
+        time::sleep(HANDSHAKE_GRACE).await;
+    }
+
+    /// Serves a new connection if there is room. One that is not taken is closed; its caller tries another
+    /// router.
+    fn take_connection(
+        &self,
+        table: &mut CallerTable,
+        stream: TcpStream,
+        peer: SocketAddr,
+        limits: ConnectionLimits,
+    ) {
+        let bytes = limits.max_header_bytes;
+        let share = table.make_room(limits.max_connections, bytes, limits.reserved_bytes);
+        if let Some(share) = share {
+            self.spawn_connection(table, stream, peer, limits, share);
+        }
     }
 
     /// Serves a connection in a new task. `share` is the memory that the connection takes.
