Do not take a target for the holder of a context whose request it declined

The choice of a target recorded it as the holder of the request's contexts before the target had taken the request. Where it declined, was not reached or was another one, the next target was told to fetch the context from there, although the earlier holder was known; the declining target was told to fetch nothing when it got the chat again, and other routers heard of the placement. Servers read such prompts anew. A refused request now takes back its assignments, unless another request has brought the context to the target since.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Whether it is certain that the target has not run the request.
+    pub const fn is_not_run(self) -> bool {
+        matches!(self, Self::NotSent | Self::Declined | Self::WrongTarget)
+    }
+
     /// The result code that the caller receives if the request ends with this failure.
     pub const fn code(self) -> Code {
         match self {
--- a/core/src/holders.rs
+++ b/core/src/holders.rs
@@ -34,6 +34,15 @@
     assigned_at: Time,
 }
 
+/// Last assignment of a context to a target.
+#[derive(Debug, Clone, Copy)]
+struct Assignment {
+    incarnation: Incarnation,
+    at: Time,
+    /// Whether no earlier request has brought the context to the target.
+    is_first: bool,
+}
+
 /// Likely location of a context.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Location {
@@ -50,7 +59,7 @@
     /// Recent holders by context, the newest last.
     recent: HashMap<u64, Vec<Holder>>,
     /// Last assignment, by hash of context and target.
-    assigned: HashMap<u64, (Incarnation, Time)>,
+    assigned: HashMap<u64, Assignment>,
     /// Assignments away from the home target, with the number of reports that still have to
     /// announce each.
     announcements: VecDeque<(u64, TargetName, u8)>,
@@ -118,8 +127,13 @@
         self.evict_old(now);
         let record = &chosen.record;
         let was_assigned = self.is_assigned(context, chosen, now);
+        let assignment = Assignment {
+            incarnation: record.incarnation,
+            at: now,
+            is_first: !was_assigned,
+        };
         self.assigned
-            .insert(chosen.context_rank(context), (record.incarnation, now));
+            .insert(chosen.context_rank(context), assignment);
         let holders = self.recent.entry(context).or_default();
         let others = holders
             .iter()
@@ -152,11 +166,30 @@
     /// Whether the target was assigned the context recently and in its current incarnation.
     pub(crate) fn is_assigned(&self, context: u64, target: &Estimate, now: Time) -> bool {
         let assigned = self.assigned.get(&target.context_rank(context));
-        assigned.is_some_and(|(incarnation, at)| {
-            *incarnation == target.record.incarnation && is_fresh(*at, now)
+        assigned.is_some_and(|assigned| {
+            assigned.incarnation == target.record.incarnation && is_fresh(assigned.at, now)
         })
     }
 
+    /// Takes back the assignment of these contexts to a target that has not run their request, so that
+    /// the targets that held them before are found again. One that has got another request with a context
+    /// is still expected to hold it.
+    pub(crate) fn withdraw(&mut self, contexts: &[u64], target: &Estimate) {
+        let name = &target.record.name;
+        for context in contexts {
+            let rank = target.context_rank(*context);
+            if self.assigned.get(&rank).is_none_or(|last| !last.is_first) {
+                continue;
+            }
+            self.assigned.remove(&rank);
+            if let Some(holders) = self.recent.get_mut(context) {
+                holders.retain(|holder| holder.target != *name);
+            }
+            self.announcements
+                .retain(|(announced, at, _)| announced != context || at != name);
+        }
+    }
+
     /// Number of contexts with recent holders.
     pub(crate) fn len(&self) -> usize {
         self.recent.len()
@@ -170,7 +203,7 @@
             shrink(&mut self.recent, newest, now);
         }
         if self.assigned.len() >= MAX_ENTRIES {
-            shrink(&mut self.assigned, |(_, at)| *at, now);
+            shrink(&mut self.assigned, |assigned| assigned.at, now);
         }
     }
 
--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -44,6 +44,16 @@
     Failed(Failure),
 }
 
+impl End {
+    /// Whether it is certain that the target has not run the request.
+    pub fn is_not_run(self) -> bool {
+        match self {
+            Self::Served | Self::Cancelled => false,
+            Self::Failed(failure) => failure.is_not_run(),
+        }
+    }
+}
+
 /// Result of a connection to a target that was opened after a request to the target broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display(rename_all = "lowercase")]
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -508,6 +508,13 @@
         report
     }
 
+    /// Records that a target has not run a request with these contexts, which was assigned to it.
+    pub fn record_not_run(&mut self, target: &TargetName, contexts: &[u64]) {
+        if let Some(target) = self.targets.get(target) {
+            self.holders.withdraw(contexts, target);
+        }
+    }
+
     /// Records the end of a request at `target` and updates the target's health accordingly. Returns
     /// the target's record when it has to be checked if the target still accepts connections; the
     /// result goes to [`Self::record_probe`].
--- a/core/tests/selector.rs
+++ b/core/tests/selector.rs
@@ -326,6 +326,49 @@
     assert_eq!(selector.next_report().placed, []);
 }
 
+/// Guards against a context that counts as held by a target which has declined its request: the next
+/// target would fetch it from there, and the target itself would not fetch it later.
+#[test]
+fn a_target_that_has_not_run_a_request_does_not_hold_its_context() {
+    let mut selector = TargetSelector::new(zone("z1"), RETRY_BOUND);
+    let service = ServiceName::new("s").expect("the literal is a name");
+    let now = Time::from_millis(20_000);
+    for name in ["a", "b", "c"] {
+        selector.put(record(name, "z1", 1, 0, Stage::Ready), Time::ZERO);
+    }
+    let choose = |selector: &mut TargetSelector, tried: &[TargetName]| {
+        let criteria = criteria(&service, &[7], tried);
+        let choice = selector.choose(&criteria, 0.5, now);
+        let choice = choice.expect("targets are known");
+        (choice.target.name, choice.context_source)
+    };
+    let (holder, _) = choose(&mut selector, &[]);
+    let held_at = Some(address(holder.as_str()));
+    let (declining, source) = choose(&mut selector, std::slice::from_ref(&holder));
+    assert_eq!(source, held_at);
+    selector.record_not_run(&declining, &[7]);
+    assert_eq!(selector.next_report().placed, [], "it is not announced");
+    let (_, source) = choose(&mut selector, &[holder.clone(), declining.clone()]);
+    assert_eq!(
+        source, held_at,
+        "the next target fetches it from the holder"
+    );
+    let others = ["a", "b", "c"].map(target);
+    let others: Vec<_> = others
+        .into_iter()
+        .filter(|name| *name != declining)
+        .collect();
+    let (_, source) = choose(&mut selector, &others);
+    assert!(
+        source.is_some(),
+        "the target fetches it when it gets it again"
+    );
+    // With another request there, it may hold the context although it declines one more.
+    assert_eq!(choose(&mut selector, &others), (declining.clone(), None));
+    selector.record_not_run(&declining, &[7]);
+    assert_eq!(choose(&mut selector, &others), (declining, None));
+}
+
 /// Guards against memory and time that grow with the number of contexts in use.
 #[test]
 fn the_number_of_tracked_contexts_is_bounded() {
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -70,6 +70,7 @@
     fn origin(&self) -> RequestOrigin {
         RequestOrigin {
             content: self.content,
+            contexts: self.contexts.as_slice().into(),
             parts: Arc::clone(&self.parts),
             team: self.team.clone(),
             route: self.route.clone(),
@@ -116,6 +117,7 @@
 #[derive(Debug, Clone)]
 struct RequestOrigin {
     content: Fingerprint,
+    contexts: Arc<[u64]>,
     parts: Arc<[PartId]>,
     team: Option<TeamName>,
     route: RouteName,
@@ -463,6 +465,9 @@
             route: &origin.route,
             timing,
         };
+        if end.is_not_run() {
+            self.selector.record_not_run(&target, &origin.contexts);
+        }
         let doubtful = self.selector.record_end(&target, &finished, now);
         self.keep_idle(&target, run, connection);
         if let Some(target) = doubtful {
