--- a/tests/hostile/stops.rs
+++ b/tests/hostile/stops.rs
@@ -1,6 +1,6 @@
 //! Planned stops of a router while its target does not answer, on both paths.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, ops::Range, time::Duration};
 
 use ebonyfall_standin::{
     deploy,
@@ -35,7 +35,10 @@
 /// long enough for the router to wait for the rest until its grace period ends.
 const LONG_BODY: usize = 64 << 10;
 const BODY_PART: usize = LONG_BODY / 2;
-/// Callers at once that do so.
+/// Times from the stop signal at which other callers send the rest: within the last second of the grace
+/// period, until open requests get their answers.
+const LAST_BODY_ENDS_MS: Range<u64> = 6_800..7_450;
+/// Callers at once that send no more.
 const UNFINISHED: usize = 8;
 
 /// Keeps requests without an answer.
@@ -56,6 +59,21 @@
     status_line(&mut stream).await
 }
 
+/// Sends the head of a request with a part of its body now and the rest at `end`, and returns the status
+/// line.
+async fn call_until(
+    listen: SocketAddr,
+    head: String,
+    end: Instant,
+) -> Result<String, std::io::Error> {
+    let mut stream = TcpStream::connect(listen).await?;
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&vec![b'b'; BODY_PART]).await?;
+    sleep_until(end).await;
+    stream.write_all(&vec![b'b'; LONG_BODY - BODY_PART]).await?;
+    status_line(&mut stream).await
+}
+
 /// Sends the head of a request with a part of its body, and returns the status line.
 async fn call_without_end(listen: SocketAddr, head: String) -> Result<String, std::io::Error> {
     let mut stream = TcpStream::connect(listen).await?;
@@ -222,7 +240,8 @@
     assert_eq!(env.hostile.total_executions(), 3);
 }
 
-/// Guards against a planned stop that closes connections without an answer while bodies are incomplete.
+/// Guards against a planned stop that closes connections without an answer while bodies are incomplete, or
+/// as they end in the last second.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_refuses_requests_with_incomplete_bodies() {
     let mut env = Env::start(0).await;
@@ -233,8 +252,13 @@
          Content-Length: {LONG_BODY}\r\n\r\n"
     );
     let calls = (0..UNFINISHED).map(|_| call_without_end(listen, head.clone()));
-    let calls: JoinSet<_> = calls.collect();
-    sleep(Duration::from_millis(100)).await;
+    let mut calls: JoinSet<_> = calls.collect();
+    let stop = Instant::now() + Duration::from_millis(100);
+    for millis in LAST_BODY_ENDS_MS.step_by(50) {
+        let end = stop + Duration::from_millis(millis);
+        calls.spawn(call_until(listen, head.clone(), end));
+    }
+    sleep_until(stop).await;
     env.deployment.signal(0, "TERM");
     assert_refused(calls).await;
     assert_eq!(env.hostile.executions("part"), 0);
