--- a/tests/entry/kept.rs
+++ b/tests/entry/kept.rs
@@ -37,6 +37,9 @@
 /// Time from the start of the calls to the first signal, and between two signals.
 const BEFORE_SIGNAL: Duration = Duration::from_millis(500);
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(200);
+/// Time from the stop signal to a standstill of the router, and its length. All second requests come in it.
+const BEFORE_STANDSTILL: Duration = Duration::from_millis(2_400);
+const STANDSTILL: Duration = Duration::from_millis(800);
 /// Time for which callers call a router that is not stopped.
 const CALL_TIME: Duration = Duration::from_secs(3);
 /// Time from a stop signal until the router has to have ended.
@@ -142,15 +145,25 @@
     calls
 }
 
-/// Checks the answers to callers that call while these signals arrive.
+/// Checks the answers to callers that call while these signals arrive, with a pause after each.
 async fn check_signals(signals: &'static [&'static str]) {
+    let signals: Vec<_> = signals
+        .iter()
+        .map(|signal| (*signal, BETWEEN_SIGNALS))
+        .collect();
+    check_answers(&signals).await;
+}
+
+/// Checks the answers to callers that call while these signals arrive, each with the pause after it. Returns
+/// how many requests came to a connection that the router had closed.
+async fn check_answers(signals: &[(&str, Duration)]) -> usize {
     let mut env = EntryEnv::start(2).await;
     for target in &env.targets {
         target.set_mode(AnswerMode::ByPath { events: EVENTS });
     }
     let listen = env.routers[0].listen;
     let end = Instant::now() + BEFORE_SIGNAL + GRACE;
-    let stops = signals.iter().any(|signal| *signal != "HUP");
+    let stops = signals.iter().any(|(signal, _)| *signal != "HUP");
     let end = if stops {
         end
     } else {
@@ -170,9 +183,9 @@
         ));
     }
     sleep_until(signalled).await;
-    for signal in signals {
+    for (signal, pause) in signals {
         env.signal(0, signal);
-        sleep(BETWEEN_SIGNALS).await;
+        sleep(*pause).await;
     }
     let calls: Vec<_> = callers.join_all().await.into_iter().flatten().collect();
     if stops {
@@ -202,6 +215,7 @@
     }
     println!("{signals:?}: {whole} whole, {refused} refused, {crossed} crossed the end");
     assert!(whole > 0, "{signals:?}");
+    crossed
 }
 
 /// Guards against requests on kept and new connections that are cut, lost or run although they were
@@ -220,6 +234,19 @@
     checks.join_all().await;
 }
 
+/// Guards against a router that stands still around the end of its time to accept, and then closes kept
+/// connections without reading the requests that have arrived meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_standstill_in_a_stop_loses_no_request() {
+    let crossed = check_answers(&[
+        ("TERM", BEFORE_STANDSTILL),
+        ("STOP", STANDSTILL),
+        ("CONT", Duration::ZERO),
+    ])
+    .await;
+    assert_eq!(crossed, 0, "all requests arrived in the standstill");
+}
+
 /// Guards against a router that takes no new connection, is not ready, or evicts more than it needs to,
 /// while idle connections hold all of the memory for heads.
 #[tokio::test(flavor = "multi_thread")]
