--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -66,6 +66,9 @@
     wait: Duration,
     /// Whether the newest records are listed instead.
     is_list: bool,
+    /// Whether a list has just failed. The stream is read before the next one, since the store may serve
+    /// it all the same.
+    has_list_failed: bool,
 }
 
 impl NextRead {
@@ -75,6 +78,7 @@
             from,
             wait: Duration::ZERO,
             is_list: false,
+            has_list_failed: false,
         }
     }
 }
@@ -104,19 +108,30 @@
 
 impl OrderTask {
     pub(super) async fn run(mut self) {
+        let mut known = None;
         loop {
-            let error = match self.snapshot().await {
+            let start = match known.take() {
+                Some(from) => Ok(from),
+                None => self.snapshot().await,
+            };
+            let error = match start {
                 Ok(from) => self.tail(from).await,
                 Err(error) => error,
             };
-            if self.health.list_again(&error) {
-                continue;
+            if !self.health.list_again(&error) {
+                known = self.read_instead_of_list(&error).await;
             }
-            self.record_failure(&error);
-            self.pause(RETRY_DELAY).await;
         }
     }
 
+    /// Reads from another router after a list has failed; returns the position from which the stream can
+    /// be read on if there were newer records.
+    async fn read_instead_of_list(&mut self, error: &StoreError) -> Option<Position> {
+        let from = self.mirror.borrow().next().unwrap_or_default();
+        let next = self.on_failure(error, from).await;
+        (next > from).then_some(next)
+    }
+
     fn record_failure(&mut self, error: &StoreError) {
         self.fetch.record_failure(error);
         self.health.record_failure(error, BootClock.now());
@@ -212,12 +227,15 @@
             ..NextRead::at_once(from)
         };
         loop {
-            if next.is_list || self.eras.is_list_due(BootClock.now()) {
-                let from = match self.snapshot().await {
-                    Ok(end) => end,
-                    Err(error) => self.on_failure(&error, next.from).await,
+            let is_list_due = self.eras.is_list_due(BootClock.now()) && !next.has_list_failed;
+            if next.is_list || is_list_due {
+                next = match self.snapshot().await {
+                    Ok(end) => NextRead::at_once(end),
+                    Err(error) => NextRead {
+                        has_list_failed: true,
+                        ..NextRead::at_once(self.on_failure(&error, next.from).await)
+                    },
                 };
-                next = NextRead::at_once(from);
                 continue;
             }
             let (source, longest_wait) = self.next_source();
@@ -281,6 +299,7 @@
             from: tail.next,
             wait,
             is_list: catch_up == CatchUp::List,
+            has_list_failed: false,
         })
     }
 
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -28,10 +28,12 @@
 
 use crate::{clock::BootClock, trace, upstream::TargetConnection};
 
+mod check;
 mod idle;
 mod update;
 
-use idle::{CheckReply, Checks, IdleConnections, ProbeCause, Probed};
+use check::{CheckReply, Checks, ProbeCause, Probed};
+use idle::{IdleConnections, TargetRun};
 pub use update::{CrashAttribution, PartReport, RouterReport, Update};
 
 /// Maximum number of commands in the task's queue.
@@ -74,6 +76,7 @@
     fn origin(&self) -> RequestOrigin {
         RequestOrigin {
             content: self.content,
+            contexts: self.contexts.as_slice().into(),
             parts: Arc::clone(&self.parts),
             team: self.team.clone(),
             route: self.route.clone(),
@@ -114,6 +117,7 @@
 #[derive(Debug)]
 struct EndedRequest {
     target: TargetName,
+    run: TargetRun,
     end: End,
     connection: Option<TargetConnection>,
     origin: RequestOrigin,
@@ -126,6 +130,7 @@
 #[derive(Debug, Clone)]
 struct RequestOrigin {
     content: Fingerprint,
+    contexts: Arc<[u64]>,
     parts: Arc<[PartId]>,
     team: Option<TeamName>,
     route: RouteName,
@@ -183,6 +188,7 @@
         if let Some(permit) = self.permit.take() {
             permit.send(Command::Ended(Box::new(EndedRequest {
                 target: self.choice.target.name.clone(),
+                run: TargetRun::of(&self.choice.target),
                 end,
                 connection,
                 origin: self.origin.clone(),
@@ -452,9 +458,7 @@
         let choice = self.selector.choose(&criteria, rand::random(), now)?;
         let idle = self.idle.get_mut(&choice.target.name);
         let connection = idle.and_then(|idle| {
-            if idle.incarnation != choice.target.incarnation {
-                idle.connections.clear();
-            }
+            idle.enter(TargetRun::of(&choice.target));
             idle.connections
                 .retain(|connection| connection.is_usable(now));
             let newest = idle
@@ -472,6 +476,7 @@
         let now = self.clock.now();
         let EndedRequest {
             target,
+            run,
             end,
             connection,
             origin,
@@ -489,8 +494,11 @@
             route: &origin.route,
             timing,
         };
+        if end.is_not_run() {
+            self.selector.record_not_run(&target, &origin.contexts);
+        }
         let doubtful = self.selector.record_end(&target, &finished, now);
-        self.keep_idle(&target, connection);
+        self.keep_idle(&target, run, connection);
         if let Some(target) = doubtful {
             self.probe(target, ProbeCause::Broken);
         }
@@ -536,17 +544,10 @@
         let now = self.clock.now();
         match update {
             Update::PutTarget(record) => {
-                let idle = self
-                    .idle
-                    .entry(record.name.clone())
-                    .or_insert(IdleConnections {
-                        incarnation: record.incarnation,
-                        connections: Vec::new(),
-                    });
-                if idle.incarnation != record.incarnation {
-                    idle.incarnation = record.incarnation;
-                    idle.connections.clear();
-                }
+                let run = TargetRun::of(&record);
+                let idle = self.idle.entry(record.name.clone());
+                let idle = idle.or_insert_with(|| IdleConnections::new(run));
+                idle.enter(run);
                 self.selector.put(record, now);
             }
             Update::RemoveTarget(name) => {
--- a/src/web.rs
+++ b/src/web.rs
@@ -2,12 +2,12 @@
 //! helpers for requests and answers.
 
 use std::{
-    any::Any, convert::Infallible, io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc,
-    time::Duration,
+    any::Any, convert::Infallible, future::poll_fn, io, net::SocketAddr, panic::AssertUnwindSafe,
+    pin::Pin, sync::Arc, task::Poll, time::Duration,
 };
 
 use bytes::Bytes;
-use ebonyfall_core::{code::Code, connections::CallerDeadlines, id::RequestId, memory::Taker};
+use ebonyfall_core::{code::Code, connections::CallerDeadlines, id::RequestId};
 use gotham::{
     handler::NewHandler,
     helpers::http::Body,
@@ -23,7 +23,7 @@
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
+    server::graceful::GracefulConnection,
 };
 use serde::Serialize;
 use serde_with::{DisplayFromStr, serde_as};
@@ -36,7 +36,7 @@
 };
 
 use crate::{
-    callers::{CHECK_INTERVAL, CallerGuard, CallerTable},
+    callers::{Activity, CHECK_INTERVAL, CallerGuard, CallerTable},
     clock::BootClock,
     memory::MemoryShare,
     settings::{CallerConfig, MachineLimits},
@@ -49,6 +49,8 @@
 pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Connections to a listener for monitoring, load balancers or operators.
 const MAX_SMALL_CONNECTIONS: usize = 32;
+/// Memory that callers leave to such listeners, so that idle callers do not make a process look dead.
+const SMALL_LISTENERS_BYTES: usize = MAX_SMALL_CONNECTIONS * MAX_HEADER_BYTES;
 /// Receive buffer of a caller's connection, in bytes; the kernel doubles it. Some platforms count
 /// received bytes that wait there as memory of the process.
 const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
@@ -102,8 +104,12 @@
     pub max_fields: usize,
     /// Limit on a connection's read buffer, and so on request headers, in bytes.
     pub max_header_bytes: usize,
+    /// Bytes of the memory for connections that are left to other listeners.
+    pub reserved_bytes: usize,
     /// Time after the stop signal for which new connections are still accepted.
     pub accept_grace: Duration,
+    /// Whether a socket filter blocks new handshakes then, before the listener is closed.
+    pub blocks_handshakes: bool,
     /// Time after that for which idle connections stay open, because a caller may be sending its
     /// next request on one. Its answer carries `connection: close`.
     pub idle_grace: Duration,
@@ -132,7 +138,9 @@
             max_connections: usize::MAX,
             max_fields: config.max_fields,
             max_header_bytes: MAX_HEADER_BYTES,
+            reserved_bytes: SMALL_LISTENERS_BYTES,
             accept_grace: Duration::ZERO,
+            blocks_handshakes: true,
             idle_grace: Duration::from_secs(1),
         }
     }
@@ -141,6 +149,7 @@
     pub fn small() -> Self {
         Self {
             max_connections: MAX_SMALL_CONNECTIONS,
+            reserved_bytes: 0,
             ..Self::default()
         }
     }
@@ -167,20 +176,23 @@
 ) {
     let server = Server {
         handler: Arc::new(handler),
-        graceful: GracefulShutdown::new(),
+        closing: watch::Sender::new(()),
         guard,
         stop,
         log,
     };
-    server.accept(listener, &limits).await;
+    let table = server.accept(&listener, &limits).await;
+    server.accept_established(listener, table, &limits).await;
     time::sleep(limits().idle_grace).await;
-    server.graceful.shutdown().await;
+    server.closing.send_replace(());
+    server.closing.closed().await;
 }
 
 /// Handler, stop signal and logger that all connections of a server share.
 struct Server<H> {
     handler: Arc<H>,
-    graceful: GracefulShutdown,
+    /// Changes when idle connections are to close; each connection holds a receiver.
+    closing: watch::Sender<()>,
     guard: CallerGuard,
     stop: watch::Receiver<bool>,
     log: Logger,
@@ -188,13 +200,19 @@
 
 impl<H: NewHandler + 'static> Server<H> {
     /// Accepts connections until the stop signal, and for `accept_grace` after it.
-    async fn accept(&self, listener: TcpListener, limits: &impl Fn() -> ConnectionLimits) {
+    async fn accept(
+        &self,
+        listener: &TcpListener,
+        limits: &impl Fn() -> ConnectionLimits,
+    ) -> CallerTable {
         let mut stop = self.stop.clone();
         let closed = async {
             // The sender lives as long as the process, so an error counts as a stop as well.
             let _closed = stop.wait_for(|stop| *stop).await.is_err();
             time::sleep(limits().accept_grace).await;
-            if let Err(error) = block_handshakes(&listener) {
+            if limits().blocks_handshakes
+                && let Err(error) = block_handshakes(listener)
+            {
                 warn!(self.log,
                     "cannot block new handshakes; connections during the shutdown may be reset";
                     "error" => %error);
@@ -202,7 +220,7 @@
             time::sleep(HANDSHAKE_GRACE).await;
         };
         tokio::pin!(closed);
-        let mut table = CallerTable::new(self.guard.metrics.clone(), self.log.clone());
+        let mut table = CallerTable::new(&self.guard, self.log.clone());
         let mut checks = time::interval(CHECK_INTERVAL);
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -212,20 +230,55 @@
                     table.check(&limits().deadlines, BootClock.now());
                     continue;
                 }
-                accepted = accept(&listener, &self.log) => accepted,
-                () = &mut closed => return,
+                accepted = accept(listener, &self.log) => accepted,
+                () = &mut closed => return table,
             };
-            let limits = limits();
-            // A connection that is not taken is closed; its caller tries another router.
-            if table.make_room(limits.max_connections)
-                && let Ok(share) = self
-                    .guard
-                    .memory
-                    .take(Taker::Heads, limits.max_header_bytes)
+            self.take_connection(&mut table, stream, peer, limits());
+        }
+    }
+
+    /// Closes the listener after accepting the connections that the kernel has established by now. The
+    /// runtime may not have seen them yet, and closing resets them.
+    async fn accept_established(
+        &self,
+        listener: TcpListener,
+        mut table: CallerTable,
+        limits: &impl Fn() -> ConnectionLimits,
+    ) {
+        let Ok(listener) = listener.into_std() else {
+            return;
+        };
+        let accepted = std::iter::from_fn(|| listener.accept().ok());
+        let accepted: Vec<_> = accepted.collect();
+        drop(listener);
+        if accepted.is_empty() {
+            return;
+        }
+        for (stream, peer) in accepted {
+            if stream.set_nonblocking(true).is_ok()
+                && let Ok(stream) = TcpStream::from_std(stream)
             {
-                self.spawn_connection(&mut table, stream, peer, limits, share);
+                self.take_connection(&mut table, stream, peer, limits());
             }
         }
+        // Their callers may not have sent their requests yet.
+        time::sleep(HANDSHAKE_GRACE).await;
+    }
+
+    /// Serves a new connection if there is room. One that is not taken is closed; its caller tries another
+    /// router.
+    fn take_connection(
+        &self,
+        table: &mut CallerTable,
+        stream: TcpStream,
+        peer: SocketAddr,
+        limits: ConnectionLimits,
+    ) {
+        let bytes = limits.max_header_bytes;
+        let share = table.make_room(limits.max_connections, bytes, limits.reserved_bytes);
+        if let Some(share) = share {
+            self.spawn_connection(table, stream, peer, limits, share);
+        }
     }
 
     /// Serves a connection in a new task. `share` is the memory that the connection takes.
@@ -267,18 +320,55 @@
             .max_buf_size(limits.max_header_bytes)
             .max_headers(limits.max_fields)
             .serve_connection(TokioIo::new(stream), service);
-        let connection = self.graceful.watch(connection);
-        let log = self.log.clone();
+        let closing = self.closing.subscribe();
+        let (log, requests) = (self.log.clone(), activity.clone());
+        let max_head_time = limits.deadlines.head;
         let task = tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            let served = serve_connection(connection, requests, closing, max_head_time);
+            if let Err(error) = served.await {
                 debug!(log, "HTTP connection failed"; "peer" => peer, "error" => %error);
             }
-            drop(share);
         });
-        table.add(activity, task.abort_handle());
+        table.add(activity, task.abort_handle(), share);
     }
 }
 
+/// Serves a connection to its end. Once `closing` changes, it ends after the running request, and after
+/// the next one if a part of its head has arrived, which may take `max_head_time` more.
+async fn serve_connection<C: GracefulConnection>(
+    connection: C,
+    activity: Activity,
+    mut closing: watch::Receiver<()>,
+    max_head_time: Duration,
+) -> C::Output {
+    tokio::pin!(connection);
+    tokio::select! {
+        biased;
+        served = &mut connection => return served,
+        _closing = closing.changed() => {}
+    }
+    let head = finish_head(connection.as_mut(), &activity);
+    if let Ok(Some(served)) = time::timeout(max_head_time, head).await {
+        return served;
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await
+}
+
+/// Serves a connection until no incomplete head waits on it. The HTTP library takes a kept connection as
+/// idle until a head is complete, and would close it. Returns the result if the connection has ended.
+async fn finish_head<C: GracefulConnection>(
+    mut connection: Pin<&mut C>,
+    activity: &Activity,
+) -> Option<C::Output> {
+    poll_fn(|cx| match connection.as_mut().poll(cx) {
+        Poll::Ready(served) => Poll::Ready(Some(served)),
+        Poll::Pending if activity.has_incomplete_head() => Poll::Pending,
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
+}
+
 /// Attaches a socket filter that drops the SYN packets of new connections; callers retransmit them
 /// and then find the port closed. Closing the listener without this filter resets connections that
 /// are established but not accepted yet.
