Keep an attempt as long as its agent does when their connection breaks

What callers saw: when no connection to an agent could be made for 0.3 s or longer after the old one had broken, streams were cut (StreamCut), requests that may run once got 4001 (LinkLost), and idempotent ones were sent to another target while the first one went on with them, although engine, service and agent were sound.

Cause: the router dialled three times with pauses of 20 ms and gave up, while the agent keeps the attempt for 2 s. The attempt was dropped before anything had taken its place.

A longer cut than 2 s still ends streams: the agent does not keep them longer.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -18,6 +18,10 @@
 /// survived several disconnects.
 const MAX_RESUMES: u32 = 8;
 
+/// Time for which an agent keeps an attempt whose connection has broken, and for which the router tries
+/// to reach the agent again.
+pub const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// An input of the state machine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,7 @@
 mod reply;
 pub mod report;
 pub mod rest;
+pub mod resume;
 pub mod retrier;
 pub mod rollouts;
 mod roster;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -25,12 +25,13 @@
     cache::KeyedCall,
     claims::Claims,
     clock::Clock,
-    link::{Identity, Link},
+    link::{Identity, Link, LinkError},
     metrics::Metrics,
     picker::{Choice, Picker},
     pool::LinkPool,
     progress::AnswerTimes,
     receive::AnswerBuffers,
+    resume,
     retrier::{self, Advice, Retrier},
     rollouts::{FinishedRequest, Rollouts},
     stop::StopPhases,
@@ -41,10 +42,8 @@
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
 /// Parts of an answer that are buffered for a slow caller before backpressure reaches the agent.
 const MAX_BUFFERED_PARTS: usize = 8;
-/// Attempts to replace a broken connection.
-const MAX_RECONNECTS: u32 = 3;
-/// Pause between two reconnects, and longest wait for a cancellation to be sent.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// Longest wait for a cancellation to be sent.
+const CANCEL_SEND_TIMEOUT: Duration = Duration::from_millis(20);
 /// Longest wait for the agent to close the connection after a cancellation.
 const CANCEL_CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -163,6 +162,12 @@
         }))
     }
 
+    fn record_connection_failure(&self, choice: &Choice, error: &LinkError) {
+        self.picker.record_connection_failure(&choice.target);
+        debug!(self.log, "cannot connect to agent";
+            "target" => %choice.target, "error" => %error);
+    }
+
     /// Notifies the agents where other routers look for this chat that its context has moved to
     /// `target`. The notices are sent in the background; a lost one costs one cache miss.
     fn notify_moved(&self, job: &RelayJob, target: TargetName) {
@@ -407,9 +412,7 @@
         match Link::dial(&self.relay.identity, choice.agent).await {
             Ok(link) => Some(link),
             Err(error) => {
-                self.relay.picker.record_connection_failure(&choice.target);
-                debug!(self.relay.log, "cannot connect to agent";
-                    "target" => %choice.target, "error" => %error);
+                self.relay.record_connection_failure(choice, &error);
                 None
             }
         }
@@ -420,17 +423,12 @@
         let Some(choice) = self.choice.clone() else {
             return Event::ResumeFailed;
         };
-        for _ in 0..MAX_RECONNECTS {
-            if let Some(mut link) = self.dial(&choice).await
-                && link
-                    .send(&ToAgent::Resume { attempt, offset })
-                    .await
-                    .is_ok()
-            {
-                self.link = Some(link);
-                return self.receive().await;
-            }
-            time::sleep(RECONNECT_PAUSE).await;
+        let relay = &self.relay;
+        let on_failure = |error: &LinkError| relay.record_connection_failure(&choice, error);
+        let link = resume::reconnect(&relay.identity, choice.agent, attempt, offset, on_failure);
+        if let Some(link) = link.await {
+            self.link = Some(link);
+            return self.receive().await;
         }
         self.report_failure(Code::LinkLost).await;
         Event::ResumeFailed
@@ -566,7 +564,7 @@
         if let Some(link) = &mut self.link {
             // If the message is lost, the agent cancels when its wait for a reconnect ends.
             let cancel = ToAgent::Cancel { attempt };
-            let _sent = time::timeout(RECONNECT_PAUSE, link.send(&cancel)).await;
+            let _sent = time::timeout(CANCEL_SEND_TIMEOUT, link.send(&cancel)).await;
             // Closing a socket with unread data resets it, and the agent could see the reset before
             // it reads the cancellation. So the rest of the answer is read first.
             let closed = async { while link.receive::<ToRouter>().await.is_ok() {} };
--- a/src/session.rs
+++ b/src/session.rs
@@ -1,10 +1,10 @@
 //! The agent's side of one attempt: its connection to the router, which may be replaced, and a
 //! buffer of the last bytes of the answer for the replay on a new connection.
 
-use std::{collections::VecDeque, time::Duration};
+use std::collections::VecDeque;
 
 use bytes::Bytes;
-use ebonyfall_core::id::AttemptId;
+use ebonyfall_core::{id::AttemptId, request::RESUME_TIMEOUT};
 use ebonyfall_wire::frame::{Head, ToAgent, ToRouter};
 use tokio::{
     sync::mpsc,
@@ -13,9 +13,6 @@
 
 use crate::{admission::Handover, link::Link};
 
-/// Longest wait for a new connection before the attempt is cancelled, and for the router's next
-/// message before the last one counts as delivered.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes of the answer kept for replay on a new connection; a few times what a stream has in
 /// flight.
 const MAX_REPLAY_BYTES: usize = 8 << 10;
--- a/standin/src/pausing.rs
+++ b/standin/src/pausing.rs
@@ -61,6 +61,13 @@
     pub is_complete: bool,
 }
 
+impl Work {
+    /// Whether the target has answered, or its caller has left.
+    pub fn has_ended(&self) -> bool {
+        self.ended.is_some()
+    }
+}
+
 /// Handle of a running target, which ends with the runtime.
 #[derive(Debug)]
 pub struct PausingTarget {
@@ -75,7 +82,18 @@
     ///
     /// Panics when no port is free.
     pub async fn start(conduct: Conduct) -> (Self, SocketAddr) {
-        let listener = TcpListener::bind(LOOPBACK).await.expect("a port is free");
+        Self::start_at(LOOPBACK, conduct).await
+    }
+
+    /// Like [`Self::start`], on a given address; port 0 stands for a free port.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the address cannot be bound.
+    pub async fn start_at(address: SocketAddr, conduct: Conduct) -> (Self, SocketAddr) {
+        let listener = TcpListener::bind(address)
+            .await
+            .expect("the address is free");
         let address = listener.local_addr().expect("the socket has an address");
         let conduct = watch::channel(conduct).0;
         let work = watch::channel(Vec::new()).0;
@@ -110,7 +128,7 @@
     let mut buf = Vec::new();
     while let Some(req) = read_request(&mut stream, &mut buf).await {
         let conduct = *conduct.borrow();
-        let id = header(&req, "ebonyfall-attempt-id").to_owned();
+        let id = attempt_id(&req).to_owned();
         if id.is_empty() {
             let refusal =
                 "HTTP/1.1 400 Bad\r\nEbonyfall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -146,6 +164,14 @@
     }
 }
 
+/// Attempt id as entry routers state it, or else as agents do.
+fn attempt_id(req: &ReceivedRequest) -> &str {
+    match header(req, "ebonyfall-attempt-id") {
+        "" => header(req, "x-attempt-id"),
+        id => id,
+    }
+}
+
 fn header<'a>(req: &'a ReceivedRequest, name: &str) -> &'a str {
     req.headers.get(name).map_or("", String::as_str)
 }
