Resume the answers of claimed requests when their connection breaks

What callers saw: a request with an idempotency key got 409 (3002 InProgress or 3004 OutcomeUnknown) when the connection to its agent broke while it ran. The agent ran it to its end, but nobody got the answer: repeats with the key got 3003 (AlreadyRan) from then on.

Cause: the router sent a claimed request once and asked the agent to void the claim after any lost connection, instead of asking for the running answer. The agent did not listen for a new connection while a claimed request ran.

Now the router resumes a claimed attempt as it does others; only if that fails, it asks for the claim to be voided. A resume never starts a request: an agent that does not know the attempt says so, and the claim is voided.

Open: more than 8 KiB on their way when the connection breaks cannot be replayed.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -16,7 +16,7 @@
 /// Consecutive reconnects without progress after which an attempt fails. The counter restarts with
 /// every new part of the answer, because a limit per attempt made long answers fail that had
 /// survived several disconnects.
-const MAX_RESUMES: u32 = 8;
+pub const MAX_RESUMES: u32 = 8;
 
 /// Time for which an agent keeps an attempt whose connection has broken, and for which the router tries
 /// to reach the agent again.
--- a/src/once.rs
+++ b/src/once.rs
@@ -11,6 +11,7 @@
     id::AttemptId,
     name::TargetName,
     owner::{Action, Event, KeyedRequest, Owner, Reply},
+    request::MAX_RESUMES,
 };
 use ebonyfall_wire::frame::{Head, Submit, ToAgent, ToRouter};
 use slog::{debug, warn};
@@ -22,10 +23,11 @@
 
 use crate::{
     cache::{KeyedCall, StoredAnswer},
-    link::Link,
+    link::{Link, LinkError},
     picker::Choice,
     receive::ReceiveFault,
     relay::{Answer, Relay, RelayFailure, RelayJob},
+    resume,
 };
 
 /// Largest answer, in bytes. Answers are buffered completely, so that a retried request can get
@@ -235,8 +237,17 @@
         let mut assembly = AnswerAssembly::new(expected);
         let mut head = None;
         let mut body = self.relay.buffers.start(MAX_ANSWER_BYTES);
+        let mut resumes = 0;
         loop {
-            let message = link.receive().await.map_err(|_lost| Event::LinkLost)?;
+            let message = match link.receive().await {
+                Ok(message) => message,
+                Err(_lost) if resumes < MAX_RESUMES => {
+                    resumes += 1;
+                    *link = self.resume(choice, expected, assembly.received()).await?;
+                    continue;
+                }
+                Err(_lost) => return Err(Event::LinkLost),
+            };
             match message {
                 ToRouter::Head {
                     attempt,
@@ -247,6 +258,7 @@
                     offset,
                     data,
                 } => {
+                    resumes = 0;
                     let len = data.len() as u64;
                     let skip = assembly.accept_part(attempt, offset, len);
                     let skip = skip.map_err(|_mismatch| self.record_mismatch())?;
@@ -267,6 +279,12 @@
                         .await;
                     return stored_answer(head, body.complete()).ok_or(Event::LinkLost);
                 }
+                // The agent does not know the attempt that is to be resumed.
+                ToRouter::Refused {
+                    attempt,
+                    code: Code::LinkLost,
+                    ..
+                } if attempt == expected => return Err(Event::LinkLost),
                 ToRouter::Refused {
                     attempt,
                     code,
@@ -284,6 +302,19 @@
         }
     }
 
+    /// Connects to the agent again, which runs a claimed request to its end without a connection, too.
+    async fn resume(
+        &self,
+        choice: &Choice,
+        attempt: AttemptId,
+        offset: u64,
+    ) -> Result<Link, Event> {
+        let relay = &self.relay;
+        let on_failure = |error: &LinkError| relay.record_connection_failure(choice, error);
+        let link = resume::reconnect(&relay.identity, choice.agent, attempt, offset, on_failure);
+        link.await.ok_or(Event::LinkLost)
+    }
+
     /// Records an answer that is too long to be kept, or does not fit beside others.
     fn record_fault(&self, fault: ReceiveFault) -> Event {
         warn!(self.relay.log, "the answer to a keyed request is not kept";
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -162,7 +162,7 @@
         }))
     }
 
-    fn record_connection_failure(&self, choice: &Choice, error: &LinkError) {
+    pub(crate) fn record_connection_failure(&self, choice: &Choice, error: &LinkError) {
         self.picker.record_connection_failure(&choice.target);
         debug!(self.log, "cannot connect to agent";
             "target" => %choice.target, "error" => %error);
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -22,8 +22,8 @@
 impl Agent {
     /// Runs an admitted request and returns the length of the answer in bytes, or the code of the
     /// failure. Returns `None` when the request was cancelled because no caller waits for it any
-    /// more. A claimed request is not cancelled with its connection: it runs to its end without
-    /// one, so that the guard learns its result.
+    /// more. A claimed request is not cancelled with its connection: it waits for a new one as long as
+    /// others do, and then runs to its end without one, so that the guard learns its result.
     pub(crate) async fn serve(
         &self,
         session: &mut Session,
@@ -40,8 +40,8 @@
         let res = loop {
             tokio::select! {
                 res = &mut call => break res,
-                signal = session.next_signal(), if !claimed => {
-                    if !session.on_signal(signal).await {
+                signal = session.next_signal() => {
+                    if !session.on_signal(signal).await && !claimed {
                         return None;
                     }
                 }
@@ -74,9 +74,9 @@
             // end and the replay buffer stays within its limit.
             let frame = tokio::select! {
                 frame = timeout_at(deadline, answer.body.frame()),
-                    if claimed || session.is_connected() => frame,
-                signal = session.next_signal(), if !claimed => {
-                    if session.on_signal(signal).await {
+                    if !session.awaits_router() => frame,
+                signal = session.next_signal() => {
+                    if session.on_signal(signal).await || claimed {
                         continue;
                     }
                     return None;
--- a/src/session.rs
+++ b/src/session.rs
@@ -20,8 +20,10 @@
 /// An event on the connection to the router while the request runs.
 #[derive(Debug)]
 pub enum Signal {
-    /// The router cancelled the attempt, or did not reconnect in time.
+    /// The router cancelled the attempt.
     Cancel,
+    /// The router did not reconnect in time.
+    ResumeTimeout,
     /// The router sent its next message, which implies that it has received the complete answer.
     NextMessage(Box<ToAgent>),
     /// The connection broke; the router may reconnect.
@@ -36,7 +38,8 @@
     attempt: AttemptId,
     link: Option<Link>,
     handover: mpsc::Receiver<Handover>,
-    resume_deadline: Instant,
+    /// When the wait for a new connection ends; `None` once it has ended.
+    resume_deadline: Option<Instant>,
     head: Option<Head>,
     /// Last bytes of the answer so far, at most `MAX_REPLAY_BYTES`.
     replay: VecDeque<u8>,
@@ -51,16 +54,16 @@
             attempt,
             link: Some(link),
             handover,
-            resume_deadline: Instant::now(),
+            resume_deadline: None,
             head: None,
             replay: VecDeque::new(),
             offset: 0,
         }
     }
 
-    /// Whether the router is connected.
-    pub fn is_connected(&self) -> bool {
-        self.link.is_some()
+    /// Whether the answer has to wait until the router has reconnected.
+    pub fn awaits_router(&self) -> bool {
+        self.link.is_none() && self.resume_deadline.is_some()
     }
 
     /// Number of answer bytes sent so far, including those lost with a broken connection.
@@ -71,12 +74,13 @@
     /// Waits for the next signal. Cancel safe: a dropped future loses no signal.
     pub async fn next_signal(&mut self) -> Signal {
         let Some(link) = &mut self.link else {
+            let deadline = self.resume_deadline;
             return tokio::select! {
                 handover = self.handover.recv() => match handover {
                     Some(handover) => Signal::Handover(Box::new(handover)),
                     None => Signal::Cancel,
                 },
-                () = sleep_until(self.resume_deadline) => Signal::Cancel,
+                () = sleep_until_some(deadline), if deadline.is_some() => Signal::ResumeTimeout,
             };
         };
         tokio::select! {
@@ -95,6 +99,10 @@
             // While a request runs the only valid message is a cancellation, so any other ends the
             // attempt too.
             Signal::Cancel | Signal::NextMessage(_) => false,
+            Signal::ResumeTimeout => {
+                self.resume_deadline = None;
+                false
+            }
             Signal::ConnectionLost => {
                 self.disconnect();
                 true
@@ -149,7 +157,7 @@
                 Signal::NextMessage(message) => {
                     return self.link.map(|link| (link, Some(*message)));
                 }
-                Signal::Cancel => return None,
+                Signal::Cancel | Signal::ResumeTimeout => return None,
                 Signal::ConnectionLost => self.disconnect(),
                 Signal::Handover(handover) => {
                     if !self.reconnect(*handover).await {
@@ -171,19 +179,21 @@
 
     fn disconnect(&mut self) {
         self.link = None;
-        self.resume_deadline = Instant::now() + RESUME_TIMEOUT;
+        self.resume_deadline = Some(Instant::now() + RESUME_TIMEOUT);
     }
 
     /// Continues on a new connection and replays the bytes that the router is missing; `false` when
     /// they are no longer in the replay buffer.
     async fn reconnect(&mut self, handover: Handover) -> bool {
         let Handover { link, offset } = handover;
-        self.link = Some(link);
         let kept = self.replay.len() as u64;
         let first = self.offset - kept;
         if offset < first || offset > self.offset {
+            self.link = None;
+            self.resume_deadline = None;
             return false;
         }
+        self.link = Some(link);
         let attempt = self.attempt;
         if let Some(head) = self.head.clone() {
             self.send(&ToRouter::Head { attempt, head }).await;
@@ -201,3 +211,7 @@
         true
     }
 }
+
+async fn sleep_until_some(deadline: Option<Instant>) {
+    sleep_until(deadline.unwrap_or_else(Instant::now)).await;
+}
--- a/tests/kept_attempts/links.rs
+++ b/tests/kept_attempts/links.rs
@@ -68,6 +68,12 @@
     assert_whole_beside_cuts(false).await;
 }
 
+/// Guards against the same for requests with an idempotency key.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_link_ends_no_keyed_request() {
+    assert_whole_beside_cuts(true).await;
+}
+
 async fn assert_whole_beside_cuts(keyed: bool) {
     let env = Env::services(1).await;
     for place in [PauseAt::Head, PauseAt::Within] {
