Ask a redirecting target again when no other one takes the request

What callers saw: after a zone went out of service, or a target left the configuration, requests of chats whose context had been there ended at once with 503, code 2013 (Moved), although the target that answered so was sound and free.

Cause: a target that knows where a chat's context is (Moved), or is above its load bound (OverBound), refuses a request for another target. The router then left it out of its choice for good, also where the other target could not be chosen or did not take the request.

Now the router returns to such a target when there is no other one, and asks it to run the request itself. No token of the retry budget is needed as long as nothing has run the request, since a redirect costs its target no work. Not covered: the fourth attempt, after which a request ends as before, and requests with an idempotency key (src/once.rs), which never follow pointers but know OverBound.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -80,7 +80,7 @@
 /// An output of the state machine: what the router must do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
-    /// Choose a target that is not in [`RelayedRequest::tried`]; those in
+    /// Choose a target that is not in [`RelayedRequest::excluded`]; those in
     /// [`RelayedRequest::zones_last`] only if there is no other.
     Choose,
     /// Connect to the chosen target and send the request as this attempt.
@@ -135,6 +135,9 @@
     state: State,
     answer: AnswerAssembly,
     tried: Vec<TargetName>,
+    /// Targets that have sent the request elsewhere, although they could run it.
+    redirecting: Vec<TargetName>,
+    ignores_redirects: bool,
     zones_last: Vec<ZoneName>,
     zone: Option<ZoneName>,
     crashed_on: Option<TargetName>,
@@ -155,6 +158,8 @@
             state: State::Choosing,
             answer: AnswerAssembly::new(AttemptId { request, number: 0 }),
             tried: Vec::new(),
+            redirecting: Vec::new(),
+            ignores_redirects: false,
             zones_last: Vec::new(),
             zone: None,
             crashed_on: None,
@@ -169,6 +174,18 @@
         &self.tried
     }
 
+    /// Targets that must not be chosen any more.
+    pub fn excluded(&self) -> Vec<TargetName> {
+        let tried = self.tried.iter();
+        let may_return = |name| self.ignores_redirects && self.redirecting.contains(name);
+        tried.filter(|name| !may_return(name)).cloned().collect()
+    }
+
+    /// Whether the next target has to run the request itself instead of sending it to another one.
+    pub fn ignores_redirects(&self) -> bool {
+        self.ignores_redirects
+    }
+
     /// Zones that may have a fault; their targets are chosen only if there is no other.
     pub fn zones_last(&self) -> &[ZoneName] {
         &self.zones_last
@@ -225,6 +242,9 @@
                 self.answer = AnswerAssembly::new(AttemptId { request, number });
                 Action::Submit(self.current_attempt())
             }
+            (State::Choosing, Event::NoTarget(_)) if self.may_return() => {
+                self.return_to_redirecting()
+            }
             (State::Choosing, Event::NoTarget(code)) => {
                 let code = if self.attempts > 0 {
                     self.last_code
@@ -233,6 +253,12 @@
                 };
                 self.fail(code)
             }
+            // The return is no retry while nothing has run the request.
+            (State::Pausing, Event::RetryDenied)
+                if self.may_return() && self.may_have_run.is_none() =>
+            {
+                self.return_to_redirecting()
+            }
             (State::Pausing, Event::RetryDenied) => self.fail(self.last_code),
             (State::Pausing, Event::PauseEnded) => {
                 self.state = State::Choosing;
@@ -277,6 +303,9 @@
                 if code == Code::EngineCrashed {
                     self.crashed_on = self.tried.last().cloned();
                 }
+                if matches!(code, Code::Moved | Code::OverBound) {
+                    self.redirecting.extend(self.tried.last().cloned());
+                }
                 self.on_failure(code, random, now)
             }
             _ => Action::Drop,
@@ -290,6 +319,17 @@
         }
     }
 
+    fn may_return(&self) -> bool {
+        !self.redirecting.is_empty() && !self.ignores_redirects
+    }
+
+    /// Goes back to a target that has sent the request elsewhere, since no other target takes it.
+    fn return_to_redirecting(&mut self) -> Action {
+        self.ignores_redirects = true;
+        self.state = State::Choosing;
+        Action::Choose
+    }
+
     fn resume_or_fail(&mut self, random: f64, now: Time) -> Action {
         if self.resumes >= MAX_RESUMES {
             return self.on_failure(Code::LinkLost, random, now);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -334,7 +334,7 @@
             Ok(advice) => advice,
             Err(code) => return Event::NoTarget(code),
         };
-        let tried = relayed.tried().to_vec();
+        let tried = relayed.excluded();
         let excluded: Vec<_> = tried.iter().cloned().chain(avoid).collect();
         let picker = &self.relay.picker;
         let mut choice = picker
@@ -343,10 +343,14 @@
         if choice.is_err() && excluded.len() > tried.len() {
             choice = picker.choose(pool, chat, self.job.opens_chat, tried).await;
         }
-        let choice = match choice {
+        let mut choice = match choice {
             Ok(choice) => choice,
             Err(code) => return Event::NoTarget(code),
         };
+        if relayed.ignores_redirects() {
+            choice.follow_pointers = false;
+            choice.apply_load_bound = false;
+        }
         let Some(zone) = self.zone(&choice) else {
             return Event::NoTarget(Code::NoTarget);
         };
--- a/tests/kept_attempts/env.rs
+++ b/tests/kept_attempts/env.rs
@@ -29,6 +29,8 @@
 /// A deployment whose routers reach each agent through a proxy.
 pub(crate) struct Env {
     pub(crate) processes: TestEnv,
+    /// Configuration in force, with the addresses of the proxies.
+    pub(crate) document: String,
     /// Proxies before the agents, in the order of the agents.
     pub(crate) links: Vec<Proxy>,
     /// Targets in place of the plain services.
@@ -50,9 +52,10 @@
             let calm = Conduct::Serve(PauseAt::Head, Duration::ZERO);
             targets.push(PausingTarget::start_at(address, calm).await.0);
         }
-        let links = start_links(&env).await;
+        let (links, document) = start_links(&env).await;
         Self {
             processes: env,
+            document,
             links,
             targets,
         }
@@ -109,7 +112,7 @@
 }
 
 /// Puts a proxy before each agent and publishes the addresses of the proxies.
-pub(crate) async fn start_links(env: &TestEnv) -> Vec<Proxy> {
+async fn start_links(env: &TestEnv) -> (Vec<Proxy>, String) {
     let mut document = env.deployment.document.clone();
     let mut links = Vec::new();
     for agent in &env.deployment.agents {
@@ -120,5 +123,5 @@
     let published = env.deployment.publish(&document).await;
     published.expect("the document is published");
     sleep(LEARN_TIME).await;
-    links
+    (links, document)
 }
--- a/tests/kept_attempts/main.rs
+++ b/tests/kept_attempts/main.rs
@@ -3,5 +3,6 @@
 
 mod env;
 mod links;
+mod pauses;
 #[path = "../testenv/mod.rs"]
 mod testenv;
