Cancel an attempt whose caller leaves while its agent cannot be reached

What was seen: when the connection to the agent had broken and the caller left before a new one was made, engine or service worked on for up to 2 s, until the agent gave up its wait for the router. Callers' leaving has to end all work within half a second.

Cause: the router dropped the attempt without a word when it had no connection to send the cancellation on.

Evidence: work_ends_when_its_caller_leaves_during_a_cut (tests/kept_attempts/links.rs, x86-64) failed before the change: 0.5 s after the agent could be reached again, 0.7 s after the caller had left, the work had not ended ("ended: None").

Now the router goes on dialling for as long as the agent keeps the attempt, resumes it and cancels it. The test passes for both routes, and work_is_cancelled_when_its_caller_disconnects and work_is_cancelled_when_many_callers_disconnect_ together of tests/faults.rs as before.

--- a/src/once.rs
+++ b/src/once.rs
@@ -23,11 +23,10 @@
 
 use crate::{
     cache::{KeyedCall, StoredAnswer},
-    link::{Link, LinkError},
+    link::Link,
     picker::Choice,
     receive::ReceiveFault,
     relay::{Answer, Relay, RelayFailure, RelayJob},
-    resume,
 };
 
 /// Largest answer, in bytes. Answers are buffered completely, so that a retried request can get
@@ -243,7 +242,9 @@
                 Ok(message) => message,
                 Err(_lost) if resumes < MAX_RESUMES => {
                     resumes += 1;
-                    *link = self.resume(choice, expected, assembly.received()).await?;
+                    let offset = assembly.received();
+                    let found = self.relay.reconnect(choice, expected, offset).await;
+                    *link = found.ok_or(Event::LinkLost)?;
                     continue;
                 }
                 Err(_lost) => return Err(Event::LinkLost),
@@ -302,19 +303,6 @@
         }
     }
 
-    /// Connects to the agent again, which runs a claimed request to its end without a connection, too.
-    async fn resume(
-        &self,
-        choice: &Choice,
-        attempt: AttemptId,
-        offset: u64,
-    ) -> Result<Link, Event> {
-        let relay = &self.relay;
-        let on_failure = |error: &LinkError| relay.record_connection_failure(choice, error);
-        let link = resume::reconnect(&relay.identity, choice.agent, attempt, offset, on_failure);
-        link.await.ok_or(Event::LinkLost)
-    }
-
     /// Records an answer that is too long to be kept, or does not fit beside others.
     fn record_fault(&self, fault: ReceiveFault) -> Event {
         warn!(self.relay.log, "the answer to a keyed request is not kept";
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     cache::KeyedCall,
+    cancel,
     claims::Claims,
     clock::Clock,
     link::{Identity, Link, LinkError},
@@ -34,18 +35,13 @@
     resume,
     retrier::{self, Advice, Retrier},
     rollouts::{FinishedRequest, Rollouts},
+    sink::AnswerSink,
     stop::StopPhases,
     view::{Pool, Views},
 };
 
 /// Lowest HTTP status that counts as a failure of the engine.
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
-/// Parts of an answer that are buffered for a slow caller before backpressure reaches the agent.
-const MAX_BUFFERED_PARTS: usize = 8;
-/// Longest wait for a cancellation to be sent.
-const CANCEL_SEND_TIMEOUT: Duration = Duration::from_millis(20);
-/// Longest wait for the agent to close the connection after a cancellation.
-const CANCEL_CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A caller's request after authentication and routing.
 #[derive(Debug, Clone)]
@@ -140,6 +136,7 @@
             deadline: Instant::now() + job.time_left,
             job,
             link: None,
+            is_disconnected: false,
             choice: None,
             head: None,
             data: Bytes::new(),
@@ -162,7 +159,18 @@
         }))
     }
 
-    pub(crate) fn record_connection_failure(&self, choice: &Choice, error: &LinkError) {
+    /// Connects again to the agent that runs an attempt, and requests its answer from `offset` on.
+    pub(crate) async fn reconnect(
+        &self,
+        choice: &Choice,
+        attempt: AttemptId,
+        offset: u64,
+    ) -> Option<Link> {
+        let on_failure = |error: &LinkError| self.record_connection_failure(choice, error);
+        resume::reconnect(&self.identity, choice.agent, attempt, offset, on_failure).await
+    }
+
+    fn record_connection_failure(&self, choice: &Choice, error: &LinkError) {
         self.picker.record_connection_failure(&choice.target);
         debug!(self.log, "cannot connect to agent";
             "target" => %choice.target, "error" => %error);
@@ -195,47 +203,6 @@
     }
 }
 
-/// Channel on which the caller's connection gets the answer.
-enum AnswerSink {
-    /// No part has been sent yet.
-    Pending(oneshot::Sender<Result<Answer, RelayFailure>>),
-    /// The head was sent; further parts go through this channel.
-    Streaming(mpsc::Sender<io::Result<Bytes>>),
-    /// The caller disconnected, so that no part of the answer can be delivered any more.
-    Closed,
-}
-
-impl AnswerSink {
-    async fn closed(&mut self) {
-        match self {
-            Self::Pending(tx) => tx.closed().await,
-            Self::Streaming(tx) => tx.closed().await,
-            Self::Closed => {}
-        }
-    }
-
-    /// Sends `data`, preceded by the head if the answer has not started. Returns `false` when the
-    /// caller has disconnected.
-    async fn send(&mut self, head: Option<&Head>, data: Bytes) -> bool {
-        if let Self::Pending(_) = self
-            && let Some(head) = head
-            && let Self::Pending(reply) = std::mem::replace(self, Self::Closed)
-        {
-            let (tx, body) = mpsc::channel(MAX_BUFFERED_PARTS);
-            let head = head.clone();
-            if reply.send(Ok(Answer { head, body })).is_err() {
-                return false;
-            }
-            *self = Self::Streaming(tx);
-        }
-        match self {
-            Self::Streaming(tx) if data.is_empty() => !tx.is_closed(),
-            Self::Streaming(tx) => tx.send(Ok(data)).await.is_ok(),
-            Self::Pending(_) | Self::Closed => false,
-        }
-    }
-}
-
 /// A running request and the connection of its current attempt.
 struct RelayTask {
     relay: Relay,
@@ -243,6 +210,8 @@
     fingerprint: Fingerprint,
     deadline: Instant,
     link: Option<Link>,
+    /// Whether the agent may run the attempt although there is no connection to it.
+    is_disconnected: bool,
     choice: Option<Choice>,
     head: Option<Head>,
     data: Bytes,
@@ -427,13 +396,13 @@
         let Some(choice) = self.choice.clone() else {
             return Event::ResumeFailed;
         };
-        let relay = &self.relay;
-        let on_failure = |error: &LinkError| relay.record_connection_failure(&choice, error);
-        let link = resume::reconnect(&relay.identity, choice.agent, attempt, offset, on_failure);
-        if let Some(link) = link.await {
+        self.is_disconnected = true;
+        if let Some(link) = self.relay.reconnect(&choice, attempt, offset).await {
+            self.is_disconnected = false;
             self.link = Some(link);
             return self.receive().await;
         }
+        self.is_disconnected = false;
         self.report_failure(Code::LinkLost).await;
         Event::ResumeFailed
     }
@@ -565,14 +534,17 @@
 
     async fn cancel(mut self, attempt: AttemptId) {
         self.relay.metrics.count_result("CallerGone");
-        if let Some(link) = &mut self.link {
-            // If the message is lost, the agent cancels when its wait for a reconnect ends.
-            let cancel = ToAgent::Cancel { attempt };
-            let _sent = time::timeout(CANCEL_SEND_TIMEOUT, link.send(&cancel)).await;
-            // Closing a socket with unread data resets it, and the agent could see the reset before
-            // it reads the cancellation. So the rest of the answer is read first.
-            let closed = async { while link.receive::<ToRouter>().await.is_ok() {} };
-            let _closed = time::timeout(CANCEL_CLOSE_TIMEOUT, closed).await;
+        let link = match (self.link.take(), &self.choice) {
+            (Some(link), _) => Some(link),
+            // The caller has left while no connection could be made; the agent still runs the attempt.
+            // The offset does not matter: the agent also ends an attempt that it cannot replay from there.
+            (None, Some(choice)) if self.is_disconnected => {
+                self.relay.reconnect(choice, attempt, 0).await
+            }
+            (None, _) => None,
+        };
+        if let Some(link) = link {
+            cancel::cancel(link, attempt).await;
         }
     }
 
--- a/tests/kept_attempts/links.rs
+++ b/tests/kept_attempts/links.rs
@@ -30,6 +30,9 @@
 const TOKENS: u32 = 200;
 /// Longest time for which two targets may work on one request.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
+/// Longest time for which a target may work on a request whose caller has left, once the agent can be
+/// reached.
+const MAX_WORK_AFTER_CALLER: Duration = Duration::from_millis(500);
 
 async fn cut(env: &Env, time: Duration) {
     sleep(BEFORE_CUT).await;
@@ -132,3 +135,24 @@
         }
     }
 }
+
+/// Guards against work that goes on for seconds because its caller has left while the router could not
+/// reach the agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_ends_when_its_caller_leaves_during_a_cut() {
+    let env = Env::services(1).await;
+    env.set_conduct(Conduct::Serve(PauseAt::Head, 2 * PAUSE));
+    for path in [SAFE, UNSAFE] {
+        let begun = env.work().len();
+        let call = tokio::spawn(env.call(path, None));
+        env.wait_for_work(begun + 1).await;
+        env.set_fault(ConnectionFault::Reset);
+        sleep(BEFORE_CUT).await;
+        call.abort();
+        sleep(BEFORE_CUT).await;
+        env.set_fault(ConnectionFault::None);
+        sleep(MAX_WORK_AFTER_CALLER).await;
+        let work = env.work();
+        assert!(work.iter().all(Work::has_ended), "{path}: {work:?}");
+    }
+}
