Trace the answer 3002 of a router that was paused with its claim

KNOWN-RED.txt listed paused_router_does_not_run_its_superseded_claim: once, on arm64, the paused router answered 3002 (in progress) where the test expects 3001 or 3005.

Cause, shown: the test pauses the router after its append and means to do so within its read of the log, which takes 500 ms. If the signal comes before the read has begun, the router reads when it resumes. It then finds the claim of the other router, which has run the order, but not the end of that run, which is written up to 0.5 s later, and rightly answers 3002: the key is another claim's.

The test now pauses 100 ms after the append, which is within the read, and expects the same codes as before.

--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -2,17 +2,25 @@
 
 mod testenv;
 
-use std::{process::Command, time::Duration};
+use std::{
+    process::{Command, Stdio},
+    time::Duration,
+};
 
 use ebonyfall_bench::client::{Caller, Outcome, messages};
 use ebonyfall_standin::{log::LogFaults, service::ServiceFaults};
 use testenv::{TestEnv, plan};
-use tokio::{task::JoinHandle, time::sleep};
+use tokio::{
+    task::{JoinHandle, yield_now},
+    time::sleep,
+};
 use uuid::{NoContext, Timestamp, Uuid};
 
 const COMPLETED: Outcome = Outcome::Completed { cached: false };
 /// Longer than the time after which a router queries the agent about another router's open claim.
 const PAST_CLAIM_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Delay of the log's answers in tests that pause a router while it waits for one.
+const LOG_DELAY: Duration = Duration::from_millis(500);
 
 fn key() -> String {
     Uuid::now_v7().to_string()
@@ -112,22 +120,52 @@
 /// resuming although another router has superseded the claim.
 #[tokio::test(flavor = "multi_thread")]
 async fn paused_router_does_not_run_its_superseded_claim() {
+    // The read, which takes `LOG_DELAY`, has begun by then and does not contain the other claim.
+    let first = order_at_paused_router(LOG_DELAY / 5).await;
+    // On resuming, the read has succeeded or timed out; in either case the claim must not run.
+    let not_run = [Outcome::Refused(3001), Outcome::Refused(3005)];
+    assert!(not_run.contains(&first), "{first:?}");
+}
+
+/// Guards against the same if the router reads the log only when it resumes. The other claim counts as
+/// in progress until its end is in the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_paused_before_its_read_does_not_run_its_superseded_claim() {
+    let first = order_at_paused_router(Duration::ZERO).await;
+    // The signal may come after the read has begun.
+    let expected = [3001, 3002, 3003, 3005].map(Outcome::Refused);
+    assert!(expected.contains(&first), "{first:?}");
+}
+
+/// Pauses a router after it has appended a claim, and for `pause_after` more, sends the same order to
+/// another router, and returns what the first one answers. Checks that the order runs once.
+async fn order_at_paused_router(pause_after: Duration) -> Outcome {
     let env = TestEnv::start(plan(0, 1)).await;
     let slow = LogFaults {
-        delay_ms: 500,
+        delay_ms: u64::try_from(LOG_DELAY.as_millis()).unwrap(),
         ..LogFaults::default()
     };
     let platform = &env.deployment.platform;
     platform.set_faults(slow).await;
     let appends = platform.appends().await;
+    let owner = env.deployment.routers[0].id();
+    // Started before, since the start of a process takes longer than the router needs to begin its read.
+    let mut pause = Command::new("sh")
+        .args(["-c", &format!("read line; kill -STOP {owner}")])
+        .stdin(Stdio::piped())
+        .spawn()
+        .expect("the system has a shell");
     let key = key();
     let first = spawn_order(env.caller(0), "paused", &key);
-    // The router is paused after its append and before the end of its read, which takes 500 ms.
     while platform.appends().await == appends {
-        sleep(Duration::from_millis(5)).await;
+        yield_now().await;
     }
-    let owner = env.deployment.routers[0].id();
-    signal("-STOP", owner);
+    // A timer would take a millisecond at least.
+    if !pause_after.is_zero() {
+        sleep(pause_after).await;
+    }
+    drop(pause.stdin.take());
+    pause.wait().expect("the shell ends");
     platform.set_faults(LogFaults::default()).await;
     sleep(PAST_CLAIM_TIMEOUT).await;
     let second = env.caller(1).order("paused", Some(&key)).await;
@@ -135,10 +173,8 @@
     let first = first.await.unwrap();
     println!("paused router: {first:?}, other router: {second:?}");
     assert_eq!(second, COMPLETED);
-    // On resuming, the read has succeeded or timed out; in either case the claim must not run.
-    let not_run = [Outcome::Refused(3001), Outcome::Refused(3005)];
-    assert!(not_run.contains(&first), "{first:?}");
     assert_eq!(run_count(&env, "paused").await, 1);
+    first
 }
 
 /// Guards against a second run when the log appends a claim but its reply is lost.
