Test what callers get when an agent ends before their requests

An agent's stop waits for running requests up to its setting drain (30 s unless stated), and then ends the process. What runs longer is cut: nothing can take over an engine's stream or a request that may run once, and the deadline of a team may be longer (60 s unless stated). The test shows that nobody is left without an answer and nothing runs twice.

--- a/tests/kept_attempts/env.rs
+++ b/tests/kept_attempts/env.rs
@@ -11,7 +11,10 @@
     pausing::{Conduct, PauseAt, PausingTarget, Work},
     proxy::{ConnectionFault, Proxy},
 };
-use tokio::{net::TcpStream, time::sleep};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 use crate::testenv::{TestEnv, plan};
 
@@ -40,9 +43,16 @@
 impl Env {
     /// Starts `plan`, with sound targets without pauses in place of its services.
     pub(crate) async fn start(plan: Plan) -> Self {
-        let env = TestEnv::start(plan).await;
+        let mut env = Self::start_without_links(plan).await;
+        env.add_links().await;
+        env
+    }
+
+    /// Like [`Self::start`], but the routers reach the agents directly.
+    pub(crate) async fn start_without_links(plan: Plan) -> Self {
+        let processes = TestEnv::start(plan).await;
         let mut targets = Vec::new();
-        let deployment = &env.deployment;
+        let deployment = &processes.deployment;
         for (index, (_, host)) in deployment.services.iter().enumerate() {
             host.stop();
             let address = deployment.backends[deployment.engines.len() + index];
@@ -52,15 +62,27 @@
             let calm = Conduct::Serve(PauseAt::Head, Duration::ZERO);
             targets.push(PausingTarget::start_at(address, calm).await.0);
         }
-        let (links, document) = start_links(&env).await;
         Self {
-            processes: env,
-            document,
-            links,
+            document: deployment.document.clone(),
+            processes,
+            links: Vec::new(),
             targets,
         }
     }
 
+    /// Puts a proxy before each agent and publishes the addresses of the proxies.
+    async fn add_links(&mut self) {
+        for agent in &self.processes.deployment.agents {
+            let (link, address) = Proxy::start(agent.listen).await;
+            let document = &mut self.document;
+            *document = document.replace(&agent.listen.to_string(), &address.to_string());
+            self.links.push(link);
+        }
+        let published = self.processes.deployment.publish(&self.document).await;
+        published.expect("the document is published");
+        sleep(LEARN_TIME).await;
+    }
+
     pub(crate) async fn services(count: u32) -> Self {
         Self::start(plan(0, count)).await
     }
@@ -105,23 +127,13 @@
 
     /// Waits until the targets have begun to work on `count` requests in all.
     pub(crate) async fn wait_for_work(&self, count: usize) {
-        while self.work().len() < count {
-            sleep(Duration::from_millis(5)).await;
-        }
-    }
-}
-
-/// Puts a proxy before each agent and publishes the addresses of the proxies.
-async fn start_links(env: &TestEnv) -> (Vec<Proxy>, String) {
-    let mut document = env.deployment.document.clone();
-    let mut links = Vec::new();
-    for agent in &env.deployment.agents {
-        let (link, address) = Proxy::start(agent.listen).await;
-        document = document.replace(&agent.listen.to_string(), &address.to_string());
-        links.push(link);
+        let begun = async {
+            while self.work().len() < count {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(TIMEOUT, begun)
+            .await
+            .expect("the requests reach a target");
     }
-    let published = env.deployment.publish(&document).await;
-    published.expect("the document is published");
-    sleep(LEARN_TIME).await;
-    (links, document)
 }
--- a/tests/kept_attempts/main.rs
+++ b/tests/kept_attempts/main.rs
@@ -4,5 +4,6 @@
 mod env;
 mod links;
 mod pauses;
+mod stops;
 #[path = "../testenv/mod.rs"]
 mod testenv;
