Cancel the idempotent requests that a stopping router ends

What was seen: a router that stops ends requests without an answer with 4001 shortly before its end. Their agents kept the attempts for 2 s more, with engine or service at work, while the caller could send an idempotent request to another router, so that two targets worked on it.

Cause: the router closed the connection without a cancellation, which an agent takes for a break that may be repaired.

Evidence: work_ends_with_the_answer_that_a_stopping_router_gives (tests/kept_attempts/stops.rs, x86-64) failed before the change: 0.5 s after the answer the work had not ended ("ended: None").

Now the core tells the router to cancel the attempt after the answer, if the request is idempotent. What may run once goes on until the agent's wait for a router ends, as before. Streams that have begun are cut when the process ends, without a cancellation; that is open.

After the change the test passes, and a_stop_leaves_no_request_without_an_answer_behind_an_agent of tests/hostile. core/tests/schedule plays the return to redirecting targets now, too; its random schedules keep the invariants.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -114,6 +114,13 @@
     Cancel(AttemptId),
     /// End the request with this result code, as there is no complete answer.
     Fail(Code),
+    /// The same, and then tell the target to cancel the attempt.
+    Abandon {
+        /// The running attempt.
+        attempt: AttemptId,
+        /// Result code for the caller.
+        code: Code,
+    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -226,7 +233,17 @@
                 };
                 self.fail(code)
             }
-            (State::Submitted, Event::Stopping) => self.fail(Code::LinkLost),
+            (State::Submitted, Event::Stopping) => {
+                let attempt = self.current_attempt();
+                match (self.fail(Code::LinkLost), self.idempotency) {
+                    // The caller may send it to another router at once.
+                    (Action::Fail(code), Idempotency::Idempotent) => {
+                        Action::Abandon { attempt, code }
+                    }
+                    // What may run once is not broken off before the agent's wait for a router ends.
+                    (action, _) => action,
+                }
+            }
             (_, Event::Stopping) => self.fail(Code::ShuttingDown),
             (State::Choosing, Event::TargetChosen { target, zone }) => {
                 if self.deadline <= now {
--- a/core/tests/schedule/main.rs
+++ b/core/tests/schedule/main.rs
@@ -162,7 +162,7 @@
         let target = request.target;
         match request.action {
             Action::Choose => {
-                let tried = request.state.tried();
+                let tried = request.state.excluded();
                 let name = |index: usize| format!("t{index}").parse::<TargetName>().unwrap();
                 let untried: Vec<_> = (0..TARGETS)
                     .filter(|i| !tried.contains(&name(*i)))
@@ -219,6 +219,12 @@
                     answer_length(id)
                 ))
             }
+            Action::Abandon { attempt, code } => {
+                self.messages
+                    .push(Message::Agent(target, attempt, ToAgent::Cancel));
+                request.action = Action::Fail(code);
+                self.perform_action(id)
+            }
             Action::Fail(code) => {
                 let ran = self.runs.get(&id).copied().unwrap_or(0);
                 self.requests.remove(&id);
--- a/src/cancel.rs
+++ b/src/cancel.rs
@@ -1,4 +1,4 @@
-//! Cancellation of an attempt whose caller has left.
+//! Cancellation of an attempt for which nobody waits any more.
 
 use std::time::Duration;
 
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -230,8 +230,15 @@
         loop {
             let event = match action {
                 Action::Finish => return self.finish(sink).await,
-                Action::Cancel(attempt) => return self.cancel(attempt).await,
+                Action::Cancel(attempt) => {
+                    self.relay.metrics.count_result("CallerGone");
+                    return self.cancel(attempt).await;
+                }
                 Action::Fail(code) => return self.fail(code, sink).await,
+                Action::Abandon { attempt, code } => {
+                    self.fail(code, sink).await;
+                    return self.cancel(attempt).await;
+                }
                 Action::Deliver { skip } => {
                     let skip = usize::try_from(skip).unwrap_or(usize::MAX);
                     let data = self.data.split_off(skip.min(self.data.len()));
@@ -533,10 +540,9 @@
     }
 
     async fn cancel(mut self, attempt: AttemptId) {
-        self.relay.metrics.count_result("CallerGone");
         let link = match (self.link.take(), &self.choice) {
             (Some(link), _) => Some(link),
-            // The caller has left while no connection could be made; the agent still runs the attempt.
+            // The request has ended while no connection could be made; the agent still runs the attempt.
             // The offset does not matter: the agent also ends an attempt that it cannot replay from there.
             (None, Some(choice)) if self.is_disconnected => {
                 self.relay.reconnect(choice, attempt, 0).await
@@ -548,7 +554,7 @@
         }
     }
 
-    async fn fail(self, code: Code, sink: AnswerSink) {
+    async fn fail(&self, code: Code, sink: AnswerSink) {
         match sink {
             AnswerSink::Pending(tx) => {
                 let retry_after = self.retry_after;
--- a/tests/kept_attempts/env.rs
+++ b/tests/kept_attempts/env.rs
@@ -24,6 +24,9 @@
 pub(crate) const UNSAFE: &str = "/print/orders";
 /// Time that callers allow.
 const TIMEOUT: Duration = Duration::from_secs(8);
+/// Longest time for which a target may work on a request for which nobody waits, once its agent can be
+/// reached.
+pub(crate) const MAX_WORK_AFTER_CALLER: Duration = Duration::from_millis(500);
 /// Time in which routers learn a new configuration.
 const LEARN_TIME: Duration = Duration::from_millis(1_500);
 
--- a/tests/kept_attempts/links.rs
+++ b/tests/kept_attempts/links.rs
@@ -12,7 +12,7 @@
 use uuid::Uuid;
 
 use crate::{
-    env::{Env, SAFE, UNSAFE},
+    env::{Env, MAX_WORK_AFTER_CALLER, SAFE, UNSAFE},
     testenv::plan,
 };
 
@@ -30,10 +30,6 @@
 const TOKENS: u32 = 200;
 /// Longest time for which two targets may work on one request.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
-/// Longest time for which a target may work on a request whose caller has left, once the agent can be
-/// reached.
-const MAX_WORK_AFTER_CALLER: Duration = Duration::from_millis(500);
-
 async fn cut(env: &Env, time: Duration) {
     sleep(BEFORE_CUT).await;
     env.set_fault(ConnectionFault::Reset);
--- a/tests/kept_attempts/stops.rs
+++ b/tests/kept_attempts/stops.rs
@@ -15,7 +15,7 @@
 use uuid::Uuid;
 
 use crate::{
-    env::{Env, SAFE, UNSAFE},
+    env::{Env, MAX_WORK_AFTER_CALLER, SAFE, UNSAFE},
     testenv::plan,
 };
 
@@ -90,3 +90,22 @@
     let first = env.work().iter().filter(is_first).count();
     assert_eq!(first, 3 * CALLERS, "each request has one first attempt");
 }
+
+/// Guards against work on a request that goes on for seconds after its router has ended it in a stop. Its
+/// caller may have sent it to another router by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_ends_with_the_answer_that_a_stopping_router_gives() {
+    let mut plan = plan(0, 1);
+    plan.router_settings = format!("drain = {}s\n", DRAIN.as_secs());
+    let env = Env::start_without_links(plan).await;
+    env.set_conduct(Conduct::Silent);
+    let call = tokio::spawn(env.call(SAFE, None));
+    env.wait_for_work(1).await;
+    let router = &env.processes.deployment.routers[0];
+    router.terminate().expect("the signal is sent");
+    let reply = call.await.expect("no panic").expect("the router answers");
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{:?}", reply.body);
+    sleep(MAX_WORK_AFTER_CALLER).await;
+    let work = env.work();
+    assert!(work.iter().all(Work::has_ended), "{work:?}");
+}
