Cancel the streams that the end of a router cuts

What was seen: streams that are still open when a router's time for a stop is over are cut with the process. Their engines went on with them for up to 2 s, until the agents gave up their wait for the router.

Cause: the process ended without a cancellation, which an agent takes for a break that may be repaired.

Evidence: work_ends_with_a_stream_that_the_end_of_a_router_cuts (tests/kept_attempts/stops.rs, x86-64) failed before the change: 0.5 s after the cut the engine had (running, cancelled) = (1, 0), (0, 1) expected.

Now the router tells its requests when the time is over, and ends 30 ms later; idempotent ones are cancelled at their agents. No stream is cut earlier than before, and the exit code is the same. A stream whose caller does not read at that moment is not cancelled, as it waits for the caller.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -71,7 +71,7 @@
     },
     /// The caller's deadline has passed.
     Expired,
-    /// The router ends soon, and no part of the answer has been sent.
+    /// The router ends soon and no part of the answer has been sent, or it ends now.
     Stopping,
     /// The caller disconnected.
     CallerGone,
@@ -235,7 +235,12 @@
             }
             (State::Submitted, Event::Stopping) => {
                 let attempt = self.current_attempt();
-                match (self.fail(Code::LinkLost), self.idempotency) {
+                let code = if self.has_begun() {
+                    Code::StreamCut
+                } else {
+                    Code::LinkLost
+                };
+                match (self.fail(code), self.idempotency) {
                     // The caller may send it to another router at once.
                     (Action::Fail(code), Idempotency::Idempotent) => {
                         Action::Abandon { attempt, code }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -17,7 +17,7 @@
 use ebonyfall_wire::frame::{Call, Head, Load, Submit, ToAgent, ToRouter};
 use slog::{Logger, debug};
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time::{self, Instant},
 };
 
@@ -100,6 +100,8 @@
     pub views: Views,
     /// How far a planned stop of the process has come.
     pub phases: StopPhases,
+    /// Turns true when the time for a stop is over and the process ends.
+    pub ended: watch::Receiver<bool>,
     /// Task that chooses targets.
     pub picker: Picker,
     /// Pool of idle connections to agents.
@@ -258,11 +260,13 @@
                 action => {
                     let deadline = self.deadline;
                     let phases = self.relay.phases.clone();
+                    let mut ended = self.relay.ended.clone();
                     tokio::select! {
                         event = self.perform(action, &relayed) => event,
                         () = sink.closed() => Event::CallerGone,
                         () = time::sleep_until(deadline) => Event::Expired,
                         () = phases.ending(), if !relayed.has_begun() => Event::Stopping,
+                        Ok(_) = ended.wait_for(|ended| *ended) => Event::Stopping,
                     }
                 }
             };
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,11 +1,14 @@
 //! The router process: accepts callers' HTTP requests and forwards them to targets.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 
 use ebonyfall_core::peer::Role;
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 use crate::{
     admin::Admin,
@@ -35,6 +38,9 @@
 /// sealed frame, and the frame in the connection's write buffer.
 const BODY_COPIES: usize = 3;
 
+/// Time after the end of a stop in which the cancellations of running requests are sent.
+const CANCEL_TIME: Duration = Duration::from_millis(30);
+
 /// Reason why a router fails to start or to shut down cleanly.
 #[derive(Debug, Snafu)]
 pub enum RouterError {
@@ -134,7 +140,9 @@
         refuse_after: ConnectionLimits::default().idle_grace,
         end_after: cfg.common.drain,
     };
+    let (end, ended) = watch::channel(false);
     let relay = Relay {
+        ended,
         phases: StopPhases::start(stop.clone(), times, log.clone()),
         identity,
         claims,
@@ -169,6 +177,9 @@
         return Ok(());
     }
     let left = open.get();
+    // Requests that are cut by the end of the process are cancelled at their agents.
+    end.send_replace(true);
+    sleep(CANCEL_TIME).await;
     warn!(stop_log, "shutdown timed out with requests still open; closing them"; "left" => left);
     UnfinishedSnafu { left }.fail()
 }
--- a/tests/kept_attempts/stops.rs
+++ b/tests/kept_attempts/stops.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     env::{Env, MAX_WORK_AFTER_CALLER, SAFE, UNSAFE},
-    testenv::plan,
+    testenv::{engine_status, plan},
 };
 
 /// Time that the agents have for a stop.
@@ -109,3 +109,31 @@
     let work = env.work();
     assert!(work.iter().all(Work::has_ended), "{work:?}");
 }
+
+/// Guards against an engine that goes on for seconds with a stream that the end of a router has cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_ends_with_a_stream_that_the_end_of_a_router_cuts() {
+    let mut plan = plan(1, 0);
+    plan.router_settings = format!("drain = {}s\n", DRAIN.as_secs());
+    plan.engine = EngineConfig {
+        token_us: 50_000,
+        ..EngineConfig::default()
+    };
+    let mut env = Env::start_without_links(plan).await;
+    let caller = env.processes.caller(0);
+    let stream = tokio::spawn(async move { caller.chat(&messages(1, 0, 0), 200, true).await.0 });
+    sleep(Duration::from_millis(500)).await;
+    let stopped = Instant::now();
+    let router = &mut env.processes.deployment.routers[0];
+    router.terminate().expect("the signal is sent");
+    let outcome = stream.await.expect("no panic");
+    assert_eq!(outcome, Outcome::Interrupted, "the stream takes 10 s");
+    assert!(
+        stopped.elapsed() >= DRAIN,
+        "cut after {:?}",
+        stopped.elapsed()
+    );
+    sleep(MAX_WORK_AFTER_CALLER).await;
+    let status = engine_status(env.processes.deployment.engines[0].0).await;
+    assert_eq!((status.running, status.cancelled), (0, 1));
+}
