--- a/src/once.rs
+++ b/src/once.rs
@@ -11,6 +11,7 @@
     id::AttemptId,
     name::TargetName,
     owner::{Action, Event, KeyedRequest, Owner, Reply},
+    request::MAX_RESUMES,
 };
 use ebonyfall_wire::frame::{Head, Submit, ToAgent, ToRouter};
 use slog::{debug, warn};
@@ -235,8 +236,19 @@
         let mut assembly = AnswerAssembly::new(expected);
         let mut head = None;
         let mut body = self.relay.buffers.start(MAX_ANSWER_BYTES);
+        let mut resumes = 0;
         loop {
-            let message = link.receive().await.map_err(|_lost| Event::LinkLost)?;
+            let message = match link.receive().await {
+                Ok(message) => message,
+                Err(_lost) if resumes < MAX_RESUMES => {
+                    resumes += 1;
+                    let offset = assembly.received();
+                    let found = self.relay.reconnect(choice, expected, offset).await;
+                    *link = found.ok_or(Event::LinkLost)?;
+                    continue;
+                }
+                Err(_lost) => return Err(Event::LinkLost),
+            };
             match message {
                 ToRouter::Head {
                     attempt,
@@ -247,6 +259,7 @@
                     offset,
                     data,
                 } => {
+                    resumes = 0;
                     let len = data.len() as u64;
                     let skip = assembly.accept_part(attempt, offset, len);
                     let skip = skip.map_err(|_mismatch| self.record_mismatch())?;
@@ -267,6 +280,12 @@
                         .await;
                     return stored_answer(head, body.complete()).ok_or(Event::LinkLost);
                 }
+                // The agent does not know the attempt that is to be resumed.
+                ToRouter::Refused {
+                    attempt,
+                    code: Code::LinkLost,
+                    ..
+                } if attempt == expected => return Err(Event::LinkLost),
                 ToRouter::Refused {
                     attempt,
                     code,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -17,36 +17,31 @@
 use ebonyfall_wire::frame::{Call, Head, Load, Submit, ToAgent, ToRouter};
 use slog::{Logger, debug};
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time::{self, Instant},
 };
 
 use crate::{
     cache::KeyedCall,
+    cancel,
     claims::Claims,
     clock::Clock,
-    link::{Identity, Link},
+    link::{Identity, Link, LinkError},
     metrics::Metrics,
     picker::{Choice, Picker},
     pool::LinkPool,
     progress::AnswerTimes,
     receive::AnswerBuffers,
+    resume,
     retrier::{self, Advice, Retrier},
     rollouts::{FinishedRequest, Rollouts},
+    sink::AnswerSink,
     stop::StopPhases,
     view::{Pool, Views},
 };
 
 /// Lowest HTTP status that counts as a failure of the engine.
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
-/// Parts of an answer that are buffered for a slow caller before backpressure reaches the agent.
-const MAX_BUFFERED_PARTS: usize = 8;
-/// Attempts to replace a broken connection.
-const MAX_RECONNECTS: u32 = 3;
-/// Pause between two reconnects, and longest wait for a cancellation to be sent.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
-/// Longest wait for the agent to close the connection after a cancellation.
-const CANCEL_CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A caller's request after authentication and routing.
 #[derive(Debug, Clone)]
@@ -105,6 +100,8 @@
     pub views: Views,
     /// How far a planned stop of the process has come.
     pub phases: StopPhases,
+    /// Turns true when the time for a stop is over and the process ends.
+    pub ended: watch::Receiver<bool>,
     /// Task that chooses targets.
     pub picker: Picker,
     /// Pool of idle connections to agents.
@@ -141,6 +138,7 @@
             deadline: Instant::now() + job.time_left,
             job,
             link: None,
+            is_disconnected: false,
             choice: None,
             head: None,
             data: Bytes::new(),
@@ -163,6 +161,23 @@
         }))
     }
 
+    /// Connects again to the agent that runs an attempt, and requests its answer from `offset` on.
+    pub(crate) async fn reconnect(
+        &self,
+        choice: &Choice,
+        attempt: AttemptId,
+        offset: u64,
+    ) -> Option<Link> {
+        let on_failure = |error: &LinkError| self.record_connection_failure(choice, error);
+        resume::reconnect(&self.identity, choice.agent, attempt, offset, on_failure).await
+    }
+
+    fn record_connection_failure(&self, choice: &Choice, error: &LinkError) {
+        self.picker.record_connection_failure(&choice.target);
+        debug!(self.log, "cannot connect to agent";
+            "target" => %choice.target, "error" => %error);
+    }
+
     /// Notifies the agents where other routers look for this chat that its context has moved to
     /// `target`. The notices are sent in the background; a lost one costs one cache miss.
     fn notify_moved(&self, job: &RelayJob, target: TargetName) {
@@ -190,47 +205,6 @@
     }
 }
 
-/// Channel on which the caller's connection gets the answer.
-enum AnswerSink {
-    /// No part has been sent yet.
-    Pending(oneshot::Sender<Result<Answer, RelayFailure>>),
-    /// The head was sent; further parts go through this channel.
-    Streaming(mpsc::Sender<io::Result<Bytes>>),
-    /// The caller disconnected, so that no part of the answer can be delivered any more.
-    Closed,
-}
-
-impl AnswerSink {
-    async fn closed(&mut self) {
-        match self {
-            Self::Pending(tx) => tx.closed().await,
-            Self::Streaming(tx) => tx.closed().await,
-            Self::Closed => {}
-        }
-    }
-
-    /// Sends `data`, preceded by the head if the answer has not started. Returns `false` when the
-    /// caller has disconnected.
-    async fn send(&mut self, head: Option<&Head>, data: Bytes) -> bool {
-        if let Self::Pending(_) = self
-            && let Some(head) = head
-            && let Self::Pending(reply) = std::mem::replace(self, Self::Closed)
-        {
-            let (tx, body) = mpsc::channel(MAX_BUFFERED_PARTS);
-            let head = head.clone();
-            if reply.send(Ok(Answer { head, body })).is_err() {
-                return false;
-            }
-            *self = Self::Streaming(tx);
-        }
-        match self {
-            Self::Streaming(tx) if data.is_empty() => !tx.is_closed(),
-            Self::Streaming(tx) => tx.send(Ok(data)).await.is_ok(),
-            Self::Pending(_) | Self::Closed => false,
-        }
-    }
-}
-
 /// A running request and the connection of its current attempt.
 struct RelayTask {
     relay: Relay,
@@ -238,6 +212,8 @@
     fingerprint: Fingerprint,
     deadline: Instant,
     link: Option<Link>,
+    /// Whether the agent may run the attempt although there is no connection to it.
+    is_disconnected: bool,
     choice: Option<Choice>,
     head: Option<Head>,
     data: Bytes,
@@ -256,8 +232,15 @@
         loop {
             let event = match action {
                 Action::Finish => return self.finish(sink).await,
-                Action::Cancel(attempt) => return self.cancel(attempt).await,
+                Action::Cancel(attempt) => {
+                    self.relay.metrics.count_result("CallerGone");
+                    return self.cancel(attempt).await;
+                }
                 Action::Fail(code) => return self.fail(code, sink).await,
+                Action::Abandon { attempt, code } => {
+                    self.fail(code, sink).await;
+                    return self.cancel(attempt).await;
+                }
                 Action::Deliver { skip } => {
                     let skip = usize::try_from(skip).unwrap_or(usize::MAX);
                     let data = self.data.split_off(skip.min(self.data.len()));
@@ -277,11 +260,13 @@
                 action => {
                     let deadline = self.deadline;
                     let phases = self.relay.phases.clone();
+                    let mut ended = self.relay.ended.clone();
                     tokio::select! {
                         event = self.perform(action, &relayed) => event,
                         () = sink.closed() => Event::CallerGone,
                         () = time::sleep_until(deadline) => Event::Expired,
                         () = phases.ending(), if !relayed.has_begun() => Event::Stopping,
+                        Ok(_) = ended.wait_for(|ended| *ended) => Event::Stopping,
                     }
                 }
             };
@@ -329,7 +314,7 @@
             Ok(advice) => advice,
             Err(code) => return Event::NoTarget(code),
         };
-        let tried = relayed.tried().to_vec();
+        let tried = relayed.excluded();
         let excluded: Vec<_> = tried.iter().cloned().chain(avoid).collect();
         let picker = &self.relay.picker;
         let mut choice = picker
@@ -338,10 +323,14 @@
         if choice.is_err() && excluded.len() > tried.len() {
             choice = picker.choose(pool, chat, self.job.opens_chat, tried).await;
         }
-        let choice = match choice {
+        let mut choice = match choice {
             Ok(choice) => choice,
             Err(code) => return Event::NoTarget(code),
         };
+        if relayed.ignores_redirects() {
+            choice.follow_pointers = false;
+            choice.apply_load_bound = false;
+        }
         let Some(zone) = self.zone(&choice) else {
             return Event::NoTarget(Code::NoTarget);
         };
@@ -407,9 +396,7 @@
         match Link::dial(&self.relay.identity, choice.agent).await {
             Ok(link) => Some(link),
             Err(error) => {
-                self.relay.picker.record_connection_failure(&choice.target);
-                debug!(self.relay.log, "cannot connect to agent";
-                    "target" => %choice.target, "error" => %error);
+                self.relay.record_connection_failure(choice, &error);
                 None
             }
         }
@@ -420,18 +407,13 @@
         let Some(choice) = self.choice.clone() else {
             return Event::ResumeFailed;
         };
-        for _ in 0..MAX_RECONNECTS {
-            if let Some(mut link) = self.dial(&choice).await
-                && link
-                    .send(&ToAgent::Resume { attempt, offset })
-                    .await
-                    .is_ok()
-            {
-                self.link = Some(link);
-                return self.receive().await;
-            }
-            time::sleep(RECONNECT_PAUSE).await;
+        self.is_disconnected = true;
+        if let Some(link) = self.relay.reconnect(&choice, attempt, offset).await {
+            self.is_disconnected = false;
+            self.link = Some(link);
+            return self.receive().await;
         }
+        self.is_disconnected = false;
         self.report_failure(Code::LinkLost).await;
         Event::ResumeFailed
     }
@@ -562,19 +544,21 @@
     }
 
     async fn cancel(mut self, attempt: AttemptId) {
-        self.relay.metrics.count_result("CallerGone");
-        if let Some(link) = &mut self.link {
-            // If the message is lost, the agent cancels when its wait for a reconnect ends.
-            let cancel = ToAgent::Cancel { attempt };
-            let _sent = time::timeout(RECONNECT_PAUSE, link.send(&cancel)).await;
-            // Closing a socket with unread data resets it, and the agent could see the reset before
-            // it reads the cancellation. So the rest of the answer is read first.
-            let closed = async { while link.receive::<ToRouter>().await.is_ok() {} };
-            let _closed = time::timeout(CANCEL_CLOSE_TIMEOUT, closed).await;
+        let link = match (self.link.take(), &self.choice) {
+            (Some(link), _) => Some(link),
+            // The request has ended while no connection could be made; the agent still runs the attempt.
+            // The offset does not matter: the agent also ends an attempt that it cannot replay from there.
+            (None, Some(choice)) if self.is_disconnected => {
+                self.relay.reconnect(choice, attempt, 0).await
+            }
+            (None, _) => None,
+        };
+        if let Some(link) = link {
+            cancel::cancel(link, attempt).await;
         }
     }
 
-    async fn fail(self, code: Code, sink: AnswerSink) {
+    async fn fail(&self, code: Code, sink: AnswerSink) {
         match sink {
             AnswerSink::Pending(tx) => {
                 let retry_after = self.retry_after;
--- a/standin/src/pausing.rs
+++ b/standin/src/pausing.rs
@@ -65,6 +65,13 @@
     pub is_complete: bool,
 }
 
+impl Work {
+    /// Whether the target has answered, or its caller has left.
+    pub fn has_ended(&self) -> bool {
+        self.ended.is_some()
+    }
+}
+
 /// Handle of a running target, which ends with the runtime.
 #[derive(Debug)]
 pub struct PausingTarget {
@@ -81,7 +88,16 @@
     ///
     /// Panics when no port is free.
     pub fn start(conduct: Conduct) -> (Self, SocketAddr) {
-        let listener = listen().expect("a port is free");
+        Self::start_at(LOOPBACK, conduct)
+    }
+
+    /// Like [`Self::start`], on a given address; port 0 stands for a free port.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the address cannot be bound.
+    pub fn start_at(address: SocketAddr, conduct: Conduct) -> (Self, SocketAddr) {
+        let listener = listen(address).expect("the address is free");
         let address = listener.local_addr().expect("the socket has an address");
         let conduct = watch::channel(conduct).0;
         let work = watch::channel(Vec::new()).0;
@@ -131,9 +147,10 @@
     }
 }
 
-fn listen() -> std::io::Result<TcpListener> {
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
-    socket.bind(LOOPBACK)?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
@@ -145,7 +162,7 @@
     let mut buf = Vec::new();
     while let Some(req) = read_request(&mut stream, &mut buf).await {
         let conduct = *conduct.borrow();
-        let id = header(&req, "ebonyfall-attempt-id").to_owned();
+        let id = attempt_id(&req).to_owned();
         if id.is_empty() {
             let refusal =
                 "HTTP/1.1 400 Bad\r\nEbonyfall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -181,6 +198,14 @@
     }
 }
 
+/// Attempt id as entry routers state it, or else as agents do.
+fn attempt_id(req: &ReceivedRequest) -> &str {
+    match header(req, "ebonyfall-attempt-id") {
+        "" => header(req, "x-attempt-id"),
+        id => id,
+    }
+}
+
 fn header<'a>(req: &'a ReceivedRequest, name: &str) -> &'a str {
     req.headers.get(name).map_or("", String::as_str)
 }
