Do not take an answer without a final status for an answer

Callers got answers with the status 600 or 999 and the body of the target, and 101 with an empty body, as the answer to their request: on entry routers (single answers and streams) and behind agents. An append to the store that was answered with 600 counted as refused, that is, as one without an effect.

Cause: the HTTP library rejects statuses that are not three digits or below 100, and skips interim ones except 101. Nothing looked at the rest: `AnswerHead::kind` took 500 and all above for a failure that may be passed on, and every sealed status below 200 for an answer; agents and the clients of the log looked at no range at all. RFC 9110, section 15, calls statuses above 599 invalid.

`core::answer::is_final_status` now decides for targets, back ends of agents and the platform's log: other statuses are a broken answer, of which nothing is known.

The scripted target can now answer after the head of a request, and reset its connection.

--- a/core/src/answer.rs
+++ b/core/src/answer.rs
@@ -1,9 +1,17 @@
-//! Checks that the parts of an answer belong to the running attempt and arrive without gaps.
+//! Checks that an answer has the status of one, and that its parts belong to the running attempt and
+//! arrive without gaps.
 
 use snafu::Snafu;
 
 use crate::id::AttemptId;
 
+/// Whether a server may end a request with this HTTP status. Statuses below 200 announce a final
+/// answer, or another protocol that was never asked for; RFC 9110, section 15, calls those of 600 and
+/// above invalid. Nothing is known about a request that was answered with one of these.
+pub const fn is_final_status(status: u16) -> bool {
+    matches!(status, 200..600)
+}
+
 /// Error for a part or end of an answer that cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum AnswerError {
--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::{
+    answer::is_final_status,
     code::{Code, Execution},
     desired::{DesiredRoute, ResponseKind},
     doc::Idempotency,
@@ -59,9 +60,9 @@
     /// Nothing is concluded from an answer that does not name this attempt, since a target may
     /// write an earlier answer once more. The request has not run only if the target states so with
     /// a status for that purpose. A success counts only with the seal and without a content
-    /// encoding.
+    /// encoding. A status that no final answer has says nothing either.
     pub fn kind(&self) -> AnswerKind {
-        if self.matches != Some(true) {
+        if self.matches != Some(true) || !is_final_status(self.status) {
             return AnswerKind::Unrelated;
         }
         if self.not_run {
--- a/core/tests/direct.rs
+++ b/core/tests/direct.rs
@@ -90,6 +90,21 @@
     assert_eq!(head(404).kind(), AnswerKind::Answer);
 }
 
+/// Guards against an interim or invalid status that ends a request, or that states that it has not run.
+#[test]
+fn a_status_of_no_final_answer_says_nothing() {
+    for status in [0, 20, 99, 100, 101, 199, 600, 999, 2_000] {
+        for not_run in [false, true] {
+            let head = AnswerHead {
+                not_run,
+                ..head(status)
+            };
+            assert_eq!(head.kind(), AnswerKind::Unrelated, "{head:?}");
+            assert!(!head.may_pass_on(), "{head:?}");
+        }
+    }
+}
+
 /// Guards against a refusal that a target wrote earlier, and writes once more on a kept connection,
 /// being taken for the answer to a request that the target runs: only a refusal that names this
 /// attempt proves that it did not run.
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ebonyfall_core::{
+    answer::is_final_status,
     code::Code,
     direct::Failure,
     doc::Priority,
@@ -130,7 +131,8 @@
     /// # Errors
     ///
     /// Fails with `NotSent` when the back end refuses the connection, and with `TimedOut` when it does
-    /// not react to it; nothing was sent then either.
+    /// not react to it; nothing was sent then either. Fails with `Broken` when the answer has no final
+    /// status.
     async fn send(
         &self,
         req: Request<Full<Bytes>>,
@@ -143,6 +145,9 @@
             _ => Failure::NotSent,
         })?;
         let res = connection.send(req).await?;
+        if !is_final_status(res.status().as_u16()) {
+            return Err(Failure::Broken);
+        }
         Ok((res, connection))
     }
 
--- a/src/rest.rs
+++ b/src/rest.rs
@@ -4,7 +4,10 @@
 use std::{fmt::Display, pin::pin};
 
 use bytes::{Bytes, BytesMut};
-use ebonyfall_core::transfer::{Transfer, TransferLimits};
+use ebonyfall_core::{
+    answer::is_final_status,
+    transfer::{Transfer, TransferLimits},
+};
 use http::{HeaderMap, Method, Request, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -76,8 +79,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when no complete answer within the size limit arrives in time. The connection is then
-    /// not reused.
+    /// Fails when no complete answer with a final status and within the size limit arrives in time. The
+    /// connection is then not reused.
     pub async fn call(
         &self,
         method: Method,
@@ -97,6 +100,9 @@
             return Err(NoAnswer::new("timeout"));
         };
         let (head, body) = res.map_err(NoAnswer::new)?.into_parts();
+        if !is_final_status(head.status.as_u16()) {
+            return Err(NoAnswer::new(format!("status {}", head.status)));
+        }
         transfer.record(0, BootClock.now());
         self.receive(head, body, transfer).await
     }
--- a/standin/src/hostile.rs
+++ b/standin/src/hostile.rs
@@ -1,8 +1,9 @@
 //! Target that follows a script of bytes instead of a protocol, to test what a faulty or hostile
 //! server can do to a router.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
+use socket2::SockRef;
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -10,7 +11,10 @@
     time::sleep,
 };
 
-use crate::{keyed::LOOPBACK, registered::read_request};
+use crate::{
+    keyed::LOOPBACK,
+    registered::{read_head, read_request},
+};
 
 /// One step of a script. In the bytes to send, `{id}` stands for the attempt id of the last request
 /// on the connection, and `{first}` for that of the first one.
@@ -18,6 +22,8 @@
 pub enum Step {
     /// Reads a request and executes it.
     Execute,
+    /// Reads the head of a request, executes it, and leaves its body unread.
+    ExecuteHead,
     /// Reads a request without executing it.
     Ignore,
     /// Sends the text.
@@ -28,6 +34,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
 }
 
 /// Handle of a running target.
@@ -133,16 +141,17 @@
     /// Plays one step; `None` when the connection is closed.
     async fn step(&mut self, step: &Step) -> Option<()> {
         match step {
-            Step::Execute | Step::Ignore => {
+            Step::Execute => {
                 let req = read_request(&mut self.stream, &mut self.buf).await?;
-                let headers = &req.headers;
-                let id = headers.get("ebonyfall-attempt-id");
-                let id = id.or_else(|| headers.get("x-attempt-id"));
-                let id = id.cloned().unwrap_or_default();
-                if *step == Step::Execute {
-                    self.executed.send_modify(|all| all.push(id.clone()));
-                }
-                self.ids.push(id);
+                self.execute(attempt_id(&req.headers));
+            }
+            Step::ExecuteHead => {
+                let head = read_head(&mut self.stream, &mut self.buf).await?;
+                self.execute(attempt_id(&head.headers));
+            }
+            Step::Ignore => {
+                let req = read_request(&mut self.stream, &mut self.buf).await?;
+                self.ids.push(attempt_id(&req.headers));
             }
             Step::Send(text) => {
                 let text = self.fill_in(text);
@@ -159,10 +168,19 @@
             }
             Step::Wait(time) => sleep(*time).await,
             Step::Close => return None,
+            Step::Reset => {
+                let _set = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+                return None;
+            }
         }
         Some(())
     }
 
+    fn execute(&mut self, id: String) {
+        self.executed.send_modify(|all| all.push(id.clone()));
+        self.ids.push(id);
+    }
+
     fn fill_in(&self, text: &str) -> String {
         let id = |id: Option<&String>| id.map_or("", String::as_str).to_owned();
         text.replace("{id}", &id(self.ids.last()))
@@ -176,3 +194,10 @@
         Some(())
     }
 }
+
+/// Attempt id of a request, as routers or agents send it; empty if it has none.
+fn attempt_id(headers: &BTreeMap<String, String>) -> String {
+    let id = headers.get("ebonyfall-attempt-id");
+    let id = id.or_else(|| headers.get("x-attempt-id"));
+    id.cloned().unwrap_or_default()
+}
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -354,6 +354,25 @@
 pub(crate) async fn read_request(
     stream: &mut TcpStream,
     buf: &mut Vec<u8>,
+) -> Option<ReceivedRequest> {
+    let head = read_head(stream, buf).await?;
+    let len = head.headers.get("content-length");
+    let len = len.and_then(|len| len.parse().ok());
+    let len: usize = len.unwrap_or_default();
+    while buf.len() < len {
+        if stream.read_buf(buf).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let body = buf.drain(..len).collect();
+    Some(ReceivedRequest { body, ..head })
+}
+
+/// Reads the head of the next request; `None` when the connection closes. Bytes after it stay in
+/// `buf`.
+pub(crate) async fn read_head(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
 ) -> Option<ReceivedRequest> {
     let end = loop {
         if let Some(at) = buf.windows(4).position(|part| part == b"\r\n\r\n") {
@@ -370,21 +389,11 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
         .collect();
-    let len = headers
-        .get("content-length")
-        .and_then(|len| len.parse().ok());
-    let len: usize = len.unwrap_or_default();
-    while buf.len() < end + len {
-        if stream.read_buf(buf).await.ok()? == 0 {
-            return None;
-        }
-    }
-    let body = buf[end..end + len].to_vec();
-    buf.drain(..end + len);
+    buf.drain(..end);
     Some(ReceivedRequest {
         line,
         headers,
-        body,
+        body: Vec::new(),
     })
 }
 
