Deliver every early answer to a caller that is still sending its request

Callers that were sending a body got a broken pipe or a reset instead of the router's refusal: on the path with agents for 401 (unknown key) and 405 (unknown method), and on both paths for 400 and 431 of the HTTP library (malformed head, head of 64 KiB, 300 fields). In `an_early_refusal_reaches_a_caller_that_is_sending` 16 of 24 uploads of 768 KiB over 240 ms failed so (x86_64), each with `part 1: Broken pipe (os error 32)`; the others (404 on both paths, 401 on entry routers) got theirs, since the body is read before.

Cause: a connection that is closed with unread bytes is reset. Only handlers that marked their answer (`UnreadBody`: refused bodies) had the rest read and dropped; every other early answer, and the library's own, forgot it.

The body of each request now tells whether it was read to its end, and bytes that are written before a request has started are known to be the library's answer to its head. Both make the connection read and drop for up to 5 s after the answer, as it did for refused bodies, and a handler's answer says `connection: close`. The marks of the two front ends are gone. A small body that nobody reads now costs its caller the connection, which the library sometimes kept.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -8,7 +8,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
     time::Duration,
@@ -21,7 +21,7 @@
     time::Time,
 };
 use gotham::helpers::http::Body;
-use http::Response;
+use http::{HeaderValue, Response, header::CONNECTION};
 use hyper::body::{Frame, SizeHint};
 use prometheus_client::{
     encoding::EncodeLabelSet,
@@ -42,7 +42,7 @@
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Checks after which closed connections are logged, so that a crowd does not fill the log.
 const CHECKS_PER_LOG: u32 = 20;
-/// Time for which bytes of a refused body are read and dropped before the connection is closed.
+/// Time for which bytes of a refused request are read and dropped before the connection is closed.
 /// Closing a connection with unread bytes resets it, and the answer is lost. Some callers read it only
 /// after they have sent their body. The connection counts as idle, so that others take its place.
 const LINGER: Duration = Duration::from_secs(5);
@@ -150,10 +150,6 @@
     }
 }
 
-/// Marks an answer that is sent while bytes of the request's body are unread.
-#[derive(Debug, Clone, Copy)]
-pub struct UnreadBody;
-
 /// Deadline of the request that an answer belongs to.
 #[derive(Debug, Clone, Copy)]
 pub struct AnswerDeadline(pub Time);
@@ -182,8 +178,8 @@
     stalled_since: AtomicU64,
     /// Deadline of the running request, in milliseconds; 0 if it has none.
     deadline: AtomicU64,
-    /// 1 if a part of a refused body is unread.
-    unread: AtomicU64,
+    /// Whether a part of the request that has been, or is being, answered is unread.
+    is_unread: AtomicBool,
 }
 
 fn word(phase: u64) -> u64 {
@@ -200,7 +196,7 @@
             phase: AtomicU64::new(word(IDLE)),
             stalled_since: AtomicU64::new(0),
             deadline: AtomicU64::new(0),
-            unread: AtomicU64::new(0),
+            is_unread: AtomicBool::new(false),
         }))
     }
 
@@ -221,14 +217,29 @@
         self.change(&[IDLE, HEAD, RUNNING, FLUSHING], RUNNING)
     }
 
-    /// Prepares an answer, so that the end of its body and what it says of its request are seen.
-    pub(crate) fn track(&self, answer: Response<Body>) -> Response<Body> {
+    /// Prepares the body of a request, so that an answer that is given before its end is noticed.
+    pub(crate) fn track_request<B: hyper::body::Body>(&self, body: B) -> TrackedRequest<B> {
+        self.record_unread(!body.is_end_stream());
+        TrackedRequest {
+            body,
+            activity: self.clone(),
+        }
+    }
+
+    fn record_unread(&self, is_unread: bool) {
+        self.0.is_unread.store(is_unread, Ordering::Relaxed);
+    }
+
+    /// Prepares an answer, so that the end of its body and what it says of its request are seen. If a
+    /// part of the request's body is unread, the answer ends the connection.
+    pub(crate) fn track(&self, mut answer: Response<Body>) -> Response<Body> {
         if let Some(AnswerDeadline(deadline)) = answer.extensions().get() {
             let millis = deadline.millis().max(1);
             self.0.deadline.store(millis, Ordering::Relaxed);
         }
-        if answer.extensions().get::<UnreadBody>().is_some() {
-            self.0.unread.store(1, Ordering::Relaxed);
+        if self.0.is_unread.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(CONNECTION, close);
         }
         answer.map(|body| {
             Body::new(TrackedBody {
@@ -254,8 +265,12 @@
         }
     }
 
-    /// Records progress of writing, or that there is none.
+    /// Records progress of writing, or that there is none. Bytes that are written before a request has
+    /// started are the HTTP library's answer to a head that it did not read to its end.
     fn record_write(&self, is_pending: bool) {
+        if phase_of(self.0.phase.load(Ordering::Relaxed)) == HEAD {
+            self.record_unread(true);
+        }
         let stalled = &self.0.stalled_since;
         if !is_pending {
             stalled.store(0, Ordering::Relaxed);
@@ -265,6 +280,36 @@
     }
 }
 
+/// Body of a request that tells when it has been read to its end.
+pub(crate) struct TrackedRequest<B> {
+    body: B,
+    activity: Activity,
+}
+
+impl<B: hyper::body::Body + Unpin> hyper::body::Body for TrackedRequest<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() || self.body.is_end_stream() {
+            self.activity.record_unread(false);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Body of an answer that tells when it has ended.
 struct TrackedBody {
     body: Body,
@@ -354,7 +399,7 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-            if self.activity.0.unread.load(Ordering::Relaxed) == 0 {
+            if !self.activity.0.is_unread.load(Ordering::Relaxed) {
                 return Poll::Ready(Ok(()));
             }
         }
--- a/src/front.rs
+++ b/src/front.rs
@@ -22,10 +22,7 @@
     router::{Router, builder::build_router},
     state::State,
 };
-use http::{
-    HeaderMap, HeaderValue, Method, Response, StatusCode, Uri,
-    header::{CONNECTION, CONTENT_TYPE},
-};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header::CONTENT_TYPE};
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use serde::Deserialize;
@@ -35,7 +32,7 @@
 use crate::{
     body::RequestBodies,
     cache::KeyedCall,
-    callers::{AnswerDeadline, UnreadBody},
+    callers::AnswerDeadline,
     clock::BootClock,
     relay::{Answer, Relay, RelayFailure, RelayJob},
     view::{Pool, View, Views},
@@ -66,8 +63,6 @@
     code: Code,
     message: String,
     retry_after: Duration,
-    /// Whether a part of the request's body has not been read.
-    is_unread: bool,
 }
 
 impl From<RelayFailure> for ErrorAnswer {
@@ -85,7 +80,6 @@
             code,
             message: code.name().to_owned(),
             retry_after: Duration::ZERO,
-            is_unread: false,
         }
     }
 }
@@ -147,11 +141,6 @@
             if let Some(value) = res.headers_mut().get_mut("retry-after") {
                 *value = HeaderValue::from(error.retry_after.as_secs().saturating_add(1));
             }
-            if error.is_unread {
-                res.extensions_mut().insert(UnreadBody);
-                res.headers_mut()
-                    .insert(CONNECTION, HeaderValue::from_static("close"));
-            }
             res
         }
     };
@@ -174,11 +163,7 @@
         let uri = Uri::borrow_from(state).clone();
         let limit = view.document.limits.body_bytes as usize;
         let party = Party::Team(team_name.clone());
-        let body = self.bodies.read(state, limit, &party).await;
-        let body = body.map_err(|code| ErrorAnswer {
-            is_unread: true,
-            ..code.into()
-        })?;
+        let body = self.bodies.read(state, limit, &party).await?;
         if self.relay.phases.refuses_new() {
             return Err(Code::ShuttingDown.into());
         }
@@ -262,7 +247,6 @@
         code: Code::BadRequest,
         message: format!("the body is not a chat completion request: {error}"),
         retry_after: Duration::ZERO,
-        is_unread: false,
     })?;
     let model = ModelName::new(&parsed.model).map_err(|_error| Code::UnknownModel)?;
     if !view.document.models.contains_key(&model) {
@@ -271,7 +255,6 @@
             code: Code::UnknownModel,
             message,
             retry_after: Duration::ZERO,
-            is_unread: false,
         });
     }
     if !team.models.is_empty() && !team.models.contains(&model) {
@@ -308,7 +291,6 @@
         code: Code::BadRequest,
         message: message.to_owned(),
         retry_after: Duration::ZERO,
-        is_unread: false,
     };
     let priority = match web::header(headers, "x-priority") {
         None => team.priority,
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -13,16 +13,13 @@
     request::{self, CallerHeaders},
 };
 use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
-use http::{
-    HeaderMap, HeaderValue, Method, Response, StatusCode, Uri,
-    header::{CONNECTION, HOST},
-};
+use http::{HeaderMap, Method, Response, StatusCode, Uri, header::HOST};
 use slog::{info, warn};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     body::{self, RequestBodies},
-    callers::{AnswerDeadline, UnreadBody},
+    callers::AnswerDeadline,
     carry::{CallerAnswer, ForwardJob, Forwarder, Forwarding},
     clock::{self, BootClock},
     web,
@@ -72,7 +69,7 @@
         // caller its connection.
         let body = match self.bodies.read(&mut state, limit, &party).await {
             Ok(body) => body,
-            Err(code) => return Ok((state, self.refuse_unread(&attempt_id, code))),
+            Err(code) => return Ok((state, self.refuse(&attempt_id, refusal(code)))),
         };
         let job = self.route(inbound, &host, method, uri, body, arrived);
         let res = match job {
@@ -92,15 +89,6 @@
         Some(team.name.clone())
     }
 
-    /// Refuses a request whose body has not been read to its end, and closes the connection.
-    fn refuse_unread(&self, attempt_id: &str, code: Code) -> Response<Body> {
-        let mut res = self.refuse(attempt_id, refusal(code));
-        res.extensions_mut().insert(UnreadBody);
-        res.headers_mut()
-            .insert(CONNECTION, HeaderValue::from_static("close"));
-        res
-    }
-
     fn route(
         &self,
         inbound: CallerHeaders,
--- a/src/web.rs
+++ b/src/web.rs
@@ -246,6 +246,7 @@
         let requests = activity.clone();
         let service = service_fn(move |req| {
             let may_start = requests.start_request();
+            let req = req.map(|body| requests.track_request(body));
             let state = State::from_request(req, peer);
             let answer = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
             let (stop, activity) = (stop.clone(), requests.clone());
--- a/tests/mixed/main.rs
+++ b/tests/mixed/main.rs
@@ -6,6 +6,7 @@
 #[allow(dead_code, reason = "not every test program uses all of it")]
 mod env;
 mod frames;
+mod own;
 mod paths;
 mod statuses;
 mod store;
