Do not take an engine for down that sends bytes which are no answer

Agents that asked an engine for its status and got an answer with the status 000, 099 or 2000, other bytes, or interim answers without end took it for down, like one that refuses or breaks the connection. The ramp of its concurrency limit started again, and a request that failed meanwhile counted as the cause of a crash (`EngineCrashed`), for which it may be held.

Cause: the connection to a target reports `Broken` for all failures after the request was sent. It now tells whether the target sent bytes that are no answer; the agent's client then reports `Unknown`, as it does for an answer that it cannot decode or that is late, and for a status that no final answer has.

Evidence (x86_64): `an_engine_without_a_proper_answer_is_not_taken_for_down` failed with `left: Down, right: Unknown` for the status 000, and passes now; a close without an answer or within its head is still `Down`.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -53,7 +53,7 @@
     },
     /// The engine refused or broke the connection.
     Down,
-    /// The engine did not answer in time, or its answer could not be decoded.
+    /// The engine did not answer in time, or its answer could not be decoded, or was none.
     Unknown,
 }
 
@@ -131,8 +131,8 @@
     /// # Errors
     ///
     /// Fails with `NotSent` when the back end refuses the connection, and with `TimedOut` when it does
-    /// not react to it; nothing was sent then either. Fails with `Broken` when the answer has no final
-    /// status.
+    /// not react to it; nothing was sent then either. Fails with `Failed` when the bytes that it sends
+    /// are no answer, or one without a final status.
     async fn send(
         &self,
         req: Request<Full<Bytes>>,
@@ -144,9 +144,13 @@
             io::ErrorKind::TimedOut => Failure::TimedOut,
             _ => Failure::NotSent,
         })?;
-        let res = connection.send(req).await?;
+        let sent = connection.send(req).await;
+        let res = sent.map_err(|failure| match failure {
+            Failure::Broken if connection.is_malformed() => Failure::Failed,
+            failure => failure,
+        })?;
         if !is_final_status(res.status().as_u16()) {
-            return Err(Failure::Broken);
+            return Err(Failure::Failed);
         }
         Ok((res, connection))
     }
@@ -196,8 +200,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with `Unknown` on a timeout. Other failures of the call give `Down`, such as a refused
-    /// or broken connection.
+    /// Fails with `Unknown` on a timeout, and when the engine sends bytes that are no answer. Other
+    /// failures of the call give `Down`, such as a refused or broken connection.
     async fn control_call(
         &self,
         method: Method,
@@ -213,7 +217,7 @@
         let answer = async {
             let sent = self.send(req).await;
             let (res, _connection) = sent.map_err(|failure| match failure {
-                Failure::TimedOut => EngineStatus::Unknown,
+                Failure::TimedOut | Failure::Failed | Failure::Oversized => EngineStatus::Unknown,
                 _ => EngineStatus::Down,
             })?;
             let status = res.status();
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -207,6 +207,8 @@
     /// Limit on received bytes until the head of an answer has been read.
     bytes_to_head: usize,
     state: Arc<RequestState>,
+    /// Whether the target has sent bytes that are no answer.
+    is_malformed: bool,
     idle_since: Time,
     idle_limit: Duration,
     /// Time that the TCP connection took, which is one round trip.
@@ -258,6 +260,7 @@
             _task: ConnectionTask(task.abort_handle()),
             bytes_to_head: buffer.bytes_to_head(),
             state,
+            is_malformed: false,
             idle_since: now,
             idle_limit: DEFAULT_IDLE_LIMIT,
             round_trip,
@@ -285,11 +288,20 @@
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => Err(Failure::NotSent),
                 None if self.state.is_used_up() => Err(Failure::Oversized),
-                None => Err(Failure::Broken),
+                None => {
+                    self.is_malformed = error.error().is_parse();
+                    Err(Failure::Broken)
+                }
             },
         }
     }
 
+    /// Whether the last request failed with `Broken` because the target sent bytes that are no answer,
+    /// and not because the connection ended.
+    pub fn is_malformed(&self) -> bool {
+        self.is_malformed
+    }
+
     /// Round trip to the target when the connection was made.
     pub fn round_trip(&self) -> Duration {
         self.round_trip
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -8,6 +8,7 @@
     doc::Priority,
     id::{AttemptId, RequestId},
 };
+use ebonyfall_standin::hostile::{HostileTarget, Step};
 use ebonyfall_wire::frame::Call;
 use http_body_util::BodyExt;
 use socket2::{Domain, Socket, Type};
@@ -105,3 +106,39 @@
     drop((listener, queued));
     assert_eq!(backend.status().await, EngineStatus::Down);
 }
+
+/// Guards against an engine in trouble that is taken for one that is down, because it answers with bytes
+/// that are no answer: its ramp starts again, and a request that fails then counts as the cause of a
+/// crash.
+#[tokio::test]
+async fn an_engine_without_a_proper_answer_is_not_taken_for_down() {
+    let (target, address) = HostileTarget::start().await;
+    let backend = Backend::new(&format!("http://{address}").parse().expect("it is a URL"));
+    let status = r#"{"incarnation":1,"cold":false}"#;
+    let answer = |code: &str| {
+        let len = status.len();
+        format!("HTTP/1.1 {code} Any\r\nContent-Length: {len}\r\n\r\n{status}")
+    };
+    let up = EngineStatus::Up {
+        incarnation: 1.into(),
+        cold: false,
+    };
+    for (bytes, expected) in [
+        (answer("200"), up),
+        (answer("000"), EngineStatus::Unknown),
+        (answer("099"), EngineStatus::Unknown),
+        (answer("2000"), EngineStatus::Unknown),
+        (answer("600"), EngineStatus::Unknown),
+        (answer("101"), EngineStatus::Unknown),
+        (
+            "bytes that are no answer\r\n\r\n".to_owned(),
+            EngineStatus::Unknown,
+        ),
+        (answer("102").repeat(200), EngineStatus::Unknown),
+        (String::new(), EngineStatus::Down),
+        (answer("200")[..20].to_owned(), EngineStatus::Down),
+    ] {
+        target.set_script([Step::Execute, Step::Send(bytes.clone()), Step::Close]);
+        assert_eq!(backend.status().await, expected, "{bytes:?}");
+    }
+}
