End the time for a head with its refusal

A caller of an entry router whose head had been answered 400 or 431 and that sent its body slowly got a broken pipe after 4.0 to 4.5 s, although the router reads and drops the rest for 5 s: the connection stayed in the phase of a head, whose time (3 s of the desired state and 1 s) ended first.

An answer that is written before a request has started now ends that phase; once it is sent, the connection counts as idle, like one with a refused body.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -266,9 +266,10 @@
     }
 
     /// Records progress of writing, or that there is none. Bytes that are written before a request has
-    /// started are the HTTP library's answer to a head that it did not read to its end.
+    /// started are the HTTP library's answer to a head that it did not read to its end, so that the time
+    /// for the head ends, too.
     fn record_write(&self, is_pending: bool) {
-        if phase_of(self.0.phase.load(Ordering::Relaxed)) == HEAD {
+        if self.change(&[HEAD], FLUSHING) {
             self.record_unread(true);
         }
         let stalled = &self.0.stalled_since;
--- a/tests/mixed/own.rs
+++ b/tests/mixed/own.rs
@@ -16,6 +16,9 @@
 const PART_BYTES: usize = 32 << 10;
 /// Pause between two parts, as on a slow link.
 const PART_INTERVAL: Duration = Duration::from_millis(10);
+/// Pause with which a body takes longer than the time for a head on entry routers, 4 s, and less than
+/// the 5 s for which a router drops the rest of a refused request.
+const LONG_PART_INTERVAL: Duration = Duration::from_millis(190);
 /// Time within which the whole answer has arrived after the body has been sent.
 const PATIENCE: Duration = Duration::from_secs(3);
 
@@ -74,8 +77,13 @@
     ]
 }
 
-/// Sends a request with a body in parts, then reads all until the router closes the connection.
-async fn upload(path: &Path, head: &str, framing: &str) -> Result<String, String> {
+/// Sends a request with a body in parts, then reads the answer.
+async fn upload(
+    path: &Path,
+    head: &str,
+    framing: &str,
+    part_interval: Duration,
+) -> Result<String, String> {
     let stream = TcpStream::connect(path.listen()).await;
     let mut stream = stream.expect("the router listens");
     let head = format!("{head}{framing}\r\n\r\n");
@@ -94,7 +102,7 @@
         }
         let sent = stream.write_all(&bytes).await;
         sent.map_err(|error| format!("part {part}: {error}"))?;
-        sleep(PART_INTERVAL).await;
+        sleep(part_interval).await;
     }
     if chunked {
         let sent = stream.write_all(b"0\r\n\r\n").await;
@@ -141,7 +149,7 @@
     for path in Path::both().await {
         for case in refused(&path) {
             for framing in [&*len, "Transfer-Encoding: chunked"] {
-                let answer = upload(&path, &case.head, framing).await;
+                let answer = upload(&path, &case.head, framing, PART_INTERVAL).await;
                 let is_refused = answer.as_ref().is_ok_and(|answer| {
                     let status = answer.strip_prefix("HTTP/1.1 ").unwrap_or_default();
                     is_complete(answer.as_bytes())
@@ -156,3 +164,21 @@
     }
     assert!(lost.is_empty(), "{lost:#?}");
 }
+
+/// Guards against a refusal of a head that ends the caller's slow upload early: the time for the head
+/// went on, and its end reset the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_time_for_a_head_ends_with_its_refusal() {
+    let len = format!("Content-Length: {}", PARTS * PART_BYTES);
+    for path in Path::both().await {
+        let cases = refused(&path).into_iter();
+        let heads = cases.filter(|case| case.name.contains("head"));
+        for case in heads {
+            let answer = upload(&path, &case.head, &len, LONG_PART_INTERVAL).await;
+            let is_whole = answer
+                .as_ref()
+                .is_ok_and(|answer| is_complete(answer.as_bytes()));
+            assert!(is_whole, "{}, {}: {answer:?}", path.name(), case.name);
+        }
+    }
+}
