Soak sound targets that pause, stops in series and kept connections

Callers saw answers that a router ended although the target that had them was sound; the soak could not see that, since its targets answered at once and nothing compared the targets' work with the answers.

Targets now pause for 0.3 to 1.7 s before the head, before the first event or byte, or within the answer, alone and all at once. Routers get signals in series (TERM; TERM TERM; TERM HUP; HUP TERM HUP TERM; HUP HUP HUP; INT TERM), several of them within 3 s, and one caller for each router keeps its connection until the router closes it. Three checks compare what callers and targets saw: no answer is ended by a router while its target is unharmed, two targets are not at work on one request for 400 ms, and none is 500 ms after the caller has left. Harm from 3 s before a request until its end excuses; a planned stop excuses nothing until 1 s before the end of its grace. Harmed connections also excuse work that goes on, since a close does not pass them.

--- a/bench/src/callers.rs
+++ b/bench/src/callers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use ebonyfall_standin::entrance::EntryDeployment;
+use ebonyfall_standin::entrance::CallerConnection;
 use futures_util::future::join_all;
 use http::{StatusCode, header::RETRY_AFTER};
 use rand::{Rng, rngs::StdRng};
@@ -33,6 +33,11 @@
 /// Share of requests whose caller disconnects early, and the latest time of that in milliseconds.
 const DISCONNECT_RATE_AND_MAX_MS: (f64, u64) = (0.08, 60);
 
+/// Pause before a caller connects anew to a router that has closed its connection.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// Like [`DISCONNECT_RATE_AND_MAX_MS`], for callers that keep their connections.
+const KEPT_DISCONNECT_RATE_AND_MAX_MS: (f64, u64) = (0.08, 1_200);
+
 /// How often a call may run and what its answer looks like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallKind {
@@ -154,10 +159,7 @@
 async fn request(id: &str, listen: &[SocketAddr], random: &mut StdRng) -> Attempts {
     let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
     let budget = Duration::from_millis(BUDGETS_MS[random.random_range(0..BUDGETS_MS.len())]);
-    let (share, most) = DISCONNECT_RATE_AND_MAX_MS;
-    let disconnect_after = random.random_bool(share);
-    let disconnect_after =
-        disconnect_after.then(|| Duration::from_millis(random.random_range(1..=most)));
+    let disconnect_after = random_disconnect(random, DISCONNECT_RATE_AND_MAX_MS);
     let start = Instant::now();
     let mut attempts: Attempts = Vec::new();
     loop {
@@ -184,6 +186,47 @@
     }
 }
 
+fn random_disconnect(random: &mut StdRng, (share, most): (f64, u64)) -> Option<Duration> {
+    let disconnects = random.random_bool(share);
+    disconnects.then(|| Duration::from_millis(random.random_range(1..=most)))
+}
+
+/// Sends requests to one router until `until`, one after the other on a connection that is kept until
+/// the router closes it.
+pub async fn kept_calls(
+    router: usize,
+    address: SocketAddr,
+    mut random: StdRng,
+    until: Instant,
+) -> Vec<Attempts> {
+    let mut requests = Vec::new();
+    let mut connection = None;
+    while Instant::now() < until {
+        let id = format!("kept-{router}-{}", requests.len());
+        let call = Call {
+            content: id.clone(),
+            id,
+            kind: CallKind::ALL[random.random_range(0..CallKind::ALL.len())],
+            router,
+            budget: Duration::from_millis(BUDGETS_MS[random.random_range(0..BUDGETS_MS.len())]),
+            disconnect_after: random_disconnect(&mut random, KEPT_DISCONNECT_RATE_AND_MAX_MS),
+            key: None,
+        };
+        let attempt = call.send_on(&mut connection, address).await;
+        requests.push(vec![attempt]);
+        let is_open = connection
+            .as_ref()
+            .is_some_and(|connection: &CallerConnection| !connection.is_closed());
+        if is_open {
+            sleep(Duration::from_millis(CALL_PAUSE_MS)).await;
+        } else {
+            connection = None;
+            sleep(RECONNECT_PAUSE).await;
+        }
+    }
+    requests
+}
+
 /// Sends requests with the guest key to random routers until `until`.
 pub async fn guest_calls(
     listen: Vec<SocketAddr>,
@@ -242,8 +285,18 @@
         }
     }
 
-    /// Sends the attempt to the router's address.
+    /// Sends the attempt to the router's address on a new connection.
     pub async fn send(self, address: SocketAddr) -> Attempt {
+        self.send_on(&mut None, address).await
+    }
+
+    /// Sends the attempt on a connection, which is opened if there is none. It is closed if the caller
+    /// disconnects.
+    async fn send_on(
+        self,
+        connection: &mut Option<CallerConnection>,
+        address: SocketAddr,
+    ) -> Attempt {
         let (method, path) = self.kind.request();
         let budget = self.budget.as_millis().max(1).to_string();
         let key = self.key.map(|key| format!("Bearer {key}"));
@@ -252,12 +305,20 @@
             headers.push(("authorization", key));
         }
         let began = Instant::now();
-        let reply =
-            EntryDeployment::call(address, &self.id, (method, path, &self.content), &headers);
+        let reply = async {
+            if connection.is_none() {
+                *connection = CallerConnection::open(address).await;
+            }
+            let parts = (method, path, self.content.as_str());
+            connection.as_mut()?.call(&self.id, parts, &headers).await
+        };
         let wait = self
             .disconnect_after
             .unwrap_or(self.budget + DISCONNECT_GRACE);
         let reply = timeout(wait, reply).await;
+        if reply.is_err() {
+            *connection = None;
+        }
         let disconnected = reply.is_err() && self.disconnect_after.is_some();
         let took = began.elapsed();
         let reply = reply.ok().flatten();
--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -1,10 +1,6 @@
 //! Fault injection for the soak test, from outside the routers.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    error::Error,
-    time::Duration,
-};
+use std::{collections::BTreeSet, error::Error, io, ops::Range, time::Duration};
 
 use ebonyfall_standin::{
     entrance::{ColdPeriod, EntryDeployment, TEAM_KEY},
@@ -22,6 +18,8 @@
 use crate::{
     callers::{Attempt, GUEST_KEY, STREAM_EVENTS, surge},
     catch_up::{self, THIN_LINK},
+    harm::{Harm, HarmLog},
+    planned::send_signal,
 };
 
 /// Longest time after its revocation for which any router may accept a key.
@@ -52,12 +50,6 @@
     }
 }
 
-fn fail_all(env: &EntryDeployment) {
-    for target in &env.targets {
-        target.set_mode(AnswerMode::Fail);
-    }
-}
-
 /// Injects random faults, which may overlap.
 #[derive(Debug)]
 pub struct Faults {
@@ -65,15 +57,13 @@
     version: u64,
     /// Number of injected faults.
     pub count: usize,
-    /// Routers paused by SIGSTOP, with the start of the pause.
-    stopped: HashMap<usize, Instant>,
-    /// Finished pauses: router, start and end.
-    pauses: Vec<(usize, Instant, Instant)>,
+    /// What was harmed, and when.
+    pub harm: HarmLog,
     /// The evacuated zone, when its evacuation began, and how many requests its target had run once
     /// `ZONE_BOUND` had passed.
     evacuated: Option<(usize, Instant, Option<usize>)>,
-    /// The target that has crashed and is not registered.
-    left_target: Option<usize>,
+    /// Targets that have crashed and are not registered.
+    left_targets: Vec<usize>,
     cold_periods: Vec<ColdPeriod>,
     surges: JoinSet<Vec<Attempt>>,
     /// When the guest key was granted (true) or revoked (false).
@@ -89,10 +79,9 @@
             random,
             version: 1,
             count: 0,
-            stopped: HashMap::new(),
-            pauses: Vec::new(),
+            harm: HarmLog::default(),
             evacuated: None,
-            left_target: None,
+            left_targets: Vec::new(),
             cold_periods: Vec::new(),
             surges: JoinSet::new(),
             guest_changes: vec![(Instant::now(), false)],
@@ -121,12 +110,11 @@
         self.check_zone(env);
         let router = self.random.random_range(0..env.routers.len());
         let target = self.random.random_range(0..env.targets.len());
-        self.bring_back_target(env).await;
         match self.random.random_range(0..19) {
-            0 => env.signal(router, "KILL"),
-            1 => env.signal(router, "TERM"),
-            2 => self.stop(env, router),
-            3 => env.signal(router, "HUP"),
+            0 => send_signal(env, &mut self.harm, router, "KILL"),
+            1 => send_signal(env, &mut self.harm, router, "TERM"),
+            2 => self.freeze(env, router),
+            3 => send_signal(env, &mut self.harm, router, "HUP"),
             4 => {
                 let faults = [
                     StoreFault::NoAnswer,
@@ -138,7 +126,7 @@
             }
             5 | 6 => {
                 let fault = self.random_fault();
-                env.proxies[target].set_fault(fault);
+                self.set_target_fault(env, target, fault);
             }
             7 => {
                 let modes = [
@@ -149,7 +137,8 @@
                     AnswerMode::WrongAttemptId,
                     AnswerMode::NoServerSeal,
                 ];
-                env.targets[target].set_mode(modes[self.random.random_range(0..modes.len())]);
+                let mode = modes[self.random.random_range(0..modes.len())];
+                self.set_target_mode(env, target, mode);
             }
             8 | 9 => self.publish_state(env).await,
             10 | 11 => {
@@ -159,15 +148,16 @@
             12 => self.toggle_zone(env, target).await,
             13 => self.restart_at_once(env)?,
             14 => self.restart_in_series(env).await?,
-            15 => fail_all(env),
+            15 => self.fail_all(env),
             16 => {
                 let cold = env.turn_cold(target, COLD_TIME).await;
                 self.cold_periods.push(cold);
             }
             _ => {
+                self.harm.begin(Harm::Crash(target), Instant::now());
                 env.unregister(target).await;
                 env.targets[target].crash().await;
-                self.left_target = Some(target);
+                self.left_targets.push(target);
             }
         }
         // Ending earlier faults at random lets faults overlap.
@@ -176,9 +166,9 @@
             self.random.random_range(0..env.targets.len()),
         );
         self.resume(env, router);
-        env.restart(router)?;
-        env.proxies[target].set_fault(ConnectionFault::None);
-        env.targets[target].set_mode(healthy_behaviour());
+        self.restart(env, router)?;
+        self.set_target_fault(env, target, ConnectionFault::None);
+        self.set_target_mode(env, target, healthy_behaviour());
         let router = self.random.random_range(0..env.routers.len());
         env.store_proxies[router].set_fault(ConnectionFault::None);
         Ok(())
@@ -188,9 +178,9 @@
     /// time, targets fail all requests until later faults end that.
     fn restart_at_once(&mut self, env: &mut EntryDeployment) -> Result<(), Box<dyn Error>> {
         if self.random.random_bool(0.5) {
-            fail_all(env);
+            self.fail_all(env);
         }
-        env.kill_and_restart(0..env.routers.len())?;
+        self.kill_and_restart(env, 0..env.routers.len())?;
         for router in 0..env.routers.len() {
             self.start_surge(env, router);
         }
@@ -200,10 +190,10 @@
     /// Like [`Self::restart_at_once`], one router after the other.
     async fn restart_in_series(&mut self, env: &mut EntryDeployment) -> Result<(), Box<dyn Error>> {
         if self.random.random_bool(0.5) {
-            fail_all(env);
+            self.fail_all(env);
         }
         for router in 0..env.routers.len() {
-            env.kill_and_restart([router])?;
+            self.kill_and_restart(env, router..router + 1)?;
             self.start_surge(env, router);
             sleep(SERIES_PAUSE).await;
         }
@@ -222,33 +212,86 @@
         attempts.into_iter().flatten().collect()
     }
 
-    /// Registers the target that has crashed; it starts cold.
-    async fn bring_back_target(&mut self, env: &EntryDeployment) {
-        if let Some(target) = self.left_target.take() {
+    /// Registers the targets that have crashed; they start cold.
+    pub async fn bring_back_targets(&mut self, env: &EntryDeployment) {
+        for target in std::mem::take(&mut self.left_targets) {
             let cold = env.register_cold(target, COLD_TIME).await;
+            self.harm.end(Harm::Crash(target), Instant::now());
             self.cold_periods.push(cold);
         }
     }
 
-    fn stop(&mut self, env: &mut EntryDeployment, router: usize) {
+    /// Starts a router's process again if it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn restart(&mut self, env: &mut EntryDeployment, router: usize) -> io::Result<()> {
+        if env.has_ended(router) {
+            env.restart(router)?;
+            self.harm.end(Harm::RouterEnded(router), Instant::now());
+        }
+        Ok(())
+    }
+
+    fn kill_and_restart(
+        &mut self,
+        env: &mut EntryDeployment,
+        routers: Range<usize>,
+    ) -> io::Result<()> {
+        for router in routers.clone() {
+            self.harm.begin(Harm::RouterEnded(router), Instant::now());
+        }
+        env.kill_and_restart(routers.clone())?;
+        for router in routers {
+            self.harm.end(Harm::RouterEnded(router), Instant::now());
+        }
+        Ok(())
+    }
+
+    fn set_target_fault(&mut self, env: &EntryDeployment, target: usize, fault: ConnectionFault) {
+        let harm = Harm::Connections(target);
+        if fault != ConnectionFault::None {
+            self.harm.begin(harm, Instant::now());
+        }
+        env.proxies[target].set_fault(fault);
+        if fault == ConnectionFault::None {
+            self.harm.end(harm, Instant::now());
+        }
+    }
+
+    fn set_target_mode(&mut self, env: &EntryDeployment, target: usize, mode: AnswerMode) {
+        let harm = Harm::Answers(target);
+        if mode != healthy_behaviour() {
+            self.harm.begin(harm, Instant::now());
+        }
+        env.targets[target].set_mode(mode);
+        if mode == healthy_behaviour() {
+            self.harm.end(harm, Instant::now());
+        }
+    }
+
+    fn fail_all(&mut self, env: &EntryDeployment) {
+        for target in 0..env.targets.len() {
+            self.set_target_mode(env, target, AnswerMode::Fail);
+        }
+    }
+
+    fn freeze(&mut self, env: &mut EntryDeployment, router: usize) {
+        self.harm.begin(Harm::RouterFrozen(router), Instant::now());
         env.signal(router, "STOP");
-        self.stopped.entry(router).or_insert_with(Instant::now);
     }
 
     fn resume(&mut self, env: &mut EntryDeployment, router: usize) {
         env.signal(router, "CONT");
-        if let Some(since) = self.stopped.remove(&router) {
-            self.pauses.push((router, since, Instant::now()));
-        }
+        self.harm.end(Harm::RouterFrozen(router), Instant::now());
     }
 
     /// Whether the attempt's router was paused at any time during the attempt.
     pub fn was_router_stopped(&self, attempt: &Attempt) -> bool {
         let end = attempt.began + attempt.took;
-        let mut pauses = self.pauses.iter();
-        pauses.any(|(router, from, to)| {
-            *router == attempt.router && *from < end && attempt.began < *to
-        })
+        self.harm
+            .has_frozen_router(attempt.router, attempt.began, end)
     }
 
     fn random_fault(&mut self) -> ConnectionFault {
@@ -369,33 +412,46 @@
         }
     }
 
-    /// Ends all faults.
+    /// Ends all faults, and waits until routers that are to end have done so and run again.
     ///
     /// # Errors
     ///
     /// Fails when a router cannot be restarted.
     pub async fn clear_all(&mut self, env: &mut EntryDeployment) -> Result<(), Box<dyn Error>> {
+        self.clear(env).await?;
+        // A router exits within its grace period after SIGTERM.
+        let deadline = Instant::now() + EXIT_BOUND;
+        while Instant::now() < deadline {
+            for router in 0..env.routers.len() {
+                self.restart(env, router)?;
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+        Ok(())
+    }
+
+    /// Ends all faults, and starts routers that have ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a router cannot be restarted.
+    pub async fn clear(&mut self, env: &mut EntryDeployment) -> Result<(), Box<dyn Error>> {
         env.store.set_fault(StoreFault::None).await;
-        self.bring_back_target(env).await;
+        self.bring_back_targets(env).await;
         if let Some((zone, ..)) = self.evacuated.take() {
             let key = format!("evacuate/z{zone}");
             env.store.put("keyed.op", &key, None).await;
         }
         for target in 0..env.targets.len() {
-            env.proxies[target].set_fault(ConnectionFault::None);
-            env.targets[target].set_mode(healthy_behaviour());
+            self.set_target_fault(env, target, ConnectionFault::None);
+            self.set_target_mode(env, target, healthy_behaviour());
         }
         for router in 0..env.routers.len() {
             env.store_proxies[router].set_fault(ConnectionFault::None);
             self.resume(env, router);
         }
-        // A router exits within its grace period after SIGTERM.
-        let deadline = Instant::now() + EXIT_BOUND;
-        while Instant::now() < deadline {
-            for router in 0..env.routers.len() {
-                env.restart(router)?;
-            }
-            sleep(Duration::from_millis(200)).await;
+        for router in 0..env.routers.len() {
+            self.restart(env, router)?;
         }
         Ok(())
     }
--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -7,13 +7,14 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     error::Error,
+    net::SocketAddr,
     path::{Path, PathBuf},
     time::Duration,
 };
 
 use argh::FromArgs;
 use ebonyfall_standin::{
-    entrance::{EntryDeployment, FleetPlan, RETRY_WINDOW},
+    entrance::{ColdPeriod, EntryDeployment, FleetPlan, RETRY_WINDOW},
     registered::RegisteredTarget,
 };
 use http::StatusCode;
@@ -26,13 +27,13 @@
 
 use crate::{
     bounds::{Peak, RetryLimit, Sent, worst_cold_second, worst_retry_window},
-    callers::{Attempt, Attempts, Call, call_until, guest_calls},
+    callers::{Attempt, Attempts, Call, call_until, guest_calls, kept_calls},
     demo::programs,
     faults::{Faults, healthy_behaviour},
+    planned::PlannedWork,
+    work::WorkLog,
 };
 
-/// Retries that the fleet may send to a service, for each request.
-const RETRY_RATIO: f64 = 0.2;
 /// Requests per second that a cold target tolerates.
 const COLD_RATE: f64 = 10.0;
 /// Time that the deployment has to recover before the final calls.
@@ -43,6 +44,17 @@
 /// take a second, and machines that run several soaks are slow.
 const DEADLINE_SLACK: Duration = Duration::from_millis(1_500);
 
+/// Routers for each fault that is injected at the same time, so that large fleets get more of them.
+const ROUTERS_PER_FAULT: usize = 8;
+/// Time for which the faults of one step last in a run with single faults, and the time without faults
+/// after it. Harm up to 3 s before a request excuses its end.
+const SINGLE_FAULT_TIME: Duration = Duration::from_millis(500);
+const CALM_TIME: Duration = Duration::from_secs(6);
+/// Distinguishes the random numbers of planned work from those of faults.
+const PLANNED_SEED: u64 = 0x504c_414e;
+/// Runs that have failed, one a line with its cause.
+const FAILED_RUNS: &str = include_str!("../soak-seeds.txt");
+
 /// Soaks entry routers with random faults.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "soak")]
@@ -59,6 +71,9 @@
     /// targets of a deployment
     #[argh(option, default = "4")]
     targets: usize,
+    /// retries that the fleet may send for each request, 0.2 by default
+    #[argh(option, default = "0.2")]
+    retry_ratio: f64,
     /// retries that the fleet may send in a window besides the ratio, 58 by default
     #[argh(option, default = "58.0")]
     retry_slack: f64,
@@ -68,6 +83,12 @@
     /// seconds of faults for each seed
     #[argh(option, default = "20")]
     seconds: u64,
+    /// clear faults soon, so that most requests meet planned work and pauses only
+    #[argh(switch)]
+    single: bool,
+    /// repeat the runs that have failed before (bench/soak-seeds.txt), whatever the other options say
+    #[argh(switch)]
+    failed_runs: bool,
     /// folder of the programs; that of this program by default
     #[argh(option)]
     programs: Option<PathBuf>,
@@ -81,12 +102,26 @@
             seeds: 1,
             routers: 3,
             targets: 4,
+            retry_ratio: 0.2,
             retry_slack: 58.0,
             callers: 8,
             seconds,
+            single: false,
+            failed_runs: false,
             programs: Some(programs.into()),
         }
     }
+
+    /// Clears faults soon, and allows these retries for each request and besides in each window.
+    #[must_use]
+    pub fn with_single_faults(self, retry_ratio: f64, retry_slack: f64) -> Self {
+        Self {
+            single: true,
+            retry_ratio,
+            retry_slack,
+            ..self
+        }
+    }
 }
 
 /// The printed result of one seed.
@@ -104,16 +139,33 @@
     #[serde(rename = "left")]
     disconnected: usize,
     faults: usize,
+    /// Pauses of sound targets and series of signals.
+    planned: usize,
     /// Calls served after the recovery.
     last_served: usize,
     /// Window with most retries, of those that the fleet may send.
     retries: Option<Peak>,
     /// Second with most requests to a cold target.
     cold: Option<Peak>,
+    /// Longest time for which two targets were at work on one request, without harm.
+    overlap_ms: u128,
+    /// Longest time for which a target was at work after its caller had left, without harm.
+    after_leaving_ms: u128,
     /// Guarantees that were violated.
     broken: Vec<String>,
 }
 
+/// Parses the runs that have failed before: options, a colon and the cause on each line.
+fn failed_runs() -> Result<Vec<SoakArgs>, Box<dyn Error>> {
+    let lines = FAILED_RUNS.lines().filter(|line| !line.starts_with('#'));
+    let parse = |line: &str| {
+        let options = line.split(':').next().unwrap_or_default();
+        let options: Vec<_> = options.split_whitespace().collect();
+        SoakArgs::from_args(&["soak"], &options).map_err(|error| error.output.into())
+    };
+    lines.map(parse).collect()
+}
+
 /// Runs the soak; returns true if no guarantee was violated.
 ///
 /// # Errors
@@ -126,10 +178,17 @@
         None => programs()?,
     };
     let program = folder.join("ebonyfall-entry");
-    for seed in args.seed..args.seed + args.seeds {
-        let report = soak(seed, &args, &program).await?;
-        passed &= report.broken.is_empty();
-        println!("{}", serde_json::to_string(&report)?);
+    let runs = if args.failed_runs {
+        failed_runs()?
+    } else {
+        vec![args]
+    };
+    for args in &runs {
+        for seed in args.seed..args.seed + args.seeds {
+            let report = soak(seed, args, &program).await?;
+            passed &= report.broken.is_empty();
+            println!("{}", serde_json::to_string(&report)?);
+        }
     }
     Ok(passed)
 }
@@ -140,7 +199,7 @@
     let plan = FleetPlan {
         routers: args.routers,
         targets: args.targets,
-        retry_ratio: RETRY_RATIO,
+        retry_ratio: args.retry_ratio,
         retry_slack: args.retry_slack,
         cold_rate: COLD_RATE,
         router_settings: "",
@@ -156,13 +215,16 @@
         let random = StdRng::seed_from_u64(random.random());
         callers.spawn(call_until(caller, listen.clone(), random, until));
     }
+    let mut planned_random = StdRng::seed_from_u64(seed ^ PLANNED_SEED);
+    spawn_kept_callers(&mut callers, &listen, &mut planned_random, until);
     let guest_random = StdRng::seed_from_u64(random.random());
     let guest = tokio::spawn(guest_calls(listen.clone(), guest_random, until));
     let mut faults = Faults::new(random);
+    let mut planned = PlannedWork::new(planned_random);
     while Instant::now() < until {
-        sleep(faults.next_pause()).await;
-        faults.inject_next(&mut env).await?;
+        inject(&mut env, &mut faults, &mut planned, args).await?;
     }
+    planned.clear(&env);
     faults.clear_all(&mut env).await?;
     let mut requests: Vec<Attempts> = Vec::new();
     while let Some(caller) = callers.join_next().await {
@@ -171,14 +233,9 @@
     let guest = guest.await?;
     faults.check_guest_key(&env, &guest);
     sleep(RECOVERY).await;
-    let mut last_served = 0;
-    for number in 0..FINAL_CALLS_AND_MIN_SERVED.0 {
-        let router = number % listen.len();
-        let last = Call::idempotent(format!("last-{number}"), router);
-        let last = last.send(listen[router]).await;
-        last_served += usize::from(last.is_served());
-        requests.push(vec![last]);
-    }
+    let last = last_calls(&listen).await;
+    let last_served = last.iter().filter(|attempt| attempt.is_served()).count();
+    requests.extend(last.into_iter().map(|attempt| vec![attempt]));
     faults.check_catch_up(&mut env).await;
     let repeated: Vec<_> = requests
         .iter()
@@ -195,13 +252,14 @@
             "only {last_served} calls were served after the recovery"
         ));
     }
-    broken.extend(check(&env, &requests, &faults));
+    let work: Vec<_> = env.targets.iter().map(RegisteredTarget::work).collect();
+    let work = WorkLog::new(&work);
+    broken.extend(check(&env, &requests, &work, &faults));
+    let attempts = requests.iter().flatten();
+    let (overlap, after_leaving) = work.longest_times(attempts, &faults.harm);
     let retries = worst_retries(&plan, &env, &requests);
     let cold = worst_cold(&env, &faults);
-    for (peak, what) in [(retries, "retries"), (cold, "requests to a cold target")] {
-        let exceeded = peak.filter(Peak::is_exceeded);
-        broken.extend(exceeded.map(|peak| format!("{what} of all routers: {peak}")));
-    }
+    broken.extend(exceeded_limits(retries, cold, &faults));
     let calls: Vec<_> = requests.iter().flatten().collect();
     let report = Report {
         seed,
@@ -211,9 +269,12 @@
         repeated_served,
         disconnected: calls.iter().filter(|attempt| attempt.disconnected).count(),
         faults: faults.count,
+        planned: planned.count,
         last_served,
         retries,
-        cold,
+        cold: cold.map(|(peak, _)| peak),
+        overlap_ms: overlap.as_millis(),
+        after_leaving_ms: after_leaving.as_millis(),
         broken,
     };
     if !report.broken.is_empty() {
@@ -227,6 +288,51 @@
     Ok(report)
 }
 
+fn spawn_kept_callers(
+    callers: &mut JoinSet<Vec<Attempts>>,
+    listen: &[SocketAddr],
+    random: &mut StdRng,
+    until: Instant,
+) {
+    for (router, address) in listen.iter().enumerate() {
+        let random = StdRng::seed_from_u64(random.random());
+        callers.spawn(kept_calls(router, *address, random, until));
+    }
+}
+
+/// Injects the next faults, beside planned work.
+async fn inject(
+    env: &mut EntryDeployment,
+    faults: &mut Faults,
+    planned: &mut PlannedWork,
+    args: &SoakArgs,
+) -> Result<(), Box<dyn Error>> {
+    let pause = faults.next_pause();
+    planned.run(env, faults, pause).await?;
+    // Faults of one step must not end a crash at once, before routers know of it.
+    faults.bring_back_targets(env).await;
+    for _ in 0..args.routers.div_ceil(ROUTERS_PER_FAULT) {
+        faults.inject_next(env).await?;
+    }
+    if args.single {
+        planned.run(env, faults, SINGLE_FAULT_TIME).await?;
+        faults.clear(env).await?;
+        planned.run(env, faults, CALM_TIME).await?;
+    }
+    Ok(())
+}
+
+/// Sends the calls after the recovery, to each router in turn.
+async fn last_calls(listen: &[SocketAddr]) -> Vec<Attempt> {
+    let mut attempts = Vec::new();
+    for number in 0..FINAL_CALLS_AND_MIN_SERVED.0 {
+        let router = number % listen.len();
+        let call = Call::idempotent(format!("last-{number}"), router);
+        attempts.push(call.send(listen[router]).await);
+    }
+    attempts
+}
+
 /// Window with most retries of all routers.
 fn worst_retries(
     plan: &FleetPlan<'_>,
@@ -249,16 +355,42 @@
 }
 
 /// Second with most requests of all routers to a cold target.
-fn worst_cold(env: &EntryDeployment, faults: &Faults) -> Option<Peak> {
+fn worst_cold(env: &EntryDeployment, faults: &Faults) -> Option<(Peak, ColdPeriod)> {
     let peaks = faults.cold_periods().iter().filter_map(|cold| {
         let arrivals = env.targets[cold.target].arrivals();
-        worst_cold_second(COLD_RATE, cold, &arrivals)
+        let peak = worst_cold_second(COLD_RATE, cold, &arrivals)?;
+        Some((peak, *cold))
     });
-    peaks.max_by_key(|peak| peak.counted)
+    peaks.max_by_key(|(peak, _)| peak.counted)
+}
+
+/// Returns the exceeded limits of all routers together, one message each.
+fn exceeded_limits(
+    retries: Option<Peak>,
+    cold: Option<(Peak, ColdPeriod)>,
+    faults: &Faults,
+) -> Vec<String> {
+    let mut broken = Vec::new();
+    if let Some(peak) = retries.filter(Peak::is_exceeded) {
+        broken.push(format!("retries of all routers: {peak}"));
+    }
+    if let Some((peak, cold)) = cold.filter(|(peak, _)| peak.is_exceeded()) {
+        let target = cold.target;
+        let was_running = !faults.harm.has_crashed(target, cold.start);
+        broken.push(format!(
+            "requests to cold target {target} of all routers: {peak}; it ran before: {was_running}"
+        ));
+    }
+    broken
 }
 
 /// Returns the violated guarantees, one message each.
-fn check(env: &EntryDeployment, requests: &[Attempts], faults: &Faults) -> Vec<String> {
+fn check(
+    env: &EntryDeployment,
+    requests: &[Attempts],
+    work: &WorkLog,
+    faults: &Faults,
+) -> Vec<String> {
     let mut executions: BTreeMap<String, u32> = BTreeMap::new();
     for target in &env.targets {
         for ran in target.executed_requests() {
@@ -287,6 +419,7 @@
         }
     }
     for call in calls() {
+        broken.extend(work.check(call, &faults.harm));
         match (call.status, &call.body) {
             (Some(StatusCode::OK), _) if !call.sealed => {
                 broken.push(format!("{} got status 200 without a server seal", call.id));
@@ -314,3 +447,7 @@
     }
     broken
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/soak.rs"]
+mod tests;
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -24,13 +24,17 @@
 
 pub use self::{
     calls::{CallerConnection, Reply},
-    state::ColdPeriod,
+    state::{ColdPeriod, ROUTE_TIMEOUT},
 };
 
 /// API key of the team `desk` in the first desired state.
 pub const TEAM_KEY: &str = "key-of-the-desk";
+/// Routers whose addresses for gossip differ in the last byte only.
+const PEERS_PER_NET: usize = 250;
 /// Most routers that each router gets as gossip seeds.
 const MAX_SEEDS: usize = 3;
+/// Time for which a router may run after SIGTERM, as its settings state it.
+pub const STOP_GRACE: Duration = Duration::from_secs(8);
 /// Length of the window of the retry bound, as the routers' settings state it.
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
@@ -182,7 +186,10 @@
         env.put_desired_state(1, &[TEAM_KEY]).await;
         let peers_port = free_address().port();
         // All routers receive gossip on the same port, so each needs its own IP address.
-        let peers = |router: usize| format!("127.0.1.{}:{peers_port}", router + 1);
+        let peers = |router: usize| {
+            let (net, host) = (1 + router / PEERS_PER_NET, 1 + router % PEERS_PER_NET);
+            format!("127.0.{net}.{host}:{peers_port}")
+        };
         let seeds: Vec<_> = (0..plan.routers.min(MAX_SEEDS)).map(peers).collect();
         let seeds = seeds.join(",");
         let FleetPlan {
@@ -192,6 +199,7 @@
             ..
         } = plan;
         let retry_window_s = RETRY_WINDOW.as_secs();
+        let grace_s = STOP_GRACE.as_secs();
         for router in 0..plan.routers {
             let [listen, ready, metrics] = [(); 3].map(|()| free_address());
             let peers = peers(router);
@@ -200,7 +208,7 @@
             let settings = format!(
                 "[entry]\nname = e-{router}\nzone = z0\nlisten = {listen}\nready = {ready}\n\
                  metrics = {metrics}\nstore = {store}\npeers = {peers}\nseeds = {seeds}\n\
-                 drain-ms = 2000\ngrace-s = 8\nrevocation-ms = 5000\n\
+                 drain-ms = 2000\ngrace-s = {grace_s}\nrevocation-ms = 5000\n\
                  retry-ratio = {retry_ratio}\nretry-slack = {retry_slack}\n\
                  retry-window-s = {retry_window_s}\n{router_settings}"
             );
--- a/standin/src/entrance/calls.rs
+++ b/standin/src/entrance/calls.rs
@@ -44,6 +44,11 @@
         Some(Self(sender))
     }
 
+    /// Whether the connection has closed or will not take another request.
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
     /// Sends a request. Returns `None` when the connection closes before an answer.
     pub async fn call(
         &mut self,
--- a/standin/src/entrance/state.rs
+++ b/standin/src/entrance/state.rs
@@ -13,7 +13,7 @@
 /// Slots of a target, unless a test sets another number.
 const DEFAULT_SLOTS: u32 = 8;
 /// Timeout of all routes, unless a test sets another one.
-const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
+pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time for which a target tolerates few requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/standin/src/pausing.rs
+++ b/standin/src/pausing.rs
@@ -280,7 +280,7 @@
 }
 
 /// Waits for `time`; `None` when the caller closes the connection meanwhile.
-async fn pause(stream: &TcpStream, time: Duration) -> Option<()> {
+pub(crate) async fn pause(stream: &TcpStream, time: Duration) -> Option<()> {
     tokio::select! {
         () = sleep(time) => Some(()),
         () = closed(stream) => None,
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -14,6 +14,7 @@
 use crate::{
     keyed::LOOPBACK,
     memory::{PromptCaches, PromptTokens},
+    pausing::{PauseAt, Work, pause},
 };
 
 /// Time between two events of a streamed answer.
@@ -77,6 +78,15 @@
     },
 }
 
+/// Pause within the answers of a target that is sound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerPause {
+    /// Where the answer pauses.
+    pub at: PauseAt,
+    /// How long it pauses.
+    pub time: Duration,
+}
+
 /// Prompt cache of a target that acts as a model server.
 #[derive(Debug, Clone)]
 pub struct ModelServer {
@@ -142,6 +152,8 @@
     mode: watch::Sender<AnswerMode>,
     model_server: watch::Sender<Option<ModelServer>>,
     deadly_part: watch::Sender<Option<String>>,
+    answer_pause: watch::Sender<Option<AnswerPause>>,
+    work: watch::Sender<Vec<Work>>,
     received: watch::Receiver<Vec<ReceivedRequest>>,
     arrivals: watch::Receiver<Vec<Arrival>>,
     open: watch::Receiver<usize>,
@@ -157,6 +169,8 @@
     mode: watch::Receiver<AnswerMode>,
     model_server: watch::Receiver<Option<ModelServer>>,
     deadly_part: watch::Receiver<Option<String>>,
+    answer_pause: watch::Receiver<Option<AnswerPause>>,
+    work: watch::Sender<Vec<Work>>,
     received: watch::Sender<Vec<ReceivedRequest>>,
     arrivals: watch::Sender<Vec<Arrival>>,
     crash: mpsc::Sender<()>,
@@ -174,6 +188,8 @@
         let (mode, mode_rx) = watch::channel(AnswerMode::Answer);
         let (model_server, model_server_rx) = watch::channel(None);
         let (deadly_part, deadly_part_rx) = watch::channel(None);
+        let (answer_pause, answer_pause_rx) = watch::channel(None);
+        let work = watch::channel(Vec::new()).0;
         let (received_tx, received) = watch::channel(Vec::new());
         let (arrivals_tx, arrivals) = watch::channel(Vec::new());
         let (open_tx, open) = watch::channel(0);
@@ -183,6 +199,8 @@
             mode: mode_rx,
             model_server: model_server_rx,
             deadly_part: deadly_part_rx,
+            answer_pause: answer_pause_rx,
+            work: work.clone(),
             received: received_tx,
             arrivals: arrivals_tx,
             crash,
@@ -192,6 +210,8 @@
             mode,
             model_server,
             deadly_part,
+            answer_pause,
+            work,
             received,
             arrivals,
             open,
@@ -207,6 +227,16 @@
         self.mode.send_replace(mode);
     }
 
+    /// Makes answers of [`AnswerMode::ByPath`] pause, for requests that arrive from now on.
+    pub fn set_pause(&self, pause: Option<AnswerPause>) {
+        self.answer_pause.send_replace(pause);
+    }
+
+    /// Returns the work on all requests that the target executed, oldest first.
+    pub fn work(&self) -> Vec<Work> {
+        self.work.borrow().clone()
+    }
+
     /// Makes the target a model server, which spends the prefill time of a prompt before it
     /// answers.
     pub fn set_model_server(&self, model_server: ModelServer) {
@@ -323,6 +353,7 @@
             mode,
             AnswerMode::Decline | AnswerMode::Pause(_) | AnswerMode::WrongTarget
         );
+        let work = (!is_refusal).then(|| OpenWork::start(&behaviour.work, &id));
         if !is_refusal {
             let model_server = behaviour.model_server.borrow().clone();
             if let Some(model_server) = model_server {
@@ -337,6 +368,10 @@
                 std::future::pending::<()>().await;
             }
         }
+        let answer_pause = match mode {
+            AnswerMode::ByPath { .. } => *behaviour.answer_pause.borrow(),
+            _ => None,
+        };
         let mode = match mode {
             AnswerMode::ByPath { events } if is_stream => AnswerMode::Stream {
                 count: events,
@@ -345,9 +380,64 @@
             AnswerMode::ByPath { .. } => AnswerMode::Answer,
             mode => mode,
         };
-        if !answer(&mut stream, mode, &id, last_event_id.as_deref()).await {
+        let pauses = Pauses(answer_pause);
+        if !answer(&mut stream, mode, &id, last_event_id.as_deref(), pauses).await {
             return;
         }
+        if let Some(work) = work {
+            work.complete();
+        }
+    }
+}
+
+/// Work on a request that has not ended. It ends on drop, also when a crash drops the connection.
+struct OpenWork {
+    all: watch::Sender<Vec<Work>>,
+    index: usize,
+}
+
+impl OpenWork {
+    fn start(all: &watch::Sender<Vec<Work>>, id: &str) -> Self {
+        let mut index = 0;
+        all.send_modify(|all| {
+            index = all.len();
+            all.push(Work {
+                id: id.to_owned(),
+                begun: Instant::now(),
+                ended: None,
+                is_complete: false,
+            });
+        });
+        let all = all.clone();
+        Self { all, index }
+    }
+
+    fn complete(self) {
+        self.all
+            .send_modify(|all| all[self.index].is_complete = true);
+    }
+}
+
+impl Drop for OpenWork {
+    fn drop(&mut self) {
+        self.all
+            .send_modify(|all| all[self.index].ended = Some(Instant::now()));
+    }
+}
+
+/// Pauses of one answer.
+#[derive(Clone, Copy)]
+struct Pauses(Option<AnswerPause>);
+
+impl Pauses {
+    /// Waits where the answer pauses; false when the caller closes the connection meanwhile.
+    async fn wait(self, stream: &TcpStream, at: PauseAt) -> bool {
+        match self.0 {
+            Some(answer_pause) if answer_pause.at == at => {
+                pause(stream, answer_pause.time).await.is_some()
+            }
+            _ => true,
+        }
     }
 }
 
@@ -394,6 +484,7 @@
     mode: AnswerMode,
     id: &str,
     last_event_id: Option<&str>,
+    pauses: Pauses,
 ) -> bool {
     let response = |status: &str, id: &str, seal: &str, body: &str| {
         let len = body.len();
@@ -403,8 +494,24 @@
         )
     };
     let seal = "Ebonyfall-Server-Seal: s\r\n";
+    if !pauses.wait(stream, PauseAt::Head).await {
+        return false;
+    }
     let res = match mode {
-        AnswerMode::Answer | AnswerMode::ByPath { .. } => response("200 OK", id, seal, "done"),
+        AnswerMode::Answer | AnswerMode::ByPath { .. } => {
+            let res = response("200 OK", id, seal, "done");
+            let (head, body) = res.split_at(res.len() - "done".len());
+            let (first, rest) = body.split_at(body.len() / 2);
+            let pauses_after = [(head, PauseAt::Body), (first, PauseAt::Within)];
+            for (part, at) in pauses_after {
+                if stream.write_all(part.as_bytes()).await.is_err()
+                    || !pauses.wait(stream, at).await
+                {
+                    return false;
+                }
+            }
+            rest.to_owned()
+        }
         AnswerMode::Delay(pause) => {
             sleep(pause).await;
             response("200 OK", id, seal, "done")
@@ -446,7 +553,7 @@
             return false;
         }
         AnswerMode::Stream { count, cut_after } => {
-            return stream_events(stream, id, last_event_id, count, cut_after).await;
+            return stream_events(stream, id, last_event_id, (count, cut_after), pauses).await;
         }
     };
     stream.write_all(res.as_bytes()).await.is_ok()
@@ -456,8 +563,8 @@
     stream: &mut TcpStream,
     id: &str,
     last_event_id: Option<&str>,
-    count: u32,
-    cut_after: Option<u32>,
+    (count, cut_after): (u32, Option<u32>),
+    pauses: Pauses,
 ) -> bool {
     let head = format!(
         "HTTP/1.1 200 OK\r\nEbonyfall-Attempt-Id: {id}\r\nEbonyfall-Server-Seal: s\r\n\
@@ -467,7 +574,8 @@
         .and_then(|id| id.parse::<u32>().ok())
         .unwrap_or(0)
         + 1;
-    if stream.write_all(head.as_bytes()).await.is_err() {
+    if stream.write_all(head.as_bytes()).await.is_err() || !pauses.wait(stream, PauseAt::Body).await
+    {
         return false;
     }
     for number in first..=count {
@@ -482,6 +590,9 @@
         if stream.write_all(chunk.as_bytes()).await.is_err() || is_cut {
             return false;
         }
+        if number == count / 2 && !pauses.wait(stream, PauseAt::Within).await {
+            return false;
+        }
         sleep(EVENT_INTERVAL).await;
     }
     stream.write_all(b"0\r\n\r\n").await.is_ok()
