--- a/standin/src/hostile.rs
+++ b/standin/src/hostile.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     keyed::LOOPBACK,
-    registered::{read_head, read_request},
+    received::{read_head, read_request},
 };
 
 /// One step of a script. In the bytes to send, `{id}` stands for the attempt id of the last request
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pausing;
 pub mod platform;
 pub mod proxy;
+pub mod received;
 pub mod registered;
 pub mod service;
 pub mod usage;
--- a/standin/src/pausing.rs
+++ b/standin/src/pausing.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     keyed::LOOPBACK,
-    registered::{ReceivedRequest, read_request},
+    received::{ReceivedRequest, read_request},
 };
 
 /// Events of each streamed answer.
@@ -280,7 +280,7 @@
 }
 
 /// Waits for `time`; `None` when the caller closes the connection meanwhile.
-async fn pause(stream: &TcpStream, time: Duration) -> Option<()> {
+pub(crate) async fn pause(stream: &TcpStream, time: Duration) -> Option<()> {
     tokio::select! {
         () = sleep(time) => Some(()),
         () = closed(stream) => None,
--- a/standin/src/registered.rs
+++ b/standin/src/registered.rs
@@ -1,7 +1,7 @@
 //! Simulated target that entry routers connect to without an agent, with faults in its HTTP
 //! answers.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -14,6 +14,8 @@
 use crate::{
     keyed::LOOPBACK,
     memory::{PromptCaches, PromptTokens},
+    pausing::{PauseAt, Work, pause},
+    received::{ReceivedRequest, read_request},
 };
 
 /// Time between two events of a streamed answer.
@@ -77,6 +79,15 @@
     },
 }
 
+/// Pause within the answers of a target that is sound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerPause {
+    /// Where the answer pauses.
+    pub at: PauseAt,
+    /// How long it pauses.
+    pub time: Duration,
+}
+
 /// Prompt cache of a target that acts as a model server.
 #[derive(Debug, Clone)]
 pub struct ModelServer {
@@ -112,17 +123,6 @@
     setup + Duration::from_millis(millis)
 }
 
-/// A request as the target received it.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ReceivedRequest {
-    /// First line: method, path and protocol version.
-    pub line: String,
-    /// Header values by name in lower case; the last one of a repeated name.
-    pub headers: BTreeMap<String, String>,
-    /// Raw body, as long as `content-length` says.
-    pub body: Vec<u8>,
-}
-
 /// Arrival of a request at a target, which may have refused it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Arrival {
@@ -142,6 +142,8 @@
     mode: watch::Sender<AnswerMode>,
     model_server: watch::Sender<Option<ModelServer>>,
     deadly_part: watch::Sender<Option<String>>,
+    answer_pause: watch::Sender<Option<AnswerPause>>,
+    work: watch::Sender<Vec<Work>>,
     received: watch::Receiver<Vec<ReceivedRequest>>,
     arrivals: watch::Receiver<Vec<Arrival>>,
     open: watch::Receiver<usize>,
@@ -157,6 +159,8 @@
     mode: watch::Receiver<AnswerMode>,
     model_server: watch::Receiver<Option<ModelServer>>,
     deadly_part: watch::Receiver<Option<String>>,
+    answer_pause: watch::Receiver<Option<AnswerPause>>,
+    work: watch::Sender<Vec<Work>>,
     received: watch::Sender<Vec<ReceivedRequest>>,
     arrivals: watch::Sender<Vec<Arrival>>,
     crash: mpsc::Sender<()>,
@@ -174,6 +178,8 @@
         let (mode, mode_rx) = watch::channel(AnswerMode::Answer);
         let (model_server, model_server_rx) = watch::channel(None);
         let (deadly_part, deadly_part_rx) = watch::channel(None);
+        let (answer_pause, answer_pause_rx) = watch::channel(None);
+        let work = watch::channel(Vec::new()).0;
         let (received_tx, received) = watch::channel(Vec::new());
         let (arrivals_tx, arrivals) = watch::channel(Vec::new());
         let (open_tx, open) = watch::channel(0);
@@ -183,6 +189,8 @@
             mode: mode_rx,
             model_server: model_server_rx,
             deadly_part: deadly_part_rx,
+            answer_pause: answer_pause_rx,
+            work: work.clone(),
             received: received_tx,
             arrivals: arrivals_tx,
             crash,
@@ -192,6 +200,8 @@
             mode,
             model_server,
             deadly_part,
+            answer_pause,
+            work,
             received,
             arrivals,
             open,
@@ -207,6 +217,16 @@
         self.mode.send_replace(mode);
     }
 
+    /// Makes answers of [`AnswerMode::ByPath`] pause, for requests that arrive from now on.
+    pub fn set_pause(&self, pause: Option<AnswerPause>) {
+        self.answer_pause.send_replace(pause);
+    }
+
+    /// Returns the work on all requests that the target executed, oldest first.
+    pub fn work(&self) -> Vec<Work> {
+        self.work.borrow().clone()
+    }
+
     /// Makes the target a model server, which spends the prefill time of a prompt before it
     /// answers.
     pub fn set_model_server(&self, model_server: ModelServer) {
@@ -323,6 +343,7 @@
             mode,
             AnswerMode::Decline | AnswerMode::Pause(_) | AnswerMode::WrongTarget
         );
+        let work = (!is_refusal).then(|| OpenWork::start(&behaviour.work, &id));
         if !is_refusal {
             let model_server = behaviour.model_server.borrow().clone();
             if let Some(model_server) = model_server {
@@ -337,6 +358,10 @@
                 std::future::pending::<()>().await;
             }
         }
+        let answer_pause = match mode {
+            AnswerMode::ByPath { .. } => *behaviour.answer_pause.borrow(),
+            _ => None,
+        };
         let mode = match mode {
             AnswerMode::ByPath { events } if is_stream => AnswerMode::Stream {
                 count: events,
@@ -345,56 +370,65 @@
             AnswerMode::ByPath { .. } => AnswerMode::Answer,
             mode => mode,
         };
-        if !answer(&mut stream, mode, &id, last_event_id.as_deref()).await {
+        let pauses = Pauses(answer_pause);
+        if !answer(&mut stream, mode, &id, last_event_id.as_deref(), pauses).await {
             return;
         }
+        if let Some(work) = work {
+            work.complete();
+        }
     }
 }
 
-pub(crate) async fn read_request(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-) -> Option<ReceivedRequest> {
-    let head = read_head(stream, buf).await?;
-    let len = head.headers.get("content-length");
-    let len = len.and_then(|len| len.parse().ok());
-    let len: usize = len.unwrap_or_default();
-    while buf.len() < len {
-        if stream.read_buf(buf).await.ok()? == 0 {
-            return None;
-        }
+/// Work on a request that has not ended. It ends on drop, also when a crash drops the connection.
+struct OpenWork {
+    all: watch::Sender<Vec<Work>>,
+    index: usize,
+}
+
+impl OpenWork {
+    fn start(all: &watch::Sender<Vec<Work>>, id: &str) -> Self {
+        let mut index = 0;
+        all.send_modify(|all| {
+            index = all.len();
+            all.push(Work {
+                id: id.to_owned(),
+                begun: Instant::now(),
+                ended: None,
+                is_complete: false,
+            });
+        });
+        let all = all.clone();
+        Self { all, index }
+    }
+
+    fn complete(self) {
+        self.all
+            .send_modify(|all| all[self.index].is_complete = true);
     }
-    let body = buf.drain(..len).collect();
-    Some(ReceivedRequest { body, ..head })
 }
 
-/// Reads the head of the next request; `None` when the connection closes. Bytes after it stay in
-/// `buf`.
-pub(crate) async fn read_head(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-) -> Option<ReceivedRequest> {
-    let end = loop {
-        if let Some(at) = buf.windows(4).position(|part| part == b"\r\n\r\n") {
-            break at + 4;
-        }
-        if stream.read_buf(buf).await.ok()? == 0 {
-            return None;
+impl Drop for OpenWork {
+    fn drop(&mut self) {
+        self.all
+            .send_modify(|all| all[self.index].ended = Some(Instant::now()));
+    }
+}
+
+/// Pauses of one answer.
+#[derive(Clone, Copy)]
+struct Pauses(Option<AnswerPause>);
+
+impl Pauses {
+    /// Waits where the answer pauses; false when the caller closes the connection meanwhile.
+    async fn wait(self, stream: &TcpStream, at: PauseAt) -> bool {
+        match self.0 {
+            Some(answer_pause) if answer_pause.at == at => {
+                pause(stream, answer_pause.time).await.is_some()
+            }
+            _ => true,
         }
-    };
-    let head = String::from_utf8(buf[..end].to_vec()).ok()?;
-    let mut lines = head.lines();
-    let line = lines.next()?.to_owned();
-    let headers: BTreeMap<_, _> = lines
-        .filter_map(|line| line.split_once(':'))
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
-        .collect();
-    buf.drain(..end);
-    Some(ReceivedRequest {
-        line,
-        headers,
-        body: Vec::new(),
-    })
+    }
 }
 
 /// Answers one request; returns false when the connection is to be closed.
@@ -403,6 +437,7 @@
     mode: AnswerMode,
     id: &str,
     last_event_id: Option<&str>,
+    pauses: Pauses,
 ) -> bool {
     let response = |status: &str, id: &str, seal: &str, body: &str| {
         let len = body.len();
@@ -412,8 +447,24 @@
         )
     };
     let seal = "Ebonyfall-Server-Seal: s\r\n";
+    if !pauses.wait(stream, PauseAt::Head).await {
+        return false;
+    }
     let res = match mode {
-        AnswerMode::Answer | AnswerMode::ByPath { .. } => response("200 OK", id, seal, "done"),
+        AnswerMode::Answer | AnswerMode::ByPath { .. } => {
+            let res = response("200 OK", id, seal, "done");
+            let (head, body) = res.split_at(res.len() - "done".len());
+            let (first, rest) = body.split_at(body.len() / 2);
+            let pauses_after = [(head, PauseAt::Body), (first, PauseAt::Within)];
+            for (part, at) in pauses_after {
+                if stream.write_all(part.as_bytes()).await.is_err()
+                    || !pauses.wait(stream, at).await
+                {
+                    return false;
+                }
+            }
+            rest.to_owned()
+        }
         AnswerMode::Delay(pause) => {
             sleep(pause).await;
             response("200 OK", id, seal, "done")
@@ -455,7 +506,7 @@
             return false;
         }
         AnswerMode::Stream { count, cut_after } => {
-            return stream_events(stream, id, last_event_id, count, cut_after).await;
+            return stream_events(stream, id, last_event_id, (count, cut_after), pauses).await;
         }
     };
     stream.write_all(res.as_bytes()).await.is_ok()
@@ -465,8 +516,8 @@
     stream: &mut TcpStream,
     id: &str,
     last_event_id: Option<&str>,
-    count: u32,
-    cut_after: Option<u32>,
+    (count, cut_after): (u32, Option<u32>),
+    pauses: Pauses,
 ) -> bool {
     let head = format!(
         "HTTP/1.1 200 OK\r\nEbonyfall-Attempt-Id: {id}\r\nEbonyfall-Server-Seal: s\r\n\
@@ -476,7 +527,8 @@
         .and_then(|id| id.parse::<u32>().ok())
         .unwrap_or(0)
         + 1;
-    if stream.write_all(head.as_bytes()).await.is_err() {
+    if stream.write_all(head.as_bytes()).await.is_err() || !pauses.wait(stream, PauseAt::Body).await
+    {
         return false;
     }
     for number in first..=count {
@@ -491,6 +543,9 @@
         if stream.write_all(chunk.as_bytes()).await.is_err() || is_cut {
             return false;
         }
+        if number == count / 2 && !pauses.wait(stream, PauseAt::Within).await {
+            return false;
+        }
         sleep(EVENT_INTERVAL).await;
     }
     stream.write_all(b"0\r\n\r\n").await.is_ok()
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -24,7 +24,8 @@
     entrance::EntryDeployment,
     keyed::StoreFault,
     proxy::ConnectionFault,
-    registered::{AnswerMode, ReceivedRequest, RegisteredTarget},
+    received::ReceivedRequest,
+    registered::{AnswerMode, RegisteredTarget},
 };
 use env::{EntryEnv, Reply, TEAM_KEY};
 use http::StatusCode;
