--- a/src/body.rs
+++ b/src/body.rs
@@ -64,7 +64,8 @@
     ///
     /// Fails with `TooLarge` above the limit, with `Overloaded` when the memory for bodies is used up,
     /// with `SlowRequest` when the body takes too long, with `ShuttingDown` when the process ends before
-    /// its end has arrived, and with `BadRequest` when it is incomplete or malformed. A declared body that is too large or does not fit is not read at all.
+    /// its end has arrived, and with `BadRequest` when it is incomplete or malformed. A declared body that
+    /// is too large or does not fit is not read at all.
     pub async fn read(
         &self,
         state: &mut State,
--- a/src/carry/takeover.rs
+++ b/src/carry/takeover.rs
@@ -87,7 +87,7 @@
     Taken,
     /// The first target went on, or the request has ended.
     Withdrawn,
-    /// It did not accept in time, and the first one is kept.
+    /// It did not accept in time.
     Late,
     /// It failed, or did not get the request.
     Failed,
@@ -243,7 +243,6 @@
         let mut request = self.selection_request();
         request.tried.push(watch.target.name.clone());
         request.charge_retry = true;
-        request.only = self.attempts.only_target().cloned();
         // A target that can be reached is left only for one that may begin at once.
         request.needs_slot = !matches!(watch.silence.reach(), Reach::Unreachable { .. });
         let attempt = self.attempt();
