--- a/core/src/takeover.rs
+++ b/core/src/takeover.rs
@@ -20,14 +20,14 @@
 pub const CHECK_AFTER: Duration = Duration::from_millis(1_000);
 /// Silence of a stream after which another target is asked at the earliest.
 pub const MIN_ASK_AFTER: Duration = Duration::from_millis(1_200);
-/// Silence that callers of streams bear at least. They leave later on routes with a long objective or
-/// long gaps between events.
-const MIN_BEARABLE: Duration = Duration::from_secs(2);
+/// Shortest silence after which callers of streams disconnect. They wait longer on routes with a long
+/// objective or long gaps between events.
+const MIN_CALLER_TIMEOUT: Duration = Duration::from_secs(2);
 /// The same in objectives and in gaps of the route.
-const BEARABLE_OBJECTIVES: u32 = 4;
-const BEARABLE_GAPS: u32 = 8;
-/// Percentage of the silence that callers bear, after which another target is asked although the first
-/// one can be reached. The rest is for the second one to begin.
+const CALLER_TIMEOUT_OBJECTIVES: u32 = 4;
+const CALLER_TIMEOUT_GAPS: u32 = 8;
+/// Percentage of the callers' timeout after which another target is asked although the first one can be
+/// reached. The rest is for the second one to begin.
 const ASK_PERCENT: u32 = 60;
 /// Percentage of the objective after which another target is asked for a single answer.
 const SINGLE_ASK_PERCENT: u32 = 60;
@@ -80,7 +80,7 @@
     }
 }
 
-/// Silence of a target that a request bears, by its route.
+/// Limits on the silence of a target, by the route of its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SilenceLimits {
     check_after: Duration,
@@ -89,7 +89,7 @@
     /// The same if it can be reached.
     ask_after: Duration,
     /// Silence after which the first target is no longer preferred, since callers have left by then.
-    bearable: Duration,
+    caller_timeout: Duration,
 }
 
 impl SilenceLimits {
@@ -103,18 +103,18 @@
                     check_after: ask_after,
                     ask_early: ask_after,
                     ask_after,
-                    bearable: UNLIMITED,
+                    caller_timeout: UNLIMITED,
                 }
             }
             ResponseKind::EventStream { .. } => {
-                let by_objective = objective * BEARABLE_OBJECTIVES;
-                let by_gap = route.max_event_gap.unwrap_or_default() * BEARABLE_GAPS;
-                let bearable = MIN_BEARABLE.max(by_objective).max(by_gap);
+                let by_objective = objective * CALLER_TIMEOUT_OBJECTIVES;
+                let by_gap = route.max_event_gap.unwrap_or_default() * CALLER_TIMEOUT_GAPS;
+                let caller_timeout = MIN_CALLER_TIMEOUT.max(by_objective).max(by_gap);
                 Self {
                     check_after: CHECK_AFTER,
                     ask_early: MIN_ASK_AFTER,
-                    ask_after: MIN_ASK_AFTER.max(bearable * ASK_PERCENT / 100),
-                    bearable,
+                    ask_after: MIN_ASK_AFTER.max(caller_timeout * ASK_PERCENT / 100),
+                    caller_timeout,
                 }
             }
         }
@@ -278,7 +278,7 @@
         match self.second {
             Second::Asked => Step::Wait(until_check),
             Second::Sent(until) if now >= until => Step::EndOverlap {
-                keep_first: !self.is_lost() && silent < self.limits.bearable,
+                keep_first: !self.is_lost() && silent < self.limits.caller_timeout,
             },
             Second::Sent(until) => Step::Wait(until_check.min(until.since(now))),
             Second::None if self.is_refused => Step::End,
--- a/core/tests/takeover.rs
+++ b/core/tests/takeover.rs
@@ -14,8 +14,8 @@
 
 /// Longest time that the stand-in for a router sleeps beyond a step, in milliseconds.
 const MAX_LATENESS_MS: u64 = 100;
-/// Silence that callers of the route's streams bear.
-const BEARABLE: Duration = Duration::from_secs(2);
+/// Silence after which callers of the route's streams disconnect.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Most steps in 12 s of silence.
 const MAX_STEPS: u32 = 200;
 /// Time for which two targets must not both work on a request.
@@ -126,7 +126,7 @@
                 assert!(self.sent_at.is_some());
                 let silent = now.since(self.last_progress);
                 assert!(
-                    keep_first || self.failed_checks >= 3 || is_stream && silent >= BEARABLE,
+                    keep_first || self.failed_checks >= 3 || is_stream && silent >= CALLER_TIMEOUT,
                     "a target that may be sound is kept"
                 );
                 self.asked = false;
@@ -245,18 +245,18 @@
 /// Guards against a stream whose target has failed and that no other target takes over before its caller
 /// leaves.
 #[test]
-fn another_target_is_asked_while_callers_bear_the_silence() {
+fn another_target_is_asked_before_callers_disconnect() {
     let asked = |step| step == Step::Ask;
     for probe in [Probe::Accepted, Probe::Refused, Probe::Unknown] {
         let after = first(STREAM, probe, asked);
-        assert!(after + MAX_OVERLAP < BEARABLE, "{probe}: {after:?}");
+        assert!(after + MAX_OVERLAP < CALLER_TIMEOUT, "{probe}: {after:?}");
         let after = first(ResponseKind::Single, probe, asked);
         assert!(after < Duration::from_millis(320), "{probe}: {after:?}");
     }
 }
 
-/// Guards against callers of a route that bear long gaps whose busy target is asked to start anew
-/// elsewhere, and against a dead one that is left late there.
+/// Guards against a busy target whose work is started again elsewhere although its callers wait for long,
+/// and against a dead one that is left late there.
 #[test]
 fn a_target_that_answers_checks_is_kept_for_longer_on_routes_with_long_gaps() {
     let mut route = route(STREAM);
