--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -506,30 +506,133 @@
     let (answer, whole) = caller.message()?;
     whole.then_some(answer.status())
 }
-// ---- case: a crowd of requests inside the limits ends a router by its memory
+// ---- cases: crowds that end a router by its memory
 
 const MEMORY_MB: u64 = 260;
 const CROWD: usize = 1900;
 const FIELDS: usize = 92;
+const BODY_BYTES: usize = 30_000;
+const EVENT_BYTES: usize = 48 << 10;
+const EVENTS: usize = 8;
+
+/// What the crowd of a case does.
+#[derive(Clone, Copy, PartialEq)]
+enum Crowd {
+    /// Requests of 43 kB with many short fields, at servers that begin to answer after 8 s.
+    ManyFields,
+    /// Small requests for streams; their callers stop reading after the head of the answer.
+    StopReading,
+}
 
-/// Head and body of one album draft with many fields, 43 kB in all.
-fn crowded(id: &str) -> Vec<u8> {
+fn crowd_request(crowd: Crowd, id: &str) -> Vec<u8> {
+    let body = if crowd == Crowd::ManyFields { BODY_BYTES } else { 200 };
+    let key = KEYS[id.bytes().last().unwrap_or(0) as usize % KEYS.len()];
     let mut text = format!(
         "POST /draft/1 HTTP/1.1\r\nhost: album.example\r\nebonyfall-attempt-id: {id}\r\n\
          ebonyfall-model: m\r\nebonyfall-token-counts: 1300,55\r\nebonyfall-prefix-hash: 5c1e07a2:10512,{id}:1300\r\n\
-         ebonyfall-deadline-ms: 12000\r\nauthorization: Bearer {}\r\ncontent-length: 30000\r\n",
-        KEYS[id.bytes().last().unwrap_or(0) as usize % KEYS.len()]
+         ebonyfall-deadline-ms: 12000\r\nauthorization: Bearer {key}\r\ncontent-length: {body}\r\n"
     );
-    for field in 0..FIELDS {
-        text += &format!("x-{field}: {}\r\n", "v".repeat(120));
+    if crowd == Crowd::ManyFields {
+        for field in 0..FIELDS {
+            text += &format!("x-{field}: {}\r\n", "v".repeat(120));
+        }
     }
     text += "\r\n";
     let mut bytes = text.into_bytes();
-    bytes.resize(bytes.len() + 30_000, b'b');
+    bytes.resize(bytes.len() + body, b'b');
     bytes
 }
 
-fn case_memory(run: &Run) -> i32 {
+/// A sound model server's answer to a draft.
+fn answer_draft(crowd: Crowd, req: &Message, out: &mut TcpStream) -> bool {
+    if crowd == Crowd::ManyFields {
+        // A busy server: the first event comes after 8 s, inside the time budget of 12 s.
+        thread::sleep(ms(8000));
+    }
+    let seal = seal(req);
+    let head = format!("HTTP/1.1 200 OK\r\n{seal}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+    if out.write_all(head.as_bytes()).is_err() {
+        return false;
+    }
+    let (events, data) = match crowd {
+        Crowd::ManyFields => (55, "some tokens of the answer".to_owned()),
+        Crowd::StopReading => (EVENTS, "p".repeat(EVENT_BYTES)),
+    };
+    for event in 1..=events {
+        let event = format!("id: {event}\ndata: {data}\n\n");
+        if write!(out, "{:x}\r\n{event}\r\n", event.len()).is_err() {
+            return false;
+        }
+    }
+    out.write_all(b"0\r\n\r\n").is_ok()
+}
+
+/// Sends the requests of a part of the crowd, and tells what came back once `stop` is set.
+fn play_crowd(crowd: Crowd, front: SocketAddr, sent: &AtomicU64, stop: &AtomicBool) -> BTreeMap<String, u64> {
+    let mut held = Vec::new();
+    for _ in 0..CROWD / 4 {
+        if stop.load(Ordering::SeqCst) {
+            break;
+        }
+        let Some(mut caller) = connect(front) else { continue };
+        if caller.stream.write_all(&crowd_request(crowd, &new_id())).is_ok() {
+            sent.fetch_add(1, Ordering::SeqCst);
+        }
+        held.push(caller);
+    }
+    while !stop.load(Ordering::SeqCst) {
+        thread::sleep(ms(20));
+    }
+    let mut answers: BTreeMap<String, u64> = BTreeMap::new();
+    for mut caller in held {
+        let _ = caller.stream.set_read_timeout(Some(ms(300)));
+        let what = match caller.message() {
+            None => "no answer".to_owned(),
+            Some((answer, true)) => format!("{} whole", answer.status()),
+            Some((answer, false)) => format!("{} cut", answer.status()),
+        };
+        *answers.entry(what).or_default() += 1;
+    }
+    answers
+}
+
+/// The same callers without the disruption: they read their streams to the end.
+fn play_readers(crowd: Crowd, front: SocketAddr) -> BTreeMap<String, u64> {
+    let left = Arc::new(AtomicU64::new(CROWD as u64));
+    let parts: Vec<_> = (0..60)
+        .map(|_| {
+            let left = left.clone();
+            thread::spawn(move || {
+                let mut answers: BTreeMap<String, u64> = BTreeMap::new();
+                while left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1)).is_ok() {
+                    let Some(mut caller) = connect(front) else { continue };
+                    let _ = caller.stream.write_all(&crowd_request(crowd, &new_id()));
+                    let what = match caller.message() {
+                        None => "no answer".to_owned(),
+                        Some((answer, whole)) => format!("{} {}", answer.status(), if whole { "whole" } else { "cut" }),
+                    };
+                    *answers.entry(what).or_default() += 1;
+                }
+                answers
+            })
+        })
+        .collect();
+    merge(parts)
+}
+
+fn merge(parts: Vec<thread::JoinHandle<BTreeMap<String, u64>>>) -> BTreeMap<String, u64> {
+    let mut all: BTreeMap<String, u64> = BTreeMap::new();
+    for part in parts {
+        for (what, count) in part.join().unwrap_or_default() {
+            *all.entry(what).or_default() += count;
+        }
+    }
+    all
+}
+
+/// Two routers; the crowd comes to each of them three times. Exits with 1 if both have exceeded their
+/// memory three times.
+fn case_memory(run: &Run, crowd: Crowd) -> i32 {
     let folder = run.folder.clone();
     let net = random_net();
     let store = Store::start(&format!("{net}.1:0"));
@@ -539,21 +642,11 @@
         let runs = runs.clone();
         let addr = serve(&format!("{net}.{}:0", 100 + number), move |req, out| {
             runs.fetch_add(1, Ordering::SeqCst);
-            let seal = seal(&req);
-            if !req.path().starts_with("/draft/") {
-                thread::sleep(ms(60));
-                return respond(out, "200 OK", &seal, b"ok");
-            }
-            // A busy model server: the first event comes after 8 s, inside the time budget of 12 s.
-            thread::sleep(ms(8000));
-            let head = format!("HTTP/1.1 200 OK\r\n{seal}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
-            let mut answer = head.into_bytes();
-            for event in 1..=55 {
-                let event = format!("id: {event}\ndata: some tokens of the answer\n\n");
-                answer.extend(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes());
+            if req.path().starts_with("/draft/") {
+                return answer_draft(crowd, &req, out);
             }
-            answer.extend(b"0\r\n\r\n");
-            out.write_all(&answer).is_ok()
+            thread::sleep(ms(60));
+            respond(out, "200 OK", &seal(&req), b"ok")
         });
         store.put("keyed.servers", &format!("i-{number}"), &entry("ebony-pool", &addr.to_string(), 128, "ready"));
     }
@@ -580,48 +673,26 @@
     let mut peak = [0, 0];
     for round in 0..3 {
         for index in 0..2 {
+            let name = plans[index].name;
             let served = ordinary(&routers[index]);
-            run.line(&format!("round {round}, {}: ordinary request: {served:?}", plans[index].name));
+            run.line(&format!("round {round}, {name}: ordinary request: {served:?}"));
             if served != Some(200) && !run.trouble {
                 return 1;
             }
-            if !run.trouble {
-                thread::sleep(ms(2000));
-                continue;
-            }
             let front = routers[index].front;
             let sent = Arc::new(AtomicU64::new(0));
             let stop = Arc::new(AtomicBool::new(false));
-            let crowd: Vec<_> = (0..4)
-                .map(|_| {
-                    let (sent, stop) = (sent.clone(), stop.clone());
-                    thread::spawn(move || {
-                        let mut held = Vec::new();
-                        for _ in 0..CROWD / 4 {
-                            let Some(mut caller) = connect(front) else { continue };
-                            if caller.stream.write_all(&crowded(&new_id())).is_ok() {
-                                sent.fetch_add(1, Ordering::SeqCst);
-                            }
-                            held.push(caller);
-                        }
-                        while !stop.load(Ordering::SeqCst) {
-                            thread::sleep(ms(20));
-                        }
-                        let mut answers: BTreeMap<String, u64> = BTreeMap::new();
-                        for mut caller in held {
-                            let _ = caller.stream.set_read_timeout(Some(ms(300)));
-                            let what = match caller.message() {
-                                None => "no answer".to_owned(),
-                                Some((answer, true)) => format!("{} whole", answer.status()),
-                                Some((answer, false)) => format!("{} cut", answer.status()),
-                            };
-                            *answers.entry(what).or_default() += 1;
-                        }
-                        answers
+            let parts: Vec<_> = match (run.trouble, crowd) {
+                (true, _) => (0..4)
+                    .map(|_| {
+                        let (sent, stop) = (sent.clone(), stop.clone());
+                        thread::spawn(move || play_crowd(crowd, front, &sent, &stop))
                     })
-                })
-                .collect();
-            let until = Instant::now() + ms(11_000);
+                    .collect(),
+                (false, Crowd::StopReading) => vec![thread::spawn(move || play_readers(crowd, front))],
+                (false, Crowd::ManyFields) => Vec::new(),
+            };
+            let until = Instant::now() + ms(if run.trouble { 11_000 } else { 3000 });
             let mut killed = false;
             while Instant::now() < until {
                 let kb = routers[index].memory_kb("VmRSS");
@@ -635,22 +706,19 @@
                 if kb > MEMORY_MB * 1024 {
                     routers[index].signal(KILL);
                     let _ = routers[index].child.wait();
-                    run.line(&format!("round {round}, {}: {kb} kB of {} kB; the platform kills it",
-                        plans[index].name, MEMORY_MB * 1024));
+                    run.line(&format!("round {round}, {name}: {kb} kB of {} kB; the platform kills it", MEMORY_MB * 1024));
                     killed = true;
                     break;
                 }
                 thread::sleep(ms(10));
             }
             stop.store(true, Ordering::SeqCst);
-            let mut answers: BTreeMap<String, u64> = BTreeMap::new();
-            for part in crowd {
-                for (what, count) in part.join().unwrap_or_default() {
-                    *answers.entry(what).or_default() += count;
-                }
-            }
-            run.line(&format!("round {round}, {}: {} requests sent, answers {answers:?}, begun at servers so far {}",
-                plans[index].name, sent.load(Ordering::SeqCst), runs.load(Ordering::SeqCst)));
+            let answers = merge(parts);
+            run.line(&format!(
+                "round {round}, {name}: {} requests of the crowd sent, answers {answers:?}, begun at servers so far {}",
+                sent.load(Ordering::SeqCst),
+                runs.load(Ordering::SeqCst)
+            ));
             if killed {
                 ends[index] += 1;
                 thread::sleep(ms(500));
@@ -681,7 +749,8 @@
         start: Instant::now(),
     };
     let code = match case.as_str() {
-        "memory" => case_memory(&run),
+        "many-fields" => case_memory(&run, Crowd::ManyFields),
+        "stop-reading" => case_memory(&run, Crowd::StopReading),
         _ => 2,
     };
     run.line(&format!("exit {code}"));
