--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -944,6 +944,69 @@
     i32::from(longest.0 >= ms(3000))
 }
 
+// ---- case: a single request inside the limits is refused for good
+
+fn case_denied(run: &Run) -> i32 {
+    let net = random_net();
+    let store = Store::start(&format!("{net}.1:0"));
+    store.put("keyed.op", "config", &desired_state(10));
+    let runs = Arc::new(AtomicU64::new(0));
+    for number in 0..4 {
+        let runs = runs.clone();
+        let addr = serve(&format!("{net}.{}:0", 100 + number), move |req, out| {
+            runs.fetch_add(1, Ordering::SeqCst);
+            respond(out, "200 OK", &seal(&req), b"ok")
+        });
+        store.put("keyed.servers", &format!("i-{number}"), &entry("ebony-pool", &addr.to_string(), 64, "ready"));
+    }
+    let plan = Plan {
+        name: "edge-lakes-a-1",
+        zone: "lakes-a",
+        ip: format!("{net}.10"),
+        store: store.addr,
+        seeds: format!("{net}.10:8229"),
+        memory_mb: MEMORY_MB as u32,
+        max_fds: 4100,
+    };
+    let router = start_router(&run.folder, &plan);
+    if !wait_ready(&router, ms(15_000)) {
+        run.line("the router did not become ready");
+        return 2;
+    }
+    thread::sleep(ms(CONTACT_MS));
+    // One request at a time; every fifth has many fields.
+    let mut answers: BTreeMap<(usize, Option<u16>), u64> = BTreeMap::new();
+    let mut bytes = 0;
+    for number in 0..200 {
+        let fields = if run.trouble && number % 5 == 0 { 120 } else { 20 };
+        let Some(mut caller) = connect(router.front) else { return 2 };
+        let mut text = format!(
+            "GET /fetch/{number} HTTP/1.1\r\nhost: album.example\r\nebonyfall-attempt-id: {}\r\n\
+             ebonyfall-deadline-ms: 4000\r\nauthorization: Bearer k{}\r\n",
+            new_id(),
+            number % KEYS.len()
+        );
+        for field in 0..fields {
+            text += &format!("x-{field}: {field}\r\n");
+        }
+        text += "\r\n";
+        bytes = bytes.max(text.len());
+        let _ = caller.stream.write_all(text.as_bytes());
+        let status = caller.message().map(|(answer, _)| answer.status());
+        *answers.entry((fields, status)).or_default() += 1;
+        thread::sleep(ms(20));
+    }
+    let denied: u64 = answers
+        .iter()
+        .filter(|((_, status), _)| status.is_some_and(|s| (300..500).contains(&s) && ![408, 421, 429].contains(&s)))
+        .map(|(_, count)| *count)
+        .sum();
+    run.line(&format!("answers by number of added fields and status: {answers:?}; longest head {bytes} bytes of 16384; {} run",
+        runs.load(Ordering::SeqCst)));
+    run.line(&format!("DENIED: {denied} of 200 proper requests ended with a 4xx of the router's own; 5 + one in 500 are allowed"));
+    i32::from(denied as f64 > 5.0 + 200.0 / 500.0)
+}
+
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let (Some(case), Some(folder)) = (args.get(1), args.get(2)) else {
@@ -961,6 +1024,7 @@
     let code = match case.as_str() {
         "many-fields" => case_memory(&run, Crowd::ManyFields),
         "short-bodies" => case_short_bodies(&run),
+        "denied" => case_denied(&run),
         "stop-reading" => case_memory(&run, Crowd::StopReading),
         _ => 2,
     };
