--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -51,7 +51,10 @@
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: Vec::new() }
+        Self {
+            stream,
+            buf: Vec::new(),
+        }
     }
     pub fn fill(&mut self) -> Option<usize> {
         let mut part = [0; 16384];
@@ -74,7 +77,11 @@
                     let (key, value) = line.split_once(':')?;
                     Some((key.trim().to_ascii_lowercase(), value.trim().to_owned()))
                 });
-                return Some(Message { first, headers: headers.collect(), body: Vec::new() });
+                return Some(Message {
+                    first,
+                    headers: headers.collect(),
+                    body: Vec::new(),
+                });
             }
             self.fill()?;
         }
@@ -105,11 +112,17 @@
             }
         } else if message.header("transfer-encoding").is_some() {
             loop {
-                let Some(line) = self.line() else { return Some((message, false)) };
-                let Ok(len) = usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16) else {
+                let Some(line) = self.line() else {
+                    return Some((message, false));
+                };
+                let Ok(len) =
+                    usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16)
+                else {
+                    return Some((message, false));
+                };
+                let Some(part) = self.exact(len) else {
                     return Some((message, false));
                 };
-                let Some(part) = self.exact(len) else { return Some((message, false)) };
                 if self.exact(2).is_none() {
                     return Some((message, false));
                 }
@@ -124,7 +137,10 @@
 }
 
 pub fn respond(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> bool {
-    let head = format!("HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n", body.len());
+    let head = format!(
+        "HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n",
+        body.len()
+    );
     let mut out = head.into_bytes();
     out.extend_from_slice(body);
     stream.write_all(&out).is_ok()
@@ -133,7 +149,7 @@
 // ---- store
 
 #[derive(Default)]
-struct Topics(BTreeMap<String, Vec<(String, Vec<u8>)>>);
+struct Topics(BTreeMap<String, Vec<(String, Arc<Vec<u8>>)>>);
 
 #[derive(Clone)]
 pub struct Store {
@@ -146,7 +162,11 @@
     const SET: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for part in bytes.chunks(3) {
-        let b = [part[0], *part.get(1).unwrap_or(&0), *part.get(2).unwrap_or(&0)];
+        let b = [
+            part[0],
+            *part.get(1).unwrap_or(&0),
+            *part.get(2).unwrap_or(&0),
+        ];
         let n = u32::from(b[0]) << 16 | u32::from(b[1]) << 8 | u32::from(b[2]);
         for i in 0..4 {
             if i <= part.len() {
@@ -178,7 +198,11 @@
     }
     pub fn put(&self, topic: &str, key: &str, value: &str) -> Instant {
         let mut topics = self.topics.0.lock().unwrap();
-        topics.0.entry(topic.to_owned()).or_default().push((key.to_owned(), value.as_bytes().to_vec()));
+        topics
+            .0
+            .entry(topic.to_owned())
+            .or_default()
+            .push((key.to_owned(), Arc::new(value.as_bytes().to_vec())));
         self.topics.1.notify_all();
         Instant::now()
     }
@@ -193,7 +217,10 @@
                 continue;
             }
             let (path, query) = req.path().split_once('?').unwrap_or((req.path(), ""));
-            let query: HashMap<_, _> = query.split('&').filter_map(|item| item.split_once('=')).collect();
+            let query: HashMap<_, _> = query
+                .split('&')
+                .filter_map(|item| item.split_once('='))
+                .collect();
             let topic = query.get("topic").copied().unwrap_or("").to_owned();
             let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok());
             let ok = match path {
@@ -213,12 +240,17 @@
                             rest = &rest[4 + len..];
                             let key_len = usize::from(record[0]);
                             let key = String::from_utf8_lossy(&record[1..1 + key_len]).into_owned();
-                            records.push((key, record[1 + key_len..].to_vec()));
+                            records.push((key, Arc::new(record[1 + key_len..].to_vec())));
                         }
                         let body = format!("{{\"offset\":{end},\"end\":{}}}", records.len());
                         self.topics.1.notify_all();
                         drop(topics);
-                        respond(&mut out, "200 OK", "content-type: application/json\r\n", body.as_bytes())
+                        respond(
+                            &mut out,
+                            "200 OK",
+                            "content-type: application/json\r\n",
+                            body.as_bytes(),
+                        )
                     }
                 }
                 "/api/log-read" => {
@@ -246,7 +278,7 @@
                         body.extend(((1 + key.len() + value.len()) as u32).to_be_bytes());
                         body.push(key.len() as u8);
                         body.extend(key.as_bytes());
-                        body.extend(value);
+                        body.extend(value.iter());
                     }
                     respond(&mut out, "200 OK", "", &body)
                 }
@@ -258,19 +290,35 @@
                     for (offset, (key, value)) in records.iter().enumerate() {
                         newest.insert(key, (offset, value));
                     }
-                    let entries: Vec<_> = newest
-                        .iter()
-                        .filter(|(_, (_, value))| !value.is_empty())
-                        .map(|(key, (offset, value))| {
-                            format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
-                        })
-                        .collect();
+                    // At most 500 records or 1 MB on a page.
+                    let after = query.get("after").copied();
+                    let mut entries = Vec::new();
+                    let (mut bytes, mut has_more) = (0, false);
+                    for (key, (offset, value)) in newest {
+                        if value.is_empty() || after.is_some_and(|after| key <= after) {
+                            continue;
+                        }
+                        if entries.len() == 500 || (bytes > 0 && bytes + value.len() > 1 << 20) {
+                            has_more = true;
+                            break;
+                        }
+                        bytes += value.len();
+                        entries.push(format!(
+                            "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                            base64(value)
+                        ));
+                    }
                     let body = format!(
-                        "{{\"entries\":[{}],\"has_more\":false,\"end\":{}}}",
+                        "{{\"entries\":[{}],\"has_more\":{has_more},\"end\":{}}}",
                         entries.join(","),
                         records.len()
                     );
-                    respond(&mut out, "200 OK", "content-type: application/json\r\n", body.as_bytes())
+                    respond(
+                        &mut out,
+                        "200 OK",
+                        "content-type: application/json\r\n",
+                        body.as_bytes(),
+                    )
                 }
                 _ => respond(&mut out, "404 Not Found", "", b""),
             };
@@ -307,9 +355,11 @@
         unsafe { kill(self.child.id() as i32, number) };
     }
     pub fn memory_kb(&self, field: &str) -> u64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let text =
+            fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
         let line = text.lines().find(|line| line.starts_with(field));
-        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
+        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+            .unwrap_or(0)
     }
     pub fn ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
@@ -341,11 +391,23 @@
     let front = format!("{ip}:8227");
     let ready = format!("{ip}:8220");
     let values = [
-        ("node", plan.name), ("zone", plan.zone), ("listen.front", &front), ("listen.ready", &ready), ("ip", ip),
-        ("platform.addr", &store), ("port_range.0", "7340"), ("seeds", &plan.seeds),
-        ("bounds.drain_ms", "2000"), ("bounds.grace_s", "8"), ("bounds.revoke_ms", "5000"),
-        ("bounds.config_apply_ms", "2000"), ("bounds.retry_ratio", "0.2"), ("bounds.retry_slack", "58"),
-        ("bounds.retry_window_s", "10"), ("limits.memory_mb", &memory_mb), ("limits.max_fds", &max_fds),
+        ("node", plan.name),
+        ("zone", plan.zone),
+        ("listen.front", &front),
+        ("listen.ready", &ready),
+        ("ip", ip),
+        ("platform.addr", &store),
+        ("port_range.0", "7340"),
+        ("seeds", &plan.seeds),
+        ("bounds.drain_ms", "2000"),
+        ("bounds.grace_s", "8"),
+        ("bounds.revoke_ms", "5000"),
+        ("bounds.config_apply_ms", "2000"),
+        ("bounds.retry_ratio", "0.2"),
+        ("bounds.retry_slack", "58"),
+        ("bounds.retry_window_s", "10"),
+        ("limits.memory_mb", &memory_mb),
+        ("limits.max_fds", &max_fds),
     ];
     let mut text = String::new();
     let mut skip = false;
@@ -406,7 +468,11 @@
 
 pub fn get(addr: SocketAddr, path: &str) -> Option<(Message, bool)> {
     let mut reader = connect(addr)?;
-    write!(reader.stream, "GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").ok()?;
+    write!(
+        reader.stream,
+        "GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+    )
+    .ok()?;
     let (mut m, whole) = reader.message()?;
     if m.header("content-length").is_none() && m.header("transfer-encoding").is_none() {
         while reader.fill().is_some() {}
@@ -428,12 +494,17 @@
 
 static IDS: AtomicU64 = AtomicU64::new(1);
 pub fn new_id() -> String {
-    format!("{:016x}", 0x1a00_0000_0000_0000u64 + IDS.fetch_add(1, Ordering::SeqCst))
+    format!(
+        "{:016x}",
+        0x1a00_0000_0000_0000u64 + IDS.fetch_add(1, Ordering::SeqCst)
+    )
 }
 
 pub fn random_net() -> String {
     let mut bytes = [0u8; 2];
-    fs::File::open("/dev/urandom").and_then(|mut f| f.read_exact(&mut bytes)).unwrap();
+    fs::File::open("/dev/urandom")
+        .and_then(|mut f| f.read_exact(&mut bytes))
+        .unwrap();
     format!("127.{}.{}", 10 + bytes[0] % 200, bytes[1])
 }
 // ---- parts that all cases share
@@ -461,7 +532,10 @@
 }
 
 /// Serves each connection in a thread of its own until `answer` returns false.
-fn serve(addr: &str, answer: impl Fn(Message, &mut TcpStream) -> bool + Send + Sync + 'static) -> SocketAddr {
+fn serve(
+    addr: &str,
+    answer: impl Fn(Message, &mut TcpStream) -> bool + Send + Sync + 'static,
+) -> SocketAddr {
     let listener = TcpListener::bind(addr).expect("a free address");
     let addr = listener.local_addr().unwrap();
     let answer = Arc::new(answer);
@@ -469,7 +543,9 @@
         for stream in listener.incoming().flatten() {
             let answer = answer.clone();
             let _ = thread::Builder::new().stack_size(128 << 10).spawn(move || {
-                let Ok(mut out) = stream.try_clone() else { return };
+                let Ok(mut out) = stream.try_clone() else {
+                    return;
+                };
                 let mut reader = Reader::new(stream);
                 while let Some((req, true)) = reader.message() {
                     if !answer(req, &mut out) {
@@ -490,7 +566,10 @@
 }
 
 fn desired_state(version: u64) -> String {
-    let tenants: Vec<_> = KEYS.iter().map(|key| format!("{{\"name\":\"team-{key}\",\"api_keys\":[\"{key}\"]}}")).collect();
+    let tenants: Vec<_> = KEYS
+        .iter()
+        .map(|key| format!("{{\"name\":\"team-{key}\",\"api_keys\":[\"{key}\"]}}"))
+        .collect();
     format!(
         "{{\"version\":{version},\"routes\":[\
          {{\"name\":\"draft\",\"host\":\"album.example\",\"path_prefix\":\"/draft/\",\"type\":\"stream\",\"timeout_ms\":12000,\
@@ -538,7 +617,11 @@
 }
 
 fn crowd_request(crowd: Crowd, id: &str) -> Vec<u8> {
-    let body = if crowd == Crowd::ManyFields { BODY_BYTES } else { 200 };
+    let body = if crowd == Crowd::ManyFields {
+        BODY_BYTES
+    } else {
+        200
+    };
     let key = KEYS[id.bytes().last().unwrap_or(0) as usize % KEYS.len()];
     let mut text = format!(
         "POST /draft/1 HTTP/1.1\r\nhost: album.example\r\nebonyfall-attempt-id: {id}\r\n\
@@ -563,7 +646,9 @@
         thread::sleep(ms(8000));
     }
     let seal = seal(req);
-    let head = format!("HTTP/1.1 200 OK\r\n{seal}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{seal}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
     if out.write_all(head.as_bytes()).is_err() {
         return false;
     }
@@ -581,14 +666,25 @@
 }
 
 /// Sends the requests of a part of the crowd, and tells what came back once `stop` is set.
-fn play_crowd(crowd: Crowd, front: SocketAddr, sent: &AtomicU64, stop: &AtomicBool) -> BTreeMap<String, u64> {
+fn play_crowd(
+    crowd: Crowd,
+    front: SocketAddr,
+    sent: &AtomicU64,
+    stop: &AtomicBool,
+) -> BTreeMap<String, u64> {
     let mut held = Vec::new();
     for _ in 0..CROWD / 4 {
         if stop.load(Ordering::SeqCst) {
             break;
         }
-        let Some(mut caller) = connect(front) else { continue };
-        if caller.stream.write_all(&crowd_request(crowd, &new_id())).is_ok() {
+        let Some(mut caller) = connect(front) else {
+            continue;
+        };
+        if caller
+            .stream
+            .write_all(&crowd_request(crowd, &new_id()))
+            .is_ok()
+        {
             sent.fetch_add(1, Ordering::SeqCst);
         }
         held.push(caller);
@@ -617,12 +713,23 @@
             let left = left.clone();
             thread::spawn(move || {
                 let mut answers: BTreeMap<String, u64> = BTreeMap::new();
-                while left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1)).is_ok() {
-                    let Some(mut caller) = connect(front) else { continue };
+                while left
+                    .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+                        left.checked_sub(1)
+                    })
+                    .is_ok()
+                {
+                    let Some(mut caller) = connect(front) else {
+                        continue;
+                    };
                     let _ = caller.stream.write_all(&crowd_request(crowd, &new_id()));
                     let what = match caller.message() {
                         None => "no answer".to_owned(),
-                        Some((answer, whole)) => format!("{} {}", answer.status(), if whole { "whole" } else { "cut" }),
+                        Some((answer, whole)) => format!(
+                            "{} {}",
+                            answer.status(),
+                            if whole { "whole" } else { "cut" }
+                        ),
                     };
                     *answers.entry(what).or_default() += 1;
                 }
@@ -687,11 +794,19 @@
             thread::sleep(ms(60));
             respond(out, "200 OK", &seal(&req), b"ok")
         });
-        store.put("keyed.servers", &format!("i-{number}"), &entry("ebony-pool", &addr.to_string(), 128, "ready"));
+        store.put(
+            "keyed.servers",
+            &format!("i-{number}"),
+            &entry("ebony-pool", &addr.to_string(), 128, "ready"),
+        );
     }
     let plans: Vec<_> = (0..2)
         .map(|number| Plan {
-            name: if number == 0 { "edge-lakes-a-1" } else { "edge-lakes-b-1" },
+            name: if number == 0 {
+                "edge-lakes-a-1"
+            } else {
+                "edge-lakes-b-1"
+            },
             zone: if number == 0 { "lakes-a" } else { "lakes-b" },
             ip: format!("{net}.{}", 10 + number),
             store: store.addr,
@@ -700,14 +815,21 @@
             max_fds: 4100,
         })
         .collect();
-    let mut routers: Vec<_> = plans.iter().map(|plan| start_router(&folder, plan)).collect();
+    let mut routers: Vec<_> = plans
+        .iter()
+        .map(|plan| start_router(&folder, plan))
+        .collect();
     for router in &routers {
         if !wait_ready(router, ms(15_000)) {
             run.line("a router did not become ready");
             return 2;
         }
     }
-    run.line(&format!("memory at rest: {} kB, {} kB", routers[0].memory_kb("VmRSS"), routers[1].memory_kb("VmRSS")));
+    run.line(&format!(
+        "memory at rest: {} kB, {} kB",
+        routers[0].memory_kb("VmRSS"),
+        routers[1].memory_kb("VmRSS")
+    ));
     let mut ends = [0, 0];
     let mut peak = [0, 0];
     let mut lost = 0;
@@ -721,7 +843,9 @@
                 break;
             }
             let served = ordinary(&routers[index]);
-            run.line(&format!("round {round}, {name}: ordinary request: {served:?}"));
+            run.line(&format!(
+                "round {round}, {name}: ordinary request: {served:?}"
+            ));
             if served != Some(200) && !run.trouble {
                 return 1;
             }
@@ -735,7 +859,9 @@
                         thread::spawn(move || play_crowd(crowd, front, &sent, &stop))
                     })
                     .collect(),
-                (false, Crowd::StopReading) => vec![thread::spawn(move || play_readers(crowd, front))],
+                (false, Crowd::StopReading) => {
+                    vec![thread::spawn(move || play_readers(crowd, front))]
+                }
                 (false, Crowd::ManyFields) => Vec::new(),
             };
             let answered = Arc::new(AtomicU64::new(0));
@@ -759,7 +885,10 @@
                 if kb > MEMORY_MB * 1024 {
                     routers[index].signal(KILL);
                     let _ = routers[index].child.wait();
-                    run.line(&format!("round {round}, {name}: {kb} kB of {} kB; the platform kills it", MEMORY_MB * 1024));
+                    run.line(&format!(
+                        "round {round}, {name}: {kb} kB of {} kB; the platform kills it",
+                        MEMORY_MB * 1024
+                    ));
                     killed = true;
                     break;
                 }
@@ -767,9 +896,15 @@
             }
             stop.store(true, Ordering::SeqCst);
             let answers = merge(parts);
-            let unanswered: Vec<_> = kept.into_iter().filter_map(|caller| caller.join().ok().flatten()).collect();
+            let unanswered: Vec<_> = kept
+                .into_iter()
+                .filter_map(|caller| caller.join().ok().flatten())
+                .collect();
             let runs = runs.lock().unwrap();
-            let passed_on = unanswered.iter().filter(|id| runs.contains_key(*id)).count();
+            let passed_on = unanswered
+                .iter()
+                .filter(|id| runs.contains_key(*id))
+                .count();
             lost += passed_on;
             run.line(&format!(
                 "round {round}, {name}: {} requests of the crowd sent, answers {answers:?}; on kept channels {} answered, \
@@ -821,7 +956,10 @@
          ebonyfall-deadline-ms: 4000\r\nauthorization: Bearer k{requester}\r\nconnection: close\r\n\r\n",
         new_id()
     );
-    caller.stream.write_all(text.as_bytes()).map_err(|_| "channel closed")?;
+    caller
+        .stream
+        .write_all(text.as_bytes())
+        .map_err(|_| "channel closed")?;
     match caller.message() {
         Some((answer, true)) => Ok(answer.status()),
         _ => Err("channel closed without an answer"),
@@ -837,7 +975,11 @@
             thread::sleep(ms(60));
             respond(out, "200 OK", &seal(&req), b"ok")
         });
-        store.put("keyed.servers", &format!("i-{number}"), &entry("ebony-pool", &addr.to_string(), 64, "ready"));
+        store.put(
+            "keyed.servers",
+            &format!("i-{number}"),
+            &entry("ebony-pool", &addr.to_string(), 64, "ready"),
+        );
     }
     let plan = Plan {
         name: "edge-lakes-a-1",
@@ -864,7 +1006,11 @@
             while !stop.load(Ordering::SeqCst) {
                 let begun = Instant::now();
                 let result = attempt(front, requester);
-                watched.lock().unwrap().attempts.push((begun, requester, result));
+                watched
+                    .lock()
+                    .unwrap()
+                    .attempts
+                    .push((begun, requester, result));
                 thread::sleep(ms(200));
             }
         }));
@@ -921,18 +1067,42 @@
         *answers.entry(format!("{result:?}")).or_default() += 1;
     }
     run.line(&format!("ordinary attempts: {answers:?}"));
-    run.line(&format!("readiness: {} questions, {} answered 200", watched.ready.len(),
-        watched.ready.iter().filter(|(_, status)| *status == Some(200)).count()));
+    run.line(&format!(
+        "readiness: {} questions, {} answered 200",
+        watched.ready.len(),
+        watched
+            .ready
+            .iter()
+            .filter(|(_, status)| *status == Some(200))
+            .count()
+    ));
     // Longest time between two attempts whose channels were taken, in which the router said that it is ready.
-    let mut taken: Vec<_> = watched.attempts.iter().filter(|(_, _, result)| result.is_ok()).map(|(at, ..)| *at).collect();
+    let mut taken: Vec<_> = watched
+        .attempts
+        .iter()
+        .filter(|(_, _, result)| result.is_ok())
+        .map(|(at, ..)| *at)
+        .collect();
     taken.sort();
     let mut longest = (Duration::ZERO, 0, Duration::ZERO);
     for pair in taken.windows(2) {
-        let is_ready = watched.ready.iter().filter(|(at, _)| *at > pair[0] && *at < pair[1]).all(|(_, s)| *s == Some(200));
-        let tried: std::collections::HashSet<_> = watched.attempts.iter()
-            .filter(|(at, ..)| *at > pair[0] && *at < pair[1]).map(|(_, requester, _)| *requester).collect();
+        let is_ready = watched
+            .ready
+            .iter()
+            .filter(|(at, _)| *at > pair[0] && *at < pair[1])
+            .all(|(_, s)| *s == Some(200));
+        let tried: std::collections::HashSet<_> = watched
+            .attempts
+            .iter()
+            .filter(|(at, ..)| *at > pair[0] && *at < pair[1])
+            .map(|(_, requester, _)| *requester)
+            .collect();
         if is_ready && tried.len() >= 7 && pair[1] - pair[0] > longest.0 {
-            longest = (pair[1] - pair[0], tried.len(), pair[0].saturating_duration_since(crowd_from));
+            longest = (
+                pair[1] - pair[0],
+                tried.len(),
+                pair[0].saturating_duration_since(crowd_from),
+            );
         }
     }
     run.line(&format!(
@@ -944,67 +1114,231 @@
     i32::from(longest.0 >= ms(3000))
 }
 
-// ---- case: a single request inside the limits is refused for good
+// ---- case: a desired state after which every router refuses all requests
 
-fn case_denied(run: &Run) -> i32 {
+/// `recover_s` of the site.
+const RECOVER_S: u64 = 12;
+
+fn state_with_rate(version: u64, rate: &str) -> String {
+    let field = format!("\"max_conns\":740,\"warmup_s\":3.0,\"warmup_per_s\":{rate}");
+    desired_state(version).replace("\"max_conns\":740", &field)
+}
+
+/// Sends small requests to the routers in turn for `time`; returns how many were sent and served.
+fn serve_rate(routers: &[Router], time: Duration) -> (u64, u64, BTreeMap<String, u64>) {
+    let until = Instant::now() + time;
+    let (mut sent, mut served) = (0, 0);
+    let mut answers: BTreeMap<String, u64> = BTreeMap::new();
+    while Instant::now() < until {
+        for router in routers {
+            let status = ordinary(router);
+            sent += 1;
+            served += u64::from(status == Some(200));
+            *answers.entry(format!("{status:?}")).or_default() += 1;
+        }
+        thread::sleep(ms(50));
+    }
+    (sent, served, answers)
+}
+
+fn case_rate(run: &Run) -> i32 {
     let net = random_net();
     let store = Store::start(&format!("{net}.1:0"));
-    store.put("keyed.op", "config", &desired_state(10));
-    let runs = Arc::new(AtomicU64::new(0));
+    store.put("keyed.op", "config", &state_with_rate(10, "10.0"));
+    let mut addrs = Vec::new();
     for number in 0..4 {
-        let runs = runs.clone();
         let addr = serve(&format!("{net}.{}:0", 100 + number), move |req, out| {
-            runs.fetch_add(1, Ordering::SeqCst);
+            thread::sleep(ms(20));
             respond(out, "200 OK", &seal(&req), b"ok")
         });
-        store.put("keyed.servers", &format!("i-{number}"), &entry("ebony-pool", &addr.to_string(), 64, "ready"));
+        store.put(
+            "keyed.servers",
+            &format!("i-{number}"),
+            &entry("ebony-pool", &addr.to_string(), 64, "ready"),
+        );
+        addrs.push(addr);
     }
-    let plan = Plan {
-        name: "edge-lakes-a-1",
-        zone: "lakes-a",
-        ip: format!("{net}.10"),
-        store: store.addr,
-        seeds: format!("{net}.10:8229"),
-        memory_mb: MEMORY_MB as u32,
-        max_fds: 4100,
-    };
-    let router = start_router(&run.folder, &plan);
-    if !wait_ready(&router, ms(15_000)) {
-        run.line("the router did not become ready");
-        return 2;
+    let plans: Vec<_> = (0..2)
+        .map(|number| Plan {
+            name: if number == 0 {
+                "edge-lakes-a-1"
+            } else {
+                "edge-lakes-b-1"
+            },
+            zone: if number == 0 { "lakes-a" } else { "lakes-b" },
+            ip: format!("{net}.{}", 10 + number),
+            store: store.addr,
+            seeds: format!("{net}.10:8229,{net}.11:8229"),
+            memory_mb: MEMORY_MB as u32,
+            max_fds: 4100,
+        })
+        .collect();
+    let mut routers: Vec<_> = plans
+        .iter()
+        .map(|plan| start_router(&run.folder, plan))
+        .collect();
+    for router in &routers {
+        if !wait_ready(router, ms(15_000)) {
+            run.line("a router did not become ready");
+            return 2;
+        }
     }
-    thread::sleep(ms(CONTACT_MS));
-    // One request at a time; every fifth has many fields.
-    let mut answers: BTreeMap<(usize, Option<u16>), u64> = BTreeMap::new();
-    let mut bytes = 0;
-    for number in 0..200 {
-        let fields = if run.trouble && number % 5 == 0 { 120 } else { 20 };
-        let Some(mut caller) = connect(router.front) else { return 2 };
-        let mut text = format!(
-            "GET /fetch/{number} HTTP/1.1\r\nhost: album.example\r\nebonyfall-attempt-id: {}\r\n\
-             ebonyfall-deadline-ms: 4000\r\nauthorization: Bearer k{}\r\n",
-            new_id(),
-            number % KEYS.len()
+    let before = serve_rate(&routers, ms(6000));
+    run.line(&format!(
+        "before the final fault: {} sent, {} served, {:?}",
+        before.0, before.1, before.2
+    ));
+    let rate = if run.trouble { "2000000.0" } else { "20.0" };
+    store.put("keyed.op", "config", &state_with_rate(12, rate));
+    run.line(&format!("the store has acknowledged a desired state with warmup_per_s {rate}; all routers are killed"));
+    for router in &mut routers {
+        router.signal(KILL);
+        let _ = router.child.wait();
+    }
+    thread::sleep(ms(970));
+    routers = plans
+        .iter()
+        .map(|plan| start_router(&run.folder, plan))
+        .collect();
+    let back = Instant::now();
+    thread::sleep(ms(7000));
+    // A server starts during traffic, and is cold for 3 s.
+    let started = entry("ebony-pool", &addrs[0].to_string(), 64, "ready")
+        .replace("\"warmup_left_ms\":0", "\"warmup_left_ms\":3000")
+        .replace("1765000000000", "1765000100000");
+    let between = thread::scope(|scope| {
+        let calls = scope.spawn(|| serve_rate(&routers, ms(RECOVER_S * 1000 - 7000)));
+        thread::sleep(ms(1000));
+        store.put("keyed.servers", "i-0", &started);
+        run.line("a server starts again and is cold");
+        calls.join().unwrap()
+    });
+    run.line(&format!(
+        "until {RECOVER_S} s after the return: {} sent, {} served, {:?}",
+        between.0, between.1, between.2
+    ));
+    while back.elapsed() < Duration::from_secs(RECOVER_S) {
+        thread::sleep(ms(20));
+    }
+    store.put(
+        "keyed.servers",
+        "i-0",
+        &started.replace("\"warmup_left_ms\":3000", "\"warmup_left_ms\":0"),
+    );
+    let after = serve_rate(&routers, ms(10_000));
+    run.line(&format!(
+        "later than {RECOVER_S} s after the return: {} sent, {} served, {:?}",
+        after.0, after.1, after.2
+    ));
+    for router in &routers {
+        let ready = get(router.ready, "/api/readyz").map(|(answer, _)| answer.status());
+        run.line(&format!("the router says at its ready address: {ready:?}"));
+    }
+    let broken = 4 * after.1 < after.0 && 4 * before.1 >= before.0;
+    run.line(&format!(
+        "RECOVER: {} of {} requests served, a quarter is the least",
+        after.1, after.0
+    ));
+    i32::from(broken)
+}
+
+// ---- case: odd entries of another writer, more than a router lists
+
+/// Records of the largest size (`record_bytes`), 34 MB in all.
+const ODD_ENTRIES: usize = 130;
+const RECORD_BYTES: usize = 262_144;
+
+fn case_odd_entries(run: &Run) -> i32 {
+    let net = random_net();
+    let store = Store::start(&format!("{net}.1:0"));
+    store.put("keyed.op", "config", &state_with_rate(10, "10.0"));
+    for number in 0..4 {
+        let addr = serve(&format!("{net}.{}:0", 100 + number), move |req, out| {
+            thread::sleep(ms(20));
+            respond(out, "200 OK", &seal(&req), b"ok")
+        });
+        store.put(
+            "keyed.servers",
+            &format!("i-{number}"),
+            &entry("ebony-pool", &addr.to_string(), 64, "ready"),
         );
-        for field in 0..fields {
-            text += &format!("x-{field}: {field}\r\n");
+    }
+    let plans: Vec<_> = (0..2)
+        .map(|number| Plan {
+            name: if number == 0 {
+                "edge-lakes-a-1"
+            } else {
+                "edge-lakes-b-1"
+            },
+            zone: if number == 0 { "lakes-a" } else { "lakes-b" },
+            ip: format!("{net}.{}", 10 + number),
+            store: store.addr,
+            seeds: format!("{net}.10:8229,{net}.11:8229"),
+            memory_mb: MEMORY_MB as u32,
+            max_fds: 4100,
+        })
+        .collect();
+    let mut routers: Vec<_> = plans
+        .iter()
+        .map(|plan| start_router(&run.folder, plan))
+        .collect();
+    for router in &routers {
+        if !wait_ready(router, ms(15_000)) {
+            run.line("a router did not become ready");
+            return 2;
         }
-        text += "\r\n";
-        bytes = bytes.max(text.len());
-        let _ = caller.stream.write_all(text.as_bytes());
-        let status = caller.message().map(|(answer, _)| answer.status());
-        *answers.entry((fields, status)).or_default() += 1;
-        thread::sleep(ms(20));
     }
-    let denied: u64 = answers
+    if run.trouble {
+        // Bytes that can't be read, at 20 MB a second (`part_mb_s`).
+        let value = "\u{1}".repeat(RECORD_BYTES - 64);
+        for number in 0..ODD_ENTRIES {
+            store.put("keyed.servers", &format!("other-{number:03}"), &value);
+            thread::sleep(ms(13));
+        }
+        run.line(&format!(
+            "another writer has put {ODD_ENTRIES} entries that can't be read, {} bytes",
+            ODD_ENTRIES * value.len()
+        ));
+    }
+    let before = serve_rate(&routers, ms(6000));
+    run.line(&format!(
+        "before the final fault: {} sent, {} served, {:?}",
+        before.0, before.1, before.2
+    ));
+    store.put("keyed.op", "config", &state_with_rate(12, "10.0"));
+    run.line("the store has acknowledged a desired state; all routers are killed");
+    for router in &mut routers {
+        router.signal(KILL);
+        let _ = router.child.wait();
+    }
+    thread::sleep(ms(970));
+    routers = plans
         .iter()
-        .filter(|((_, status), _)| status.is_some_and(|s| (300..500).contains(&s) && ![408, 421, 429].contains(&s)))
-        .map(|(_, count)| *count)
-        .sum();
-    run.line(&format!("answers by number of added fields and status: {answers:?}; longest head {bytes} bytes of 16384; {} run",
-        runs.load(Ordering::SeqCst)));
-    run.line(&format!("DENIED: {denied} of 200 proper requests ended with a 4xx of the router's own; 5 + one in 500 are allowed"));
-    i32::from(denied as f64 > 5.0 + 200.0 / 500.0)
+        .map(|plan| start_router(&run.folder, plan))
+        .collect();
+    let back = Instant::now();
+    while back.elapsed() < Duration::from_secs(RECOVER_S) {
+        thread::sleep(ms(20));
+    }
+    let after = serve_rate(&routers, ms(20_000));
+    run.line(&format!(
+        "later than {RECOVER_S} s after the return: {} sent, {} served, {:?}",
+        after.0, after.1, after.2
+    ));
+    for router in &routers {
+        let ready = get(router.ready, "/api/readyz").map(|(answer, _)| answer.status());
+        run.line(&format!("the router says at its ready address: {ready:?}"));
+        let log = fs::read_to_string(&router.log).unwrap_or_default();
+        if let Some(line) = log.lines().find(|line| line.contains("dependency_lost")) {
+            run.line(line);
+        }
+    }
+    let broken = 4 * after.1 < after.0 && 4 * before.1 >= before.0;
+    run.line(&format!(
+        "RECOVER: {} of {} requests served, a quarter is the least",
+        after.1, after.0
+    ));
+    i32::from(broken)
 }
 
 fn main() {
@@ -1018,13 +1352,16 @@
     let run = Run {
         folder: temp.clone(),
         trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
-        record: Mutex::new(fs::File::create(Path::new(folder).join("record.txt")).expect("record.txt")),
+        record: Mutex::new(
+            fs::File::create(Path::new(folder).join("record.txt")).expect("record.txt"),
+        ),
         start: Instant::now(),
     };
     let code = match case.as_str() {
         "many-fields" => case_memory(&run, Crowd::ManyFields),
         "short-bodies" => case_short_bodies(&run),
-        "denied" => case_denied(&run),
+        "odd-entries" => case_odd_entries(&run),
+        "rate" => case_rate(&run),
         "stop-reading" => case_memory(&run, Crowd::StopReading),
         _ => 2,
     };
