--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -610,7 +610,7 @@
 /// What the crowd of a case does.
 #[derive(Clone, Copy, PartialEq)]
 enum Crowd {
-    /// Requests of 43 kB with many short fields, at servers that begin to answer after 8 s.
+    /// Requests of 42 kB with many short fields, at servers that begin to answer after 8 s.
     ManyFields,
     /// Small requests for streams; their callers stop reading after the head of the answer.
     StopReading,
