Space the turns at cold targets by a microsecond or more

The desired state gave a service a warm-up rate of 2,000,000 a second, as an operator does who wants no limit.

Cause: `Turns::next` divides by the time between two turns in whole microseconds. Above 1,000,000 requests a second that is zero, and the division ends the task that owns the target selector. That nothing noticed the end of the task is a fault of its own.

Evidence: with core/src as before, `high_cold_rates_do_not_limit` and `no_cold_rate_panics` fail ("attempt to divide by zero"; quickcheck finds 1000501.0), and a real router answers 503 to the first request beside a cold target ("panicked at core/src/limit.rs:66:44").

Turns are a microsecond apart at least, the resolution of the routers' times, whatever the caller passes. A rate above 100,000 a second limits nothing, which is the rule for limits that targets state. Low rates and zero keep their meaning: `low_cold_rates_allow_few_requests`.

--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -9,6 +9,8 @@
 const MIN_RATE: f64 = 0.05;
 /// Highest limit that is obeyed, in requests per second; a target that states more is not limited.
 const MAX_RATE: f64 = 100_000.0;
+/// Shortest time between two turns: the resolution of [`Time`].
+const MIN_INTERVAL: Duration = Duration::from_micros(1);
 /// Requests that all routers may send to a limited target at once, beyond those of one second.
 const BURST: u32 = 4;
 /// Time for which a statement holds that no answer has repeated.
@@ -20,6 +22,11 @@
 /// Ratio of two limits from which on a change is logged.
 const LOGGED_CHANGE: f64 = 1.1;
 
+/// Whether a rate is so high that it limits nothing.
+pub(crate) fn is_unlimited(rate: f64) -> bool {
+    !rate.is_finite() || rate > MAX_RATE
+}
+
 /// What an answer states about the requests that its target takes.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum StatedLimit {
@@ -61,7 +68,7 @@
     /// The router's first turn that does not start before `earliest`, with `interval` between the
     /// turns of all routers.
     pub(crate) fn next(&self, earliest: Time, interval: Duration) -> Time {
-        let interval = interval.as_micros();
+        let interval = interval.max(MIN_INTERVAL).as_micros();
         let since_unix = self.unix_offset + earliest.since(Time::ZERO);
         let first = since_unix.as_micros().div_ceil(interval);
         let routers = u128::from(self.routers.max(1));
--- a/core/src/selector.rs
+++ b/core/src/selector.rs
@@ -20,6 +20,7 @@
     holders::Holders,
     id::{Fingerprint, PartId},
     inspect::{MoveSummary, RoutingState, TargetState},
+    limit,
     moves::{MoveState, MoveVerdict, Moves, VersionCounts},
     name::{MoveName, ProcessName, ServiceName, TargetName, TeamName, ZoneName},
     outcome::{End, Finished},
@@ -246,8 +247,10 @@
     }
 
     /// Sets the rates that a cold target of each service can serve, in requests per second of all
-    /// routers together. Without a rate, cold targets are not limited.
-    pub fn set_cold_rates(&mut self, rates: HashMap<ServiceName, f64>) {
+    /// routers together. Without a rate, or with one above the highest that is obeyed, cold targets are
+    /// not limited.
+    pub fn set_cold_rates(&mut self, mut rates: HashMap<ServiceName, f64>) {
+        rates.retain(|_, rate| !limit::is_unlimited(*rate));
         self.cold_rates = rates;
     }
 
