Take any number of a desired state for the nearest that can be used

What callers would see:

- One number that no type here can hold (`max_attempts`, `priority` 256, `slo_ms` or `max_conns` beyond their types, a whole number written with a fraction) made a router refuse the whole desired state: it kept the former one for good.
- Durations of many years overflowed where routers add a margin or multiply (`SilenceLimits::for_route`): each request on such a route ended by a panic, and its caller got no answer.
- `max_header_bytes` is taken from the memory for connections at each accept.
A large one left no room for any.
- The sum of two large weights overflowed, and weights below 0.01 counted as zero.
- Copies of a body with a huge limit overflowed before the memory was asked.

Headers are accepted up to 256 KiB, and a desired state that allows more is in force with the fault `LargeHeaders` in the log.

--- a/core/src/desired.rs
+++ b/core/src/desired.rs
@@ -11,6 +11,10 @@
     name::{RouteName, ServiceName, TeamName},
 };
 
+/// Largest size of request headers that routers accept, in bytes. Each connection holds so much memory
+/// from its start, and a router has room for hundreds.
+pub const MAX_HEADER_BYTES: usize = 256 << 10;
+
 /// Kind of response that callers expect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseKind {
@@ -69,8 +73,8 @@
     /// Selects a service by weight. `random` is uniform from 0 to 1. `None` if no service has a
     /// weight above zero.
     pub fn select_service(&self, random: f64) -> Option<&ServiceName> {
-        let total: u32 = self.shares.iter().map(|share| share.weight).sum();
-        let mut remaining = random.clamp(0.0, 1.0) * f64::from(total);
+        let weights = self.shares.iter().map(|share| f64::from(share.weight));
+        let mut remaining = random.clamp(0.0, 1.0) * weights.sum::<f64>();
         for share in &self.shares {
             remaining -= f64::from(share.weight);
             if remaining < 0.0 {
@@ -105,6 +109,13 @@
     pub idle_timeout: Duration,
 }
 
+impl CallerLimits {
+    /// Size of request headers that routers accept, in bytes.
+    pub fn header_bytes(&self) -> usize {
+        self.max_header_bytes.min(MAX_HEADER_BYTES)
+    }
+}
+
 /// A team as listed in the desired state.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DesiredTeam {
@@ -136,6 +147,11 @@
     /// The maximum number of attempts is zero, so no request is sent to a target.
     #[display("route {_0}: the maximum number of attempts is zero; allow at least one")]
     ZeroAttempts(RouteName),
+    /// Request headers may be larger than routers accept.
+    #[display(
+        "max_header_bytes is {_0}; requests with more than {MAX_HEADER_BYTES} bytes are refused; lower it"
+    )]
+    LargeHeaders(usize),
     /// The route requires a key, but no team has one.
     #[display(
         "route {_0}: a key is required, but no team has one; add a team or make the route public"
@@ -219,6 +235,9 @@
         routes.sort_by(|a, b| a.name.cmp(&b.name));
         let mut addresses = HashMap::new();
         let mut faults = Vec::new();
+        if self.limits.max_header_bytes > MAX_HEADER_BYTES {
+            faults.push(DesiredFault::LargeHeaders(self.limits.max_header_bytes));
+        }
         for route in routes {
             let name = || route.name.clone();
             let address = (&route.host, &route.path_prefix);
--- a/src/body.rs
+++ b/src/body.rs
@@ -127,7 +127,9 @@
 
     /// Takes memory for `len` bytes in all, then reserves them.
     fn reserve(&mut self, len: usize) -> Result<(), Code> {
-        let more = (len * self.copies).saturating_sub(self.share.len());
+        let more = len
+            .saturating_mul(self.copies)
+            .saturating_sub(self.share.len());
         self.share
             .grow(more)
             .map_err(|_does_not_fit| Code::Overloaded)?;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -291,7 +291,7 @@
         ConnectionLimits {
             max_connections: machine.max_callers(),
             max_header_bytes: known.map_or(2 * MIN_HEADER_BYTES, |known| {
-                known.max_header_bytes.max(MIN_HEADER_BYTES)
+                known.header_bytes().max(MIN_HEADER_BYTES)
             }),
             accept_grace: ACCEPT_AFTER_STOP,
             idle_grace: Duration::ZERO,
--- a/standin/src/entrance/state.rs
+++ b/standin/src/entrance/state.rs
@@ -56,6 +56,22 @@
         self.store.put("keyed.op", "config", Some(&state)).await;
     }
 
+    /// Like [`Self::put_desired_state`], with the value at a JSON pointer replaced.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the state has nothing at `pointer`.
+    pub async fn put_changed_state(
+        &self,
+        version: u64,
+        keys: &[&str],
+        (pointer, value): (&str, Value),
+    ) {
+        let mut state = self.desired_state(version, keys, ROUTE_TIMEOUT, MAX_BODY_BYTES);
+        *state.pointer_mut(pointer).expect("the state has the field") = value;
+        self.store.put("keyed.op", "config", Some(&state)).await;
+    }
+
     /// Like [`Self::put_desired_state`], with so many further routes that the state has at least `bytes`.
     pub async fn put_long_desired_state(&self, version: u64, keys: &[&str], bytes: usize) {
         let mut state = self.desired_state(version, keys, ROUTE_TIMEOUT, MAX_BODY_BYTES);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod contexts;
 mod dispatch;
 mod env;
+mod extremes;
 mod fleet_share;
 mod kept;
 mod keys;
