--- a/src/admin.rs
+++ b/src/admin.rs
@@ -24,7 +24,6 @@
 use sha2::{Digest, Sha256};
 use slog::Logger;
 use subtle::{Choice, ConstantTimeEq};
-use tokio::sync::watch;
 
 use crate::{
     callers::CallerGuard,
@@ -35,6 +34,7 @@
     platform::Platform,
     settings::CommonConfig,
     status,
+    supervisor::{Supervisor, TaskName},
     view::{Config, ConfigState, View},
     web::{self, Shared},
 };
@@ -212,19 +212,20 @@
     pub async fn start(
         self,
         address: SocketAddr,
-        stop: watch::Receiver<bool>,
+        supervisor: &Supervisor,
         log: Logger,
     ) -> io::Result<()> {
         let listener = web::bind(address).await?;
         let guard = self.guard.clone();
-        tokio::spawn(web::serve(
+        let serving = web::serve(
             listener,
             self.routes(),
             web::ConnectionLimits::small,
             guard,
-            stop,
+            supervisor.stop(),
             log,
-        ));
+        );
+        supervisor.spawn(TaskName::Admin, serving);
         Ok(())
     }
 
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -24,6 +24,7 @@
 use crate::{
     clock::{self, Clock},
     link::Link,
+    supervisor::{Supervisor, TaskName},
 };
 
 /// Capacity of the task's command channel.
@@ -109,6 +110,7 @@
         load_bound: LoadBound,
         quarantine: Duration,
         clock: Clock,
+        supervisor: &Supervisor,
     ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let task = Task {
@@ -122,7 +124,7 @@
             drain: Drain::default(),
             drain_waiter: None,
         };
-        tokio::spawn(task.run(rx));
+        supervisor.spawn(TaskName::Admission, task.run(rx));
         Self(tx)
     }
 
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -41,6 +41,7 @@
     pointers::PointerHandle,
     session::Session,
     settings::AgentConfig,
+    supervisor::{Supervisor, TaskName},
     view::{self, View, Views},
     web,
 };
@@ -84,6 +85,12 @@
         /// Number of requests that were still queued or running.
         left: u32,
     },
+    /// A task that the agent needs has ended.
+    #[snafu(display("the task {task} has ended; see the log for the cause"))]
+    TaskEnded {
+        /// The task.
+        task: TaskName,
+    },
 }
 
 /// A connection that can carry another request, and that request's first message if it has already
@@ -111,19 +118,36 @@
 /// # Errors
 ///
 /// Fails if an address cannot be bound, the process cannot join the gossip group, the configuration
-/// document does not contain the target, or requests are still open after the drain time.
+/// document does not contain the target, requests are still open after the drain time, or a task that
+/// the agent needs has ended.
 pub async fn run(
     cfg: AgentConfig,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
+    log: Logger,
+) -> Result<(), AgentError> {
+    let metrics = Metrics::new();
+    let supervisor = Supervisor::new(stop, metrics.ended_tasks.clone(), log.clone());
+    serve(cfg, metrics, &supervisor, log).await?;
+    match supervisor.ended() {
+        Some(task) => TaskEndedSnafu { task }.fail(),
+        None => Ok(()),
+    }
+}
+
+async fn serve(
+    cfg: AgentConfig,
+    metrics: Metrics,
+    supervisor: &Supervisor,
     log: Logger,
 ) -> Result<(), AgentError> {
+    let mut stop = supervisor.stop();
     let clock = Clock::start();
     let platform = Platform::new(&cfg.common.platform);
-    let metrics = Metrics::new();
     let config = view::start(
         platform.clone(),
         &cfg.common.name,
         metrics.clone(),
+        supervisor,
         log.clone(),
     );
     let mut views = config.views().clone();
@@ -143,7 +167,7 @@
         config: config.clone(),
         platform: platform.clone(),
         metrics: metrics.clone(),
-        stop: stop.clone(),
+        supervisor,
         log: log.clone(),
     })
     .await
@@ -160,7 +184,7 @@
         });
     let address = cfg.common.admin;
     admin
-        .start(address, stop.clone(), log.clone())
+        .start(address, supervisor, log.clone())
         .await
         .context(ListenSnafu { address })?;
     let address = cfg.listen;
@@ -171,17 +195,7 @@
         view = views.wait_for(Option::is_some) => view.ok().and_then(|view| view.clone()),
         _ = stop.wait_for(|stop| *stop) => return Ok(()),
     };
-    let view = view.as_ref();
-    let found = view.and_then(|view| Some((view, target_limits(view, &cfg.target)?)));
-    let Some((view, (capacity, quarantine))) = found else {
-        return UnknownTargetSnafu { target: cfg.target }.fail();
-    };
-    let workload = &view.document.targets[&cfg.target].workload;
-    let is_engine = matches!(workload, Workload::Engine { .. });
-    let multiple = view.document.limits.load_multiple;
-    let load_bound = LoadBound::new(multiple, f64::from(capacity.slots));
-    let admission =
-        AdmissionHandle::start(cfg.target.clone(), capacity, load_bound, quarantine, clock);
+    let (admission, is_engine) = start_admission(&cfg.target, view.as_deref(), clock, supervisor)?;
     admission_tx.send_replace(Some(admission.clone()));
     let backend = Backend::new(&cfg.backend);
     let loaded = ModelLoader {
@@ -191,31 +205,55 @@
         platform,
         views: views.clone(),
         clock,
+        supervisor: supervisor.clone(),
         log: log.clone(),
     }
     .start();
     let agent = Agent {
-        guard: GuardHandle::start(incarnation),
+        guard: GuardHandle::start(incarnation, supervisor),
         admission,
         target: cfg.target,
         identity,
         control,
         gossip,
         views: views.clone(),
-        pointers: PointerHandle::start(clock),
+        pointers: PointerHandle::start(clock, supervisor),
         backend,
         loaded,
         metrics,
         log,
     };
     info!(agent.log, "agent ready"; "target" => %agent.target, "listen" => address);
-    tokio::spawn(agent.clone().monitor(views, is_engine));
+    supervisor.spawn(TaskName::Status, agent.clone().monitor(views, is_engine));
     tokio::select! {
         () = agent.accept(listener) => Ok(()),
         ended = agent.shutdown(stop, cfg.common.drain) => ended,
     }
 }
 
+/// Starts the task that admits attempts to the target, if the document contains it; also returns whether
+/// the target is an engine.
+fn start_admission(
+    target: &TargetName,
+    view: Option<&View>,
+    clock: Clock,
+    supervisor: &Supervisor,
+) -> Result<(AdmissionHandle, bool), AgentError> {
+    let found = view.and_then(|view| Some((view, target_limits(view, target)?)));
+    let Some((view, (capacity, quarantine))) = found else {
+        let target = target.clone();
+        return UnknownTargetSnafu { target }.fail();
+    };
+    let workload = &view.document.targets[target].workload;
+    let is_engine = matches!(workload, Workload::Engine { .. });
+    let multiple = view.document.limits.load_multiple;
+    let load_bound = LoadBound::new(multiple, f64::from(capacity.slots));
+    let name = target.clone();
+    let admission =
+        AdmissionHandle::start(name, capacity, load_bound, quarantine, clock, supervisor);
+    Ok((admission, is_engine))
+}
+
 impl Agent {
     async fn accept(&self, listener: TcpListener) {
         loop {
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -26,6 +26,7 @@
     clock::Clock,
     link::{Identity, Link, LinkError},
     platform::{Platform, PlatformError},
+    supervisor::{Supervisor, TaskName},
     view::Views,
 };
 
@@ -113,11 +114,19 @@
         platform: Platform,
         views: Views,
         peers: Peers,
+        supervisor: &Supervisor,
         log: Logger,
     ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
-        let task = Task::new(identity, platform, peers, tx.downgrade(), log);
-        tokio::spawn(run(task, views.clone(), rx));
+        let task = Task::new(
+            identity,
+            platform,
+            peers,
+            tx.downgrade(),
+            supervisor.clone(),
+            log,
+        );
+        supervisor.spawn(TaskName::Claims, run(task, views.clone(), rx));
         Self { tx, views }
     }
 
@@ -212,6 +221,7 @@
     /// Address of the peer that appends this router's claims; `None` if the router appends them.
     writer: Option<SocketAddr>,
     tx: mpsc::WeakSender<Command>,
+    supervisor: Supervisor,
     clock: Clock,
     log: Logger,
     retention: Duration,
@@ -259,6 +269,7 @@
         platform: Platform,
         peers: Peers,
         tx: mpsc::WeakSender<Command>,
+        supervisor: Supervisor,
         log: Logger,
     ) -> Self {
         let retention = Duration::ZERO;
@@ -268,6 +279,7 @@
             peers,
             writer: None,
             tx,
+            supervisor,
             clock: Clock::start(),
             log,
             retention,
@@ -468,7 +480,7 @@
         self.in_flight = Some(in_flight);
         let platform = self.platform.clone();
         let next = self.ledger.next();
-        tokio::spawn(async move {
+        self.supervisor.spawn_job(TaskName::Claims, async move {
             let exchange = append::exchange(&platform, next, write).await;
             let _ended = tx.send(Command::Exchanged(Box::new(exchange))).await;
         });
--- a/src/control.rs
+++ b/src/control.rs
@@ -14,13 +14,14 @@
 use slog::{Logger, debug, info};
 use tokio::{
     net::TcpListener,
-    sync::{Semaphore, watch},
+    sync::Semaphore,
     time::{sleep, timeout},
 };
 
 use crate::{
     gossip::Gossip,
     link::{Identity, Link, LinkError},
+    supervisor::{Supervisor, TaskName},
     view::Config,
     web,
 };
@@ -84,9 +85,15 @@
     }
 
     /// Serves peers' connections on `listener` until the process ends.
-    pub fn serve(self, listener: TcpListener, identity: Identity, log: Logger) {
+    pub fn serve(
+        self,
+        listener: TcpListener,
+        identity: Identity,
+        supervisor: &Supervisor,
+        log: Logger,
+    ) {
         let connections = Arc::new(Semaphore::new(MAX_PEER_CONNECTIONS));
-        tokio::spawn(async move {
+        supervisor.spawn(TaskName::ConfigurationReads, async move {
             loop {
                 let (stream, _) = web::accept(&listener, &log).await;
                 let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
@@ -120,10 +127,11 @@
     identity: Identity,
     gossip: Gossip,
     config: Config,
-    mut stop: watch::Receiver<bool>,
+    supervisor: &Supervisor,
     log: Logger,
 ) {
-    tokio::spawn(async move {
+    let mut stop = supervisor.stop();
+    supervisor.spawn(TaskName::ConfigurationFetch, async move {
         let mut behind_checks = 0;
         loop {
             tokio::select! {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,8 +1,8 @@
 //! Common parts of the daemons: runtime, signal handling and exit codes.
 
-use std::{error::Error, process};
+use std::{error::Error, panic, process};
 
-use slog::{Logger, info};
+use slog::{Logger, error, info};
 use tokio::{
     runtime::{Builder, Runtime},
     signal::unix::{SignalKind, signal},
@@ -64,6 +64,7 @@
     F: Future<Output = Result<(), E>>,
     E: Error + 'static,
 {
+    log_panics(log.clone());
     runtime.block_on(async {
         let (tx, stop) = watch::channel(false);
         let mut terminate = signal(SignalKind::terminate())?;
@@ -84,6 +85,18 @@
     })
 }
 
+/// Lets each panic leave a log line. What a panic ends, apart from one request or connection, the
+/// supervisor decides.
+fn log_panics(log: Logger) {
+    panic::set_hook(Box::new(move |info| {
+        let payload = info.payload();
+        let message = payload.downcast_ref::<&str>().copied();
+        let message = message.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+        error!(log, "panic"; "event" => "panic", "message" => message,
+            "location" => info.location().map(ToString::to_string));
+    }));
+}
+
 /// Prints the error of a program, if any, and returns its exit code.
 pub fn report(result: Result<ExitCode, Box<dyn Error>>) -> process::ExitCode {
     match result {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -24,7 +24,10 @@
     time,
 };
 
-use crate::clock::BootClock;
+use crate::{
+    clock::BootClock,
+    supervisor::{Supervisor, TaskName},
+};
 
 /// Maximum number of commands in the task's queue, including those reserved for the end of each
 /// request.
@@ -70,13 +73,14 @@
         rooms: watch::Receiver<Vec<ServiceRoom>>,
         limits: QueueLimits,
         clock: BootClock,
+        supervisor: &Supervisor,
     ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let task = Task {
             dispatcher: Dispatcher::new(limits),
             clock,
         };
-        tokio::spawn(task.run(rx, rooms));
+        supervisor.spawn(TaskName::Dispatch, task.run(rx, rooms));
         Self {
             tx,
             next_id: Arc::default(),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,7 +8,7 @@
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::watch,
     time::{self, timeout},
 };
@@ -31,6 +31,7 @@
     settings::{self, CallerConfig, EntryConfig, MachineLimits},
     stop::{StopPhases, StopTimes},
     store::StoreClient,
+    supervisor::{Supervisor, TaskName},
     usage::{
         counting::UsageCounter,
         duty::{self, DutyHandle, DutyTask},
@@ -61,7 +62,7 @@
 /// Interval between checks of the settings file, which may change without a SIGHUP.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Error that ends the router, or the task that watches its settings file.
+/// Error that ends the router.
 #[derive(Debug, Snafu)]
 pub enum EntryError {
     /// Binding a listening socket failed.
@@ -78,6 +79,12 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// A task that the router needs has ended.
+    #[snafu(display("the task {task} has ended; see the log for the cause"))]
+    TaskEnded {
+        /// The task.
+        task: TaskName,
+    },
 }
 
 /// Runs the router until `stop` becomes true and the open requests have ended, or the grace period
@@ -85,16 +92,35 @@
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be bound.
+/// Returns an error if an address cannot be bound, or a task that the router needs has ended.
 pub async fn run(
     cfg: EntryConfig,
     path: PathBuf,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     log: Logger,
 ) -> Result<(), EntryError> {
+    let metrics = Metrics::new();
+    let supervisor = Supervisor::new(stop, metrics.ended_tasks.clone(), log.clone());
+    run_supervised(cfg, path, metrics, supervisor, log).await
+}
+
+/// Like [`run`], with tasks that `supervisor` watches, until it stops the router.
+///
+/// # Errors
+///
+/// Returns an error like [`run`].
+pub async fn run_supervised(
+    cfg: EntryConfig,
+    path: PathBuf,
+    metrics: Metrics,
+    supervisor: Supervisor,
+    log: Logger,
+) -> Result<(), EntryError> {
+    let mut stop = supervisor.stop();
     info!(log, "started"; "event" => "start", "name" => %cfg.name, "zone" => %cfg.zone,
         "version" => env!("CARGO_PKG_VERSION"));
-    let (tasks, access) = Tasks::start(&cfg, &log);
+    let hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
+    let (tasks, access) = Tasks::start(&cfg, metrics, &supervisor, &log);
     let (entered_tx, entered) = watch::channel(false);
     let listener = listen(cfg.listen).await?;
     let ready = listen(cfg.ready).await?;
@@ -106,18 +132,19 @@
         started_at: BootClock.now(),
         stop: stop.clone(),
     };
-    monitoring::serve_readiness(ready, readiness, guard.clone(), log.clone());
+    monitoring::serve_readiness(ready, readiness, guard.clone(), &supervisor, log.clone());
     let pages = tasks.pages(&cfg, tasks.start_duty(&cfg, &stop));
-    monitoring::serve_monitoring(monitoring, pages, guard.clone(), log.clone());
+    monitoring::serve_monitoring(monitoring, pages, guard.clone(), &supervisor, log.clone());
     tasks.start_reports(&cfg, access, entered_tx, stop.clone());
-    tokio::spawn(watch_settings(cfg.clone(), path, log.clone()));
+    let settings = watch_settings(hangup, cfg.clone(), path, log.clone());
+    supervisor.spawn(TaskName::Settings, settings);
     let limits = limits(&tasks.store_state, cfg.machine, cfg.callers);
     let grace = cfg.grace.saturating_sub(EXIT_MARGIN);
     let times = StopTimes {
         refuse_after: ACCEPT_AFTER_STOP,
         end_after: grace,
     };
-    let phases = StopPhases::start(stop.clone(), times, log.clone());
+    let phases = StopPhases::start(stop.clone(), times, &supervisor, log.clone());
     let memory = guard.memory.clone();
     let intake = Shared::new(Intake {
         bodies: RequestBodies::new(memory, BODY_COPIES, cfg.callers, phases.clone()),
@@ -130,7 +157,7 @@
     let serving = web::serve(listener, handler, limits, guard, stop.clone(), log.clone());
     tokio::pin!(serving);
     tokio::select! {
-        () = &mut serving => return Ok(()),
+        () = &mut serving => return result(&supervisor),
         _ = stop.wait_for(|stop| *stop) => {}
     }
     info!(log, "stopping"; "event" => "stop");
@@ -140,7 +167,15 @@
             "event" => "stop_cut");
     }
     info!(log, "stopped"; "event" => "stopped", "cut" => cut);
-    Ok(())
+    result(&supervisor)
+}
+
+/// Result of a router that has stopped.
+fn result(supervisor: &Supervisor) -> Result<(), EntryError> {
+    match supervisor.ended() {
+        Some(task) => TaskEndedSnafu { task }.fail(),
+        None => Ok(()),
+    }
 }
 
 /// Handles of the tasks that requests and the pages for monitoring share.
@@ -152,17 +187,22 @@
     /// Counts requests; `None` if usage is not reported.
     counter: Option<UsageCounter>,
     metrics: Metrics,
+    supervisor: Supervisor,
     log: Logger,
 }
 
 impl Tasks {
     /// Starts the tasks. The access to the other routers goes through the returned channel once it
     /// is known.
-    fn start(cfg: &EntryConfig, log: &Logger) -> (Self, watch::Sender<Option<PeerAccess>>) {
-        let metrics = Metrics::new();
+    fn start(
+        cfg: &EntryConfig,
+        metrics: Metrics,
+        supervisor: &Supervisor,
+        log: &Logger,
+    ) -> (Self, watch::Sender<Option<PeerAccess>>) {
         let mut selector = TargetSelector::new(cfg.zone.clone(), cfg.retry);
         selector.await_fleet(BootClock.now());
-        let selector = SelectorHandle::start(selector, BootClock, log.clone());
+        let selector = SelectorHandle::start(selector, BootClock, supervisor, log.clone());
         // Without capacities, every request is admitted.
         let (_unlimited, no_rooms) = watch::channel(Vec::new());
         let rooms = if cfg.dispatch {
@@ -170,13 +210,20 @@
         } else {
             no_rooms
         };
-        let dispatch = DispatchHandle::start(rooms, QueueLimits::default(), BootClock);
+        let dispatch = DispatchHandle::start(rooms, QueueLimits::default(), BootClock, supervisor);
         let store = StoreClient::new(cfg.store, metrics.entry.clone());
         let (access_tx, access) = watch::channel(None);
         let counter = cfg.usage.as_ref().map(|usage| {
             let counting = metrics.entry.counting.clone();
             let (name, access) = (cfg.name.clone(), access.clone());
-            UsageCounter::start(name, usage.window, access, counting, log.clone())
+            UsageCounter::start(
+                name,
+                usage.window,
+                access,
+                counting,
+                supervisor,
+                log.clone(),
+            )
         });
         let store_state = follow::start(
             store.clone(),
@@ -184,6 +231,7 @@
             access,
             (cfg.orders, cfg.drain),
             metrics.clone(),
+            supervisor,
             log.clone(),
         );
         let tasks = Self {
@@ -193,6 +241,7 @@
             store_state,
             counter,
             metrics,
+            supervisor: supervisor.clone(),
             log: log.clone(),
         };
         (tasks, access_tx)
@@ -207,6 +256,7 @@
             store: self.store.clone(),
             counter: self.counter.clone()?,
             meters: self.metrics.entry.clone(),
+            supervisor: self.supervisor.clone(),
             log: self.log.clone(),
         };
         Some(duty::start(task, stop.clone()))
@@ -238,6 +288,7 @@
             self.store.clone(),
             self.selector.clone(),
             self.metrics.entry.clone(),
+            &self.supervisor,
             self.log.clone(),
         );
         peering::start(
@@ -253,6 +304,7 @@
                 usage: self.counter.clone(),
                 access,
                 entered,
+                supervisor: self.supervisor.clone(),
                 metrics: self.metrics.clone(),
                 log: self.log.clone(),
             },
@@ -306,12 +358,7 @@
 
 /// Reads the settings file again on SIGHUP and at regular intervals, and logs whether it has
 /// changed. Changes take effect at the next start.
-async fn watch_settings(
-    mut cfg: EntryConfig,
-    path: PathBuf,
-    log: Logger,
-) -> Result<(), EntryError> {
-    let mut hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
+async fn watch_settings(mut hangup: Signal, mut cfg: EntryConfig, path: PathBuf, log: Logger) {
     loop {
         let signalled = tokio::select! {
             _ = hangup.recv() => true,
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -29,6 +29,7 @@
     neighbours::{Mirrors, PeerAccess, PeerReader},
     selection::SelectorHandle,
     store::{StoreClient, StoreError},
+    supervisor::{Supervisor, TaskName},
 };
 use fetch::FetchState;
 use orders::OrderTask;
@@ -74,6 +75,7 @@
     access: watch::Receiver<Option<PeerAccess>>,
     (orders, drain): (OrderBounds, Duration),
     metrics: Metrics,
+    supervisor: &Supervisor,
     log: Logger,
 ) -> StoreState {
     let (desired_tx, desired) = watch::channel(None);
@@ -84,7 +86,8 @@
     let (target_mirror, target_records) = watch::channel(Mirror::default());
     let times = FollowTimes::new(orders);
     let fetch = FetchState::default();
-    fetch.report_lateness(lease.clone(), orders.apply, log.clone());
+    let lateness = fetch.report_lateness(lease.clone(), orders.apply, log.clone());
+    supervisor.spawn(TaskName::OrderAge, lateness);
     let order_task = OrderTask {
         store: store.clone(),
         times,
@@ -109,7 +112,7 @@
         fetch,
         log: log.clone(),
     };
-    tokio::spawn(order_task.run());
+    supervisor.spawn(TaskName::Orders, order_task.run());
     let target_task = TargetTask {
         store,
         selector,
@@ -121,7 +124,7 @@
         mirror: target_mirror,
         peers: PeerReader::new(Stream::Targets, access, metrics.entry, log),
     };
-    tokio::spawn(target_task.run());
+    supervisor.spawn(TaskName::Targets, target_task.run());
     StoreState {
         desired,
         lease,
--- a/src/follow/fetch.rs
+++ b/src/follow/fetch.rs
@@ -78,15 +78,15 @@
         });
     }
 
-    /// Starts the task that logs while the orders are not confirmed within `bound`, and why.
+    /// Returns the task that logs while the orders are not confirmed within `bound`, and why.
     pub(super) fn report_lateness(
         &self,
         lease: watch::Receiver<Lease>,
         bound: Duration,
         log: Logger,
-    ) {
+    ) -> impl Future<Output = ()> + Send + use<> {
         let fetch = self.0.subscribe();
-        tokio::spawn(async move {
+        async move {
             let mut lateness = Lateness::new(bound, BootClock.now());
             let mut ticks = time::interval(CHECK_INTERVAL);
             ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -98,7 +98,7 @@
                     log_report(report, &fetch.borrow(), now, &log);
                 }
             }
-        });
+        }
     }
 }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -27,6 +27,7 @@
     clock::{self, Clock},
     link::Identity,
     metrics::Metrics,
+    supervisor::{Supervisor, TaskName},
     view::{View, Views},
 };
 
@@ -96,6 +97,7 @@
         socket: UdpSocket,
         views: Views,
         metrics: Metrics,
+        supervisor: &Supervisor,
         log: Logger,
     ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
@@ -128,7 +130,7 @@
             metrics,
             log,
         };
-        tokio::spawn(task.run(rx, views));
+        supervisor.spawn(TaskName::Gossip, task.run(rx, views));
         Self {
             tx,
             membership,
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -8,6 +8,8 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
+use crate::supervisor::{Supervisor, TaskName};
+
 /// Capacity of the task's command channel.
 const QUEUE_LEN: usize = 4096;
 /// Claims kept in the table, which takes about 3 MB. At 100 orders/s for one target they cover
@@ -37,9 +39,10 @@
 impl GuardHandle {
     /// Starts the task for an agent with this incarnation. The task ends when the last handle is
     /// dropped.
-    pub fn start(incarnation: Incarnation) -> Self {
+    pub fn start(incarnation: Incarnation, supervisor: &Supervisor) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
-        tokio::spawn(run(guard::ClaimGuard::new(incarnation, MAX_CLAIMS), rx));
+        let claims = guard::ClaimGuard::new(incarnation, MAX_CLAIMS);
+        supervisor.spawn(TaskName::Guard, run(claims, rx));
         Self(tx)
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod stop;
 pub mod store;
 pub mod streaming;
+pub mod supervisor;
 mod trace;
 pub mod upstream;
 pub mod usage;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,7 +8,9 @@
     registry::Registry,
 };
 
-use crate::{callers::CallerMetrics, meters::EntryMetrics, reader::RejectCounts};
+use crate::{
+    callers::CallerMetrics, meters::EntryMetrics, reader::RejectCounts, supervisor::EndedTasks,
+};
 
 /// Histogram buckets of the delay until a configuration is in force, in seconds, dense round the
 /// goal of 3 s and the bound of 8 s.
@@ -52,6 +54,8 @@
     pub configuration_offset: Gauge,
     /// 1 while the log ends before records that were read from it.
     pub log_reset: Gauge,
+    /// Tasks that ended although the process needs them.
+    pub ended_tasks: EndedTasks,
     /// Metrics that only entry routers set.
     pub entry: EntryMetrics,
     /// Metrics of the limits on callers.
@@ -112,10 +116,17 @@
         let gossip_received = counter(&mut registry, "gossip_received_bytes", help);
         let help = "Datagrams that did not verify";
         let gossip_dropped = counter(&mut registry, "gossip_dropped", help);
+        let ended_tasks = EndedTasks::default();
+        registry.register(
+            "tasks_ended",
+            "Tasks that ended although the process needs them",
+            ended_tasks.clone(),
+        );
         let entry = EntryMetrics::register(&mut registry);
         let callers = CallerMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
+            ended_tasks,
             entry,
             callers,
             gossip_sent,
--- a/src/monitoring.rs
+++ b/src/monitoring.rs
@@ -21,6 +21,7 @@
     follow::StoreState,
     metrics::Metrics,
     selection::SelectorHandle,
+    supervisor::{Supervisor, TaskName},
     usage::{
         counting::{CountingState, UsageCounter},
         duty::DutyHandle,
@@ -49,7 +50,7 @@
     pub entered: watch::Receiver<bool>,
     /// When the process started.
     pub started_at: Time,
-    /// Whether the process is stopping.
+    /// Whether the process is stopping, on a signal or since a task that it needs has ended.
     pub stop: watch::Receiver<bool>,
 }
 
@@ -73,10 +74,11 @@
     listener: TcpListener,
     readiness: Readiness,
     guard: CallerGuard,
+    supervisor: &Supervisor,
     log: Logger,
 ) {
     let shared = Shared::new(readiness);
-    serve_pages(listener, guard, log, move |_uri| {
+    let pages = serve_pages(listener, guard, log, move |_uri| {
         let readiness = shared.clone().into_inner();
         let mut res = Response::new(web::full_body(""));
         if !readiness.is_ready(BootClock.now()) {
@@ -84,6 +86,7 @@
         }
         std::future::ready(res)
     });
+    supervisor.spawn(TaskName::Readiness, pages);
 }
 
 /// State that is served to monitoring.
@@ -189,10 +192,11 @@
     listener: TcpListener,
     monitoring: Monitoring,
     guard: CallerGuard,
+    supervisor: &Supervisor,
     log: Logger,
 ) {
     let shared = Shared::new(monitoring);
-    serve_pages(listener, guard, log, move |uri| {
+    let pages = serve_pages(listener, guard, log, move |uri| {
         let monitoring = shared.clone().into_inner();
         async move {
             if uri.path() == DUMP_PATH {
@@ -202,10 +206,11 @@
             }
         }
     });
+    supervisor.spawn(TaskName::Monitoring, pages);
 }
 
 /// Serves `page` for every request until the process ends.
-fn serve_pages<P>(
+async fn serve_pages<P>(
     listener: TcpListener,
     guard: CallerGuard,
     log: Logger,
@@ -220,10 +225,8 @@
             Box::pin(async move { Ok((state, res.await)) }) as Pin<Box<HandlerFuture>>
         })
     };
-    tokio::spawn(async move {
-        // The sender stays alive, so that the pages are served until the process exits.
-        let (_never, running) = watch::channel(false);
-        let limits = ConnectionLimits::small;
-        web::serve(listener, handler, limits, guard, running, log).await;
-    });
+    // The sender stays alive, so that the pages are served until the process exits.
+    let (_never, running) = watch::channel(false);
+    let limits = ConnectionLimits::small;
+    web::serve(listener, handler, limits, guard, running, log).await;
 }
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -24,7 +24,7 @@
 use tokio::{
     net::TcpStream,
     sync::{Semaphore, watch},
-    time::timeout,
+    time::{self, timeout},
 };
 
 use crate::{
@@ -56,6 +56,8 @@
 /// The same for a read that waits. A follower can get longer records from the store; sending them to
 /// all followers would hold up the requests of a reader's own callers.
 const MAX_FOLLOW_BYTES: usize = 32 << 10;
+/// Pause before the next try to listen for other routers.
+const BIND_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The same after an exchange of counts, which a quiet router makes only once in each window.
@@ -302,12 +304,14 @@
 /// Serves reads and counts of other routers until the process ends. `usage` is `None` if usage is not
 /// reported.
 pub async fn serve(access: PeerAccess, mirrors: Mirrors, usage: Option<UsageCounter>, log: Logger) {
-    let listener = match web::bind(access.own_address).await {
-        Ok(listener) => listener,
-        Err(error) => {
-            warn!(log, "cannot listen for reads from other routers"; "event" => "exchange_socket",
-                "address" => access.own_address, "error" => %error);
-            return;
+    let listener = loop {
+        match web::bind(access.own_address).await {
+            Ok(listener) => break listener,
+            Err(error) => {
+                warn!(log, "cannot listen for reads from other routers; retrying";
+                    "event" => "exchange_socket", "address" => access.own_address, "error" => %error);
+                time::sleep(BIND_RETRY_PAUSE).await;
+            }
         }
     };
     let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -21,6 +21,7 @@
     clock::Clock,
     engine::{Backend, ModelAnswer},
     platform::{LogRecord, Platform, PlatformError},
+    supervisor::{Supervisor, TaskName},
     view::Views,
 };
 
@@ -81,6 +82,8 @@
     pub views: Views,
     /// Clock that times retries and pauses.
     pub clock: Clock,
+    /// Watches the task.
+    pub supervisor: Supervisor,
     /// Logger of the process.
     pub log: Logger,
 }
@@ -89,7 +92,8 @@
     /// Starts the task; the returned handle follows the engine's model status.
     pub fn start(self) -> LoadedModel {
         let (tx, rx) = watch::channel(None);
-        tokio::spawn(self.run(tx));
+        let supervisor = self.supervisor.clone();
+        supervisor.spawn(TaskName::ModelOrders, self.run(tx));
         LoadedModel(rx)
     }
 
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -40,6 +40,7 @@
     roster::{self, KeyBytes, Registration, RosterEvent, RosterHandle, RouterRecords},
     selection::{CrashAttribution, PartReport, RouterReport, SelectorHandle, Update},
     store::StoreClient,
+    supervisor::{Supervisor, TaskName},
     usage::counting::UsageCounter,
     view,
 };
@@ -77,6 +78,8 @@
     pub access: watch::Sender<Option<PeerAccess>>,
     /// Becomes true when the router may take requests, as far as the other routers are concerned.
     pub entered: watch::Sender<bool>,
+    /// Watches the tasks that are started.
+    pub supervisor: Supervisor,
     /// Metrics of this process.
     pub metrics: Metrics,
     /// Logger of this process.
@@ -86,7 +89,8 @@
 /// Starts the task that gossips with the other routers. When `stop` becomes true, the task
 /// announces that the process is leaving.
 pub fn start(peering: Peering, stop: watch::Receiver<bool>) {
-    tokio::spawn(peering.run(stop));
+    let supervisor = peering.supervisor.clone();
+    supervisor.spawn(TaskName::Peering, peering.run(stop));
 }
 
 impl Peering {
@@ -109,15 +113,16 @@
             gossip: gossip.clone(),
             own_address: self.address,
         };
-        tokio::spawn(neighbours::serve(
+        let reads = neighbours::serve(
             access.clone(),
             self.mirrors.clone(),
             self.usage.clone(),
             self.log.clone(),
-        ));
+        );
+        self.supervisor.spawn(TaskName::PeerReads, reads);
         self.access.send_replace(Some(access));
         let leaving = gossip.clone();
-        tokio::spawn(async move {
+        self.supervisor.spawn(TaskName::Leave, async move {
             if stop.wait_for(|stop| *stop).await.is_ok() {
                 leaving.leave().await;
             }
@@ -179,6 +184,7 @@
             name: self.name.clone(),
             started,
             relist_after,
+            supervisor: self.supervisor.clone(),
             log: self.log.clone(),
         };
         // A router that the others count may use its part before gossip arrives.
@@ -304,7 +310,7 @@
         if known.is_some() && era > known {
             roster.rewrite();
             let (store, log) = (self.store.clone(), self.log.clone());
-            tokio::spawn(async move {
+            self.supervisor.spawn_job(TaskName::Peering, async move {
                 let records = roster::read_or_create(&store, key, &log).await;
                 if records.key != key {
                     warn!(log, "another exchange key is in the store; routers that started after its \
@@ -337,7 +343,15 @@
         };
         // An entry router has no configuration document to apply: its targets come from the store.
         let (_, views) = watch::channel(None);
-        Gossip::start(local, socket, views, self.metrics.clone(), self.log.clone())
+        let metrics = self.metrics.clone();
+        Gossip::start(
+            local,
+            socket,
+            views,
+            metrics,
+            &self.supervisor,
+            self.log.clone(),
+        )
     }
 }
 
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -6,10 +6,7 @@
 use ebonyfall_core::{id::Incarnation, peer::Role};
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
-use tokio::{
-    net::{TcpListener, UdpSocket},
-    sync::watch,
-};
+use tokio::net::{TcpListener, UdpSocket};
 
 use crate::{
     control::{self, ControlServer},
@@ -18,6 +15,7 @@
     metrics::Metrics,
     platform::Platform,
     settings::CommonConfig,
+    supervisor::Supervisor,
     view::Config,
     vms,
 };
@@ -50,8 +48,8 @@
     pub platform: Platform,
     /// Counters of gossip traffic.
     pub metrics: Metrics,
-    /// Turns true when the process shuts down; stops fetching from peers.
-    pub stop: watch::Receiver<bool>,
+    /// Watches the started tasks.
+    pub supervisor: &'c Supervisor,
     /// Logger of the started tasks.
     pub log: Logger,
 }
@@ -81,7 +79,7 @@
         config,
         platform,
         metrics,
-        stop,
+        supervisor,
         log,
     } = params;
     let identity = Identity {
@@ -100,7 +98,8 @@
     let socket = UdpSocket::bind(address)
         .await
         .context(JoinSnafu { address })?;
-    let gossip = Gossip::start(local, socket, config.views().clone(), metrics, log.clone());
+    let views = config.views().clone();
+    let gossip = Gossip::start(local, socket, views, metrics, supervisor, log.clone());
     let control = ControlServer::new(config.clone());
     // On `listen`, agents answer peers as well as requests, while routers serve callers' HTTP. A
     // separate listener is needed only if the address for other processes is not `listen`.
@@ -110,10 +109,10 @@
             .context(JoinSnafu { address })?;
         control
             .clone()
-            .serve(listener, identity.clone(), log.clone());
+            .serve(listener, identity.clone(), supervisor, log.clone());
     }
-    vms::start(platform, gossip.clone(), log.clone());
-    control::fetch_newer(identity.clone(), gossip.clone(), config, stop, log);
+    vms::start(platform, gossip.clone(), supervisor, log.clone());
+    control::fetch_newer(identity.clone(), gossip.clone(), config, supervisor, log);
     Ok(Joined {
         identity,
         gossip,
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -31,6 +31,7 @@
 use crate::{
     clock::Clock,
     gossip::Gossip,
+    supervisor::{Supervisor, TaskName},
     view::{Pool, View, Views},
 };
 
@@ -149,7 +150,7 @@
 
 impl Picker {
     /// Starts the task, which ends when the last handle is dropped.
-    pub fn start(views: Views, clock: Clock, gossip: Gossip) -> Self {
+    pub fn start(views: Views, clock: Clock, gossip: Gossip, supervisor: &Supervisor) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let task = Task {
             views,
@@ -161,8 +162,9 @@
             clock,
             // A weak sender, because a strong one would keep the task's own queue open.
             tx: tx.downgrade(),
+            supervisor: supervisor.clone(),
         };
-        tokio::spawn(run(task, rx));
+        supervisor.spawn(TaskName::Picker, run(task, rx));
         Self { tx, gossip }
     }
 
@@ -253,6 +255,7 @@
     building: HashSet<Pool>,
     clock: Clock,
     tx: mpsc::WeakSender<Command>,
+    supervisor: Supervisor,
 }
 
 async fn run(mut task: Task, mut rx: mpsc::Receiver<Command>) {
@@ -371,9 +374,10 @@
                 .or_insert_with(|| Placement::new(multiple));
             if let Some(build) = placement.prepare_build(&members, &self.zones, now) {
                 if let (true, Some(tx)) = (self.building.insert(pool.clone()), self.tx.upgrade()) {
-                    spawn_blocking(move || {
-                        let table = Box::new(build.run());
-                        let _ended = tx.blocking_send(Command::Built { pool, table });
+                    self.supervisor.spawn_job(TaskName::Picker, async move {
+                        let built = spawn_blocking(move || Box::new(build.run())).await;
+                        let table = built.expect("a build of a table does not panic");
+                        let _ended = tx.send(Command::Built { pool, table }).await;
                     });
                 }
                 continue;
--- a/src/pointers.rs
+++ b/src/pointers.rs
@@ -7,7 +7,10 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-use crate::clock::Clock;
+use crate::{
+    clock::Clock,
+    supervisor::{Supervisor, TaskName},
+};
 
 /// Capacity of the task's command channel.
 const QUEUE_LEN: usize = 1024;
@@ -41,9 +44,9 @@
 
 impl PointerHandle {
     /// Starts the task, which ends when the last handle is dropped.
-    pub fn start(clock: Clock) -> Self {
+    pub fn start(clock: Clock, supervisor: &Supervisor) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
-        tokio::spawn(run(clock, rx));
+        supervisor.spawn(TaskName::Pointers, run(clock, rx));
         Self(tx)
     }
 
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -11,7 +11,10 @@
     time::{MissedTickBehavior, interval},
 };
 
-use crate::link::Link;
+use crate::{
+    link::Link,
+    supervisor::{Supervisor, TaskName},
+};
 
 /// Idle connections kept per agent; further ones are closed.
 const MAX_IDLE_PER_AGENT: usize = 64;
@@ -38,9 +41,9 @@
 
 impl LinkPool {
     /// Starts the pool's task, which ends when the last handle is dropped.
-    pub fn start() -> Self {
+    pub fn start(supervisor: &Supervisor) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
-        tokio::spawn(run(rx));
+        supervisor.spawn(TaskName::Links, run(rx));
         Self(tx)
     }
 
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -5,15 +5,21 @@
 use ebonyfall_core::dissemination::{Item, ItemKey, Value};
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::{clock, gossip::Gossip, retrier::Retrier, view::Views};
+use crate::{
+    clock,
+    gossip::Gossip,
+    retrier::Retrier,
+    supervisor::{Supervisor, TaskName},
+    view::Views,
+};
 
 /// Time between synchronizations.
 const SYNC_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Starts a task that publishes this router's quarantines by gossip and passes those that gossip
 /// received to `retrier`, at each interval.
-pub fn start(gossip: Gossip, retrier: Retrier, views: Views) {
-    tokio::spawn(async move {
+pub fn start(gossip: Gossip, retrier: Retrier, views: Views, supervisor: &Supervisor) {
+    supervisor.spawn(TaskName::Quarantine, async move {
         let mut ticks = interval(SYNC_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
--- a/src/report.rs
+++ b/src/report.rs
@@ -25,6 +25,7 @@
     meters::EntryMetrics,
     selection::{SelectorHandle, Update},
     store::{Listing, StoreClient, StoreError},
+    supervisor::{Supervisor, TaskName},
 };
 
 /// Interval between checks for progress that has to be recorded.
@@ -33,7 +34,13 @@
 const READ_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Starts the task, which runs until the process ends.
-pub fn start(store: StoreClient, selector: SelectorHandle, meters: EntryMetrics, log: Logger) {
+pub fn start(
+    store: StoreClient,
+    selector: SelectorHandle,
+    meters: EntryMetrics,
+    supervisor: &Supervisor,
+    log: Logger,
+) {
     let task = Task {
         store,
         selector,
@@ -41,7 +48,7 @@
         log,
         reports: HashMap::new(),
     };
-    tokio::spawn(task.run());
+    supervisor.spawn(TaskName::MoveReports, task.run());
 }
 
 struct Task {
--- a/src/retrier.rs
+++ b/src/retrier.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     clock,
+    supervisor::{Supervisor, TaskName},
     view::{Pool, Views},
 };
 
@@ -89,6 +90,7 @@
     pub fn start(
         views: Views,
         membership: watch::Receiver<Arc<MembershipView>>,
+        supervisor: &Supervisor,
         log: Logger,
     ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
@@ -99,8 +101,9 @@
             avoided: HashMap::new(),
             quarantined: HashSet::new(),
         };
-        tokio::spawn(task.run(rx));
-        tokio::spawn(add_reserve(membership, tx.downgrade(), log));
+        supervisor.spawn(TaskName::Retrier, task.run(rx));
+        let reserve = add_reserve(membership, tx.downgrade(), log);
+        supervisor.spawn_job(TaskName::RetryReserve, reserve);
         Self(tx)
     }
 
--- a/src/rollouts.rs
+++ b/src/rollouts.rs
@@ -28,6 +28,7 @@
     clock,
     gossip::Gossip,
     platform::{Platform, PlatformError},
+    supervisor::{Supervisor, TaskName},
     view::{View, Views},
 };
 
@@ -149,7 +150,13 @@
 
 impl Rollouts {
     /// Starts the task, which ends when the last handle is dropped.
-    pub fn start(views: Views, gossip: Gossip, platform: Platform, log: Logger) -> Self {
+    pub fn start(
+        views: Views,
+        gossip: Gossip,
+        platform: Platform,
+        supervisor: &Supervisor,
+        log: Logger,
+    ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let (splits_tx, splits) = watch::channel(Arc::default());
         let task = Task {
@@ -164,7 +171,7 @@
             unwritten: Vec::new(),
             crashes: HashMap::new(),
         };
-        tokio::spawn(task.run(rx));
+        supervisor.spawn(TaskName::Rollouts, task.run(rx));
         Self { tx, splits }
     }
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -23,6 +23,7 @@
 use crate::{
     clock,
     store::{Listing, StoreClient, StoreError},
+    supervisor::{Supervisor, TaskName},
 };
 
 /// Delay after a failed attempt to get the exchange key.
@@ -122,6 +123,7 @@
     pub(crate) started: Duration,
     /// Time after the record is written at which the roster is read once more; `None` if it is not.
     pub(crate) relist_after: Option<Duration>,
+    pub(crate) supervisor: Supervisor,
     pub(crate) log: Logger,
 }
 
@@ -163,7 +165,8 @@
     pub(crate) fn start(self) -> RosterHandle {
         let (event_tx, events) = mpsc::channel(1);
         let (rewrites, rewrite_rx) = mpsc::channel(1);
-        tokio::spawn(self.run(event_tx, rewrite_rx));
+        let supervisor = self.supervisor.clone();
+        supervisor.spawn(TaskName::Roster, self.run(event_tx, rewrite_rx));
         RosterHandle { events, rewrites }
     }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -30,7 +30,8 @@
     rollouts::Rollouts,
     settings::{CallerConfig, MachineLimits, RouterConfig},
     stop::{StopPhases, StopTimes},
-    view,
+    supervisor::{Supervisor, TaskName},
+    view::{self, Views},
     web::{self, ConnectionLimits},
 };
 
@@ -66,6 +67,12 @@
         /// Number of requests without a complete answer.
         left: i64,
     },
+    /// A task that the router needs has ended.
+    #[snafu(display("the task {task} has ended; see the log for the cause"))]
+    TaskEnded {
+        /// The task.
+        task: TaskName,
+    },
 }
 
 /// Runs a router until `stop` turns true and its requests have ended or the drain time has run
@@ -73,19 +80,36 @@
 ///
 /// # Errors
 ///
-/// Fails when an address cannot be bound, or when requests are still open after the drain time.
+/// Fails when an address cannot be bound, when requests are still open after the drain time, or when a
+/// task that the router needs has ended.
 pub async fn run(
     cfg: RouterConfig,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     log: Logger,
 ) -> Result<(), RouterError> {
+    let metrics = Metrics::new();
+    let supervisor = Supervisor::new(stop, metrics.ended_tasks.clone(), log.clone());
+    serve(cfg, metrics, &supervisor, log).await?;
+    match supervisor.ended() {
+        Some(task) => TaskEndedSnafu { task }.fail(),
+        None => Ok(()),
+    }
+}
+
+async fn serve(
+    cfg: RouterConfig,
+    metrics: Metrics,
+    supervisor: &Supervisor,
+    log: Logger,
+) -> Result<(), RouterError> {
+    let mut stop = supervisor.stop();
     let incarnation = view::incarnation(clock::unix_time());
     let platform = Platform::new(&cfg.common.platform);
-    let metrics = Metrics::new();
     let config = view::start(
         platform.clone(),
         &cfg.common.name,
         metrics.clone(),
+        supervisor,
         log.clone(),
     );
     let views = config.views().clone();
@@ -99,19 +123,19 @@
         config: config.clone(),
         platform: platform.clone(),
         metrics: metrics.clone(),
-        stop: stop.clone(),
+        supervisor,
         log: log.clone(),
     })
     .await
     .context(JoinSnafu)?;
-    let rollouts = Rollouts::start(views.clone(), gossip.clone(), platform.clone(), log.clone());
+    let rollouts = start_rollouts(&views, &gossip, &platform, supervisor, &log);
     let guard = CallerGuard::new(cfg.machine.memory, &metrics.callers);
     let admin = Admin::new("router", &cfg.common, incarnation, config, metrics.clone())
         .with_config_api(platform.clone(), cfg.processes)
         .with_guard(guard.clone());
     let address = cfg.common.admin;
     with_dumps(admin, &gossip, &rollouts)
-        .start(address, stop.clone(), log.clone())
+        .start(address, supervisor, log.clone())
         .await
         .context(ListenSnafu { address })?;
     // `wait_for` marks the value as seen, so it runs on a clone: the tasks below must see the first
@@ -123,7 +147,7 @@
         _ = ready.wait_for(Option::is_some) => {}
         _ = stop.wait_for(|stop| *stop) => return Ok(()),
     }
-    let picker = Picker::start(views.clone(), Clock::start(), gossip.clone());
+    let picker = Picker::start(views.clone(), Clock::start(), gossip.clone(), supervisor);
     let open = metrics.open.clone();
     // An empty list of live routers makes each router append its own claims.
     let (_peers, peers) = watch::channel([].into());
@@ -132,11 +156,12 @@
         platform,
         views.clone(),
         peers,
+        supervisor,
         log.clone(),
     );
-    let retrier = Retrier::start(views.clone(), gossip.membership(), log.clone());
-    quarantine::start(gossip.clone(), retrier.clone(), views.clone());
-    let phases = StopPhases::start(stop.clone(), stop_times(cfg.common.drain), log.clone());
+    let retrier = start_retrier(&views, &gossip, supervisor, &log);
+    let times = stop_times(cfg.common.drain);
+    let phases = StopPhases::start(stop.clone(), times, supervisor, log.clone());
     let memory = guard.memory.clone();
     let bodies = RequestBodies::new(memory, BODY_COPIES, cfg.callers, phases.clone());
     let (end, ended) = watch::channel(false);
@@ -147,7 +172,7 @@
         claims,
         views: views.clone(),
         picker,
-        links: LinkPool::start(),
+        links: LinkPool::start(supervisor),
         buffers: AnswerBuffers::new(guard.memory.clone()),
         retrier,
         rollouts,
@@ -182,6 +207,25 @@
     UnfinishedSnafu { left }.fail()
 }
 
+fn start_rollouts(
+    views: &Views,
+    gossip: &Gossip,
+    platform: &Platform,
+    supervisor: &Supervisor,
+    log: &Logger,
+) -> Rollouts {
+    let (views, gossip) = (views.clone(), gossip.clone());
+    Rollouts::start(views, gossip, platform.clone(), supervisor, log.clone())
+}
+
+/// Starts the task that owns the retry budget, and the one that passes quarantined requests to it.
+fn start_retrier(views: &Views, gossip: &Gossip, supervisor: &Supervisor, log: &Logger) -> Retrier {
+    let membership = gossip.membership();
+    let retrier = Retrier::start(views.clone(), membership, supervisor, log.clone());
+    quarantine::start(gossip.clone(), retrier.clone(), views.clone(), supervisor);
+    retrier
+}
+
 fn caller_limits(machine: MachineLimits, callers: CallerConfig) -> ConnectionLimits {
     ConnectionLimits {
         max_connections: machine.max_callers(),
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -1,15 +1,14 @@
 //! The entry router's task that owns the target selector and the idle connections to targets.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use ebonyfall_core::{
     code::Code,
     dispatch::room::ServiceRoom,
     doc::Idempotency,
-    id::{Fingerprint, PartId},
     inspect::RoutingState,
     moves::MoveState,
-    name::{RouteName, ServiceName, TargetName, TeamName},
+    name::{ServiceName, TargetName, TeamName},
     notice::Notices,
     outcome::{End, Finished, Probe},
     selector::{Choice, Criteria, SelectionRefusal, TargetSelector},
@@ -26,14 +25,22 @@
     time,
 };
 
-use crate::{clock::BootClock, trace, upstream::TargetConnection};
+use crate::{
+    clock::BootClock,
+    supervisor::{Supervisor, TaskName},
+    trace,
+    upstream::TargetConnection,
+};
 
 mod check;
 mod idle;
+mod request;
 mod update;
 
 use check::{CheckReply, Checks, ProbeCause, Probed};
 use idle::{IdleConnections, TargetRun};
+use request::RequestOrigin;
+pub use request::SelectionRequest;
 pub use update::{CrashAttribution, PartReport, RouterReport, Update};
 
 /// Maximum number of commands in the task's queue.
@@ -44,46 +51,6 @@
 /// close a connection that has been idle for longer just as the request is sent.
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(1_000);
 
-/// Properties of a request that determine the choice of its target.
-#[derive(Debug, Clone)]
-pub struct SelectionRequest {
-    /// Service whose targets are considered.
-    pub service: ServiceName,
-    /// Hashes of the prompt prefixes that other requests may share, the shortest first.
-    pub contexts: Vec<u64>,
-    /// Targets of earlier attempts, which are excluded.
-    pub tried: Vec<TargetName>,
-    /// Whether the attempt is a retry that counts against the retry budget.
-    pub charge_retry: bool,
-    /// The only target that is considered; `None` for all.
-    pub only: Option<TargetName>,
-    /// Whether only targets are considered that are not known to be full.
-    pub needs_slot: bool,
-    /// Whether the request may run more than once, which allows connections that have been idle
-    /// longer.
-    pub idempotency: Idempotency,
-    /// Hash of team, path and body, which identifies requests that crash targets.
-    pub content: Fingerprint,
-    /// Shared parts of the request's prompt.
-    pub parts: Arc<[PartId]>,
-    /// Team that sent the request; `None` on a public route.
-    pub team: Option<TeamName>,
-    /// Route by which the request arrived; answer times are compared within a route.
-    pub route: RouteName,
-}
-
-impl SelectionRequest {
-    fn origin(&self) -> RequestOrigin {
-        RequestOrigin {
-            content: self.content,
-            contexts: self.contexts.as_slice().into(),
-            parts: Arc::clone(&self.parts),
-            team: self.team.clone(),
-            route: self.route.clone(),
-        }
-    }
-}
-
 #[derive(Debug)]
 enum Command {
     Choose(Box<ChooseCommand>),
@@ -126,16 +93,6 @@
     timing: Option<Timing>,
 }
 
-/// Origin of a request, by which its outcome is recorded.
-#[derive(Debug, Clone)]
-struct RequestOrigin {
-    content: Fingerprint,
-    contexts: Arc<[u64]>,
-    parts: Arc<[PartId]>,
-    team: Option<TeamName>,
-    route: RouteName,
-}
-
 /// Slot at the chosen target. Dropping the reservation releases the slot and records that the
 /// caller disconnected.
 #[derive(Debug)]
@@ -241,7 +198,12 @@
     /// # Panics
     ///
     /// Does not panic: the team name to parse is a literal.
-    pub fn start(selector: TargetSelector, clock: BootClock, log: Logger) -> Self {
+    pub fn start(
+        selector: TargetSelector,
+        clock: BootClock,
+        supervisor: &Supervisor,
+        log: Logger,
+    ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE_LEN);
         let (suspicions_tx, suspicions) = watch::channel(0);
         let (rooms_tx, rooms) = watch::channel(Vec::new());
@@ -251,13 +213,14 @@
             clock,
             idle: HashMap::new(),
             probes: tx.downgrade(),
+            supervisor: supervisor.clone(),
             checks: Checks::default(),
             suspicions: suspicions_tx,
             rooms: rooms_tx,
             rooms_at: Time::ZERO,
             log,
         };
-        tokio::spawn(task.run(rx));
+        supervisor.spawn(TaskName::Selector, task.run(rx));
         Self {
             tx,
             suspicions,
@@ -363,6 +326,7 @@
     idle: HashMap<TargetName, IdleConnections>,
     /// Queue of this task, for the results of probes.
     probes: mpsc::WeakSender<Command>,
+    supervisor: Supervisor,
     checks: Checks,
     /// Changes of what this router counts against prompt parts.
     suspicions: watch::Sender<u64>,
--- a/src/selection/check.rs
+++ b/src/selection/check.rs
@@ -7,7 +7,10 @@
 use tokio::{sync::oneshot, time::timeout};
 
 use super::{Command, Task, idle::TargetRun};
-use crate::upstream::{ReadBuffer, TargetConnection};
+use crate::{
+    supervisor::TaskName,
+    upstream::{ReadBuffer, TargetConnection},
+};
 
 /// Longest wait for a connection by which it is checked whether a target can be reached. Shorter than the
 /// time for which two targets may have a request.
@@ -111,7 +114,7 @@
             return;
         };
         let now = self.clock.now();
-        tokio::spawn(async move {
+        self.supervisor.spawn_job(TaskName::Selector, async move {
             let connect = TargetConnection::connect(target.address, ReadBuffer::Adaptive, now);
             let (probe, connection) = match timeout(CHECK_TIMEOUT, connect).await {
                 Ok(Ok(connection)) => (Some(Probe::Accepted), Some(connection)),
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -5,6 +5,8 @@
 use slog::{Logger, info};
 use tokio::{sync::watch, time};
 
+use crate::supervisor::{Supervisor, TaskName};
+
 /// Time reserved at the end of a stop for sending the last answers.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
@@ -34,11 +36,16 @@
 
 impl StopPhases {
     /// Starts the task that follows the stop signal.
-    pub fn start(mut stop: watch::Receiver<bool>, times: StopTimes, log: Logger) -> Self {
+    pub fn start(
+        mut stop: watch::Receiver<bool>,
+        times: StopTimes,
+        supervisor: &Supervisor,
+        log: Logger,
+    ) -> Self {
         let answer_after = times.end_after.saturating_sub(ANSWER_MARGIN);
         let refuse_after = times.refuse_after.min(answer_after);
         let (tx, phases) = watch::channel(Phase::Serving);
-        tokio::spawn(async move {
+        supervisor.spawn(TaskName::StopPhases, async move {
             if stop.wait_for(|stop| *stop).await.is_ok() {
                 time::sleep(refuse_after).await;
                 info!(log, "refusing new requests"; "event" => "stop_closing");
--- a/src/usage/counting.rs
+++ b/src/usage/counting.rs
@@ -32,6 +32,7 @@
 use crate::{
     clock::{self, BootClock},
     neighbours::PeerAccess,
+    supervisor::{Supervisor, TaskName},
     view,
 };
 
@@ -114,6 +115,7 @@
         length: WindowLength,
         access: watch::Receiver<Option<PeerAccess>>,
         meters: CountingMeters,
+        supervisor: &Supervisor,
         log: Logger,
     ) -> Self {
         let unix = clock::unix_time();
@@ -141,9 +143,10 @@
             results: tx.downgrade(),
             dropped: 0,
             meters: meters.clone(),
+            supervisor: supervisor.clone(),
             log,
         };
-        tokio::spawn(task.run(rx));
+        supervisor.spawn(TaskName::UsageCounts, task.run(rx));
         Self {
             tx,
             own,
@@ -264,6 +267,7 @@
     /// Lost counts that have been logged.
     dropped: u64,
     meters: CountingMeters,
+    supervisor: Supervisor,
     log: Logger,
 }
 
@@ -425,7 +429,8 @@
                 log: self.log.clone(),
             };
             let (tx, rx) = mpsc::channel(1);
-            tokio::spawn(collector.run(rx));
+            self.supervisor
+                .spawn_job(TaskName::UsageCollector, collector.run(rx));
             let peer = Peer::new(router.address, tx);
             self.peers.insert(router.name.clone(), peer);
         }
--- a/src/usage/duty.rs
+++ b/src/usage/duty.rs
@@ -40,6 +40,7 @@
     clock::{self, BootClock},
     meters::EntryMetrics,
     store::{Listing, StoreClient, StoreError},
+    supervisor::{Supervisor, TaskName},
     view,
 };
 
@@ -82,6 +83,8 @@
     pub counter: UsageCounter,
     /// Metrics of this process.
     pub meters: EntryMetrics,
+    /// Watches the tasks that are started.
+    pub supervisor: Supervisor,
     /// Logger of this process.
     pub log: Logger,
 }
@@ -103,7 +106,8 @@
 /// lease.
 pub fn start(task: DutyTask, stop: watch::Receiver<bool>) -> DutyHandle {
     let (tx, dumps) = mpsc::channel(DUMP_QUEUE);
-    tokio::spawn(Task::new(task).run(stop, dumps));
+    let supervisor = task.supervisor.clone();
+    supervisor.spawn(TaskName::UsageDuty, Task::new(task).run(stop, dumps));
     DutyHandle(tx)
 }
 
@@ -113,6 +117,7 @@
     store: StoreClient,
     counter: UsageCounter,
     meters: EntryMetrics,
+    supervisor: Supervisor,
     log: Logger,
     duty: Duty,
     /// Revision of the counts up to which changes were taken for records.
@@ -137,6 +142,7 @@
             store,
             counter,
             meters,
+            supervisor,
             log,
         } = task;
         let incarnation = view::incarnation(clock::unix_time());
@@ -161,13 +167,14 @@
             permit: permits,
             log: log.clone(),
         };
-        tokio::spawn(sender.run(report_rx, sent_tx));
+        supervisor.spawn(TaskName::UsageSender, sender.run(report_rx, sent_tx));
         Self {
             name,
             window: config.window,
             store,
             counter,
             meters,
+            supervisor,
             log,
             duty,
             revision: 0,
@@ -230,7 +237,7 @@
         if let Some(call) = call {
             let (store, tx, log) = (self.store.clone(), self.answer_tx.clone(), self.log.clone());
             let era = self.era;
-            tokio::spawn(async move {
+            self.supervisor.spawn_job(TaskName::UsageDuty, async move {
                 let answer = call_store(&store, call, era, &log).await;
                 let _ended = tx.send(answer).await;
             });
--- a/src/view.rs
+++ b/src/view.rs
@@ -26,6 +26,7 @@
     metrics::Metrics,
     platform::Platform,
     reader::{CONFIG_STREAM, ConfigReader},
+    supervisor::{Supervisor, TaskName},
 };
 
 /// Mean time between two reads of the log.
@@ -236,7 +237,13 @@
 }
 
 /// Starts the task that follows the log, which ends when the last handle is dropped.
-pub fn start(platform: Platform, name: &ProcessName, metrics: Metrics, log: Logger) -> Config {
+pub fn start(
+    platform: Platform,
+    name: &ProcessName,
+    metrics: Metrics,
+    supervisor: &Supervisor,
+    log: Logger,
+) -> Config {
     let (views, rx) = watch::channel(None);
     let (tx, commands) = mpsc::channel(QUEUE_LEN);
     let task = Task {
@@ -254,7 +261,7 @@
         renewed_at: 0,
         recoveries: 0,
     };
-    tokio::spawn(task.run(commands));
+    supervisor.spawn(TaskName::Configuration, task.run(commands));
     Config { tx, views: rx }
 }
 
--- a/src/vms.rs
+++ b/src/vms.rs
@@ -9,6 +9,7 @@
 use crate::{
     gossip::Gossip,
     platform::{Platform, Vm, VmState},
+    supervisor::{Supervisor, TaskName},
 };
 
 /// Mean time between two polls of the list for up to `VMS_PER_INTERVAL` VMs.
@@ -22,8 +23,8 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
 
 /// Starts the task, which runs until the process ends.
-pub fn start(platform: Platform, gossip: Gossip, log: Logger) {
-    tokio::spawn(async move {
+pub fn start(platform: Platform, gossip: Gossip, supervisor: &Supervisor, log: Logger) {
+    supervisor.spawn(TaskName::Vms, async move {
         let mut pause = POLL_INTERVAL;
         // The random delay keeps processes that start together from polling at the same time.
         sleep(jitter(POLL_INTERVAL / 2)).await;
--- a/standin/src/entrance.rs
+++ b/standin/src/entrance.rs
@@ -244,6 +244,11 @@
         reply.is_some_and(|reply| reply.status == StatusCode::OK)
     }
 
+    /// Settings file of a router.
+    pub fn settings(&self, router: usize) -> &Path {
+        &self.routers[router].settings
+    }
+
     /// Returns a router's metrics in the text format.
     ///
     /// # Panics
--- a/tests/claims_restored.rs
+++ b/tests/claims_restored.rs
@@ -6,7 +6,12 @@
 use std::time::Duration;
 
 use claims_env::{claim, empty_view};
-use ebonyfall::{claims::Claims, link::Identity, platform::Platform};
+use ebonyfall::{
+    claims::Claims,
+    link::Identity,
+    platform::Platform,
+    supervisor::{EndedTasks, Supervisor},
+};
 use ebonyfall_core::id::Offset;
 use ebonyfall_standin::{deploy::free_address, log::LogLimits, platform};
 use ebonyfall_wire::{
@@ -56,12 +61,16 @@
         };
         let (_, views) = watch::channel(Some(empty_view()));
         let (_, peers) = watch::channel(Vec::new().into());
+        let log = Logger::root(Discard, o!());
+        let supervisor =
+            Supervisor::new(watch::channel(false).1, EndedTasks::default(), log.clone());
         let claims = Claims::start(
             identity.clone(),
             Platform::new(&self.url),
             views,
             peers,
-            Logger::root(Discard, o!()),
+            &supervisor,
+            log,
         );
         let available = async {
             while !claims.dump().await.available {
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -11,6 +11,7 @@
     claims::Claims,
     link::{Identity, Link},
     platform::Platform,
+    supervisor::{EndedTasks, Supervisor},
 };
 use ebonyfall_core::{
     claim::{MAX_WRITERS, Writer, choose_writer},
@@ -82,11 +83,14 @@
     let mut routers = Vec::new();
     for (identity, listener) in fleet {
         let log = Logger::root(Discard, o!());
+        let supervisor =
+            Supervisor::new(watch::channel(false).1, EndedTasks::default(), log.clone());
         let claims = Claims::start(
             identity.clone(),
             client.clone(),
             views.clone(),
             peers.clone(),
+            &supervisor,
             log,
         );
         if identity.name == stopped {
--- a/tests/selection.rs
+++ b/tests/selection.rs
@@ -5,6 +5,7 @@
 use ebonyfall::{
     clock::BootClock,
     selection::{SelectionRequest, SelectorHandle, Update},
+    supervisor::{EndedTasks, Supervisor},
 };
 use ebonyfall_core::{
     budget::RetryBound,
@@ -16,7 +17,7 @@
     target::{Stage, TargetRecord},
 };
 use slog::{Discard, Logger, o};
-use tokio::{net::TcpListener, task::yield_now};
+use tokio::{net::TcpListener, sync::watch, task::yield_now};
 
 fn record(address: SocketAddr, incarnation: u64) -> TargetRecord {
     TargetRecord {
@@ -55,7 +56,9 @@
         window: Duration::from_secs(10),
     };
     let selector = TargetSelector::new("a".parse().expect("a name"), retry);
-    SelectorHandle::start(selector, BootClock, Logger::root(Discard, o!()))
+    let log = Logger::root(Discard, o!());
+    let supervisor = Supervisor::new(watch::channel(false).1, EndedTasks::default(), log.clone());
+    SelectorHandle::start(selector, BootClock, &supervisor, log)
 }
 
 /// Guards against a slot that stays taken for ever when a request no longer needs the target that was
--- a/tests/unit/starts.rs
+++ b/tests/unit/starts.rs
@@ -7,7 +7,11 @@
 use tokio::sync::watch;
 
 use super::*;
-use crate::{clock::BootClock, metrics::Metrics};
+use crate::{
+    clock::BootClock,
+    metrics::Metrics,
+    supervisor::{EndedTasks, Supervisor},
+};
 
 /// Short windows, so that a start that is wrong by a tenth of a second is in another one.
 const WINDOW: Duration = Duration::from_millis(100);
@@ -46,7 +50,9 @@
     let log = Logger::root(Discard, o!());
     let meters = Metrics::new().entry.counting;
     let window = WindowLength::new(WINDOW).unwrap();
-    UsageCounter::start("e-0".parse().unwrap(), window, access, meters, log)
+    let supervisor = Supervisor::new(watch::channel(false).1, EndedTasks::default(), log.clone());
+    let name = "e-0".parse().unwrap();
+    UsageCounter::start(name, window, access, meters, &supervisor, log)
 }
 
 /// Guards against requests that count in the window in which the router heard of them, when they
--- a/tests/usage_exchange.rs
+++ b/tests/usage_exchange.rs
@@ -9,6 +9,7 @@
     metrics::Metrics,
     mirror::Mirror,
     neighbours::{self, Mirrors, PeerAccess},
+    supervisor::Supervisor,
     usage::counting::UsageCounter,
     view,
 };
@@ -65,7 +66,16 @@
     };
     let socket = UdpSocket::bind(address).await.unwrap();
     let (_, views) = watch::channel(None);
-    let gossip = Gossip::start(local, socket, views, metrics.clone(), log.clone());
+    let (_signal, signal) = watch::channel(false);
+    let supervisor = Supervisor::new(signal, metrics.ended_tasks.clone(), log.clone());
+    let gossip = Gossip::start(
+        local,
+        socket,
+        views,
+        metrics.clone(),
+        &supervisor,
+        log.clone(),
+    );
     let access = PeerAccess {
         identity,
         gossip,
@@ -73,7 +83,7 @@
     };
     let (access_tx, access_rx) = watch::channel(Some(access.clone()));
     let meters = metrics.entry.counting.clone();
-    let counter = UsageCounter::start(name, length(), access_rx, meters, log.clone());
+    let counter = UsageCounter::start(name, length(), access_rx, meters, &supervisor, log.clone());
     let mirrors = Mirrors {
         orders: watch::channel(Mirror::default()).1,
         targets: watch::channel(Mirror::default()).1,
