Keep what routers use of a stream, whatever else is stored in it

Cause: `StoreClient::newest` collected all records of a list, counted them against one limit of 32 MiB, and refused the list as a whole above it, with every target in it; the task listed again and again. The class: what nobody can use is kept, counted or passed on like what is used. Walked from there, for every topic:

- Lists of all topics go page by page through a cursor (src/listing.rs); a page's records are sorted at once (src/follow/filter.rs), and only what routers use is kept.
The desired state and entries of services that it names have room of 3 MiB, all else 256 KiB of its own, so that entries of unnamed services do not displace others (core/src/kept.rs).
When the desired state names other services and something had no room, the stream is listed again.
Long entries are kept without fields that routers do not read.
- One entry with a broken value or key made a page, and so the list, undecodable.
Only that entry is left out now.
- A list began anew after a failed call.
It goes on with the page that failed, for 15 s.
- A list whose pages repeat is refused by its keys, whatever the length of the cycle; 1 GiB is the most that is read.
- A router that starts uses the targets of each page at once, and is ready after 3 s of listing if it knows any.
- Mirrors held unusable records, passed them to other routers, and pinned the whole answer of the store in which a small record had come.
Frames to other routers were refused as a whole above 4 MiB; now all that a router keeps fits into one.
- A router behind the stream estimated a list by what it kept, so that it chose a list of 45 MB over 34 MB of stream.
Unused records count now.
A read ends where the stream ended when it began, however fast others write, and confirms the state of that moment.
- The last readable value of a key stays in force, in the mirror and after a list, too.

What is left out is counted (`ebonyfall_records_left_out_total`) and logged, a line for a stream in 10 s (`records_left_out`).

Tests changed: `a_list_that_is_too_long_is_refused` asserted the limit that was the fault. Two tests take its place: pages that repeat (its own case, and a longer cycle), and a list that advances without end, with the same 32 MiB as limit. The stand-in of the store has the 1 MB limit of a page. `decode_newest` of a bad value no longer fails; `an_odd_entry_does_not_cost_its_page` says what it does.

--- a/core/src/catch_up.rs
+++ b/core/src/catch_up.rs
@@ -7,6 +7,10 @@
 
 use crate::{id::Position, time::Time};
 
+/// Largest size of records of unknown keys that a list is taken to have. Beyond it, the records that are
+/// left are more likely renewals of fewer keys.
+const MAX_UNKNOWN_BYTES: u64 = 64 << 20;
+
 /// What one answer to a read of a stream brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReadProgress {
@@ -14,6 +18,8 @@
     pub records: u64,
     /// Their size.
     pub bytes: u64,
+    /// Size of those that the router does not use. A list has records of their keys, too.
+    pub unused_bytes: u64,
     /// Number of later records that the stream has.
     pub left: u64,
 }
@@ -30,19 +36,25 @@
 }
 
 impl CatchUp {
-    /// Decides after an answer. `known_bytes` is the size of the newest records that the router has of
-    /// all keys, by which the size of a list is estimated.
+    /// Decides after an answer. `known_bytes` is the size of the newest records of all keys that the
+    /// router knows of, by which the size of a list is estimated. Records that the router does not use
+    /// may each have a key that it does not know of; the part of them that the answer has stands for
+    /// what is left.
     pub fn after(read: ReadProgress, known_bytes: u64) -> Self {
         if read.left == 0 {
             return Self::UpToDate;
         }
+        let Some(mean_bytes) = read.bytes.checked_div(read.records) else {
+            return Self::List;
+        };
+        let left_bytes = mean_bytes.saturating_mul(read.left);
+        let unused = left_bytes.saturating_mul(read.unused_bytes) / read.bytes.max(1);
+        let listed_bytes = known_bytes.saturating_add(unused.min(MAX_UNKNOWN_BYTES));
         // Values of a list are in base64.
-        let list_bytes = known_bytes.saturating_mul(4) / 3;
-        let mean_bytes = read.bytes.checked_div(read.records);
-        let left_bytes = mean_bytes.map(|mean| mean.saturating_mul(read.left));
-        match left_bytes {
-            Some(left) if left <= list_bytes => Self::ReadOn,
-            _ => Self::List,
+        if left_bytes <= listed_bytes.saturating_mul(4) / 3 {
+            Self::ReadOn
+        } else {
+            Self::List
         }
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod id;
 pub mod ini;
 pub mod inspect;
+pub mod kept;
 pub mod lateness;
 pub mod lease;
 pub mod ledger;
--- a/core/tests/catch_up.rs
+++ b/core/tests/catch_up.rs
@@ -93,6 +93,7 @@
         let read = ReadProgress {
             records,
             bytes,
+            unused_bytes: 0,
             left: end - position,
         };
         let next = CatchUp::after(read, stream.bytes);
@@ -224,6 +225,7 @@
     let read = ReadProgress {
         records: 500,
         bytes: 125_000,
+        unused_bytes: 0,
         left: 40,
     };
     assert_eq!(CatchUp::after(read, 300 * 250), CatchUp::ReadOn);
@@ -254,3 +256,30 @@
     let confirmed = Confirmation::default().record(skipped, requested_at, wait);
     assert_eq!(confirmed, Some(requested_at));
 }
+
+/// Guards against a list that is longer than what is left of the stream, because the records of another
+/// writer, which the list has as well, are not counted.
+#[test]
+fn a_router_behind_unusable_records_reads_on() {
+    let read = ReadProgress {
+        records: 1,
+        bytes: 262_144,
+        unused_bytes: 262_144,
+        left: 130,
+    };
+    assert_eq!(CatchUp::after(read, 1_000), CatchUp::ReadOn);
+    // So many are renewals of fewer keys.
+    let read = ReadProgress {
+        left: 1_300,
+        ..read
+    };
+    assert_eq!(CatchUp::after(read, 1_000), CatchUp::List);
+    // Of half of the records, a list has the newest ones only.
+    let read = ReadProgress {
+        records: 2,
+        unused_bytes: 131_072,
+        left: 130,
+        ..read
+    };
+    assert_eq!(CatchUp::after(read, 1_000), CatchUp::List);
+}
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -1,6 +1,8 @@
 //! Tasks that follow the store's streams of operators' orders and of target records.
 
 mod fetch;
+mod filter;
+mod list;
 mod orders;
 mod targets;
 
@@ -18,6 +20,7 @@
     readers::{FollowTimes, OrderBounds, SourceChoice},
     time::Time,
 };
+use ebonyfall_platform::store::Topic;
 use ebonyfall_wire::mirror::Stream;
 use slog::{Logger, info, warn};
 use tokio::{sync::watch, time};
@@ -32,6 +35,7 @@
     supervisor::{Supervisor, TaskName},
 };
 use fetch::FetchState;
+use filter::RecordFilter;
 use orders::OrderTask;
 use targets::TargetTask;
 
@@ -103,6 +107,9 @@
         moves: HashMap::new(),
         health: StoreHealth::new("orders", metrics.clone(), log.clone()),
         mirror: order_mirror,
+        filter: RecordFilter::new(Topic::Orders, metrics.entry.clone(), log.clone()),
+        list: None,
+        list_bytes: 0,
         peers: PeerReader::new(
             Stream::Orders,
             access.clone(),
@@ -122,6 +129,11 @@
         source: SourceChoice::new(drain * TARGET_FOLLOW_PERCENT / 100),
         health: StoreHealth::new("targets", metrics.clone(), log.clone()),
         mirror: target_mirror,
+        filter: RecordFilter::new(Topic::Targets, metrics.entry.clone(), log.clone()),
+        desired: desired.clone(),
+        list: None,
+        list_bytes: 0,
+        confirmation: Confirmation::default(),
         peers: PeerReader::new(Stream::Targets, access, metrics.entry, log),
     };
     supervisor.spawn(TaskName::Targets, target_task.run());
@@ -178,10 +190,9 @@
         error.needs_list()
     }
 
-    /// Decides how to go on after a read that made this `progress`, and logs a list. `mirror` has what
-    /// is known of the stream.
-    fn catch_up(&self, progress: ReadProgress, mirror: &Mirror) -> CatchUp {
-        let known_bytes = mirror.size();
+    /// Decides how to go on after a read that made this `progress`, and logs a list. A list has about
+    /// `known_bytes`.
+    fn catch_up(&self, progress: ReadProgress, known_bytes: u64) -> CatchUp {
         let next = CatchUp::after(progress, known_bytes);
         if next == CatchUp::List {
             info!(self.log, "far behind the stream; listing its newest records";
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    mem,
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -13,7 +14,7 @@
     changeover::MoveOrder,
     desired::DesiredState,
     eras::{Eras, ListUse},
-    id::{Era, Position},
+    id::{Era, Offset, Position},
     lease::Lease,
     name::{ServiceName, ZoneName},
     readers::{self, FollowTimes, Source, SourceChoice},
@@ -21,7 +22,7 @@
 };
 use ebonyfall_platform::{
     desired, moves,
-    store::{self, KeyedRecord, OrderKey, Topic},
+    store::{self, KeyedRecord, OrderKey, Topic, Unreadable},
 };
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
@@ -29,13 +30,15 @@
 use super::{
     RETRY_DELAY, StoreHealth,
     fetch::{FetchState, Step},
+    filter::{ListedRecords, RecordFilter},
+    list::StreamList,
 };
 use crate::{
     clock::{self, BootClock},
     mirror::Mirror,
     neighbours::{PeerRead, PeerReader},
     selection::{SelectorHandle, Update},
-    store::{Listing, StoreClient, StoreError},
+    store::{StoreClient, StoreError},
 };
 
 /// Shortest wait of a read from a reader. A read without a wait may get a state of any length.
@@ -101,6 +104,11 @@
     pub(super) moves: HashMap<ServiceName, MoveOrder>,
     pub(super) health: StoreHealth,
     pub(super) mirror: watch::Sender<Mirror>,
+    pub(super) filter: RecordFilter,
+    /// A list that is to be read on.
+    pub(super) list: Option<StreamList>,
+    /// Bytes that the last list had, those of unusable records included.
+    pub(super) list_bytes: u64,
     pub(super) peers: PeerReader,
     pub(super) fetch: FetchState,
     pub(super) log: Logger,
@@ -143,38 +151,51 @@
     }
 
     async fn snapshot(&mut self) -> Result<Position, StoreError> {
-        let requested_at = BootClock.now();
-        self.fetch.begin(Step::List, requested_at);
-        let failures = self.health.failures;
-        let Listing { records, end } = self.store.newest(Topic::Orders, failures).await?;
-        self.apply_list(records, end, Origin::List).await?;
+        let now = BootClock.now();
+        self.fetch.begin(Step::List, now);
+        let list = self.list.take();
+        let mut list = list.unwrap_or_else(|| StreamList::new(Topic::Orders, now));
+        while !list.is_complete() {
+            let failures = self.health.failures;
+            let page = list.read_page(&self.store, failures, &mut self.filter, &self.mirror);
+            let read = page.await.map(drop);
+            if let Err(error) = read {
+                self.list = list.after_failure(&error, BootClock.now());
+                return Err(error);
+            }
+        }
+        let listed_at = list.started_at();
+        self.list_bytes = list.bytes();
+        let (listed, end) = list.finish();
+        self.apply_list(listed, end, Origin::List).await?;
         self.record_answer(0);
         // Positions of before the list do not tell how far the router has read since.
         self.confirmation = Confirmation::default();
-        self.confirm(requested_at);
+        self.confirm(listed_at);
         Ok(end)
     }
 
     /// Applies a complete list as far as it is not older than what is known.
     async fn apply_list(
         &mut self,
-        records: Vec<KeyedRecord>,
+        list: ListedRecords,
         end: Position,
         origin: Origin,
     ) -> Result<(), StoreError> {
         match self.eras.on_list(end.era, BootClock.now()) {
-            ListUse::Replace => self.replace_all(records, end, origin).await,
-            ListUse::Merge => self.merge(records, end, origin).await,
+            ListUse::Replace => self.replace_all(list, end, origin).await,
+            ListUse::Merge => self.merge(list, end, origin).await,
             ListUse::Ignore(known) => return Err(StoreError::restored(known, end.era)),
         }
         Ok(())
     }
 
     /// Takes from a list that may be older than what is known what is new.
-    async fn merge(&mut self, records: Vec<KeyedRecord>, end: Position, origin: Origin) {
-        let listed = records.len();
-        let mut new = records;
+    async fn merge(&mut self, mut list: ListedRecords, end: Position, origin: Origin) {
+        let mut new = mem::take(&mut list.records);
+        let listed = new.len();
         new.retain(|record| self.is_new(record));
+        self.filter.merge(&list, &new, BootClock.now());
         info!(self.log, "the store has come back from an older copy; keeping what is known";
             "event" => "store_restored", "stream" => "orders", "era" => %end.era,
             "listed" => listed, "new" => new.len());
@@ -210,7 +231,9 @@
     }
 
     /// Replaces all records by a complete list.
-    async fn replace_all(&mut self, records: Vec<KeyedRecord>, end: Position, origin: Origin) {
+    async fn replace_all(&mut self, list: ListedRecords, end: Position, origin: Origin) {
+        self.filter.replace_all(&list, BootClock.now());
+        let records = [list.records, list.unchanged].concat();
         self.may_lack_revocation = false;
         self.evacuated.clear();
         self.moves.clear();
@@ -280,14 +303,17 @@
         let requested_at = BootClock.now();
         self.fetch.begin(Step::Stream, requested_at);
         let tail = self.store.read(Topic::Orders, from, wait).await?;
-        let (span, progress) = (tail.span(from), tail.progress());
+        let (span, mut progress) = (tail.span(from), tail.progress());
         self.record_answer(progress.left);
-        self.apply_changes(tail.records, tail.next, Origin::Stream)
+        let used = self
+            .apply_changes(tail.records, tail.unreadable, tail.next, Origin::Stream)
             .await;
+        progress.unused_bytes = progress.bytes.saturating_sub(used);
         if let Some(confirmed) = self.confirmation.record(span, requested_at, wait) {
             self.confirm(confirmed);
         }
-        let catch_up = self.health.catch_up(progress, &self.mirror.borrow());
+        let known_bytes = self.mirror.borrow().size().max(self.list_bytes);
+        let catch_up = self.health.catch_up(progress, known_bytes);
         // An answer with records may have been sent at any time after `requested_at`, so the next read
         // does not wait and confirms the state at once.
         let wait = if span.is_empty() {
@@ -363,11 +389,15 @@
     /// Applies records from another router; returns the next position.
     async fn apply_read(&mut self, read: PeerRead) -> Position {
         if read.is_complete {
-            let applied = self.apply_list(read.records, read.next, Origin::Router);
+            let list = self.filter.filter_list(read.records, &self.mirror.borrow());
+            // A list of the store would be older.
+            self.list = None;
+            let applied = self.apply_list(list, read.next, Origin::Router);
             // A read names the era of what is known, so that no earlier one is in its answer.
             let _never_earlier = applied.await.is_ok();
         } else {
-            self.apply_changes(read.records, read.next, Origin::Router)
+            let readable = Unreadable::default();
+            self.apply_changes(read.records, readable, read.next, Origin::Router)
                 .await;
         }
         if let Some(confirmed) = read.confirmed {
@@ -376,15 +406,24 @@
         read.next
     }
 
-    /// Applies records that follow the last known offset.
-    async fn apply_changes(&mut self, records: Vec<KeyedRecord>, next: Position, origin: Origin) {
-        if records.is_empty() {
-            return;
+    /// Applies records that follow the last known offset. Returns the size of those that are used.
+    async fn apply_changes(
+        &mut self,
+        records: Vec<KeyedRecord>,
+        unreadable: Unreadable,
+        next: Position,
+        origin: Origin,
+    ) -> u64 {
+        if records.is_empty() && unreadable.records == 0 {
+            return 0;
         }
+        let records = self.filter.filter(records, unreadable, BootClock.now());
+        let used: usize = records.iter().map(KeyedRecord::size).sum();
         self.mirror
             .send_modify(|mirror| mirror.apply(&records, next));
         self.apply(records, next.era, origin).await;
         self.publish().await;
+        used as u64
     }
 
     fn confirm(&self, at: Time) {
@@ -400,7 +439,7 @@
         for record in records {
             match (store::decode_order_key(&record.key), record.value) {
                 (Some(OrderKey::Desired), Some(value)) => {
-                    self.apply_desired(&value, origin).await;
+                    self.apply_desired(record.offset, &value, origin).await;
                 }
                 (Some(OrderKey::Evacuate(zone)), value) => {
                     let out = value.is_some();
@@ -437,9 +476,8 @@
             self.moves.remove(&service);
             return;
         };
+        // Those that cannot be decoded have been left out.
         let Some(order) = moves::decode_order(&service, value, position) else {
-            warn!(self.log, "cannot decode order for version move; ignoring it";
-                "event" => "move_bad", "service" => %service);
             return;
         };
         info!(self.log, "order for version move in force";
@@ -450,14 +488,11 @@
         self.moves.insert(service, order);
     }
 
-    async fn apply_desired(&mut self, value: &[u8], origin: Origin) {
-        let state = match desired::decode(value) {
-            Ok(state) => state,
-            Err(error) => {
-                warn!(self.log, "cannot decode desired state; keeping the current one";
-                    "event" => "desired_bad", "error" => %error);
-                return;
-            }
+    async fn apply_desired(&mut self, offset: Offset, value: &[u8], origin: Origin) {
+        let decoded = self.filter.take_desired(offset);
+        // Those that cannot be decoded have been left out.
+        let Some(state) = decoded.or_else(|| desired::decode(value).ok()) else {
+            return;
         };
         let known = self.desired.borrow().as_ref().map(|known| known.version);
         if known.is_some_and(|known| known >= state.version) {
--- a/src/follow/targets.rs
+++ b/src/follow/targets.rs
@@ -1,9 +1,10 @@
 //! Follows the stream of target records.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::HashSet, mem, sync::Arc, time::Duration};
 
 use ebonyfall_core::{
-    catch_up::CatchUp,
+    catch_up::{CatchUp, Confirmation},
+    desired::DesiredState,
     eras::{Eras, ListUse},
     id::Position,
     name::TargetName,
@@ -11,21 +12,29 @@
     time::Time,
 };
 use ebonyfall_platform::{
-    store::{KeyedRecord, Topic},
+    store::{KeyedRecord, Topic, Unreadable},
     target,
 };
 use slog::info;
 use tokio::{sync::watch, time};
 
-use super::{RETRY_DELAY, StoreHealth};
+use super::{
+    RETRY_DELAY, StoreHealth,
+    filter::{ListedRecords, RecordFilter},
+    list::StreamList,
+};
 use crate::{
-    clock::BootClock,
+    clock::{self, BootClock},
     mirror::Mirror,
     neighbours::{PeerRead, PeerReader},
     selection::{SelectorHandle, Update},
-    store::{Listing, StoreClient, StoreError},
+    store::{StoreClient, StoreError},
 };
 
+/// Time after which a router that starts serves with the targets that are listed so far. Beside many
+/// records of other writers, a list may take longer than callers wait.
+const LONG_LIST: Duration = Duration::from_secs(3);
+
 /// Task that follows the targets' records.
 pub(super) struct TargetTask {
     pub(super) store: StoreClient,
@@ -37,6 +46,14 @@
     pub(super) source: SourceChoice,
     pub(super) health: StoreHealth,
     pub(super) mirror: watch::Sender<Mirror>,
+    pub(super) filter: RecordFilter,
+    /// Desired state, which tells the services in use.
+    pub(super) desired: watch::Receiver<Option<Arc<DesiredState>>>,
+    /// A list that is to be read on.
+    pub(super) list: Option<StreamList>,
+    /// Bytes that the last list had, those of unusable records included.
+    pub(super) list_bytes: u64,
+    pub(super) confirmation: Confirmation,
     pub(super) peers: PeerReader,
 }
 
@@ -93,25 +110,65 @@
     }
 
     async fn snapshot(&mut self) -> Result<Position, StoreError> {
-        let requested_at = BootClock.now();
-        let failures = self.health.failures;
-        let Listing { records, end } = self.store.newest(Topic::Targets, failures).await?;
-        self.apply_list(records, end, Some(requested_at)).await?;
+        let now = BootClock.now();
+        let list = self.list.take();
+        let mut list = list.unwrap_or_else(|| StreamList::new(Topic::Targets, now));
+        while !list.is_complete() {
+            if let Err(error) = self.read_page(&mut list).await {
+                self.list = list.after_failure(&error, BootClock.now());
+                return Err(error);
+            }
+        }
+        let listed_at = list.started_at();
+        self.list_bytes = list.bytes();
+        let (listed, end) = list.finish();
+        self.apply_list(listed, end, Some(listed_at)).await?;
+        // Positions of before the list do not tell how far the router has read since.
+        self.confirmation = Confirmation::default();
         self.health.record_answer(BootClock.now());
         self.loaded.send_replace(true);
         Ok(end)
     }
 
+    /// Reads a page of a list. A router that starts uses its targets at once.
+    async fn read_page(&mut self, list: &mut StreamList) -> Result<(), StoreError> {
+        self.update_services();
+        let failures = self.health.failures;
+        let page = list.read_page(&self.store, failures, &mut self.filter, &self.mirror);
+        let records = page.await?.to_vec();
+        if *self.loaded.borrow() || list.is_complete() {
+            return Ok(());
+        }
+        self.selector.update(target_updates(records)).await;
+        let age = BootClock.now().since(list.started_at());
+        if age >= LONG_LIST && list.has_records() {
+            info!(self.health.log, "the list of targets is long; serving with those that are known";
+                "event" => "targets_partial", "after_ms" => clock::millis(age),
+                "bytes" => list.bytes());
+            self.loaded.send_replace(true);
+        }
+        Ok(())
+    }
+
+    /// Tells the filter which services are in use.
+    fn update_services(&mut self) {
+        let desired = self.desired.borrow_and_update();
+        if let Some(desired) = desired.as_ref().filter(|_| desired.has_changed()) {
+            let services = desired.services.keys().cloned();
+            self.filter.set_services(services.collect());
+        }
+    }
+
     /// Applies a complete list as far as it is not older than what is known.
     async fn apply_list(
         &mut self,
-        records: Vec<KeyedRecord>,
+        list: ListedRecords,
         end: Position,
         confirmed: Option<Time>,
     ) -> Result<(), StoreError> {
         match self.eras.on_list(end.era, BootClock.now()) {
-            ListUse::Replace => self.replace_all(records, end, confirmed).await,
-            ListUse::Merge => self.merge(records, end, confirmed).await,
+            ListUse::Replace => self.replace_all(list, end, confirmed).await,
+            ListUse::Merge => self.merge(list, end, confirmed).await,
             ListUse::Ignore(known) => return Err(StoreError::restored(known, end.era)),
         }
         Ok(())
@@ -119,10 +176,11 @@
 
     /// Takes the targets that are not known from a list that may be older. A target that had left or
     /// drained stays so until it writes again; one that is not listed counts as lapsed in an outage.
-    async fn merge(&self, records: Vec<KeyedRecord>, end: Position, confirmed: Option<Time>) {
-        let listed = listed_targets(&records);
-        let mut new = records;
+    async fn merge(&mut self, mut list: ListedRecords, end: Position, confirmed: Option<Time>) {
+        let mut new = mem::take(&mut list.records);
+        let listed = listed_targets(new.iter().chain(&list.unchanged));
         new.retain(|record| !self.mirror.borrow().knows(&record.key));
+        self.filter.merge(&list, &new, BootClock.now());
         info!(self.health.log, "the store has come back from an older copy; keeping what is known";
             "event" => "store_restored", "stream" => "targets", "era" => %end.era,
             "listed" => listed.len(), "new" => new.len());
@@ -148,7 +206,9 @@
             let is_shared = has_followers || source != Source::Store;
             let parts = if is_shared { 2 } else { 1 };
             time::sleep(self.max_age / parts).await;
-            let is_list_due = self.eras.is_list_due(BootClock.now()) && !has_list_failed;
+            self.update_services();
+            let is_due = self.eras.is_list_due(BootClock.now()) || self.filter.is_list_due();
+            let is_list_due = is_due && !has_list_failed;
             if let Source::Reader(reader) = source
                 && !is_list_due
             {
@@ -173,8 +233,10 @@
         }
     }
 
-    /// Reads changes from the store until none is left; moves `from` with each answer.
+    /// Reads the changes that the store has when the first call is answered; moves `from` with each
+    /// answer.
     async fn read(&mut self, from: &mut Position) -> Result<(), StoreError> {
+        let mut goal = None;
         loop {
             let requested_at = BootClock.now();
             let tail = self
@@ -182,12 +244,19 @@
                 .read(Topic::Targets, *from, Duration::ZERO)
                 .await?;
             self.health.record_answer(BootClock.now());
-            let progress = tail.progress();
-            // An answer that leaves records does not have the state of that moment.
-            let confirmed = (progress.left == 0).then_some(requested_at);
-            self.apply_changes(tail.records, tail.next, confirmed).await;
+            let (span, mut progress) = (tail.span(*from), tail.progress());
+            let goal = *goal.get_or_insert(tail.end);
+            let confirmed = self.confirmation.record(span, requested_at, Duration::ZERO);
+            let used = self
+                .apply_changes(tail.records, tail.unreadable, tail.next, confirmed)
+                .await;
+            progress.unused_bytes = progress.bytes.saturating_sub(used);
             *from = tail.next;
-            match self.health.catch_up(progress, &self.mirror.borrow()) {
+            if tail.next >= goal {
+                return Ok(());
+            }
+            let known_bytes = self.mirror.borrow().size().max(self.list_bytes);
+            match self.health.catch_up(progress, known_bytes) {
                 CatchUp::UpToDate => return Ok(()),
                 CatchUp::ReadOn => {}
                 CatchUp::List => break,
@@ -212,11 +281,15 @@
     /// Applies records from another router; returns the next position.
     async fn apply_read(&mut self, read: PeerRead) -> Position {
         if read.is_complete {
-            let applied = self.apply_list(read.records, read.next, read.confirmed);
+            let list = self.filter.filter_list(read.records, &self.mirror.borrow());
+            // A list of the store would be older.
+            self.list = None;
+            let applied = self.apply_list(list, read.next, read.confirmed);
             // A read names the era of what is known, so that no earlier one is in its answer.
             let _never_earlier = applied.await.is_ok();
         } else {
-            self.apply_changes(read.records, read.next, read.confirmed)
+            let readable = Unreadable::default();
+            self.apply_changes(read.records, readable, read.next, read.confirmed)
                 .await;
         }
         read.next
@@ -234,26 +307,34 @@
     }
 
     /// Replaces all records by a complete list.
-    async fn replace_all(&self, records: Vec<KeyedRecord>, end: Position, confirmed: Option<Time>) {
+    async fn replace_all(&mut self, list: ListedRecords, end: Position, confirmed: Option<Time>) {
+        self.filter.replace_all(&list, BootClock.now());
+        let ListedRecords {
+            records, unchanged, ..
+        } = list;
+        let listed = listed_targets(records.iter().chain(&unchanged));
+        let all = [records.clone(), unchanged].concat();
         self.mirror.send_modify(|mirror| {
-            mirror.reset(&records, end);
+            mirror.reset(&all, end);
             if let Some(confirmed) = confirmed {
                 mirror.confirm(confirmed);
             }
         });
-        let listed = listed_targets(&records);
         let mut updates = target_updates(records);
         updates.push(Update::RetainTargets(listed));
         self.selector.update(updates).await;
     }
 
-    /// Applies records that follow the last known offset.
+    /// Applies records that follow the last known offset. Returns the size of those that are used.
     async fn apply_changes(
-        &self,
+        &mut self,
         records: Vec<KeyedRecord>,
+        unreadable: Unreadable,
         next: Position,
         confirmed: Option<Time>,
-    ) {
+    ) -> u64 {
+        let records = self.filter.filter(records, unreadable, BootClock.now());
+        let used: usize = records.iter().map(KeyedRecord::size).sum();
         self.mirror.send_modify(|mirror| {
             mirror.apply(&records, next);
             if let Some(confirmed) = confirmed {
@@ -266,16 +347,17 @@
             .entry
             .count_belief_changes("target_gone", gone.count());
         self.selector.update(target_updates(records)).await;
+        used as u64
     }
 }
 
-fn listed_targets(records: &[KeyedRecord]) -> HashSet<TargetName> {
-    let live = records.iter().filter(|record| record.value.is_some());
-    live.filter_map(|record| TargetName::new(&record.key).ok())
+fn listed_targets<'a>(records: impl Iterator<Item = &'a KeyedRecord>) -> HashSet<TargetName> {
+    records
+        .filter_map(|record| TargetName::new(&record.key).ok())
         .collect()
 }
 
-/// Converts records to updates. Records that cannot be decoded are ignored, whoever wrote them.
+/// Converts records to updates.
 fn target_updates(records: Vec<KeyedRecord>) -> Vec<Update> {
     let change = |record: KeyedRecord| match record.value {
         None => TargetName::new(&record.key).ok().map(Update::RemoveTarget),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod guard;
 pub mod intake;
 pub mod link;
+pub mod listing;
 pub mod logs;
 pub mod memory;
 pub mod meters;
--- a/src/meters.rs
+++ b/src/meters.rs
@@ -76,6 +76,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the counter of records that are left out.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LeftOutLabels {
+    /// Stream of the records: `orders`, `targets`, `routers` or `usage`.
+    pub stream: &'static str,
+    /// `unusable`, or `no_room`.
+    pub cause: &'static str,
+}
+
 /// Labels of the counter of progress reports of version moves.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct MoveLabels {
@@ -119,6 +128,7 @@
     retry_decisions: Family<RetryLabels, Counter>,
     takeovers: Family<TakeoverLabels, Counter>,
     peer_reads: Family<PeerReadLabels, Counter>,
+    left_out: Family<LeftOutLabels, Counter>,
     moves: Family<MoveLabels, Counter>,
     beliefs: Family<BeliefLabels, Counter>,
     answered: Histogram,
@@ -148,6 +158,7 @@
             retry_decisions: Family::default(),
             takeovers: Family::default(),
             peer_reads: Family::default(),
+            left_out: Family::default(),
             moves: Family::default(),
             beliefs: Family::default(),
             answered: Histogram::new(ANSWER_BUCKETS),
@@ -194,6 +205,8 @@
         registry.register("takeovers", help, self.takeovers.clone());
         let help = "Reads of the store's streams from other routers";
         registry.register("peer_reads", help, self.peer_reads.clone());
+        let help = "Records of the store that are left out: unusable, or without room";
+        registry.register("records_left_out", help, self.left_out.clone());
         let help = "Reports of the state of version moves";
         registry.register("move_reports", help, self.moves.clone());
         let help = "Changes of what the router believes of targets, zones and moves";
@@ -262,6 +275,14 @@
         self.moves.get_or_create(&MoveLabels { state }).inc();
     }
 
+    /// Counts records of a stream of the store that are left out, by why.
+    pub fn count_left_out(&self, stream: &'static str, cause: &'static str, count: u64) {
+        if count > 0 {
+            let labels = LeftOutLabels { stream, cause };
+            self.left_out.get_or_create(&labels).inc_by(count);
+        }
+    }
+
     /// Counts changes in the router's view of the fleet.
     pub fn count_belief_changes(&self, change: &'static str, count: usize) {
         if count > 0 {
--- a/src/mirror.rs
+++ b/src/mirror.rs
@@ -47,6 +47,13 @@
         self.apply(new, next);
     }
 
+    /// The current record of a key; `None` if there is none or it was deleted.
+    pub fn live(&self, key: &str) -> Option<&KeyedRecord> {
+        self.records
+            .get(key)
+            .filter(|record| record.value.is_some())
+    }
+
     /// Whether the content has this key, or knows that it was deleted.
     pub fn knows(&self, key: &str) -> bool {
         self.records.contains_key(key)
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -51,8 +51,9 @@
 const MAX_CONNECTIONS: usize = 128 + 1_024;
 /// Longest time for which an answer waits for a record.
 const MAX_WAIT: Duration = Duration::from_secs(2);
-/// Maximum size of the records in one answer, in bytes; less than the largest frame.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Maximum size of the records in one answer, in bytes; less than the largest frame. All records that a
+/// router keeps of a stream fit into it.
+const MAX_ANSWER_BYTES: usize = 7 << 20;
 /// The same for a read that waits. A follower can get longer records from the store; sending them to
 /// all followers would hold up the requests of a reader's own callers.
 const MAX_FOLLOW_BYTES: usize = 32 << 10;
--- a/src/report.rs
+++ b/src/report.rs
@@ -14,7 +14,7 @@
 };
 use ebonyfall_platform::{
     moves::{self, RecordedStatus},
-    store::{self, OrderKey, Topic},
+    store::Topic,
 };
 use http::StatusCode;
 use slog::{Logger, info, warn};
@@ -24,7 +24,7 @@
     clock::BootClock,
     meters::EntryMetrics,
     selection::{SelectorHandle, Update},
-    store::{Listing, StoreClient, StoreError},
+    store::{StoreClient, StoreError},
     supervisor::{Supervisor, TaskName},
 };
 
@@ -144,8 +144,7 @@
     /// Reads the recorded status of the order's service, and the offset of the stream's end.
     async fn read(&self, order: &MoveOrder) -> Result<(RecordedStatus, Position), StoreError> {
         let key = moves::status_key(&order.service);
-        let Listing { records, end } = self.store.newest(Topic::Status, 0).await?;
-        let known = records.into_iter().find(|record| record.key == key);
+        let (known, end) = self.store.find(Topic::Status, &key).await?;
         let value = known.and_then(|record| record.value);
         let status = value.map_or(RecordedStatus::Missing, |value| {
             moves::decode_status(order, &value)
@@ -201,13 +200,11 @@
     /// Whether the operators' stream has a later record of the order's key: another order, or a
     /// withdrawal.
     async fn is_replaced(&self, order: &MoveOrder) -> Result<bool, StoreError> {
-        let own_key = Some(OrderKey::Move(order.service.clone()));
-        let Listing { records, end } = self.store.newest(Topic::Orders, 0).await?;
+        let key = moves::order_key(&order.service);
+        let (own, end) = self.store.find(Topic::Orders, &key).await?;
         if end.era != order.era {
             return Err(StoreError::restored(order.era, end.era));
         }
-        let mut records = records.into_iter();
-        let own = records.find(|record| store::decode_order_key(&record.key) == own_key);
         Ok(own.map(|record| record.offset) != Some(order.offset))
     }
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -34,6 +34,8 @@
 const MAX_ROSTER_RETRY_PAUSE: Duration = Duration::from_secs(60);
 /// Key of the store's record that contains the exchange key.
 const KEY_RECORD: &str = "exchange-key";
+/// Most log lines on single records of one list.
+const MAX_BAD_LINES: u32 = 8;
 /// Length of the exchange key in bytes.
 const KEY_BYTES: usize = 16;
 
@@ -75,8 +77,8 @@
     key: KeyBytes,
     log: &Logger,
 ) -> Result<Option<RouterRecords>, StoreError> {
-    let Listing { records, end } = store.newest(Topic::Routers, 0).await?;
-    let roster = decode_roster(&records, log);
+    let Listing { records, end, .. } = list(store, log).await?;
+    let roster = decode_roster(&records);
     let known = records.into_iter().find(|record| record.key == KEY_RECORD);
     let known = known.and_then(|record| record.value);
     if let Some(key) = known.and_then(|value| KeyBytes::try_from(&*value).ok()) {
@@ -100,18 +102,32 @@
     }
 }
 
-/// Decodes the records of routers. One that cannot be decoded is logged and omitted.
-fn decode_roster(records: &[KeyedRecord], log: &Logger) -> Vec<RosterEntry> {
-    let entries = records.iter().filter_map(roster::decode);
-    let entries = entries.filter_map(|entry| match entry {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            warn!(log, "a router's record in the store is ignored";
-                "event" => "roster_bad", "error" => %error);
-            None
+/// Lists the exchange key and the roster. Of the records that cannot be decoded, the first ones are logged.
+async fn list(store: &StoreClient, log: &Logger) -> Result<Listing, StoreError> {
+    let mut bad = 0;
+    let is_used = |record: &KeyedRecord| match roster::decode(record) {
+        None => record.key == KEY_RECORD,
+        Some(Ok(_)) => true,
+        Some(Err(error)) => {
+            bad += 1;
+            if bad <= MAX_BAD_LINES {
+                warn!(log, "a router's record in the store is ignored";
+                    "event" => "roster_bad", "error" => %error);
+            }
+            false
         }
-    });
-    entries.collect()
+    };
+    let listing = store.newest(Topic::Routers, is_used).await?;
+    if bad > MAX_BAD_LINES {
+        warn!(log, "more records of routers in the store are ignored";
+            "event" => "roster_bad", "count" => bad, "left_out" => listing.left_out);
+    }
+    Ok(listing)
+}
+
+fn decode_roster(records: &[KeyedRecord]) -> Vec<RosterEntry> {
+    let entries = records.iter().filter_map(roster::decode);
+    entries.filter_map(Result::ok).collect()
 }
 
 /// What the task that keeps a router's record needs.
@@ -206,8 +222,8 @@
     async fn read(&self) -> Vec<RosterEntry> {
         let mut pause = ROSTER_RETRY_PAUSE;
         loop {
-            match self.store.newest(Topic::Routers, 0).await {
-                Ok(listing) => return decode_roster(&listing.records, &self.log),
+            match list(&self.store, &self.log).await {
+                Ok(listing) => return decode_roster(&listing.records),
                 Err(error) => self.wait_to_retry("list", &error, &mut pause).await,
             }
         }
--- a/src/usage/duty.rs
+++ b/src/usage/duty.rs
@@ -457,10 +457,19 @@
 }
 
 async fn read_newest(store: &StoreClient, log: &Logger) -> Result<EraAnswer, StoreError> {
-    let Listing { mut records, end } = match store.newest(Topic::Usage, 0).await {
+    let listed = store.newest(Topic::Usage, is_used).await;
+    let Listing {
+        mut records,
+        left_out,
+        end,
+    } = match listed {
         Err(error) if is_missing(&error) => return Ok(empty(Era::default())),
         answer => answer?,
     };
+    if left_out > 0 {
+        warn!(log, "undecodable records of the usage stream skipped";
+            "event" => "usage_store", "left_out" => left_out);
+    }
     let Position { era, offset: end } = end;
     records.sort_by_key(|record| record.offset);
     // Records after the end of the first page are read again.
@@ -498,6 +507,11 @@
     Ok(EraAnswer { answer, era })
 }
 
+/// Whether a record can be decoded.
+fn is_used(record: &KeyedRecord) -> bool {
+    usage::decode_record(&record.key, record.value.as_deref()).is_ok()
+}
+
 /// Decodes records; false if one could not be decoded.
 fn decode(records: Vec<KeyedRecord>, log: &Logger) -> (Vec<UsageRecord>, bool) {
     let count = records.len();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod moves;
 mod notices;
+mod odd_entries;
 mod parts;
 mod readers;
 mod reports;
