Read the agents' log and the VM list beside entries of other writers

- A read names a number of records.
If they were long together (64 MiB), the answer was refused as a whole, and the same read was made again for good: no configuration, claims, facts or orders after them.
Fewer records are asked for now until they fit (24 MiB, more than the longest record), and an answer that declares too many bytes is not read at all.
- An exchange with the claims held all that it could read in 2 s at once.
It stops after 16 MiB and goes on with the next one.
- One entry of the VM list that cannot be decoded cost the list.
It is left out, and logged when the number changes (`vms_bad`).

--- a/src/append.rs
+++ b/src/append.rs
@@ -21,6 +21,8 @@
 const READ_BATCH_RECORDS: u32 = 1024;
 /// Time after which an exchange stops reading, even if it has not reached the end of the log.
 const MAX_READ_TIME: Duration = Duration::from_secs(2);
+/// Size of the records after which an exchange stops reading, as after [`MAX_READ_TIME`].
+const MAX_READ_BYTES: usize = 16 << 20;
 /// Timeout of a forwarded append. The writer may in turn wait for the log and its rate limit.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -56,8 +58,8 @@
     /// Offset and time (milliseconds since the Unix epoch) of the oldest remaining record, if
     /// records expired before they were read.
     pub reset: Option<(Offset, u64)>,
-    /// Whether the reads succeeded, up to the end of the log or until the time for reads was used
-    /// up.
+    /// Whether the reads succeeded, up to the end of the log or until the time or the memory for reads
+    /// was used up.
     pub read: Result<(), PlatformError>,
 }
 
@@ -77,6 +79,7 @@
         None => None,
     };
     let mut records = Vec::new();
+    let mut bytes = 0;
     let mut reset = None;
     let start = Instant::now();
     let read = loop {
@@ -87,10 +90,16 @@
                     *time = first.map_or_else(unix_ms, |record| record.time);
                 }
                 next = batch.records.last().map_or(next, |last| last.offset.next());
+                bytes += batch
+                    .records
+                    .iter()
+                    .map(|record| record.data.len())
+                    .sum::<usize>();
                 records.extend(batch.records);
                 // Requests wait for this exchange, so it must end even if the stream grows faster
                 // than it is read.
-                if next >= batch.next || start.elapsed() > MAX_READ_TIME {
+                let is_long = bytes > MAX_READ_BYTES || start.elapsed() > MAX_READ_TIME;
+                if next >= batch.next || is_long {
                     break Ok(());
                 }
             }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -10,6 +10,7 @@
 };
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::Value;
 use serde_with::{base64::Base64, serde_as};
 use snafu::{ResultExt, Snafu};
 
@@ -17,8 +18,9 @@
 
 /// Time until the answer to a call begins, and longest time without progress of it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum size of an answer, in bytes; a batch of configuration records may be long.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Maximum size of an answer, in bytes; more than that of the longest record. Of a batch that is longer,
+/// fewer records are read.
+const MAX_ANSWER_BYTES: usize = 24 << 20;
 
 /// Reason why a call to the platform failed.
 #[derive(Debug, Snafu)]
@@ -29,6 +31,9 @@
         /// Error of the connection, or the HTTP status.
         reason: String,
     },
+    /// The answer is longer than is read; an append may have taken effect.
+    #[snafu(display("the platform's answer has more than {MAX_ANSWER_BYTES} bytes"))]
+    TooLong,
     /// The platform rejected the call, which had no effect.
     #[snafu(display("the platform refused with status {status}"))]
     Refused {
@@ -96,6 +101,15 @@
     pub state: VmState,
 }
 
+/// The platform's list of VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmList {
+    /// The VMs.
+    pub vms: Vec<Vm>,
+    /// Number of entries that cannot be decoded.
+    pub left_out: usize,
+}
+
 #[derive(Serialize)]
 struct Append {
     data: String,
@@ -141,7 +155,7 @@
         Ok(answer.offset)
     }
 
-    /// Reads at most `limit` records of `stream` from offset `from` on.
+    /// Reads at most `limit` records of `stream` from offset `from` on; fewer if these are long.
     ///
     /// # Errors
     ///
@@ -153,8 +167,14 @@
         from: Offset,
         limit: u32,
     ) -> Result<Batch, PlatformError> {
-        let path = format!("/v1/streams/{stream}/records?from={from}&limit={limit}");
-        self.call(Method::GET, &path, Vec::new()).await
+        let mut limit = limit;
+        loop {
+            let path = format!("/v1/streams/{stream}/records?from={from}&limit={limit}");
+            match self.call(Method::GET, &path, Vec::new()).await {
+                Err(PlatformError::TooLong) if limit > 1 => limit /= 2,
+                answer => return answer,
+            }
+        }
     }
 
     /// Reads the list of VMs.
@@ -162,8 +182,13 @@
     /// # Errors
     ///
     /// Returns an error if the platform rejects the call or does not answer.
-    pub async fn vms(&self) -> Result<Vec<Vm>, PlatformError> {
-        self.call(Method::GET, "/v1/vms", Vec::new()).await
+    pub async fn vms(&self) -> Result<VmList, PlatformError> {
+        let entries: Vec<Value> = self.call(Method::GET, "/v1/vms", Vec::new()).await?;
+        let count = entries.len();
+        let vms = entries.into_iter().map(serde_json::from_value);
+        let vms: Vec<Vm> = vms.filter_map(Result::ok).collect();
+        let left_out = count - vms.len();
+        Ok(VmList { vms, left_out })
     }
 
     async fn call<T: DeserializeOwned>(
@@ -175,7 +200,13 @@
         let no_answer = |reason: String| PlatformError::NoAnswer { reason };
         let limits = TransferLimits::new(Duration::ZERO, CALL_TIMEOUT);
         let answer = self.rest.call(method, path, body, limits).await;
-        let Answer { status, body, .. } = answer.map_err(|error| no_answer(error.reason))?;
+        let Answer { status, body, .. } = answer.map_err(|error| {
+            if error.is_too_long {
+                PlatformError::TooLong
+            } else {
+                no_answer(error.reason)
+            }
+        })?;
         if status == StatusCode::GONE {
             let FirstOffset { first } = serde_json::from_slice(&body).context(DecodeSnafu)?;
             return ExpiredSnafu { first }.fail();
--- a/src/rest.rs
+++ b/src/rest.rs
@@ -10,7 +10,7 @@
 };
 use http::{HeaderMap, Method, Request, StatusCode, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -26,6 +26,8 @@
 pub struct NoAnswer {
     /// Cause, such as a connection error or `timeout`.
     pub reason: String,
+    /// Whether there was an answer, which is longer than the client reads.
+    pub is_too_long: bool,
     /// The part of the answer that arrived before the call ended, with its head.
     pub partial: Option<Box<Answer>>,
 }
@@ -34,9 +36,17 @@
     fn new(reason: impl Display) -> Self {
         Self {
             reason: reason.to_string(),
+            is_too_long: false,
             partial: None,
         }
     }
+
+    fn too_long() -> Self {
+        Self {
+            is_too_long: true,
+            ..Self::new("the answer is too long")
+        }
+    }
 }
 
 /// An answer.
@@ -113,6 +123,10 @@
         mut body: Incoming,
         mut transfer: Transfer,
     ) -> Result<Answer, NoAnswer> {
+        let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if declared > self.max_answer_bytes {
+            return Err(NoAnswer::too_long());
+        }
         let mut buf = BytesMut::new();
         let reason = loop {
             let Some(frame) = advance(&mut transfer, body.frame()).await else {
@@ -125,13 +139,14 @@
             };
             let data = frame.into_data().unwrap_or_default();
             if buf.len() + data.len() > self.max_answer_bytes {
-                return Err(NoAnswer::new("the answer is too long"));
+                return Err(NoAnswer::too_long());
             }
             buf.extend_from_slice(&data);
             transfer.record(buf.len(), BootClock.now());
         };
         Err(NoAnswer {
             reason,
+            is_too_long: false,
             partial: Some(Box::new(answer(head, buf))),
         })
     }
--- a/src/vms.rs
+++ b/src/vms.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use ebonyfall_core::member::ListedVm;
-use slog::{Logger, debug};
+use slog::{Logger, debug, warn};
 use tokio::time::sleep;
 
 use crate::{
     gossip::Gossip,
-    platform::{Platform, Vm, VmState},
+    platform::{Platform, Vm, VmList, VmState},
     supervisor::{Supervisor, TaskName},
 };
 
@@ -26,11 +26,17 @@
 pub fn start(platform: Platform, gossip: Gossip, supervisor: &Supervisor, log: Logger) {
     supervisor.spawn(TaskName::Vms, async move {
         let mut pause = POLL_INTERVAL;
+        let mut known_left_out = 0;
         // The random delay keeps processes that start together from polling at the same time.
         sleep(jitter(POLL_INTERVAL / 2)).await;
         loop {
             match platform.vms().await {
-                Ok(vms) => {
+                Ok(VmList { vms, left_out }) => {
+                    if left_out != known_left_out {
+                        warn!(log, "entries of the VM list cannot be decoded and are ignored";
+                            "event" => "vms_bad", "left_out" => left_out);
+                        known_left_out = left_out;
+                    }
                     let intervals =
                         u32::try_from(vms.len().div_ceil(VMS_PER_INTERVAL)).unwrap_or(u32::MAX);
                     pause = POLL_INTERVAL.saturating_mul(intervals.max(1));
