Let no question wait for a task that has ended

`let _ended = tx.send(command).await` keeps the command that was not sent until the end of the function, and with it the sender of the answer that the next line awaits. 24 questions were written so, `DispatchHandle::admit` and `Gossip::leave` among them; their documentation said what happens if the task has ended.

All questions go through one function now (src/ask.rs), which drops a command that was not sent.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    ask::ask,
     clock::{self, Clock},
     link::Link,
     supervisor::{Supervisor, TaskName},
@@ -140,14 +141,12 @@
     /// Records the end of an admitted attempt. Returns the target's load, and whether the request's
     /// content is suspected of crashing engines.
     pub async fn finish(&self, attempt: AttemptId, outcome: RunOutcome) -> (Load, bool) {
-        let (reply, answer) = oneshot::channel();
-        let command = Command::Finish {
+        let finish = |reply| Command::Finish {
             attempt,
             outcome,
             reply,
         };
-        let _ended = self.0.send(command).await;
-        answer.await.unwrap_or_default()
+        ask(&self.0, finish).await.unwrap_or_default()
     }
 
     /// Removes an attempt whose answer was delivered or whose caller disconnected; frees its slot
@@ -158,9 +157,7 @@
 
     /// Returns the target's current load; zero if the task has ended.
     pub async fn load(&self) -> Load {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Command::Load(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.0, Command::Load).await.unwrap_or_default()
     }
 
     /// Returns the channel that passes a new connection to the session of an attempt; `None` if the
@@ -205,9 +202,9 @@
 
     /// Refuses new attempts and waits up to `within` for the accepted ones to end.
     pub async fn drain(&self, within: Duration) -> DrainStatus {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Command::Drain { within, reply }).await;
-        answer.await.unwrap_or(DrainStatus::Nothing)
+        ask(&self.0, |reply| Command::Drain { within, reply })
+            .await
+            .unwrap_or(DrainStatus::Nothing)
     }
 }
 
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -127,6 +127,20 @@
 ) -> Result<(), AgentError> {
     let metrics = Metrics::new();
     let supervisor = Supervisor::new(stop, metrics.ended_tasks.clone(), log.clone());
+    run_supervised(cfg, metrics, supervisor, log).await
+}
+
+/// Like [`run`], with tasks that `supervisor` watches, until it stops the process.
+///
+/// # Errors
+///
+/// Fails like [`run`].
+pub async fn run_supervised(
+    cfg: AgentConfig,
+    metrics: Metrics,
+    supervisor: Supervisor,
+    log: Logger,
+) -> Result<(), AgentError> {
     serve(cfg, metrics, &supervisor, log).await?;
     match supervisor.ended() {
         Some(task) => TaskEndedSnafu { task }.fail(),
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     append::{self, AppendBatch, LogExchange, Peers, unix_ms},
+    ask::ask,
     cache::{AnswerCache, MAX_STORED_ANSWER_BYTES, StoredAnswer},
     clock::Clock,
     link::{Identity, Link, LinkError},
@@ -168,9 +169,8 @@
     pub async fn serve(&self, link: &mut Link) -> Result<(), LinkError> {
         loop {
             let ForwardRequest { entries } = link.receive().await?;
-            let (reply, answer) = oneshot::channel();
-            let _ended = self.tx.send(Command::Forwarded { entries, reply }).await;
-            let forwarded = answer.await.unwrap_or(ForwardReply::Unknown);
+            let forwarded = ask(&self.tx, |reply| Command::Forwarded { entries, reply }).await;
+            let forwarded = forwarded.unwrap_or(ForwardReply::Unknown);
             link.send(&forwarded).await?;
         }
     }
@@ -185,9 +185,9 @@
 
     /// Returns the state of the task; all zero if it has ended.
     pub async fn dump(&self) -> ClaimsDump {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Dump { reply }).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, |reply| Command::Dump { reply })
+            .await
+            .unwrap_or_default()
     }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    ask::ask,
     clock::BootClock,
     supervisor::{Supervisor, TaskName},
 };
@@ -94,11 +95,10 @@
             id: self.next_id.fetch_add(1, Ordering::Relaxed),
             permit: self.tx.clone().reserve_owned().await.ok(),
         };
-        let (reply, answer) = oneshot::channel();
-        let command = Command::Offer(place.id, Box::new(request), reply);
-        let _ended = self.tx.send(command).await;
-        let decided = answer.await;
-        if decided.is_err() {
+        let id = place.id;
+        let offer = |reply| Command::Offer(id, Box::new(request), reply);
+        let decided = ask(&self.tx, offer).await;
+        if decided.is_none() {
             place.permit = None;
         }
         let (verdict, figures) = decided.unwrap_or((Verdict::Admitted, Figures::default()));
@@ -107,16 +107,12 @@
 
     /// Returns the open and waiting requests by service, for the report to other routers.
     pub async fn demand(&self) -> Vec<(ServiceName, u32)> {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Demand(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, Command::Demand).await.unwrap_or_default()
     }
 
     /// Returns a description of the state for the dump and the metrics.
     pub async fn inspect(&self) -> Vec<ServiceDispatch> {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Inspect(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, Command::Inspect).await.unwrap_or_default()
     }
 }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    ask::ask,
     clock::{self, Clock},
     link::Identity,
     metrics::Metrics,
@@ -163,9 +164,7 @@
 
     /// Announces that the process is leaving, and returns once the announcement has been sent.
     pub async fn leave(&self) {
-        let (reply, sent) = oneshot::channel();
-        let _ended = self.tx.send(Command::Leave(reply)).await;
-        let _ended = sent.await;
+        ask(&self.tx, Command::Leave).await;
     }
 
     /// Returns the stored value of `key`.
@@ -177,23 +176,17 @@
 
     /// Returns a copy of the item store.
     pub async fn items(&self) -> ItemStore {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Items(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, Command::Items).await.unwrap_or_default()
     }
 
     /// Returns the addresses of live processes, and the seeds.
     pub async fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Peers(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, Command::Peers).await.unwrap_or_default()
     }
 
     /// Returns the task's state for the admin dump.
     pub async fn dump(&self) -> GossipDump {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Dump(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, Command::Dump).await.unwrap_or_default()
     }
 
     /// Returns a receiver that changes when urgent items have arrived from other processes.
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -8,7 +8,10 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-use crate::supervisor::{Supervisor, TaskName};
+use crate::{
+    ask::ask,
+    supervisor::{Supervisor, TaskName},
+};
 
 /// Capacity of the task's command channel.
 const QUEUE_LEN: usize = 4096;
@@ -78,9 +81,9 @@
     /// Prevents a claim from running, unless it is running or has run. The outcome is `Unknown` if
     /// the task has ended.
     pub async fn void(&self, claim: ClaimRef) -> VoidOutcome {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Command::Void { claim, reply }).await;
-        answer.await.unwrap_or(VoidOutcome::Unknown)
+        ask(&self.0, |reply| Command::Void { claim, reply })
+            .await
+            .unwrap_or(VoidOutcome::Unknown)
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod agent;
 pub mod append;
+mod ask;
 pub mod body;
 pub mod cache;
 pub mod callers;
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -29,6 +29,7 @@
 };
 
 use crate::{
+    ask::ask,
     clock::Clock,
     gossip::Gossip,
     supervisor::{Supervisor, TaskName},
@@ -226,22 +227,20 @@
         chat: ChatId,
         target: TargetName,
     ) -> Vec<SocketAddr> {
-        let (reply, answer) = oneshot::channel();
-        let command = Command::Served {
+        let served = |reply| Command::Served {
             pool,
             chat,
             target,
             reply,
         };
-        let _ended = self.tx.send(command).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, served).await.unwrap_or_default()
     }
 
     /// Returns a snapshot of the task's state; empty when the task has ended.
     pub async fn dump(&self) -> PickerDump {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Dump { reply }).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, |reply| Command::Dump { reply })
+            .await
+            .unwrap_or_default()
     }
 }
 
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    ask::ask,
     link::Link,
     supervisor::{Supervisor, TaskName},
 };
@@ -49,9 +50,9 @@
 
     /// Takes an open idle connection to `agent` from the pool; `None` if there is none.
     pub async fn take(&self, agent: SocketAddr) -> Option<Link> {
-        let (reply, answer) = oneshot::channel();
-        self.0.send(Command::Take { agent, reply }).await.ok()?;
-        answer.await.ok()?
+        ask(&self.0, |reply| Command::Take { agent, reply })
+            .await
+            .flatten()
     }
 
     /// Returns a connection to the pool; its last answer must have been received completely.
--- a/src/retrier.rs
+++ b/src/retrier.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    ask::ask,
     clock,
     supervisor::{Supervisor, TaskName},
     view::{Pool, Views},
@@ -152,16 +153,12 @@
 
     /// Takes a retry from the budget; `false` when the budget is exhausted or the task has ended.
     pub async fn try_take_retry(&self) -> bool {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Command::TryTakeRetry(reply)).await;
-        answer.await.unwrap_or(false)
+        ask(&self.0, Command::TryTakeRetry).await.unwrap_or(false)
     }
 
     /// Returns the marks of all suspect and held requests, for other processes and for operators.
     pub async fn marks(&self) -> Marks {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Command::Marks(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.0, Command::Marks).await.unwrap_or_default()
     }
 
     /// Merges marks received from another process.
@@ -172,9 +169,9 @@
     /// Removes the mark of a held or suspect request, at an operator's command; `false` when there
     /// was none.
     pub async fn clear(&self, fingerprint: Fingerprint) -> bool {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.0.send(Command::Clear(fingerprint, reply)).await;
-        answer.await.unwrap_or(false)
+        ask(&self.0, |reply| Command::Clear(fingerprint, reply))
+            .await
+            .unwrap_or(false)
     }
 }
 
--- a/src/rollouts.rs
+++ b/src/rollouts.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    ask::ask,
     clock,
     gossip::Gossip,
     platform::{Platform, PlatformError},
@@ -193,9 +194,7 @@
 
     /// Returns the state of every declared move.
     pub async fn dump(&self) -> BTreeMap<MoveName, MoveState> {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Dump(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, Command::Dump).await.unwrap_or_default()
     }
 }
 
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::{
+    ask::ask,
     clock::BootClock,
     supervisor::{Supervisor, TaskName},
     trace,
@@ -266,9 +267,9 @@
     /// Checks whether a target accepts connections; `None` if the router itself cannot connect. Checks of
     /// one target share a connection, which is kept for a request.
     pub async fn check(&self, target: TargetRecord) -> Option<Probe> {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Check(Box::new(target), reply)).await;
-        answer.await.ok().flatten()
+        ask(&self.tx, |reply| Command::Check(Box::new(target), reply))
+            .await
+            .flatten()
     }
 
     /// Applies `updates` in order.
@@ -279,9 +280,9 @@
     /// Returns the next report to the other routers, with this router's open and waiting requests by
     /// service.
     pub async fn report(&self, demand: Vec<(ServiceName, u32)>) -> RouterReport {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Report(demand, reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, |reply| Command::Report(demand, reply))
+            .await
+            .unwrap_or_default()
     }
 
     /// Returns a receiver that changes when this router's requests change what counts against prompt
@@ -297,24 +298,18 @@
 
     /// Returns the crashes counted against prompt parts.
     pub async fn part_marks(&self) -> Vec<PartReport> {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::PartMarks(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, Command::PartMarks).await.unwrap_or_default()
     }
 
     /// Returns a description of the selector's state for the dump.
     pub async fn inspect(&self) -> RoutingState {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Inspect(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, Command::Inspect).await.unwrap_or_default()
     }
 
     /// Returns the state of all version moves, with the progress that this router has to report
     /// now.
     pub async fn moves(&self) -> Vec<MoveState> {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Moves(reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, Command::Moves).await.unwrap_or_default()
     }
 }
 
--- a/src/usage/counting.rs
+++ b/src/usage/counting.rs
@@ -30,6 +30,7 @@
     meters::CountingMeters,
 };
 use crate::{
+    ask::ask,
     clock::{self, BootClock},
     neighbours::PeerAccess,
     supervisor::{Supervisor, TaskName},
@@ -190,18 +191,16 @@
 
     /// Returns the counts of `window` as far as this router knows them.
     pub async fn window(&self, window: WindowId) -> WindowCounts {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Window(window, reply)).await;
-        answer.await.unwrap_or_default()
+        ask(&self.tx, |reply| Command::Window(window, reply))
+            .await
+            .unwrap_or_default()
     }
 
     /// Returns the counts that have changed after `revision`, and the revision that they reach.
     /// Revisions are those of this process.
     pub async fn changes_since(&self, revision: u64) -> (Vec<CountChange>, u64) {
-        let (reply, answer) = oneshot::channel();
-        let command = Command::ChangesSince(revision, reply);
-        let _ended = self.tx.send(command).await;
-        answer.await.unwrap_or((Vec::new(), revision))
+        let changes = ask(&self.tx, |reply| Command::ChangesSince(revision, reply)).await;
+        changes.unwrap_or((Vec::new(), revision))
     }
 
     /// Merges counts that were read from the store.
@@ -232,17 +231,12 @@
 
     /// Merges the counts of another router. `None` if the task has ended.
     pub(crate) async fn exchange(&self, message: CountsMessage) -> Option<CountsAnswer> {
-        let (reply, answer) = oneshot::channel();
-        let command = Command::Exchange(message, reply);
-        self.tx.send(command).await.ok()?;
-        answer.await.ok()
+        ask(&self.tx, |reply| Command::Exchange(message, reply)).await
     }
 
     /// Returns the state of the task for the dump.
     pub async fn inspect(&self) -> CountingState {
-        let (reply, answer) = oneshot::channel();
-        let _ended = self.tx.send(Command::Inspect(reply)).await;
-        let state = answer.await.unwrap_or_default();
+        let state = ask(&self.tx, Command::Inspect).await.unwrap_or_default();
         CountingState {
             rank: self.rank(),
             ..state
--- a/tests/supervision.rs
+++ b/tests/supervision.rs
@@ -9,11 +9,21 @@
 };
 
 use ebonyfall::{
+    clock::BootClock,
+    dispatch::DispatchHandle,
     entry::{self, EntryError},
     metrics::Metrics,
+    selection::SelectorHandle,
     settings,
     supervisor::{EndedTasks, Supervisor, TaskLabels, TaskName},
 };
+use ebonyfall_core::{
+    budget::RetryBound,
+    dispatch::{DispatchRequest, QueueLimits, Verdict},
+    doc::Idempotency,
+    id::Fingerprint,
+    selector::TargetSelector,
+};
 use ebonyfall_standin::{
     entrance::{EntryDeployment, FleetPlan, STOP_GRACE},
     registered::AnswerMode,
@@ -241,3 +251,47 @@
     assert!(*done.lock().expect("no panic"));
     assert_eq!(supervisor.ended(), None);
 }
+
+/// Guards against a caller, or a stop, that waits for ever for the answer of a task that has ended.
+#[tokio::test]
+async fn questions_to_a_task_that_has_ended_are_answered() {
+    let (supervisor, _signal, _counts) = supervisor();
+    let log = Logger::root(Discard, o!());
+    let retry = RetryBound {
+        ratio: 0.2,
+        slack: 50.0,
+        window: Duration::from_secs(10),
+    };
+    let selector = TargetSelector::new("a".parse().expect("a name"), retry);
+    let selector = SelectorHandle::start(selector, BootClock, &supervisor, log);
+    let (_rooms, rooms) = watch::channel(Vec::new());
+    let dispatch = DispatchHandle::start(rooms, QueueLimits::default(), BootClock, &supervisor);
+    supervisor.abort(TaskName::Selector);
+    supervisor.abort(TaskName::Dispatch);
+    settle().await;
+    let now = BootClock.now();
+    let request = DispatchRequest {
+        service: "desk".parse().expect("a name"),
+        team: "desk".parse().expect("a name"),
+        priority: 0,
+        content: Fingerprint::from(1),
+        idempotency: Idempotency::Idempotent,
+        objective: OPEN_TIME,
+        timeout: OPEN_TIME,
+        arrived: now,
+        deadline: now + OPEN_TIME,
+        bytes: 0,
+    };
+    let questions = async {
+        selector.inspect().await;
+        selector.report(Vec::new()).await;
+        selector.moves().await;
+        selector.part_marks().await;
+        dispatch.demand().await;
+        dispatch.inspect().await;
+        let (_place, verdict, _figures) = dispatch.admit(request).await;
+        assert_eq!(verdict, Verdict::Admitted);
+    };
+    let answered = timeout(READY_TIMEOUT, questions).await;
+    answered.expect("the questions are answered");
+}
