Drop a list that is not complete when later changes are applied

A list that is read on after a failed call has the state of its first page. If another router delivered changes meanwhile, the complete list would put back what they had changed, a draining target for example, until the stream is read.

--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -390,7 +390,7 @@
     async fn apply_read(&mut self, read: PeerRead) -> Position {
         if read.is_complete {
             let list = self.filter.filter_list(read.records, &self.mirror.borrow());
-            // A list of the store would be older.
+            // A list that is read on later would be older.
             self.list = None;
             let applied = self.apply_list(list, read.next, Origin::Router);
             // A read names the era of what is known, so that no earlier one is in its answer.
@@ -417,6 +417,8 @@
         if records.is_empty() && unreadable.records == 0 {
             return 0;
         }
+        // A list that is read on later has the state of before these changes.
+        self.list = None;
         let records = self.filter.filter(records, unreadable, BootClock.now());
         let used: usize = records.iter().map(KeyedRecord::size).sum();
         self.mirror
