Let long answers to routers share the memory of the process, and read on in larger parts

Answers to other routers had a limit each (4 MiB, 7 MiB since lists were bounded by what a router keeps) on up to 1,152 connections, and none for the process. Records of more than 32 KiB take twice their size from the part of the memory for answers now, while they are sent; an answer that does not fit is refused, and the other router asks the next one or the store. The taker is `peers` in the metrics.

A router behind the targets' stream reads 1,024 KiB at once after the first answer instead of 128: beside records of 262 kB, one call for three or four of them. The first answer stays short, since it decides between stream and list; orders are read as before.

--- a/core/src/memory.rs
+++ b/core/src/memory.rs
@@ -33,6 +33,8 @@
     Answers,
     /// Incomplete events of streams.
     Streams,
+    /// Long answers to other routers.
+    Peers,
 }
 
 impl Taker {
@@ -43,6 +45,7 @@
             Self::Bodies => "bodies",
             Self::Answers => "answers",
             Self::Streams => "streams",
+            Self::Peers => "peers",
         }
     }
 }
@@ -54,7 +57,7 @@
     pub heads: usize,
     /// For [`Taker::Bodies`].
     pub bodies: usize,
-    /// For [`Taker::Answers`] and [`Taker::Streams`].
+    /// For [`Taker::Answers`], [`Taker::Streams`] and [`Taker::Peers`].
     pub answers: usize,
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -21,9 +21,10 @@
     dispatch::DispatchHandle,
     follow::{self, StoreState},
     intake::Intake,
+    memory::MemoryBudget,
     metrics::Metrics,
     monitoring::{self, Monitoring, Readiness},
-    neighbours::PeerAccess,
+    neighbours::{PeerAccess, PeerService},
     peering::{self, Peering},
     receive::AnswerBuffers,
     report,
@@ -135,7 +136,8 @@
     monitoring::serve_readiness(ready, readiness, guard.clone(), &supervisor, log.clone());
     let pages = tasks.pages(&cfg, tasks.start_duty(&cfg, &stop));
     monitoring::serve_monitoring(monitoring, pages, guard.clone(), &supervisor, log.clone());
-    tasks.start_reports(&cfg, access, entered_tx, stop.clone());
+    let memory = guard.memory.clone();
+    tasks.start_reports(&cfg, access, entered_tx, memory.clone(), stop.clone());
     let settings = watch_settings(hangup, cfg.clone(), path, log.clone());
     supervisor.spawn(TaskName::Settings, settings);
     let limits = limits(&tasks.store_state, cfg.machine, cfg.callers);
@@ -145,7 +147,6 @@
         end_after: grace,
     };
     let phases = StopPhases::start(stop.clone(), times, &supervisor, log.clone());
-    let memory = guard.memory.clone();
     let intake = Shared::new(Intake {
         bodies: RequestBodies::new(memory, BODY_COPIES, cfg.callers, phases.clone()),
         shared: Arc::new(tasks.forwarding(phases, &guard)),
@@ -282,6 +283,7 @@
         cfg: &EntryConfig,
         access: watch::Sender<Option<PeerAccess>>,
         entered: watch::Sender<bool>,
+        memory: MemoryBudget,
         stop: watch::Receiver<bool>,
     ) {
         report::start(
@@ -300,8 +302,11 @@
                 store: self.store.clone(),
                 selector: self.selector.clone(),
                 dispatch: self.dispatch.clone(),
-                mirrors: self.store_state.mirrors.clone(),
-                usage: self.counter.clone(),
+                service: PeerService {
+                    mirrors: self.store_state.mirrors.clone(),
+                    usage: self.counter.clone(),
+                    memory,
+                },
                 access,
                 entered,
                 supervisor: self.supervisor.clone(),
--- a/src/follow/orders.rs
+++ b/src/follow/orders.rs
@@ -38,7 +38,7 @@
     mirror::Mirror,
     neighbours::{PeerRead, PeerReader},
     selection::{SelectorHandle, Update},
-    store::{StoreClient, StoreError},
+    store::{ReadPart, StoreClient, StoreError},
 };
 
 /// Shortest wait of a read from a reader. A read without a wait may get a state of any length.
@@ -302,7 +302,8 @@
         let NextRead { from, wait, .. } = read;
         let requested_at = BootClock.now();
         self.fetch.begin(Step::Stream, requested_at);
-        let tail = self.store.read(Topic::Orders, from, wait).await?;
+        let read = self.store.read(Topic::Orders, from, wait, ReadPart::First);
+        let tail = read.await?;
         let (span, mut progress) = (tail.span(from), tail.progress());
         self.record_answer(progress.left);
         let used = self
--- a/src/follow/targets.rs
+++ b/src/follow/targets.rs
@@ -28,7 +28,7 @@
     mirror::Mirror,
     neighbours::{PeerRead, PeerReader},
     selection::{SelectorHandle, Update},
-    store::{StoreClient, StoreError},
+    store::{ReadPart, StoreClient, StoreError},
 };
 
 /// Time after which a router that starts serves with the targets that are listed so far. Beside many
@@ -237,11 +237,12 @@
     /// answer.
     async fn read(&mut self, from: &mut Position) -> Result<(), StoreError> {
         let mut goal = None;
+        let mut part = ReadPart::First;
         loop {
             let requested_at = BootClock.now();
             let tail = self
                 .store
-                .read(Topic::Targets, *from, Duration::ZERO)
+                .read(Topic::Targets, *from, Duration::ZERO, part)
                 .await?;
             self.health.record_answer(BootClock.now());
             let (span, mut progress) = (tail.span(*from), tail.progress());
@@ -252,6 +253,7 @@
                 .await;
             progress.unused_bytes = progress.bytes.saturating_sub(used);
             *from = tail.next;
+            part = ReadPart::Later;
             if tail.next >= goal {
                 return Ok(());
             }
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -118,7 +118,7 @@
         match taker {
             Taker::Heads => &self.0.heads,
             Taker::Bodies => &self.0.bodies,
-            Taker::Answers | Taker::Streams => &self.0.answers,
+            Taker::Answers | Taker::Streams | Taker::Peers => &self.0.answers,
         }
     }
 
--- a/src/neighbours.rs
+++ b/src/neighbours.rs
@@ -9,6 +9,7 @@
 
 use ebonyfall_core::{
     id::Position,
+    memory::Taker,
     name::ProcessName,
     readers::ZoneRouter,
     time::Time,
@@ -16,10 +17,11 @@
 };
 use ebonyfall_platform::store::KeyedRecord;
 use ebonyfall_wire::{
-    mirror::{Changes, Stream, StreamChanges, StreamRead},
+    mirror::{Changes, KeyRecord, Stream, StreamChanges, StreamRead},
     usage::{ReadRange, RouterRequest},
 };
 use rand::seq::SliceRandom;
+use serde::Serialize;
 use slog::{Logger, debug, info, o, warn};
 use tokio::{
     net::TcpStream,
@@ -31,6 +33,7 @@
     clock::{self, BootClock},
     gossip::Gossip,
     link::{Identity, Link, LinkError, StalledSnafu},
+    memory::MemoryBudget,
     meters::EntryMetrics,
     mirror::Mirror,
     usage::counting::UsageCounter,
@@ -57,6 +60,8 @@
 /// The same for a read that waits. A follower can get longer records from the store; sending them to
 /// all followers would hold up the requests of a reader's own callers.
 const MAX_FOLLOW_BYTES: usize = 32 << 10;
+/// Copies of an answer that are held while it is sent: the encoded one, and that in the connection.
+const ANSWER_COPIES: usize = 2;
 /// Pause before the next try to listen for other routers.
 const BIND_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time after which a connection without a request is closed.
@@ -84,6 +89,17 @@
     pub targets: watch::Receiver<Mirror>,
 }
 
+/// What a router serves to others.
+#[derive(Debug, Clone)]
+pub struct PeerService {
+    /// Copies of the store's streams.
+    pub mirrors: Mirrors,
+    /// Task that counts requests; `None` if usage is not reported.
+    pub usage: Option<UsageCounter>,
+    /// Memory for long answers.
+    pub memory: MemoryBudget,
+}
+
 /// Records read from another router.
 #[derive(Debug)]
 pub struct PeerRead {
@@ -302,9 +318,8 @@
     received.unwrap_or_else(|| StalledSnafu.fail())
 }
 
-/// Serves reads and counts of other routers until the process ends. `usage` is `None` if usage is not
-/// reported.
-pub async fn serve(access: PeerAccess, mirrors: Mirrors, usage: Option<UsageCounter>, log: Logger) {
+/// Serves reads and counts of other routers until the process ends.
+pub async fn serve(access: PeerAccess, service: PeerService, log: Logger) {
     let listener = loop {
         match web::bind(access.own_address).await {
             Ok(listener) => break listener,
@@ -323,10 +338,9 @@
         let Ok(permit) = Arc::clone(&slots).try_acquire_owned() else {
             continue;
         };
-        let (identity, mirrors, log) = (access.identity.clone(), mirrors.clone(), log.clone());
-        let usage = usage.clone();
+        let (identity, service, log) = (access.identity.clone(), service.clone(), log.clone());
         tokio::spawn(async move {
-            if let Err(error) = answer(&identity, stream, &mirrors, usage.as_ref()).await {
+            if let Err(error) = answer(&identity, stream, &service).await {
                 debug!(log, "connection from another router failed; closed"; "error" => %error);
             }
             drop(permit);
@@ -337,27 +351,35 @@
 async fn answer(
     identity: &Identity,
     stream: TcpStream,
-    mirrors: &Mirrors,
-    usage: Option<&UsageCounter>,
+    service: &PeerService,
 ) -> Result<(), LinkError> {
+    let PeerService {
+        mirrors,
+        usage,
+        memory,
+    } = service;
     let mut link = Link::accept(identity, stream).await?;
     let mut idle_timeout = IDLE_TIMEOUT;
     while let Ok(request) = timeout(idle_timeout, link.receive::<RouterRequest>()).await {
         match request? {
             RouterRequest::Orders(range) => {
                 let changes = earlier_changes(mirrors.orders.clone(), range).await;
-                link.send(&changes).await?;
+                send_records(&mut link, memory, changes, |changes| &changes.records).await?;
             }
             RouterRequest::Targets(range) => {
                 let changes = earlier_changes(mirrors.targets.clone(), range).await;
-                link.send(&changes).await?;
+                send_records(&mut link, memory, changes, |changes| &changes.records).await?;
             }
             RouterRequest::Stream(read) => {
                 let mirror = match read.stream {
                     Stream::Orders => mirrors.orders.clone(),
                     Stream::Targets => mirrors.targets.clone(),
                 };
-                link.send(&changes(mirror, read).await).await?;
+                let changes = changes(mirror, read).await;
+                send_records(&mut link, memory, changes, |changes| {
+                    &changes.changes.records
+                })
+                .await?;
             }
             RouterRequest::Counts(message) => {
                 // A router that does not report usage closes the connection.
@@ -375,6 +397,27 @@
     Ok(())
 }
 
+/// Sends an answer with records, or none if its records are long and there is no memory for them.
+async fn send_records<T: Serialize>(
+    link: &mut Link,
+    memory: &MemoryBudget,
+    answer: Option<T>,
+    records: impl Fn(&T) -> &[KeyRecord],
+) -> Result<(), LinkError> {
+    let sizes = answer.iter().flat_map(records);
+    let bytes: usize = sizes.map(KeyRecord::size).sum();
+    let share = if bytes <= MAX_FOLLOW_BYTES {
+        Ok(None)
+    } else {
+        memory.take(Taker::Peers, bytes * ANSWER_COPIES).map(Some)
+    };
+    match share {
+        Ok(_held) => link.send(&answer).await,
+        // The other router asks the next one, or the store.
+        Err(_full) => link.send(&None::<T>).await,
+    }
+}
+
 /// Waits for a change, and returns what has changed. `None` if the records are too long or of an
 /// earlier era than the read.
 async fn changes(mut mirror: watch::Receiver<Mirror>, read: StreamRead) -> Option<StreamChanges> {
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -36,12 +36,11 @@
     gossip::{Gossip, LocalProcess},
     link::Identity,
     metrics::Metrics,
-    neighbours::{self, Mirrors, PeerAccess},
+    neighbours::{self, PeerAccess, PeerService},
     roster::{self, KeyBytes, Registration, RosterEvent, RosterHandle, RouterRecords},
     selection::{CrashAttribution, PartReport, RouterReport, SelectorHandle, Update},
     store::StoreClient,
     supervisor::{Supervisor, TaskName},
-    usage::counting::UsageCounter,
     view,
 };
 
@@ -70,10 +69,8 @@
     pub selector: SelectorHandle,
     /// Task that knows this router's open and waiting requests.
     pub dispatch: DispatchHandle,
-    /// Copies of the store's streams that are served to other routers.
-    pub mirrors: Mirrors,
-    /// Task that counts requests; `None` if usage is not reported.
-    pub usage: Option<UsageCounter>,
+    /// What is served to other routers.
+    pub service: PeerService,
     /// Access to the other routers, set once the exchange key is known and the socket is bound.
     pub access: watch::Sender<Option<PeerAccess>>,
     /// Becomes true when the router may take requests, as far as the other routers are concerned.
@@ -113,12 +110,7 @@
             gossip: gossip.clone(),
             own_address: self.address,
         };
-        let reads = neighbours::serve(
-            access.clone(),
-            self.mirrors.clone(),
-            self.usage.clone(),
-            self.log.clone(),
-        );
+        let reads = neighbours::serve(access.clone(), self.service.clone(), self.log.clone());
         self.supervisor.spawn(TaskName::PeerReads, reads);
         self.access.send_replace(Some(access));
         let leaving = gossip.clone();
@@ -306,7 +298,7 @@
         roster: &RosterHandle,
         known: Option<Era>,
     ) -> Option<Era> {
-        let era = self.mirrors.orders.borrow().era();
+        let era = self.service.mirrors.orders.borrow().era();
         if known.is_some() && era > known {
             roster.rewrite();
             let (store, log) = (self.store.clone(), self.log.clone());
--- a/src/store.rs
+++ b/src/store.rs
@@ -29,7 +29,9 @@
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Size of the records in the answer to a read, in KiB; a longer record comes alone. A router that is
 /// behind learns from it how far, before it reads what a list would spare it.
-const MAX_READ_KB: u32 = 128;
+const FIRST_READ_KB: u32 = 128;
+/// The same for reads that go on.
+const LATER_READ_KB: u32 = 1_024;
 /// Room for the records of a list that are kept, in bytes of keys and values; several times the records
 /// of all routers of the target size.
 const MAX_KEPT_BYTES: usize = 2 << 20;
@@ -120,6 +122,15 @@
     pub end: Position,
 }
 
+/// Which read of those that follow each other until no record is left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadPart {
+    /// The first one, which tells how many records are left.
+    First,
+    /// A later one, which gets more records at once.
+    Later,
+}
+
 /// Consecutive records of a stream.
 #[derive(Debug)]
 pub struct Batch {
@@ -301,8 +312,13 @@
         topic: Topic,
         from: Position,
         wait: Duration,
+        part: ReadPart,
     ) -> Result<Batch, StoreError> {
-        let path = store::read_path(topic, from.offset, wait, MAX_READ_KB);
+        let max_kb = match part {
+            ReadPart::First => FIRST_READ_KB,
+            ReadPart::Later => LATER_READ_KB,
+        };
+        let path = store::read_path(topic, from.offset, wait, max_kb);
         match self.call(Method::GET, &path, Vec::new(), wait).await {
             Ok(answer) => decode_batch(from, answer),
             Err(StoreError::Call { mut source }) => {
--- a/src/usage/duty.rs
+++ b/src/usage/duty.rs
@@ -39,7 +39,7 @@
 use crate::{
     clock::{self, BootClock},
     meters::EntryMetrics,
-    store::{Listing, StoreClient, StoreError},
+    store::{Listing, ReadPart, StoreClient, StoreError},
     supervisor::{Supervisor, TaskName},
     view,
 };
@@ -490,7 +490,8 @@
         answer: StoreAnswer::Expired,
         era,
     };
-    let batch = match store.read(Topic::Usage, from, Duration::ZERO).await {
+    let read = store.read(Topic::Usage, from, Duration::ZERO, ReadPart::First);
+    let batch = match read.await {
         Err(error) if is_missing(&error) && from.offset == Offset::default() => {
             return Ok(empty(era));
         }
--- a/tests/usage_exchange.rs
+++ b/tests/usage_exchange.rs
@@ -6,9 +6,10 @@
     clock::{BootClock, unix_time},
     gossip::{Gossip, LocalProcess},
     link::Identity,
+    memory::MemoryBudget,
     metrics::Metrics,
     mirror::Mirror,
-    neighbours::{self, Mirrors, PeerAccess},
+    neighbours::{self, Mirrors, PeerAccess, PeerService},
     supervisor::Supervisor,
     usage::counting::UsageCounter,
     view,
@@ -88,9 +89,13 @@
         orders: watch::channel(Mirror::default()).1,
         targets: watch::channel(Mirror::default()).1,
     };
-    let usage = Some(counter.clone());
+    let service = PeerService {
+        mirrors,
+        usage: Some(counter.clone()),
+        memory: MemoryBudget::default(),
+    };
     tokio::spawn(async move {
-        neighbours::serve(access, mirrors, usage, log).await;
+        neighbours::serve(access, service, log).await;
         drop(access_tx);
     });
     counter
--- a/wire/src/mirror.rs
+++ b/wire/src/mirror.rs
@@ -47,6 +47,13 @@
     pub offset: Offset,
 }
 
+impl KeyRecord {
+    /// Size of the key and the value, in bytes.
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Bytes::len)
+    }
+}
+
 /// Changes of a stream; alone, the answer to a read of a router that knows no eras.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
