Let bodies that take long give way to new callers

Nobody works on a request whose body has not arrived. Such a connection has a phase of its own now: beyond the places, the one that has been receiving a body the longest is closed after those that wait for a request, and only from a second on, which ordinary uploads do not need. A body that ends just as its connection is chosen is not passed on.

`bodies_that_take_long_give_way_last` holds the order.

--- a/core/src/connections.rs
+++ b/core/src/connections.rs
@@ -5,6 +5,9 @@
 
 use crate::time::Time;
 
+/// Time for which a connection that receives a body is not closed in favour of a new one.
+const BODY_PATIENCE: Duration = Duration::from_secs(1);
+
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -12,6 +15,8 @@
     Idle,
     /// A part of a head has arrived.
     Head,
+    /// A head has arrived, and a part of the body at most. Nobody works on the request.
+    Body,
     /// A request runs, or its answer is being sent.
     Running,
 }
@@ -74,9 +79,19 @@
 }
 
 impl ConnectionState {
-    /// Whether the connection may be closed in favour of a new one.
+    /// Whether the connection waits for its caller to begin a request.
     pub fn is_waiting(&self) -> bool {
-        self.phase != Phase::Running
+        matches!(self.phase, Phase::Idle | Phase::Head)
+    }
+
+    /// Whether the connection may be closed at `now` in favour of a new one. One that receives a body may
+    /// only after some time, as ordinary callers need little.
+    fn may_give_way(&self, now: Time) -> bool {
+        match self.phase {
+            Phase::Idle | Phase::Head => true,
+            Phase::Body => now.since(self.since) >= BODY_PATIENCE,
+            Phase::Running => false,
+        }
     }
 
     /// Returns why the connection is to be closed now, if it is.
@@ -85,7 +100,7 @@
         match self.phase {
             Phase::Idle => is_over(self.since, deadlines.idle).then_some(CloseCause::Idle),
             Phase::Head => is_over(self.since, deadlines.head).then_some(CloseCause::SlowHead),
-            Phase::Running => {
+            Phase::Body | Phase::Running => {
                 let stalled = self.stalled_since;
                 let late = self.deadline;
                 if stalled.is_some_and(|since| is_over(since, deadlines.stall)) {
@@ -126,17 +141,21 @@
     }
 }
 
-/// Returns the connections that have to be closed so that a new one fits that takes `bytes`: those that
-/// have waited the longest without a running request. Each comes with its state and the bytes that it
-/// holds. `None` if closing all of them is not enough; then none is to be closed.
+/// Returns the connections that have to be closed at `now` so that a new one fits that takes `bytes`: those
+/// that have waited the longest for a request, then those that have received a body for the longest time.
+/// Each comes with its state and the bytes that it holds. `None` if closing all of them is not enough; then
+/// none is to be closed.
 pub fn choose_evictions<K>(
     connections: impl IntoIterator<Item = (K, ConnectionState, usize)>,
     mut room: Room,
     bytes: usize,
+    now: Time,
 ) -> Option<Vec<K>> {
     let waiting = connections.into_iter();
-    let mut waiting: Vec<_> = waiting.filter(|(_, state, _)| state.is_waiting()).collect();
-    waiting.sort_by_key(|(_, state, _)| state.since);
+    let mut waiting: Vec<_> = waiting
+        .filter(|(_, state, _)| state.may_give_way(now))
+        .collect();
+    waiting.sort_by_key(|(_, state, _)| (!state.is_waiting(), state.since));
     let mut chosen = Vec::new();
     for (key, _, held) in waiting {
         if room.fits(bytes) {
--- a/core/tests/callers.rs
+++ b/core/tests/callers.rs
@@ -142,10 +142,10 @@
         max_open: 4,
         free_bytes: 100,
     };
-    let chosen = choose_evictions(holding(&WAITING), full, 10);
+    let chosen = choose_evictions(holding(&WAITING), full, 10, at(60));
     assert_eq!(chosen, Some(vec![2]));
     let running = [state(Phase::Running, 1); 4];
-    assert_eq!(choose_evictions(holding(&running), full, 10), None);
+    assert_eq!(choose_evictions(holding(&running), full, 10, at(60)), None);
 }
 
 /// Guards against closing more connections than a new one needs, or any in vain.
@@ -166,7 +166,36 @@
         (room(3, 10), 10, Some(vec![2, 1])),
         (room(1, 10), 10, None),
     ] {
-        let chosen = choose_evictions(holding(&WAITING), room, bytes);
+        let chosen = choose_evictions(holding(&WAITING), room, bytes, at(60));
         assert_eq!(chosen, expected, "{room:?}, {bytes}");
     }
 }
+
+/// Guards against callers that leave the end of their bodies out and keep all new ones away, and against
+/// ordinary uploads that are cut for a new connection.
+#[test]
+fn bodies_that_take_long_give_way_last() {
+    let states = [
+        state(Phase::Body, 10),
+        state(Phase::Idle, 20),
+        state(Phase::Body, 5),
+        state(Phase::Running, 1),
+    ];
+    let holding = || {
+        let states = states.iter().enumerate();
+        states.map(|(index, state)| (index, *state, 10))
+    };
+    let room = |max_open| Room {
+        open: 4,
+        max_open,
+        free_bytes: 1_000,
+    };
+    let chosen = |max_open, now| choose_evictions(holding(), room(max_open), 10, now);
+    assert_eq!(chosen(4, at(30)), Some(vec![1]));
+    assert_eq!(chosen(3, at(30)), Some(vec![1, 2]));
+    assert_eq!(chosen(2, at(30)), Some(vec![1, 2, 0]));
+    assert_eq!(chosen(1, at(30)), None);
+    // The body that began at 10 s is young.
+    assert_eq!(chosen(2, Time::from_millis(10_900)), None);
+    assert_eq!(chosen(2, at(11)), Some(vec![1, 2, 0]));
+}
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -167,6 +167,8 @@
 const FLUSHING: u64 = 3;
 /// The connection has been chosen to be closed; no request may start.
 const CLOSING: u64 = 4;
+/// The head of a request has arrived, and a part of its body at most.
+const BODY: u64 = 5;
 
 /// What a connection is doing. Its task writes it, the owner of the table reads it; both may change
 /// the phase, so that a connection is never closed in favour of another just as its request starts.
@@ -217,12 +219,16 @@
     /// Records that a request starts; `false` if the connection is about to be closed.
     pub(crate) fn start_request(&self) -> bool {
         self.0.deadline.store(0, Ordering::Relaxed);
-        self.change(&[IDLE, HEAD, RUNNING, FLUSHING], RUNNING)
+        self.change(&[IDLE, HEAD, RUNNING, FLUSHING, BODY], RUNNING)
     }
 
     /// Prepares the body of a request, so that an answer that is given before its end is noticed.
     pub(crate) fn track_request<B: hyper::body::Body>(&self, body: B) -> TrackedRequest<B> {
-        self.record_unread(!body.is_end_stream());
+        let is_unread = !body.is_end_stream();
+        self.record_unread(is_unread);
+        if is_unread {
+            self.change(&[RUNNING], BODY);
+        }
         TrackedRequest {
             body,
             activity: self.clone(),
@@ -236,6 +242,8 @@
     /// Prepares an answer, so that the end of its body and what it says of its request are seen. If a
     /// part of the request's body is unread, the answer ends the connection.
     pub(crate) fn track(&self, mut answer: Response<Body>) -> Response<Body> {
+        // An answer that is given before the body has ended has to reach the caller.
+        self.change(&[BODY], RUNNING);
         if let Some(AnswerDeadline(deadline)) = answer.extensions().get() {
             let millis = deadline.millis().max(1);
             self.0.deadline.store(millis, Ordering::Relaxed);
@@ -257,11 +265,16 @@
         phase_of(self.0.phase.load(Ordering::Acquire)) == HEAD
     }
 
+    fn is_closing(&self) -> bool {
+        phase_of(self.0.phase.load(Ordering::Acquire)) == CLOSING
+    }
+
     fn state(&self) -> ConnectionState {
         let word = self.0.phase.load(Ordering::Acquire);
         let phase = match phase_of(word) {
             IDLE => Phase::Idle,
             HEAD => Phase::Head,
+            BODY => Phase::Body,
             _ => Phase::Running,
         };
         let time = |millis: u64| (millis > 0).then(|| Time::from_millis(millis));
@@ -306,6 +319,11 @@
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         if frame.is_none() || self.body.is_end_stream() {
             self.activity.record_unread(false);
+            self.activity.change(&[BODY], RUNNING);
+            if self.activity.is_closing() {
+                // The task is about to be aborted. Nobody must start to work on the request.
+                return Poll::Pending;
+            }
         }
         Poll::Ready(frame)
     }
@@ -466,20 +484,26 @@
         max: usize,
         bytes: usize,
         reserved: usize,
+        now: Time,
     ) -> Option<MemoryShare> {
         let needed = bytes.saturating_add(reserved);
         if !self.room(max).fits(needed) {
             self.forget_ended();
         }
         while !self.room(max).fits(needed) {
-            let Some(mut chosen) = choose_evictions(self.states(), self.room(max), needed) else {
+            let chosen = choose_evictions(self.states(), self.room(max), needed, now);
+            let Some(mut chosen) = chosen else {
                 self.count(CloseCause::Refused);
                 return None;
             };
             // Removing an entry moves only later ones.
             chosen.sort_unstable_by(|one, other| other.cmp(one));
             for index in chosen {
-                if self.close(index) {
+                let from = match self.entries[index].activity.state().phase {
+                    Phase::Body => &[BODY][..],
+                    _ => &[IDLE, HEAD],
+                };
+                if self.close(index, from) {
                     self.count(CloseCause::Evicted);
                 }
             }
@@ -530,7 +554,7 @@
             let cause = state.overdue(deadlines, now);
             match cause {
                 Some(cause) if state.is_waiting() => {
-                    if self.close(index) {
+                    if self.close(index, &[IDLE, HEAD]) {
                         self.count(cause);
                     } else {
                         index += 1;
@@ -549,9 +573,9 @@
         }
     }
 
-    /// Closes a connection without a running request; `false` if one has started meanwhile.
-    fn close(&mut self, index: usize) -> bool {
-        let closes = self.entries[index].activity.change(&[IDLE, HEAD], CLOSING);
+    /// Closes a connection that is in one of the phases `from`; `false` if it has left them meanwhile.
+    fn close(&mut self, index: usize, from: &[u64]) -> bool {
+        let closes = self.entries[index].activity.change(from, CLOSING);
         if closes {
             self.remove(index).task.abort();
         }
--- a/src/web.rs
+++ b/src/web.rs
@@ -275,7 +275,8 @@
         limits: ConnectionLimits,
     ) {
         let bytes = limits.max_header_bytes;
-        let share = table.make_room(limits.max_connections, bytes, limits.reserved_bytes);
+        let now = BootClock.now();
+        let share = table.make_room(limits.max_connections, bytes, limits.reserved_bytes, now);
         if let Some(share) = share {
             self.spawn_connection(table, stream, peer, limits, share);
         }
--- a/tests/callers/limits.rs
+++ b/tests/callers/limits.rs
@@ -11,7 +11,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -23,6 +23,8 @@
 const MAX_CALLERS: usize = (MAX_FDS - 200) / 2;
 /// Time for the router to take what has been sent.
 const SETTLE: Duration = Duration::from_millis(500);
+/// Time within which a router that is ready has to take a new connection.
+const CONTACT: Duration = Duration::from_secs(3);
 /// Time within which a connection that is overdue has to be closed; less than the idle timeout.
 const CLOSE_LIMIT: Duration = Duration::from_secs(10);
 
@@ -189,3 +191,39 @@
     let closed = timeout(CLOSE_LIMIT, sending).await;
     assert!(closed.is_ok(), "the connection is still open");
 }
+
+/// Guards against callers that leave the end of their bodies out, and so keep all others away from a router
+/// that says that it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_sent_bodies_do_not_keep_others_out() {
+    let _turn = crate::TURN.lock().await;
+    for kind in [Kind::Entry, Kind::Agent] {
+        let env = Env::start(kind).await;
+        let [route, ..] = env.places();
+        // One after the other, so that each has sent its body before the next one takes a place.
+        let mut crowd = Vec::new();
+        for _ in 0..MAX_CALLERS + 10 {
+            let mut stream = TcpStream::connect(route.address)
+                .await
+                .expect("the router listens");
+            let head = format!("{}Content-Length: 2000\r\n\r\n", route.head("GET"));
+            let body = "x".repeat(1_999);
+            // The router may close the connection.
+            let _closed = stream.write_all(format!("{head}{body}").as_bytes()).await;
+            crowd.push(stream);
+            sleep(Duration::from_millis(10)).await;
+        }
+        let start = Instant::now();
+        let mut is_answered = false;
+        while !is_answered {
+            assert!(
+                start.elapsed() < CONTACT,
+                "{kind:?}: no new caller gets an answer"
+            );
+            let reply = timeout(CONTACT, post(&route, "", &[])).await;
+            is_answered = matches!(reply, Ok(Some(reply)) if reply.status.is_success());
+            sleep(Duration::from_millis(20)).await;
+        }
+        drop(crowd);
+    }
+}
