--- a/src/callers.rs
+++ b/src/callers.rs
@@ -1,7 +1,8 @@
 //! Connections of callers: what each is doing, their deadlines, and the limit on their number.
 //!
 //! The task that accepts the connections of a listener owns their table. It closes those that are
-//! overdue, and the one that has waited the longest when a new one needs room.
+//! overdue, and when a new one needs room, the one that has waited the longest, or whose body takes the
+//! longest.
 
 use std::{
     io,
@@ -17,17 +18,12 @@
 use bytes::Bytes;
 use ebonyfall_core::{
     connections::{CallerDeadlines, CloseCause, ConnectionState, Phase, Room, choose_evictions},
-    memory::{MemoryRefusal, Taker},
+    memory::Taker,
     time::Time,
 };
 use gotham::helpers::http::Body;
 use http::{HeaderValue, Response, header::CONNECTION};
 use hyper::body::{Frame, SizeHint};
-use prometheus_client::{
-    encoding::EncodeLabelSet,
-    metrics::{counter::Counter, family::Family, gauge::Gauge},
-    registry::Registry,
-};
 use slog::{Logger, warn};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -41,6 +37,10 @@
     memory::{MemoryBudget, MemoryShare},
 };
 
+mod meters;
+
+pub use meters::{CallerMetrics, CloseLabels, MemoryLabels, MemoryRefusalLabels};
+
 /// Interval between two checks for overdue connections.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Checks after which closed connections are logged, so that a crowd does not fill the log.
@@ -61,79 +61,6 @@
     CloseCause::Refused,
 ];
 
-/// Labels of the counter of closed connections.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct CloseLabels {
-    /// Why the connection was closed.
-    pub cause: &'static str,
-}
-
-/// Labels of the gauge of held bytes.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct MemoryLabels {
-    /// What holds the bytes.
-    pub taker: &'static str,
-}
-
-/// Labels of the counter of bytes that did not fit.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct MemoryRefusalLabels {
-    /// What asked for the bytes.
-    pub taker: &'static str,
-    /// Why they did not fit.
-    pub cause: &'static str,
-}
-
-/// Metrics of the limits on callers. Clones share their values.
-#[derive(Debug, Clone, Default)]
-pub struct CallerMetrics {
-    connections: Gauge,
-    closed: Family<CloseLabels, Counter>,
-    memory: Family<MemoryLabels, Gauge>,
-    refused: Family<MemoryRefusalLabels, Counter>,
-}
-
-impl CallerMetrics {
-    /// Creates the metrics and adds them to `registry`.
-    pub(crate) fn register(registry: &mut Registry) -> Self {
-        let metrics = Self::default();
-        let help = "Open connections of callers, load balancers and monitoring";
-        registry.register("caller_connections", help, metrics.connections.clone());
-        let help = "Connections of callers that were closed, by cause";
-        registry.register("caller_connections_closed", help, metrics.closed.clone());
-        let help = "Bytes held for callers and targets, by taker";
-        registry.register("memory_held_bytes", help, metrics.memory.clone());
-        let help = "Requests for memory that were refused, by taker and cause";
-        registry.register("memory_refused", help, metrics.refused.clone());
-        metrics
-    }
-
-    pub(crate) fn add_memory(&self, taker: Taker, bytes: usize) {
-        let taker = taker.name();
-        let gauge = self.memory.get_or_create(&MemoryLabels { taker });
-        gauge.inc_by(i64::try_from(bytes).unwrap_or(i64::MAX));
-    }
-
-    pub(crate) fn remove_memory(&self, taker: Taker, bytes: usize) {
-        let taker = taker.name();
-        let gauge = self.memory.get_or_create(&MemoryLabels { taker });
-        gauge.dec_by(i64::try_from(bytes).unwrap_or(i64::MAX));
-    }
-
-    pub(crate) fn count_memory_refusal(&self, taker: Taker, refusal: MemoryRefusal) {
-        let labels = MemoryRefusalLabels {
-            taker: taker.name(),
-            cause: refusal.name(),
-        };
-        self.refused.get_or_create(&labels).inc();
-    }
-
-    fn count_closed(&self, cause: CloseCause) {
-        let cause = cause.name();
-        self.closed.get_or_create(&CloseLabels { cause }).inc();
-    }
-}
-
 /// What the connections of all listeners of a process share.
 #[derive(Debug, Clone, Default)]
 pub struct CallerGuard {
