--- a/core/src/kept.rs
+++ b/core/src/kept.rs
@@ -1,7 +1,7 @@
 //! Decides which records of a keyed stream a router keeps.
 //!
 //! Any number of writers may store records of any size. Each rank has room of its own, so that records
-//! which nobody ranks now never take that of records in use.
+//! which the desired state does not refer to never displace those that it needs.
 
 use std::collections::HashMap;
 
--- a/src/follow/filter.rs
+++ b/src/follow/filter.rs
@@ -111,7 +111,7 @@
         unreadable: Unreadable,
         now: Time,
     ) -> Vec<KeyedRecord> {
-        // Sorting changes the counts of the filter, too.
+        // Taken out, since `sort` borrows the whole filter to count what is left out.
         let mut kept = std::mem::replace(&mut self.kept, KeptKeys::new(ROOM));
         let mut used = Vec::with_capacity(records.len());
         for record in records {
