--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -47,11 +47,13 @@
     };
     place.note(&format!("case {case}, trouble {trouble}"));
     let play = || match case.as_str() {
-        "exposure" => exposure(&place, trouble),
+        "exposure" => exposure(&place, trouble, Bad::Slow),
+        "exposure-404" => exposure(&place, trouble, Bad::NotFound),
         "starved" => starved(&place, trouble),
         "tenant" => tenant(&place, trouble),
         "cold" => cold(&place, trouble),
         "poison" => poison(&place, trouble),
+        "revoked" => revoked(&place, trouble),
         "denied" => denied(&place, trouble),
         _ => Err(format!("no case {case}")),
     };
@@ -1067,7 +1069,16 @@
 /// Time of the order, from which the new version's share counts.
 const MOVE_S: u64 = 24;
 
-fn exposure(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
+/// What is bad about the version.
+#[derive(Clone, Copy, PartialEq)]
+enum Bad {
+    /// Its responses on one route take eight times as long.
+    Slow,
+    /// It does not find what is there, on one route. No case of its own (REPORT-3.md).
+    NotFound,
+}
+
+fn exposure(place: &Arc<Place>, trouble: bool, bad: Bad) -> Result<bool, String> {
     let store = Store::start()?;
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     // Routes of the sheets' kinds: long answers, and verdicts of three events.
@@ -1080,11 +1091,12 @@
     let handler: Arc<Handler> = Arc::new(move |server, head| {
         let is_check = head.start.contains("/check/");
         let number = head.field("ebonyfall-attempt-id").and_then(|id| id.rsplit('-').next()?.parse::<u64>().ok());
-        let is_slow = trouble && is_check && server.version == "v2" && number.unwrap_or(0) % 10 < 6;
-        let times = if is_slow { 8 } else { 1 };
+        let is_bad = trouble && is_check && server.version == "v2" && number.unwrap_or(0) % 10 < 6;
+        let times = if is_bad && bad == Bad::Slow { 8 } else { 1 };
+        let is_missing = is_bad && bad == Bad::NotFound;
         Plan {
-            status: "200 OK",
-            is_stream: true,
+            status: if is_missing { "404 Not Found" } else { "200 OK" },
+            is_stream: !is_missing,
             first: ms(if is_check { 450 } else { 80 }) * times,
             parts: events(1, if is_check { 3 } else { 20 }),
             gap: ms(30) * times,
@@ -1424,3 +1436,48 @@
     place.note(&format!("{denied} of {all} requests ended with a 4xx of the router's own, though proper; the bound is 5 and one in 500: {bound}"));
     Ok(denied > bound)
 }
+
+// ---------------------------------------------------------------------------------------------
+// A desired state that takes a key away, and names a tenant as the router does not expect
+
+fn revoked(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
+    const REVOKE_MS: u64 = 5_000;
+    let store = Store::start()?;
+    let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+    let routes = [Route { name: "r-order", prefix: "/order/", kind: "unsafe", timeout_ms: 2_000, slo_ms: 300, service: "app", attempts: 1, resumable: false }];
+    configure(place, &store, 1, &routes, &[("north", "key-1"), ("south", "key-2")], 16_384);
+    let handler: Arc<Handler> = Arc::new(|_, _| Plan {
+        status: "200 OK",
+        is_stream: false,
+        first: ms(60),
+        parts: vec!["done".to_owned()],
+        gap: Duration::ZERO,
+    });
+    for id in ["i-1", "i-2", "i-3", "i-4"] {
+        Server::start(place, &store, (id, "app", "v1", "zone-a"), &runs, Arc::clone(&handler))?;
+    }
+    let routers = start_routers(place, &store)?;
+    let begun = place.at();
+    let until = begun + 14_000;
+    let order = |kind: &'static str, key: &'static str| {
+        move |number: u64| {
+            Request::of("POST", "/order/new", &format!("{kind}-{number}"), key, 4_000).body(&format!("{kind} {number}"))
+        }
+    };
+    let loads = vec![
+        load(place, &routers, "north", ms(50), until, ms(4_000), order("north", "key-1")),
+        load(place, &routers, "south", ms(50), until, ms(4_000), order("south", "key-2")),
+    ];
+    sleep_until(place, begun + 2_000);
+    let name = if trouble { "South Shore" } else { "south-shore" };
+    configure(place, &store, 2, &routes, &[(name, "key-2")], 16_384);
+    let acknowledged = place.at();
+    let attempts = join(loads);
+    let sent: HashMap<_, _> = attempts.iter().map(|attempt| (attempt.id.as_str(), attempt.sent)).collect();
+    let runs = runs.lock().unwrap();
+    let late = runs.iter().filter(|run| run.id.starts_with("north"));
+    let late = late.filter(|run| sent.get(run.id.as_str()).is_some_and(|sent| *sent > acknowledged + REVOKE_MS));
+    let late = late.count();
+    place.note(&format!("{late} requests ran that were sent with the key later than {REVOKE_MS} ms after the acknowledgement of its removal"));
+    Ok(late > 0)
+}
