--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -53,7 +53,8 @@
         "tenant" => tenant(&place, trouble),
         "cold" => cold(&place, trouble),
         "poison" => poison(&place, trouble),
-        "revoked" => revoked(&place, trouble),
+        "names" => names(&place, trouble),
+        "late" => late(&place, trouble),
         "denied" => denied(&place, trouble),
         _ => Err(format!("no case {case}")),
     };
@@ -143,6 +144,18 @@
         Ok(())
     }
 
+    /// Kills all routers at the same moment.
+    fn kill_routers(&self) {
+        let mut children = self.children.lock().unwrap();
+        for child in children.iter_mut() {
+            let _killed = child.kill();
+        }
+        for mut child in children.drain(..) {
+            let _ended = child.wait();
+        }
+        self.note("all processes of the system are killed");
+    }
+
     fn end(&self) {
         for child in self.children.lock().unwrap().iter_mut() {
             let ended = child.try_wait().ok().flatten();
@@ -975,7 +988,75 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case 11: a request that crashes its servers still comes after a minute
+// Case 11: a desired state that the routers cannot decode, and a final fault
+
+fn names(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
+    const REVOKE_MS: u64 = 5_000;
+    const RECOVER_MS: u64 = 12_000;
+    let store = Store::start()?;
+    let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+    let routes = [Route { name: "r-order", prefix: "/order/", kind: "unsafe", timeout_ms: 2_000, slo_ms: 300, service: "app", attempts: 1, resumable: false }];
+    configure(place, &store, 1, &routes, &[("north", "key-1"), ("south", "key-2")], 16_384);
+    let handler: Arc<Handler> = Arc::new(|_, _| Plan {
+        status: "200 OK",
+        is_stream: false,
+        first: ms(60),
+        parts: vec!["done".to_owned()],
+        gap: Duration::ZERO,
+    });
+    for id in ["i-1", "i-2", "i-3", "i-4"] {
+        Server::start(place, &store, (id, "app", "v1", "zone-a"), &runs, Arc::clone(&handler))?;
+    }
+    let routers = start_routers(place, &store)?;
+    let begun = place.at();
+    let until = begun + 36_000;
+    let order = |kind: &'static str, key: &'static str| {
+        move |number: u64| {
+            Request::of("POST", "/order/new", &format!("{kind}-{number}"), key, 4_000).body(&format!("{kind} {number}"))
+        }
+    };
+    let loads = vec![
+        load(place, &routers, "north", ms(50), until, ms(4_000), order("north", "key-1")),
+        load(place, &routers, "south", ms(50), until, ms(4_000), order("south", "key-2")),
+    ];
+    // The key of one tenant is taken away, and the other tenant gets another name; its key stays.
+    sleep_until(place, begun + 2_000);
+    let name = if trouble { "South Shore" } else { "south-shore" };
+    configure(place, &store, 2, &routes, &[(name, "key-2")], 16_384);
+    let acknowledged = place.at();
+    // The final fault comes right after one more change of the same kind is acknowledged.
+    sleep_until(place, begun + 14_000);
+    configure(place, &store, 3, &routes, &[(name, "key-2")], 16_384);
+    let fault = place.at();
+    place.kill_routers();
+    thread::sleep(ms(970));
+    for router in &routers {
+        place.start_router(router)?;
+    }
+    let back = place.at();
+    let attempts = join(loads);
+    let share = |from: u64, to: u64| {
+        let sent = attempts.iter().filter(|attempt| attempt.kind == "south" && (from..to).contains(&attempt.sent));
+        let (all, served) = sent.fold((0, 0), |(all, served), attempt| (all + 1, served + usize::from(attempt.served)));
+        place.note(&format!("orders with the key that stays, sent from {:.1} s to {:.1} s: {served} of {all} served", from as f64 / 1e3, to as f64 / 1e3));
+        (served, all)
+    };
+    let before = share(begun, fault);
+    let after = share(back + RECOVER_MS, until);
+    let sent: HashMap<_, _> = attempts.iter().map(|attempt| (attempt.id.as_str(), attempt.sent)).collect();
+    let runs = runs.lock().unwrap();
+    let late = runs.iter().filter(|run| run.id.starts_with("north"));
+    let late = late.filter(|run| sent.get(run.id.as_str()).is_some_and(|sent| *sent > acknowledged + REVOKE_MS));
+    place.note(&format!("{} requests ran that were sent with the other key later than {REVOKE_MS} ms after its removal was acknowledged (CONFIG)", late.count()));
+    for router in &routers {
+        let asked = Request::new("GET", "/api/readyz").send(router.ready, ms(500));
+        place.note(&format!("{} answers at its ready address: {}", router.name, asked.unwrap_or_default().status));
+    }
+    Ok(4 * before.0 >= before.1 && 4 * after.0 < after.1)
+}
+
+// ---------------------------------------------------------------------------------------------
+// Case 12: a request that crashes its servers still comes after a minute
 
 fn poison(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
     let store = Store::start()?;
@@ -1064,7 +1145,7 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case 12: a version that is bad on one route
+// Case 13: a version that is bad on one route
 
 /// Time of the order, from which the new version's share counts.
 const MOVE_S: u64 = 24;
@@ -1171,94 +1252,55 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case 13: a zone's servers that come back cold, under their ids
+// Case 14: a write of a server's former run is done while its present run is cold
 
-fn cold(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
+fn late(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
     let store = Store::start()?;
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let routes = [Route { name: "r-order", prefix: "/order/", kind: "unsafe", timeout_ms: 2_000, slo_ms: 300, service: "app", attempts: 1, resumable: false }];
     configure(place, &store, 1, &routes, &[("acme", "key-a")], 16_384);
-    // Requests that reached cold servers: server, time and id. A server crashes when it gets over three
-    // times as many in a second as it bears.
-    let arrivals: Arc<Mutex<Vec<(String, u64, String)>>> = Arc::default();
-    let overrun: Arc<Mutex<Vec<String>>> = Arc::default();
-    let (seen, crashes) = (Arc::clone(&arrivals), Arc::clone(&overrun));
-    let handler: Arc<Handler> = Arc::new(move |server, head| {
-        if server.cold_left() > 0 {
-            let mut seen = seen.lock().unwrap();
-            let now = server.place.at();
-            let attempt = head.field("ebonyfall-attempt-id").unwrap_or_default().to_owned();
-            seen.push((server.id.clone(), now, attempt));
-            let recent = seen.iter().filter(|(id, at, _)| *id == server.id && *at + 1_000 > now);
-            if recent.count() > 3 * COLD_PER_S {
-                crashes.lock().unwrap().push(server.id.clone());
-            }
-        }
-        Plan {
-            status: "200 OK",
-            is_stream: false,
-            first: ms(60),
-            parts: vec!["done".to_owned()],
-            gap: Duration::ZERO,
-        }
-    });
+    let cold = Arc::new(ColdServers::default());
+    let handler = cold.handler();
     let named = |id| (id, "app", "v1", "zone-a");
     let start = |id| Server::start(place, &store, named(id), &runs, Arc::clone(&handler));
-    let servers = ["i-1", "i-2", "i-3"].map(start);
+    let servers = ["i-1", "i-2", "i-3", "i-4"].map(start);
     let servers = servers.into_iter().collect::<Result<Vec<_>, _>>()?;
     let routers = start_routers(place, &store)?;
     let begun = place.at();
-    let until = begun + 9_000;
-    let loads = vec![load(place, &routers, "order", ms(6), until, ms(4_000), |number| {
+    let until = begun + 14_000;
+    let loads = vec![load(place, &routers, "order", ms(4), until, ms(4_000), |number| {
         Request::of("POST", "/order/new", &format!("order-{number}"), "key-a", 4_000).body(&format!("order {number}"))
     })];
-    // The zone's servers are down for two seconds, and come back together under their ids. Each reports
-    // that it is cold as it starts.
-    sleep_until(place, begun + 2_300);
-    let mut back = Vec::new();
-    if trouble {
-        servers.iter().for_each(|server| server.stop());
-        place.note("the servers of zone-a are down");
-        sleep_until(place, begun + 4_300);
-        for server in &servers {
-            let again = (server.address, COLD_MS);
-            let again = Server::start_at(place, &store, named(&server.id), &runs, Arc::clone(&handler), again)?;
-            place.note(&format!("server {} is back and cold: {}", again.id, again.entry()));
-            back.push(again);
-        }
-    }
-    let returned = place.at();
+    let server = &servers[0];
+    // The store loses the answer of one write of the server, and does it six seconds later at most.
+    sleep_until(place, begun + 2_000);
+    server.beats.store(false, SeqCst);
+    let late = server.entry();
+    let impaired = place.at();
+    place.note(&format!("the store does not answer a write of {}: {late}", server.id));
+    // The server crashes, and is back under its id after 4.4 s, cold. Its entry has lapsed meanwhile.
+    sleep_until(place, impaired + 200);
+    server.crash();
+    sleep_until(place, impaired + 4_600);
+    let again = (server.address, COLD_MS);
+    let again = Server::start_at(place, &store, named("i-1"), &runs, Arc::clone(&handler), again)?;
+    place.note(&format!("server {} is back and cold: {}", again.id, again.entry()));
+    let mut is_due = trouble;
     while place.at() < until {
-        for id in std::mem::take(&mut *overrun.lock().unwrap()) {
-            let overrun = back.iter().find(|server| server.id == id && !server.is_down.load(SeqCst));
-            if let Some(server) = overrun {
-                place.note(&format!("the cold server {id} gets far more than it bears"));
-                server.crash();
-            }
+        if is_due && place.at() >= impaired + 5_900 {
+            is_due = false;
+            store.put("keyed.servers", &again.id, late.as_bytes());
+            place.note(&format!("the store does the write of 5.9 s before for {}", again.id));
         }
+        cold.crash_overrun(place, std::slice::from_ref(&again));
         thread::sleep(ms(1));
     }
     let attempts = join(loads);
-    let later = attempts.iter().filter(|attempt| attempt.sent >= returned);
-    let (all, lost) = (later.clone().count(), later.filter(|attempt| attempt.status == 502).count());
-    place.note(&format!("of {all} orders sent after the servers were back, {lost} were running at a server that crashed"));
-    // Only requests that were sent and arrived inside a second count.
-    let sent: HashMap<_, _> = attempts.iter().map(|attempt| (attempt.id.as_str(), attempt.sent)).collect();
-    let arrivals = arrivals.lock().unwrap();
-    let arrivals = arrivals.iter().filter_map(|(server, at, id)| Some((server, *at, *sent.get(id.as_str())?)));
-    let arrivals: Vec<_> = arrivals.collect();
-    let in_second = |(server, _, from): &(&String, u64, u64)| {
-        let counted = arrivals.iter().filter(|(other, at, sent)| other == server && sent >= from && *at < from + 1_000);
-        counted.count()
-    };
-    let most = arrivals.iter().map(in_second).max().unwrap_or(0);
-    let bound = COLD_PER_S * 3 / 2 + 5;
-    place.note(&format!("a cold server got at most {most} requests in a second; the bound is {bound}"));
-    Ok(most > bound)
+    cold.judge(place, &attempts, again.started, true)
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case 14: a key that another tenant holds by now, and a stream that goes on elsewhere
+// Case 15: a key that another tenant holds by now, and a stream that goes on elsewhere
 
 fn tenant(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
     let store = Store::start()?;
@@ -1314,7 +1356,124 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case 15: a lookup that is asked for often, and two servers that crash
+// Cold servers of the case 14 and of the play `cold`
+
+/// Requests that reached cold servers: server, time and attempt. A cold server crashes when it gets over
+/// three times as many in a second as it bears.
+#[derive(Default)]
+struct ColdServers {
+    arrivals: Mutex<Vec<(String, u64, String)>>,
+    overrun: Mutex<Vec<String>>,
+}
+
+impl ColdServers {
+    fn handler(self: &Arc<Self>) -> Arc<Handler> {
+        let cold = Arc::clone(self);
+        Arc::new(move |server, head| {
+            if server.cold_left() > 0 {
+                cold.record(server, head);
+            }
+            Plan {
+                status: "200 OK",
+                is_stream: false,
+                first: ms(60),
+                parts: vec!["done".to_owned()],
+                gap: Duration::ZERO,
+            }
+        })
+    }
+
+    fn record(&self, server: &Server, head: &Message) {
+        let mut arrivals = self.arrivals.lock().unwrap();
+        let now = server.place.at();
+        let attempt = head.field("ebonyfall-attempt-id").unwrap_or_default().to_owned();
+        arrivals.push((server.id.clone(), now, attempt));
+        let recent = arrivals.iter().filter(|(id, at, _)| *id == server.id && *at + 1_000 > now);
+        if recent.count() > 3 * COLD_PER_S {
+            self.overrun.lock().unwrap().push(server.id.clone());
+        }
+    }
+
+    fn crash_overrun(&self, place: &Place, servers: &[Arc<Server>]) {
+        for id in std::mem::take(&mut *self.overrun.lock().unwrap()) {
+            let overrun = servers.iter().find(|server| server.id == id && !server.is_down.load(SeqCst));
+            if let Some(server) = overrun {
+                place.note(&format!("the cold server {id} gets far more than it bears"));
+                server.crash();
+            }
+        }
+    }
+
+    /// Whether a cold server got more in a second than the rule allows. Only requests that were sent and
+    /// arrived inside that second count.
+    fn judge(&self, place: &Place, attempts: &[Attempt], returned: u64, must_arrive: bool) -> Result<bool, String> {
+        let later = attempts.iter().filter(|attempt| attempt.sent >= returned);
+        let (all, lost) = (later.clone().count(), later.filter(|attempt| attempt.status == 502).count());
+        place.note(&format!("of {all} orders sent after the return, {lost} were running at a server that crashed"));
+        let sent: HashMap<_, _> = attempts.iter().map(|attempt| (attempt.id.as_str(), attempt.sent)).collect();
+        let arrivals = self.arrivals.lock().unwrap();
+        let arrivals = arrivals.iter().filter_map(|(server, at, id)| Some((server, *at, *sent.get(id.as_str())?)));
+        let arrivals: Vec<_> = arrivals.collect();
+        let in_second = |(server, _, from): &(&String, u64, u64)| {
+            let counted = arrivals.iter().filter(|(other, at, sent)| other == server && sent >= from && *at < from + 1_000);
+            counted.count()
+        };
+        let most = arrivals.iter().map(in_second).max().unwrap_or(0);
+        let bound = COLD_PER_S * 3 / 2 + 5;
+        place.note(&format!("a cold server got at most {most} requests in a second; the bound is {bound}"));
+        if must_arrive && arrivals.is_empty() {
+            return Err("the cold server got no request".to_owned());
+        }
+        Ok(most > bound)
+    }
+}
+
+// ---------------------------------------------------------------------------------------------
+// No case of its own (REPORT-3.md): a zone's servers that come back cold, under their ids
+
+fn cold(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
+    let store = Store::start()?;
+    let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+    let routes = [Route { name: "r-order", prefix: "/order/", kind: "unsafe", timeout_ms: 2_000, slo_ms: 300, service: "app", attempts: 1, resumable: false }];
+    configure(place, &store, 1, &routes, &[("acme", "key-a")], 16_384);
+    let cold = Arc::new(ColdServers::default());
+    let handler = cold.handler();
+    let named = |id| (id, "app", "v1", "zone-a");
+    let start = |id| Server::start(place, &store, named(id), &runs, Arc::clone(&handler));
+    let servers = ["i-1", "i-2", "i-3"].map(start);
+    let servers = servers.into_iter().collect::<Result<Vec<_>, _>>()?;
+    let routers = start_routers(place, &store)?;
+    let begun = place.at();
+    let until = begun + 9_000;
+    let loads = vec![load(place, &routers, "order", ms(6), until, ms(4_000), |number| {
+        Request::of("POST", "/order/new", &format!("order-{number}"), "key-a", 4_000).body(&format!("order {number}"))
+    })];
+    // The zone's servers are down for two seconds, and come back together under their ids. Each reports
+    // that it is cold as it starts.
+    sleep_until(place, begun + 2_300);
+    let mut back = Vec::new();
+    if trouble {
+        servers.iter().for_each(|server| server.stop());
+        place.note("the servers of zone-a are down");
+        sleep_until(place, begun + 4_300);
+        for server in &servers {
+            let again = (server.address, COLD_MS);
+            let again = Server::start_at(place, &store, named(&server.id), &runs, Arc::clone(&handler), again)?;
+            place.note(&format!("server {} is back and cold: {}", again.id, again.entry()));
+            back.push(again);
+        }
+    }
+    let returned = place.at();
+    while place.at() < until {
+        cold.crash_overrun(place, &back);
+        thread::sleep(ms(1));
+    }
+    let attempts = join(loads);
+    cold.judge(place, &attempts, returned, false)
+}
+
+// ---------------------------------------------------------------------------------------------
+// No case of its own (REPORT-3.md): a lookup that is asked for often, and two servers that crash
 
 fn starved(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
     let store = Store::start()?;
@@ -1437,47 +1596,3 @@
     Ok(denied > bound)
 }
 
-// ---------------------------------------------------------------------------------------------
-// A desired state that takes a key away, and names a tenant as the router does not expect
-
-fn revoked(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
-    const REVOKE_MS: u64 = 5_000;
-    let store = Store::start()?;
-    let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-    let routes = [Route { name: "r-order", prefix: "/order/", kind: "unsafe", timeout_ms: 2_000, slo_ms: 300, service: "app", attempts: 1, resumable: false }];
-    configure(place, &store, 1, &routes, &[("north", "key-1"), ("south", "key-2")], 16_384);
-    let handler: Arc<Handler> = Arc::new(|_, _| Plan {
-        status: "200 OK",
-        is_stream: false,
-        first: ms(60),
-        parts: vec!["done".to_owned()],
-        gap: Duration::ZERO,
-    });
-    for id in ["i-1", "i-2", "i-3", "i-4"] {
-        Server::start(place, &store, (id, "app", "v1", "zone-a"), &runs, Arc::clone(&handler))?;
-    }
-    let routers = start_routers(place, &store)?;
-    let begun = place.at();
-    let until = begun + 14_000;
-    let order = |kind: &'static str, key: &'static str| {
-        move |number: u64| {
-            Request::of("POST", "/order/new", &format!("{kind}-{number}"), key, 4_000).body(&format!("{kind} {number}"))
-        }
-    };
-    let loads = vec![
-        load(place, &routers, "north", ms(50), until, ms(4_000), order("north", "key-1")),
-        load(place, &routers, "south", ms(50), until, ms(4_000), order("south", "key-2")),
-    ];
-    sleep_until(place, begun + 2_000);
-    let name = if trouble { "South Shore" } else { "south-shore" };
-    configure(place, &store, 2, &routes, &[(name, "key-2")], 16_384);
-    let acknowledged = place.at();
-    let attempts = join(loads);
-    let sent: HashMap<_, _> = attempts.iter().map(|attempt| (attempt.id.as_str(), attempt.sent)).collect();
-    let runs = runs.lock().unwrap();
-    let late = runs.iter().filter(|run| run.id.starts_with("north"));
-    let late = late.filter(|run| sent.get(run.id.as_str()).is_some_and(|sent| *sent > acknowledged + REVOKE_MS));
-    let late = late.count();
-    place.note(&format!("{late} requests ran that were sent with the key later than {REVOKE_MS} ms after the acknowledgement of its removal"));
-    Ok(late > 0)
-}
