--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/ebonyfall-entry ] && [ -x target/review/standin-3 ] || exit 2
 set -m
-target/review/standin-3 tenant review/15 &
+target/review/standin-3 forward review/15 &
 standin=$!
 trap 'kill -- -"$standin" 2>/dev/null' EXIT INT TERM
 wait "$standin"
--- a/review/standin-3.rs
+++ b/review/standin-3.rs
@@ -55,6 +55,7 @@
         "poison" => poison(&place, trouble),
         "names" => names(&place, trouble),
         "late" => late(&place, trouble),
+        "forward" => forward(&place, trouble),
         "denied" => denied(&place, trouble),
         _ => Err(format!("no case {case}")),
     };
@@ -1300,59 +1301,98 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case 15: a key that another tenant holds by now, and a stream that goes on elsewhere
+// Case 15: the next order right after a bad version was taken back
 
-fn tenant(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
+fn forward(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
+    const ORDER_S: u64 = 12;
     let store = Store::start()?;
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-    let routes = [Route { name: "r-reply", prefix: "/reply/", kind: "stream", timeout_ms: 10_000, slo_ms: 400, service: "pool", attempts: 2, resumable: true }];
-    configure(place, &store, 1, &routes, &[("north", "key-1"), ("south", "key-2")], 16_384);
-    let handler: Arc<Handler> = Arc::new(|_, head| {
-        let last = head.field("last-event-id").and_then(|id| id.parse::<u64>().ok());
+    let routes = [Route { name: "r-order", prefix: "/order/", kind: "unsafe", timeout_ms: 2_000, slo_ms: 300, service: "app", attempts: 1, resumable: false }];
+    configure(place, &store, 1, &routes, &[("acme", "key-a")], 16_384);
+    // A quarter of the answers of a bad version are failures.
+    let bad: Arc<Mutex<Vec<u64>>> = Arc::default();
+    let failed = Arc::clone(&bad);
+    let handler: Arc<Handler> = Arc::new(move |server, head| {
+        let number = head.field("ebonyfall-attempt-id").and_then(|id| id.rsplit('-').next()?.parse::<u64>().ok());
+        let fails = trouble && server.version == "v2" && number.unwrap_or(0) / 2 % 4 == 0;
+        if fails {
+            failed.lock().unwrap().push(server.place.at());
+        }
         Plan {
-            status: "200 OK",
-            is_stream: true,
-            first: ms(50),
-            parts: events(last.unwrap_or(0) + 1, 40),
-            gap: ms(200),
+            status: if fails { "500 Internal Server Error" } else { "200 OK" },
+            is_stream: false,
+            first: ms(60),
+            parts: vec!["done".to_owned()],
+            gap: Duration::ZERO,
         }
     });
-    let start = |id: &str| Server::start(place, &store, (id, "pool", "v1", "zone-a"), &runs, Arc::clone(&handler));
-    let servers = ["i-1", "i-2", "i-3", "i-4"].map(start);
-    let servers = servers.into_iter().collect::<Result<Vec<_>, _>>()?;
+    let start = |version: &str, index: usize| {
+        let id = format!("i-{version}-{index}");
+        Server::start(place, &store, (&id, "app", version, "zone-a"), &runs, Arc::clone(&handler))
+    };
+    let _old = (0..4).map(|index| start("v1", index)).collect::<Result<Vec<_>, _>>()?;
     let routers = start_routers(place, &store)?;
     let begun = place.at();
-    let loads = vec![load(place, &routers, "reply", ms(60), begun + 720, ms(3_200), |number| {
-        Request::of("POST", "/reply/x", &format!("reply-{number}"), "key-1", 10_000).body(&format!("question {number}"))
+    let until = begun + 3_000 + ORDER_S * 1_000 + 3_000;
+    let loads = vec![load(place, &routers, "order", ms(10), until, ms(4_000), |number| {
+        Request::of("POST", "/order/new", &format!("order-{number}"), "key-a", 4_000).body(&format!("order {number}"))
     })];
-    sleep_until(place, begun + 1_000);
-    // The key passes from the tenant `north`, which gets another one, to the tenant `south`.
-    let holders = if trouble { [("north", "key-3"), ("south", "key-1")] } else { [("north", "key-1"), ("south", "key-2")] };
-    configure(place, &store, 2, &routes, &holders, 16_384);
-    let changed = place.at();
-    sleep_until(place, changed + 3_500);
-    let first = runs.lock().unwrap().first().map(|run| run.server.clone());
-    let first = first.ok_or("no request ran")?;
-    let crashing = servers.iter().find(|server| server.id == first).ok_or("no server")?;
-    crashing.crash();
-    let crashed = place.at();
-    let attempts = join(loads);
-    let served = attempts.iter().filter(|attempt| attempt.served).count();
-    place.note(&format!("{served} of {} replies whole", attempts.len()));
-    let holder = if trouble { "south" } else { "north" };
-    let runs = runs.lock().unwrap();
-    let later: Vec<_> = runs.iter().filter(|run| run.at >= crashed).collect();
-    let foreign: Vec<_> = later.iter().filter(|run| run.tenant != holder).collect();
-    for run in &foreign {
-        place.note(&format!("{} runs at {} for tenant {}", run.id, run.server, run.tenant));
+    sleep_until(place, begun + 3_000);
+    let mut second = Some((0..4).map(|index| start("v2", index)).collect::<Result<Vec<_>, _>>()?);
+    let ordered = place.at();
+    let order = |version: &str| {
+        let text = format!(r#"{{"service":"app","target":"{version}","duration_s":{ORDER_S}}}"#);
+        store.put("keyed.op", "rollout/app", text.as_bytes());
+        place.note(&format!("the store acknowledges the order to move the service to {version}"));
+    };
+    order("v2");
+    let (mut state, mut reverted, mut third) = (String::new(), None, Vec::new());
+    while place.at() < until {
+        let status = store.newest("keyed.status", "rollout/app").unwrap_or_default();
+        let status = String::from_utf8_lossy(&status).into_owned();
+        if status != state {
+            place.note(&format!("status of the roll-out: {status}"));
+            state = status;
+        }
+        if reverted.is_none() && state.contains("reverted") {
+            reverted = Some(place.at());
+        }
+        // The next version comes a second after the bad one was taken back; without trouble, at that time.
+        let next_at = if trouble { reverted.map(|at| at + 1_000) } else { Some(ordered + 3_000) };
+        if third.is_empty() && next_at.is_some_and(|at| place.at() >= at) {
+            for index in 0..4 {
+                third.push(start("v3", index)?);
+            }
+            order("v3");
+        }
+        // At `reverted`, the new servers drain some seconds later.
+        if reverted.is_some_and(|at| place.at() >= at + 7_000) {
+            for server in second.take().into_iter().flatten() {
+                server.beats.store(false, SeqCst);
+                store.put("keyed.servers", &server.id, b"");
+                place.note(&format!("the entry of {} is removed", server.id));
+            }
+        }
+        thread::sleep(ms(20));
     }
-    let foreign = foreign.len();
-    let why = crashed - changed;
-    place.note(&format!("{} runs began later than {why} ms after the acknowledgement; tenant {holder} holds the key; {foreign} of them bore another tenant", later.len()));
-    if later.is_empty() {
-        return Err("no stream went on at another server".to_owned());
+    let attempts = join(loads);
+    if trouble && reverted.is_none() {
+        return Err("the bad version was not taken back".to_owned());
     }
-    Ok(foreign > 0)
+    let end = ordered + ORDER_S * 1_000;
+    let runs = runs.lock().unwrap();
+    let counted: Vec<_> = runs.iter().filter(|run| (ordered..end).contains(&run.at)).collect();
+    let at_second = counted.iter().filter(|run| run.version == "v2");
+    let after = at_second.clone().filter(|run| reverted.is_some_and(|at| run.at > at)).count();
+    let (all, new) = (counted.len(), at_second.count());
+    let bound = all / 10 + 50;
+    place.note(&format!("between the first order and its time, {all} requests reached the service, {new} of them v2, {after} after it was taken back; the bound is a tenth and 50: {bound}"));
+    let bad = bad.lock().unwrap();
+    let late = bad.iter().filter(|at| reverted.is_some_and(|reverted| **at > reverted)).count();
+    let lost = attempts.iter().filter(|attempt| !attempt.served).count();
+    place.note(&format!("v2 failed {} orders, {late} after it was taken back; {lost} orders weren't served", bad.len()));
+    // A good version may have any share.
+    Ok(trouble && new > bound)
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -1428,6 +1468,62 @@
     }
 }
 
+// ---------------------------------------------------------------------------------------------
+// No case of its own (REPORT-3.md): a key that another tenant holds by now, and a stream that goes on elsewhere
+
+fn tenant(place: &Arc<Place>, trouble: bool) -> Result<bool, String> {
+    let store = Store::start()?;
+    let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+    let routes = [Route { name: "r-reply", prefix: "/reply/", kind: "stream", timeout_ms: 10_000, slo_ms: 400, service: "pool", attempts: 2, resumable: true }];
+    configure(place, &store, 1, &routes, &[("north", "key-1"), ("south", "key-2")], 16_384);
+    let handler: Arc<Handler> = Arc::new(|_, head| {
+        let last = head.field("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        Plan {
+            status: "200 OK",
+            is_stream: true,
+            first: ms(50),
+            parts: events(last.unwrap_or(0) + 1, 40),
+            gap: ms(200),
+        }
+    });
+    let start = |id: &str| Server::start(place, &store, (id, "pool", "v1", "zone-a"), &runs, Arc::clone(&handler));
+    let servers = ["i-1", "i-2", "i-3", "i-4"].map(start);
+    let servers = servers.into_iter().collect::<Result<Vec<_>, _>>()?;
+    let routers = start_routers(place, &store)?;
+    let begun = place.at();
+    let loads = vec![load(place, &routers, "reply", ms(60), begun + 720, ms(3_200), |number| {
+        Request::of("POST", "/reply/x", &format!("reply-{number}"), "key-1", 10_000).body(&format!("question {number}"))
+    })];
+    sleep_until(place, begun + 1_000);
+    // The key passes from the tenant `north`, which gets another one, to the tenant `south`.
+    let holders = if trouble { [("north", "key-3"), ("south", "key-1")] } else { [("north", "key-1"), ("south", "key-2")] };
+    configure(place, &store, 2, &routes, &holders, 16_384);
+    let changed = place.at();
+    sleep_until(place, changed + 3_500);
+    let first = runs.lock().unwrap().first().map(|run| run.server.clone());
+    let first = first.ok_or("no request ran")?;
+    let crashing = servers.iter().find(|server| server.id == first).ok_or("no server")?;
+    crashing.crash();
+    let crashed = place.at();
+    let attempts = join(loads);
+    let served = attempts.iter().filter(|attempt| attempt.served).count();
+    place.note(&format!("{served} of {} replies whole", attempts.len()));
+    let holder = if trouble { "south" } else { "north" };
+    let runs = runs.lock().unwrap();
+    let later: Vec<_> = runs.iter().filter(|run| run.at >= crashed).collect();
+    let foreign: Vec<_> = later.iter().filter(|run| run.tenant != holder).collect();
+    for run in &foreign {
+        place.note(&format!("{} runs at {} for tenant {}", run.id, run.server, run.tenant));
+    }
+    let foreign = foreign.len();
+    let why = crashed - changed;
+    place.note(&format!("{} runs began later than {why} ms after the acknowledgement; tenant {holder} holds the key; {foreign} of them bore another tenant", later.len()));
+    if later.is_empty() {
+        return Err("no stream went on at another server".to_owned());
+    }
+    Ok(foreign > 0)
+}
+
 // ---------------------------------------------------------------------------------------------
 // No case of its own (REPORT-3.md): a zone's servers that come back cold, under their ids
 
